--- /dev/null
+++ b/coordination/member/wire.go
@@ -0,0 +1,47 @@
+package member
+
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"primroseward/core"
+	"primroseward/protocol/peerv1"
+)
+
+// ToWire makes a member's message.
+func ToWire(m core.Member) *peerv1.Member {
+	return &peerv1.Member{
+		Name:        m.Name,
+		Place:       m.Place,
+		Peer:        m.Peer.String(),
+		Caller:      m.Caller.String(),
+		Incarnation: m.Incarnation,
+		State:       peerv1.State(m.State),
+		Boot:        m.Boot,
+	}
+}
+
+// FromWire reads a member's message.
+func FromWire(w *peerv1.Member) (core.Member, error) {
+	if w == nil {
+		return core.Member{}, eris.Wrap(core.ErrInvalid, "no member")
+	}
+	peer, err := netip.ParseAddrPort(w.Peer)
+	if err != nil {
+		return core.Member{}, eris.Wrap(core.ErrInvalid, "member's peer address")
+	}
+	caller, err := netip.ParseAddrPort(w.Caller)
+	if err != nil {
+		return core.Member{}, eris.Wrap(core.ErrInvalid, "member's caller address")
+	}
+	return core.Member{
+		Name:        w.Name,
+		Place:       w.Place,
+		Peer:        peer,
+		Caller:      caller,
+		Incarnation: w.Incarnation,
+		State:       core.MemberState(w.State),
+		Boot:        w.Boot,
+	}, nil
+}
--- /dev/null
+++ b/coordination/owner/orders.go
@@ -0,0 +1,371 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/core"
+	"primroseward/state/ledger"
+	"primroseward/state/tree"
+)
+
+const (
+	proposalRing = 16
+	resendEvery  = time.Second
+	// lifetime is the longest time that an order to an endpoint which ignores
+	// fencing numbers is assumed to be under way. docs/GUARANTEES.md says what
+	// rests on it.
+	lifetime = 30 * time.Second
+)
+
+// Proposal asks for a change of what a runner holds.
+type Proposal struct {
+	Kind    core.OrderKind
+	Model   string
+	Version string
+	Reason  string
+}
+
+type proposal struct {
+	Proposal
+	reply chan error
+}
+
+type seen struct {
+	obs   core.Observation
+	asked time.Time
+}
+
+// ledgerKeeper holds one runner's memory record: it alone writes it for this
+// daemon and sends the orders that it authorises.
+type ledgerKeeper struct {
+	r     *runner
+	obs   chan seen
+	asks  chan proposal
+	log   *zap.Logger
+	clock core.Clock
+
+	// Held by run.
+	object core.Object // of the record as last read or written
+	loaded bool
+	readAt time.Time
+	sent   map[string]time.Time // by model@version
+
+	mu     sync.Mutex // guards record
+	record ledger.Record
+}
+
+func newLedgerKeeper(r *runner) *ledgerKeeper {
+	return &ledgerKeeper{
+		r:     r,
+		obs:   make(chan seen, 1),
+		asks:  make(chan proposal, proposalRing),
+		log:   r.mgr.log.With(zap.String("runner", r.id)),
+		clock: r.mgr.clock,
+		sent:  map[string]time.Time{},
+	}
+}
+
+// observe hands over the newest observation; an older one still waiting is
+// replaced.
+func (k *ledgerKeeper) observe(o core.Observation, asked time.Time) {
+	select {
+	case <-k.obs:
+	default:
+	}
+	select {
+	case k.obs <- seen{o, asked}:
+	default:
+	}
+}
+
+// propose asks for a change and waits for the decision.
+func (k *ledgerKeeper) propose(ctx context.Context, p Proposal) error {
+	ask := proposal{Proposal: p, reply: make(chan error, 1)}
+	select {
+	case k.asks <- ask:
+	default:
+		return eris.Wrap(core.ErrUnavailable, "too many proposals wait")
+	}
+	select {
+	case err := <-ask.reply:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// blocks says whether a model gets no new work because its only version here
+// is about to be evicted.
+func (k *ledgerKeeper) blocks(model string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	leaving := slices.ContainsFunc(k.record.Entries, func(e ledger.Entry) bool {
+		return e.Model == model && e.State == ledger.Evicting
+	})
+	return leaving && !k.record.HasReady(model)
+}
+
+// snapshot returns the record, and whether one has been read or written yet.
+func (k *ledgerKeeper) snapshot() (ledger.Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.record, !k.readAt.IsZero()
+}
+
+func (k *ledgerKeeper) run(ctx context.Context) {
+	defer k.r.wg.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-k.obs:
+			k.step(ctx, s)
+		case p := <-k.asks:
+			p.reply <- k.decide(ctx, p.Proposal)
+		}
+	}
+}
+
+// capacity is what models may fill.
+func (k *ledgerKeeper) capacity() (int64, bool) {
+	spec, ok := k.r.mgr.spec(k.r.id)
+	return int64(spec.Memory - spec.Cache), ok
+}
+
+func (k *ledgerKeeper) rules() ledger.Rules {
+	spec, _ := k.r.mgr.spec(k.r.id)
+	return ledger.Rules{Fenced: spec.Fenced, Lifetime: lifetime}
+}
+
+// step settles the record by an observation and sends what is pending.
+func (k *ledgerKeeper) step(ctx context.Context, s seen) {
+	if !k.load(ctx) || s.asked.Before(k.readAt) {
+		return
+	}
+	rules := k.rules()
+	now := k.clock.Now()
+	before := k.record
+	next, settled := before.Settle(s.obs, rules, k.object.Version, now)
+	next, again := next.Authorise(s.obs, rules, now)
+	if settled || again {
+		if err := k.write(ctx, next); err != nil {
+			return
+		}
+		k.afterSettle(ctx, before)
+	}
+	k.sendPending(ctx, s.obs, rules)
+}
+
+// load reads the record and makes this daemon its owner.
+func (k *ledgerKeeper) load(ctx context.Context) bool {
+	if k.loaded {
+		return true
+	}
+	o, err := k.r.mgr.platform.Get(ctx, core.KindRunner, k.r.id)
+	var rec ledger.Record
+	switch {
+	case err == nil:
+		if json.Unmarshal(o.Body, &rec) != nil {
+			k.log.Error("memory record cannot be read; nothing is loaded or evicted here")
+			return false
+		}
+	case errors.Is(err, core.ErrNotFound):
+		o = core.Object{Kind: core.KindRunner, Name: k.r.id}
+	default:
+		return false
+	}
+	k.setRecord(rec, o)
+	self := k.r.mgr.members.Self().Name
+	if o.Version > 0 && rec.Owner == self {
+		k.loaded = true
+		return true
+	}
+	return k.writeFrom(ctx, o, rec.TakeOver(self)) == nil
+}
+
+func (k *ledgerKeeper) setRecord(rec ledger.Record, o core.Object) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.record = rec
+	k.object = o
+	k.readAt = k.clock.Now()
+}
+
+// write replaces the record by a conditional update. Any failure makes the
+// next step read it again: another owner wrote it, or this write may yet take
+// effect unseen.
+func (k *ledgerKeeper) write(ctx context.Context, next ledger.Record) error {
+	return k.writeFrom(ctx, k.object, next)
+}
+
+func (k *ledgerKeeper) writeFrom(ctx context.Context, o core.Object, next ledger.Record) error {
+	body, err := json.Marshal(next)
+	if err != nil {
+		return eris.Wrap(core.ErrInvalid, err.Error())
+	}
+	o.Body = body
+	k.loaded = false
+	if o.Version == 0 {
+		o, err = k.r.mgr.platform.Create(ctx, o)
+	} else {
+		o, err = k.r.mgr.platform.Update(ctx, o)
+	}
+	if err != nil {
+		return err
+	}
+	k.setRecord(next, o)
+	k.loaded = true
+	return nil
+}
+
+// afterSettle gives back load slots and marks of evictions that have ended,
+// and sees to it that each ready model has a pinned replica.
+func (k *ledgerKeeper) afterSettle(ctx context.Context, before ledger.Record) {
+	for _, e := range before.Entries {
+		i := k.record.Find(e.Model, e.Version)
+		if e.State == ledger.Loading && (i < 0 || k.record.Entries[i].State == ledger.Ready) {
+			k.r.mgr.store.release(ctx, k.loadID(e.Model, e.Version))
+		}
+		if i < 0 && !k.record.HasReady(e.Model) {
+			k.r.mgr.floors.done(ctx, e.Model, k.r.id)
+		}
+	}
+	for _, e := range k.record.Entries {
+		if e.State == ledger.Ready && !before.HasReady(e.Model) {
+			k.r.mgr.floors.ensure(ctx, e.Model, k.r.id)
+		}
+	}
+}
+
+func (k *ledgerKeeper) loadID(model, version string) string {
+	return k.r.id + "/" + model + "@" + version
+}
+
+// sendPending sends the orders that the record authorises and the endpoint has
+// not yet carried out.
+func (k *ledgerKeeper) sendPending(ctx context.Context, obs core.Observation, rules ledger.Rules) {
+	for _, e := range k.record.Entries {
+		key := e.Model + "@" + e.Version
+		if !e.Pending(obs, rules) || k.clock.Since(k.sent[key]) < resendEvery {
+			continue
+		}
+		if e.State == ledger.Evicting && !k.isIdle(ctx, e.Model) {
+			continue
+		}
+		k.sent[key] = k.clock.Now()
+		k.send(ctx, e)
+	}
+}
+
+// send sends one order. A daemon that stood still between the record's write
+// and here must not send: the entry may long have been settled by another
+// owner, and an endpoint that ignores fencing numbers would carry it out.
+func (k *ledgerKeeper) send(ctx context.Context, e ledger.Entry) {
+	if !e.MaySend(k.clock.Now()) {
+		return
+	}
+	err := k.r.endpoint.Order(ctx, e.Order(k.object.Version))
+	k.r.mgr.count("orders")
+	switch {
+	case errors.Is(err, core.ErrStaleFence):
+		k.loaded = false
+	case err != nil:
+		k.log.Info("order is unanswered", zap.String("model", e.Model), zap.String("state", string(e.State)), zap.Error(err))
+	}
+}
+
+func (k *ledgerKeeper) isIdle(ctx context.Context, model string) bool {
+	reply := make(chan int, 1)
+	k.r.must(idle{model, reply})
+	select {
+	case n := <-reply:
+		return n == 0
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// decide carries out a proposal as far as the record; the order follows.
+func (k *ledgerKeeper) decide(ctx context.Context, p Proposal) error {
+	if !k.load(ctx) {
+		return eris.Wrap(core.ErrUnavailable, "the memory record cannot be read")
+	}
+	if p.Kind == core.OrderLoad {
+		return k.decideLoad(ctx, p)
+	}
+	return k.decideEvict(ctx, p)
+}
+
+func (k *ledgerKeeper) decideLoad(ctx context.Context, p Proposal) error {
+	t := k.r.mgr.replica.Tree()
+	spec, listed := k.r.mgr.spec(k.r.id)
+	m, known := t.Model(p.Model)
+	if !known || !listed {
+		return core.ErrNotFound
+	}
+	if _, ok := t.Allowed(tree.Coord{Service: t.ServiceOf(p.Model), Model: p.Model, Place: spec.Place}); !ok {
+		return eris.Wrap(core.ErrInvalid, "the model is not allowed in this place")
+	}
+	if m.Base != "" && !k.record.HasReady(m.Base) {
+		return eris.Wrap(core.ErrInvalid, "the adapter's base is not ready here")
+	}
+	capacity, _ := k.capacity()
+	e := ledger.Entry{Model: p.Model, Version: p.Version, Bytes: int64(m.Memory), Reason: p.Reason}
+	next, err := k.record.Load(e, capacity, k.object.Version, k.clock.Now())
+	if err != nil {
+		return err
+	}
+	id := k.loadID(p.Model, p.Version)
+	if err := k.r.mgr.store.take(ctx, id, t.Store(), time.Duration(m.Load)); err != nil {
+		return err
+	}
+	if err := k.write(ctx, next); err != nil {
+		k.r.mgr.store.release(ctx, id)
+		return err
+	}
+	k.sendOne(ctx, p)
+	return nil
+}
+
+func (k *ledgerKeeper) decideEvict(ctx context.Context, p Proposal) error {
+	t := k.r.mgr.replica.Tree()
+	for _, e := range k.record.Entries {
+		if m, ok := t.Model(e.Model); ok && m.Base == p.Model && p.Model != "" {
+			return eris.Wrap(core.ErrConflict, "adapters on it are loaded")
+		}
+	}
+	next, err := k.record.Evict(p.Model, p.Version, p.Reason, k.object.Version, k.clock.Now())
+	if err != nil {
+		return err
+	}
+	_, served := t.Model(p.Model)
+	last := served && k.record.HasReady(p.Model) && !next.HasReady(p.Model)
+	if last {
+		if err := k.r.mgr.floors.evict(ctx, p.Model, k.r.id); err != nil {
+			return err
+		}
+	}
+	if err := k.write(ctx, next); err != nil {
+		if last && !errors.Is(err, core.ErrUnavailable) {
+			k.r.mgr.floors.done(ctx, p.Model, k.r.id)
+		}
+		return err
+	}
+	return nil
+}
+
+// sendOne sends a new load's order without waiting for the next observation.
+func (k *ledgerKeeper) sendOne(ctx context.Context, p Proposal) {
+	if i := k.record.Find(p.Model, p.Version); i >= 0 {
+		k.sent[p.Model+"@"+p.Version] = k.clock.Now()
+		k.send(ctx, k.record.Entries[i])
+	}
+}
--- /dev/null
+++ b/protocol/endpoint/client.go
@@ -0,0 +1,236 @@
+// Package endpoint is the client of model engines and plain services.
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"primroseward/core"
+)
+
+const (
+	dialTimeout    = time.Second
+	observeTimeout = 2 * time.Second
+	maxObservation = 4 << 20
+)
+
+// Paths of an engine's own interface, beside OpenAI's.
+const (
+	PathState   = "/state"
+	PathOrders  = "/orders"
+	PathStreams = "/v1/streams/" // + attempt id; GET with offset, DELETE
+)
+
+// Client speaks to one endpoint. It implements core.Endpoint.
+type Client struct {
+	base   string
+	clock  core.Clock
+	echo   bool
+	reused *http.Transport
+	fresh  *http.Transport
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithEcho refuses answers that do not carry the attempt's id. Engines echo
+// it; plain services need not.
+func WithEcho() Option { return func(c *Client) { c.echo = true } }
+
+// New makes a client of the endpoint at addr.
+func New(addr netip.AddrPort, clock core.Clock, opts ...Option) *Client {
+	c := &Client{base: "http://" + addr.String(), clock: clock}
+	c.reused = newTransport()
+	// net/http sends a request again by itself when a reused connection breaks
+	// before an answer and the request looks idempotent to it, for example by
+	// its Idempotency-Key. The endpoint would run it twice with no error seen
+	// here. A connection that carries one request is never reused.
+	c.fresh = newTransport()
+	c.fresh.DisableKeepAlives = true
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &guardConn{Conn: conn}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		Protocols:           http1(),
+	}
+}
+
+func http1() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	return p
+}
+
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.reused.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do sends a call.
+func (c *Client) Do(ctx context.Context, call core.Call) (*core.Answer, error) {
+	header := call.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(core.HeaderRequestID, call.Attempt)
+	header.Set(core.HeaderPriority, fmt.Sprintf("u=%d", 1+2*call.Class.Rank()))
+	transport := c.fresh
+	if call.Repeat {
+		transport = c.reused
+	}
+	return c.send(ctx, transport, call, call.Method, call.Path, header, call.Body)
+}
+
+// Resume reads an attempt's answer again from an offset.
+func (c *Client) Resume(ctx context.Context, call core.Call, offset int64) (*core.Answer, error) {
+	path := fmt.Sprintf("%s%s?offset=%d", PathStreams, url.PathEscape(call.Attempt), offset)
+	a, err := c.send(ctx, c.fresh, call, http.MethodGet, path, http.Header{}, nil)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != http.StatusOK {
+		_ = a.Body.Close()
+		return nil, core.ErrNotFound
+	}
+	return a, nil
+}
+
+func (c *Client) send(ctx context.Context, tr *http.Transport, call core.Call, method, path string, header http.Header, body []byte) (*core.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	used := &usage{}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { used.add(i.Conn) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0)
+	}
+	// GetBody would let the transport rewind and send the body again.
+	req.GetBody = nil
+	req.Header = header
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	silence := newSilence(c.clock, call.Stall, cancel)
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		silence.stop()
+		cancel()
+		return nil, broken(used.seal(), err)
+	}
+	if err := c.verify(call, resp); err != nil {
+		silence.stop()
+		_ = resp.Body.Close()
+		cancel()
+		return nil, err
+	}
+	return &core.Answer{
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Body:   &watchedBody{rc: resp.Body, silence: silence, cancel: cancel},
+	}, nil
+}
+
+func broken(wrote bool, err error) error {
+	if wrote {
+		return core.MayHaveRun("endpoint_broken", err.Error())
+	}
+	return core.NotRun(http.StatusServiceUnavailable, "endpoint_unreachable", err.Error(), time.Second)
+}
+
+// verify refuses answers that may belong to another request or whose end could
+// not be told from a cut: a body that ends when the connection does looks the
+// same whole and truncated.
+func (c *Client) verify(call core.Call, resp *http.Response) error {
+	id := resp.Header.Get(core.HeaderRequestID)
+	if id != call.Attempt && (id != "" || c.echo) {
+		return core.MayHaveRun("crossed_answer", fmt.Sprintf("answer carries id %q", id))
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return core.MayHaveRun("answer_without_end", "the endpoint marks no end of its answer")
+	}
+	return nil
+}
+
+// Cancel stops an attempt.
+func (c *Client) Cancel(ctx context.Context, attempt string) error {
+	_, err := c.plain(ctx, http.MethodDelete, PathStreams+url.PathEscape(attempt), nil)
+	return err
+}
+
+// Observe asks the endpoint what it holds.
+func (c *Client) Observe(ctx context.Context) (core.Observation, error) {
+	var o core.Observation
+	data, err := c.plain(ctx, http.MethodGet, PathState, nil)
+	if err != nil {
+		return o, err
+	}
+	if err := json.Unmarshal(data, &o); err != nil {
+		return o, eris.Wrap(core.ErrInvalid, "state: "+err.Error())
+	}
+	return o, nil
+}
+
+// Order sends an order. ErrStaleFence means that the endpoint refused it; any
+// other error leaves open whether it was or will be carried out.
+func (c *Client) Order(ctx context.Context, o core.Order) error {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return eris.Wrap(core.ErrInvalid, err.Error())
+	}
+	_, err = c.plain(ctx, http.MethodPost, PathOrders, data)
+	return err
+}
+
+func (c *Client) plain(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(core.ErrInvalid, err.Error())
+	}
+	resp, err := c.reused.RoundTrip(req)
+	if err != nil {
+		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxObservation))
+	if err != nil {
+		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
+	}
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return nil, core.ErrStaleFence
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, core.ErrNotFound
+	case resp.StatusCode >= http.StatusBadRequest:
+		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %d %s", resp.StatusCode, data)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/services/tree/fleet.go
@@ -0,0 +1,121 @@
+package tree
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"primroseward/core"
+	"primroseward/protocol/peerv1"
+	"primroseward/state/ledger"
+	"primroseward/transport/peer"
+)
+
+// RunnerStatus is one runner's memory and work.
+type RunnerStatus struct {
+	Runner      string       `json:"runner"`
+	Place       string       `json:"place"`
+	Owner       string       `json:"owner"`
+	Capacity    int64        `json:"capacity"` // bytes for models
+	Committed   int64        `json:"committed"`
+	Reserved    int64        `json:"reserved"`    // of it for loads under way
+	Quarantined int64        `json:"quarantined"` // of it until late orders are excluded
+	Free        int64        `json:"free"`
+	Running     int          `json:"running"`
+	Queued      int          `json:"queued"`
+	Slots       int          `json:"slots"`
+	Leaving     bool         `json:"leaving,omitempty"`
+	Unreachable bool         `json:"unreachable,omitempty"`
+	Models      []HeldStatus `json:"models,omitempty"`
+}
+
+// HeldStatus is one model version on a runner.
+type HeldStatus struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Bytes   int64  `json:"bytes"`
+	State   string `json:"state"`
+	Reason  string `json:"reason,omitempty"`
+	Age     string `json:"age"`
+}
+
+// MoveStatus is one load or eviction under way.
+type MoveStatus struct {
+	Runner string `json:"runner"`
+	HeldStatus
+}
+
+// Fleet asks all daemons for the runners that they own.
+type Fleet struct {
+	members core.Members
+	dial    peer.Dial
+}
+
+// NewFleet makes a Fleet.
+func NewFleet(members core.Members, dial peer.Dial) *Fleet {
+	return &Fleet{members: members, dial: dial}
+}
+
+// Runners returns all runners that some daemon owns, sorted by name.
+func (f *Fleet) Runners(ctx context.Context) []RunnerStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := []RunnerStatus{}
+	for _, m := range f.members.All() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			resp, err := f.dial(m.Peer).View(ctx, connect.NewRequest(&peerv1.Empty{}))
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, v := range resp.Msg.Views {
+				out = append(out, runnerStatus(m.Name, v))
+			}
+		}()
+	}
+	wg.Wait()
+	sort.Slice(out, func(i, j int) bool { return out[i].Runner < out[j].Runner })
+	return out
+}
+
+func runnerStatus(owner string, v *peerv1.View) RunnerStatus {
+	r := RunnerStatus{
+		Runner: v.Runner, Place: v.Place, Owner: owner, Capacity: v.Capacity,
+		Running: int(v.Running), Queued: int(v.Queued), Slots: int(v.Slots),
+		Leaving: v.Leaving, Unreachable: v.Unreachable,
+	}
+	for _, h := range v.Held {
+		r.Committed += h.Bytes
+		switch ledger.State(h.State) {
+		case ledger.Loading:
+			r.Reserved += h.Bytes
+		case ledger.Quarantine:
+			r.Quarantined += h.Bytes
+		}
+		age := (time.Duration(h.Age) * time.Millisecond).Round(time.Second)
+		r.Models = append(r.Models, HeldStatus{Model: h.Model, Version: h.Version, Bytes: h.Bytes, State: h.State, Reason: h.Reason, Age: age.String()})
+	}
+	r.Free = r.Capacity - r.Committed
+	return r
+}
+
+// Moves returns all loads and evictions under way.
+func (f *Fleet) Moves(ctx context.Context) []MoveStatus {
+	out := []MoveStatus{}
+	for _, r := range f.Runners(ctx) {
+		for _, h := range r.Models {
+			if ledger.State(h.State) != ledger.Ready {
+				out = append(out, MoveStatus{Runner: r.Runner, HeldStatus: h})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/services/tree/status.go
@@ -0,0 +1,180 @@
+package tree
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"primroseward/coordination/member"
+	"primroseward/coordination/spread"
+	"primroseward/core"
+	"primroseward/protocol/peerv1"
+	"primroseward/state/tree"
+	"primroseward/transport/peer"
+)
+
+const (
+	statusTimeout  = 2 * time.Second
+	statusParallel = 32
+)
+
+// BranchStatus is one branch as accepted and as in force.
+type BranchStatus struct {
+	Branch   string    `json:"branch"`
+	Accepted uint64    `json:"accepted"`
+	At       time.Time `json:"at"`
+	By       string    `json:"by,omitempty"`
+	Lagging  []string  `json:"lagging,omitempty"` // members with an older version
+}
+
+// MemberStatus is one daemon.
+type MemberStatus struct {
+	Name     string   `json:"name"`
+	Place    string   `json:"place"`
+	State    string   `json:"state"`
+	Reached  bool     `json:"reached"`
+	Behind   int      `json:"behind"` // branches not yet in force there
+	Fresh    string   `json:"fresh"`  // since its settings were confirmed
+	Running  int      `json:"running"`
+	Queued   int      `json:"queued"`
+	Held     int64    `json:"held"`
+	Runners  []string `json:"runners,omitempty"`
+	Relay    bool     `json:"relay,omitempty"`
+	Planner  bool     `json:"planner,omitempty"`
+	Problems []string `json:"problems,omitempty"`
+}
+
+// Status is the whole system as one daemon sees it.
+type Status struct {
+	Platform bool           `json:"platform"` // answers
+	InForce  bool           `json:"in_force"` // accepted is in force at every live member
+	Branches []BranchStatus `json:"branches"`
+	Members  []MemberStatus `json:"members"`
+	Problems []string       `json:"problems,omitempty"`
+}
+
+// Statuses asks all daemons for their state.
+type Statuses struct {
+	service *Service
+	members core.Members
+	dial    peer.Dial
+	extra   func() []string // problems that the planner knows of
+}
+
+// NewStatuses makes a Statuses.
+func NewStatuses(s *Service, members core.Members, dial peer.Dial, extra func() []string) *Statuses {
+	return &Statuses{service: s, members: members, dial: dial, extra: extra}
+}
+
+// Status collects the state of the whole system.
+func (s *Statuses) Status(ctx context.Context) Status {
+	ctx, cancel := context.WithTimeout(ctx, 2*statusTimeout)
+	defer cancel()
+	replies := s.ask(ctx)
+	accepted, ok := s.accepted(ctx, replies)
+	out := Status{Platform: ok, InForce: true, Problems: s.extra()}
+	behind := map[string]int{}
+	for _, b := range accepted {
+		for name, r := range replies {
+			if r == nil || versionOf(r, b.Branch) < b.Accepted {
+				b.Lagging = append(b.Lagging, name)
+				behind[name]++
+			}
+		}
+		sort.Strings(b.Lagging)
+		out.InForce = out.InForce && len(b.Lagging) == 0
+		out.Branches = append(out.Branches, b)
+	}
+	for _, m := range s.members.All() {
+		out.Members = append(out.Members, memberStatus(m, replies[m.Name], behind[m.Name]))
+	}
+	return out
+}
+
+func (s *Statuses) ask(ctx context.Context) map[string]*peerv1.MemberStatus {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, statusParallel)
+	out := map[string]*peerv1.MemberStatus{}
+	for _, m := range s.members.All() {
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			resp, err := s.dial(m.Peer).Status(ctx, connect.NewRequest(&peerv1.Empty{}))
+			mu.Lock()
+			defer mu.Unlock()
+			out[m.Name] = nil
+			if err == nil {
+				out[m.Name] = resp.Msg
+			}
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+// accepted returns the branches as the platform has them or, while it is down,
+// the newest that any daemon has.
+func (s *Statuses) accepted(ctx context.Context, replies map[string]*peerv1.MemberStatus) ([]BranchStatus, bool) {
+	objects, _, err := s.service.platform.List(ctx, core.KindTree)
+	newest := map[string]BranchStatus{}
+	for _, o := range objects {
+		name := spread.BranchName(o.Name)
+		b := BranchStatus{Branch: name, Accepted: o.Version}
+		if stored, err := tree.ParseBranch(o.Body); err == nil && len(stored.Log) > 0 {
+			b.At, b.By = stored.Log[0].At, stored.Log[0].By
+		}
+		newest[name] = b
+	}
+	if err != nil {
+		for _, r := range replies {
+			for _, v := range r.GetVersions() {
+				if v.Version > newest[v.Branch].Accepted && !strings.HasPrefix(v.Branch, tree.VMPrefix) {
+					newest[v.Branch] = BranchStatus{Branch: v.Branch, Accepted: v.Version}
+				}
+			}
+		}
+	}
+	out := make([]BranchStatus, 0, len(newest))
+	for _, b := range newest {
+		out = append(out, b)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Branch < out[j].Branch })
+	return out, err == nil
+}
+
+func versionOf(r *peerv1.MemberStatus, branch string) uint64 {
+	for _, v := range r.Versions {
+		if v.Branch == branch {
+			return v.Version
+		}
+	}
+	return 0
+}
+
+func memberStatus(m core.Member, r *peerv1.MemberStatus, behind int) MemberStatus {
+	out := MemberStatus{Name: m.Name, Place: m.Place, State: m.State.String(), Behind: behind}
+	if r == nil {
+		return out
+	}
+	if self, err := member.FromWire(r.Member); err == nil {
+		out.State = self.State.String()
+	}
+	out.Reached = true
+	out.Fresh = "never"
+	if r.Fresh >= 0 {
+		out.Fresh = (time.Duration(r.Fresh) * time.Millisecond).Round(100 * time.Millisecond).String()
+	}
+	out.Running, out.Queued, out.Held = int(r.Running), int(r.Queued), r.Held
+	out.Runners, out.Relay, out.Planner, out.Problems = r.Runners, r.Relay, r.Planner, r.Problems
+	sort.Strings(out.Runners)
+	return out
+}
--- /dev/null
+++ b/services/tree/tree.go
@@ -0,0 +1,353 @@
+// Package tree is the work behind the operators' calls on the settings tree.
+package tree
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+
+	"github.com/rotisserie/eris"
+
+	"primroseward/coordination/spread"
+	"primroseward/core"
+	"primroseward/io/strict"
+	"primroseward/state/tree"
+)
+
+// Service edits and reads the tree.
+type Service struct {
+	replica  *tree.Replica
+	platform core.Platform
+	spread   *spread.Spreader
+	clock    core.Clock
+}
+
+// New makes a Service.
+func New(replica *tree.Replica, platform core.Platform, spread *spread.Spreader, clock core.Clock) *Service {
+	return &Service{replica: replica, platform: platform, spread: spread, clock: clock}
+}
+
+// Got is a node as read.
+type Got struct {
+	Path    string      `json:"path"`
+	Branch  string      `json:"branch"`
+	Version uint64      `json:"version"`
+	Node    *tree.Node  `json:"node"`
+	Log     []tree.Edit `json:"log,omitempty"`
+	// Stale is set when the platform could not be asked and the node is what
+	// is in force at the daemon that answers.
+	Stale bool `json:"stale,omitempty"`
+}
+
+// Edit is a change that an operator asks for. A nil node deletes the path.
+type Edit struct {
+	Path    string
+	Version uint64 // of the branch that the operator read; 0: it must not exist
+	Node    *tree.Node
+	By      string
+	Note    string
+}
+
+// Lost is the error of an edit whose version was not the newest: it shows what
+// the winner wrote. It matches core.ErrConflict.
+type Lost struct {
+	Winner Got
+}
+
+func (l *Lost) Error() string {
+	by := "someone"
+	if len(l.Winner.Log) > 0 {
+		by = l.Winner.Log[0].By + " at " + l.Winner.Log[0].Path
+	}
+	return fmt.Sprintf("branch %s is at version %d now, changed by %s", l.Winner.Branch, l.Winner.Version, by)
+}
+
+// Is makes errors.Is(l, core.ErrConflict) true.
+func (l *Lost) Is(target error) bool { return target == core.ErrConflict }
+
+func parsePath(path string) (tree.Path, error) {
+	p, ok := tree.ParsePath(path)
+	if !ok {
+		return nil, strict.Problems{{Path: "path", Text: fmt.Sprintf("want /service/NAME, /model/NAME or /place/NAME and so on, got %q", path)}}
+	}
+	return p, nil
+}
+
+// Get reads a node from the platform, or from memory while it is down.
+func (s *Service) Get(ctx context.Context, path string) (Got, error) {
+	p, err := parsePath(path)
+	if err != nil {
+		return Got{}, err
+	}
+	got, stored, err := s.read(ctx, p)
+	if errors.Is(err, core.ErrUnavailable) {
+		return s.getHeld(p)
+	}
+	if err != nil {
+		return Got{}, err
+	}
+	if got.Node = find(stored.Node, p); got.Node == nil {
+		return got, core.ErrNotFound
+	}
+	return got, nil
+}
+
+func (s *Service) getHeld(p tree.Path) (Got, error) {
+	branch := p.Branch()
+	got := Got{Path: p.String(), Branch: branch, Version: s.replica.Versions()[branch], Log: s.replica.Log(branch), Stale: true}
+	if got.Node = find(s.replica.Nodes()[branch], p); got.Node == nil {
+		return got, core.ErrNotFound
+	}
+	return got, nil
+}
+
+// find returns the node of a path in its branch.
+func find(branch *tree.Node, p tree.Path) *tree.Node {
+	if len(p) == 0 {
+		return branch
+	}
+	return branch.Find(p[1:])
+}
+
+func (s *Service) read(ctx context.Context, p tree.Path) (Got, *tree.Stored, error) {
+	got := Got{Path: p.String(), Branch: p.Branch()}
+	o, err := s.platform.Get(ctx, core.KindTree, spread.ObjectName(got.Branch))
+	if err != nil {
+		return got, nil, err
+	}
+	stored, err := tree.ParseBranch(o.Body)
+	if err != nil {
+		return got, nil, eris.Wrapf(core.ErrInvalid, "branch %s as stored: %v", got.Branch, err)
+	}
+	got.Version = o.Version
+	got.Log = stored.Log
+	return got, stored, nil
+}
+
+// Set carries out an edit and returns the branch's new version.
+func (s *Service) Set(ctx context.Context, e Edit) (Got, error) {
+	p, err := parsePath(e.Path)
+	if err != nil {
+		return Got{}, err
+	}
+	o, stored, err := s.forEdit(ctx, p)
+	if err != nil {
+		return Got{}, err
+	}
+	if o.Version != e.Version {
+		return Got{}, s.lost(p, o, stored)
+	}
+	next, err := s.apply(p, stored, e)
+	if err != nil {
+		return Got{}, err
+	}
+	return s.write(ctx, p, o, next)
+}
+
+// forEdit reads a branch as it is stored; a branch that is missing or that
+// cannot be read by this version is begun anew.
+func (s *Service) forEdit(ctx context.Context, p tree.Path) (core.Object, *tree.Stored, error) {
+	name := spread.ObjectName(p.Branch())
+	o, err := s.platform.Get(ctx, core.KindTree, name)
+	if errors.Is(err, core.ErrNotFound) {
+		return core.Object{Kind: core.KindTree, Name: name}, &tree.Stored{}, nil
+	}
+	if err != nil {
+		return o, nil, err
+	}
+	stored, err := tree.ParseBranch(o.Body)
+	if err != nil {
+		return o, &tree.Stored{}, nil
+	}
+	return o, stored, nil
+}
+
+// apply changes the branch and refuses what would break the tree. Faults that
+// were there before do not stop an edit elsewhere.
+func (s *Service) apply(p tree.Path, stored *tree.Stored, e Edit) (*tree.Stored, error) {
+	node, err := replace(stored.Node, p, e.Node)
+	if err != nil {
+		return nil, err
+	}
+	if node == nil {
+		return nil, eris.Wrap(core.ErrInvalid, "a top branch is emptied, not deleted: set it to {}")
+	}
+	nodes := s.replica.Nodes()
+	before := tree.Check(nodes)
+	nodes = maps.Clone(nodes)
+	nodes[p.Branch()] = node
+	if fresh := newProblems(before, tree.Check(nodes)); len(fresh) > 0 {
+		return nil, fresh
+	}
+	next := &tree.Stored{Node: node, Log: stored.Log}
+	next.Add(tree.Edit{At: s.clock.Now().UTC(), By: e.By, Path: p.String(), Note: e.Note})
+	return next, nil
+}
+
+func newProblems(before, after strict.Problems) strict.Problems {
+	known := map[strict.Problem]bool{}
+	for _, p := range before {
+		known[p] = true
+	}
+	var out strict.Problems
+	for _, p := range after {
+		if !known[p] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// replace returns a copy of the branch with the node at p replaced.
+func replace(branch *tree.Node, p tree.Path, node *tree.Node) (*tree.Node, error) {
+	if len(p) <= 1 {
+		return node, nil
+	}
+	if branch == nil {
+		branch = &tree.Node{}
+	}
+	top := *branch
+	top.Children = maps.Clone(branch.Children)
+	if top.Children == nil {
+		top.Children = map[string]*tree.Node{}
+	}
+	elem := p[1]
+	child, err := replace(top.Children[elem], p[1:], node)
+	if err != nil {
+		return nil, err
+	}
+	if child == nil {
+		delete(top.Children, elem)
+		return &top, nil
+	}
+	top.Children[elem] = child
+	return &top, nil
+}
+
+func (s *Service) write(ctx context.Context, p tree.Path, o core.Object, next *tree.Stored) (Got, error) {
+	body, err := json.Marshal(next)
+	if err != nil {
+		return Got{}, eris.Wrap(core.ErrInvalid, err.Error())
+	}
+	o.Body = body
+	var done core.Object
+	if o.Version == 0 {
+		done, err = s.platform.Create(ctx, o)
+	} else {
+		done, err = s.platform.Update(ctx, o)
+	}
+	switch {
+	case errors.Is(err, core.ErrOvertaken):
+		// Written, and then written over by a later edit, which is what counts.
+	case errors.Is(err, core.ErrConflict), errors.Is(err, core.ErrExists):
+		now, stored, readErr := s.forEdit(ctx, p)
+		if readErr != nil {
+			return Got{}, err
+		}
+		return Got{}, s.lost(p, now, stored)
+	case err != nil:
+		return Got{}, err
+	}
+	s.spread.Take([]tree.Branch{{Name: p.Branch(), Version: done.Version, Body: done.Body}})
+	return Got{Path: p.String(), Branch: p.Branch(), Version: done.Version, Node: find(next.Node, p), Log: next.Log}, nil
+}
+
+func (s *Service) lost(p tree.Path, o core.Object, stored *tree.Stored) error {
+	return &Lost{Winner: Got{Path: p.String(), Branch: p.Branch(), Version: o.Version, Node: find(stored.Node, p), Log: stored.Log}}
+}
+
+// Apply writes a whole tree, branch by branch, the root first. Branches that
+// are equal to what is stored are left alone.
+func (s *Service) Apply(ctx context.Context, root *tree.Node, by string) ([]Got, error) {
+	branches := tree.Split(root)
+	if problems := tree.Check(branches); len(problems) > 0 {
+		return nil, problems
+	}
+	var out []Got
+	for _, name := range tree.Order(branches) {
+		got, err := s.applyBranch(ctx, name, branches[name], by)
+		if err != nil {
+			return out, eris.Wrapf(err, "branch %s (%d branches are written)", name, len(out))
+		}
+		if got.Version > 0 {
+			out = append(out, got)
+		}
+	}
+	return out, nil
+}
+
+func (s *Service) applyBranch(ctx context.Context, name string, node *tree.Node, by string) (Got, error) {
+	p, err := parsePath(name)
+	if err != nil {
+		return Got{}, err
+	}
+	o, stored, err := s.forEdit(ctx, p)
+	if err != nil {
+		return Got{}, err
+	}
+	was, _ := json.Marshal(stored.Node)
+	want, _ := json.Marshal(node)
+	if o.Version > 0 && string(was) == string(want) {
+		return Got{}, nil
+	}
+	next := &tree.Stored{Node: node, Log: stored.Log}
+	next.Add(tree.Edit{At: s.clock.Now().UTC(), By: by, Path: p.String(), Note: "whole tree"})
+	return s.write(ctx, p, o, next)
+}
+
+// Explained is the settings in force for a coordinate, at one daemon.
+type Explained struct {
+	Service string            `json:"service,omitempty"`
+	Model   string            `json:"model,omitempty"`
+	Place   string            `json:"place,omitempty"`
+	Allowed bool              `json:"allowed"`
+	Values  map[string]any    `json:"values"`
+	Origin  map[string]string `json:"origin"` // field to path; missing: default
+}
+
+// Explain says what is in force here and where it comes from.
+func (s *Service) Explain(c tree.Coord) (Explained, error) {
+	t := s.replica.Tree()
+	if t == nil {
+		return Explained{}, core.ErrUnavailable
+	}
+	if c.Model != "" {
+		if _, ok := t.Model(c.Model); !ok {
+			return Explained{}, eris.Wrapf(core.ErrNotFound, "model %q", c.Model)
+		}
+		if c.Service == "" {
+			c.Service = t.ServiceOf(c.Model)
+		}
+	}
+	if _, ok := t.Service(c.Service); !ok && c.Service != "" {
+		return Explained{}, eris.Wrapf(core.ErrNotFound, "service %q", c.Service)
+	}
+	e := t.Effective(c)
+	out := Explained{Service: c.Service, Model: c.Model, Place: c.Place, Allowed: c.Place == "" || e.Allows(c.Place), Origin: e.Origin}
+	out.Values = map[string]any{
+		"places":      placesOf(e),
+		"concurrency": e.Concurrency,
+		"rate":        e.Rate,
+		"body":        core.Bytes(e.Body),
+		"deadline":    e.Deadline.String(),
+		"stall":       e.Stall.String(),
+		"class":       e.Class,
+		"repeat":      e.Repeat,
+		"fresh":       e.Fresh.String(),
+		"moves":       e.Moves,
+		"attainment":  e.Attainment,
+	}
+	for _, class := range core.Classes {
+		out.Values["targets."+string(class)] = e.Target(class).String()
+	}
+	return out, nil
+}
+
+func placesOf(e *tree.Effective) any {
+	if e.AnyPlace {
+		return "any"
+	}
+	return e.Places
+}
--- /dev/null
+++ b/standin/engine/chat.go
@@ -0,0 +1,277 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"primroseward/core"
+)
+
+const (
+	defaultTokens = 16
+	streamKept    = time.Minute
+	maxBody       = 64 << 20
+)
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Prompt    string    `json:"prompt"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+	Continue  bool      `json:"continue_final_message"`
+}
+
+// Text is the whole answer to a prompt of n tokens, as tests expect it.
+func Text(model, prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(token(model, prompt, i))
+	}
+	return b.String()
+}
+
+func token(model, prompt string, i int) string {
+	return fmt.Sprintf("%s:%d:%x ", model, i, xxhash.Sum64String(prompt)&0xffff)
+}
+
+// split parts the prompt from the text that a continued request brings along.
+func (r chatRequest) split() (prompt, begun string) {
+	if len(r.Messages) == 0 {
+		return r.Prompt, ""
+	}
+	messages := r.Messages
+	if last := messages[len(messages)-1]; r.Continue && last.Role == "assistant" {
+		begun = last.Content
+		messages = messages[:len(messages)-1]
+	}
+	for _, m := range messages {
+		prompt += m.Role + "=" + m.Content + "\n"
+	}
+	return prompt, begun
+}
+
+// Prompt is the prompt that Text expects for one user message.
+func Prompt(content string) string { return "user=" + content + "\n" }
+
+// stream is one answer in progress, kept so that it can be read again.
+type stream struct {
+	mu      sync.Mutex
+	data    []byte
+	done    bool
+	changed chan struct{}
+	stop    context.CancelFunc
+	header  http.Header
+}
+
+func (st *stream) write(b []byte, done bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.data = append(st.data, b...)
+	st.done = st.done || done
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+func (st *stream) from(offset int) ([]byte, bool, chan struct{}) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if offset > len(st.data) {
+		offset = len(st.data)
+	}
+	return st.data[offset:], st.done, st.changed
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(core.HeaderRequestID)
+	var req chatRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&req); err != nil {
+		w.Header().Set(core.HeaderRequestID, attempt)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt, begun := req.split()
+	faults, ok := s.begin(attempt, req.Model, prompt, r.Header.Get(core.HeaderIdempotencyKey))
+	w.Header().Set(core.HeaderRequestID, attempt)
+	if !ok {
+		http.Error(w, "model is not ready", http.StatusNotFound)
+		return
+	}
+	if faults.Cross > 0 {
+		w.Header().Set(core.HeaderRequestID, "another-"+attempt)
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultTokens
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	st := &stream{changed: make(chan struct{}), stop: stop, header: http.Header{}}
+	st.header.Set("Content-Type", "application/json")
+	if req.Stream {
+		st.header.Set("Content-Type", "text/event-stream")
+	}
+	s.keep(attempt, st)
+	go s.run(ctx, st, req, prompt, begun)
+	for k, v := range st.header {
+		w.Header()[k] = v
+	}
+	s.serve(w, r, st, 0, faults, req.Stream)
+}
+
+// begin logs a run and takes the next request's share of the faults.
+func (s *Server) begin(attempt, model, prompt, key string) (Faults, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ready(model) {
+		return Faults{}, false
+	}
+	s.runs = append(s.runs, Run{Attempt: attempt, Model: model, Prompt: prompt, Key: key})
+	s.running[model]++
+	f := s.faults
+	if f.Cuts <= 0 {
+		f.CutAfter, f.SilentAt = 0, 0
+	}
+	s.faults.Cuts = max(0, s.faults.Cuts-1)
+	s.faults.Cross = max(0, s.faults.Cross-1)
+	s.faults.Truncate = max(0, s.faults.Truncate-1)
+	return f, true
+}
+
+func (s *Server) keep(attempt string, st *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[attempt] = st
+	time.AfterFunc(streamKept, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.streams, attempt)
+	})
+}
+
+// run generates tokens into the stream.
+func (s *Server) run(ctx context.Context, st *stream, req chatRequest, prompt, begun string) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.running[req.Model]--
+		s.evictIdle(req.Model)
+	}()
+	first := strings.Count(begun, " ")
+	var text strings.Builder
+	for i := first; i < first+req.MaxTokens; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(s.cfg.Token):
+		}
+		t := token(req.Model, prompt, i)
+		text.WriteString(t)
+		if req.Stream {
+			st.write(sse(chunk(req.Model, t, "")), false)
+		}
+	}
+	if req.Stream {
+		st.write(sse(chunk(req.Model, "", "stop")), false)
+		st.write([]byte("data: [DONE]\n\n"), true)
+		return
+	}
+	body, _ := json.Marshal(map[string]any{
+		"object": "chat.completion", "model": req.Model,
+		"choices": []any{map[string]any{"index": 0, "finish_reason": "stop", "message": message{Role: "assistant", Content: text.String()}}},
+	})
+	st.write(body, true)
+}
+
+func chunk(model, text, finish string) any {
+	choice := map[string]any{"index": 0, "delta": map[string]string{"content": text}, "finish_reason": nil}
+	if finish != "" {
+		choice["finish_reason"] = finish
+		choice["delta"] = map[string]string{}
+	}
+	return map[string]any{"object": "chat.completion.chunk", "model": model, "choices": []any{choice}}
+}
+
+func sse(v any) []byte {
+	data, _ := json.Marshal(v)
+	return []byte("data: " + string(data) + "\n\n")
+}
+
+// serve copies the stream to one connection, with its faults.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, st *stream, offset int, f Faults, sendHead bool) {
+	flush := http.NewResponseController(w)
+	if sendHead {
+		_ = flush.Flush()
+	}
+	writes := 0
+	for {
+		data, done, changed := st.from(offset)
+		if len(data) > 0 {
+			if f.SilentAt > 0 && writes >= f.SilentAt {
+				<-r.Context().Done()
+				return
+			}
+			if f.CutAfter > 0 && writes >= f.CutAfter {
+				panic(http.ErrAbortHandler)
+			}
+			if f.Truncate > 0 && len(data) > 1 && done {
+				_, _ = w.Write(data[:len(data)/2])
+				return
+			}
+			if _, err := w.Write(data); err != nil {
+				return
+			}
+			_ = flush.Flush()
+			offset += len(data)
+			writes++
+		}
+		if done {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	s.mu.Lock()
+	st := s.streams[id]
+	no := s.faults.NoResume
+	s.mu.Unlock()
+	w.Header().Set(core.HeaderRequestID, id)
+	if st == nil || no || err != nil || offset < 0 {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	s.serve(w, r, st, offset, Faults{}, true)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	st := s.streams[chi.URLParam(r, "id")]
+	s.mu.Unlock()
+	if st == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	st.stop()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,247 @@
+// Package engine is a stand-in of a model engine for tests and the demo. Its
+// answers are a function of the prompt, so that a test can tell a whole answer
+// from a cut, doubled or crossed one. It can fail on purpose.
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"primroseward/core"
+	"primroseward/protocol/endpoint"
+)
+
+// Config is what an engine can do.
+type Config struct {
+	Memory   int64
+	Slots    int
+	Fenced   bool          // refuses orders with an old fencing number
+	Token    time.Duration // between tokens
+	Load     time.Duration // of a model
+	Resident []core.Resident
+}
+
+// Faults is what the stand-in does wrong. Counts apply to the next requests.
+type Faults struct {
+	CutAfter   int  `json:"cut_after"`   // tokens until the connection is cut
+	SilentAt   int  `json:"silent_at"`   // tokens until the connection goes silent
+	Cuts       int  `json:"cuts"`        // how many requests are cut or silenced
+	Cross      int  `json:"cross"`       // answers that carry another request's id
+	Truncate   int  `json:"truncate"`    // answers that end early without a marker
+	LoseOrders int  `json:"lose_orders"` // orders that are dropped unseen
+	LateOrders int  `json:"late_orders"` // orders that are carried out 2 s later
+	NoResume   bool `json:"no_resume"`
+	Leaving    bool `json:"leaving"`
+}
+
+// Run is one request that the engine has begun.
+type Run struct {
+	Attempt string `json:"attempt"`
+	Model   string `json:"model"`
+	Prompt  string `json:"prompt"`
+	Key     string `json:"key"`
+}
+
+// Server is the stand-in; it implements http.Handler.
+type Server struct {
+	http.Handler
+	cfg     Config
+	boot    string
+	mu      sync.Mutex
+	models  map[string]*resident
+	peak    int64
+	fence   uint64
+	faults  Faults
+	runs    []Run
+	streams map[string]*stream
+	running map[string]int
+}
+
+type resident struct {
+	core.Resident
+	evict bool // evicted once idle
+}
+
+// New returns an engine.
+func New(cfg Config) *Server {
+	s := &Server{
+		cfg:     cfg,
+		boot:    uuid.NewString(),
+		models:  map[string]*resident{},
+		streams: map[string]*stream{},
+		running: map[string]int{},
+	}
+	for _, r := range cfg.Resident {
+		s.models[r.Model+"@"+r.Version] = &resident{Resident: r}
+	}
+	s.peak = s.used()
+	r := chi.NewRouter()
+	r.Get(endpoint.PathState, s.state)
+	r.Post(endpoint.PathOrders, s.order)
+	r.Get(endpoint.PathStreams+"{id}", s.resume)
+	r.Delete(endpoint.PathStreams+"{id}", s.cancel)
+	r.Post("/v1/chat/completions", s.chat)
+	r.Post("/v1/completions", s.chat)
+	r.Put("/faults", s.setFaults)
+	r.Get("/log", s.log)
+	s.Handler = r
+	return s
+}
+
+// SetFaults changes what goes wrong from now on.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns the requests begun so far.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.runs)
+}
+
+// Peak returns the most memory that was ever in use.
+func (s *Server) Peak() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+func (s *Server) used() int64 {
+	var sum int64
+	for _, m := range s.models {
+		sum += m.Bytes
+	}
+	return sum
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) log(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"runs": s.Runs(), "peak": s.Peak(), "memory": s.cfg.Memory})
+}
+
+func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	o := core.Observation{Boot: s.boot, Leaving: s.faults.Leaving}
+	if s.cfg.Fenced {
+		o.Fence = s.fence
+	}
+	for _, m := range s.models {
+		o.Residents = append(o.Residents, m.Resident)
+	}
+	for _, n := range s.running {
+		o.Running += n
+	}
+	s.mu.Unlock()
+	slices.SortFunc(o.Residents, func(a, b core.Resident) int {
+		if a.Model < b.Model {
+			return -1
+		}
+		return 1
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(o)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var o core.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	lose := s.faults.LoseOrders > 0
+	late := !lose && s.faults.LateOrders > 0
+	if lose {
+		s.faults.LoseOrders--
+	}
+	if late {
+		s.faults.LateOrders--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if late {
+		time.AfterFunc(2*time.Second, func() { s.carryOut(o) })
+		panic(http.ErrAbortHandler)
+	}
+	if !s.carryOut(o) {
+		http.Error(w, "stale fence", http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (s *Server) carryOut(o core.Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.Fenced && o.Fence < s.fence {
+		return false
+	}
+	s.fence = max(s.fence, o.Fence)
+	switch o.Kind {
+	case core.OrderLoad:
+		s.load(o)
+	case core.OrderEvict:
+		if m := s.models[o.Model+"@"+o.Version]; m != nil {
+			m.evict = true
+			s.evictIdle(o.Model)
+		}
+	}
+	return true
+}
+
+func (s *Server) load(o core.Order) {
+	key := o.Model + "@" + o.Version
+	if m := s.models[key]; m != nil {
+		m.evict = false
+		return
+	}
+	m := &resident{Resident: core.Resident{Model: o.Model, Version: o.Version, Bytes: o.Bytes}}
+	s.models[key] = m
+	s.peak = max(s.peak, s.used())
+	time.AfterFunc(s.cfg.Load, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		m.Ready = true
+	})
+}
+
+// evictIdle carries out evictions once a model has no requests in progress.
+func (s *Server) evictIdle(model string) {
+	if s.running[model] > 0 {
+		return
+	}
+	for key, m := range s.models {
+		if m.Model == model && m.evict {
+			delete(s.models, key)
+		}
+	}
+}
+
+func (s *Server) ready(model string) bool {
+	for _, m := range s.models {
+		if m.Model == model && m.Ready {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,112 @@
+// Package service is a stand-in of a plain service for tests and the demo. It
+// counts every request that reaches it.
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"primroseward/core"
+)
+
+// Faults is what the stand-in does wrong. Counts apply to the next requests.
+type Faults struct {
+	Silent  int           `json:"silent"` // requests that run but are never answered
+	Cut     int           `json:"cut"`    // requests that run and whose connection is cut
+	Delay   time.Duration `json:"delay"`
+	Leaving bool          `json:"leaving"`
+}
+
+// Run is one request that has run.
+type Run struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+	Key    string `json:"key"`
+}
+
+// Server is the stand-in; it implements http.Handler.
+type Server struct {
+	http.Handler
+	name   string
+	mu     sync.Mutex
+	faults Faults
+	runs   []Run
+}
+
+// New returns a service that signs its answers with name.
+func New(name string) *Server {
+	s := &Server{name: name}
+	r := chi.NewRouter()
+	r.Get("/state", s.state)
+	r.Put("/faults", s.setFaults)
+	r.Get("/log", s.log)
+	r.HandleFunc("/*", s.serve)
+	s.Handler = r
+	return s
+}
+
+// SetFaults changes what goes wrong from now on.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns the requests that have run.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.runs)
+}
+
+func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(core.Observation{Leaving: s.faults.Leaving, Boot: s.name})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) log(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Key: r.Header.Get(core.HeaderIdempotencyKey)})
+	n := len(s.runs)
+	f := s.faults
+	s.faults.Silent = max(0, f.Silent-1)
+	s.faults.Cut = max(0, f.Cut-1)
+	s.mu.Unlock()
+	time.Sleep(f.Delay)
+	if f.Silent > 0 {
+		<-r.Context().Done()
+		return
+	}
+	if f.Cut > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
+	_, _ = fmt.Fprintf(w, "{\"service\":%q,\"run\":%d,\"method\":%q,\"path\":%q,\"body\":%q}\n", s.name, n, r.Method, r.URL.RequestURI(), body)
+}
--- /dev/null
+++ b/state/tree/check.go
@@ -0,0 +1,289 @@
+package tree
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"primroseward/core"
+	"primroseward/io/strict"
+)
+
+// Edit is one accepted change, kept with its branch.
+type Edit struct {
+	At   time.Time `json:"at"`
+	By   string    `json:"by"`
+	Path string    `json:"path"`
+	Note string    `json:"note,omitempty"`
+}
+
+// maxLog bounds the edits kept with a branch.
+const maxLog = 10
+
+// Stored is the body of a branch's object.
+type Stored struct {
+	Node *Node  `json:"node"`
+	Log  []Edit `json:"log"` // newest first
+}
+
+// Add puts an edit on the log.
+func (s *Stored) Add(e Edit) {
+	s.Log = append([]Edit{e}, s.Log...)
+	s.Log = s.Log[:min(len(s.Log), maxLog)]
+}
+
+// ParseBranch reads one branch and checks its shape, all faults at once.
+func ParseBranch(body []byte) (*Stored, error) {
+	s := &Stored{}
+	if err := strict.Decode(body, s); err != nil {
+		return nil, err
+	}
+	if s.Node == nil {
+		return nil, strict.Problems{{Path: "node", Text: "must be set"}}
+	}
+	return s, nil
+}
+
+// ParseNode reads a node as an operator writes it.
+func ParseNode(body []byte) (*Node, error) {
+	n := &Node{}
+	if err := strict.Decode(body, n); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Split divides a whole tree, given as its root node, into branches.
+func Split(root *Node) map[string]*Node {
+	out := map[string]*Node{}
+	top := *root
+	top.Children = nil
+	out[Root] = &top
+	for elem, child := range root.Children {
+		out[elem] = child
+	}
+	return out
+}
+
+// Check returns all faults of a tree: widening children, dangling names and
+// values out of range.
+func Check(branches map[string]*Node) strict.Problems {
+	c := checker{tree: New(branches), places: map[string]bool{}}
+	if root := branches[Root]; root != nil && root.Set.Places != nil {
+		for _, p := range *root.Set.Places {
+			c.places[p] = true
+		}
+	}
+	for _, one := range c.tree.nodes {
+		c.node(one.path, one.node)
+	}
+	c.once()
+	return c.found
+}
+
+type checker struct {
+	tree   *Tree
+	places map[string]bool // named at the root; empty: any
+	found  strict.Problems
+}
+
+func (c *checker) add(p Path, field, format string, args ...any) {
+	c.found = append(c.found, strict.Problem{Path: p.String() + " " + field, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) node(p Path, n *Node) {
+	kind, name := p.last()
+	if len(p) > 0 && !validElem(kind, name) {
+		c.add(p, "(name)", "want service/NAME, model/NAME or place/NAME")
+	}
+	if kind == ElemPlace && !c.knownPlace(name) {
+		c.add(p, "(name)", "place %q is not among the root's places", name)
+	}
+	c.values(p, &n.Set)
+	c.narrows(p, &n.Set)
+	c.model(p, n)
+	c.service(p, n)
+	for _, id := range sortedKeys(n.Endpoints) {
+		c.endpoint(p, id, n.Endpoints[id])
+	}
+	if n.Store != nil && len(p) > 0 {
+		c.add(p, "store", "belongs to the root")
+	}
+	if n.Store != nil && (n.Store.Rate <= 0 || n.Store.Slots <= 0) {
+		c.add(p, "store", "rate and slots must be above zero")
+	}
+}
+
+func (c *checker) knownPlace(name string) bool {
+	return len(c.places) == 0 || c.places[name]
+}
+
+func (c *checker) values(p Path, s *Settings) {
+	if s.Concurrency < 0 || s.Rate < 0 || s.Moves < 0 || s.Attainment < 0 {
+		c.add(p, "set", "limits and weights must not be negative")
+	}
+	if s.Class != "" && !s.Class.Valid() {
+		c.add(p, "set.class", "unknown class %q; want urgent, normal or batch", s.Class)
+	}
+	for _, class := range sortedKeys(s.Targets) {
+		if !core.Class(class).Valid() {
+			c.add(p, "set.targets", "unknown class %q; want urgent, normal or batch", class)
+		}
+	}
+	if s.Places == nil {
+		return
+	}
+	for _, place := range *s.Places {
+		if len(p) > 0 && !c.knownPlace(place) {
+			c.add(p, "set.places", "place %q is not among the root's places", place)
+		}
+	}
+}
+
+// narrows compares a node with the fold of its ancestors. A later narrowing
+// of an ancestor needs no edit below it: the fold intersects in any case.
+func (c *checker) narrows(p Path, s *Settings) {
+	if len(p) == 0 {
+		return
+	}
+	parent := defaults()
+	for _, one := range c.tree.nodes {
+		if len(one.path) < len(p) && slices.Equal(one.path, p[:len(one.path)]) {
+			parent.fold(one.path.String(), &one.node.Set)
+		}
+	}
+	if s.Places != nil && !parent.AnyPlace {
+		for _, place := range *s.Places {
+			if !parent.Allows(place) {
+				c.add(p, "set.places", "widens: has %q, %s allows %v", place, parent.Origin["places"], parent.Places)
+			}
+		}
+	}
+	widens(c, p, parent, "concurrency", s.Concurrency, parent.Concurrency)
+	widens(c, p, parent, "rate", s.Rate, parent.Rate)
+	widens(c, p, parent, "body", int64(s.Body), parent.Body)
+	widens(c, p, parent, "deadline", time.Duration(s.Deadline), parent.Deadline)
+	widens(c, p, parent, "stall", time.Duration(s.Stall), parent.Stall)
+	widens(c, p, parent, "fresh", time.Duration(s.Fresh), parent.Fresh)
+	widens(c, p, parent, "attainment", s.Attainment, parent.Attainment)
+	for _, class := range sortedKeys(s.Targets) {
+		widens(c, p, parent, "targets."+class, time.Duration(s.Targets[class]), parent.Target(core.Class(class)))
+	}
+	if s.Repeat != nil && *s.Repeat && !parent.Repeat {
+		c.add(p, "set.repeat", "widens: true, %s has false", parent.Origin["repeat"])
+	}
+	if s.Moves > 0 && parent.Origin["moves"] != "" && s.Moves < parent.Moves {
+		c.add(p, "set.moves", "widens: %v, %s has %v", s.Moves, parent.Origin["moves"], parent.Moves)
+	}
+	if s.Class != "" && parent.Origin["class"] != "" && s.Class.Rank() < parent.Class.Rank() {
+		c.add(p, "set.class", "widens: %s, %s has %s", s.Class, parent.Origin["class"], parent.Class)
+	}
+}
+
+func widens[N int | int64 | float64 | time.Duration](c *checker, p Path, parent *Effective, field string, v, have N) {
+	if v > 0 && parent.Origin[field] != "" && v > have {
+		c.add(p, "set."+field, "widens: %v, %s has %v", v, parent.Origin[field], have)
+	}
+}
+
+func (c *checker) model(p Path, n *Node) {
+	kind, name := p.last()
+	if n.Model == nil {
+		if _, known := c.tree.models[name]; kind == ElemModel && !known {
+			c.add(p, "model", "model %q is described nowhere", name)
+		}
+		return
+	}
+	if kind != ElemModel {
+		c.add(p, "model", "only model nodes describe a model")
+	}
+	if n.Model.Version == "" {
+		c.add(p, "model.version", "must be set")
+	}
+	if n.Model.Memory <= 0 {
+		c.add(p, "model.memory", "must be above zero")
+	}
+	if n.Model.Base == "" {
+		return
+	}
+	base, ok := c.tree.models[n.Model.Base]
+	if !ok {
+		c.add(p, "model.base", "model %q is described nowhere", n.Model.Base)
+	}
+	if base.Base != "" {
+		c.add(p, "model.base", "%q is itself an adapter", n.Model.Base)
+	}
+}
+
+func (c *checker) service(p Path, n *Node) {
+	kind, name := p.last()
+	if n.Service == nil {
+		if _, known := c.tree.services[name]; kind == ElemService && !known {
+			c.add(p, "service", "service %q is described nowhere", name)
+		}
+		return
+	}
+	if kind != ElemService {
+		c.add(p, "service", "only service nodes describe a service")
+	}
+	if n.Service.Kind != KindModel && n.Service.Kind != KindPlain {
+		c.add(p, "service.kind", "want model or plain, got %q", n.Service.Kind)
+	}
+	for i, rule := range n.Service.Calls {
+		if rule.Method == "" || !strings.HasPrefix(rule.Path, "/") {
+			c.add(p, fmt.Sprintf("service.calls[%d]", i), "want a method and a path that begins with /")
+		}
+	}
+}
+
+func (c *checker) endpoint(p Path, id string, e Endpoint) {
+	field := "endpoints." + id
+	if _, err := netip.ParseAddrPort(e.Addr); err != nil {
+		c.add(p, field+".addr", "want IP:port, got %q", e.Addr)
+	}
+	if e.Place == "" || !c.knownPlace(e.Place) {
+		c.add(p, field+".place", "place %q is not among the root's places", e.Place)
+	}
+	if e.Slots <= 0 {
+		c.add(p, field+".slots", "must be above zero")
+	}
+	switch e.Kind {
+	case KindModel:
+		if e.Memory <= 0 || e.Cache < 0 || e.Cache >= e.Memory {
+			c.add(p, field+".memory", "must be above zero and above cache")
+		}
+	case KindPlain:
+		if _, ok := c.tree.services[e.Service]; !ok {
+			c.add(p, field+".service", "service %q is described nowhere", e.Service)
+		}
+	default:
+		c.add(p, field+".kind", "want model or plain, got %q", e.Kind)
+	}
+}
+
+// once finds endpoints, models and services that are described twice; which
+// one would hold depended on the order of branches.
+func (c *checker) once() {
+	seen := map[string]Path{}
+	note := func(p Path, key string) {
+		if first, twice := seen[key]; twice {
+			c.add(p, key, "described already at %s", first)
+			return
+		}
+		seen[key] = p
+	}
+	for _, one := range c.tree.nodes {
+		kind, name := one.path.last()
+		if one.node.Model != nil {
+			note(one.path, kind+" "+name)
+		}
+		if one.node.Service != nil {
+			note(one.path, kind+" "+name)
+		}
+		for _, id := range sortedKeys(one.node.Endpoints) {
+			note(one.path, "endpoints."+id)
+		}
+	}
+}
--- /dev/null
+++ b/transport/admin/admin.go
@@ -0,0 +1,210 @@
+// Package admin answers operators over HTTP on a listener of its own: the
+// settings tree, status, runners and moves, metrics and health. Callers cannot
+// reach it.
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"primroseward/coordination/planner"
+	"primroseward/core"
+	"primroseward/io/strict"
+	service "primroseward/services/tree"
+	"primroseward/state/tree"
+)
+
+const maxBody = 16 << 20
+
+// HeaderOperator names the operator who edits.
+const HeaderOperator = "Primrose-Operator"
+
+// Admin answers operators.
+type Admin struct {
+	Trees    *service.Service
+	Statuses *service.Statuses
+	Fleet    *service.Fleet
+	Planner  *planner.Role
+	Metrics  http.Handler
+	Ready    func() bool
+	Token    string // empty: none is asked for
+}
+
+// Problem is the body of an error answer.
+type Problem struct {
+	Error    string       `json:"error"`
+	Problems []string     `json:"problems,omitempty"`
+	Winner   *service.Got `json:"winner,omitempty"`
+}
+
+// EditBody is the body of an edit.
+type EditBody struct {
+	Version uint64          `json:"version"`
+	Node    json.RawMessage `json:"node"`
+	Note    string          `json:"note"`
+}
+
+// Handler returns the routes.
+func (a *Admin) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, map[string]bool{"ok": true}) })
+	r.Get("/readyz", a.ready)
+	r.Handle("/metrics", a.Metrics)
+	r.Route("/admin", func(r chi.Router) {
+		r.Use(a.authorise)
+		r.Get("/tree", a.get)
+		r.Put("/tree", a.set)
+		r.Post("/tree", a.apply)
+		r.Get("/explain", a.explain)
+		r.Get("/status", a.status)
+		r.Get("/runners", a.runners)
+		r.Get("/moves", a.moves)
+		r.Get("/history", a.history)
+	})
+	return r
+}
+
+func (a *Admin) authorise(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if a.Token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(a.Token)) != 1 {
+			reply(w, http.StatusUnauthorized, Problem{Error: "the operators' token is missing or wrong"})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
+	if !a.Ready() {
+		reply(w, http.StatusServiceUnavailable, Problem{Error: "there are no settings yet, or the daemon is leaving"})
+		return
+	}
+	reply(w, http.StatusOK, map[string]bool{"ready": true})
+}
+
+func (a *Admin) get(w http.ResponseWriter, r *http.Request) {
+	got, err := a.Trees.Get(r.Context(), r.URL.Query().Get("path"))
+	answer(w, got, err)
+}
+
+func (a *Admin) set(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	var edit EditBody
+	if err := json.Unmarshal(body, &edit); err != nil {
+		fail(w, strict.Problems{{Path: "(document)", Text: err.Error()}})
+		return
+	}
+	e := service.Edit{Path: r.URL.Query().Get("path"), Version: edit.Version, By: operator(r), Note: edit.Note}
+	if len(edit.Node) > 0 && string(edit.Node) != "null" {
+		if e.Node, err = tree.ParseNode(edit.Node); err != nil {
+			fail(w, err)
+			return
+		}
+	}
+	got, err := a.Trees.Set(context.WithoutCancel(r.Context()), e)
+	answer(w, got, err)
+}
+
+func operator(r *http.Request) string {
+	if by := r.Header.Get(HeaderOperator); by != "" {
+		return by
+	}
+	return "unnamed"
+}
+
+func (a *Admin) apply(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	root, err := tree.ParseNode(body)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	got, err := a.Trees.Apply(context.WithoutCancel(r.Context()), root, operator(r))
+	answer(w, got, err)
+}
+
+func (a *Admin) explain(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	got, err := a.Trees.Explain(tree.Coord{Service: q.Get("service"), Model: q.Get("model"), Place: q.Get("place")})
+	answer(w, got, err)
+}
+
+func (a *Admin) status(w http.ResponseWriter, r *http.Request) {
+	reply(w, http.StatusOK, a.Statuses.Status(r.Context()))
+}
+
+func (a *Admin) runners(w http.ResponseWriter, r *http.Request) {
+	reply(w, http.StatusOK, a.Fleet.Runners(r.Context()))
+}
+
+func (a *Admin) moves(w http.ResponseWriter, r *http.Request) {
+	reply(w, http.StatusOK, a.Fleet.Moves(r.Context()))
+}
+
+func (a *Admin) history(w http.ResponseWriter, r *http.Request) {
+	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+	got, err := a.Trees.Get(r.Context(), r.URL.Query().Get("path"))
+	if err == nil && limit > 0 && len(got.Log) > limit {
+		got.Log = got.Log[:limit]
+	}
+	answer(w, got.Log, err)
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, http.StatusOK, body)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	p := Problem{Error: err.Error()}
+	var problems strict.Problems
+	var lost *service.Lost
+	switch {
+	case errors.As(err, &problems):
+		p.Error = "the settings are refused"
+		for _, one := range problems {
+			p.Problems = append(p.Problems, one.Path+": "+one.Text)
+		}
+		reply(w, http.StatusUnprocessableEntity, p)
+	case errors.As(err, &lost):
+		p.Winner = &lost.Winner
+		reply(w, http.StatusConflict, p)
+	case errors.Is(err, core.ErrNotFound):
+		reply(w, http.StatusNotFound, p)
+	case errors.Is(err, core.ErrInvalid):
+		reply(w, http.StatusUnprocessableEntity, p)
+	case errors.Is(err, core.ErrUnavailable):
+		reply(w, http.StatusServiceUnavailable, p)
+	default:
+		reply(w, http.StatusInternalServerError, p)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(body)
+}
--- /dev/null
+++ b/transport/rpc/handler.go
@@ -0,0 +1,208 @@
+// Package rpc answers the calls of other daemons. It only reads messages and
+// hands them to the coordination layer.
+package rpc
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"primroseward/coordination/entry"
+	"primroseward/coordination/member"
+	"primroseward/coordination/owner"
+	"primroseward/coordination/spread"
+	"primroseward/core"
+	"primroseward/protocol/peerv1"
+	"primroseward/protocol/peerv1/peerv1connect"
+	"primroseward/state/directory"
+	"primroseward/state/tree"
+	"primroseward/transport/peer"
+)
+
+// Handler implements the Peer service.
+type Handler struct {
+	Table   *member.Table
+	Spread  *spread.Spreader
+	Replica *tree.Replica
+	Owner   *owner.Manager
+	Entry   *entry.Entry
+	Dir     *directory.Directory
+	Clock   core.Clock
+	Planner func() bool
+}
+
+var _ peerv1connect.PeerHandler = (*Handler)(nil)
+
+type (
+	frameStream = connect.ServerStream[peerv1.Frame]
+	empty       = connect.Response[peerv1.Empty]
+)
+
+func nothing() (*empty, error) { return connect.NewResponse(&peerv1.Empty{}), nil }
+
+// Dispatch runs one attempt.
+func (h *Handler) Dispatch(ctx context.Context, req *connect.Request[peerv1.DispatchRequest], s *frameStream) error {
+	a := h.Owner.Dispatch(ctx, entry.DispatchFromWire(req.Msg, h.Clock.Now()))
+	return entry.SendFrames(ctx, a.Buffer, a.Attempt, 0, s.Send)
+}
+
+// Resume reads an attempt's answer again.
+func (h *Handler) Resume(ctx context.Context, req *connect.Request[peerv1.ResumeRequest], s *frameStream) error {
+	a, err := h.Owner.Attempt(req.Msg.Attempt)
+	if err != nil {
+		return peer.Wrap(err)
+	}
+	return entry.SendFrames(ctx, a.Buffer, a.Attempt, req.Msg.Offset, s.Send)
+}
+
+// Cancel stops or bars an attempt.
+func (h *Handler) Cancel(_ context.Context, req *connect.Request[peerv1.CancelRequest]) (*connect.Response[peerv1.CancelReply], error) {
+	barred := h.Owner.Cancel(req.Msg.Attempt)
+	return connect.NewResponse(&peerv1.CancelReply{Barred: barred, Boot: h.Table.Self().Boot}), nil
+}
+
+// Fetch reads a held answer.
+func (h *Handler) Fetch(ctx context.Context, req *connect.Request[peerv1.FetchRequest], s *frameStream) error {
+	buf, err := h.Entry.Held(req.Msg.Request)
+	if err != nil {
+		return peer.Wrap(err)
+	}
+	return entry.SendFrames(ctx, buf, "", req.Msg.Offset, s.Send)
+}
+
+// Point remembers which daemon took a request.
+func (h *Handler) Point(_ context.Context, req *connect.Request[peerv1.Pointer]) (*empty, error) {
+	h.Entry.Point(req.Msg.Request, req.Msg.Member)
+	return nothing()
+}
+
+// Find says which daemon took a request.
+func (h *Handler) Find(_ context.Context, req *connect.Request[peerv1.FindRequest]) (*connect.Response[peerv1.Pointer], error) {
+	m, err := h.Entry.Find(req.Msg.Request)
+	if err != nil {
+		return nil, peer.Wrap(err)
+	}
+	return connect.NewResponse(&peerv1.Pointer{Request: req.Msg.Request, Member: m}), nil
+}
+
+// Report takes in runners' reports.
+func (h *Handler) Report(_ context.Context, req *connect.Request[peerv1.Reports]) (*empty, error) {
+	h.Dir.Put(entry.ReportsFromWire(req.Msg, h.Clock.Now()))
+	return nothing()
+}
+
+// Lookup says who serves a key.
+func (h *Handler) Lookup(_ context.Context, req *connect.Request[peerv1.LookupRequest]) (*connect.Response[peerv1.Reports], error) {
+	return connect.NewResponse(entry.ReportsToWire(h.Dir.Find(req.Msg.Key), h.Clock.Now())), nil
+}
+
+// Push takes in settings.
+func (h *Handler) Push(_ context.Context, req *connect.Request[peerv1.Branches]) (*empty, error) {
+	h.Spread.Take(spread.FromWire(req.Msg))
+	return nothing()
+}
+
+// Pull gives out settings.
+func (h *Handler) Pull(_ context.Context, req *connect.Request[peerv1.Versions]) (*connect.Response[peerv1.Branches], error) {
+	return connect.NewResponse(h.Spread.Newer(req.Msg)), nil
+}
+
+// Sync exchanges whole member lists.
+func (h *Handler) Sync(_ context.Context, req *connect.Request[peerv1.MemberList]) (*connect.Response[peerv1.MemberList], error) {
+	for _, w := range req.Msg.Members {
+		if m, err := member.FromWire(w); err == nil {
+			h.Table.Merge(m)
+		}
+	}
+	return connect.NewResponse(MembersToWire(h.Table.Whole())), nil
+}
+
+// MembersToWire makes the message of a member list.
+func MembersToWire(members []core.Member) *peerv1.MemberList {
+	out := &peerv1.MemberList{}
+	for _, m := range members {
+		out.Members = append(out.Members, member.ToWire(m))
+	}
+	return out
+}
+
+// Hold keeps an answer that a leaving daemon hands over.
+func (h *Handler) Hold(_ context.Context, req *connect.Request[peerv1.HoldRequest]) (*empty, error) {
+	h.Entry.Take(req.Msg)
+	return nothing()
+}
+
+// Order changes what an owned runner holds.
+func (h *Handler) Order(ctx context.Context, req *connect.Request[peerv1.OrderRequest]) (*connect.Response[peerv1.OrderReply], error) {
+	kind := core.OrderLoad
+	if req.Msg.Kind == peerv1.OrderKind_ORDER_EVICT {
+		kind = core.OrderEvict
+	}
+	err := h.Owner.Propose(ctx, req.Msg.Runner, owner.Proposal{Kind: kind, Model: req.Msg.Model, Version: req.Msg.Version, Reason: req.Msg.Reason})
+	reply := &peerv1.OrderReply{Accepted: err == nil}
+	if err != nil {
+		reply.Reason = err.Error()
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// View gives out the runners owned here and the demand seen here.
+func (h *Handler) View(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.Views], error) {
+	out := &peerv1.Views{Member: h.Table.Self().Name}
+	now := h.Clock.Now()
+	for _, v := range h.Owner.Views() {
+		out.Views = append(out.Views, viewToWire(v, now))
+	}
+	for model, r := range h.Entry.Demand().All() {
+		out.Demand = append(out.Demand, &peerv1.Demand{Model: model, Fast: r.Fast, Slow: r.Slow})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func viewToWire(v owner.View, now time.Time) *peerv1.View {
+	w := &peerv1.View{
+		Runner:      v.Runner,
+		Place:       v.Report.Place,
+		Capacity:    v.Capacity,
+		Running:     int32(v.Report.Running),
+		Queued:      int32(v.Report.Queued),
+		Slots:       int32(v.Report.Slots),
+		Leaving:     v.Report.Leaving,
+		Unreachable: v.Missing,
+		Known:       v.Known,
+		Cost:        v.Cost.Milliseconds(),
+	}
+	for _, e := range v.Record.Entries {
+		w.Held = append(w.Held, &peerv1.Held{
+			Model:   e.Model,
+			Version: e.Version,
+			Bytes:   e.Bytes,
+			State:   string(e.State),
+			Reason:  e.Reason,
+			Age:     now.Sub(e.Since).Milliseconds(),
+		})
+	}
+	return w
+}
+
+// Status says what is in force here.
+func (h *Handler) Status(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.MemberStatus], error) {
+	out := &peerv1.MemberStatus{
+		Member:   member.ToWire(h.Table.Self()),
+		Running:  int32(h.Entry.Running()),
+		Queued:   int32(h.Owner.Queued()),
+		Held:     h.Entry.HeldBytes(),
+		Problems: h.Replica.Problems(),
+		Relay:    h.Spread.Relaying(),
+		Planner:  h.Planner(),
+		Fresh:    h.Spread.Fresh().Milliseconds(),
+	}
+	for name, v := range h.Replica.Versions() {
+		out.Versions = append(out.Versions, &peerv1.Version{Branch: name, Version: v})
+	}
+	for _, v := range h.Owner.Views() {
+		out.Runners = append(out.Runners, v.Runner)
+	}
+	return connect.NewResponse(out), nil
+}
