--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -23,16 +23,16 @@
 )
 
 const (
-	relays      = 2
-	pushFan     = 3
-	snapshotAsk = 3
-	pushRing    = 256
-	pullRing    = 16
-	callTimeout = 2 * time.Second
-	relayCheck  = 500 * time.Millisecond
-	backoffFirst  = 200 * time.Millisecond
+	relays       = 2
+	pushFan      = 3
+	snapshotAsk  = 3
+	pushRing     = 256
+	pullRing     = 16
+	callTimeout  = 2 * time.Second
+	relayCheck   = 500 * time.Millisecond
+	backoffFirst = 200 * time.Millisecond
 	backoffLast  = 5 * time.Second
-	neverFresh  = -1
+	neverFresh   = -1
 )
 
 // Spreader keeps a Replica in step with the platform and the other daemons.
