Proofs of settings, leaving endpoints and a platform outage

Cause: the promises on configuration, leaving endpoints and outages had no test. Status now gives each daemon's own versions, and is not 'in force' while a stored branch has faults.

--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -334,19 +334,6 @@
 	return call(adminClient, method, "http://"+d.admin+path, in, out)
 }
 
-// inForce returns a daemon's version of each branch, by its own word.
-func (d *daemon) inForce() map[string]uint64 {
-	var s service.Status
-	out := map[string]uint64{}
-	if d.adminCall(http.MethodGet, "/admin/status", nil, &s) != http.StatusOK {
-		return nil
-	}
-	for _, b := range s.Branches {
-		out[b.Branch] = b.Accepted
-	}
-	return out
-}
-
 func (c *cluster) noOverCommit() {
 	c.t.Helper()
 	for name, e := range c.engines {
--- /dev/null
+++ b/proof/settings_test.go
@@ -0,0 +1,298 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	wire "primroseward/protocol/platform"
+	service "primroseward/services/tree"
+	"primroseward/standin/platform"
+	plain "primroseward/standin/service"
+	"primroseward/state/tree"
+	"primroseward/transport/admin"
+)
+
+// edit sets a node at a path through a daemon and returns the status and the
+// new version.
+func (d *daemon) edit(path string, version uint64, node *tree.Node) (int, service.Got) {
+	data, _ := json.Marshal(node)
+	var got service.Got
+	status := d.adminCall(http.MethodPut, "/admin/tree?path="+path, admin.EditBody{Version: version, Node: data}, &got)
+	return status, got
+}
+
+func (d *daemon) read(path string) service.Got {
+	var got service.Got
+	d.adminCall(http.MethodGet, "/admin/tree?path="+path, nil, &got)
+	return got
+}
+
+// chatNode is the service node of model m, narrowed to places.
+func (c *cluster) chatNode(places ...string) *tree.Node {
+	node := *c.root.Children["service/chat"]
+	node.Set.Places = &places
+	return &node
+}
+
+// An operator takes a place away and a request is still answered there: the
+// edit was accepted, but a daemon that routes or owns had not heard of it. All
+// daemons must have it within seconds, and from then on no answer comes from
+// the place that was taken away.
+func TestNarrowingIsInForceWithinSeconds(t *testing.T) {
+	s := small()
+	s.daemons = 6
+	c := start(t, s)
+	got := c.daemons[1].read("/service/chat")
+	status, _ := c.daemons[1].edit("/service/chat", got.Version, c.chatNode("south"))
+	assert.Equal(t, status, http.StatusOK)
+	c.until("the edit is in force", 10*time.Second, func() bool {
+		var st service.Status
+		c.daemons[2].adminCall(http.MethodGet, "/admin/status", nil, &st)
+		return st.InForce
+	})
+	for i, d := range c.daemons {
+		r, err := d.chat("m", fmt.Sprint("where ", i), 3, false)
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+		assert.Equal(t, r.place, "south")
+	}
+}
+
+// Two operators edit at the same time and the second unknowingly undoes the
+// first one's change. An edit names the version that it was made from; of
+// several made from the same one exactly one wins, and the others are shown
+// what it wrote.
+func TestRacingOperators(t *testing.T) {
+	c := start(t, small())
+	for range 5 {
+		base := c.daemons[0].read("/service/chat").Version
+		codes := make([]int, 6)
+		each(len(codes), func(i int) {
+			node := c.chatNode("north", "south")
+			node.Set.Concurrency = 10 + i
+			codes[i], _ = c.daemons[i%3].edit("/service/chat", base, node)
+		})
+		won := 0
+		for _, code := range codes {
+			if code == http.StatusOK {
+				won++
+				continue
+			}
+			assert.Equal(t, code, http.StatusConflict)
+		}
+		assert.Equal(t, won, 1)
+	}
+}
+
+// An operator is told of a conflict, or the change is made twice, although the
+// first try worked: the platform carried out the write and its answer was
+// lost. The write must be recognised as the operator's own.
+func TestLostAnswerOfAnEdit(t *testing.T) {
+	c := start(t, small())
+	for i := range 5 {
+		base := c.daemons[0].read("/service/chat")
+		c.platform.SetFaults(platform.Faults{LoseWrites: 1})
+		node := c.chatNode("north", "south")
+		node.Set.Concurrency = 20 + i
+		status, got := c.daemons[0].edit("/service/chat", base.Version, node)
+		assert.Equal(t, status, http.StatusOK)
+		now := c.daemons[1].read("/service/chat")
+		assert.Equal(t, now.Version, got.Version)
+		assert.Equal(t, now.Node.Set.Concurrency, 20+i)
+		assert.Equal(t, len(now.Log), min(10, len(base.Log)+1), "the edit was written once")
+	}
+}
+
+// A wrong edit takes the system down. Widening children, unknown fields and
+// dangling names are refused with all faults at once, and a branch that
+// somebody else wrote wrongly into the platform does not replace the good one.
+func TestBadSettingsNeverGetIntoForce(t *testing.T) {
+	c := start(t, small())
+	base := c.daemons[0].read("/service/review").Version
+	wide := []string{"north", "west"}
+	status, _ := c.daemons[0].edit("/service/review/model/r", base, &tree.Node{
+		Set: tree.Settings{Places: &wide, Repeat: yes()}, Model: &tree.Model{Version: "1", Memory: 1, Base: "nowhere"},
+	})
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+
+	c.platformPut(core.KindTree, "service.chat", `{"node":{"set":{"concurency":1}}}`)
+	c.until("the fault is shown", 10*time.Second, func() bool {
+		var st service.Status
+		c.daemons[0].adminCall(http.MethodGet, "/admin/status", nil, &st)
+		for _, m := range st.Members {
+			if len(m.Problems) != 1 {
+				return false
+			}
+		}
+		return len(st.Members) == 3
+	})
+	r, err := c.daemons[0].chat("m", "still", 3, false)
+	assert.NilError(t, err)
+	assert.NilError(t, right(r, "m", "still", 3))
+}
+
+// platformPut writes an object past the system.
+func (c *cluster) platformPut(kind, name, spec string) {
+	c.t.Helper()
+	url := "http://" + c.platAddr + wire.Prefix + kind + "/" + name
+	var item wire.Item
+	if call(adminClient, http.MethodGet, url, nil, &item) != http.StatusOK {
+		item.Metadata.Name = name
+		item.Spec = json.RawMessage(spec)
+		call(adminClient, http.MethodPost, "http://"+c.platAddr+wire.Prefix+kind, item, nil)
+		return
+	}
+	item.Spec = json.RawMessage(spec)
+	assert.Equal(c.t, call(adminClient, http.MethodPut, url, item, nil), http.StatusOK)
+}
+
+// Regulated data would be served where an operator has just forbidden it. A
+// daemon restarts, or a watch begins with old events, or the platform is down:
+// the daemon must come back with the newest settings that anyone has, and never
+// an older one.
+func TestSettingsNeverGoBack(t *testing.T) {
+	c := start(t, small())
+	base := c.daemons[0].read("/service/chat")
+	status, got := c.daemons[0].edit("/service/chat", base.Version, c.chatNode("south"))
+	assert.Equal(t, status, http.StatusOK)
+	c.until("in force", 10*time.Second, func() bool { return c.daemons[2].versionHere("service/chat") == got.Version })
+	c.platform.SetFaults(platform.Faults{StaleWatch: true})
+	for _, d := range c.daemons {
+		d.kill()
+		d.start()
+		c.until("served again", 20*time.Second, func() bool {
+			assert.Check(t, !c.anyBelow("service/chat", got.Version), "a daemon went back")
+			r, err := d.chat("m", "again", 3, false)
+			if err != nil || r.status != http.StatusOK {
+				return false
+			}
+			assert.Equal(t, r.place, "south")
+			return true
+		})
+	}
+	c.platform.SetFaults(platform.Faults{Down: true})
+	d := c.daemons[1]
+	d.kill()
+	d.start()
+	c.until("served from peers' settings", 20*time.Second, func() bool {
+		r, err := d.chat("m", "outage", 3, false)
+		return err == nil && r.status == http.StatusOK && r.place == "south"
+	})
+	assert.Equal(t, d.versionHere("service/chat"), got.Version)
+}
+
+// versionHere is the version of a branch in a daemon's own memory, 0 if the
+// daemon does not answer.
+func (d *daemon) versionHere(branch string) uint64 {
+	var st service.Status
+	d.adminCall(http.MethodGet, "/admin/status", nil, &st)
+	for _, m := range st.Members {
+		if m.Name == d.name {
+			return m.Versions[branch]
+		}
+	}
+	return 0
+}
+
+func (c *cluster) anyBelow(branch string, version uint64) bool {
+	for _, d := range c.daemons {
+		if v := d.versionHere(branch); v != 0 && v < version {
+			return true
+		}
+	}
+	return false
+}
+
+// Work would go on being sent to a machine that is about to go. The platform's
+// list, an operator's drain or the endpoint's own word says that it leaves.
+// After a few seconds it must get nothing new, and its model must be ready
+// elsewhere.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	s := small()
+	s.plain = []string{"p1", "p2"}
+	c := start(t, s)
+	c.platformPut(core.KindVM, "p1", `{"state":"leaving"}`)
+	time.Sleep(3 * time.Second)
+	before := len(c.services["p1"].Runs())
+	for i := range 12 {
+		r, err := c.daemons[i%3].send("GET", "/services/parts/x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+		assert.Equal(t, r.runner, "p2")
+	}
+	assert.Equal(t, len(c.services["p1"].Runs()), before)
+
+	c.services["p2"].SetFaults(plain.Faults{Leaving: true})
+	time.Sleep(3 * time.Second)
+	r, err := c.daemons[0].send("GET", "/services/parts/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.outcome, "not_run")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Check(t, r.retry != "")
+
+	// The only runner of the review model leaves: the model moves first.
+	c.platformPut(core.KindVM, c.holder("r"), `{"state":"leaving"}`)
+	c.until("the model is ready elsewhere", 20*time.Second, func() bool {
+		r, err := c.daemons[0].chat("r", "moved", 3, false)
+		return err == nil && r.status == http.StatusOK
+	})
+	c.noOverCommit()
+}
+
+// holder returns an engine that has a model ready.
+func (c *cluster) holder(model string) string {
+	var runners []service.RunnerStatus
+	c.daemons[0].adminCall(http.MethodGet, "/admin/runners", nil, &runners)
+	for _, r := range runners {
+		for _, m := range r.Models {
+			if m.Model == model && m.State == "ready" && !r.Leaving {
+				return r.Runner
+			}
+		}
+	}
+	return ""
+}
+
+// Callers would lose the service when the platform does. During an outage
+// requests, streams and the failover of a dead owner go on; what needs a write
+// is refused truthfully and at once.
+func TestPlatformOutage(t *testing.T) {
+	s := small()
+	s.daemons = 4
+	c := start(t, s)
+	c.platform.SetFaults(platform.Faults{Down: true})
+	c.owner("e1").signal(syscall.SIGKILL)
+	errs := make([]error, 40)
+	each(8, func(w int) {
+		for i := w; i < len(errs); i += 8 {
+			errs[i] = c.insist(i, "m", fmt.Sprint("outage ", i), 20, i%2 == 0)
+		}
+	})
+	checkErrors(t, errs)
+	var live *daemon
+	for _, d := range c.daemons {
+		if !d.stopped() {
+			live = d
+		}
+	}
+	began := time.Now()
+	r, err := live.send("POST", "/services/parts/orders/o", "belt", "Idempotency-Key", "outage")
+	assert.NilError(t, err)
+	assert.Equal(t, r.outcome, "not_run", r.body)
+	assert.Check(t, r.retry != "")
+	assert.Check(t, time.Since(began) < 15*time.Second, "the refusal is not held back")
+	assert.Equal(t, c.runsOf("/orders/o"), 0)
+	c.platform.SetFaults(platform.Faults{})
+	c.until("the order can be made", 30*time.Second, func() bool {
+		r, err := live.send("POST", "/services/parts/orders/o", "belt", "Idempotency-Key", "outage")
+		return err == nil && r.status == http.StatusOK
+	})
+	assert.Equal(t, c.runsOf("/orders/o"), 1)
+}
--- a/services/tree/status.go
+++ b/services/tree/status.go
@@ -46,6 +46,8 @@
 	Relay    bool     `json:"relay,omitempty"`
 	Planner  bool     `json:"planner,omitempty"`
 	Problems []string `json:"problems,omitempty"`
+	// Versions is the version of each branch that the daemon has.
+	Versions map[string]uint64 `json:"versions,omitempty"`
 }
 
 // Status is the whole system as one daemon sees it.
@@ -89,6 +91,9 @@
 		out.InForce = out.InForce && len(b.Lagging) == 0
 		out.Branches = append(out.Branches, b)
 	}
+	for _, r := range replies {
+		out.InForce = out.InForce && len(r.GetProblems()) == 0
+	}
 	for _, m := range s.members.All() {
 		out.Members = append(out.Members, memberStatus(m, replies[m.Name], behind[m.Name]))
 	}
@@ -176,5 +181,9 @@
 	out.Running, out.Queued, out.Held = int(r.Running), int(r.Queued), r.Held
 	out.Runners, out.Relay, out.Planner, out.Problems = r.Runners, r.Relay, r.Planner, r.Problems
 	sort.Strings(out.Runners)
+	out.Versions = make(map[string]uint64, len(r.Versions))
+	for _, v := range r.Versions {
+		out.Versions[v.Branch] = v.Version
+	}
 	return out
 }
