--- a/io/strict/strict.go
+++ b/io/strict/strict.go
@@ -68,7 +68,7 @@
 
 func (w *walker) value(path string, raw any, t reflect.Type) {
 	if raw == nil {
-		if t.Kind() != reflect.Pointer {
+		if k := t.Kind(); k != reflect.Pointer && k != reflect.Slice && k != reflect.Map {
 			w.add(path, "must not be null")
 		}
 		return
