--- /dev/null
+++ b/protocol/platform/client_test.go
@@ -0,0 +1,116 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	"primroseward/protocol/platform"
+	standin "primroseward/standin/platform"
+)
+
+func setUp(t *testing.T) (*standin.Server, *platform.Client) {
+	t.Helper()
+	s := standin.New()
+	srv := httptest.NewServer(s)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	addr := netip.MustParseAddrPort(srv.Listener.Addr().String())
+	return s, platform.New(addr, clockwork.NewRealClock(), platform.WithRate(10000, 10000))
+}
+
+func object(name, text string) core.Object {
+	body, _ := json.Marshal(text)
+	return core.Object{Kind: core.KindClaim, Name: name, Body: body}
+}
+
+// An operator or owner is told of a conflict with itself. The platform carried
+// out a write and the answer was lost; sent again, the write is refused for its
+// old version. The stored change id shows whose write it was.
+func TestLostAnswers(t *testing.T) {
+	s, c := setUp(t)
+	ctx := context.Background()
+	s.SetFaults(standin.Faults{LoseWrites: 1})
+	made, err := c.Create(ctx, object("a", "one"))
+	assert.NilError(t, err)
+	s.SetFaults(standin.Faults{LoseWrites: 1})
+	next := made
+	next.Body = json.RawMessage(`"two"`)
+	updated, err := c.Update(ctx, next)
+	assert.NilError(t, err)
+	assert.Equal(t, string(updated.Body), `"two"`)
+	_, err = c.Update(ctx, made)
+	assert.Assert(t, errors.Is(err, core.ErrConflict), "a real conflict stays one")
+	_, err = c.Create(ctx, object("a", "three"))
+	assert.Assert(t, errors.Is(err, core.ErrExists))
+}
+
+// Two tokens win the same key: of many creators, with answers lost, exactly
+// one may be told that it made the object.
+func TestOneCreatorWins(t *testing.T) {
+	s, c := setUp(t)
+	for round := range 20 {
+		s.SetFaults(standin.Faults{LoseWrites: round % 4})
+		var mu sync.Mutex
+		won := 0
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, err := c.Create(context.Background(), object(string(rune('a'+round)), "x"))
+				if err == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					won++
+				}
+			}()
+		}
+		wg.Wait()
+		assert.Equal(t, won, 1)
+	}
+}
+
+func TestDownIsUnavailable(t *testing.T) {
+	s, c := setUp(t)
+	s.SetFaults(standin.Faults{Down: true})
+	_, err := c.Get(context.Background(), core.KindClaim, "a")
+	assert.Assert(t, errors.Is(err, core.ErrUnavailable))
+	_, err = c.Create(context.Background(), object("a", "x"))
+	assert.Assert(t, errors.Is(err, core.ErrUnavailable))
+	s.SetFaults(standin.Faults{})
+	_, err = c.Get(context.Background(), core.KindClaim, "a")
+	assert.Assert(t, errors.Is(err, core.ErrNotFound))
+}
+
+func TestWatchSeesEachChangeOnce(t *testing.T) {
+	_, c := setUp(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first, err := c.Create(ctx, object("a", "one"))
+	assert.NilError(t, err)
+	events := make(chan core.Event, 10)
+	go func() {
+		_ = c.Watch(ctx, core.KindClaim, first.Version, func(e core.Event) { events <- e })
+	}()
+	time.Sleep(50 * time.Millisecond)
+	second, err := c.Update(ctx, first)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Delete(ctx, second))
+	one, two := <-events, <-events
+	assert.Equal(t, one.Object.Version, second.Version)
+	assert.Assert(t, !one.Deleted && two.Deleted)
+	assert.Assert(t, two.Object.Version > second.Version)
+	assert.Assert(t, errors.Is(c.Delete(ctx, second), core.ErrNotFound))
+}
