--- /dev/null
+++ b/proof/life_test.go
@@ -0,0 +1,234 @@
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"primroseward/standin/engine"
+	"primroseward/standin/platform"
+	plain "primroseward/standin/service"
+)
+
+const (
+	stepPause = 40 * time.Millisecond
+	killPause = 3 * time.Second
+)
+
+// lifeMachine drives one cluster with requests and faults and remembers what
+// each caller was told.
+type lifeMachine struct {
+	c      *cluster
+	mu     sync.Mutex
+	base   int64 // keeps the keys of sequences apart
+	n      int
+	told   map[string][]reply // by order path
+	sent   map[string]int     // calls made, the ones without a reply too
+	wrong  []string
+	frozen *daemon
+	killed time.Time
+	counts map[string]int
+	wg     sync.WaitGroup
+}
+
+func (m *lifeMachine) next() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.n++
+	return m.n
+}
+
+func (m *lifeMachine) fault(format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wrong = append(m.wrong, fmt.Sprintf(format, args...))
+}
+
+// chat asks for a repeatable answer. What comes back as whole must be the
+// right one; an error is allowed, for the caller can ask again.
+func (m *lifeMachine) chat(d *daemon, stream bool) {
+	defer m.wg.Done()
+	prompt := fmt.Sprintf("life %d-%d", m.base, m.next())
+	r, err := d.chat("m", prompt, 30, stream)
+	if err != nil || r.status != http.StatusOK {
+		return
+	}
+	if err := right(r, "m", prompt, 30); err != nil {
+		m.fault("%s: %v", prompt, err)
+	}
+}
+
+// order sends an order that may not be repeated.
+func (m *lifeMachine) order(d *daemon, path, key string) {
+	defer m.wg.Done()
+	m.mu.Lock()
+	m.sent[path]++
+	m.mu.Unlock()
+	var header []string
+	if key != "" {
+		header = []string{"Idempotency-Key", key}
+	}
+	r, err := d.send("POST", "/services/parts"+path, "belt", header...)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err == nil {
+		m.told[path] = append(m.told[path], r)
+	}
+}
+
+func (m *lifeMachine) run(fn func()) {
+	m.wg.Add(1)
+	go fn()
+}
+
+func (m *lifeMachine) actions() map[string]func(*rapid.T) {
+	entry := func(t *rapid.T) *daemon {
+		return m.c.daemons[rapid.IntRange(0, len(m.c.daemons)-1).Draw(t, "entry")]
+	}
+	keyed := func(t *rapid.T) {
+		path := fmt.Sprintf("/orders/keyed-%d-%d", m.base, rapid.IntRange(1, 12).Draw(t, "key"))
+		d := entry(t)
+		m.run(func() { m.order(d, path, path[8:]) })
+	}
+	chat := func(t *rapid.T) {
+		d, stream := entry(t), rapid.Bool().Draw(t, "stream")
+		m.run(func() { m.chat(d, stream) })
+	}
+	return map[string]func(*rapid.T){
+		"": func(*rapid.T) { time.Sleep(stepPause) },
+		"chat": chat, "chat too": chat, "keyed order": keyed, "keyed order too": keyed,
+		"order": func(t *rapid.T) {
+			d := entry(t)
+			path := fmt.Sprintf("/orders/once-%d-%d", m.base, m.next())
+			m.run(func() { m.order(d, path, "") })
+		},
+		"break engine": func(t *rapid.T) {
+			f := engine.Faults{Cuts: 1, CutAfter: 3, NoResume: rapid.Bool().Draw(t, "no resume")}
+			if rapid.Bool().Draw(t, "crossed") {
+				f = engine.Faults{Cross: 1}
+			}
+			m.c.engines["e1"].SetFaults(f)
+		},
+		"break service": func(t *rapid.T) {
+			m.c.services["p1"].SetFaults(plain.Faults{Cut: rapid.IntRange(0, 1).Draw(t, "cut"), Delay: 100 * time.Millisecond})
+		},
+		"platform": func(t *rapid.T) {
+			m.c.platform.SetFaults(platform.Faults{
+				Down:       rapid.IntRange(0, 3).Draw(t, "down") == 0,
+				LoseWrites: rapid.IntRange(0, 3).Draw(t, "lost answers"),
+				Delay:      rapid.IntRange(0, 30).Draw(t, "delay"),
+			})
+		},
+		"kill": func(t *rapid.T) {
+			d := entry(t)
+			if time.Since(m.killed) < killPause {
+				t.Skip("let the last one come back")
+			}
+			m.killed = time.Now()
+			if d == m.frozen {
+				m.frozen = nil
+			}
+			d.kill()
+			d.start()
+		},
+		"freeze": func(t *rapid.T) {
+			if m.frozen != nil {
+				t.Skip("one is frozen")
+			}
+			m.frozen = entry(t)
+			m.frozen.signal(syscall.SIGSTOP)
+		},
+		"thaw": func(t *rapid.T) {
+			if m.frozen == nil {
+				t.Skip("none is frozen")
+			}
+			m.frozen.signal(syscall.SIGCONT)
+			m.frozen = nil
+		},
+		"wait": func(t *rapid.T) {
+			time.Sleep(time.Duration(rapid.IntRange(50, 700).Draw(t, "ms")) * time.Millisecond)
+		},
+	}
+}
+
+// heal ends all faults and waits for the callers.
+func (m *lifeMachine) heal() {
+	if m.frozen != nil {
+		m.frozen.signal(syscall.SIGCONT)
+		m.frozen = nil
+	}
+	m.c.platform.SetFaults(platform.Faults{})
+	m.c.engines["e1"].SetFaults(engine.Faults{})
+	m.c.services["p1"].SetFaults(plain.Faults{})
+	m.wg.Wait()
+}
+
+// check compares what callers were told with what the service has run.
+func (m *lifeMachine) check(t *rapid.T) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range m.wrong {
+		t.Errorf("wrong answer: %s", w)
+	}
+	for path, replies := range m.told {
+		m.tally(replies)
+		runs := m.c.runsOf(path)
+		if runs > 1 {
+			t.Errorf("%s ran %d times", path, runs)
+		}
+		refused := 0
+		for _, r := range replies {
+			if r.status == http.StatusOK && runs != 1 {
+				t.Errorf("%s was answered and ran %d times", path, runs)
+			}
+			if r.outcome == "not_run" {
+				refused++
+			}
+		}
+		if refused == len(replies) && m.sent[path] == len(replies) && runs > 0 {
+			t.Errorf("%s was refused as not run and ran", path)
+		}
+	}
+}
+
+// tally counts what callers were told.
+func (m *lifeMachine) tally(replies []reply) {
+	for _, r := range replies {
+		m.counts[fmt.Sprintf("%d %s", r.status, r.code)]++
+	}
+}
+
+// Callers are told what is not so when faults come together: daemons die,
+// stand still and return, the platform is down or loses answers, endpoints cut
+// and cross answers, and the same keys are sent through several entries. In
+// every order of events a whole answer is the right one, no order runs twice,
+// and what was refused as not run has not run.
+func TestLifeOfRequests(t *testing.T) {
+	outer := t
+	if os.Getenv("PRIMROSE_FUZZ") == "" {
+		_ = flag.Set("rapid.seed", "7")
+		_ = flag.Set("rapid.checks", "3")
+		_ = flag.Set("rapid.steps", "200")
+	}
+	_ = flag.Set("rapid.shrinktime", "1s")
+	s := small()
+	s.daemons = 4
+	c := start(t, s)
+	rapid.Check(t, func(t *rapid.T) {
+		m := &lifeMachine{c: c, told: map[string][]reply{}, sent: map[string]int{}, counts: map[string]int{}, base: time.Now().UnixNano()}
+		t.Repeat(m.actions())
+		m.heal()
+		m.check(t)
+		outer.Logf("orders: %v", m.counts)
+		c.noOverCommit()
+	})
+	assert.NilError(t, c.insist(0, "m", "after all", 5, true))
+}
--- /dev/null
+++ b/proof/silent_test.go
@@ -0,0 +1,336 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"primroseward/coordination/claim"
+	"primroseward/coordination/entry"
+	"primroseward/coordination/member"
+	"primroseward/coordination/owner"
+	"primroseward/core"
+	"primroseward/protocol/endpoint"
+	"primroseward/protocol/peerv1/peerv1connect"
+	wire "primroseward/protocol/platform"
+	"primroseward/standin/engine"
+	"primroseward/standin/platform"
+	plain "primroseward/standin/service"
+	"primroseward/state/answer"
+	"primroseward/state/directory"
+	"primroseward/state/tree"
+	"primroseward/transport/peer"
+	"primroseward/transport/rpc"
+
+	"go.uber.org/zap"
+)
+
+// wireTap is a TCP forwarder whose connections can be made silent or cut.
+type wireTap struct {
+	to     string
+	ln     net.Listener
+	mu     sync.Mutex
+	conns  []*tapped
+	passed atomic.Int64 // bytes towards the caller of the connection
+	down   atomic.Bool  // new connections are closed at once
+}
+
+type tapped struct {
+	a, b   net.Conn
+	silent atomic.Bool
+}
+
+func newTap(t *testing.T, to string) *wireTap {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	w := &wireTap{to: to, ln: ln}
+	go w.run()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		w.cut()
+	})
+	return w
+}
+
+func (w *wireTap) addr() netip.AddrPort { return netip.MustParseAddrPort(w.ln.Addr().String()) }
+
+func (w *wireTap) run() {
+	for {
+		a, err := w.ln.Accept()
+		if err != nil {
+			return
+		}
+		b, err := net.Dial("tcp", w.to)
+		if err != nil || w.down.Load() {
+			_ = a.Close()
+			continue
+		}
+		c := &tapped{a: a, b: b}
+		w.mu.Lock()
+		w.conns = append(w.conns, c)
+		w.mu.Unlock()
+		go w.copy(c, a, b, nil)
+		go w.copy(c, b, a, &w.passed)
+	}
+}
+
+// copy forwards bytes, or swallows them once the connection is silent. A
+// silent connection passes on no end either.
+func (w *wireTap) copy(c *tapped, from, to net.Conn, count *atomic.Int64) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if c.silent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if n > 0 {
+			if count != nil {
+				count.Add(int64(n))
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// silence makes all connections of now silent; new ones work.
+func (w *wireTap) silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (w *wireTap) cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.conns {
+		_ = c.a.Close()
+		_ = c.b.Close()
+	}
+}
+
+// pair is an entry and an owner with a wire between them that can be tapped.
+type pair struct {
+	entry  *entry.Entry
+	owner  *owner.Manager
+	tap    *wireTap
+	engine *engine.Server
+	parts  *plain.Server
+}
+
+func member1(name string) core.Member {
+	return core.Member{Name: name, Place: name, Peer: netip.MustParseAddrPort("127.0.0.1:1"), Caller: netip.MustParseAddrPort("127.0.0.1:1"), Boot: 7}
+}
+
+// newPair joins an entry in place a to the owner of all runners in place b.
+func newPair(t *testing.T) *pair {
+	clock := clockwork.NewRealClock()
+	p := &pair{engine: engine.New(engine.Config{Memory: 80 * gb, Slots: 8, Token: 2 * time.Millisecond,
+		Resident: []core.Resident{{Model: "m", Version: "1", Bytes: 14 * gb, Ready: true}}}), parts: plain.New("p")}
+	serve := func(h http.Handler) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(func() {
+			s.CloseClientConnections()
+			_ = s.Config.Close()
+		})
+		return s.Listener.Addr().String()
+	}
+	platAddr := netip.MustParseAddrPort(serve(platform.New()))
+	client := wire.New(platAddr, clock, wire.WithRate(1000, 1000))
+	replica := tree.NewReplica()
+	places := []string{"a", "b"}
+	root := &tree.Node{
+		Set: tree.Settings{Places: &places, Stall: core.Duration(10 * time.Second)},
+		Endpoints: map[string]tree.Endpoint{
+			"e": {Addr: serve(p.engine), Place: "b", Kind: tree.KindModel, Memory: 80 * gb, Slots: 8},
+			"p": {Addr: serve(p.parts), Place: "b", Kind: tree.KindPlain, Service: "parts", Slots: 8},
+		},
+	}
+	parts := &tree.Node{Service: &tree.Service{Kind: tree.KindPlain}}
+	models := &tree.Node{Model: &tree.Model{Version: "1", Memory: 14 * gb}}
+	for i, one := range []struct {
+		name string
+		node *tree.Node
+	}{{tree.Root, root}, {"service/parts", parts}, {"model/m", models}} {
+		body, err := json.Marshal(tree.Stored{Node: one.node})
+		assert.NilError(t, err)
+		replica.Apply([]tree.Branch{{Name: one.name, Version: uint64(i + 1), Body: body}})
+	}
+	assert.Assert(t, replica.Tree() != nil)
+	tables := map[string]*member.Table{}
+	for _, name := range places {
+		tables[name] = member.NewTable(clock, member1(name))
+		for _, other := range places {
+			tables[name].Merge(member1(other))
+		}
+	}
+	dir := directory.New(clock)
+	pool, err := peer.NewPool()
+	assert.NilError(t, err)
+	connect := func(_ string, e tree.Endpoint) core.Endpoint {
+		return endpoint.New(netip.MustParseAddrPort(e.Addr), clock)
+	}
+	// Reports go straight to the one directory.
+	p.owner = owner.New(replica, tables["b"], client, connect, clock, owner.WithDirectory(
+		func(_ context.Context, _ core.Member, r []directory.Report) error { dir.Put(r); return nil },
+		func(_ context.Context, key string) []directory.Report { return dir.Find(key) }))
+	claims := claim.New(client, tables["a"], clock, zap.NewNop())
+	claims.Start()
+	there := entry.New(replica, tables["b"], nil, p.owner, dir, claims, clock)
+	h := &rpc.Handler{Table: tables["b"], Owner: p.owner, Entry: there, Dir: dir, Clock: clock}
+	server, err := peer.NewServer(h)
+	assert.NilError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	p.tap = newTap(t, ln.Addr().String())
+	dial := func(netip.AddrPort) peerv1connect.PeerClient { return pool.Dial(p.tap.addr()) }
+	p.entry = entry.New(replica, tables["a"], dial, p.owner, dir, claims, clock)
+	p.owner.Start()
+	p.entry.Start()
+	t.Cleanup(func() {
+		p.entry.Stop()
+		p.owner.Stop()
+		claims.Stop()
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(dir.Find(directory.ModelKey("m"))) == 1 && len(dir.Find(directory.ServiceKey("parts"))) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no reports yet")
+	}, within(10*time.Second)...)
+	return p
+}
+
+func (p *pair) ask(a *entry.Ask) (string, error) {
+	ctx := context.Background()
+	a.ID, a.Scope, a.Method, a.Class = entry.NewID(), "t", http.MethodPost, core.ClassNormal
+	a.Deadline = time.Now().Add(30 * time.Second)
+	buf, err := p.entry.Begin(ctx, a)
+	if err != nil {
+		return "", err
+	}
+	return readAll(ctx, buf)
+}
+
+func readAll(ctx context.Context, buf *answer.Buffer) (string, error) {
+	var out []byte
+	for {
+		data, whole, err := buf.Next(ctx, int64(len(out)))
+		if err != nil || whole {
+			return string(out), err
+		}
+		out = append(out, data...)
+	}
+}
+
+func (p *pair) chat(prompt string, tokens int, repeat bool) error {
+	got, err := p.ask(&entry.Ask{Model: "m", Path: "/v1/chat/completions", Repeat: repeat, Stream: true, Body: []byte(chatBody("m", prompt, tokens, true))})
+	if err != nil {
+		return err
+	}
+	return right(reply{status: http.StatusOK, body: got}, "m", prompt, tokens)
+}
+
+// A caller waits for ever or gets a cut answer. The connection between entry
+// and owner goes silent for good, or is cut, in the middle of streams, again
+// and again, while new connections work. Pings notice it, and the streams go
+// on from their offset over a new connection; the engine sees each request
+// once, whether it may be repeated or not.
+func TestSilentConnectionBetweenDaemons(t *testing.T) {
+	for _, repeat := range []bool{true, false} {
+		for _, fault := range []string{"silent", "cut"} {
+			t.Run(fmt.Sprintf("%s, repeat %t", fault, repeat), func(t *testing.T) {
+				p := newPair(t)
+				errs := make([]error, 6)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					each(len(errs), func(i int) { errs[i] = p.chat(fmt.Sprint("s", i), 1500, repeat) })
+				}()
+				for range 2 {
+					from := p.tap.passed.Load()
+					poll.WaitOn(t, func(poll.LogT) poll.Result {
+						if p.tap.passed.Load() > from+20000 {
+							return poll.Success()
+						}
+						return poll.Continue("no data yet")
+					}, within(20*time.Second)...)
+					if fault == "cut" {
+						p.tap.cut()
+					} else {
+						p.tap.silence()
+					}
+				}
+				<-done
+				checkErrors(t, errs)
+				assert.Equal(t, len(p.engine.Runs()), len(errs))
+			})
+		}
+	}
+}
+
+// A caller is told that its order did not run although it did, or its order is
+// run twice. The wire between entry and owner is cut at any moment of a
+// dispatch: before, while or after the request crosses it. What the caller is
+// told must agree with the service's own log.
+func TestRefusalsAreTrueAtEveryCut(t *testing.T) {
+	p := newPair(t)
+	p.parts.SetFaults(plain.Faults{Delay: 5 * time.Millisecond})
+	told := map[string]int{}
+	for i := range 40 {
+		path := fmt.Sprint("/order/", i)
+		stop := time.AfterFunc(time.Duration(i/2)*500*time.Microsecond, func() {
+			p.tap.down.Store(i%2 == 0)
+			p.tap.cut()
+		})
+		got, err := p.ask(&entry.Ask{Service: "parts", Path: path, Body: []byte("belt")})
+		stop.Stop()
+		p.tap.down.Store(false)
+		var re *core.RequestError
+		runs := 0
+		for _, r := range p.parts.Runs() {
+			if r.Path == path {
+				runs++
+			}
+		}
+		switch {
+		case err == nil:
+			assert.Equal(t, runs, 1, got)
+			told["answered"]++
+		case errors.As(err, &re) && re.Outcome == core.OutcomeNotRun:
+			time.Sleep(20 * time.Millisecond) // a request still under way would show
+			assert.Equal(t, runs, 0, "%s: %v", path, err)
+			told["not run"]++
+		default:
+			assert.Assert(t, runs <= 1, "%s: %v", path, err)
+			told["may have run"]++
+		}
+	}
+	t.Log(told)
+}
+
