Planner: rooms made in groups, two replicas kept, second places first

Three causes: a demand replica could take a model's second replica; a base with adapters on it could never make room; second replicas came after demand had filled the memory. Ruled out: too few load slots (models waited for memory, not for the store). The price of a move went from 10 to 100 requests. Tests: cases and a fuzz that no plan overfills a runner or takes a model's last replica; removing either guard fails it.

--- a/coordination/planner/plan.go
+++ b/coordination/planner/plan.go
@@ -26,7 +26,7 @@
 
 // Default is the chosen policy.
 func Default() Policy {
-	return Policy{High: 0.7, Low: 0.4, Horizon: 120, MoveCost: 10, Share: 0.34}
+	return Policy{High: 0.7, Low: 0.4, Horizon: 120, MoveCost: 100, Share: 0.34}
 }
 
 // Plan returns the moves to make now, most urgent first, and which models
@@ -39,15 +39,20 @@
 		return v.moves, v.lacking
 	}
 	p.versions(v)
-	if !p.NoDemand {
-		p.demand(v)
-	}
 	if !p.NoSecond {
 		p.seconds(v)
 	}
+	if !p.NoDemand {
+		p.demand(v)
+	}
 	return v.moves, v.lacking
 }
 
+// spareForDemand is how many ready replicas a model must have to lose one for
+// another model's demand: two are kept, so that no single death makes a model
+// unreachable. Only a model without any replica may take a second one's place.
+const spareForDemand = 3
+
 // floors gives each model without a replica the next load, always.
 func (p Policy) floors(v *view) {
 	for _, name := range v.names {
@@ -78,7 +83,7 @@
 		}
 	}
 	for _, r := range hosts {
-		if p.makeRoom(v, r, m) {
+		if p.makeRoom(v, r, m, 2) {
 			return ""
 		}
 	}
@@ -161,27 +166,53 @@
 	}
 }
 
-// makeRoom evicts from a runner what can be spared until a model fits.
-func (p Policy) makeRoom(v *view, r *runner, m *model) bool {
+// makeRoom evicts from a runner what can be spared until a model fits. Only
+// models with at least spare ready replicas lose one.
+func (p Policy) makeRoom(v *view, r *runner, m *model, spare int) bool {
 	if r.busy > 0 || !p.mayTouch(v) {
 		return false
 	}
-	need := m.Bytes - r.free
-	var chosen []victim
-	for _, c := range p.victims(v, r) {
-		if need <= 0 {
-			break
+	chosen := cheapest(p.victims(v, r, m, spare), m.Bytes-r.free)
+	for _, c := range chosen {
+		v.evictGroup(r, c)
+	}
+	return len(chosen) > 0
+}
+
+// cheapest chooses victims that free at least need bytes: the single one of
+// least worth that is large enough, else several, least worth per byte first;
+// nil if all together are too small.
+func cheapest(victims []victim, need int64) []victim {
+	var one *victim
+	for i := range victims {
+		if victims[i].bytes >= need && (one == nil || victims[i].worth < one.worth) {
+			one = &victims[i]
 		}
+	}
+	if one != nil {
+		return []victim{*one}
+	}
+	var chosen []victim
+	for _, c := range victims {
 		chosen = append(chosen, c)
 		need -= c.bytes
+		if need <= 0 {
+			return chosen
+		}
 	}
-	if need > 0 {
-		return false
-	}
-	for _, c := range chosen {
+	return nil
+}
+
+// evictGroup evicts a model, or first the adapters on it: a base with adapters
+// cannot go, so it follows when they have gone.
+func (v *view) evictGroup(r *runner, c victim) {
+	if len(c.adapters) == 0 {
 		v.evict(r, c.model, c.version, ReasonRoom)
+		return
+	}
+	for _, a := range c.adapters {
+		v.evict(r, a.model, a.version, ReasonRoom)
 	}
-	return true
 }
 
 // mayTouch bounds the runners that are changing at once: a wrong signal must
@@ -196,34 +227,57 @@
 	return touched < max(1, int(p.Share*float64(len(v.runners))))
 }
 
+// victim is a replica that can be spared, with the adapters that go with it.
 type victim struct {
-	model   *model
-	version string
-	bytes   int64
-	worth   float64
+	model    *model
+	version  string
+	bytes    int64
+	worth    float64
+	adapters []victim
 }
 
-// victims returns the replicas on a runner that can be spared, least worth
-// first: the model keeps another ready replica, and carries its load without
-// this one.
-func (p Policy) victims(v *view, r *runner) []victim {
+// victims returns the replicas on a runner that can be spared for a model,
+// least worth per byte first: each model keeps other ready replicas and, unless
+// a floor is at stake, carries its load without this one.
+func (p Policy) victims(v *view, r *runner, wanting *model, spare int) []victim {
 	var out []victim
 	for _, e := range r.Entries {
-		m := v.models[e.Model]
-		if m == nil || e.State != ledger.Ready || m.ready < 2 || v.hasAdapters(r, e.Model) {
-			continue
-		}
-		demand := m.demand()
-		if p.NoSlow {
-			demand = m.Fast
+		if one, ok := p.victim(v, r, e, spare); ok && e.Model != wanting.Base {
+			out = append(out, one)
 		}
-		if m.pressure() > p.Low && demand > 0 {
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		return out[i].worth*float64(out[j].bytes) < out[j].worth*float64(out[i].bytes)
+	})
+	return out
+}
+
+func (p Policy) victim(v *view, r *runner, e ledger.Entry, spare int) (victim, bool) {
+	m := v.models[e.Model]
+	if m == nil || e.State != ledger.Ready || m.ready < spare {
+		return victim{}, false
+	}
+	demand := m.demand()
+	if p.NoSlow {
+		demand = m.Fast
+	}
+	if spare >= spareForDemand && m.pressure() > p.Low && demand > 0 {
+		return victim{}, false
+	}
+	out := victim{model: m, version: e.Version, bytes: e.Bytes, worth: demand / float64(m.ready)}
+	for _, other := range r.Entries {
+		if a := v.models[other.Model]; a == nil || a.Base != e.Model {
 			continue
 		}
-		out = append(out, victim{model: m, version: e.Version, bytes: e.Bytes, worth: demand / float64(m.ready)})
+		one, ok := p.victim(v, r, other, spare)
+		if !ok {
+			return victim{}, false
+		}
+		out.adapters = append(out.adapters, one)
+		out.bytes += one.bytes
+		out.worth += one.worth
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].worth < out[j].worth })
-	return out
+	return out, true
 }
 
 func (v *view) hasAdapters(r *runner, base string) bool {
@@ -357,29 +411,48 @@
 		}
 	}
 	for _, r := range p.hosts(v, m) {
-		if r.load <= m.pressure()*p.High && p.makeRoom(v, r, m) {
+		if r.load <= m.pressure()*p.High && p.makeRoom(v, r, m, spareForDemand) {
 			return
 		}
 	}
 }
 
-// seconds gives models a second replica in another place, where there is free
-// memory anyway and only while nothing else wants the store.
+// seconds gives models a second replica in another place, so that the loss of
+// a runner or a place leaves one. It takes memory that a third replica of
+// another model holds, and half of the store's slots at most: the other half
+// is left to demand.
 func (p Policy) seconds(v *view) {
 	for _, name := range v.names {
 		m := v.models[name]
 		if v.loads >= max(1, v.Slots/2) {
 			return
 		}
-		if m.ready != 1 || m.coming > 0 {
-			continue
+		if m.ready == 1 && m.coming == 0 {
+			p.second(v, m)
 		}
-		home := m.replicas[0].runner.Place
-		for _, r := range p.hosts(v, m) {
-			if r.Place != home && r.free >= m.Bytes {
-				v.load(r, m, ReasonSecond)
-				break
-			}
+	}
+}
+
+func (p Policy) second(v *view, m *model) {
+	home := m.home()
+	var others []*runner
+	for _, r := range p.hosts(v, m) {
+		if r.Place != home {
+			others = append(others, r)
+		}
+	}
+	for _, r := range others {
+		if r.free >= m.Bytes {
+			v.load(r, m, ReasonSecond)
+			return
+		}
+	}
+	if roomComing(others, m) {
+		return
+	}
+	for _, r := range others {
+		if p.makeRoom(v, r, m, spareForDemand) {
+			return
 		}
 	}
 }
--- /dev/null
+++ b/coordination/planner/plan_test.go
@@ -0,0 +1,213 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"primroseward/core"
+	"primroseward/standin/fuzz"
+	"primroseward/state/ledger"
+)
+
+func TestMain(m *testing.M) { fuzz.Main(m, 300, 30) }
+
+func entry(model, version string, bytes int64, state ledger.State) ledger.Entry {
+	return ledger.Entry{Model: model, Version: version, Bytes: bytes, State: state}
+}
+
+func anywhere() map[string]bool { return map[string]bool{"a": true, "b": true} }
+
+func TestPlan(t *testing.T) {
+	cases := []struct {
+		name    string
+		state   State
+		moves   []Move
+		lacking int
+	}{
+		{
+			name: "a model without a replica is loaded where memory is free",
+			state: State{
+				Models:  []Model{{Name: "m", Version: "1", Bytes: 10, Places: anywhere()}},
+				Runners: []Runner{{ID: "r1", Place: "a", Capacity: 5}, {ID: "r2", Place: "b", Capacity: 20}},
+			},
+			moves: []Move{{core.OrderLoad, "r2", "m", "1", ReasonFloor}},
+		},
+		{
+			name: "a model that fits nowhere is named",
+			state: State{
+				Models:  []Model{{Name: "m", Version: "1", Bytes: 30, Places: anywhere()}},
+				Runners: []Runner{{ID: "r1", Place: "a", Capacity: 5}},
+			},
+			lacking: 1,
+		},
+		{
+			name: "the new version comes before the old one goes",
+			state: State{
+				Models:  []Model{{Name: "m", Version: "2", Bytes: 10, Places: anywhere()}},
+				Runners: []Runner{{ID: "r1", Place: "a", Capacity: 25, Entries: []ledger.Entry{entry("m", "1", 10, ledger.Ready)}}},
+			},
+			moves: []Move{{core.OrderLoad, "r1", "m", "2", ReasonVersion}},
+		},
+		{
+			name: "the old version goes when the new one is ready",
+			state: State{
+				Models: []Model{{Name: "m", Version: "2", Bytes: 10, Places: anywhere()}},
+				Runners: []Runner{{ID: "r1", Place: "a", Capacity: 25, Entries: []ledger.Entry{
+					entry("m", "1", 10, ledger.Ready), entry("m", "2", 10, ledger.Ready),
+				}}},
+			},
+			moves: []Move{{core.OrderEvict, "r1", "m", "1", ReasonVersion}},
+		},
+		{
+			name: "a replica where the settings no longer allow it stays until another is ready",
+			state: State{
+				Models: []Model{{Name: "m", Version: "1", Bytes: 10, Places: map[string]bool{"b": true}}},
+				Runners: []Runner{
+					{ID: "r1", Place: "a", Capacity: 25, Entries: []ledger.Entry{entry("m", "1", 10, ledger.Ready)}},
+					{ID: "r2", Place: "b", Capacity: 25},
+				},
+			},
+			moves: []Move{{core.OrderLoad, "r2", "m", "1", ReasonFloor}},
+		},
+		{
+			name: "the models of a leaving runner are loaded elsewhere",
+			state: State{
+				Models: []Model{{Name: "m", Version: "1", Bytes: 10, Places: anywhere()}},
+				Runners: []Runner{
+					{ID: "r1", Place: "a", Capacity: 25, Gone: true, Entries: []ledger.Entry{entry("m", "1", 10, ledger.Ready)}},
+					{ID: "r2", Place: "b", Capacity: 25},
+				},
+			},
+			moves: []Move{{core.OrderLoad, "r2", "m", "1", ReasonFloor}},
+		},
+		{
+			name: "a floor takes the room of a spare replica",
+			state: State{
+				Models: []Model{{Name: "m", Version: "1", Bytes: 10, Places: anywhere()}, {Name: "n", Version: "1", Bytes: 10, Places: anywhere()}},
+				Runners: []Runner{
+					{ID: "r1", Place: "a", Capacity: 10, Entries: []ledger.Entry{entry("n", "1", 10, ledger.Ready)}},
+					{ID: "r2", Place: "b", Capacity: 10, Entries: []ledger.Entry{entry("n", "1", 10, ledger.Ready)}},
+				},
+			},
+			moves: []Move{{core.OrderEvict, "r1", "n", "1", ReasonRoom}},
+		},
+		{
+			name: "an adapter waits for its base",
+			state: State{
+				Models: []Model{{Name: "m", Version: "1", Bytes: 10, Places: anywhere()}, {Name: "x", Version: "1", Bytes: 1, Base: "m", Places: anywhere()}},
+				Runners: []Runner{
+					{ID: "r1", Place: "a", Capacity: 25},
+					{ID: "r2", Place: "b", Capacity: 25, Entries: []ledger.Entry{entry("m", "1", 10, ledger.Ready)}},
+				},
+			},
+			moves: []Move{{core.OrderLoad, "r2", "x", "1", ReasonFloor}, {core.OrderLoad, "r1", "m", "1", ReasonSecond}},
+		},
+	}
+	for _, one := range cases {
+		one.state.Slots = 4
+		moves, lacking := Default().Plan(&one.state)
+		assert.DeepEqual(t, moves, one.moves)
+		assert.Equal(t, len(lacking), one.lacking, one.name)
+	}
+}
+
+// A model vanishes because the planner itself evicts its last replica, or a
+// runner is overfilled by its plan. For any state, the moves of one plan load
+// only what fits beside all that is held, and leave every model that had a
+// ready replica with one.
+func TestPlanKeepsModelsAndMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawState(t)
+		ready := map[string]int{}
+		used := map[string]int64{}
+		for _, r := range s.Runners {
+			for _, e := range r.Entries {
+				used[r.ID] += e.Bytes
+				if e.State == ledger.Ready && !r.Gone {
+					ready[e.Model]++
+				}
+			}
+		}
+		before := map[string]int{}
+		for m, n := range ready {
+			before[m] = n
+		}
+		moves, _ := Default().Plan(s)
+		sizes := map[string]int64{}
+		for _, m := range s.Models {
+			sizes[m.Name] = m.Bytes
+		}
+		for _, mv := range moves {
+			if mv.Kind == core.OrderLoad {
+				used[mv.Runner] += sizes[mv.Model]
+				continue
+			}
+			ready[mv.Model]--
+		}
+		for _, r := range s.Runners {
+			if used[r.ID] > r.Capacity {
+				t.Fatalf("%s: %d of %d; moves %+v", r.ID, used[r.ID], r.Capacity, moves)
+			}
+		}
+		for m, n := range before {
+			if n > 0 && ready[m] <= 0 {
+				t.Fatalf("%s has no replica left; moves %+v", m, moves)
+			}
+		}
+	})
+}
+
+func drawState(t *rapid.T) *State {
+	s := &State{Slots: rapid.IntRange(1, 6).Draw(t, "slots")}
+	for i := range rapid.IntRange(1, 6).Draw(t, "models") {
+		s.Models = append(s.Models, Model{
+			Name: fmt.Sprint("m", i), Version: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version"), Bytes: int64(rapid.IntRange(5, 30).Draw(t, "bytes")),
+			Places: anywhere(), Fast: rapid.Float64Range(0, 50).Draw(t, "fast"), Slow: rapid.Float64Range(0, 50).Draw(t, "slow"), Moves: 0.01, Attainment: 1,
+		})
+	}
+	for i := range rapid.IntRange(1, 5).Draw(t, "runners") {
+		r := Runner{ID: fmt.Sprint("r", i), Place: []string{"a", "b"}[i%2], Capacity: 64, Slots: 4, Cost: time.Second, Gone: rapid.IntRange(0, 5).Draw(t, "gone") == 0}
+		left := r.Capacity
+		for _, m := range s.Models {
+			if m.Bytes <= left && rapid.Bool().Draw(t, "held") {
+				state := rapid.SampledFrom([]ledger.State{ledger.Ready, ledger.Ready, ledger.Loading, ledger.Evicting}).Draw(t, "state")
+				r.Entries = append(r.Entries, entry(m.Name, "1", m.Bytes, state))
+				left -= m.Bytes
+			}
+		}
+		s.Runners = append(s.Runners, r)
+	}
+	return s
+}
+
+// fleet is a made-up place of the size to come.
+func fleet(models, runners int) *State {
+	s := &State{Slots: 4}
+	for i := range models {
+		s.Models = append(s.Models, Model{Name: fmt.Sprint("m", i), Version: "1", Bytes: 10, Places: anywhere(), Fast: float64(i%7) / 3, Slow: 1, Moves: 1, Attainment: 1})
+	}
+	for i := range runners {
+		r := Runner{ID: fmt.Sprint("r", i), Place: []string{"a", "b"}[i%2], Capacity: 64, Slots: 16, Cost: time.Second}
+		for k := range 5 {
+			r.Entries = append(r.Entries, entry(fmt.Sprint("m", (i*5+k)%models), "1", 10, ledger.Ready))
+		}
+		s.Runners = append(s.Runners, r)
+	}
+	return s
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ models, runners int }{{15, 16}, {150, 160}, {1800, 526}, {1800, 2000}, {1800, 10000}} {
+		s := fleet(size.models, size.runners)
+		b.Run(fmt.Sprintf("models=%d,runners=%d", size.models, size.runners), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Default().Plan(s)
+			}
+		})
+	}
+}
--- a/coordination/planner/state.go
+++ b/coordination/planner/state.go
@@ -213,3 +213,13 @@
 	}
 	return false
 }
+
+// home is the place of the first ready replica.
+func (m *model) home() string {
+	for _, rep := range m.replicas {
+		if rep.entry.State == ledger.Ready {
+			return rep.runner.Place
+		}
+	}
+	return ""
+}
