--- /dev/null
+++ b/bench/overhead/main.go
@@ -0,0 +1,182 @@
+// Command overhead measures what the system adds to a request: the same short
+// model request straight to the engine, through the daemon that owns its runner
+// (one hop) and through another daemon (two hops), in turn, in one run.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"primroseward/bench/fleet"
+	"primroseward/core"
+	service "primroseward/services/tree"
+	"primroseward/standin/engine"
+	"primroseward/state/tree"
+)
+
+const (
+	requests = 3000
+	workers  = 64
+	loadFor  = 5 * time.Second
+	oneGB    = 1000 * 1000 * 1000
+	body     = `{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"hello"}]}`
+)
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * workers}}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	f, err := fleet.New("bin/primrosed", 2, []string{"a"})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	e := engine.New(engine.Config{Memory: 80 * oneGB, Slots: 256, Resident: []core.Resident{{Model: "m", Version: "1", Bytes: oneGB, Ready: true}}})
+	addr, err := f.Serve(e)
+	if err != nil {
+		return err
+	}
+	places := []string{"a"}
+	limit := 100000
+	err = f.Apply(&tree.Node{
+		Set:       tree.Settings{Places: &places, Concurrency: limit},
+		Endpoints: map[string]tree.Endpoint{"e": {Addr: addr, Place: "a", Kind: tree.KindModel, Memory: 80 * oneGB, Slots: 256}},
+		Children:  map[string]*tree.Node{"model/m": {Model: &tree.Model{Version: "1", Memory: oneGB}}},
+	})
+	if err != nil {
+		return err
+	}
+	near, far, err := owner(f)
+	if err != nil {
+		return err
+	}
+	targets := []target{{"direct", addr}, {"1 hop", near.Caller}, {"2 hops", far.Caller}}
+	if err := latency(targets); err != nil {
+		return err
+	}
+	return throughput(f, []target{targets[1], targets[2]})
+}
+
+type target struct{ name, addr string }
+
+// owner waits until the runner is known everywhere and returns the daemon that
+// owns it, and the other one.
+func owner(f *fleet.Fleet) (near, far *fleet.Daemon, err error) {
+	err = fleet.Until(func() bool {
+		var runners []service.RunnerStatus
+		if f.Daemons[0].Call(http.MethodGet, "/admin/runners", nil, &runners) != nil || len(runners) != 1 {
+			return false
+		}
+		near, far = f.Daemons[0], f.Daemons[1]
+		if runners[0].Owner == far.Name {
+			near, far = far, near
+		}
+		return ask(near.Caller) == nil && ask(far.Caller) == nil
+	})
+	return near, far, err
+}
+
+func ask(addr string) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(core.HeaderRequestID, "direct")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%d %s", resp.StatusCode, data)
+	}
+	return err
+}
+
+// latency asks the targets in turn, so that drift of the machine's speed falls
+// on all alike.
+func latency(targets []target) error {
+	times := make([][]time.Duration, len(targets))
+	for i := range requests + 200 {
+		for k, t := range targets {
+			began := time.Now()
+			if err := ask(t.addr); err != nil {
+				return fmt.Errorf("%s: %w", t.name, err)
+			}
+			if i >= 200 {
+				times[k] = append(times[k], time.Since(began))
+			}
+		}
+	}
+	fmt.Println("| path | median ms | p99 ms | added at the median, ms | ratio of medians |")
+	fmt.Println("|---|---|---|---|---|")
+	var base time.Duration
+	for k, t := range targets {
+		slices.Sort(times[k])
+		median, p99 := times[k][requests/2], times[k][requests*99/100]
+		if k == 0 {
+			base = median
+		}
+		fmt.Printf("| %s | %.3f | %.3f | %.3f | %.2f |\n", t.name, ms(median), ms(p99), ms(median-base), float64(median)/float64(base))
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// throughput loads a path and divides by the processor time of the daemons.
+func throughput(f *fleet.Fleet, targets []target) error {
+	fmt.Println("\n| path | requests/s | requests/s per core of the daemons |")
+	fmt.Println("|---|---|---|")
+	for _, t := range targets {
+		before := cpu(f)
+		var n atomic.Int64
+		var failed atomic.Int64
+		var wg sync.WaitGroup
+		stop := time.Now().Add(loadFor)
+		for range workers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for time.Now().Before(stop) {
+					if ask(t.addr) != nil {
+						failed.Add(1)
+						continue
+					}
+					n.Add(1)
+				}
+			}()
+		}
+		wg.Wait()
+		used := cpu(f) - before
+		if failed.Load() > 0 {
+			fmt.Printf("%s: %d requests failed\n", t.name, failed.Load())
+		}
+		fmt.Printf("| %s | %.0f | %.0f |\n", t.name, float64(n.Load())/loadFor.Seconds(), float64(n.Load())/used.Seconds())
+	}
+	return nil
+}
+
+func cpu(f *fleet.Fleet) time.Duration {
+	var sum time.Duration
+	for _, d := range f.Daemons {
+		if u, err := d.Usage(); err == nil {
+			sum += u.CPU
+		}
+	}
+	return sum
+}
--- a/bench/policy/variants.go
+++ b/bench/policy/variants.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-
 	"primroseward/coordination/planner"
 	"primroseward/core"
 	"primroseward/state/ledger"
@@ -160,4 +159,3 @@
 		}
 	}
 }
-
--- a/coordination/member/gossip.go
+++ b/coordination/member/gossip.go
@@ -47,6 +47,7 @@
 	seeds  []netip.AddrPort
 	sync   Syncer
 	digest Digest
+	count  func(bytes int)
 
 	recv chan datagram
 	seq  uint64
@@ -99,6 +100,9 @@
 // WithDigest adds a digest to each packet.
 func WithDigest(d Digest) Option { return func(g *Gossip) { g.digest = d } }
 
+// WithCount tells of the bytes of each packet sent or received.
+func WithCount(fn func(bytes int)) Option { return func(g *Gossip) { g.count = fn } }
+
 // WithLogger sets the log.
 func WithLogger(l *zap.Logger) Option { return func(g *Gossip) { g.log = l } }
 
@@ -111,6 +115,7 @@
 		conn:   conn,
 		sync:   func(context.Context, netip.AddrPort, []core.Member) ([]core.Member, error) { return nil, nil },
 		digest: noDigest{},
+		count:  func(int) {},
 		recv:   make(chan datagram, recvRing),
 		out:    map[uint64]*probe{},
 	}
@@ -147,6 +152,7 @@
 		if err != nil {
 			return
 		}
+		g.count(n)
 		p := &peerv1.Packet{}
 		if proto.Unmarshal(buf[:n], p) != nil {
 			continue
@@ -285,6 +291,7 @@
 		data, err = proto.Marshal(p)
 	}
 	if err == nil {
+		g.count(len(data))
 		_, _ = g.conn.WriteToUDPAddrPort(data, to)
 	}
 }
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -43,6 +43,7 @@
 	spreadLeave = 2 * time.Second
 	drainCheck  = 100 * time.Millisecond
 	handOver    = 10 * time.Second
+	gaugeEvery  = 250 * time.Millisecond
 	adminHeader = 10 * time.Second
 )
 
@@ -54,6 +55,7 @@
 	metrics *metrics
 	traces  func(context.Context) error
 
+	calls   peer.Count // bytes of calls between daemons
 	pool    *peer.Pool
 	table   *member.Table
 	gossip  *member.Gossip
@@ -68,7 +70,9 @@
 	servers []*http.Server
 	wg      sync.WaitGroup
 	leaving atomic.Bool
-	life    time.Duration // of an address given to callers
+
+	stopGauges context.CancelFunc
+	life       time.Duration // of an address given to callers
 }
 
 // New opens the listeners and puts the parts together.
@@ -79,7 +83,8 @@
 		return nil, err
 	}
 	d.metrics = newMetrics()
-	if d.pool, err = peer.NewPool(); err != nil {
+	d.calls = d.byteCounter("calls")
+	if d.pool, err = peer.NewPool(d.calls); err != nil {
 		return nil, err
 	}
 	if err := d.assemble(); err != nil {
@@ -105,7 +110,7 @@
 		platform.WithCount(func(verb string) { scope.Tagged(map[string]string{"verb": verb}).Counter("platform_calls").Inc(1) }))
 	d.spread = spread.New(d.replica, d.table, client, d.pool.Dial, d.clock, d.log)
 	d.gossip = member.New(d.table, d.clock, udp, member.WithSeeds(set.SeedAddrs), member.WithSync(d.sync),
-		member.WithDigest(d.spread), member.WithLogger(d.log))
+		member.WithDigest(d.spread), member.WithLogger(d.log), member.WithCount(d.byteCounter("gossip")))
 	dir := directory.New(d.clock)
 	d.owner = owner.New(d.replica, d.table, client, d.connect, d.clock, owner.WithLogger(d.log), owner.WithScope(scope.SubScope("owner")),
 		owner.WithFresh(d.spread.Fresh), owner.WithDirectory(d.report, d.find))
@@ -119,6 +124,12 @@
 	}, client)
 }
 
+// byteCounter counts bytes between daemons, both ways.
+func (d *Daemon) byteCounter(kind string) func(int) {
+	c := d.metrics.scope.Tagged(map[string]string{"kind": kind}).Counter("peer_bytes")
+	return func(n int) { c.Inc(int64(n)) }
+}
+
 func bootID() uint64 {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
@@ -168,7 +179,6 @@
 		Trees:    trees,
 		Statuses: service.NewStatuses(trees, d.table, d.pool.Dial, d.planner.Lacking),
 		Fleet:    service.NewFleet(d.table, d.pool.Dial),
-		Planner:  d.planner,
 		Metrics:  d.metrics.handler,
 		Ready:    d.Ready,
 		Token:    d.set.Token,
@@ -180,10 +190,14 @@
 		addr   netip.AddrPort
 		server *http.Server
 	}{{"peer", d.set.PeerAddr, peers}, {"admin", d.set.AdminAddr, admins}, {"caller", d.set.CallerAddr, callers}} {
-		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(one.addr))
+		tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(one.addr))
 		if err != nil {
 			return eris.Wrap(err, one.name)
 		}
+		var ln net.Listener = tcp
+		if one.server == peers {
+			ln = peer.Counted(tcp, d.calls)
+		}
 		d.servers = append(d.servers, one.server)
 		d.wg.Add(1)
 		go d.runServer(one.server, ln)
@@ -203,8 +217,28 @@
 	return d.replica.Tree() != nil && !d.leaving.Load()
 }
 
+// runGauges shows the settings' highest version and the work in progress.
+func (d *Daemon) runGauges(ctx context.Context) {
+	defer d.wg.Done()
+	for ctx.Err() == nil {
+		var newest uint64
+		for _, v := range d.replica.Versions() {
+			newest = max(newest, v)
+		}
+		d.metrics.scope.Gauge("settings_version").Update(float64(newest))
+		d.metrics.scope.Gauge("entry_running").Update(float64(d.entry.Running()))
+		d.metrics.scope.Gauge("owner_running").Update(float64(d.owner.Running()))
+		d.metrics.scope.Gauge("members").Update(float64(len(d.table.All())))
+		d.sleep(ctx, gaugeEvery)
+	}
+}
+
 // Start begins to serve.
 func (d *Daemon) Start() {
+	gauges, stop := context.WithCancel(context.Background())
+	d.stopGauges = stop
+	d.wg.Add(1)
+	go d.runGauges(gauges)
 	d.gossip.Start()
 	d.spread.Start()
 	d.claims.Start()
@@ -245,6 +279,7 @@
 	if err := d.servers[0].Shutdown(ctx); err != nil {
 		_ = d.servers[0].Close()
 	}
+	d.stopGauges()
 	d.wg.Wait()
 	d.pool.Close()
 	_ = d.traces(context.WithoutCancel(ctx))
--- a/services/tree/tree.go
+++ b/services/tree/tree.go
@@ -41,6 +41,9 @@
 	Stale bool `json:"stale,omitempty"`
 }
 
+// Versions returns the version of each branch at this daemon.
+func (s *Service) Versions() map[string]uint64 { return s.replica.Versions() }
+
 // Edit is a change that an operator asks for. A nil node deletes the path.
 type Edit struct {
 	Path    string
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -15,7 +15,6 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"primroseward/coordination/planner"
 	"primroseward/core"
 	"primroseward/io/strict"
 	service "primroseward/services/tree"
@@ -32,7 +31,6 @@
 	Trees    *service.Service
 	Statuses *service.Statuses
 	Fleet    *service.Fleet
-	Planner  *planner.Role
 	Metrics  http.Handler
 	Ready    func() bool
 	Token    string // empty: none is asked for
@@ -65,6 +63,7 @@
 		r.Post("/tree", a.apply)
 		r.Get("/explain", a.explain)
 		r.Get("/status", a.status)
+		r.Get("/versions", a.versions)
 		r.Get("/runners", a.runners)
 		r.Get("/moves", a.moves)
 		r.Get("/history", a.history)
@@ -151,6 +150,11 @@
 	reply(w, http.StatusOK, a.Statuses.Status(r.Context()))
 }
 
+// versions says what is in force at this daemon alone.
+func (a *Admin) versions(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, a.Trees.Versions())
+}
+
 func (a *Admin) runners(w http.ResponseWriter, r *http.Request) {
 	reply(w, http.StatusOK, a.Fleet.Runners(r.Context()))
 }
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -40,8 +40,46 @@
 	clients map[netip.AddrPort]peerv1connect.PeerClient
 }
 
-// NewPool returns an empty pool.
-func NewPool() (*Pool, error) {
+// Count is told of bytes that cross a connection between daemons.
+type Count func(n int)
+
+// countConn counts what crosses a connection, both ways.
+type countConn struct {
+	net.Conn
+	count Count
+}
+
+func (c countConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(n)
+	return n, err
+}
+
+func (c countConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
+
+// countListener counts what crosses the connections it accepts.
+type countListener struct {
+	net.Listener
+	count Count
+}
+
+func (l countListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countConn{conn, l.count}, nil
+}
+
+// Counted makes a listener tell what crosses its connections.
+func Counted(l net.Listener, c Count) net.Listener { return countListener{l, c} }
+
+// NewPool returns an empty pool whose connections tell what crosses them.
+func NewPool(count Count) (*Pool, error) {
 	trace, err := otelconnect.NewInterceptor(otelconnect.WithoutMetrics(), otelconnect.WithTrustRemote())
 	if err != nil {
 		return nil, err
@@ -49,7 +87,13 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Pool{
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:     dialer.DialContext,
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return countConn{conn, count}, nil
+			},
 			Protocols:       cleartext2(),
 			IdleConnTimeout: idleTimeout,
 			HTTP2:           pings(),
