--- a/cmd/primrosectl/tree.go
+++ b/cmd/primrosectl/tree.go
@@ -78,7 +78,7 @@
 }
 
 func (f *treeFlags) edits(s *flaggy.Subcommand) *flaggy.Subcommand {
-	s.Int(&f.version, "", "version", "version of the branch that the edit was made from; the newest by default")
+	s.Int(&f.version, "", "from", "version of the branch that the edit was made from; the newest by default")
 	s.String(&f.note, "", "note", "reason, for the history")
 	s.Duration(&f.wait, "w", "wait", "wait until in force everywhere, at most this long")
 	return s
--- /dev/null
+++ b/proof/session_test.go
@@ -0,0 +1,200 @@
+package proof
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"primroseward/standin/engine"
+)
+
+// volatile is what differs from run to run in a session's text.
+var volatile = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDR"},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "ID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`after [0-9.]+m?s`), "after TIME"},
+	{regexp.MustCompile(`version \d+`), "version N"},
+	{regexp.MustCompile(`"version": \d+`), `"version": N`},
+	{regexp.MustCompile(`Date: .*`), "Date: TIME"},
+	{regexp.MustCompile(`"member":"vm-\d"`), `"member":"VM"`},
+}
+
+func steady(s string) string {
+	for _, v := range volatile {
+		s = v.pattern.ReplaceAllString(s, v.with)
+	}
+	return s
+}
+
+// exchange writes one call and its answer into a session's text.
+func (d *daemon) exchange(out *strings.Builder, method, path, body string, header ...string) {
+	req, _ := http.NewRequest(method, "http://"+d.caller+path, strings.NewReader(body))
+	fmt.Fprintf(out, "> %s %s\n", method, path)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+		fmt.Fprintf(out, "> %s: %s\n", header[i], header[i+1])
+	}
+	if body != "" {
+		fmt.Fprintf(out, "> %s\n", body)
+	}
+	resp, err := callers.Do(req)
+	if err != nil {
+		fmt.Fprintf(out, "! %v\n", err)
+		return
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	fmt.Fprintf(out, "< %d\n", resp.StatusCode)
+	for _, name := range []string{"Content-Type", "Primrose-Request-Id", "Primrose-Outcome", "Primrose-Place", "Cache-Control"} {
+		if v := resp.Header.Get(name); v != "" {
+			fmt.Fprintf(out, "< %s: %s\n", name, v)
+		}
+	}
+	fmt.Fprintf(out, "%s\n\n", strings.TrimRight(string(data), "\n"))
+}
+
+// A whole session of a caller, as it crosses the wire.
+func TestCallerSession(t *testing.T) {
+	c := start(t, small())
+	d, other := c.daemons[0], c.daemons[1]
+	var out strings.Builder
+	d.exchange(&out, "GET", "/v1/models", "")
+	d.exchange(&out, "POST", "/v1/chat/completions", chatBody("r", "a transfer", 2, false), "Primrose-Request-Id", "mine-1")
+	other.exchange(&out, "GET", "/v1/requests/mine-1", "")
+	other.exchange(&out, "GET", "/v1/requests/mine-1?offset=40", "")
+	other.exchange(&out, "GET", "/v1/requests/mine-1", "", "Authorization", "Bearer another caller")
+	d.exchange(&out, "POST", "/v1/chat/completions", chatBody("r", "streamed", 2, true), "Primrose-Request-Id", "mine-2")
+	d.exchange(&out, "POST", "/v1/chat/completions", chatBody("r", "something else", 2, true), "Primrose-Request-Id", "mine-2")
+	d.exchange(&out, "POST", "/v1/chat/completions", `{"model":"r","messages":[`)
+	d.exchange(&out, "POST", "/v1/chat/completions", `{"model":"unknown"}`)
+	d.exchange(&out, "POST", "/v1/chat/completions", `{"model":"m"}`, "Primrose-Service", "review")
+	d.exchange(&out, "POST", "/v1/chat/completions", `{"model":"m"}`, "Primrose-Class", "soon")
+	d.exchange(&out, "POST", "/v1/chat/completions", `{"model":"m"}`, "Primrose-Timeout", "-1s")
+	d.exchange(&out, "POST", "/services/parts/orders", "belt", "Idempotency-Key", "k1")
+	other.exchange(&out, "POST", "/services/parts/orders", "belt", "Idempotency-Key", "k1")
+	other.exchange(&out, "POST", "/services/parts/orders", "two belts", "Idempotency-Key", "k1")
+	other.exchange(&out, "GET", "/services/parts/belts/7?size=2", "")
+	d.exchange(&out, "GET", "/services/nothing/x", "")
+	d.exchange(&out, "GET", "/v1/requests/never", "")
+	golden.Assert(t, steady(out.String()), "caller.golden")
+}
+
+// A whole session of an operator with primrosectl, exit codes included.
+func TestOperatorSession(t *testing.T) {
+	c := start(t, small())
+	ctl := filepath.Join(filepath.Dir(binary), "primrosectl")
+	build, err := exec.Command("go", "build", "-o", ctl, "primroseward/cmd/primrosectl").CombinedOutput()
+	assert.NilError(t, err, string(build))
+	var out strings.Builder
+	run := func(stdin string, args ...string) {
+		cmd := exec.Command(ctl, append([]string{"--admin", c.daemons[0].admin, "--by", "nino"}, args...)...)
+		cmd.Stdin = strings.NewReader(stdin)
+		text, _ := cmd.CombinedOutput()
+		fmt.Fprintf(&out, "$ primrosectl %s\n%s[exit %d]\n\n", strings.Join(args, " "), text, cmd.ProcessState.ExitCode())
+	}
+	node := `{"service":{"kind":"model"},"set":{"places":["south"],"concurrency":7},"children":{"model/m":{"model":{"version":"1","memory":"14GB"},"set":{}}}}`
+	run("", "tree", "get", "/service/chat")
+	run(node, "tree", "diff", "/service/chat", "-f", "-")
+	run(node, "tree", "set", "/service/chat", "-f", "-", "--wait", "20s", "--note", "south only")
+	run(node, "tree", "set", "/service/chat", "-f", "-", "--from", "1")
+	run(`{"set":{"places":["north","west"],"concurrency":9,"rat":1}}`, "tree", "set", "/service/chat/place/south", "-f", "-")
+	run(`{"set":{"places":["north"],"concurrency":9}}`, "tree", "set", "/service/chat/place/south", "-f", "-")
+	run("", "tree", "explain", "-m", "m", "-p", "north")
+	run("", "tree", "history", "/service/chat")
+	run("", "tree", "get", "/service/none")
+	run("", "tree", "get", "/planet/x")
+	run("{}", "tree", "set", "/service/chat")
+	golden.Assert(t, steady(out.String()), "operator.golden")
+}
+
+// A caller loses its connection for good in the middle of an answer, without
+// an error on either side: something between them has forgotten it. It comes
+// back at another entry with its request id and the bytes that it has, and the
+// two parts make the whole answer; the engine has run the request once.
+func TestCallerComesBackAtAnotherEntry(t *testing.T) {
+	c := start(t, small())
+	tap := newTap(t, c.daemons[0].caller)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+tap.addr().String()+"/v1/chat/completions", strings.NewReader(chatBody("m", "come back", 400, true)))
+	assert.NilError(t, err)
+	req.Header.Set("Primrose-Request-Id", "back-1")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	var got []byte
+	for len(got) < 2000 {
+		line, err := in.ReadBytes('\n')
+		assert.NilError(t, err)
+		got = append(got, line...)
+	}
+	tap.silence()
+	r, err := c.daemons[1].send("GET", fmt.Sprintf("/v1/requests/back-1?offset=%d", len(got)), "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	whole := reply{status: http.StatusOK, body: string(got) + r.body}
+	assert.NilError(t, right(whole, "m", "come back", 400))
+	runs := 0
+	for _, e := range c.engines {
+		for _, run := range e.Runs() {
+			if run.Prompt == engine.Prompt("come back") {
+				runs++
+			}
+		}
+	}
+	assert.Equal(t, runs, 1)
+}
+
+// An answer is lost with a planned stop: the entry that holds it leaves before
+// its caller comes back. The answer is handed to a daemon that stays.
+func TestHeldAnswersAreHandedOver(t *testing.T) {
+	c := start(t, small())
+	first := c.daemons[0]
+	r, err := first.chat("r", "keep it", 5, false, "Primrose-Request-Id", "kept-1")
+	assert.NilError(t, err)
+	assert.NilError(t, right(r, "r", "keep it", 5))
+	first.signal(syscall.SIGTERM)
+	c.until("the daemon has stopped", 60*time.Second, first.stopped)
+	for _, d := range c.daemons[1:] {
+		back, err := d.send("GET", "/v1/requests/kept-1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, back.body, r.body, "at %s", d.name)
+	}
+}
+
+// An entry runs out of memory or goroutines when callers send without end or
+// not at all. Each gets a clear answer.
+func TestBoundedCallers(t *testing.T) {
+	c := start(t, small())
+	d := c.daemons[0]
+	r, err := d.send("POST", "/services/parts/x", strings.Repeat("x", 9<<20))
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, r.outcome, "not_run")
+	r, err = d.send("GET", "/services/parts/x", "", "Primrose-Request-Id", strings.Repeat("x", 200))
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusBadRequest)
+	r, err = d.send("GET", "/services/parts/x", "", "X-Big", strings.Repeat("x", 200<<10))
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusRequestHeaderFieldsTooLarge)
+	r, err = d.send("GET", "/services/parts/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusOK)
+}
