--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -115,6 +115,30 @@
 	return s.peak
 }
 
+// Residents returns what the engine holds.
+func (s *Server) Residents() []core.Resident {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []core.Resident
+	for _, m := range s.models {
+		out = append(out, m.Resident)
+	}
+	return out
+}
+
+// Restart loses all that the engine holds, as a new process would.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boot = uuid.NewString()
+	s.fence = 0
+	clear(s.models)
+	for _, st := range s.streams {
+		st.stop()
+	}
+	clear(s.streams)
+}
+
 func (s *Server) used() int64 {
 	var sum int64
 	for _, m := range s.models {
