--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -59,6 +59,7 @@
 	began    time.Time
 	ended    time.Time
 	span     trace.SpanContext
+	unwatch  func() bool // ends the watch for a deadline in the queue
 }
 
 // refuse ends an attempt that was never sent.
@@ -217,9 +218,10 @@
 	return a, ok
 }
 
-// sweep forgets attempts that ended long ago, and cancels those that nobody
-// has read for long if they may be repeated.
-func (m *attempts) sweep(now time.Time, life, orphan time.Duration) {
+// sweep drops the answers of attempts that ended a while ago, forgets their
+// ids later, and cancels attempts that nobody has read for long if they may be
+// repeated.
+func (m *attempts) sweep(now time.Time, release, life, orphan time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, a := range m.byID {
@@ -231,7 +233,11 @@
 		if a.ended.IsZero() {
 			a.ended = now
 		}
-		if now.Sub(a.ended) > life {
+		age := now.Sub(a.ended)
+		if age > release && a.Buffer.Readers() == 0 {
+			a.Buffer.Release()
+		}
+		if age > life {
 			delete(m.byID, id)
 		}
 	}
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -24,10 +24,11 @@
 	observeEvery = 500 * time.Millisecond
 	reportEvery  = 500 * time.Millisecond
 	sweepEvery   = time.Second
+	answerLife   = 30 * time.Second // of an ended attempt's answer
 	orphanLife   = 15 * time.Second // of an attempt that nobody reads
 )
 
-// AttemptLife is how long an attempt's id and answer stay known after its end.
+// AttemptLife is how long an attempt's id stays known after its end.
 const AttemptLife = 2 * time.Minute
 
 // Connect makes the client of an endpoint.
@@ -216,7 +217,7 @@
 		case <-ctx.Done():
 			return
 		case <-m.clock.After(sweepEvery):
-			m.attempts.sweep(m.clock.Now(), AttemptLife, orphanLife)
+			m.attempts.sweep(m.clock.Now(), answerLife, AttemptLife, orphanLife)
 		}
 	}
 }
--- a/coordination/owner/shared.go
+++ b/coordination/owner/shared.go
@@ -29,6 +29,9 @@
 func change[T any](ctx context.Context, p core.Platform, kind, name string, fn func(T) (T, bool, error)) error {
 	for try := 0; ; try++ {
 		err := changeOnce(ctx, p, kind, name, fn)
+		if errors.Is(err, core.ErrOvertaken) {
+			return nil // written, and what followed was made from it
+		}
 		lost := errors.Is(err, core.ErrConflict) || errors.Is(err, core.ErrExists)
 		if !lost || try == casTries {
 			return err
--- a/coordination/planner/role.go
+++ b/coordination/planner/role.go
@@ -182,7 +182,7 @@
 			rates[d.Model].Slow += d.Slow
 		}
 		for _, one := range v.Views {
-			if one.Known && (found[one.Runner] == nil || !one.Unreachable) {
+			if have := found[one.Runner]; have == nil || have.Unreachable || !have.Known {
 				found[one.Runner] = one
 			}
 		}
@@ -208,7 +208,10 @@
 			r.seen[id] = s.Now
 		}
 		lost := s.Now.Sub(r.seen[id]) > graceFor
-		if v == nil && !lost {
+		// An owner that has not read the record yet, as after an outage, says
+		// nothing of what the runner holds; taking that for "nothing" would load
+		// all its models elsewhere.
+		if v == nil && !lost || v != nil && !v.Known && !v.Unreachable {
 			whole = false
 		}
 		s.Runners = append(s.Runners, runnerOf(id, spec, v, lost || r.replica.Leaving(id)))
--- /dev/null
+++ b/proof/trace_test.go
@@ -0,0 +1,39 @@
+package proof
+
+import (
+	"testing"
+
+	"go.opentelemetry.io/otel"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+)
+
+// An operator cannot follow a slow request: a hop has no span, or spans of one
+// request do not belong together.
+func TestEachHopHasASpan(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	provider := sdk.NewTracerProvider(sdk.WithSpanProcessor(spans))
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(provider)
+	defer otel.SetTracerProvider(before)
+	p := newPair(t)
+	assert.NilError(t, p.chat("trace me", 5, true))
+	p.entry.Stop()
+	p.entry.Start()
+	found := map[string]int{}
+	for _, s := range spans.Ended() {
+		found[s.Name()]++
+	}
+	assert.Assert(t, found["attempt"] == 1 && found["endpoint"] == 1, "%v", found)
+	var attempt, endpoint sdk.ReadOnlySpan
+	for _, s := range spans.Ended() {
+		switch s.Name() {
+		case "attempt":
+			attempt = s
+		case "endpoint":
+			endpoint = s
+		}
+	}
+	assert.Equal(t, attempt.SpanContext().TraceID(), endpoint.SpanContext().TraceID())
+}
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -172,12 +172,16 @@
 	if id != call.Attempt && (id != "" || c.echo) {
 		return core.MayHaveRun("crossed_answer", fmt.Sprintf("answer carries id %q", id))
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(call.Method, resp.StatusCode) {
 		return core.MayHaveRun("answer_without_end", "the endpoint marks no end of its answer")
 	}
 	return nil
 }
 
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Cancel stops an attempt.
 func (c *Client) Cancel(ctx context.Context, attempt string) error {
 	_, err := c.plain(ctx, http.MethodDelete, PathStreams+url.PathEscape(attempt), nil)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"primroseward/core"
 	"primroseward/protocol/endpoint"
+	"primroseward/standin/faults"
 )
 
 // Config is what an engine can do.
@@ -88,7 +89,7 @@
 	r.Delete(endpoint.PathStreams+"{id}", s.cancel)
 	r.Post("/v1/chat/completions", s.chat)
 	r.Post("/v1/completions", s.chat)
-	r.Put("/faults", s.setFaults)
+	r.Put("/faults", faults.Handler(s.SetFaults))
 	r.Get("/log", s.log)
 	s.Handler = r
 	return s
@@ -147,15 +148,6 @@
 	return sum
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) log(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"runs": s.Runs(), "peak": s.Peak(), "memory": s.cfg.Memory})
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	wire "primroseward/protocol/platform"
+	"primroseward/standin/faults"
 )
 
 const (
@@ -63,7 +64,7 @@
 		r.Put("/{kind}/{name}", s.update)
 		r.Delete("/{kind}/{name}", s.remove)
 	})
-	r.Put("/faults", s.setFaults)
+	r.Put("/faults", faults.Handler(s.SetFaults))
 	r.Get("/counts", s.getCounts)
 	s.Handler = r
 	return s
@@ -88,15 +89,6 @@
 	return out
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, s.Counts())
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"primroseward/core"
+	"primroseward/standin/faults"
 )
 
 // Faults is what the stand-in does wrong. Counts apply to the next requests.
@@ -46,7 +47,7 @@
 	s := &Server{name: name}
 	r := chi.NewRouter()
 	r.Get("/state", s.state)
-	r.Put("/faults", s.setFaults)
+	r.Put("/faults", faults.Handler(s.SetFaults))
 	r.Get("/log", s.log)
 	r.HandleFunc("/*", s.serve)
 	s.Handler = r
@@ -73,15 +74,6 @@
 	_ = json.NewEncoder(w).Encode(core.Observation{Leaving: s.faults.Leaving, Boot: s.name})
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) log(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Runs())
 }
--- a/state/answer/buffer.go
+++ b/state/answer/buffer.go
@@ -185,6 +185,18 @@
 	}
 }
 
+// Release drops the data of an answer that has ended. What is read of it later
+// is gone; its end is still known.
+func (b *Buffer) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.done {
+		return
+	}
+	b.base = b.end()
+	b.data = nil
+}
+
 // Attach counts a reader; the returned function ends it.
 func (b *Buffer) Attach() func() {
 	b.mu.Lock()
