Platform client: a breaker for outages

Cause, found by working out the end of an outage at the size to come: every owner asks for its record twice a second while the platform is down (20,000 calls a second for 10,000 runners), and claims and edits make four tries each. After three failures in a row calls now fail at once, one tries after a jittered pause that doubles to 8 s, and the first answer lets all through. Ruled out: pacing alone, which bounds a daemon's calls but not a fleet's.

--- a/protocol/platform/client.go
+++ b/protocol/platform/client.go
@@ -42,6 +42,7 @@
 	clock   core.Clock
 	limiter *rate.Limiter
 	calls   func(verb string)
+	breaker breaker
 }
 
 // Option changes a Client.
@@ -185,10 +186,22 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	if !c.breaker.allow(c.clock.Now()) {
+		return eris.Wrap(core.ErrUnavailable, "the platform did not answer lately")
+	}
 	if err := c.limiter.Wait(ctx); err != nil {
 		return eris.Wrap(core.ErrUnavailable, "call rate")
 	}
 	c.calls(method)
+	err := c.once(ctx, method, path, in, out)
+	// A caller's own end says nothing of the platform.
+	if ctx.Err() == nil {
+		c.breaker.done(c.clock.Now(), !errors.Is(err, core.ErrUnavailable))
+	}
+	return err
+}
+
+func (c *Client) once(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := c.send(ctx, method, path, in)
