--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -44,6 +44,10 @@
 	clock    core.Clock
 	log      *zap.Logger
 
+	listMu   sync.Mutex // guards the newest snapshot of the platform
+	listed   map[string]bool
+	listedAt uint64
+
 	push      chan []tree.Branch
 	pull      chan core.Member
 	pulling   atomic.Bool
@@ -134,7 +138,7 @@
 
 // Take applies branches and passes on those that were new.
 func (s *Spreader) Take(branches []tree.Branch) {
-	taken := s.replica.Apply(branches)
+	taken := s.replica.Apply(s.bury(branches))
 	if s.replica.Tree() != nil {
 		s.readyOnce.Do(func() { close(s.ready) })
 	}
@@ -147,6 +151,24 @@
 	}
 }
 
+// bury turns branches into deleted ones that the latest snapshot of the
+// platform should have had and did not. A relay that starts after a deletion
+// holds no mark of it; it would otherwise take the branch back from a daemon
+// that missed the deletion, and spread it again.
+func (s *Spreader) bury(branches []tree.Branch) []tree.Branch {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	out := make([]tree.Branch, len(branches))
+	for i, b := range branches {
+		gone := b.Version <= s.listedAt && !s.listed[b.Name] && !strings.HasPrefix(b.Name, tree.VMPrefix)
+		if gone {
+			b = tree.Branch{Name: b.Name, Version: s.listedAt, Deleted: true}
+		}
+		out[i] = b
+	}
+	return out
+}
+
 // runPush passes new branches to a few random daemons.
 func (s *Spreader) runPush(ctx context.Context) {
 	defer s.wg.Done()
@@ -341,6 +363,7 @@
 		branches = append(branches, b...)
 		seen[b[0].Name] = true
 	}
+	s.remember(seen, version)
 	s.Take(append(branches, s.vanished(seen, version)...))
 	s.confirm(at)
 	vms, _, err := s.platform.List(ctx, core.KindVM)
@@ -353,6 +376,15 @@
 	return version, nil
 }
 
+// remember keeps the newest snapshot's names.
+func (s *Spreader) remember(seen map[string]bool, version uint64) {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	if version >= s.listedAt {
+		s.listed, s.listedAt = seen, version
+	}
+}
+
 // vanished marks as deleted the branches that a snapshot lacks. A snapshot
 // older than a branch lacks it because it is old, so that branch stays.
 func (s *Spreader) vanished(seen map[string]bool, version uint64) []tree.Branch {
--- /dev/null
+++ b/setting/setting_test.go
@@ -0,0 +1,43 @@
+package setting
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+)
+
+func TestSampleIsGood(t *testing.T) {
+	s, err := Load("../docs/samples/primrosed.json")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Name, "vm-1")
+	assert.Equal(t, len(s.SeedAddrs), 2)
+	_, err = Load("missing.json")
+	assert.Assert(t, errors.Is(err, os.ErrNotExist))
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	cases := []struct {
+		text string
+		want []string
+	}{
+		{`{"nam":"x","held":{"life":5}}`, []string{"held.life: want a string, got the number 5", "nam: unknown field"}},
+		{
+			`{"place":"a","caller":"localhost:1","peer":"127.0.0.1:1","admin":"10.0.0.1:1","platform":"127.0.0.1:1","seeds":["x"],"log":{"level":"loud"},"trace":{"share":2},"limits":{"header":"1B"}}`,
+			[]string{
+				"name: must be set", `caller: want IP:port, got "localhost:1"`, `seeds[0]: want IP:port, got "x"`,
+				"token: must be set, or admin must be a loopback address", `log.level: want debug, info, warn or error, got "loud"`,
+				"trace.share: must be from 0 to 1", "limits: header must be 1KB or more, the others above zero",
+			},
+		},
+	}
+	for _, one := range cases {
+		_, err := Parse([]byte(one.text))
+		assert.Assert(t, errors.Is(err, core.ErrInvalid))
+		assert.DeepEqual(t, strings.Split(err.Error(), "\n"), one.want)
+	}
+}
