--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -142,14 +142,14 @@
 }
 
 // row joins the results of all seeds.
-func row(name, file string, load float64, make func() variant) string {
+func row(name, file string, load float64, build func() variant) string {
 	results := [seeds]result{}
 	var wg sync.WaitGroup
 	for i := range seeds {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			results[i] = simulate(file, uint64(i+1), load, make())
+			results[i] = simulate(file, uint64(i+1), load, build())
 		}()
 	}
 	wg.Wait()
--- a/coordination/entry/entry.go
+++ b/coordination/entry/entry.go
@@ -43,7 +43,6 @@
 	owner   *owner.Manager
 	dir     *directory.Directory
 	claims  *claim.Claims
-	fresh   func() time.Duration
 	clock   core.Clock
 	log     *zap.Logger
 	scope   tally.Scope
@@ -71,9 +70,6 @@
 // WithScope sets where metrics go.
 func WithScope(s tally.Scope) Option { return func(e *Entry) { e.scope = s } }
 
-// WithFresh sets how old the confirmation of the settings is.
-func WithFresh(fn func() time.Duration) Option { return func(e *Entry) { e.fresh = fn } }
-
 // WithHeld bounds the answers held after they ended.
 func WithHeld(limit int64, life time.Duration) Option {
 	return func(e *Entry) { e.keep = answer.NewKeep(e.clock, limit, life) }
@@ -88,7 +84,6 @@
 		owner:   own,
 		dir:     dir,
 		claims:  claims,
-		fresh:   func() time.Duration { return 0 },
 		clock:   clock,
 		log:     zap.NewNop(),
 		scope:   tally.NoopScope,
--- a/coordination/spread/spread_test.go
+++ b/coordination/spread/spread_test.go
@@ -183,11 +183,11 @@
 func TestSettingsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
-		any := func(t *rapid.T) int { return rapid.IntRange(0, nodes-1).Draw(t, "node") }
+		some := func(t *rapid.T) int { return rapid.IntRange(0, nodes-1).Draw(t, "node") }
 		t.Repeat(map[string]func(*rapid.T){
 			"": f.check,
 			"edit": func(t *rapid.T) {
-				i := any(t)
+				i := some(t)
 				branch := rapid.SampledFrom([]string{tree.Root, "service/s", "model/m"}).Draw(t, "branch")
 				from := f.platform.objects[branch].Version
 				if rapid.IntRange(0, 3).Draw(t, "old") == 0 {
@@ -198,10 +198,10 @@
 					f.nodes[i].spread.Take([]tree.Branch{{Name: branch, Version: o.Version, Body: o.Body}})
 				}
 			},
-			"relay reads": func(t *rapid.T) { _, _ = f.nodes[any(t)].spread.list(context.Background()) },
+			"relay reads": func(t *rapid.T) { _, _ = f.nodes[some(t)].spread.list(context.Background()) },
 			"old event": func(t *rapid.T) {
 				for _, o := range f.platform.old {
-					f.nodes[any(t)].spread.Take(branchesOf(core.KindTree, core.Event{Object: o}))
+					f.nodes[some(t)].spread.Take(branchesOf(core.KindTree, core.Event{Object: o}))
 				}
 			},
 			"delete": func(t *rapid.T) {
@@ -209,24 +209,24 @@
 					f.platform.version++
 					delete(f.platform.objects, "model/m")
 					o.Version = f.platform.version
-					f.nodes[any(t)].spread.Take(branchesOf(core.KindTree, core.Event{Object: o, Deleted: true}))
+					f.nodes[some(t)].spread.Take(branchesOf(core.KindTree, core.Event{Object: o, Deleted: true}))
 				}
 			},
-			"push": func(t *rapid.T) { f.drainPushes(any(t)) },
+			"push": func(t *rapid.T) { f.drainPushes(some(t)) },
 			"lose push": func(t *rapid.T) {
 				select {
-				case <-f.nodes[any(t)].spread.push:
+				case <-f.nodes[some(t)].spread.push:
 				default:
 				}
 			},
 			"pull": func(t *rapid.T) {
-				i, k := any(t), any(t)
+				i, k := some(t), some(t)
 				m, err := f.nodes[i].spread.members.Get(fmt.Sprint("n", k))
 				assert.NilError(t, err)
 				_ = f.nodes[i].spread.pullFrom(context.Background(), m)
 			},
-			"cut":     func(t *rapid.T) { f.cut[pairOf(any(t), any(t))] = rapid.Bool().Draw(t, "cut") },
-			"restart": func(t *rapid.T) { f.boot(any(t)) },
+			"cut":     func(t *rapid.T) { f.cut[pairOf(some(t), some(t))] = rapid.Bool().Draw(t, "cut") },
+			"restart": func(t *rapid.T) { f.boot(some(t)) },
 			"platform": func(t *rapid.T) {
 				f.platform.down = rapid.Bool().Draw(t, "down")
 				f.platform.stale = rapid.Bool().Draw(t, "stale")
--- a/protocol/platform/client.go
+++ b/protocol/platform/client.go
@@ -48,9 +48,6 @@
 // Option changes a Client.
 type Option func(*Client)
 
-// WithClock sets the source of time of pauses between tries.
-func WithClock(c core.Clock) Option { return func(p *Client) { p.clock = c } }
-
 // WithRate bounds calls per second, with bursts of up to burst calls.
 func WithRate(perSecond float64, burst int) Option {
 	return func(p *Client) { p.limiter = rate.NewLimiter(rate.Limit(perSecond), burst) }
