Proofs of slow senders and of callers that have gone; moves are logged only

Cause: two lines of the callers' promises had no test: a body that stops is answered with 408 after its time, and an engine stops within moments when its caller has gone. The planner kept a history of moves that nothing read; the log has the same.

--- a/coordination/planner/role.go
+++ b/coordination/planner/role.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,18 +24,9 @@
 	// graceFor is how long a runner that nobody reports is left alone. Its
 	// owner may have died a moment ago, and the runner with all its models be
 	// well.
-	graceFor   = 10 * time.Second
-	maxHistory = 200
+	graceFor = 10 * time.Second
 )
 
-// Done is one move that was asked for, with its outcome.
-type Done struct {
-	Move
-	At       time.Time
-	Accepted bool
-	Answer   string
-}
-
 // Role runs the planner in the daemon that the members rank first for it. Two
 // daemons that both believe so ask for moves twice; the runners' records let
 // each through once.
@@ -55,7 +45,6 @@
 	mu      sync.Mutex // guards what follows
 	active  bool
 	lacking []string
-	history []Done
 }
 
 // NewRole makes a Role.
@@ -91,13 +80,6 @@
 	return r.lacking
 }
 
-// History returns the moves that this daemon asked for, newest last.
-func (r *Role) History() []Done {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]Done(nil), r.history...)
-}
-
 func (r *Role) loop(ctx context.Context) {
 	defer r.wg.Done()
 	for {
@@ -281,22 +263,12 @@
 	resp, err := r.dial(to.Peer).Order(ctx, connect.NewRequest(&peerv1.OrderRequest{
 		Runner: m.Runner, Kind: kind, Model: m.Model, Version: m.Version, Reason: m.Reason,
 	}))
-	done := Done{Move: m, At: r.clock.Now()}
+	accepted, answer := false, ""
 	if err != nil {
-		done.Answer = err.Error()
+		answer = err.Error()
 	} else {
-		done.Accepted, done.Answer = resp.Msg.Accepted, resp.Msg.Reason
-	}
-	r.note(done)
-}
-
-func (r *Role) note(d Done) {
-	r.log.Info("move", zap.String("kind", string(d.Kind)), zap.String("runner", d.Runner), zap.String("model", d.Model),
-		zap.String("reason", d.Reason), zap.Bool("accepted", d.Accepted), zap.String("answer", strings.TrimSpace(d.Answer)))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.history = append(r.history, d)
-	if len(r.history) > maxHistory {
-		r.history = r.history[len(r.history)-maxHistory:]
+		accepted, answer = resp.Msg.Accepted, resp.Msg.Reason
 	}
+	r.log.Info("move", zap.String("kind", string(m.Kind)), zap.String("runner", m.Runner), zap.String("model", m.Model),
+		zap.String("reason", m.Reason), zap.Bool("accepted", accepted), zap.String("answer", answer))
 }
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"regexp"
@@ -14,10 +16,13 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
 	"primroseward/standin/engine"
+	"primroseward/transport/routers"
 )
 
 // volatile is what differs from run to run in a session's text.
@@ -205,3 +210,44 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.status, http.StatusOK)
 }
+
+// A caller that stops in the middle of its body holds a connection, and a part
+// of the entry with it, for ever.
+func TestSlowSenderIsAnswered(t *testing.T) {
+	p := newPair(t)
+	handler := routers.New(p.entry, clockwork.NewRealClock(), zap.NewNop(), 1<<20, 100*time.Millisecond).Handler()
+	srv := httptest.NewServer(handler)
+	defer srv.Close()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /services/parts/x HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nbel")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, resp.Header.Get("Primrose-Outcome"), "not_run")
+	assert.Equal(t, len(p.parts.Runs()), 0)
+}
+
+// Accelerators go on with work that nobody waits for: the caller has closed its
+// connection and cannot come back, since it gave no id of its own.
+func TestEngineStopsWhenItsCallerHasGone(t *testing.T) {
+	c := start(t, small())
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+c.daemons[1].caller+"/v1/chat/completions", strings.NewReader(chatBody("m", "gone", 1000000, true)))
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	running := func() (n int) {
+		for _, e := range c.engines {
+			n += e.Running()
+		}
+		return n
+	}
+	c.until("the engine works", 10*time.Second, func() bool { return running() == 1 })
+	cancel()
+	c.until("the engine has stopped", 20*time.Second, func() bool { return running() == 0 })
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -127,6 +127,17 @@
 	return out
 }
 
+// Running returns how many requests are being generated.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, k := range s.running {
+		n += k
+	}
+	return n
+}
+
 // Restart loses all that the engine holds, as a new process would.
 func (s *Server) Restart() {
 	s.mu.Lock()
@@ -162,10 +173,8 @@
 	for _, m := range s.models {
 		o.Residents = append(o.Residents, m.Resident)
 	}
-	for _, n := range s.running {
-		o.Running += n
-	}
 	s.mu.Unlock()
+	o.Running = s.Running()
 	slices.SortFunc(o.Residents, func(a, b core.Resident) int {
 		if a.Model < b.Model {
 			return -1
