A stream cut after its last token is ended, not continued

The engine's stream was cut after all the tokens that the caller wanted and before the finish reason; the attempt that followed was asked for at least one token more. Such a stream is now ended here with the finish reason 'length'. Ruled out: tokens doubled by resumption (offsets and texts were right to the last).

--- a/coordination/entry/relay_test.go
+++ b/coordination/entry/relay_test.go
@@ -110,3 +110,35 @@
 		assert.Equal(t, r.end(ctx) == nil, one.whole, one.name)
 	}
 }
+
+// A caller gets a word more than it asked for, or a second end. The attempt
+// breaks after the last token, before or after the finish reason: there is
+// nothing to continue, and the stream is ended here.
+func TestNothingIsContinuedAfterTheLastToken(t *testing.T) {
+	cases := []struct {
+		name   string
+		stream string
+		whole  bool
+	}{
+		{"one token is missing", sse("a ", ""), false},
+		{"all tokens, no finish reason", sse("a ", "") + sse("b ", ""), true},
+		{"finish reason, no end marker", sse("a ", "") + sse("b ", "") + sse("", "stop"), true},
+	}
+	for _, one := range cases {
+		ctx := context.Background()
+		out := answer.NewBuffer()
+		r := newRelay(&Ask{Model: "m", Path: pathChat, Repeat: true, Body: []byte(`{"max_tokens":2,"messages":[]}`)}, out)
+		r.begin(directory.Report{})
+		r.SetHead(eventHead())
+		assert.NilError(t, r.Append(ctx, []byte(one.stream)))
+		assert.Equal(t, r.complete(ctx), one.whole, one.name)
+		if !one.whole {
+			continue
+		}
+		out.Finish()
+		got, _, err := out.Next(ctx, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Count(string(got), "finish_reason\":\""), 1, one.name)
+		assert.Assert(t, strings.HasSuffix(string(got), doneEvent), one.name)
+	}
+}
--- a/coordination/entry/resume.go
+++ b/coordination/entry/resume.go
@@ -84,9 +84,8 @@
 	req["messages"], _ = json.Marshal(append(messages, begun))
 	req["continue_final_message"] = json.RawMessage("true")
 	req["add_generation_prompt"] = json.RawMessage("false")
-	for _, field := range []string{"max_tokens", "max_completion_tokens"} {
-		var limit int
-		if json.Unmarshal(req[field], &limit) == nil && limit > 0 {
+	for _, field := range limitFields {
+		if limit := limitOf(req, field); limit > 0 {
 			req[field], _ = json.Marshal(max(1, limit-d.tokens))
 		}
 	}
@@ -97,6 +96,33 @@
 	return out
 }
 
+// limitFields name the most tokens that a caller wants.
+var limitFields = []string{"max_tokens", "max_completion_tokens"}
+
+func limitOf(req map[string]json.RawMessage, field string) int {
+	var limit int
+	if json.Unmarshal(req[field], &limit) != nil {
+		return 0
+	}
+	return limit
+}
+
+// usedUp says whether the caller has all the tokens that it asked for. An
+// engine sends one token an event; one that joins several is seen to have sent
+// fewer, and a continued answer may then be longer by those.
+func (d delivered) usedUp(body []byte) bool {
+	var req map[string]json.RawMessage
+	if json.Unmarshal(body, &req) != nil {
+		return false
+	}
+	for _, field := range limitFields {
+		if limit := limitOf(req, field); limit > 0 && d.tokens >= limit {
+			return true
+		}
+	}
+	return false
+}
+
 // dropEmpty removes events that carry neither text nor an end. A continued
 // stream begins with such an event, which the caller has had already.
 func dropEmpty(events []byte) []byte {
@@ -116,12 +142,32 @@
 	return out
 }
 
-// complete ends a stream whose finish reason was delivered but whose end
-// marker was lost, and one that has used up its tokens. It says whether the
-// stream is whole now.
+// complete ends a stream whose text was delivered whole and whose end was lost:
+// the finish reason came, or all tokens that the caller wants. Another attempt
+// would add a token too many. It says whether the stream is whole now.
 func (r *relay) complete(ctx context.Context) bool {
-	if !r.passed || !r.events || !r.delivered().finished {
+	if !r.passed || !r.events {
 		return false
 	}
-	return r.out.Append(ctx, []byte("data: [DONE]\n\n")) == nil
+	d := r.delivered()
+	end := doneEvent
+	if !d.finished {
+		if !d.plain || !d.usedUp(r.ask.Body) {
+			return false
+		}
+		end = finishEvent(r.ask.Model) + doneEvent
+	}
+	return r.out.Append(ctx, []byte(end)) == nil
+}
+
+const doneEvent = "data: [DONE]\n\n"
+
+// finishEvent is the chunk that ends an answer for its length.
+func finishEvent(model string) string {
+	data, _ := json.Marshal(map[string]any{
+		"object":  "chat.completion.chunk",
+		"model":   model,
+		"choices": []any{map[string]any{"index": 0, "delta": map[string]string{}, "finish_reason": "length"}},
+	})
+	return "data: " + string(data) + "\n\n"
 }
