--- a/cmd/primrosectl/runners.go
+++ b/cmd/primrosectl/runners.go
@@ -86,11 +86,23 @@
 		}
 		e.Drain = drain
 		got.Node.Endpoints[runner] = e
+		f.noteIf(drain, "drain "+runner, "resume "+runner)
 		return f.put(c, got)
 	}
 	return &failure{status: http.StatusNotFound, Problem: adminProblem(fmt.Sprintf("runner %q is at no branch's top node", runner))}
 }
 
+// noteIf sets the edit's note, unless the operator gave one.
+func (f *treeFlags) noteIf(first bool, one, other string) {
+	switch {
+	case f.note != "":
+	case first:
+		f.note = one
+	default:
+		f.note = other
+	}
+}
+
 func (f *treeFlags) put(c *client, got service.Got) error {
 	node, err := json.Marshal(got.Node)
 	if err != nil {
@@ -140,6 +152,7 @@
 		return &failure{status: http.StatusNotFound, Problem: adminProblem("the root has no store")}
 	}
 	got.Node.Store.Pause = pause
+	f.noteIf(pause, "pause moves", "resume moves")
 	return f.put(c, got)
 }
 
