--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -54,7 +55,7 @@
 	for i := range n {
 		d := &Daemon{Name: fmt.Sprintf("vm-%d", i+1), Place: places[i%len(places)]}
 		for _, addr := range []*string{&d.Caller, &d.Peer, &d.Admin} {
-			if *addr, err = f.freePort(); err != nil {
+			if *addr, err = FreePort(); err != nil {
 				return nil, err
 			}
 		}
@@ -80,9 +81,20 @@
 	return ln.Addr().String(), nil
 }
 
-// freePort returns an address that is free for TCP and UDP and that no other
-// daemon of the fleet was given.
-func (f *Fleet) freePort() (string, error) {
+var ports struct {
+	mu    sync.Mutex
+	given map[string]bool
+}
+
+// FreePort returns an address on loopback that is free for TCP and UDP and that
+// this process has not been given before: two daemons that start at the same
+// time would otherwise be given the same one.
+func FreePort() (string, error) {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.given == nil {
+		ports.given = map[string]bool{}
+	}
 	for {
 		tcp, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -95,21 +107,13 @@
 			continue
 		}
 		_ = udp.Close()
-		if !f.given(addr) {
+		if !ports.given[addr] {
+			ports.given[addr] = true
 			return addr, nil
 		}
 	}
 }
 
-func (f *Fleet) given(addr string) bool {
-	for _, d := range f.Daemons {
-		if d.Caller == addr || d.Peer == addr || d.Admin == addr {
-			return true
-		}
-	}
-	return false
-}
-
 func (f *Fleet) start(binary string, d *Daemon) error {
 	file := map[string]any{
 		"name": d.Name, "place": d.Place, "caller": d.Caller, "peer": d.Peer, "admin": d.Admin,
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -6,9 +6,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,24 +149,6 @@
 	}
 }
 
-// bury turns branches into deleted ones that the latest snapshot of the
-// platform should have had and did not. A relay that starts after a deletion
-// holds no mark of it; it would otherwise take the branch back from a daemon
-// that missed the deletion, and spread it again.
-func (s *Spreader) bury(branches []tree.Branch) []tree.Branch {
-	s.listMu.Lock()
-	defer s.listMu.Unlock()
-	out := make([]tree.Branch, len(branches))
-	for i, b := range branches {
-		gone := b.Version <= s.listedAt && !s.listed[b.Name] && !strings.HasPrefix(b.Name, tree.VMPrefix)
-		if gone {
-			b = tree.Branch{Name: b.Name, Version: s.listedAt, Deleted: true}
-		}
-		out[i] = b
-	}
-	return out
-}
-
 // runPush passes new branches to a few random daemons.
 func (s *Spreader) runPush(ctx context.Context) {
 	defer s.wg.Done()
@@ -349,108 +329,6 @@
 	}
 }
 
-// list takes in the platform's whole settings.
-func (s *Spreader) list(ctx context.Context) (uint64, error) {
-	at := s.clock.Now()
-	objects, version, err := s.platform.List(ctx, core.KindTree)
-	if err != nil {
-		return 0, err
-	}
-	seen := map[string]bool{}
-	var branches []tree.Branch
-	for _, o := range objects {
-		b := branchesOf(core.KindTree, core.Event{Object: o})
-		branches = append(branches, b...)
-		seen[b[0].Name] = true
-	}
-	s.remember(seen, version)
-	s.Take(append(branches, s.vanished(seen, version)...))
-	s.confirm(at)
-	vms, _, err := s.platform.List(ctx, core.KindVM)
-	if err != nil {
-		return 0, err
-	}
-	for _, o := range vms {
-		s.Take(branchesOf(core.KindVM, core.Event{Object: o}))
-	}
-	return version, nil
-}
-
-// remember keeps the newest snapshot's names.
-func (s *Spreader) remember(seen map[string]bool, version uint64) {
-	s.listMu.Lock()
-	defer s.listMu.Unlock()
-	if version >= s.listedAt {
-		s.listed, s.listedAt = seen, version
-	}
-}
-
-// vanished marks as deleted the branches that a snapshot lacks. A snapshot
-// older than a branch lacks it because it is old, so that branch stays.
-func (s *Spreader) vanished(seen map[string]bool, version uint64) []tree.Branch {
-	var out []tree.Branch
-	for name, have := range s.replica.Versions() {
-		if !seen[name] && have < version && !strings.HasPrefix(name, tree.VMPrefix) {
-			out = append(out, tree.Branch{Name: name, Version: version, Deleted: true})
-		}
-	}
-	return out
-}
-
-// vmSpec is the body of an object of kind core.KindVM.
-type vmSpec struct {
-	State string `json:"state"` // live or leaving
-}
-
-// branchesOf turns an object into what is spread. Of the platform's VM list
-// only the leaving ones travel; the live ones would be thousands of entries
-// that nobody needs.
-func branchesOf(kind string, e core.Event) []tree.Branch {
-	o := e.Object
-	if kind == core.KindTree {
-		return []tree.Branch{{Name: BranchName(o.Name), Version: o.Version, Body: o.Body, Deleted: e.Deleted}}
-	}
-	var vm vmSpec
-	if json.Unmarshal(o.Body, &vm) != nil {
-		return nil
-	}
-	return []tree.Branch{{Name: tree.VMPrefix + o.Name, Version: o.Version, Deleted: e.Deleted || vm.State != tree.VMLeaving}}
-}
-
-// ObjectName is the platform's name of a branch, which may hold no slash.
-func ObjectName(branch string) string {
-	if branch == tree.Root {
-		return "root"
-	}
-	return strings.Replace(branch, "/", ".", 1)
-}
-
-// BranchName is the reverse of ObjectName.
-func BranchName(object string) string {
-	if object == "root" {
-		return tree.Root
-	}
-	return strings.Replace(object, ".", "/", 1)
-}
-
-// ToWire makes the message of branches.
-func ToWire(branches []tree.Branch) *peerv1.Branches {
-	msg := &peerv1.Branches{}
-	for _, b := range branches {
-		msg.Branches = append(msg.Branches, &peerv1.Branch{Name: b.Name, Version: b.Version, Body: b.Body, Deleted: b.Deleted})
-	}
-	return msg
-}
-
-// FromWire reads the message of branches.
-func FromWire(msg *peerv1.Branches) []tree.Branch {
-	out := make([]tree.Branch, 0, len(msg.Branches))
-	for _, b := range msg.Branches {
-		out = append(out, tree.Branch{Name: b.Name, Version: b.Version, Body: b.Body, Deleted: b.Deleted})
-	}
-	return out
-}
-
 // Newer answers a Pull.
 func (s *Spreader) Newer(req *peerv1.Versions) *peerv1.Branches {
 	versions := map[string]uint64{}
--- /dev/null
+++ b/coordination/spread/wire.go
@@ -0,0 +1,64 @@
+package spread
+
+import (
+	"encoding/json"
+	"strings"
+
+	"primroseward/core"
+	"primroseward/protocol/peerv1"
+	"primroseward/state/tree"
+)
+
+// vmSpec is the body of an object of kind core.KindVM.
+type vmSpec struct {
+	State string `json:"state"` // live or leaving
+}
+
+// branchesOf turns an object into what is spread. Of the platform's VM list
+// only the leaving ones travel; the live ones would be thousands of entries
+// that nobody needs.
+func branchesOf(kind string, e core.Event) []tree.Branch {
+	o := e.Object
+	if kind == core.KindTree {
+		return []tree.Branch{{Name: BranchName(o.Name), Version: o.Version, Body: o.Body, Deleted: e.Deleted}}
+	}
+	var vm vmSpec
+	if json.Unmarshal(o.Body, &vm) != nil {
+		return nil
+	}
+	return []tree.Branch{{Name: tree.VMPrefix + o.Name, Version: o.Version, Deleted: e.Deleted || vm.State != tree.VMLeaving}}
+}
+
+// ObjectName is the platform's name of a branch, which may hold no slash.
+func ObjectName(branch string) string {
+	if branch == tree.Root {
+		return "root"
+	}
+	return strings.Replace(branch, "/", ".", 1)
+}
+
+// BranchName is the reverse of ObjectName.
+func BranchName(object string) string {
+	if object == "root" {
+		return tree.Root
+	}
+	return strings.Replace(object, ".", "/", 1)
+}
+
+// ToWire makes the message of branches.
+func ToWire(branches []tree.Branch) *peerv1.Branches {
+	msg := &peerv1.Branches{}
+	for _, b := range branches {
+		msg.Branches = append(msg.Branches, &peerv1.Branch{Name: b.Name, Version: b.Version, Body: b.Body, Deleted: b.Deleted})
+	}
+	return msg
+}
+
+// FromWire reads the message of branches.
+func FromWire(msg *peerv1.Branches) []tree.Branch {
+	out := make([]tree.Branch, 0, len(msg.Branches))
+	for _, b := range msg.Branches {
+		out = append(out, tree.Branch{Name: b.Name, Version: b.Version, Body: b.Body, Deleted: b.Deleted})
+	}
+	return out
+}
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"primroseward/bench/fleet"
 	service "primroseward/services/tree"
 	"primroseward/standin/engine"
 	"primroseward/standin/platform"
@@ -137,32 +137,11 @@
 	return s.Listener.Addr().String()
 }
 
-var (
-	portsMu   sync.Mutex
-	portsUsed = map[string]bool{}
-)
-
-// freePort returns an address that no other test of this process was given and
-// that is free for TCP and UDP now.
 func freePort(t *testing.T) string {
 	t.Helper()
-	portsMu.Lock()
-	defer portsMu.Unlock()
-	for {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		addr := tcp.Addr().String()
-		udp, err := net.ListenPacket("udp", addr)
-		_ = tcp.Close()
-		if err != nil {
-			continue
-		}
-		_ = udp.Close()
-		if !portsUsed[addr] {
-			portsUsed[addr] = true
-			return addr
-		}
-	}
+	addr, err := fleet.FreePort()
+	assert.NilError(t, err)
+	return addr
 }
 
 func yes() *bool { b := true; return &b }
