--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -56,8 +56,9 @@
 	clock    core.Clock
 	ctx      context.Context
 	cancel   context.CancelFunc
-	began    time.Time
-	ended    time.Time
+	began    time.Time // of its slot; set before run starts
+	readAt   time.Time // last seen with a reader; held by the sweep
+	ended    time.Time // held by the sweep
 	span     trace.SpanContext
 	unwatch  func() bool // ends the watch for a deadline in the queue
 }
@@ -246,10 +247,13 @@
 // orphaned cancels an attempt whose entry has been away for too long.
 func (a *Attempt) orphaned(now time.Time, limit time.Duration) {
 	if a.Buffer.Readers() > 0 || !a.Repeat {
-		a.began = now
+		a.readAt = now
 		return
 	}
-	if now.Sub(a.began) > limit {
+	if a.readAt.IsZero() {
+		a.readAt = now
+	}
+	if now.Sub(a.readAt) > limit {
 		a.cancel()
 	}
 }
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -256,7 +256,6 @@
 		clock:   m.clock,
 		ctx:     own,
 		cancel:  cancel,
-		began:   m.clock.Now(),
 		span:    trace.SpanContextFromContext(ctx),
 	})
 	if !fresh {
