--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -12,7 +12,9 @@
 	"go.uber.org/zap"
 
 	"primroseward/core"
+	"primroseward/platform"
 	"primroseward/services/daemon"
+	"primroseward/services/fleet"
 	"primroseward/setting"
 )
 
@@ -28,9 +30,12 @@
 	flaggy.SetName("primrosed")
 	flaggy.SetDescription("serves language models and plain services where the settings tree allows")
 	flaggy.SetVersion(core.Version)
-	flaggy.String(&config, "c", "config", "settings file (JSON)")
+	flaggy.String(&config, "c", "config", "settings file (JSON); default: the one that the platform names")
 	flaggy.Bool(&check, "", "check", "check the settings file and exit")
 	flaggy.Parse()
+	if config == "" {
+		config = platform.SettingsPath()
+	}
 	set, err := setting.Load(config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(set, log)
+	d, err := newDaemon(set, log)
 	if err != nil {
 		return err
 	}
@@ -70,3 +75,18 @@
 	d.Stop(second)
 	return nil
 }
+
+// server is a daemon: one that serves through the platform's fleet of runners,
+// or one that serves the endpoints of its own settings tree.
+type server interface {
+	Start()
+	Stop(ctx context.Context)
+}
+
+func newDaemon(set *setting.Setting, log *zap.Logger) (server, error) {
+	if set.Fleet == nil {
+		return daemon.New(set, log)
+	}
+	scope, handler := daemon.NewMetrics()
+	return fleet.New(set, log, scope, handler)
+}
--- /dev/null
+++ b/coordination/dispatch/choose.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+// leaveMargin is how close a runner's announced end may be before requests go
+// elsewhere if they can.
+const leaveMargin = 3 * time.Second
+
+// choose finds the runner for the next attempt. The runner is read from the
+// catalog at the last moment: one that has begun to leave since the request
+// came must not get it.
+func (j *job) choose(ctx context.Context) (*core.Runner, error) {
+	if r := j.placed(ctx); r != nil {
+		return r, nil
+	}
+	holders, candidates := j.candidates()
+	if len(candidates) == 0 {
+		return nil, j.refuse("absent", "no runner has the model", nil)
+	}
+	spec := j.d.catalog.Config().Services[j.service]
+	i := policy.Choose(candidates, spec != nil && spec.Engine != nil)
+	if i < 0 {
+		return nil, j.refuse("full", "all runners that may serve the request are full", nil)
+	}
+	return &holders[i].Runner, nil
+}
+
+// candidates are the runners that can serve the request now.
+func (j *job) candidates() ([]*catalog.Entry, []policy.Candidate) {
+	var holders []*catalog.Entry
+	var out []policy.Candidate
+	for _, e := range j.d.catalog.Runners(j.service) {
+		if !e.Usable() || j.tried[e.ID] || j.q.Model != "" && !e.Holds(j.q.Model) {
+			continue
+		}
+		if j.q.Adapter != "" && !e.HoldsAdapter(j.q.Model, j.q.Adapter) {
+			continue
+		}
+		requests, penalty := j.d.loads.Requests(e.ID)
+		holders = append(holders, e)
+		out = append(out, policy.Candidate{
+			ID: e.ID, Slots: e.Slots, Requests: requests, Penalty: penalty, Adapter: true,
+			SamePlace: e.Place == j.d.place, Leaving: e.Leaves > 0 && e.Leaves < leaveMargin,
+		})
+	}
+	return holders, out
+}
+
+// placed asks for the request's adapter or model where no runner that is free
+// for it has it, and returns the runner that gets it.
+func (j *job) placed(ctx context.Context) *core.Runner {
+	if j.q.Model == "" || j.sends > 0 {
+		return nil
+	}
+	if _, c := j.candidates(); len(c) > 0 {
+		return nil
+	}
+	began := j.d.clock.Now()
+	id, err := j.d.placer.Place(ctx, j.service, j.q.Model, j.q.Adapter)
+	if err != nil {
+		j.log.Info("model not placed", zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter), zap.Error(err))
+		return nil
+	}
+	e := j.d.catalog.Runner(id)
+	if e == nil || !e.Usable() {
+		return nil
+	}
+	if j.q.Adapter != "" {
+		j.d.catalog.Learn(id, j.q.Model, j.q.Adapter, true)
+	}
+	j.log.Info("model placed", zap.String("runner", id), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
+		zap.Duration("waited", j.d.clock.Since(began)))
+	return &e.Runner
+}
--- /dev/null
+++ b/coordination/dispatch/dispatch.go
@@ -0,0 +1,303 @@
+// Package dispatch takes a request to a runner and brings the answer back: it
+// carries out what package policy decides.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/coordination/load"
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+const (
+	// maxAnswer bounds an answer that is read whole before it is passed on.
+	maxAnswer = 32 << 20
+	// maxRejections bounds how many runners may reject a request that has not
+	// run: each of them is an arrival that the retry budget pays for.
+	maxRejections = 3
+	// maxDials bounds the runners that could not be reached.
+	maxDials = 4
+	// statusClientGone is only for the log: nobody reads the answer.
+	statusClientGone = 499
+)
+
+// Sender sends a request to a runner.
+type Sender interface {
+	Send(ctx context.Context, r *core.Runner, q *core.Request, o core.Outgoing) (*core.Reply, error)
+}
+
+// Placer gets a model or adapter that no runner has.
+type Placer interface {
+	// Place returns the runner that has, or is about to have, the adapter.
+	Place(ctx context.Context, service, model, adapter string) (string, error)
+}
+
+// Dispatcher serves requests.
+type Dispatcher struct {
+	place   string
+	catalog *catalog.Catalog
+	loads   *load.Table
+	sender  Sender
+	placer  Placer
+	budget  *policy.Budget
+	demand  *Demand
+	clock   core.Clock
+	log     *zap.Logger
+	running atomic.Int64
+}
+
+// New makes a Dispatcher of a daemon in a place.
+func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger) *Dispatcher {
+	return &Dispatcher{place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand, clock: clock, log: log}
+}
+
+// Running is the number of requests in progress.
+func (d *Dispatcher) Running() int { return int(d.running.Load()) }
+
+// job is one request on its way.
+type job struct {
+	d        *Dispatcher
+	q        *core.Request
+	route    *core.Route
+	service  string
+	deadline time.Time
+	tried    map[string]bool // runners that the request has been sent to
+	runs     int             // sends that may have run
+	rejects  int
+	dials    int
+	sends    int
+	last     string // id of the last event passed on
+	log      *zap.Logger
+}
+
+// Do serves a request. ctx ends when the caller has gone. The error is a
+// *core.RequestError.
+func (d *Dispatcher) Do(ctx context.Context, route *core.Route, q *core.Request) (*core.Reply, error) {
+	limit := route.Timeout
+	if q.TimeLimit > 0 && (limit == 0 || q.TimeLimit < limit) {
+		limit = q.TimeLimit
+	}
+	j := &job{
+		d: d, q: q, route: route, service: pick(route.Shares), deadline: q.Arrived.Add(limit),
+		tried: map[string]bool{}, last: q.LastEvent,
+		log: d.log.With(zap.String("request", q.ID), zap.String("route", route.Name)),
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	d.running.Add(1)
+	end := func() {
+		cancel()
+		d.running.Add(-1)
+	}
+	d.demand.Count(j.service, q)
+	reply, err := j.first(ctx)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	reply.Body = &ending{ReadCloser: reply.Body, end: end}
+	return reply, nil
+}
+
+// ending calls end once when a body is closed.
+type ending struct {
+	io.ReadCloser
+	end func()
+}
+
+func (e *ending) Close() error {
+	err := e.ReadCloser.Close()
+	if e.end != nil {
+		e.end()
+		e.end = nil
+	}
+	return err
+}
+
+// pick draws a service by weight.
+func pick(shares []core.Share) string {
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Weight
+	}
+	at := rand.Float64() * sum
+	for _, s := range shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return shares[len(shares)-1].Service
+}
+
+// first gets the answer, or a stream's first event.
+func (j *job) first(ctx context.Context) (*core.Reply, error) {
+	for {
+		reply, err := j.attempt(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if reply != nil {
+			return reply, nil
+		}
+	}
+}
+
+// attempt sends the request to one runner. Without reply and error another
+// attempt may be made.
+func (j *job) attempt(ctx context.Context) (*core.Reply, error) {
+	r, err := j.choose(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := j.send(ctx, r)
+	if err != nil {
+		return nil, j.afterError(ctx, r, err)
+	}
+	if reply.Info.NotRun {
+		_ = reply.Body.Close()
+		return nil, j.afterRejection(r, reply)
+	}
+	j.runs++
+	if err := check(reply); err != nil {
+		_ = reply.Body.Close()
+		return nil, j.afterError(ctx, r, err)
+	}
+	if reply.Status >= http.StatusInternalServerError && j.mayRepeat() {
+		_ = reply.Body.Close()
+		j.d.loads.Failed(r.ID)
+		j.log.Info("runner failed the request, trying another", zap.String("runner", r.ID), zap.Int("status", reply.Status))
+		return nil, nil
+	}
+	if j.route.Kind == core.KindStream && reply.Status < http.StatusMultipleChoices {
+		return j.stream(ctx, r, reply)
+	}
+	return j.whole(ctx, r, reply)
+}
+
+// check refuses answers that are not the runner's to this request.
+func check(reply *core.Reply) error {
+	if reply.Status < http.StatusMultipleChoices && (!reply.Info.Stamped || reply.Info.Encoded) {
+		return eris.Wrap(core.ErrLost, "answer without the runner's signature, or encoded")
+	}
+	return nil
+}
+
+// whole reads an answer to its end before any of it is passed on: one that is
+// cut must not look complete.
+func (j *job) whole(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
+	data, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswer))
+	_ = reply.Body.Close()
+	if err != nil {
+		return nil, j.afterError(ctx, r, eris.Wrapf(core.ErrLost, "answer: %v", err))
+	}
+	if reply.Status < http.StatusInternalServerError {
+		j.d.loads.Worked(r.ID)
+	}
+	reply.Body = newWhole(data)
+	return reply, nil
+}
+
+// send sends the request to a runner and keeps count of it until the answer's
+// body is closed.
+func (j *job) send(ctx context.Context, r *core.Runner) (*core.Reply, error) {
+	left := j.deadline.Sub(j.d.clock.Now())
+	if left <= 0 {
+		return nil, eris.Wrap(core.ErrNotSent, "time limit reached")
+	}
+	out := core.Outgoing{TimeLimit: left, Instance: r.ID, Priority: -1, LastEvent: j.last}
+	if j.q.Model != "" {
+		out.Priority = j.route.Priority
+	}
+	if j.sends == 0 {
+		j.d.budget.First(j.service)
+	}
+	j.sends++
+	j.tried[r.ID] = true
+	j.d.loads.Begin(r.ID)
+	reply, err := j.d.sender.Send(ctx, r, j.q, out)
+	if err != nil {
+		j.d.loads.End(r.ID)
+		return nil, err
+	}
+	if reply.Info.Load != nil {
+		j.d.loads.Said(r.ID, *reply.Info.Load)
+	}
+	reply.Body = &ending{ReadCloser: reply.Body, end: func() { j.d.loads.End(r.ID) }}
+	return reply, nil
+}
+
+// mayRepeat takes one more send from the budget, if the route allows one.
+func (j *job) mayRepeat() bool {
+	return j.route.Repeatable() && j.runs < j.route.MaxAttempts && j.d.budget.Repeat(j.service)
+}
+
+// afterError decides on a send without a whole answer.
+func (j *job) afterError(ctx context.Context, r *core.Runner, err error) error {
+	if ctx.Err() != nil {
+		return j.ended(ctx, err)
+	}
+	j.d.loads.Failed(r.ID)
+	if errors.Is(err, core.ErrNotSent) {
+		j.log.Info("runner unreachable", zap.String("runner", r.ID), zap.Error(err))
+		if j.dials++; j.dials < maxDials {
+			return nil
+		}
+		return j.refuse("unreachable", "no runner could be reached", err)
+	}
+	j.runs++
+	if j.mayRepeat() {
+		j.log.Info("answer lost, trying another runner", zap.String("runner", r.ID), zap.Error(err))
+		return nil
+	}
+	j.log.Warn("answer lost", zap.String("runner", r.ID), zap.Int("runs", j.runs), zap.Error(err))
+	return core.MayHaveRun("answer_lost", err.Error())
+}
+
+// afterRejection decides on a runner's statement that it did not run the
+// request.
+func (j *job) afterRejection(r *core.Runner, reply *core.Reply) error {
+	j.rejects++
+	j.log.Info("runner rejected the request", zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejects))
+	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
+		j.d.catalog.Learn(r.ID, j.q.Model, j.q.Adapter, false)
+	}
+	if j.rejects >= maxRejections || !j.d.budget.Repeat(j.service) {
+		return j.refuse("rejected", "the runners that may serve the request have no room", nil)
+	}
+	return nil
+}
+
+// ended is the answer to a request whose caller has gone or whose time is up.
+func (j *job) ended(ctx context.Context, err error) error {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
+	}
+	if j.runs == 0 && errors.Is(err, core.ErrNotSent) {
+		return j.refuse("timeout", "the time limit was reached before a runner was found", err)
+	}
+	j.log.Warn("time limit reached", zap.Int("sends", j.sends))
+	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusGatewayTimeout, Code: "timeout", Message: "the time limit was reached"}
+}
+
+// refuse is the answer to a request that has not run. One that may have run at
+// an earlier attempt must not be called not run.
+func (j *job) refuse(code, message string, err error) error {
+	retry := policy.RetryAfter(j.route.Target)
+	j.log.Warn("refused", zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
+		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Duration("retry", retry), zap.Error(err))
+	if j.runs > 0 && !j.route.Repeatable() {
+		return core.MayHaveRun(code, message)
+	}
+	return core.NotRun(http.StatusServiceUnavailable, code, message, retry)
+}
--- /dev/null
+++ b/coordination/dispatch/stream.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/core"
+)
+
+// whole is an answer in memory.
+type whole struct{ *bytes.Reader }
+
+func newWhole(data []byte) io.ReadCloser { return whole{bytes.NewReader(data)} }
+
+func (whole) Close() error { return nil }
+
+// stream is a series of events. When its runner breaks off it goes on at
+// another one, if its route allows that.
+type stream struct {
+	ctx    context.Context
+	j      *job
+	runner *core.Runner
+	body   io.ReadCloser
+	in     *events
+	ready  []byte
+	ended  error
+}
+
+// stream waits for the first event, so that a runner that breaks off before it
+// can still be answered for by another, or by a refusal.
+func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
+	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &events{in: reply.Body, last: j.last}}
+	first, err := s.in.next()
+	if err != nil && err != io.EOF {
+		_ = reply.Body.Close()
+		return nil, j.afterError(ctx, r, eris.Wrapf(core.ErrLost, "before the first event: %v", err))
+	}
+	s.ready, s.ended = first, err
+	reply.Body = s
+	return reply, nil
+}
+
+// Read returns events as they come. Its error is io.EOF only at the stream's
+// own end.
+func (s *stream) Read(p []byte) (int, error) {
+	for len(s.ready) == 0 {
+		if s.ended != nil {
+			return 0, s.ended
+		}
+		s.ready, s.ended = s.in.next()
+		if s.ended == io.EOF {
+			s.j.d.loads.Worked(s.runner.ID)
+		}
+		if s.ended != nil && s.ended != io.EOF {
+			s.ended = s.resume(s.ended)
+		}
+	}
+	n := copy(p, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// resume goes on at another runner after the last event passed on. The runner
+// before is let go of first: two must not work on one request.
+func (s *stream) resume(cause error) error {
+	_ = s.body.Close()
+	j := s.j
+	j.last = s.in.last
+	if err := j.afterError(s.ctx, s.runner, eris.Wrapf(core.ErrLost, "stream: %v", cause)); err != nil {
+		return err
+	}
+	for {
+		r, err := j.choose(s.ctx)
+		if err != nil {
+			return err
+		}
+		reply, err := j.send(s.ctx, r)
+		if err == nil && reply.Status == http.StatusOK && check(reply) == nil {
+			j.log.Info("stream resumed", zap.String("runner", r.ID), zap.String("after", j.last))
+			s.runner, s.body, s.in = r, reply.Body, &events{in: reply.Body, last: j.last}
+			return nil
+		}
+		switch {
+		case err != nil:
+			err = j.afterError(s.ctx, r, err)
+		case reply.Info.NotRun:
+			_ = reply.Body.Close()
+			err = j.afterRejection(r, reply)
+		default:
+			_ = reply.Body.Close()
+			err = j.afterError(s.ctx, r, eris.Wrapf(core.ErrLost, "status %d", reply.Status))
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// Close ends the stream; a runner that still works on it stops.
+func (s *stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/coordination/load/load.go
@@ -0,0 +1,155 @@
+// Package load keeps how busy the runners are, as far as this daemon can know:
+// its own requests exactly, the other daemons' as they last told.
+package load
+
+import (
+	"sync"
+	"time"
+
+	"primroseward/core"
+)
+
+const (
+	// peerMemory is how long another daemon's count holds without a new one.
+	peerMemory = 2 * time.Second
+	// reportMemory is how long the load that a runner reported is used.
+	reportMemory = 500 * time.Millisecond
+	// penaltyStep is what one failed attempt adds to a runner's cost, in parts
+	// of its slots; it halves every penaltyHalf, so that the runner is probed
+	// back by a few requests first.
+	penaltyStep = 0.5
+	penaltyHalf = 1500 * time.Millisecond
+	penaltyMax  = 4
+)
+
+// Table holds the loads.
+type Table struct {
+	clock core.Clock
+
+	mu    sync.Mutex
+	own   map[string]int
+	fails map[string]fail
+	peers map[string]peer
+	said  map[string]said
+}
+
+type peer struct {
+	at     time.Time
+	counts map[string]int
+}
+
+type said struct {
+	at   time.Time
+	load core.Load
+	own  int // requests in progress from here when it was said
+}
+
+type fail struct {
+	at    time.Time
+	value float64
+}
+
+// New returns an empty Table.
+func New(clock core.Clock) *Table {
+	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}}
+}
+
+// Begin counts a request sent to a runner.
+func (t *Table) Begin(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own[runner]++
+}
+
+// End counts its end.
+func (t *Table) End(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.own[runner]--; t.own[runner] <= 0 {
+		delete(t.own, runner)
+	}
+}
+
+// Said takes in the load that a runner told on an answer.
+func (t *Table) Said(runner string, l core.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner]}
+}
+
+// Forget drops what is known of a runner that is gone.
+func (t *Table) Forget(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.said, runner)
+	delete(t.fails, runner)
+}
+
+// Failed marks a runner for an attempt that failed there.
+func (t *Table) Failed(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.fails[runner] = fail{at: now, value: min(penaltyMax, t.fails[runner].left(now)+penaltyStep)}
+}
+
+// Worked takes most of a runner's mark away.
+func (t *Table) Worked(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, ok := t.fails[runner]
+	if !ok {
+		return
+	}
+	now := t.clock.Now()
+	if f.value = f.left(now) / 2; f.value < penaltyStep/4 {
+		delete(t.fails, runner)
+		return
+	}
+	t.fails[runner] = fail{at: now, value: f.value}
+}
+
+func (f fail) left(now time.Time) float64 {
+	halvings := now.Sub(f.at) / penaltyHalf
+	if halvings > 10 {
+		return 0
+	}
+	return f.value / float64(int(1)<<halvings)
+}
+
+// Own returns this daemon's requests in progress by runner.
+func (t *Table) Own() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int, len(t.own))
+	for id, n := range t.own {
+		out[id] = n
+	}
+	return out
+}
+
+// Heard takes in another daemon's counts.
+func (t *Table) Heard(daemon string, counts map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[daemon] = peer{at: t.clock.Now(), counts: counts}
+}
+
+// Requests returns the requests in progress at a runner, and its penalty. The
+// higher of two estimates counts: what all daemons have told, and what the
+// runner has told with what this daemon has sent since.
+func (t *Table) Requests(runner string) (int, float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	sum := t.own[runner]
+	for _, p := range t.peers {
+		if now.Sub(p.at) < peerMemory {
+			sum += p.counts[runner]
+		}
+	}
+	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
+		sum = max(sum, s.load.Running+s.load.Waiting+t.own[runner]-s.own)
+	}
+	return sum, t.fails[runner].left(now)
+}
--- /dev/null
+++ b/coordination/peers/peers.go
@@ -0,0 +1,445 @@
+// Package peers lets the daemons of a system know each other: who is alive,
+// ready and not leaving, and how many requests each has at which runner. A
+// daemon finds the others in the platform's store when it starts, and from
+// then on by their datagrams.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/core"
+)
+
+const (
+	// nearEvery and farEvery are how often a daemon tells those of its own
+	// place and of other places. Traffic between places is paid for.
+	nearEvery = 200 * time.Millisecond
+	farEvery  = 400 * time.Millisecond
+	// aliveFor is how long a daemon counts as alive after its last datagram:
+	// three that were sent to other places may be lost.
+	aliveFor = 1500 * time.Millisecond
+	// forgetAfter is how long a silent daemon is still told. One that was cut
+	// off alone would otherwise not be found again by those it has forgotten.
+	forgetAfter = 2 * time.Minute
+	// findEvery is the pause between two tries to register and to list the
+	// others, while the store fails.
+	findEvery   = 500 * time.Millisecond
+	maxDatagram = 60 << 10
+)
+
+// Peer is a daemon as it tells of itself.
+type Peer struct {
+	Name    string         `json:"name"`
+	Place   string         `json:"place"`
+	Caller  netip.AddrPort `json:"caller"` // that callers connect to
+	Peer    netip.AddrPort `json:"peer"`   // of datagrams
+	Boot    uint64         `json:"boot"`   // later ones are larger
+	Ready   bool           `json:"ready"`
+	Leaving bool           `json:"leaving"`
+	Term    uint64         `json:"term,omitempty"`  // of the lease of orders, while it is held
+	Fresh   bool           `json:"fresh,omitempty"` // the lease was renewed lately
+}
+
+// datagram is what daemons send each other. One of Beat, Ask and Answer is
+// set.
+type datagram struct {
+	From   Peer            `json:"from"`
+	Loads  map[string]int  `json:"loads,omitempty"` // requests in progress by runner
+	Kind   string          `json:"kind,omitempty"`
+	Number uint64          `json:"number,omitempty"` // joins an answer to its question
+	Body   json.RawMessage `json:"body,omitempty"`
+}
+
+type known struct {
+	Peer
+	heard time.Time
+}
+
+// Handler answers a question of another daemon. It must not block.
+type Handler func(from Peer, body json.RawMessage, answer func(any))
+
+// Peers is a daemon's view of the others.
+type Peers struct {
+	store core.Platform
+	kind  string
+	conn  *net.UDPConn
+	clock core.Clock
+	log   *zap.Logger
+	loads func() map[string]int
+	heard func(daemon string, counts map[string]int)
+	claim func() (term uint64, fresh bool)
+
+	mu       sync.Mutex
+	self     Peer
+	known    map[string]*known
+	handlers map[string]Handler
+	waiting  map[uint64]chan json.RawMessage
+	found    bool
+
+	wg   sync.WaitGroup
+	stop context.CancelFunc
+}
+
+// New makes a Peers that tells loads to others and reports theirs to heard.
+// The daemons' objects have the given kind.
+func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(string, map[string]int)) *Peers {
+	return &Peers{
+		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
+		claim: func() (uint64, bool) { return 0, false }, known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
+	}
+}
+
+// Handle sets the handler of a kind of questions, before Start.
+func (p *Peers) Handle(kind string, h Handler) { p.handlers[kind] = h }
+
+// SetClaim sets what tells this daemon's term of the lease of orders, before
+// Start.
+func (p *Peers) SetClaim(fn func() (term uint64, fresh bool)) { p.claim = fn }
+
+// Holder returns the daemon that claims the lease of orders.
+func (p *Peers) Holder() (Peer, bool) {
+	var best Peer
+	for _, one := range p.Alive() {
+		if one.Term > best.Term {
+			best = one
+		}
+	}
+	return best, best.Term > 0
+}
+
+// Tell sends a message that has no answer. It may be lost.
+func (p *Peers) Tell(to Peer, kind string, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		p.log.Error("message not written", zap.Error(err))
+		return
+	}
+	p.post(to.Peer, datagram{Kind: kind, Body: body})
+}
+
+// Start begins to listen and to tell.
+func (p *Peers) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	p.wg.Add(3)
+	go p.runRead()
+	go p.runTell(ctx)
+	go p.runFind(ctx)
+}
+
+// Stop closes the socket and waits.
+func (p *Peers) Stop() {
+	p.stop()
+	_ = p.conn.Close()
+	p.wg.Wait()
+}
+
+// SetReady tells the others whether callers may be sent here.
+func (p *Peers) SetReady(ready bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.self.Ready = ready
+}
+
+// Leave tells the others at once that this daemon stops.
+func (p *Peers) Leave() {
+	p.mu.Lock()
+	p.self.Leaving = true
+	p.mu.Unlock()
+	p.tell(true, true)
+}
+
+// Self is this daemon.
+func (p *Peers) Self() Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.self
+}
+
+// Alive returns the daemons heard lately, this one first.
+func (p *Peers) Alive() []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.self
+	self.Term, self.Fresh = p.claim()
+	out := []Peer{self}
+	now := p.clock.Now()
+	for _, k := range p.known {
+		if now.Sub(k.heard) < aliveFor {
+			out = append(out, k.Peer)
+		}
+	}
+	return out
+}
+
+// Get returns a daemon that was heard lately.
+func (p *Peers) Get(name string) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if name == p.self.Name {
+		return p.self, true
+	}
+	k, ok := p.known[name]
+	if !ok || p.clock.Now().Sub(k.heard) >= aliveFor {
+		return Peer{}, false
+	}
+	return k.Peer, true
+}
+
+func (p *Peers) runTell(ctx context.Context) {
+	defer p.wg.Done()
+	next := p.clock.Now()
+	for ctx.Err() == nil {
+		now := p.clock.Now()
+		far := !now.Before(next)
+		if far {
+			next = now.Add(farEvery)
+		}
+		p.tell(true, far)
+		p.sleep(ctx, nearEvery)
+	}
+}
+
+// tell sends a datagram to the daemons of this place and of other places.
+func (p *Peers) tell(near, far bool) {
+	loads := p.loads()
+	term, fresh := p.claim()
+	p.mu.Lock()
+	p.self.Term, p.self.Fresh = term, fresh
+	data, err := json.Marshal(datagram{From: p.self, Loads: loads})
+	now := p.clock.Now()
+	var to []netip.AddrPort
+	for name, k := range p.known {
+		if now.Sub(k.heard) > forgetAfter {
+			delete(p.known, name)
+			continue
+		}
+		if k.Place == p.self.Place && near || k.Place != p.self.Place && far {
+			to = append(to, k.Peer.Peer)
+		}
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.log.Error("datagram not written", zap.Error(err))
+		return
+	}
+	for _, addr := range to {
+		p.send(addr, data)
+	}
+}
+
+func (p *Peers) send(to netip.AddrPort, data []byte) {
+	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		p.log.Debug("datagram not sent", zap.Stringer("to", to), zap.Error(err))
+	}
+}
+
+func (p *Peers) runRead() {
+	defer p.wg.Done()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, err := p.conn.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			p.log.Debug("datagram not read", zap.Error(err))
+			continue
+		}
+		var d datagram
+		if err := json.Unmarshal(buf[:n], &d); err != nil || d.From.Name == "" {
+			p.log.Warn("datagram unreadable", zap.Error(err))
+			continue
+		}
+		p.take(d)
+	}
+}
+
+func (p *Peers) take(d datagram) {
+	if !p.note(d.From) {
+		return
+	}
+	if d.Loads != nil {
+		p.heard(d.From.Name, d.Loads)
+	}
+	switch {
+	case d.Kind != "":
+		p.answer(d)
+	case d.Number != 0:
+		p.mu.Lock()
+		ch := p.waiting[d.Number]
+		delete(p.waiting, d.Number)
+		p.mu.Unlock()
+		if ch != nil {
+			ch <- d.Body
+		}
+	}
+}
+
+// note takes in a daemon's word of itself. One of a process that has been
+// replaced since is dropped, unless the newer one is silent: a process that
+// starts after its clock was set back has the smaller number.
+func (p *Peers) note(from Peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if from.Name == p.self.Name {
+		return false
+	}
+	now := p.clock.Now()
+	k, ok := p.known[from.Name]
+	if ok && k.Boot > from.Boot && now.Sub(k.heard) < aliveFor {
+		return false
+	}
+	if !ok {
+		p.log.Info("daemon found", zap.String("daemon", from.Name), zap.Stringer("caller", from.Caller))
+		k = &known{}
+		p.known[from.Name] = k
+	}
+	if ok && k.Leaving != from.Leaving {
+		p.log.Info("daemon changed", zap.String("daemon", from.Name), zap.Bool("leaving", from.Leaving))
+	}
+	k.Peer, k.heard = from, now
+	return true
+}
+
+func (p *Peers) answer(d datagram) {
+	h, ok := p.handlers[d.Kind]
+	if !ok {
+		return
+	}
+	to, number := d.From.Peer, d.Number
+	h(d.From, d.Body, func(v any) {
+		if number == 0 {
+			return
+		}
+		body, err := json.Marshal(v)
+		if err != nil {
+			p.log.Error("answer not written", zap.Error(err))
+			return
+		}
+		p.post(to, datagram{Number: number, Body: body})
+	})
+}
+
+func (p *Peers) post(to netip.AddrPort, d datagram) {
+	d.From = p.Self()
+	data, err := json.Marshal(d)
+	if err != nil {
+		p.log.Error("datagram not written", zap.Error(err))
+		return
+	}
+	p.send(to, data)
+}
+
+// ErrNoAnswer is the error of a question that another daemon did not answer.
+var ErrNoAnswer = errors.New("daemon did not answer")
+
+// Ask puts a question to another daemon. The datagram is sent again after
+// every resend without an answer, so handlers must take repeats.
+func (p *Peers) Ask(ctx context.Context, to Peer, kind string, question, out any, resend time.Duration) error {
+	body, err := json.Marshal(question)
+	if err != nil {
+		return eris.Wrap(err, "question")
+	}
+	number := rand.Uint64() | 1
+	ch := make(chan json.RawMessage, 1)
+	p.mu.Lock()
+	p.waiting[number] = ch
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, number)
+		p.mu.Unlock()
+	}()
+	for {
+		p.post(to.Peer, datagram{Kind: kind, Number: number, Body: body})
+		select {
+		case <-ctx.Done():
+			return ErrNoAnswer
+		case got := <-ch:
+			return json.Unmarshal(got, out)
+		case <-p.clock.After(resend):
+		}
+	}
+}
+
+// runFind registers this daemon in the store and reads who else is there.
+func (p *Peers) runFind(ctx context.Context) {
+	defer p.wg.Done()
+	for ctx.Err() == nil {
+		err := p.find(ctx)
+		if err == nil {
+			return
+		}
+		p.log.Warn("daemons not found", zap.Error(err))
+		p.sleep(ctx, findEvery/2+rand.N(findEvery))
+	}
+}
+
+// find registers first and lists then. Of two daemons that start together the
+// one that registers last finds the other, and its datagrams tell it.
+func (p *Peers) find(ctx context.Context) error {
+	if err := p.register(ctx); err != nil {
+		return eris.Wrap(err, "register")
+	}
+	objects, _, err := p.store.List(ctx, p.kind)
+	if err != nil {
+		return eris.Wrap(err, "list")
+	}
+	p.mu.Lock()
+	for _, o := range objects {
+		var one Peer
+		if err := json.Unmarshal(o.Body, &one); err != nil {
+			p.log.Error("daemon's object unreadable", zap.String("name", o.Name), zap.Error(err))
+			continue
+		}
+		if one.Name == p.self.Name || p.known[one.Name] != nil {
+			continue
+		}
+		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor)}
+	}
+	p.mu.Unlock()
+	p.tell(true, true)
+	return nil
+}
+
+func (p *Peers) register(ctx context.Context) error {
+	self := p.Self()
+	body, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	o := core.Object{Kind: p.kind, Name: self.Name, Body: body}
+	_, err = p.store.Create(ctx, o)
+	if !errors.Is(err, core.ErrExists) {
+		return err
+	}
+	old, err := p.store.Get(ctx, p.kind, self.Name)
+	if err != nil {
+		return err
+	}
+	var was Peer
+	if json.Unmarshal(old.Body, &was) == nil && was.Peer == self.Peer && was.Caller == self.Caller {
+		return nil
+	}
+	old.Body = body
+	_, err = p.store.Update(ctx, old)
+	return err
+}
+
+func (p *Peers) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-p.clock.After(d):
+	}
+}
--- /dev/null
+++ b/coordination/placement/adapters.go
@@ -0,0 +1,254 @@
+package placement
+
+import (
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/dispatch"
+	"primroseward/core"
+)
+
+// retryModel is when a caller may come back for a model that is not there: it
+// takes between half a second and a few to load.
+const retryModel = time.Second
+
+// spareAdapters is how many places for adapters of a runner stay free for those
+// that are asked for and absent.
+const spareAdapters = 1
+
+// place answers at once if a runner has what is wanted, and gets it otherwise.
+func (h *Holder) place(w dispatch.Want, answer func(Placed)) {
+	if !h.hold() {
+		answer(Placed{Retry: retryModel})
+		return
+	}
+	if len(h.hosts) == 0 {
+		h.refresh()
+	}
+	if w.Adapter == "" {
+		answer(h.placeModel(w))
+		return
+	}
+	if one := h.withAdapter(w, present); one != nil {
+		one.adapters[adapterKey{w.Model, w.Adapter}].used = h.clock.Now()
+		answer(Placed{Runner: one.runner.ID})
+		return
+	}
+	h.waiting[w] = append(h.waiting[w], answer)
+	h.advance(w)
+}
+
+// placeModel answers for a model. Its demand is known already; the next plan
+// sees to it.
+func (h *Holder) placeModel(w dispatch.Want) Placed {
+	for id, one := range h.hosts {
+		if m, ok := one.models[w.Model]; ok && m.phase == present && one.usable(w.Service) {
+			return Placed{Runner: id}
+		}
+	}
+	return Placed{Retry: retryModel}
+}
+
+func (h *host) usable(service string) bool {
+	return h.runner.Service == service && !h.runner.Draining
+}
+
+// withAdapter returns the least busy runner that has an adapter in a phase.
+func (h *Holder) withAdapter(w dispatch.Want, p phase) *host {
+	var best *host
+	low := 0
+	for _, one := range h.hosts {
+		a, ok := one.adapters[adapterKey{w.Model, w.Adapter}]
+		if !ok || a.phase != p || !one.usable(w.Service) {
+			continue
+		}
+		if n, _ := h.loads.Requests(one.runner.ID); best == nil || n < low {
+			best, low = one, n
+		}
+	}
+	return best
+}
+
+// advance does the next step for an adapter that requests wait for.
+func (h *Holder) advance(w dispatch.Want) {
+	if len(h.waiting[w]) == 0 {
+		delete(h.waiting, w)
+		return
+	}
+	if one := h.withAdapter(w, present); one != nil {
+		h.answer(w, Placed{Runner: one.runner.ID})
+		return
+	}
+	if h.withAdapter(w, loading) != nil {
+		return // its confirmation is on the way
+	}
+	one, victim := h.adapterHost(w)
+	switch {
+	case one == nil:
+		h.answer(w, Placed{Retry: retryModel})
+	case victim != (adapterKey{}):
+		h.unloadAdapter(one, victim, w)
+	default:
+		h.loadAdapter(one, w)
+	}
+}
+
+func (h *Holder) answer(w dispatch.Want, p Placed) {
+	for _, fn := range h.waiting[w] {
+		fn(p)
+	}
+	delete(h.waiting, w)
+}
+
+// adapterHost finds the runner for an adapter: the least busy one that has its
+// model and a free place, or one where an adapter that nobody has asked for
+// lately gives way.
+func (h *Holder) adapterHost(w dispatch.Want) (*host, adapterKey) {
+	var free, full *host
+	var victim adapterKey
+	var oldest time.Time
+	low := 0
+	for _, one := range h.hosts {
+		m, ok := one.models[w.Model]
+		if !ok || m.phase != present || !one.usable(w.Service) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
+			continue
+		}
+		if len(one.adapters) < one.engine.AdapterSlots && one.freeMB() >= one.engine.Model(w.Model).AdapterMB {
+			if n, _ := h.loads.Requests(one.runner.ID); free == nil || n < low {
+				free, low = one, n
+			}
+			continue
+		}
+		for key, a := range one.adapters {
+			if a.phase == present && h.clock.Since(a.used) > keepAdapter && (full == nil || a.used.Before(oldest)) {
+				full, victim, oldest = one, key, a.used
+			}
+		}
+	}
+	if free != nil {
+		return free, adapterKey{}
+	}
+	return full, victim
+}
+
+// loadAdapter orders an adapter and repeats the order until it is there.
+func (h *Holder) loadAdapter(one *host, w dispatch.Want) {
+	key := adapterKey{w.Model, w.Adapter}
+	it := &item{phase: loading, used: h.clock.Now()}
+	one.adapters[key] = it
+	o := core.RunnerOrder{Load: true, Model: w.Model, Adapter: w.Adapter}
+	h.send(one, o, func(result core.OrderResult) { h.adapterOrdered(one, w, it, result, confirmFirst) })
+}
+
+func (h *Holder) adapterOrdered(one *host, w dispatch.Want, it *item, result core.OrderResult, next time.Duration) {
+	key := adapterKey{w.Model, w.Adapter}
+	if one.adapters[key] != it {
+		return // the runner has been read anew since
+	}
+	switch result {
+	case core.OrderDone:
+		it.phase = present
+		h.count("adapters_loaded")
+		h.answer(w, Placed{Runner: one.runner.ID})
+	case core.OrderAccepted, core.OrderConflict:
+		if one.synced {
+			h.after(next, func() { h.confirmAdapter(one, w, it) })
+		}
+	case core.OrderUnknown, core.OrderRefused, core.OrderWrongHost:
+		it.doubt = true
+	}
+}
+
+func (h *Holder) confirmAdapter(one *host, w dispatch.Want, it *item) {
+	if one.adapters[adapterKey{w.Model, w.Adapter}] != it || !h.hold() || h.hosts[one.runner.ID] != one {
+		return
+	}
+	if one.sending {
+		h.after(confirmEvery, func() { h.confirmAdapter(one, w, it) })
+		return
+	}
+	h.confirm(one, core.RunnerOrder{Load: true, Model: w.Model, Adapter: w.Adapter}, func(result core.OrderResult) {
+		h.adapterOrdered(one, w, it, result, confirmEvery)
+	})
+}
+
+// unloadAdapter makes room for an adapter that is waited for.
+func (h *Holder) unloadAdapter(one *host, key adapterKey, w dispatch.Want) {
+	it := one.adapters[key]
+	it.phase = unloading
+	h.log.Info("adapter gives way", zap.String("runner", one.runner.ID), zap.String("model", key.model), zap.String("adapter", key.adapter),
+		zap.Duration("unused", h.clock.Since(it.used)))
+	h.send(one, core.RunnerOrder{Model: key.model, Adapter: key.adapter}, func(result core.OrderResult) {
+		if one.adapters[key] != it {
+			return
+		}
+		switch result {
+		case core.OrderDone:
+			// The order was carried out at once, and counts as accepted.
+			delete(one.adapters, key)
+			one.sequence++
+			h.advance(w)
+		case core.OrderAccepted:
+			it.phase = unloading
+			h.after(modelEvery, func() { one.synced = false })
+		case core.OrderUnknown, core.OrderConflict, core.OrderRefused, core.OrderWrongHost:
+			it.doubt = true
+		}
+	})
+}
+
+// preload loads adapters ahead of requests for them into places that are free:
+// every adapter once, then those asked for most again. A request for an absent
+// adapter waits for it, and is refused while no daemon holds the lease.
+func (h *Holder) preload(service string, engine *core.Engine) {
+	copies := map[adapterKey]int{}
+	for _, one := range h.hosts {
+		if one.usable(service) {
+			for key := range one.adapters {
+				copies[key]++
+			}
+		}
+	}
+	for _, one := range h.hosts {
+		if !one.usable(service) || !one.synced || one.sending || one.busy() || one.inPhase(loading) > 0 {
+			continue
+		}
+		if len(one.adapters)+spareAdapters >= engine.AdapterSlots {
+			continue
+		}
+		if key, ok := h.nextAdapter(one, copies); ok {
+			copies[key]++
+			h.loadAdapter(one, dispatch.Want{Service: service, Model: key.model, Adapter: key.adapter})
+		}
+	}
+}
+
+// nextAdapter is the adapter that a runner should load ahead: the one with the
+// fewest copies for what is asked of it.
+func (h *Holder) nextAdapter(one *host, copies map[adapterKey]int) (adapterKey, bool) {
+	var best adapterKey
+	bestScore, found := 0.0, false
+	for name, m := range one.models {
+		spec := one.engine.Model(name)
+		if m.phase != present || spec == nil || one.freeMB() < spec.AdapterMB {
+			continue
+		}
+		for i := 1; i <= spec.Adapters; i++ {
+			key := adapterKey{name, "a" + strconv.Itoa(i)}
+			if _, ok := one.adapters[key]; ok {
+				continue
+			}
+			heat := h.heat[dispatch.Want{Service: one.runner.Service, Model: name, Adapter: key.adapter}]
+			if copies[key] > 0 && heat == 0 {
+				continue
+			}
+			score := (heat + 0.01) / float64(copies[key]*copies[key]+1)
+			if !found || score > bestScore {
+				best, bestScore, found = key, score, true
+			}
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/coordination/placement/holder.go
@@ -0,0 +1,458 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/dispatch"
+	"primroseward/coordination/load"
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+const (
+	planEvery = 200 * time.Millisecond
+	// orderLimit is when an order counts as unanswered; a runner answers
+	// within a few milliseconds and the way there.
+	orderLimit  = 500 * time.Millisecond
+	reportLimit = time.Second
+	// reportLag is how old a runner's report may be: one that is asked for
+	// sooner after a doubtful order may not show it.
+	reportLag = 600 * time.Millisecond
+	// maxComing is how many adapters may be on their way to one runner.
+	maxComing = 4
+	// confirmFirst and confirmEvery are when an adapter's order is repeated to
+	// learn whether it is carried out: adapters take 5 to 10 ms.
+	confirmFirst = 6 * time.Millisecond
+	confirmEvery = 3 * time.Millisecond
+	// modelEvery is how often an order for a model is repeated for that.
+	modelEvery = 150 * time.Millisecond
+	// keepAdapter is how long an adapter that was asked for is not given up
+	// for another one.
+	keepAdapter = 300 * time.Millisecond
+	// heatHalf is the half-life of what counts as demand: models fall silent
+	// and rise within seconds.
+	heatHalf = 3 * time.Second
+	// loadBurst is how many loads from the weight store may begin at once.
+	loadBurst = 3
+	inboxSize = 1024
+)
+
+// Orders sends orders to runners.
+type Orders interface {
+	Order(ctx context.Context, r *core.Runner, o core.RunnerOrder) (core.OrderResult, error)
+	Report(ctx context.Context, r *core.Runner) (*core.Report, error)
+}
+
+// Lease tells whether this daemon may send orders.
+type Lease interface {
+	// Term returns the term in which orders may be sent now.
+	Term() (uint64, bool)
+	// Use is Term for an order that is sent at once.
+	Use() (uint64, bool)
+}
+
+// Placed is the answer to a request for a model or adapter.
+type Placed struct {
+	Runner string        `json:"runner,omitempty"` // has it now
+	Retry  time.Duration `json:"retry,omitempty"`  // when it may be there, if not now
+}
+
+// Holder sends the orders while it holds the lease. All its state belongs to
+// one goroutine; others post functions to it.
+type Holder struct {
+	self    string
+	catalog *catalog.Catalog
+	loads   *load.Table
+	orders  Orders
+	lease   Lease
+	clock   core.Clock
+	log     *zap.Logger
+	count   func(name string)
+
+	inbox    chan func()
+	term     uint64
+	hosts    map[string]*host
+	heat     map[dispatch.Want]float64
+	heatAt   time.Time
+	waiting  map[dispatch.Want][]func(Placed)
+	storeAt  time.Time // since when tokens of the weight store are counted
+	storeTok float64
+
+	wg   sync.WaitGroup
+	stop context.CancelFunc
+}
+
+// New makes a Holder of the daemon self.
+func New(self string, c *catalog.Catalog, loads *load.Table, orders Orders, lease Lease, clock core.Clock, log *zap.Logger, count func(string)) *Holder {
+	return &Holder{
+		self: self, catalog: c, loads: loads, orders: orders, lease: lease, clock: clock, log: log, count: count,
+		inbox: make(chan func(), inboxSize), hosts: map[string]*host{}, heat: map[dispatch.Want]float64{},
+		waiting: map[dispatch.Want][]func(Placed){},
+	}
+}
+
+// Start begins to work.
+func (h *Holder) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	h.wg.Add(1)
+	go h.loop(ctx)
+}
+
+// Stop ends the work.
+func (h *Holder) Stop() {
+	h.stop()
+	h.wg.Wait()
+}
+
+// post hands fn to the loop; it is dropped when the loop is far behind.
+func (h *Holder) post(fn func()) {
+	select {
+	case h.inbox <- fn:
+	default:
+		h.log.Warn("placement is behind, a message is dropped")
+		h.count("dropped")
+	}
+}
+
+// Demand takes in what requests have asked for.
+func (h *Holder) Demand(counts map[dispatch.Want]float64) {
+	h.post(func() { h.addHeat(counts) })
+}
+
+// Place gets a model or adapter and calls answer once.
+func (h *Holder) Place(w dispatch.Want, answer func(Placed)) {
+	h.post(func() { h.place(w, answer) })
+}
+
+func (h *Holder) loop(ctx context.Context) {
+	defer h.wg.Done()
+	tick := h.clock.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-h.inbox:
+			fn()
+		case <-tick.Chan():
+			h.plan()
+		}
+	}
+}
+
+// hold says whether orders may be sent now. In a new term nothing that was
+// known in an earlier one counts: another holder may have ordered since.
+func (h *Holder) hold() bool {
+	term, ok := h.lease.Term()
+	if !ok {
+		return false
+	}
+	if term != h.term {
+		h.log.Info("placement begins a term", zap.Uint64("term", term))
+		h.term = term
+		h.hosts = map[string]*host{}
+		h.storeAt, h.storeTok = h.clock.Now(), 0
+	}
+	return true
+}
+
+func (h *Holder) addHeat(counts map[dispatch.Want]float64) {
+	h.cool()
+	for w, n := range counts {
+		h.heat[w] += n
+		if w.Adapter == "" {
+			continue
+		}
+		for _, one := range h.hosts {
+			if a, ok := one.adapters[adapterKey{w.Model, w.Adapter}]; ok && one.runner.Service == w.Service {
+				a.used = h.clock.Now()
+			}
+		}
+	}
+}
+
+// cool lets old demand fade.
+func (h *Holder) cool() {
+	now := h.clock.Now()
+	share := halved(now.Sub(h.heatAt), heatHalf)
+	h.heatAt = now
+	for w, v := range h.heat {
+		if v *= share; v < 0.01 {
+			delete(h.heat, w)
+			continue
+		}
+		h.heat[w] = v
+	}
+}
+
+// refresh takes in which runners there are, and asks those that are not known
+// for a report.
+func (h *Holder) refresh() {
+	config := h.catalog.Config()
+	if config == nil {
+		return
+	}
+	all := h.catalog.All()
+	for id := range h.hosts {
+		if all[id] == nil {
+			delete(h.hosts, id)
+		}
+	}
+	for id, e := range all {
+		service := config.Services[e.Service]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		one, ok := h.hosts[id]
+		if !ok {
+			one = newHost(e.Runner, service.Engine)
+			h.hosts[id] = one
+		}
+		one.runner, one.engine = e.Runner, service.Engine
+		h.sync(one)
+	}
+}
+
+// sync asks a runner for its state. A runner that is at work on an order that
+// is not known here is asked again: its memory can't be known.
+func (h *Holder) sync(one *host) {
+	if one.synced || one.asking || one.sending || h.clock.Now().Before(one.retryAt) {
+		return
+	}
+	one.asking = true
+	r, term := one.runner, h.term
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+		defer cancel()
+		report, err := h.orders.Report(ctx, &r)
+		h.post(func() { h.reported(term, one, report, err) })
+	}()
+}
+
+func (h *Holder) reported(term uint64, one *host, report *core.Report, err error) {
+	one.asking = false
+	if term != h.term || h.hosts[one.runner.ID] != one {
+		return
+	}
+	if err != nil || report.Busy {
+		one.retryAt = h.clock.Now().Add(reportLag / 2)
+		if err != nil {
+			h.log.Info("runner does not report", zap.String("runner", one.runner.ID), zap.Error(err))
+		}
+		return
+	}
+	one.take(report, h.clock.Now())
+	h.log.Info("runner known", zap.String("runner", one.runner.ID), zap.Uint64("sequence", one.sequence),
+		zap.Int("models", len(one.models)), zap.Int("adapters", len(one.adapters)))
+}
+
+// plan sends the orders for models that the policy wants, and the adapters
+// that could not be sent before.
+func (h *Holder) plan() {
+	if !h.hold() {
+		return
+	}
+	h.refresh()
+	h.cool()
+	config := h.catalog.Config()
+	if config == nil {
+		return
+	}
+	for name, s := range config.Services {
+		if s.Engine != nil {
+			h.planService(name, s.Engine)
+		}
+	}
+	for w := range h.waiting {
+		h.advance(w)
+	}
+}
+
+func (h *Holder) planService(service string, engine *core.Engine) {
+	heat := map[string]float64{}
+	for w, v := range h.heat {
+		if w.Service == service {
+			heat[w.Model] += v
+		}
+	}
+	var states []*policy.HostState
+	for _, one := range h.hosts {
+		if one.runner.Service == service {
+			requests, _ := h.loads.Requests(one.runner.ID)
+			states = append(states, one.state(requests))
+		}
+	}
+	for _, m := range policy.Place(engine, states, heat) {
+		one := h.hosts[m.Runner]
+		if m.Load && !one.near[m.Model] && !h.storeToken(engine) {
+			continue
+		}
+		h.orderModel(one, m)
+	}
+	h.preload(service, engine)
+}
+
+// storeToken takes a load from the weight store's rate.
+func (h *Holder) storeToken(engine *core.Engine) bool {
+	now := h.clock.Now()
+	h.storeTok = min(loadBurst, h.storeTok+now.Sub(h.storeAt).Seconds()*engine.LoadsPerSec)
+	h.storeAt = now
+	if h.storeTok < 1 {
+		return false
+	}
+	h.storeTok--
+	return true
+}
+
+// orderModel sends an order for a model.
+func (h *Holder) orderModel(one *host, m policy.Move) {
+	it := &item{phase: loading}
+	if !m.Load {
+		it = one.models[m.Model]
+		it.phase = unloading
+	} else {
+		one.models[m.Model] = it
+	}
+	h.log.Info("order", zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load),
+		zap.Uint64("expected", one.sequence), zap.Bool("near", one.near[m.Model]))
+	h.send(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
+		h.modelOrdered(one, m, it, result)
+	})
+}
+
+func (h *Holder) modelOrdered(one *host, m policy.Move, it *item, result core.OrderResult) {
+	if one.models[m.Model] != it {
+		return // the runner has been read anew since
+	}
+	switch result {
+	case core.OrderDone:
+		h.modelDone(one, m, it)
+	case core.OrderAccepted, core.OrderConflict:
+		// A conflict after an acceptance is the order itself in progress; one
+		// before it leaves the sequence in doubt, and send has seen to that.
+		if one.synced {
+			h.after(modelEvery, func() { h.confirmModel(one, m, it) })
+		}
+	case core.OrderUnknown, core.OrderRefused, core.OrderWrongHost:
+		it.doubt = true
+	}
+}
+
+func (h *Holder) confirmModel(one *host, m policy.Move, it *item) {
+	if one.models[m.Model] != it || !h.hold() || h.hosts[one.runner.ID] != one {
+		return
+	}
+	if one.sending {
+		h.after(modelEvery, func() { h.confirmModel(one, m, it) })
+		return
+	}
+	h.confirm(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
+		h.modelOrdered(one, m, it, result)
+	})
+}
+
+func (h *Holder) modelDone(one *host, m policy.Move, it *item) {
+	h.log.Info("order done", zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load))
+	if m.Load {
+		it.phase = present
+		one.near[m.Model] = true
+		h.count("models_loaded")
+		return
+	}
+	delete(one.models, m.Model)
+	for key := range one.adapters {
+		if key.model == m.Model {
+			delete(one.adapters, key)
+		}
+	}
+	h.count("models_unloaded")
+}
+
+// send sends an order that changes a runner, one at a time.
+func (h *Holder) send(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
+	h.transmit(one, o, func(result core.OrderResult) {
+		switch result {
+		case core.OrderAccepted:
+			one.sequence++
+			for _, m := range one.models {
+				m.doubt = false
+			}
+		case core.OrderUnknown, core.OrderConflict, core.OrderRefused, core.OrderWrongHost:
+			// The runner's state is read again before the next order. Until
+			// then what was ordered counts as taken.
+			one.synced = false
+			one.retryAt = h.clock.Now().Add(reportLag)
+		case core.OrderDone:
+		}
+		then(result)
+	})
+}
+
+// confirm repeats an order to learn whether it has been carried out. While it
+// is under way the runner accepts the same order again, and its sequence stays.
+func (h *Holder) confirm(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
+	h.transmit(one, o, func(result core.OrderResult) {
+		if result == core.OrderUnknown {
+			one.synced = false
+			one.retryAt = h.clock.Now().Add(reportLag)
+		}
+		then(result)
+	})
+}
+
+func (h *Holder) transmit(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
+	term, ok := h.lease.Use()
+	if !ok || term != h.term {
+		one.synced = false
+		return
+	}
+	one.sending = true
+	o.Holder, o.Fence, o.Expected = h.self, term, one.sequence
+	r := one.runner
+	h.count("orders")
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
+		defer cancel()
+		result, err := h.orders.Order(ctx, &r, o)
+		h.post(func() {
+			one.sending = false
+			if term != h.term || h.hosts[r.ID] != one {
+				return
+			}
+			h.log.Info("order answered", zap.String("runner", r.ID), zap.String("model", o.Model), zap.String("adapter", o.Adapter),
+				zap.Bool("load", o.Load), zap.Uint64("expected", o.Expected), zap.Int("result", int(result)), zap.Error(err))
+			if err != nil && errors.Is(err, core.ErrNotSent) {
+				result = core.OrderUnknown
+			}
+			then(result)
+		})
+	}()
+}
+
+// after posts fn in a while.
+func (h *Holder) after(d time.Duration, fn func()) {
+	h.clock.AfterFunc(d, func() { h.post(fn) })
+}
+
+// halved is what is left after t of something that halves every half.
+func halved(t, half time.Duration) float64 {
+	share := 1.0
+	for ; t >= half; t -= half {
+		share /= 2
+		if share < 1e-6 {
+			return 0
+		}
+	}
+	return share * (1 - 0.5*float64(t)/float64(half))
+}
--- /dev/null
+++ b/coordination/placement/state.go
@@ -0,0 +1,148 @@
+// Package placement orders runners to load and unload models and adapters. One
+// daemon does it, the holder of the lease of orders.
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"primroseward/coordination/policy"
+	"primroseward/core"
+)
+
+// phase is where a model or an adapter is on its way.
+type phase int
+
+const (
+	loading phase = iota
+	present
+	unloading
+)
+
+// item is a model or an adapter on a runner.
+type item struct {
+	phase phase
+	used  time.Time // when it was last asked for
+	// doubt is set for an order without an answer: it may still be carried out
+	// as long as the runner's sequence is the one that it expected. Its memory
+	// counts as taken until then.
+	doubt bool
+}
+
+// adapterKey names an adapter of a model.
+type adapterKey struct{ model, adapter string }
+
+// host is a runner as the holder knows it: its state at sequence, and what has
+// been ordered since.
+type host struct {
+	runner   core.Runner
+	engine   *core.Engine
+	synced   bool // state and sequence are known
+	asking   bool // a report is on its way
+	retryAt  time.Time
+	sending  bool // an order is on its way
+	sequence uint64
+	models   map[string]*item
+	adapters map[adapterKey]*item
+	near     map[string]bool
+}
+
+func newHost(r core.Runner, engine *core.Engine) *host {
+	return &host{runner: r, engine: engine, models: map[string]*item{}, adapters: map[adapterKey]*item{}, near: map[string]bool{}}
+}
+
+// busy says whether an order for a model is in progress.
+func (h *host) busy() bool {
+	for _, m := range h.models {
+		if m.phase != present {
+			return true
+		}
+	}
+	return false
+}
+
+// freeMB is the memory that is neither taken nor promised. What is being
+// unloaded still has its memory.
+func (h *host) freeMB() float64 {
+	free := h.engine.MemoryMB
+	for name := range h.models {
+		if m := h.engine.Model(name); m != nil {
+			free -= m.MemoryMB
+		} else {
+			free = 0 // a model that the config no longer lists: its size is not known
+		}
+	}
+	for key := range h.adapters {
+		if m := h.engine.Model(key.model); m != nil {
+			free -= m.AdapterMB
+		}
+	}
+	return free
+}
+
+// inPhase counts the adapters in a phase.
+func (h *host) inPhase(p phase) int {
+	n := 0
+	for _, a := range h.adapters {
+		if a.phase == p {
+			n++
+		}
+	}
+	return n
+}
+
+// take sets the state from a report. What the report does not show yet is in
+// doubt no more only if the runner has accepted an order since.
+func (h *host) take(r *core.Report, now time.Time) {
+	used := h.adapters
+	h.models = map[string]*item{}
+	h.adapters = map[adapterKey]*item{}
+	for _, held := range r.Holdings {
+		h.models[held.Model] = &item{phase: present}
+		for _, a := range held.Adapters {
+			h.adapters[adapterKey{held.Model, a}] = &item{phase: present, used: lastUse(used, adapterKey{held.Model, a}, now)}
+		}
+	}
+	for _, c := range r.Coming {
+		if model, adapter, ok := cutAdapter(c); ok {
+			h.adapters[adapterKey{model, adapter}] = &item{phase: loading, used: now}
+		}
+	}
+	h.near = map[string]bool{}
+	for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
+		h.near[m] = true
+	}
+	h.sequence = r.Sequence
+	h.synced = true
+}
+
+func lastUse(old map[adapterKey]*item, key adapterKey, now time.Time) time.Time {
+	if a, ok := old[key]; ok {
+		return a.used
+	}
+	return now
+}
+
+func cutAdapter(name string) (model, adapter string, ok bool) {
+	for i := len(name) - 1; i >= 0; i-- {
+		if name[i] == '/' {
+			return name[:i], name[i+1:], true
+		}
+	}
+	return "", "", false
+}
+
+// state is the runner as the policy sees it.
+func (h *host) state(requests int) *policy.HostState {
+	models := make(map[string]bool, len(h.models))
+	for name, m := range h.models {
+		if m.phase != unloading {
+			models[name] = true
+		}
+	}
+	return &policy.HostState{
+		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Near: maps.Clone(h.near),
+		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Requests: requests,
+	}
+}
--- /dev/null
+++ b/coordination/policy/place.go
@@ -0,0 +1,214 @@
+package policy
+
+import (
+	"slices"
+
+	"primroseward/core"
+)
+
+// HostState is a runner as placement sees it.
+type HostState struct {
+	ID       string
+	Place    string
+	FreeMB   float64         // not taken, nor promised to what is on its way
+	Models   map[string]bool // present or being loaded
+	Near     map[string]bool // copies on the runner's own disk or in its memory
+	Busy     bool            // an order for a model is in progress
+	Leaving  bool
+	Requests int
+}
+
+// Move is one order for a model that placement wants.
+type Move struct {
+	Runner string
+	Model  string
+	Load   bool
+}
+
+// placement is one round of planning.
+type placement struct {
+	engine *core.Engine
+	hosts  []*HostState
+	heat   map[string]float64
+	copies map[string]int
+	target map[string]int
+	moves  []Move
+}
+
+// Place plans which models to load and unload, at most one order a runner. heat
+// is how much work is asked of each model. A model without a copy comes first,
+// the most asked for before others: until it is back each request for it is
+// refused. Then the models whose copies have most to do get more of them.
+func Place(engine *core.Engine, hosts []*HostState, heat map[string]float64) []Move {
+	heat = expected(engine, heat)
+	p := &placement{engine: engine, heat: heat, copies: map[string]int{}}
+	for _, h := range hosts {
+		if h.Leaving {
+			continue
+		}
+		p.hosts = append(p.hosts, h)
+		for m := range h.Models {
+			p.copies[m]++
+		}
+	}
+	p.target = targets(engine, len(p.hosts), heat)
+	for _, m := range p.wanted() {
+		p.place(m)
+	}
+	return p.moves
+}
+
+// nextShares are how much of a model's demand is expected of the models that
+// follow it in the service's list: demand moves on along the list within
+// seconds, faster than a copy can be loaded from the weight store. Two fifths
+// get the next model a few copies before it is asked for, without taking the
+// busy one's.
+var nextShares = []float64{0.4, 0.1}
+
+// expected is the demand with what is likely to come next.
+func expected(engine *core.Engine, heat map[string]float64) map[string]float64 {
+	out := make(map[string]float64, len(engine.Models))
+	for i := range engine.Models {
+		now := heat[engine.Models[i].Name]
+		out[engine.Models[i].Name] += now
+		for k, share := range nextShares {
+			if i+k+1 < len(engine.Models) {
+				out[engine.Models[i+k+1].Name] += share * now
+			}
+		}
+	}
+	return out
+}
+
+// targets shares the memory of n runners among the models: one copy each, then
+// copy by copy to the model whose copies have most to do.
+func targets(engine *core.Engine, n int, heat map[string]float64) map[string]int {
+	out := make(map[string]int, len(engine.Models))
+	left := engine.MemoryMB * float64(n)
+	for i := range engine.Models {
+		out[engine.Models[i].Name] = 1
+		left -= engine.Models[i].MemoryMB
+	}
+	for {
+		best := -1
+		for i := range engine.Models {
+			m := &engine.Models[i]
+			if heat[m.Name] <= 0 || out[m.Name] >= n || m.MemoryMB > left {
+				continue
+			}
+			if best < 0 || heat[m.Name]/float64(out[m.Name]) > heat[engine.Models[best].Name]/float64(out[engine.Models[best].Name]) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return out
+		}
+		out[engine.Models[best].Name]++
+		left -= engine.Models[best].MemoryMB
+	}
+}
+
+// wanted lists the models that lack copies, most urgent first.
+func (p *placement) wanted() []string {
+	var out []string
+	for i := range p.engine.Models {
+		if m := p.engine.Models[i].Name; p.copies[m] < p.target[m] {
+			out = append(out, m)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b string) int {
+		if absent := p.copies[a] == 0; absent != (p.copies[b] == 0) {
+			if absent {
+				return -1
+			}
+			return 1
+		}
+		ha, hb := p.heat[a]/float64(p.copies[a]+1), p.heat[b]/float64(p.copies[b]+1)
+		switch {
+		case ha > hb:
+			return -1
+		case ha < hb:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// place finds the runner that gets one more copy of a model, and makes room
+// there first where there is none.
+func (p *placement) place(model string) {
+	need := p.engine.Model(model).MemoryMB
+	var best *HostState
+	var victim string
+	bestCost := 0.0
+	for _, h := range p.hosts {
+		if h.Busy || h.Models[model] || p.taken(h.ID) {
+			continue
+		}
+		v := ""
+		if h.FreeMB < need {
+			if v = p.victim(h, model, need); v == "" {
+				continue
+			}
+		}
+		if cost := p.hostCost(h, model, v); best == nil || cost < bestCost {
+			best, victim, bestCost = h, v, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	if victim != "" {
+		p.moves = append(p.moves, Move{Runner: best.ID, Model: victim})
+		p.copies[victim]--
+		return
+	}
+	p.moves = append(p.moves, Move{Runner: best.ID, Model: model, Load: true})
+	p.copies[model]++
+}
+
+func (p *placement) taken(id string) bool {
+	return slices.ContainsFunc(p.moves, func(m Move) bool { return m.Runner == id })
+}
+
+// hostCost orders the runners for a model, in seconds that it is likely to
+// take until the copy serves, roughly: a load from the weight store takes
+// about three, one from the runner's own disk or memory less than one, and an
+// unload waits for the requests that run.
+func (p *placement) hostCost(h *HostState, model, victim string) float64 {
+	cost := 0.0
+	if !h.Near[model] {
+		cost += 3
+	}
+	if victim != "" {
+		cost++
+	}
+	if p.samePlace(h.Place, model) {
+		cost += 0.5 // one crash or cut of a place must not take all copies
+	}
+	return cost + 0.02*float64(h.Requests)
+}
+
+func (p *placement) samePlace(place, model string) bool {
+	return slices.ContainsFunc(p.hosts, func(h *HostState) bool { return h.Place == place && h.Models[model] })
+}
+
+// victim is the model that a runner gives up for another: one with more copies
+// than it should have, least asked for. For a model without any copy each one
+// that has a second copy may go.
+func (p *placement) victim(h *HostState, model string, need float64) string {
+	best := ""
+	for v := range h.Models {
+		surplus := p.copies[v] > p.target[v] || p.copies[model] == 0 && p.copies[v] > 1
+		if !surplus || h.FreeMB+p.engine.Model(v).MemoryMB < need {
+			continue
+		}
+		if best == "" || p.perCopy(v) < p.perCopy(best) || p.perCopy(v) == p.perCopy(best) && v < best {
+			best = v
+		}
+	}
+	return best
+}
+
+func (p *placement) perCopy(m string) float64 { return p.heat[m] / float64(max(1, p.copies[m])) }
--- a/services/daemon/observe.go
+++ b/services/daemon/observe.go
@@ -27,6 +27,12 @@
 	handler http.Handler
 }
 
+// NewMetrics returns the root scope and the handler that shows it.
+func NewMetrics() (tally.Scope, http.Handler) {
+	m := newMetrics()
+	return m.scope, m.handler
+}
+
 func newMetrics() *metrics {
 	registry := promclient.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
--- /dev/null
+++ b/services/fleet/fleet.go
@@ -0,0 +1,238 @@
+// Package fleet is the daemon that serves callers where runners and
+// configuration come from the platform's store: it puts the parts together,
+// starts them and stops them without cutting a request.
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"primroseward/coordination/dispatch"
+	"primroseward/coordination/lease"
+	"primroseward/coordination/load"
+	"primroseward/coordination/peers"
+	"primroseward/coordination/placement"
+	"primroseward/coordination/policy"
+	"primroseward/coordination/watch"
+	"primroseward/core"
+	"primroseward/platform"
+	"primroseward/protocol/runner"
+	"primroseward/setting"
+	"primroseward/state/catalog"
+	"primroseward/transport/front"
+)
+
+const (
+	// kindDaemons is the kind of the objects by which daemons find each other.
+	kindDaemons = "daemons"
+	// kindLeases is the kind of the leases, leaseName the one of orders.
+	kindLeases = "leases"
+	leaseName  = "orders"
+	// giveBack is the time to give the lease back when stopping.
+	giveBack = 300 * time.Millisecond
+	// listenerLife is how long after the signal to stop new connections are
+	// still taken: callers that asked the directory just before it keep the
+	// address for their keep time.
+	listenerLife = 2500 * time.Millisecond
+	// exitMargin is what is left of the grace time for closing.
+	exitMargin = 400 * time.Millisecond
+	drainCheck = 50 * time.Millisecond
+	// budgetShare is the part of the shared budget of repeats that is used, in
+	// per cent: daemons count on their own, and some may have just died.
+	budgetShare = 70
+)
+
+// Daemon is one running primrosed.
+type Daemon struct {
+	set     *setting.Setting
+	clock   core.Clock
+	log     *zap.Logger
+	scope   tally.Scope
+	metrics http.Handler
+
+	catalog    *catalog.Catalog
+	watcher    *watch.Watcher
+	runners    *runner.Client
+	loads      *load.Table
+	peers      *peers.Peers
+	lease      *lease.Lease
+	holder     *placement.Holder
+	placer     *placement.Client
+	dispatcher *dispatch.Dispatcher
+	front      *front.Front
+	leaving    atomic.Bool
+
+	listeners []net.Listener
+	servers   []*http.Server
+	wg        sync.WaitGroup
+}
+
+// New opens the listeners and puts the parts together.
+func New(set *setting.Setting, log *zap.Logger, scope tally.Scope, metrics http.Handler) (*Daemon, error) {
+	d := &Daemon{
+		set: set, clock: clockwork.NewRealClock(), log: log.With(zap.String("daemon", set.Name)),
+		scope: scope, metrics: metrics,
+	}
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(set.PeerAddr))
+	if err != nil {
+		return nil, eris.Wrap(err, "peer")
+	}
+	d.assemble(udp)
+	return d, d.listen()
+}
+
+func (d *Daemon) assemble(udp *net.UDPConn) {
+	set := d.set
+	store := platform.New(set.PlatformAddr, d.clock,
+		platform.WithRate(set.Limits.Platform, int(set.Limits.Platform)),
+		platform.WithCount(func(verb string) { d.scope.Tagged(map[string]string{"verb": verb}).Counter("platform_calls").Inc(1) }))
+	d.loads = load.New(d.clock)
+	dials := d.scope.Counter("runner_dials")
+	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
+	d.catalog = catalog.New(catalog.WithGone(d.gone))
+	d.watcher = watch.New(store, watch.Reader{
+		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
+		Config: platform.ReadConfig, Runner: platform.ReadRunner,
+	}, d.catalog, d.clock, d.log)
+	self := peers.Peer{
+		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
+		Boot: uint64(d.clock.Now().UnixNano()),
+	}
+	d.peers = peers.New(self, kindDaemons, store, udp, d.clock, d.log, d.loads.Own, d.loads.Heard)
+	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.Window), set.Fleet.Ratio*budgetShare/100, d.slack)
+	demand := dispatch.NewDemand()
+	d.lease = lease.New(store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log)
+	d.peers.SetClaim(d.lease.Claim)
+	d.peers.Handle(kindYield, d.handleYield)
+	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
+		func(name string) { d.scope.Counter("placement_" + name).Inc(1) })
+	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
+	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log)
+	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log)
+}
+
+// slack is this daemon's part of the repeats that all daemons may make beyond
+// their share of requests.
+func (d *Daemon) slack() float64 {
+	return d.set.Fleet.Slack * budgetShare / 100 / float64(len(d.peers.Alive()))
+}
+
+func (d *Daemon) gone(r core.Runner) {
+	d.log.Info("runner gone", zap.String("runner", r.ID), zap.String("service", r.Service))
+	d.runners.Forget(r.ID)
+	d.loads.Forget(r.ID)
+}
+
+// listen opens the listeners.
+func (d *Daemon) listen() error {
+	dir := &front.Directory{
+		Peers: d.peers, Ready: d.Ready, Place: platform.CallerPlace,
+		Reply: func(addrs []netip.AddrPort) any { return platform.Addresses(addrs, time.Duration(d.set.Fleet.Keep)) },
+	}
+	resolve := http.NewServeMux()
+	resolve.Handle("GET "+platform.PathDirectory, dir)
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.PathReady, dir.ServeReady)
+	admin := http.NewServeMux()
+	admin.Handle("GET /metrics", d.metrics)
+	for _, one := range []struct {
+		name   string
+		addr   netip.AddrPort
+		server *http.Server
+	}{
+		{"caller", d.set.CallerAddr, d.front.Server()},
+		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}},
+		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: time.Second}},
+		{"admin", d.set.AdminAddr, &http.Server{Handler: admin, ReadHeaderTimeout: time.Second}},
+	} {
+		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(one.addr))
+		if err != nil {
+			return eris.Wrap(err, one.name)
+		}
+		d.listeners = append(d.listeners, ln)
+		d.servers = append(d.servers, one.server)
+		d.wg.Add(1)
+		go d.runServer(one.server, ln)
+	}
+	return nil
+}
+
+func (d *Daemon) runServer(s *http.Server, ln net.Listener) {
+	defer d.wg.Done()
+	err := s.Serve(ln)
+	if err != nil && err != http.ErrServerClosed && !d.leaving.Load() {
+		d.log.Error("listener failed", zap.Error(err))
+	}
+}
+
+// Ready says whether the daemon can serve callers.
+func (d *Daemon) Ready() bool {
+	return d.catalog.Config() != nil && !d.leaving.Load()
+}
+
+// Start begins to serve.
+func (d *Daemon) Start() {
+	d.peers.Start()
+	d.watcher.Start()
+	d.lease.Start()
+	d.holder.Start()
+	d.placer.Start()
+	d.wg.Add(1)
+	go d.runReady()
+	d.log.Info("started", zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
+}
+
+// runReady tells the others when callers may be sent here.
+func (d *Daemon) runReady() {
+	defer d.wg.Done()
+	for !d.Ready() && !d.leaving.Load() {
+		d.clock.Sleep(drainCheck)
+	}
+	d.peers.SetReady(true)
+}
+
+// Stop leaves without cutting a request. Others and callers learn of it first;
+// new connections are taken until callers have asked the directory again;
+// requests in progress end in their own time, within the grace time.
+func (d *Daemon) Stop(ctx context.Context) {
+	began := d.clock.Now()
+	d.log.Info("leaving", zap.Int("running", d.dispatcher.Running()))
+	d.leaving.Store(true)
+	d.front.Leave()
+	d.holder.Stop()
+	give, cancel := context.WithTimeout(ctx, giveBack)
+	d.lease.Stop(give)
+	cancel()
+	d.peers.Leave()
+	d.sleep(ctx, listenerLife)
+	_ = d.listeners[0].Close() // a second close by the server is of no matter
+	end := began.Add(time.Duration(d.set.Fleet.Grace) - exitMargin)
+	for ctx.Err() == nil && d.dispatcher.Running() > 0 && d.clock.Now().Before(end) {
+		d.sleep(ctx, drainCheck)
+	}
+	d.log.Info("stopped", zap.Int("running", d.dispatcher.Running()), zap.Duration("took", d.clock.Since(began)))
+	d.placer.Stop()
+	d.watcher.Stop()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.peers.Stop()
+	d.wg.Wait()
+}
+
+func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(t):
+	}
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -30,6 +30,27 @@
 	Trace    Trace    `json:"trace"`
 	Held     Held     `json:"held"`
 	Limits   Limits   `json:"limits"`
+	Fleet    *Fleet   `json:"fleet"` // set where callers are served through the platform
+}
+
+// Fleet is what a daemon needs where callers ask the system for addresses and
+// runners register themselves in the platform's store.
+type Fleet struct {
+	Ready     string        `json:"ready"`     // IP:port of the readiness check
+	Directory string        `json:"directory"` // IP:port that tells callers which addresses to use
+	Keep      core.Duration `json:"keep"`      // how long callers may keep addresses
+	Grace     core.Duration `json:"grace"`     // from the signal to stop until the process is killed
+	Lease     core.Duration `json:"lease"`     // least time between the orders of two holders
+	Ratio     float64       `json:"ratio"`     // of requests that may be sent once more, over all daemons
+	Slack     float64       `json:"slack"`     // requests that may be sent once more beyond that, over all daemons
+	Window    core.Duration `json:"window"`    // in which both are counted
+	Ceiling   float64       `json:"ceiling"`   // model loads over the allowed rate
+}
+
+// FleetAddrs are the checked addresses of a Fleet.
+type FleetAddrs struct {
+	Ready     netip.AddrPort
+	Directory netip.AddrPort
 }
 
 // Log is the logging part.
@@ -66,6 +87,7 @@
 	PlatformAddr netip.AddrPort
 	SeedAddrs    []netip.AddrPort
 	Level        zapcore.Level
+	FleetAddrs   FleetAddrs
 }
 
 func defaults() File {
@@ -102,7 +124,8 @@
 	for i, seed := range s.Seeds {
 		s.SeedAddrs = append(s.SeedAddrs, c.addr(fmt.Sprintf("seeds[%d]", i), seed))
 	}
-	if s.Token == "" && s.AdminAddr.IsValid() && !s.AdminAddr.Addr().IsLoopback() {
+	c.fleet(s)
+	if s.Fleet == nil && s.Token == "" && s.AdminAddr.IsValid() && !s.AdminAddr.Addr().IsLoopback() {
 		c.add("token", "must be set, or admin must be a loopback address")
 	}
 	c.level(s)
@@ -133,6 +156,26 @@
 	return a
 }
 
+func (c *checker) fleet(s *Setting) {
+	f := s.Fleet
+	if f == nil {
+		return
+	}
+	s.FleetAddrs.Ready = c.addr("fleet.ready", f.Ready)
+	s.FleetAddrs.Directory = c.addr("fleet.directory", f.Directory)
+	for _, one := range []struct {
+		path  string
+		value core.Duration
+	}{{"keep", f.Keep}, {"grace", f.Grace}, {"lease", f.Lease}, {"window", f.Window}} {
+		if one.value <= 0 {
+			c.add("fleet."+one.path, "must be above zero")
+		}
+	}
+	if f.Ratio < 0 || f.Slack < 0 {
+		c.add("fleet.ratio", "ratio and slack must not be below zero")
+	}
+}
+
 func (c *checker) level(s *Setting) {
 	level, err := zapcore.ParseLevel(s.Log.Level)
 	if err != nil {
--- /dev/null
+++ b/state/catalog/catalog.go
@@ -0,0 +1,166 @@
+// Package catalog is what a daemon knows of the configuration and the runners.
+package catalog
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"primroseward/core"
+)
+
+// Entry is a runner as the catalog knows it.
+type Entry struct {
+	core.Runner
+	Seen time.Time // when the description was taken in
+	// GoneAt is when a lapsed entry counts as gone; zero while it stands.
+	GoneAt time.Time
+}
+
+// Usable says whether new work may go to the runner.
+func (e *Entry) Usable() bool { return !e.Draining }
+
+// Catalog holds the newest configuration and all runners. Readers take
+// snapshots that are never changed.
+type Catalog struct {
+	config atomic.Pointer[core.Config]
+	view   atomic.Pointer[view]
+
+	mu      sync.Mutex
+	entries map[string]*Entry
+	gone    func(core.Runner)
+}
+
+type view struct {
+	byID      map[string]*Entry
+	byService map[string][]*Entry
+}
+
+// Option changes a Catalog.
+type Option func(*Catalog)
+
+// WithGone calls fn for each runner that is gone.
+func WithGone(fn func(core.Runner)) Option { return func(c *Catalog) { c.gone = fn } }
+
+// New returns an empty catalog.
+func New(opts ...Option) *Catalog {
+	c := &Catalog{entries: map[string]*Entry{}, gone: func(core.Runner) {}}
+	for _, o := range opts {
+		o(c)
+	}
+	c.view.Store(&view{})
+	return c
+}
+
+// Config returns the newest configuration, nil before the first is known.
+func (c *Catalog) Config() *core.Config { return c.config.Load() }
+
+// SetConfig takes in a configuration unless it is older than the one held. A
+// late answer of the store must not bring an old version back.
+func (c *Catalog) SetConfig(next *core.Config) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held := c.config.Load(); held != nil && held.Version >= next.Version {
+		return false
+	}
+	c.config.Store(next)
+	return true
+}
+
+// Runner returns a runner by its lifetime's id, nil if it is not known.
+func (c *Catalog) Runner(id string) *Entry { return c.view.Load().byID[id] }
+
+// Runners returns all runners of a service, those that leave included.
+func (c *Catalog) Runners(service string) []*Entry { return c.view.Load().byService[service] }
+
+// All returns all runners by id.
+func (c *Catalog) All() map[string]*Entry { return c.view.Load().byID }
+
+// Put takes in a runner's description.
+func (c *Catalog) Put(r core.Runner, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[r.ID] = &Entry{Runner: r, Seen: now}
+	c.publish()
+}
+
+// Lapse marks a runner whose entry is missing. It counts as gone at goneAt,
+// unless its entry comes back before.
+func (c *Catalog) Lapse(id string, goneAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[id]
+	if !ok || !e.GoneAt.IsZero() {
+		return
+	}
+	lapsed := *e
+	lapsed.GoneAt = goneAt
+	c.entries[id] = &lapsed
+	c.publish()
+}
+
+// Sweep removes the runners that count as gone by now and returns how many.
+func (c *Catalog) Sweep(now time.Time) int {
+	c.mu.Lock()
+	var gone []core.Runner
+	for id, e := range c.entries {
+		if !e.GoneAt.IsZero() && !now.Before(e.GoneAt) {
+			gone = append(gone, e.Runner)
+			delete(c.entries, id)
+		}
+	}
+	if len(gone) > 0 {
+		c.publish()
+	}
+	c.mu.Unlock()
+	for _, r := range gone {
+		c.gone(r)
+	}
+	return len(gone)
+}
+
+// Learn adds what answers of a runner have shown about its adapters since its
+// description: adapters come and go without a new one.
+func (c *Catalog) Learn(id, model, adapter string, held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[id]
+	if !ok || e.HoldsAdapter(model, adapter) == held {
+		return
+	}
+	next := *e
+	next.Holdings = withAdapter(e.Holdings, model, adapter, held)
+	c.entries[id] = &next
+	c.publish()
+}
+
+func withAdapter(holdings []core.Holding, model, adapter string, held bool) []core.Holding {
+	out := make([]core.Holding, len(holdings))
+	copy(out, holdings)
+	for i := range out {
+		if out[i].Model != model {
+			continue
+		}
+		var names []string
+		for _, a := range out[i].Adapters {
+			if a != adapter {
+				names = append(names, a)
+			}
+		}
+		if held {
+			names = append(names, adapter)
+		}
+		out[i].Adapters = names
+	}
+	return out
+}
+
+// publish makes a new snapshot; the caller holds the lock.
+func (c *Catalog) publish() {
+	v := &view{byID: make(map[string]*Entry, len(c.entries)), byService: map[string][]*Entry{}}
+	for id, e := range c.entries {
+		v.byID[id] = e
+		v.byService[e.Service] = append(v.byService[e.Service], e)
+	}
+	c.view.Store(v)
+}
--- /dev/null
+++ b/transport/front/front.go
@@ -0,0 +1,186 @@
+// Package front answers callers over HTTP/1.1, and tells them which addresses
+// to use.
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+const (
+	// headerTimeout and idleTimeout bound connections before a configuration
+	// is known, and are the least that is allowed afterwards: a caller that
+	// stays within the configuration's limits is never cut by ours.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// headerBytes is what a request's headers may take before a configuration
+	// says less.
+	headerBytes = 64 << 10
+	copyBuffer  = 16 << 10
+	// noConfigRetry is when a caller may come back to a daemon that knows no
+	// configuration yet; it reads one within milliseconds of reaching the
+	// store.
+	noConfigRetry = 300 * time.Millisecond
+)
+
+// Dispatcher serves requests.
+type Dispatcher interface {
+	Do(ctx context.Context, route *core.Route, q *core.Request) (*core.Reply, error)
+}
+
+// Front serves callers.
+type Front struct {
+	catalog *catalog.Catalog
+	dialect core.Dialect
+	to      Dispatcher
+	clock   core.Clock
+	log     *zap.Logger
+	leaving atomic.Bool
+}
+
+// New makes a Front.
+func New(c *catalog.Catalog, dialect core.Dialect, to Dispatcher, clock core.Clock, log *zap.Logger) *Front {
+	return &Front{catalog: c, dialect: dialect, to: to, clock: clock, log: log}
+}
+
+// Leave makes every answer ask its caller to close the connection.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// Server returns the HTTP server for callers.
+func (f *Front) Server() *http.Server {
+	return &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+}
+
+// ServeHTTP answers one request.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.clock.Now()
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	config := f.catalog.Config()
+	if config == nil {
+		refuse(w, core.NotRun(http.StatusServiceUnavailable, "no_config", "no configuration is known yet", noConfigRetry))
+		return
+	}
+	route := config.Route(hostOf(r.Host), r.URL.Path)
+	if route == nil {
+		f.log.Info("no route", zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Uint64("config", config.Version))
+		refuse(w, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0))
+		return
+	}
+	q, err := f.dialect.ReadRequest(r)
+	if err != nil {
+		refuse(w, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0))
+		return
+	}
+	q.Arrived = arrived
+	if q.Body, err = f.readBody(w, r, config.Limits.BodyBytes); err != nil {
+		refuse(w, core.AsRequestError(err))
+		return
+	}
+	reply, err := f.to.Do(r.Context(), route, q)
+	if err != nil {
+		refuse(w, core.AsRequestError(err))
+		return
+	}
+	defer reply.Body.Close()
+	f.pass(w, reply)
+}
+
+// hostOf is a Host header without its port.
+func hostOf(v string) string {
+	if host, _, err := net.SplitHostPort(v); err == nil {
+		return host
+	}
+	return v
+}
+
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	data, err := io.ReadAll(r.Body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, core.NotRun(http.StatusRequestEntityTooLarge, "too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
+	case err != nil:
+		return nil, core.NotRun(http.StatusBadRequest, "bad_body", err.Error(), 0)
+	}
+	return data, nil
+}
+
+// hopHeaders of an answer concern the runner's connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Upgrade", "Trailer", "Te"}
+
+// pass passes an answer on as it comes. A body that ends early ends the
+// caller's connection without the mark of a complete answer.
+func (f *Front) pass(w http.ResponseWriter, reply *core.Reply) {
+	header := w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	if f.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+	if whole, ok := reply.Body.(interface{ Size() int64 }); ok {
+		header.Set("Content-Length", strconv.FormatInt(whole.Size(), 10))
+	}
+	w.WriteHeader(reply.Status)
+	flush := http.NewResponseController(w)
+	var buf [copyBuffer]byte
+	for {
+		n, err := reply.Body.Read(buf[:])
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if err := flush.Flush(); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// refuse writes an error of the system's own.
+func refuse(w http.ResponseWriter, e *core.RequestError) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if e.Retry > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(e.Retry.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(e.Status)
+	body := struct {
+		Code    string `json:"code"`
+		Text    string `json:"text"`
+		Outcome string `json:"outcome"`
+	}{e.Code, e.Message, string(e.Outcome)}
+	_ = json.NewEncoder(w).Encode(body) // a caller that has gone reads nothing
+}
