--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -48,6 +48,7 @@
 	Leaving bool           `json:"leaving"`
 	Term    uint64         `json:"term,omitempty"`  // of the lease of orders, while it is held
 	Fresh   bool           `json:"fresh,omitempty"` // the lease was renewed lately
+	Config  uint64         `json:"config"`          // version of the configuration in force
 }
 
 // datagram is what daemons send each other. One of Beat, Ask and Answer is
@@ -76,7 +77,7 @@
 	clock core.Clock
 	log   *zap.Logger
 	loads func() map[string]int
-	heard func(daemon string, counts map[string]int)
+	heard func(from Peer, counts map[string]int)
 	claim func() (term uint64, fresh bool)
 
 	mu       sync.Mutex
@@ -92,7 +93,7 @@
 
 // New makes a Peers that tells loads to others and reports theirs to heard.
 // The daemons' objects have the given kind.
-func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(string, map[string]int)) *Peers {
+func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(Peer, map[string]int)) *Peers {
 	return &Peers{
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
 		claim: func() (uint64, bool) { return 0, false }, known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
@@ -144,11 +145,13 @@
 	p.wg.Wait()
 }
 
-// SetReady tells the others whether callers may be sent here.
-func (p *Peers) SetReady(ready bool) {
+// SetConfig tells the others the configuration in force, with which callers
+// may be sent here.
+func (p *Peers) SetConfig(version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.self.Ready = ready
+	p.self.Ready = true
+	p.self.Config = version
 }
 
 // Leave tells the others at once that this daemon stops.
@@ -270,7 +273,7 @@
 		return
 	}
 	if d.Loads != nil {
-		p.heard(d.From.Name, d.Loads)
+		p.heard(d.From, d.Loads)
 	}
 	switch {
 	case d.Kind != "":
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -53,13 +53,15 @@
 	clock   core.Clock
 	log     *zap.Logger
 	lost    atomic.Int64 // when the store last failed, in Unix nanoseconds
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc // of the watches, by kind
 	wg      sync.WaitGroup
 	stop    context.CancelFunc
 }
 
 // New makes a Watcher.
 func New(store core.Platform, reader Reader, c *catalog.Catalog, clock core.Clock, log *zap.Logger) *Watcher {
-	return &Watcher{store: store, reader: reader, catalog: c, clock: clock, log: log}
+	return &Watcher{store: store, reader: reader, catalog: c, clock: clock, log: log, cancels: map[string]context.CancelFunc{}}
 }
 
 // Start begins to watch.
@@ -78,6 +80,42 @@
 	w.wg.Wait()
 }
 
+// Hint takes in that another daemon has a configuration of a version. If this
+// daemon's is older, its watches may have missed what the others' have seen.
+func (w *Watcher) Hint(version uint64) {
+	held := w.catalog.Config()
+	if held == nil || held.Version >= version {
+		return
+	}
+	w.log.Info("another daemon has a newer config, listing again", zap.Uint64("version", version), zap.Uint64("held", held.Version))
+	w.relist("")
+}
+
+// relist ends the watches of all kinds but one, so that they list again.
+func (w *Watcher) relist(but string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for kind, cancel := range w.cancels {
+		if kind != but {
+			cancel()
+		}
+	}
+}
+
+// watch runs one watch, which relist ends with ErrGone.
+func (w *Watcher) watch(ctx context.Context, kind string, version uint64, fn func(core.Event)) error {
+	sub, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.mu.Lock()
+	w.cancels[kind] = cancel
+	w.mu.Unlock()
+	err := w.store.Watch(sub, kind, version, fn)
+	if sub.Err() != nil && ctx.Err() == nil {
+		return core.ErrGone
+	}
+	return err
+}
+
 // run lists a kind, then watches it from there; it lists again only when the
 // store no longer has the history in between.
 func (w *Watcher) run(ctx context.Context, kind string, all func([]core.Object), one func(core.Event)) {
@@ -97,7 +135,7 @@
 			}
 		}
 		if err == nil {
-			err = w.store.Watch(ctx, kind, version, func(e core.Event) {
+			err = w.watch(ctx, kind, version, func(e core.Event) {
 				w.regained(kind, pause)
 				pause = 0
 				version = max(version, e.Object.Version)
@@ -114,6 +152,10 @@
 			return
 		}
 		if errors.Is(err, core.ErrGone) {
+			// What one watch has missed the others may have missed as well.
+			if listed {
+				w.relist(kind)
+			}
 			w.log.Info("store history is gone, listing again", zap.String("kind", kind), zap.Uint64("version", version))
 			listed = false
 			continue
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -99,7 +99,7 @@
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
-	d.catalog = catalog.New(catalog.WithGone(d.gone))
+	d.catalog = catalog.New(catalog.WithGone(d.gone), catalog.WithConfig(func(c *core.Config) { d.peers.SetConfig(c.Version) }))
 	d.watcher = watch.New(store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
@@ -108,7 +108,7 @@
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()),
 	}
-	d.peers = peers.New(self, kindDaemons, store, udp, d.clock, d.log, d.loads.Own, d.loads.Heard)
+	d.peers = peers.New(self, kindDaemons, store, udp, d.clock, d.log, d.loads.Own, d.heard)
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.Window), set.Fleet.Ratio*budgetShare/100, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log)
@@ -187,18 +187,13 @@
 	d.lease.Start()
 	d.holder.Start()
 	d.placer.Start()
-	d.wg.Add(1)
-	go d.runReady()
 	d.log.Info("started", zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
-// runReady tells the others when callers may be sent here.
-func (d *Daemon) runReady() {
-	defer d.wg.Done()
-	for !d.Ready() && !d.leaving.Load() {
-		d.clock.Sleep(drainCheck)
-	}
-	d.peers.SetReady(true)
+// heard takes in what another daemon tells of itself.
+func (d *Daemon) heard(from peers.Peer, counts map[string]int) {
+	d.loads.Heard(from.Name, counts)
+	d.watcher.Hint(from.Config)
 }
 
 // Stop leaves without cutting a request. Others and callers learn of it first;
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	entries map[string]*Entry
 	gone    func(core.Runner)
+	fresh   func(*core.Config)
 }
 
 type view struct {
@@ -42,9 +43,12 @@
 // WithGone calls fn for each runner that is gone.
 func WithGone(fn func(core.Runner)) Option { return func(c *Catalog) { c.gone = fn } }
 
+// WithConfig calls fn for each configuration that comes in force.
+func WithConfig(fn func(*core.Config)) Option { return func(c *Catalog) { c.fresh = fn } }
+
 // New returns an empty catalog.
 func New(opts ...Option) *Catalog {
-	c := &Catalog{entries: map[string]*Entry{}, gone: func(core.Runner) {}}
+	c := &Catalog{entries: map[string]*Entry{}, gone: func(core.Runner) {}, fresh: func(*core.Config) {}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -64,6 +68,7 @@
 		return false
 	}
 	c.config.Store(next)
+	c.fresh(next)
 	return true
 }
 
