--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -46,9 +46,10 @@
 	Boot    uint64         `json:"boot"`   // later ones are larger
 	Ready   bool           `json:"ready"`
 	Leaving bool           `json:"leaving"`
-	Term    uint64         `json:"term,omitempty"`  // of the lease of orders, while it is held
-	Fresh   bool           `json:"fresh,omitempty"` // the lease was renewed lately
-	Config  uint64         `json:"config"`          // version of the configuration in force
+	Term    uint64         `json:"term,omitempty"`    // of the lease of orders, while it is held
+	Fresh   bool           `json:"fresh,omitempty"`   // the lease was renewed lately
+	Config  uint64         `json:"config"`            // version of the configuration in force
+	Failing bool           `json:"failing,omitempty"` // does not reach the store
 }
 
 // datagram is what daemons send each other. One of Beat, Ask and Answer is
@@ -79,6 +80,7 @@
 	loads func() map[string]int
 	heard func(from Peer, counts map[string]int)
 	claim func() (term uint64, fresh bool)
+	fails func() bool
 
 	mu       sync.Mutex
 	self     Peer
@@ -96,7 +98,7 @@
 func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(Peer, map[string]int)) *Peers {
 	return &Peers{
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
-		claim: func() (uint64, bool) { return 0, false }, known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
+		claim: func() (uint64, bool) { return 0, false }, fails: func() bool { return false }, known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
 	}
 }
 
@@ -107,6 +109,10 @@
 // Start.
 func (p *Peers) SetClaim(fn func() (term uint64, fresh bool)) { p.claim = fn }
 
+// SetFailing sets what tells whether the store fails for this daemon, before
+// Start.
+func (p *Peers) SetFailing(fn func() bool) { p.fails = fn }
+
 // Holder returns the daemon that claims the lease of orders.
 func (p *Peers) Holder() (Peer, bool) {
 	var best Peer
@@ -217,7 +223,9 @@
 func (p *Peers) tell(near, far bool) {
 	loads := p.loads()
 	term, fresh := p.claim()
+	failing := p.fails()
 	p.mu.Lock()
+	p.self.Failing = failing
 	p.self.Term, p.self.Fresh = term, fresh
 	data, err := json.Marshal(datagram{From: p.self, Loads: loads})
 	now := p.clock.Now()
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -19,9 +19,9 @@
 	// firstPause and lastPause bound the wait between two tries while the
 	// store fails. The configuration must be in force two seconds after its
 	// confirmation, so the last try before the store's return must not lie
-	// much further back than one second.
+	// much further back than half a second.
 	firstPause = 100 * time.Millisecond
-	lastPause  = time.Second
+	lastPause  = 500 * time.Millisecond
 	// lapseGrace is how long after the store's return a missing entry of a
 	// runner still counts: live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
@@ -45,23 +45,47 @@
 	Runner     func(id string, body []byte) (*core.Runner, error)
 }
 
+// Copy is all objects of a kind as the store had them at a version.
+type Copy struct {
+	Version uint64        `json:"version"`
+	Objects []core.Object `json:"objects"`
+}
+
+// Neighbour gets another daemon's copy of a kind. It fails with ErrUnavailable
+// when no daemon that reaches the store is known.
+type Neighbour func(ctx context.Context, kind string) (Copy, error)
+
 // Watcher watches the configuration and the runners.
 type Watcher struct {
-	store   core.Platform
-	reader  Reader
-	catalog *catalog.Catalog
-	clock   core.Clock
-	log     *zap.Logger
-	lost    atomic.Int64 // when the store last failed, in Unix nanoseconds
-	mu      sync.Mutex
-	cancels map[string]context.CancelFunc // of the watches, by kind
-	wg      sync.WaitGroup
-	stop    context.CancelFunc
+	store     core.Platform
+	reader    Reader
+	neighbour Neighbour
+	catalog   *catalog.Catalog
+	clock     core.Clock
+	log       *zap.Logger
+	lost      atomic.Int64 // when the store last failed, in Unix nanoseconds
+	mu        sync.Mutex
+	kinds     map[string]*kindState
+	wg        sync.WaitGroup
+	stop      context.CancelFunc
+}
+
+// kindState is this daemon's copy of a kind.
+type kindState struct {
+	version uint64 // all changes up to this one are known
+	objects map[string]core.Object
+	failing bool
+	cancel  context.CancelFunc // of the watch
+	hinted  uint64             // last version that another daemon told of
 }
 
 // New makes a Watcher.
-func New(store core.Platform, reader Reader, c *catalog.Catalog, clock core.Clock, log *zap.Logger) *Watcher {
-	return &Watcher{store: store, reader: reader, catalog: c, clock: clock, log: log, cancels: map[string]context.CancelFunc{}}
+func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger) *Watcher {
+	w := &Watcher{store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{}}
+	for _, kind := range []string{reader.ConfigKind, reader.RunnerKind} {
+		w.kinds[kind] = &kindState{objects: map[string]core.Object{}, cancel: func() {}}
+	}
+	return w
 }
 
 // Start begins to watch.
@@ -69,8 +93,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	w.wg.Add(3)
-	go w.run(ctx, w.reader.ConfigKind, w.takeConfigs, w.takeConfig)
-	go w.run(ctx, w.reader.RunnerKind, w.takeRunners, w.takeRunner)
+	go w.run(ctx, w.reader.ConfigKind)
+	go w.run(ctx, w.reader.RunnerKind)
 	go w.runSweep(ctx)
 }
 
@@ -87,7 +111,15 @@
 	if held == nil || held.Version >= version {
 		return
 	}
-	w.log.Info("another daemon has a newer config, listing again", zap.Uint64("version", version), zap.Uint64("held", held.Version))
+	k := w.kinds[w.reader.ConfigKind]
+	w.mu.Lock()
+	known := k.hinted >= version
+	k.hinted = max(k.hinted, version)
+	w.mu.Unlock()
+	if known {
+		return
+	}
+	w.log.Info("another daemon has a newer config", zap.Uint64("version", version), zap.Uint64("held", held.Version))
 	w.relist("")
 }
 
@@ -95,58 +127,140 @@
 func (w *Watcher) relist(but string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for kind, cancel := range w.cancels {
+	for kind, k := range w.kinds {
 		if kind != but {
-			cancel()
+			k.cancel()
+		}
+	}
+}
+
+// Copy returns this daemon's copy of a kind for another one. It fails with
+// ErrUnavailable while the store fails here, too.
+func (w *Watcher) Copy(kind string) (Copy, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k, ok := w.kinds[kind]
+	if !ok {
+		return Copy{}, core.ErrNotFound
+	}
+	if k.failing || k.version == 0 {
+		return Copy{}, core.ErrUnavailable
+	}
+	c := Copy{Version: k.version, Objects: make([]core.Object, 0, len(k.objects))}
+	for _, o := range k.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c, nil
+}
+
+// Failing says whether the store fails for this daemon.
+func (w *Watcher) Failing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.kinds {
+		if k.failing {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt replaces the copy of a kind by a newer one, and says whether it did.
+func (w *Watcher) adopt(kind string, c Copy) bool {
+	w.mu.Lock()
+	k := w.kinds[kind]
+	if c.Version < k.version {
+		w.mu.Unlock()
+		return false
+	}
+	k.version = c.Version
+	k.objects = make(map[string]core.Object, len(c.Objects))
+	for _, o := range c.Objects {
+		k.objects[o.Name] = o
+	}
+	w.mu.Unlock()
+	if kind == w.reader.ConfigKind {
+		w.takeConfigs(c.Objects)
+	} else {
+		w.takeRunners(c.Objects)
+	}
+	return true
+}
+
+// change takes in one event of a watch.
+func (w *Watcher) change(kind string, e core.Event) {
+	w.mu.Lock()
+	k := w.kinds[kind]
+	k.version = max(k.version, e.Object.Version)
+	if e.Object.Name != "" {
+		k.objects[e.Object.Name] = e.Object
+		if e.Deleted {
+			delete(k.objects, e.Object.Name)
 		}
 	}
+	w.mu.Unlock()
+	switch {
+	case e.Object.Name == "":
+	case kind == w.reader.ConfigKind:
+		w.takeConfig(e)
+	default:
+		w.takeRunner(e)
+	}
 }
 
 // watch runs one watch, which relist ends with ErrGone.
-func (w *Watcher) watch(ctx context.Context, kind string, version uint64, fn func(core.Event)) error {
+func (w *Watcher) watch(ctx context.Context, kind string) error {
 	sub, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.mu.Lock()
-	w.cancels[kind] = cancel
+	k := w.kinds[kind]
+	k.cancel = cancel
+	version := k.version
 	w.mu.Unlock()
-	err := w.store.Watch(sub, kind, version, fn)
+	changed := false
+	err := w.store.Watch(sub, kind, version, func(e core.Event) {
+		w.works(kind)
+		w.change(kind, e)
+		if e.Object.Name != "" {
+			changed = true
+		} else if changed && kind == w.reader.RunnerKind {
+			changed = false
+			w.sleep(sub, settle)
+		}
+	})
 	if sub.Err() != nil && ctx.Err() == nil {
 		return core.ErrGone
 	}
 	return err
 }
 
+// list reads all objects of a kind.
+func (w *Watcher) list(ctx context.Context, kind string) error {
+	objects, version, err := w.store.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	w.works(kind)
+	w.adopt(kind, Copy{Version: version, Objects: objects})
+	return nil
+}
+
 // run lists a kind, then watches it from there; it lists again only when the
-// store no longer has the history in between.
-func (w *Watcher) run(ctx context.Context, kind string, all func([]core.Object), one func(core.Event)) {
+// store no longer has the history in between. While the store fails it takes
+// the copy of another daemon that reaches it: the store may turn away some
+// machines and serve the others.
+func (w *Watcher) run(ctx context.Context, kind string) {
 	defer w.wg.Done()
-	var version uint64
-	listed, changed := false, false
-	pause := time.Duration(0)
+	listed := false
+	pause := firstPause
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
-			var objects []core.Object
-			if objects, version, err = w.store.List(ctx, kind); err == nil {
-				w.regained(kind, pause)
-				all(objects)
-				listed = true
-				pause = 0
-			}
+			err = w.list(ctx, kind)
+			listed = err == nil
 		}
 		if err == nil {
-			err = w.watch(ctx, kind, version, func(e core.Event) {
-				w.regained(kind, pause)
-				pause = 0
-				version = max(version, e.Object.Version)
-				if e.Object.Name != "" {
-					one(e)
-					changed = true
-				} else if changed && kind == w.reader.RunnerKind {
-					changed = false
-					w.sleep(ctx, settle)
-				}
-			})
+			err = w.watch(ctx, kind)
 		}
 		if ctx.Err() != nil {
 			return
@@ -156,26 +270,55 @@
 			if listed {
 				w.relist(kind)
 			}
-			w.log.Info("store history is gone, listing again", zap.String("kind", kind), zap.Uint64("version", version))
+			w.log.Info("watch begins anew", zap.String("kind", kind))
 			listed = false
 			continue
 		}
-		w.lost.Store(w.clock.Now().UnixNano())
-		if pause == 0 {
-			w.log.Warn("store lost", zap.String("kind", kind), zap.Uint64("version", version), zap.Error(err))
+		if w.fails(kind, err) {
 			pause = firstPause
-		} else {
-			pause = min(2*pause, lastPause)
+		}
+		if w.ask(ctx, kind) {
+			listed = true
 		}
 		w.sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, lastPause)
 	}
 }
 
-// regained logs the end of an outage.
-func (w *Watcher) regained(kind string, pause time.Duration) {
-	if pause > 0 {
-		w.log.Info("store regained", zap.String("kind", kind))
+// ask takes in the copy of another daemon.
+func (w *Watcher) ask(ctx context.Context, kind string) bool {
+	c, err := w.neighbour(ctx, kind)
+	if err != nil {
+		w.log.Debug("no copy of another daemon", zap.String("kind", kind), zap.Error(err))
+		return false
+	}
+	return w.adopt(kind, c)
+}
+
+// fails notes a failure of the store, and says whether it is the first.
+func (w *Watcher) fails(kind string, err error) bool {
+	w.lost.Store(w.clock.Now().UnixNano())
+	w.mu.Lock()
+	k := w.kinds[kind]
+	first := !k.failing
+	k.failing = true
+	w.mu.Unlock()
+	if first {
+		w.log.Warn("store lost", zap.String("kind", kind), zap.Error(err))
+	}
+	return first
+}
+
+// works notes that the store answers.
+func (w *Watcher) works(kind string) {
+	w.mu.Lock()
+	k := w.kinds[kind]
+	back := k.failing
+	k.failing = false
+	w.mu.Unlock()
+	if back {
 		w.lost.Store(w.clock.Now().UnixNano())
+		w.log.Info("store regained", zap.String("kind", kind))
 	}
 }
 
--- /dev/null
+++ b/services/fleet/copy.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/coordination/peers"
+	"primroseward/coordination/watch"
+	"primroseward/core"
+)
+
+const (
+	// pathCopy is where a daemon hands out its copy of a kind of the store's
+	// objects.
+	pathCopy = "/copies/"
+	// copyLimit is for a copy of a megabyte over a busy link.
+	copyLimit = 600 * time.Millisecond
+	maxCopy   = 64 << 20
+)
+
+// copyHandler answers daemons that do not reach the store.
+func (d *Daemon) copyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathCopy+"{kind}", func(w http.ResponseWriter, r *http.Request) {
+		c, err := d.watcher.Copy(r.PathValue("kind"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(c); err != nil {
+			d.log.Info("copy not sent", zap.Error(err))
+		}
+	})
+	return mux
+}
+
+// neighbour gets the copy of a daemon that reaches the store, one of the own
+// place if there is one; it implements watch.Neighbour.
+func (d *Daemon) neighbour(ctx context.Context, kind string) (watch.Copy, error) {
+	var best peers.Peer
+	found := 0
+	for _, p := range d.peers.Alive()[1:] {
+		if p.Failing || !p.Ready {
+			continue
+		}
+		near, bestNear := p.Place == d.set.Place, best.Place == d.set.Place
+		if found > 0 && near == bestNear {
+			found++
+			if rand.IntN(found) > 0 {
+				continue
+			}
+		} else if found > 0 && !near {
+			continue
+		} else {
+			found = 1
+		}
+		best = p
+	}
+	if found == 0 {
+		return watch.Copy{}, eris.Wrap(core.ErrUnavailable, "no daemon reaches the store")
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: best.Peer.String(), Path: pathCopy + kind}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return watch.Copy{}, eris.Wrap(err, "copy")
+	}
+	resp, err := d.calls.Do(req)
+	if err != nil {
+		return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "copy of %s: %v", best.Name, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "copy of %s: status %d", best.Name, resp.StatusCode)
+	}
+	var c watch.Copy
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxCopy)).Decode(&c); err != nil {
+		return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "copy of %s: %v", best.Name, err)
+	}
+	d.log.Info("copy taken", zap.String("daemon", best.Name), zap.String("kind", kind), zap.Uint64("version", c.Version))
+	return c, nil
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -72,6 +72,7 @@
 	front      *front.Front
 	leaving    atomic.Bool
 
+	calls     *http.Client // to other daemons
 	listeners []net.Listener
 	servers   []*http.Server
 	wg        sync.WaitGroup
@@ -82,6 +83,8 @@
 	d := &Daemon{
 		set: set, clock: clockwork.NewRealClock(), log: log.With(zap.String("daemon", set.Name)),
 		scope: scope, metrics: metrics,
+		// Copies are rare: a connection kept for them would only go silent.
+		calls: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(set.PeerAddr))
 	if err != nil {
@@ -103,7 +106,7 @@
 	d.watcher = watch.New(store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
-	}, d.catalog, d.clock, d.log)
+	}, d.neighbour, d.catalog, d.clock, d.log)
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()),
@@ -113,6 +116,7 @@
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log)
 	d.peers.SetClaim(d.lease.Claim)
+	d.peers.SetFailing(d.watcher.Failing)
 	d.peers.Handle(kindYield, d.handleYield)
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) })
@@ -153,6 +157,7 @@
 		{"caller", d.set.CallerAddr, d.front.Server()},
 		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}},
 		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: time.Second}},
+		{"peer", d.set.PeerAddr, &http.Server{Handler: d.copyHandler(), ReadHeaderTimeout: time.Second}},
 		{"admin", d.set.AdminAddr, &http.Server{Handler: admin, ReadHeaderTimeout: time.Second}},
 	} {
 		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(one.addr))
