Placement: one unload for each wanted copy, news of what comes and goes, prior demand from copies

Now an unload promises its room to one model, daemons are told 30 ms before, and the demand before any is seen is read from how many copies a model has.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -31,6 +31,9 @@
 	if i < 0 {
 		return nil, j.refuse("full", "all runners that may serve the request are full", nil)
 	}
+	c := &candidates[i]
+	j.log.Info("runner chosen", zap.String("runner", c.ID), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
+		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace))
 	return &holders[i].Runner, nil
 }
 
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -14,6 +14,14 @@
 // takes between half a second and a few to load.
 const retryModel = time.Second
 
+const (
+	// waitForPlace is how long a request waits for a place for its adapter: a
+	// fraction of the shortest target, so that a refusal still leaves time to
+	// come back.
+	waitForPlace = 150 * time.Millisecond
+	advanceEvery = 10 * time.Millisecond
+)
+
 // spareAdapters is how many places for adapters of a runner stay free for those
 // that are asked for and absent.
 const spareAdapters = 1
@@ -36,10 +44,21 @@
 		answer(Placed{Runner: one.runner.ID})
 		return
 	}
-	h.waiting[w] = append(h.waiting[w], answer)
+	list, ok := h.waiting[w]
+	if !ok {
+		list = &waiters{since: h.clock.Now()}
+		h.waiting[w] = list
+	}
+	list.answers = append(list.answers, answer)
 	h.advance(w)
 }
 
+// waiters are the requests that wait for an adapter.
+type waiters struct {
+	since   time.Time
+	answers []func(Placed)
+}
+
 // placeModel answers for a model. Its demand is known already; the next plan
 // sees to it.
 func (h *Holder) placeModel(w dispatch.Want) Placed {
@@ -73,8 +92,8 @@
 
 // advance does the next step for an adapter that requests wait for.
 func (h *Holder) advance(w dispatch.Want) {
-	if len(h.waiting[w]) == 0 {
-		delete(h.waiting, w)
+	list, ok := h.waiting[w]
+	if !ok {
 		return
 	}
 	if one := h.withAdapter(w, present); one != nil {
@@ -86,6 +105,8 @@
 	}
 	one, victim := h.adapterHost(w)
 	switch {
+	case one == nil && h.clock.Since(list.since) < waitForPlace:
+		h.after(advanceEvery, func() { h.advance(w) })
 	case one == nil:
 		h.answer(w, Placed{Retry: retryModel})
 	case victim != (adapterKey{}):
@@ -96,7 +117,11 @@
 }
 
 func (h *Holder) answer(w dispatch.Want, p Placed) {
-	for _, fn := range h.waiting[w] {
+	list, ok := h.waiting[w]
+	if !ok {
+		return
+	}
+	for _, fn := range list.answers {
 		fn(p)
 	}
 	delete(h.waiting, w)
@@ -151,6 +176,7 @@
 	case core.OrderDone:
 		it.phase = present
 		h.count("adapters_loaded")
+		h.tell(News{Runner: one.runner.ID, Model: w.Model, Adapter: w.Adapter, Held: true})
 		h.answer(w, Placed{Runner: one.runner.ID})
 	case core.OrderAccepted, core.OrderConflict:
 		if one.synced {
@@ -178,6 +204,7 @@
 func (h *Holder) unloadAdapter(one *host, key adapterKey, w dispatch.Want) {
 	it := one.adapters[key]
 	it.phase = unloading
+	h.tell(News{Runner: one.runner.ID, Model: key.model, Adapter: key.adapter})
 	h.log.Info("adapter gives way", zap.String("runner", one.runner.ID), zap.String("model", key.model), zap.String("adapter", key.adapter),
 		zap.Duration("unused", h.clock.Since(it.used)))
 	h.send(one, core.RunnerOrder{Model: key.model, Adapter: key.adapter}, func(result core.OrderResult) {
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -25,6 +25,7 @@
 
 	kindPlace  = "place"
 	kindDemand = "demand"
+	kindNews   = "news"
 )
 
 // wanted is a part of the demand on the wire between daemons.
@@ -52,6 +53,30 @@
 	return c
 }
 
+// Learner takes in what the holder tells of the runners.
+type Learner interface {
+	Learn(runner, model, adapter string, held bool)
+}
+
+// Spread returns the function by which a Holder tells all daemons, this one
+// included, and lets others' news be taken in.
+func Spread(p *peers.Peers, l Learner, log *zap.Logger) func(News) {
+	p.Handle(kindNews, func(from peers.Peer, body json.RawMessage, _ func(any)) {
+		var n News
+		if err := json.Unmarshal(body, &n); err != nil {
+			log.Warn("news unreadable", zap.String("daemon", from.Name), zap.Error(err))
+			return
+		}
+		l.Learn(n.Runner, n.Model, n.Adapter, n.Held)
+	})
+	return func(n News) {
+		l.Learn(n.Runner, n.Model, n.Adapter, n.Held)
+		for _, one := range p.Alive()[1:] {
+			p.Tell(one, kindNews, n)
+		}
+	}
+}
+
 // Start begins to tell the holder of the demand.
 func (c *Client) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -37,7 +37,11 @@
 	keepAdapter = 300 * time.Millisecond
 	// heatHalf is the half-life of what counts as demand: models fall silent
 	// and rise within seconds.
-	heatHalf = 3 * time.Second
+	heatHalf = 2 * time.Second
+	// retireLead is how long before the order for an unload the daemons are told
+	// to send no more requests for the model there: those that arrive after the
+	// order are rejected.
+	retireLead = 30 * time.Millisecond
 	// loadBurst is how many loads from the weight store may begin at once.
 	loadBurst = 3
 	inboxSize = 1024
@@ -63,6 +67,16 @@
 	Retry  time.Duration `json:"retry,omitempty"`  // when it may be there, if not now
 }
 
+// News tells the daemons of a model or adapter that a runner has, or will soon
+// not have. Runners' own descriptions come a second later, and leave adapters
+// out.
+type News struct {
+	Runner  string `json:"runner"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Held    bool   `json:"held"`
+}
+
 // Holder sends the orders while it holds the lease. All its state belongs to
 // one goroutine; others post functions to it.
 type Holder struct {
@@ -74,13 +88,14 @@
 	clock   core.Clock
 	log     *zap.Logger
 	count   func(name string)
+	tell    func(News)
 
 	inbox    chan func()
 	term     uint64
 	hosts    map[string]*host
 	heat     map[dispatch.Want]float64
 	heatAt   time.Time
-	waiting  map[dispatch.Want][]func(Placed)
+	waiting  map[dispatch.Want]*waiters
 	storeAt  time.Time // since when tokens of the weight store are counted
 	storeTok float64
 
@@ -89,11 +104,11 @@
 }
 
 // New makes a Holder of the daemon self.
-func New(self string, c *catalog.Catalog, loads *load.Table, orders Orders, lease Lease, clock core.Clock, log *zap.Logger, count func(string)) *Holder {
+func New(self string, c *catalog.Catalog, loads *load.Table, orders Orders, lease Lease, clock core.Clock, log *zap.Logger, count func(string), tell func(News)) *Holder {
 	return &Holder{
-		self: self, catalog: c, loads: loads, orders: orders, lease: lease, clock: clock, log: log, count: count,
+		self: self, catalog: c, loads: loads, orders: orders, lease: lease, clock: clock, log: log, count: count, tell: tell,
 		inbox: make(chan func(), inboxSize), hosts: map[string]*host{}, heat: map[dispatch.Want]float64{},
-		waiting: map[dispatch.Want][]func(Placed){},
+		waiting: map[dispatch.Want]*waiters{},
 	}
 }
 
@@ -291,6 +306,9 @@
 			states = append(states, one.state(requests))
 		}
 	}
+	if len(heat) == 0 {
+		heat = policy.Prior(states)
+	}
 	for _, m := range policy.Place(engine, states, heat) {
 		one := h.hosts[m.Runner]
 		if m.Load && !one.near[m.Model] && !h.storeToken(engine) {
@@ -313,17 +331,37 @@
 	return true
 }
 
-// orderModel sends an order for a model.
+// orderModel sends an order for a model. Before an unload the daemons learn of
+// it.
 func (h *Holder) orderModel(one *host, m policy.Move) {
-	it := &item{phase: loading}
-	if !m.Load {
-		it = one.models[m.Model]
-		it.phase = unloading
-	} else {
+	if m.Load {
+		it := &item{phase: loading}
 		one.models[m.Model] = it
+		h.sendModel(one, m, it)
+		return
+	}
+	it := one.models[m.Model]
+	it.phase = unloading
+	one.promised = m.For
+	h.tell(News{Runner: one.runner.ID, Model: m.Model})
+	h.after(retireLead, func() {
+		if one.models[m.Model] == it && h.hosts[one.runner.ID] == one && h.hold() {
+			h.sendModel(one, m, it)
+		}
+	})
+}
+
+func (h *Holder) sendModel(one *host, m policy.Move, it *item) {
+	if one.sending {
+		h.after(confirmEvery, func() {
+			if one.models[m.Model] == it && h.hosts[one.runner.ID] == one && h.hold() {
+				h.sendModel(one, m, it)
+			}
+		})
+		return
 	}
 	h.log.Info("order", zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load),
-		zap.Uint64("expected", one.sequence), zap.Bool("near", one.near[m.Model]))
+		zap.String("for", m.For), zap.Uint64("expected", one.sequence), zap.Bool("near", one.near[m.Model]))
 	h.send(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
 		h.modelOrdered(one, m, it, result)
 	})
@@ -366,6 +404,7 @@
 		it.phase = present
 		one.near[m.Model] = true
 		h.count("models_loaded")
+		h.tell(News{Runner: one.runner.ID, Model: m.Model, Held: true})
 		return
 	}
 	delete(one.models, m.Model)
@@ -375,6 +414,14 @@
 		}
 	}
 	h.count("models_unloaded")
+	next := one.promised
+	one.promised = ""
+	if _, held := one.models[next]; next == "" || held || !one.usable(one.runner.Service) {
+		return
+	}
+	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.near[next] || h.storeToken(one.engine)) {
+		h.orderModel(one, policy.Move{Runner: one.runner.ID, Model: next, Load: true})
+	}
 }
 
 // send sends an order that changes a runner, one at a time.
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -46,6 +46,7 @@
 	models   map[string]*item
 	adapters map[adapterKey]*item
 	near     map[string]bool
+	promised string // model that gets the room of the one being unloaded
 }
 
 func newHost(r core.Runner, engine *core.Engine) *host {
@@ -113,6 +114,7 @@
 	for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
 		h.near[m] = true
 	}
+	h.promised = ""
 	h.sequence = r.Sequence
 	h.synced = true
 }
@@ -141,6 +143,9 @@
 			models[name] = true
 		}
 	}
+	if h.promised != "" {
+		models[h.promised] = true
+	}
 	return &policy.HostState{
 		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Near: maps.Clone(h.near),
 		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Requests: requests,
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -11,7 +11,7 @@
 	ID       string
 	Place    string
 	FreeMB   float64         // not taken, nor promised to what is on its way
-	Models   map[string]bool // present or being loaded
+	Models   map[string]bool // present, being loaded, or promised the room of one that goes
 	Near     map[string]bool // copies on the runner's own disk or in its memory
 	Busy     bool            // an order for a model is in progress
 	Leaving  bool
@@ -23,6 +23,7 @@
 	Runner string
 	Model  string
 	Load   bool
+	For    string // of an unload: the model that gets the room
 }
 
 // placement is one round of planning.
@@ -60,10 +61,10 @@
 
 // nextShares are how much of a model's demand is expected of the models that
 // follow it in the service's list: demand moves on along the list within
-// seconds, faster than a copy can be loaded from the weight store. Two fifths
-// get the next model a few copies before it is asked for, without taking the
-// busy one's.
-var nextShares = []float64{0.4, 0.1}
+// seconds, faster than copies can be loaded from the weight store. Half gets
+// the next model a few copies before it is asked for, without taking the busy
+// one's.
+var nextShares = []float64{0.5, 0.2}
 
 // expected is the demand with what is likely to come next.
 func expected(engine *core.Engine, heat map[string]float64) map[string]float64 {
@@ -80,6 +81,23 @@
 	return out
 }
 
+// Prior is the demand to expect before any has been seen: the models that are
+// on several runners were the busy ones.
+func Prior(hosts []*HostState) map[string]float64 {
+	out := map[string]float64{}
+	for _, h := range hosts {
+		for m := range h.Models {
+			out[m]++
+		}
+	}
+	for m, n := range out {
+		if n < 2 {
+			delete(out, m)
+		}
+	}
+	return out
+}
+
 // targets shares the memory of n runners among the models: one copy each, then
 // copy by copy to the model whose copies have most to do.
 func targets(engine *core.Engine, n int, heat map[string]float64) map[string]int {
@@ -160,11 +178,11 @@
 		return
 	}
 	if victim != "" {
-		p.moves = append(p.moves, Move{Runner: best.ID, Model: victim})
+		p.moves = append(p.moves, Move{Runner: best.ID, Model: victim, For: model})
 		p.copies[victim]--
-		return
+	} else {
+		p.moves = append(p.moves, Move{Runner: best.ID, Model: model, Load: true})
 	}
-	p.moves = append(p.moves, Move{Runner: best.ID, Model: model, Load: true})
 	p.copies[model]++
 }
 
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -25,7 +25,7 @@
 	// lapseGrace is how long after the store's return a missing entry of a
 	// runner still counts: live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
-	sweepEvery    = 100 * time.Millisecond
+	sweepEvery = 100 * time.Millisecond
 	// settle is the pause after changes of runners before the next watch. Each
 	// answer of a watch is a counted call of each daemon; runners that change
 	// together then cost one. It is a tenth of the two seconds within which a
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -71,9 +71,9 @@
 	front      *front.Front
 	leaving    atomic.Bool
 
-	calls     *http.Client // to other daemons
-	servers   []*http.Server
-	wg        sync.WaitGroup
+	calls   *http.Client // to other daemons
+	servers []*http.Server
+	wg      sync.WaitGroup
 }
 
 // New opens the listeners and puts the parts together.
@@ -100,7 +100,7 @@
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
-	d.catalog = catalog.New(catalog.WithGone(d.gone), catalog.WithConfig(func(c *core.Config) { d.peers.SetConfig(c.Version) }))
+	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithConfig(func(c *core.Config) { d.peers.SetConfig(c.Version) }))
 	d.watcher = watch.New(store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
@@ -117,7 +117,8 @@
 	d.peers.SetFailing(d.watcher.Failing)
 	d.peers.Handle(kindYield, d.handleYield)
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
-		func(name string) { d.scope.Counter("placement_" + name).Inc(1) })
+		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
+		placement.Spread(d.peers, d.catalog, d.log))
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log)
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log)
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -2,6 +2,8 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +17,22 @@
 	Seen time.Time // when the description was taken in
 	// GoneAt is when a lapsed entry counts as gone; zero while it stands.
 	GoneAt time.Time
+
+	learned map[learnedKey]learned
+}
+
+type learnedKey struct{ model, adapter string }
+
+// learned is what was told of a runner beside its description.
+type learned struct {
+	held bool
+	at   time.Time
 }
 
+// modelMemory is how long what was learned of a model goes before a runner's
+// description, which lists models and comes every second or so.
+const modelMemory = 4 * time.Second
+
 // Usable says whether new work may go to the runner.
 func (e *Entry) Usable() bool { return !e.Draining }
 
@@ -30,6 +46,7 @@
 	entries map[string]*Entry
 	gone    func(core.Runner)
 	fresh   func(*core.Config)
+	clock   core.Clock
 }
 
 type view struct {
@@ -47,8 +64,8 @@
 func WithConfig(fn func(*core.Config)) Option { return func(c *Catalog) { c.fresh = fn } }
 
 // New returns an empty catalog.
-func New(opts ...Option) *Catalog {
-	c := &Catalog{entries: map[string]*Entry{}, gone: func(core.Runner) {}, fresh: func(*core.Config) {}}
+func New(clock core.Clock, opts ...Option) *Catalog {
+	c := &Catalog{clock: clock, entries: map[string]*Entry{}, gone: func(core.Runner) {}, fresh: func(*core.Config) {}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -81,11 +98,17 @@
 // All returns all runners by id.
 func (c *Catalog) All() map[string]*Entry { return c.view.Load().byID }
 
-// Put takes in a runner's description.
+// Put takes in a runner's description. What has been learned since holds on:
+// a description is up to a second old, and leaves most adapters out.
 func (c *Catalog) Put(r core.Runner, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entries[r.ID] = &Entry{Runner: r, Seen: now}
+	e := &Entry{Runner: r, Seen: now}
+	if old, ok := c.entries[r.ID]; ok {
+		e.learned = old.learned
+	}
+	e.apply(now)
+	c.entries[r.ID] = e
 	c.publish()
 }
 
@@ -124,38 +147,72 @@
 	return len(gone)
 }
 
-// Learn adds what answers of a runner have shown about its adapters since its
-// description: adapters come and go without a new one.
+// Learn takes in that a runner has, or has no longer, a model or an adapter.
 func (c *Catalog) Learn(id, model, adapter string, held bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.entries[id]
-	if !ok || e.HoldsAdapter(model, adapter) == held {
+	if !ok {
 		return
 	}
+	now := c.clock.Now()
 	next := *e
-	next.Holdings = withAdapter(e.Holdings, model, adapter, held)
+	next.learned = make(map[learnedKey]learned, len(e.learned)+1)
+	maps.Copy(next.learned, e.learned)
+	next.learned[learnedKey{model, adapter}] = learned{held: held, at: now}
+	next.apply(now)
 	c.entries[id] = &next
 	c.publish()
 }
 
-func withAdapter(holdings []core.Holding, model, adapter string, held bool) []core.Holding {
-	out := make([]core.Holding, len(holdings))
-	copy(out, holdings)
-	for i := range out {
-		if out[i].Model != model {
+// apply lays what was learned over the description.
+func (e *Entry) apply(now time.Time) {
+	for key, l := range e.learned {
+		if key.adapter == "" && now.Sub(l.at) > modelMemory {
+			delete(e.learned, key)
 			continue
 		}
-		var names []string
-		for _, a := range out[i].Adapters {
-			if a != adapter {
-				names = append(names, a)
+		if key.adapter == "" {
+			e.Holdings = withModel(e.Holdings, key.model, l.held)
+		}
+	}
+	for key, l := range e.learned {
+		if key.adapter != "" {
+			e.Holdings = withAdapter(e.Holdings, key.model, key.adapter, l.held)
+		}
+	}
+}
+
+func withModel(holdings []core.Holding, model string, held bool) []core.Holding {
+	out := make([]core.Holding, 0, len(holdings)+1)
+	found := false
+	for _, h := range holdings {
+		if h.Model == model {
+			found = true
+			if !held {
+				continue
 			}
 		}
+		out = append(out, h)
+	}
+	if held && !found {
+		out = append(out, core.Holding{Model: model})
+	}
+	return out
+}
+
+func withAdapter(holdings []core.Holding, model, adapter string, held bool) []core.Holding {
+	out := slices.Clone(holdings)
+	for i := range out {
+		if out[i].Model != model || slices.Contains(out[i].Adapters, adapter) == held {
+			continue
+		}
+		names := slices.Clone(out[i].Adapters)
 		if held {
-			names = append(names, adapter)
+			out[i].Adapters = append(names, adapter)
+		} else {
+			out[i].Adapters = slices.DeleteFunc(names, func(a string) bool { return a == adapter })
 		}
-		out[i].Adapters = names
 	}
 	return out
 }
