--- /dev/null
+++ b/coordination/policy/choose_test.go
@@ -0,0 +1,110 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestChoose(t *testing.T) {
+	near := Candidate{ID: "near", Slots: 8, SamePlace: true, Adapter: true}
+	far := Candidate{ID: "far", Slots: 8, Adapter: true}
+	busy := func(c Candidate, n int) Candidate {
+		c.Requests = n
+		return c
+	}
+	failed, leaves, bare, kept := near, near, near, far
+	failed.Penalty = 1
+	leaves.Leaving = true
+	bare.Adapter = false
+	kept.Prefix = true
+	cases := []struct {
+		name string
+		from []Candidate
+		want int
+	}{
+		{"none", nil, -1},
+		{"own place", []Candidate{far, near}, 1},
+		{"other place when clearly less busy", []Candidate{busy(near, 6), far}, 1},
+		{"own place when hardly busier", []Candidate{busy(near, 1), far}, 0},
+		{"failed lately", []Candidate{failed, far}, 1},
+		{"is taken away", []Candidate{leaves, far}, 1},
+		{"without the adapter", []Candidate{bare, near}, 1},
+		{"the prompt's parts are kept", []Candidate{far, kept}, 1},
+		{"all are full", []Candidate{busy(near, 10), busy(far, 12)}, -1},
+		{"the one that is not full", []Candidate{busy(near, 10), busy(far, 9)}, 1},
+	}
+	for _, one := range cases {
+		assert.Equal(t, Choose(one.from, true), one.want, one.name)
+	}
+}
+
+// All entries that start with the same view send their first requests to the
+// same runner, which then is the slowest.
+func TestEqualRunnersAreDrawn(t *testing.T) {
+	seen := map[int]int{}
+	for range 300 {
+		seen[Choose(make([]Candidate, 3), false)]++
+	}
+	assert.Equal(t, len(seen), 3)
+}
+
+// Half of a service fails, and the repeats of all its requests double the load
+// of the other half, which fails as well.
+func TestRepeatsAreAShareOfRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		const ratio, slack = 0.2, 5.0
+		b := NewBudget(clock, 10*time.Second, ratio, func() float64 { return slack })
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.First("s")
+				events = append(events, event{clock.Now(), false})
+			} else if b.Repeat("s") {
+				events = append(events, event{clock.Now(), true})
+			}
+		}
+		// Requests count in the window or in the one before it.
+		for _, end := range events {
+			first, repeat := 0, 0
+			for _, e := range events {
+				age := end.at.Sub(e.at)
+				if age < 0 || age >= 20*time.Second {
+					continue
+				}
+				if !e.repeat {
+					first++
+				} else if age < 9*time.Second {
+					repeat++
+				}
+			}
+			assert.Assert(t, float64(repeat) <= ratio*float64(first)+slack, "%d repeats of %d requests", repeat, first)
+		}
+	})
+}
+
+func TestRetryAfterIsBounded(t *testing.T) {
+	assert.Equal(t, RetryAfter(0), minRetry)
+	assert.Equal(t, RetryAfter(time.Second), 500*time.Millisecond)
+	assert.Equal(t, RetryAfter(time.Hour), maxRetry)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	candidates := make([]Candidate, 100)
+	for i := range candidates {
+		candidates[i] = Candidate{Slots: 64, Requests: i % 70, SamePlace: i%3 == 0}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(candidates, true)
+	}
+}
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -18,6 +18,14 @@
 	Requests int
 }
 
+// Weights of a runner's cost for one more copy, in seconds until the copy
+// serves. placeWeight lets a model load from the weight store rather than spoil
+// a place for a large one; busyWeight is for a request in progress there.
+const (
+	placeWeight = 3
+	busyWeight  = 0.02
+)
+
 // Move is one order for a model that placement wants.
 type Move struct {
 	Runner string
@@ -205,7 +213,23 @@
 	if p.samePlace(h.Place, model) {
 		cost += 0.5 // one crash or cut of a place must not take all copies
 	}
-	return cost + 0.02*float64(h.Requests)
+	cost += placeWeight * float64(p.placesLost(h, model, victim))
+	return cost + busyWeight*float64(h.Requests)
+}
+
+// placesLost is how many copies of the largest model a runner can take less
+// with one more copy of model. Small models side by side on one runner leave
+// whole places on others; one on each would spoil a place of each.
+func (p *placement) placesLost(h *HostState, model, victim string) int {
+	largest := 0.0
+	for i := range p.engine.Models {
+		largest = max(largest, p.engine.Models[i].MemoryMB)
+	}
+	free := h.FreeMB
+	if victim != "" {
+		free += p.engine.Model(victim).MemoryMB
+	}
+	return int(free/largest) - int((free-p.engine.Model(model).MemoryMB)/largest)
 }
 
 func (p *placement) samePlace(place, model string) bool {
--- a/coordination/policy/place_test.go
+++ b/coordination/policy/place_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -100,32 +99,95 @@
 	return top / sum
 }
 
-// cooperativeSizes are the models of a workshop service in megabytes.
-var cooperativeSizes = []float64{
-	34300, 16100, 24300, 34300, 24300, 16100, 34300, 24300, 16100, 16100,
-	24300, 34300, 24300, 16100, 24300, 34300, 16100, 24300, 34300, 24300,
+// workshopSizes are the models of a workshop service in megabytes. Two of the
+// large ones fill a runner of 83 GB: 15 of 24 large places are taken by one copy
+// of each.
+var workshopSizes = []float64{
+	34300, 34300, 34300, 34300, 34300, 34300, 34300, 34300, 34300, 34300,
+	34300, 16100, 16100, 34300, 16100, 16100, 34300, 34300, 16100, 34300,
 }
 
-// Mechanics wait while most runners stand idle. Demand moves to a model with
-// one copy; the other runners are filled with models that nobody asks for, each
-// with its only copy, and none may be dropped. Those must move together until
-// the busy model has its copies.
-func TestBusyModelSpreadsOverFullRunners(t *testing.T) {
-	f := newFleet(10, 83000, cooperativeSizes)
+// sharesOfDemand are what the four busy models get of the requests.
+var sharesOfDemand = []float64{53, 20, 15, 12}
+
+func (f *fleet) demand(from int) map[string]float64 {
+	heat := map[string]float64{}
+	for i, share := range sharesOfDemand {
+		heat[f.engine.Models[from+i].Name] = share
+	}
+	return heat
+}
+
+// Demand moves on to the next models of the list, step by step. After each step
+// the busiest model has several copies, no model is gone, no memory is
+// exceeded, and the moves end.
+func TestCopiesFollowDemand(t *testing.T) {
+	f := newFleet(12, 83000, workshopSizes)
 	f.settle(t, nil, 100)
-	for step := range 4 {
-		heat := map[string]float64{}
-		for i, share := range []float64{55, 20, 12, 10} {
-			heat[f.engine.Models[2*step+i].Name] = share
-		}
+	for step := range 6 {
+		heat := f.demand(step)
 		moves := f.settle(t, heat, 400)
 		for i := range f.engine.Models {
 			assert.Assert(t, f.copies(f.engine.Models[i].Name) >= 1, "%s is gone", f.engine.Models[i].Name)
 		}
-		t.Logf("step %d: %d moves, copies %d %d %d %d, busiest %.2f", step, moves, f.copies(f.engine.Models[2*step].Name),
-			f.copies(f.engine.Models[2*step+1].Name), f.copies(f.engine.Models[2*step+2].Name), f.copies(f.engine.Models[2*step+3].Name), f.busiest(heat))
-		assert.Assert(t, f.busiest(heat) < 0.2, "one runner has %.2f of the demand", f.busiest(heat))
+		busiest := f.copies(f.engine.Models[step].Name)
+		t.Logf("step %d: %d moves, %d copies of the busiest model, %.2f of the demand at one runner", step, moves, busiest, f.busiest(heat))
+		assert.Assert(t, busiest >= 3, "%d copies", busiest)
 		assert.Assert(t, moves < 60, "%d moves", moves)
+		assert.Equal(t, f.settle(t, heat, 10), 0, "moves do not end")
+	}
+}
+
+// Requests for the next model of the list are refused while it is loaded: the
+// shift takes as long as the load. A few copies are there before it.
+func TestNextModelIsThereBeforeItsDemand(t *testing.T) {
+	f := newFleet(12, 83000, workshopSizes)
+	f.settle(t, nil, 100)
+	f.settle(t, f.demand(0), 400)
+	assert.Assert(t, f.copies(f.engine.Models[4].Name) >= 1)
+	assert.Assert(t, f.copies(f.engine.Models[1].Name) >= 2, "%d copies", f.copies(f.engine.Models[1].Name))
+}
+
+// A busy model that lost all copies with a crashed runner is loaded before
+// another one gets one copy more.
+func TestAbsentModelComesFirst(t *testing.T) {
+	f := newFleet(4, 83000, workshopSizes[:6])
+	f.settle(t, f.demand(0), 100)
+	lost := f.engine.Models[0].Name
+	for _, h := range f.hosts {
+		if h.Models[lost] {
+			delete(h.Models, lost)
+			h.FreeMB += 34300
+		}
+	}
+	moves := Place(f.engine, f.hosts, f.demand(0))
+	assert.Assert(t, len(moves) > 0)
+	assert.Assert(t, moves[0].Load && moves[0].Model == lost || moves[0].For == lost, "%v", moves)
+}
+
+// One crash must not take all copies of a model: the second one goes to another
+// place than the first.
+func TestCopiesAreInSeveralPlaces(t *testing.T) {
+	f := newFleet(6, 83000, workshopSizes[:2])
+	f.settle(t, map[string]float64{"m00": 1, "m01": 1}, 100)
+	places := map[string]bool{}
+	for _, h := range f.hosts {
+		if h.Models["m00"] {
+			places[h.Place] = true
+		}
+	}
+	assert.Assert(t, len(places) >= 2, "%v", places)
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{12, 100, 1000} {
+		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
+			f := newFleet(n, 83000, workshopSizes)
+			heat := f.demand(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				Place(f.engine, f.hosts, heat)
+			}
+		})
 	}
-	_ = rand.N[int]
 }
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -162,13 +162,13 @@
 	return false
 }
 
-// adopt replaces the copy of a kind by a newer one, and says whether it did.
-func (w *Watcher) adopt(kind string, c Copy) bool {
+// adopt replaces the copy of a kind, unless by an older one.
+func (w *Watcher) adopt(kind string, c Copy) {
 	w.mu.Lock()
 	k := w.kinds[kind]
 	if c.Version < k.version {
 		w.mu.Unlock()
-		return false
+		return
 	}
 	k.version = c.Version
 	k.objects = make(map[string]core.Object, len(c.Objects))
@@ -181,7 +181,6 @@
 	} else {
 		w.takeRunners(c.Objects)
 	}
-	return true
 }
 
 // change takes in one event of a watch.
@@ -242,8 +241,8 @@
 	return nil
 }
 
-// run lists a kind, then watches it from there; it lists again only when the
-// store no longer has the history in between. While the store fails it takes
+// run lists a kind, then watches it from there; it lists again when the store
+// no longer has the history in between, or has failed. While the store fails it takes
 // the copy of another daemon that reaches it: the store may turn away some
 // machines and serve the others.
 func (w *Watcher) run(ctx context.Context, kind string) {
@@ -274,22 +273,23 @@
 		if w.fails(kind, err) {
 			pause = firstPause
 		}
-		if w.ask(ctx, kind) {
-			listed = true
-		}
+		// The next try lists: its answer shows at once that the store is back,
+		// where a watch's would come with the next change or the end of its wait.
+		listed = false
+		w.ask(ctx, kind)
 		w.sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, lastPause)
 	}
 }
 
 // ask takes in the copy of another daemon.
-func (w *Watcher) ask(ctx context.Context, kind string) bool {
+func (w *Watcher) ask(ctx context.Context, kind string) {
 	c, err := w.neighbour(ctx, kind)
 	if err != nil {
 		w.log.Debug("no copy of another daemon", zap.String("kind", kind), zap.Error(err))
-		return false
+		return
 	}
-	return w.adopt(kind, c)
+	w.adopt(kind, c)
 }
 
 // fails notes a failure of the store, and says whether it is the first.
--- /dev/null
+++ b/coordination/watch/watch_test.go
@@ -0,0 +1,161 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	"primroseward/standin/memory"
+	"primroseward/state/catalog"
+)
+
+const (
+	configs = "configs"
+	runners = "runners"
+)
+
+// node is one daemon's watches; its neighbour is another node.
+type node struct {
+	*Watcher
+	catalog *catalog.Catalog
+	client  *memory.Client
+	near    *node
+}
+
+func newNode(s *memory.Store) *node {
+	n := &node{client: s.Client()}
+	clock := clockwork.NewRealClock()
+	n.catalog = catalog.New(clock)
+	n.Watcher = New(n.client, Reader{
+		ConfigKind: configs, ConfigName: "main", RunnerKind: runners,
+		Config: func(body []byte) (*core.Config, error) {
+			c := &core.Config{}
+			err := json.Unmarshal(body, &c.Version)
+			return c, err
+		},
+		Runner: func(id string, body []byte) (*core.Runner, error) {
+			return &core.Runner{ID: id, Service: "s", Draining: string(body) == `"draining"`}, nil
+		},
+	}, n.neighbour, n.catalog, clock, zap.NewNop())
+	return n
+}
+
+func (n *node) neighbour(_ context.Context, kind string) (Copy, error) {
+	if n.near == nil {
+		return Copy{}, core.ErrUnavailable
+	}
+	return n.near.Copy(kind)
+}
+
+func (n *node) version() uint64 {
+	if c := n.catalog.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// within waits for a condition in virtual time.
+func within(t *testing.T, limit time.Duration, what string, fn func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !fn(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%s: not within %v", what, limit)
+	}
+}
+
+// Requests go by an old configuration for ten seconds. While the store drops its
+// history, watches that wait hear nothing and are not cut; the change made in
+// between must be found when the wait ends.
+func TestChangeInAForgottenHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(configs, "main", "1")
+		n := newNode(s)
+		n.Start()
+		defer n.Stop()
+		within(t, time.Second, "first config", func() bool { return n.version() == 1 })
+		s.Deafen(true)
+		s.Put(configs, "main", "2")
+		s.Forget()
+		s.Deafen(false)
+		within(t, 4*time.Second, "second config", func() bool { return n.version() == 2 })
+	})
+}
+
+// One of several daemons finds the change that all have missed; the others must
+// not wait for the end of their own watches.
+func TestNewerConfigOfAnotherDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(configs, "main", "1")
+		n := newNode(s)
+		n.Start()
+		defer n.Stop()
+		within(t, time.Second, "first config", func() bool { return n.version() == 1 })
+		s.Deafen(true)
+		s.Put(configs, "main", "2")
+		s.Deafen(false)
+		n.Hint(2)
+		within(t, 100*time.Millisecond, "second config", func() bool { return n.version() == 2 })
+	})
+}
+
+// The store turns one machine away and serves the others: its requests go by an
+// old configuration and to runners that have left, for as long as that lasts.
+func TestCopyOfAnotherDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(configs, "main", "1")
+		s.Put(runners, "r1", `"ready"`)
+		a, b := newNode(s), newNode(s)
+		a.near = b
+		for _, n := range []*node{a, b} {
+			n.Start()
+			defer n.Stop()
+		}
+		within(t, time.Second, "start", func() bool { return a.version() == 1 && b.version() == 1 })
+		a.client.Cut(true)
+		s.Put(configs, "main", "2")
+		s.Put(runners, "r1", `"draining"`)
+		within(t, 2*time.Second, "copies", func() bool { return a.version() == 2 && !a.catalog.Runner("r1").Usable() })
+		assert.Assert(t, a.Failing())
+		_, err := a.Copy(configs)
+		assert.ErrorIs(t, err, core.ErrUnavailable)
+		a.client.Cut(false)
+		within(t, 2*time.Second, "return", func() bool { return !a.Failing() })
+	})
+}
+
+// Most of the fleet is dropped at the end of an outage: entries of live runners
+// lapse while the store is away and are back two seconds after its return. A
+// runner that leaves later on must get no work for two seconds more.
+func TestLapsedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(runners, "r1", `"ready"`)
+		s.Put(runners, "r2", `"ready"`)
+		n := newNode(s)
+		n.Start()
+		defer n.Stop()
+		known := func(id string) bool { return n.catalog.Runner(id) != nil }
+		within(t, time.Second, "start", func() bool { return known("r1") && known("r2") })
+		n.client.Cut(true)
+		s.Remove(runners, "r1")
+		s.Remove(runners, "r2")
+		time.Sleep(4 * time.Second)
+		n.client.Cut(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, known("r1") && known("r2"), "lapsed entries are dropped at once")
+		s.Put(runners, "r1", `"ready"`)
+		within(t, 3*time.Second, "r2 gone", func() bool { return !known("r2") })
+		assert.Assert(t, known("r1"))
+		s.Remove(runners, "r1")
+		within(t, 500*time.Millisecond, "r1 gone", func() bool { return !known("r1") })
+	})
+}
