--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -128,13 +128,13 @@
 }
 
 // adapterHost finds the runner for an adapter: the least busy one that has its
-// model and a free place, or one where an adapter that nobody has asked for
-// lately gives way.
+// model and a free place, or one where another adapter gives way.
 func (h *Holder) adapterHost(w dispatch.Want) (*host, adapterKey) {
 	var free, full *host
 	var victim adapterKey
-	var oldest time.Time
+	var lowest float64
 	low := 0
+	copies := h.adapterCopies(w.Service)
 	for _, one := range h.hosts {
 		m, ok := one.models[w.Model]
 		if !ok || m.phase != present || !one.usable(w.Service) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
@@ -147,8 +147,8 @@
 			continue
 		}
 		for key, a := range one.adapters {
-			if a.phase == present && h.clock.Since(a.used) > keepAdapter && (full == nil || a.used.Before(oldest)) {
-				full, victim, oldest = one, key, a.used
+			if value, ok := h.adapterValue(key, a, copies[key]); ok && (full == nil || value < lowest) {
+				full, victim, lowest = one, key, value
 			}
 		}
 	}
@@ -158,6 +158,37 @@
 	return full, victim
 }
 
+// adapterCopies counts the copies of each adapter of a service's models.
+func (h *Holder) adapterCopies(service string) map[adapterKey]int {
+	copies := map[adapterKey]int{}
+	for _, one := range h.hosts {
+		if one.usable(service) {
+			for key := range one.adapters {
+				copies[key]++
+			}
+		}
+	}
+	return copies
+}
+
+// adapterValue orders adapters by what is lost when one gives way for another
+// that no runner has. One that has other copies may always go: otherwise busy
+// adapters, which are asked for all the time, would keep all places of a runner
+// that has the only copy of another model, and each request for that model's
+// adapters would be refused. An only copy may go when nobody has asked for it
+// lately.
+func (h *Holder) adapterValue(key adapterKey, a *item, copies int) (float64, bool) {
+	unused := h.clock.Since(a.used)
+	if a.phase != present || copies < 2 && unused <= keepAdapter {
+		return 0, false
+	}
+	value := 1 / (1 + unused.Seconds())
+	if copies < 2 {
+		value++
+	}
+	return value, true
+}
+
 // loadAdapter orders an adapter and repeats the order until it is there.
 func (h *Holder) loadAdapter(one *host, w dispatch.Want) {
 	key := adapterKey{w.Model, w.Adapter}
@@ -230,14 +261,7 @@
 // every adapter once, then those asked for most again. A request for an absent
 // adapter waits for it, and is refused while no daemon holds the lease.
 func (h *Holder) preload(service string, engine *core.Engine) {
-	copies := map[adapterKey]int{}
-	for _, one := range h.hosts {
-		if one.usable(service) {
-			for key := range one.adapters {
-				copies[key]++
-			}
-		}
-	}
+	copies := h.adapterCopies(service)
 	for _, one := range h.hosts {
 		if !one.usable(service) || !one.synced || one.sending || one.busy() || one.inPhase(loading) > 0 {
 			continue
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -193,3 +193,35 @@
 		})
 	}
 }
+
+// All requests for one model's adapters are refused. Its only copy shares a
+// runner with a busy model, whose adapters are asked for all the time and fill
+// the runner's places, though each has a copy on another runner as well.
+func TestBusyAdaptersGiveWayWhereTheyHaveCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2, trouble{reportIn: 200 * time.Millisecond}, 1)
+		for id, models := range map[string][]string{"r0": {"m0"}, "r1": {"m0", "m1"}} {
+			e := w.engines[id]
+			e.models = map[string]bool{}
+			for _, m := range models {
+				e.models[m] = true
+			}
+			for i := 1; i <= w.spec.AdapterSlots; i++ {
+				e.adapters[fmt.Sprintf("m0/a%d", i)] = true
+			}
+			e.history = nil
+			e.note()
+		}
+		w.run(1, func() {
+			busy := map[dispatch.Want]float64{}
+			for i := 1; i <= w.spec.AdapterSlots; i++ {
+				busy[dispatch.Want{Service: "s", Model: "m0", Adapter: fmt.Sprintf("a%d", i)}] = 5
+			}
+			for range 20 {
+				w.holder.Demand(busy)
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.Equal(t, w.ask("m1", "a1").Runner, "r1")
+		})
+	})
+}
