Demand before traffic is read once; copies at hand as runners last told

Two causes: the prior demand was read anew in each round and so followed the plan's own moves (27 of them, copies of the busiest model dropped), and a copy that a runner had dropped from its disk still counted as at hand. Tests show both. Ruled out: a second holder, a bucket that starts full.

--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -22,13 +23,29 @@
 // stream is a series of events. When its runner breaks off it goes on at
 // another one, if its route allows that.
 type stream struct {
-	ctx    context.Context
-	j      *job
-	runner *core.Runner
-	body   io.ReadCloser
-	in     *events
-	ready  []byte
-	ended  error
+	ctx     context.Context
+	j       *job
+	runner  *core.Runner
+	body    io.ReadCloser
+	in      *events
+	ready   []byte
+	ended   error
+	firstAt time.Time
+	lastAt  time.Time
+	maxGap  time.Duration
+	count   int
+}
+
+// arrived keeps how long the pauses between events were.
+func (s *stream) arrived() {
+	now := s.j.d.clock.Now()
+	if s.count == 0 {
+		s.firstAt = now
+	} else {
+		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.count++
 }
 
 // stream waits for the first event, so that a runner that breaks off before it
@@ -41,6 +58,7 @@
 		return nil, j.afterError(ctx, r, eris.Wrapf(core.ErrLost, "before the first event: %v", err))
 	}
 	s.ready, s.ended = first, err
+	s.arrived()
 	reply.Body = s
 	return reply, nil
 }
@@ -53,6 +71,7 @@
 			return 0, s.ended
 		}
 		s.ready, s.ended = s.in.next()
+		s.arrived()
 		if s.ended == io.EOF {
 			s.j.d.loads.Worked(s.runner.ID)
 		}
@@ -102,4 +121,8 @@
 }
 
 // Close ends the stream; a runner that still works on it stops.
-func (s *stream) Close() error { return s.body.Close() }
+func (s *stream) Close() error {
+	s.j.log.Info("stream ended", zap.String("runner", s.runner.ID), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
+		zap.Duration("gap", s.maxGap), zap.Int("reads", s.count), zap.Bool("whole", s.ended == io.EOF), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
+	return s.body.Close()
+}
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -127,9 +127,9 @@
 // stopped well before, and comes back later.
 func TestHoldersDoNotOverlap(t *testing.T) {
 	cases := []struct {
-		name  string
+		name string
 		harm func(d *daemon)
-		gap   time.Duration // longest time without a holder
+		gap  time.Duration // longest time without a holder
 	}{
 		{"cut from the store", func(d *daemon) { d.client.Cut(true) }, 6 * time.Second},
 		{"cut from all", func(d *daemon) { d.client.Cut(true); d.apart = true }, 10 * time.Second},
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -42,8 +42,13 @@
 	// to send no more requests for the model there: those that arrive after the
 	// order are rejected.
 	retireLead = 30 * time.Millisecond
-	// loadBurst is how many loads from the weight store may begin at once.
-	loadBurst = 3
+	// loadBurst is how many loads from the weight store may begin at once. Three
+	// more than the rate are allowed in a few seconds; one is left for a load
+	// that turns out to come from the store.
+	loadBurst = 2
+	// termStart is how long a new holder waits for the daemons to tell what is
+	// asked for before it plans.
+	termStart = 600 * time.Millisecond
 	inboxSize = 1024
 )
 
@@ -95,6 +100,8 @@
 	hosts    map[string]*host
 	heat     map[dispatch.Want]float64
 	heatAt   time.Time
+	begun    time.Time                     // of the term
+	prior    map[string]map[string]float64 // demand to expect before any is seen, by service
 	waiting  map[dispatch.Want]*waiters
 	storeAt  time.Time // since when tokens of the weight store are counted
 	storeTok float64
@@ -174,6 +181,7 @@
 		h.term = term
 		h.hosts = map[string]*host{}
 		h.storeAt, h.storeTok = h.clock.Now(), 0
+		h.begun, h.prior = h.clock.Now(), map[string]map[string]float64{}
 	}
 	return true
 }
@@ -283,7 +291,7 @@
 		return
 	}
 	for name, s := range config.Services {
-		if s.Engine != nil {
+		if s.Engine != nil && h.clock.Since(h.begun) >= termStart {
 			h.planService(name, s.Engine)
 		}
 	}
@@ -303,15 +311,15 @@
 	for _, one := range h.hosts {
 		if one.runner.Service == service {
 			requests, _ := h.loads.Requests(one.runner.ID)
-			states = append(states, one.state(requests))
+			states = append(states, one.state(requests, h.clock.Now()))
 		}
 	}
 	if len(heat) == 0 {
-		heat = policy.Prior(states)
+		heat = h.priorOf(service, states)
 	}
 	for _, m := range policy.Place(engine, states, heat) {
 		one := h.hosts[m.Runner]
-		if m.Load && !one.near[m.Model] && !h.storeToken(engine) {
+		if m.Load && !one.near(m.Model, h.clock.Now()) && !h.storeToken(engine) {
 			continue
 		}
 		h.orderModel(one, m)
@@ -319,6 +327,20 @@
 	h.preload(service, engine)
 }
 
+// priorOf is read once in a term: the plan's own moves would change it.
+func (h *Holder) priorOf(service string, states []*policy.HostState) map[string]float64 {
+	if p, ok := h.prior[service]; ok {
+		return p
+	}
+	for _, one := range h.hosts {
+		if one.runner.Service == service && !one.synced {
+			return map[string]float64{}
+		}
+	}
+	h.prior[service] = policy.Prior(states)
+	return h.prior[service]
+}
+
 // storeToken takes a load from the weight store's rate.
 func (h *Holder) storeToken(engine *core.Engine) bool {
 	now := h.clock.Now()
@@ -361,7 +383,7 @@
 		return
 	}
 	h.log.Info("order", zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load),
-		zap.String("for", m.For), zap.Uint64("expected", one.sequence), zap.Bool("near", one.near[m.Model]))
+		zap.String("for", m.For), zap.Uint64("expected", one.sequence), zap.Bool("near", one.near(m.Model, h.clock.Now())))
 	h.send(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
 		h.modelOrdered(one, m, it, result)
 	})
@@ -402,7 +424,7 @@
 	h.log.Info("order done", zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load))
 	if m.Load {
 		it.phase = present
-		one.near[m.Model] = true
+		one.loaded[m.Model] = h.clock.Now()
 		h.count("models_loaded")
 		h.tell(News{Runner: one.runner.ID, Model: m.Model, Held: true})
 		return
@@ -419,7 +441,7 @@
 	if _, held := one.models[next]; next == "" || held || !one.usable(one.runner.Service) {
 		return
 	}
-	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.near[next] || h.storeToken(one.engine)) {
+	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.near(next, h.clock.Now()) || h.storeToken(one.engine)) {
 		h.orderModel(one, policy.Move{Runner: one.runner.ID, Model: next, Load: true})
 	}
 }
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -225,3 +226,79 @@
 		})
 	})
 }
+
+// Copies of the busy models are dropped one after another before the first
+// request has come: the demand to expect is read from the copies, and each move
+// of the plan changed it.
+func TestPlanBeforeTrafficEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6, 6, trouble{reportIn: 200 * time.Millisecond}, 1)
+		for _, e := range w.engines {
+			e.models["m0"] = true
+			e.history = nil
+			e.note()
+		}
+		w.run(1, func() {
+			time.Sleep(15 * time.Second)
+			accepted, busy := 0, 0
+			for _, e := range w.engines {
+				e.mu.Lock()
+				accepted += e.accepted
+				if e.models["m0"] {
+					busy++
+				}
+				e.mu.Unlock()
+			}
+			assert.Assert(t, busy >= 5, "%d copies are left of six", busy)
+			time.Sleep(15 * time.Second)
+			for _, e := range w.engines {
+				e.mu.Lock()
+				accepted -= e.accepted
+				e.mu.Unlock()
+			}
+			assert.Equal(t, accepted, 0, "moves go on")
+		})
+	})
+}
+
+// The weight store gets more loads in five seconds than it allows.
+func TestLoadsKeepTheStoresRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 12, 12, trouble{reportIn: 200 * time.Millisecond}, 1)
+		rnd := rand.New(rand.NewPCG(7, 7))
+		var loads []time.Time
+		w.holder.orders = counted{w.engines, &loads}
+		w.run(1, func() {
+			for range 100 {
+				w.holder.Demand(map[dispatch.Want]float64{{Service: "s", Model: modelName(rnd.IntN(12))}: 40})
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+		for i := range loads {
+			n := 0
+			for _, at := range loads[i:] {
+				if at.Sub(loads[i]) < 5*time.Second {
+					n++
+				}
+			}
+			assert.Assert(t, float64(n) <= w.spec.LoadsPerSec*5+loadBurst, "%d loads in five seconds", n)
+		}
+		assert.Assert(t, len(loads) > 10, "%d loads", len(loads))
+	})
+}
+
+// counted remembers when the engines accepted loads.
+type counted struct {
+	orders
+	loads *[]time.Time
+}
+
+func (c counted) Order(ctx context.Context, r *core.Runner, o core.RunnerOrder) (core.OrderResult, error) {
+	e := c.orders[r.ID]
+	before := e.accepted
+	result, err := c.orders.Order(ctx, r, o)
+	if o.Load && o.Adapter == "" && e.accepted > before {
+		*c.loads = append(*c.loads, time.Now())
+	}
+	return result, err
+}
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -3,7 +3,6 @@
 package placement
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -45,12 +44,12 @@
 	sequence uint64
 	models   map[string]*item
 	adapters map[adapterKey]*item
-	near     map[string]bool
-	promised string // model that gets the room of the one being unloaded
+	loaded   map[string]time.Time // when loads were done
+	promised string               // model that gets the room of the one being unloaded
 }
 
 func newHost(r core.Runner, engine *core.Engine) *host {
-	return &host{runner: r, engine: engine, models: map[string]*item{}, adapters: map[adapterKey]*item{}, near: map[string]bool{}}
+	return &host{runner: r, engine: engine, models: map[string]*item{}, adapters: map[adapterKey]*item{}, loaded: map[string]time.Time{}}
 }
 
 // busy says whether an order for a model is in progress.
@@ -82,6 +81,19 @@
 	return free
 }
 
+// near says whether a model loads from a copy that the runner keeps, and so
+// does not count against the weight store's rate. The runner drops copies that
+// it has not used for long, so only its latest description counts, and what has
+// been loaded since.
+func (h *host) near(model string, now time.Time) bool {
+	return slices.Contains(h.runner.OnDisk, model) || slices.Contains(h.runner.InMemory, model) ||
+		now.Sub(h.loaded[model]) < descriptionLag
+}
+
+// descriptionLag is how much later than a load a runner's description may tell
+// of the copy that it left.
+const descriptionLag = 2 * time.Second
+
 // inPhase counts the adapters in a phase.
 func (h *host) inPhase(p phase) int {
 	n := 0
@@ -110,10 +122,7 @@
 			h.adapters[adapterKey{model, adapter}] = &item{phase: loading, used: now}
 		}
 	}
-	h.near = map[string]bool{}
-	for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
-		h.near[m] = true
-	}
+	h.runner.OnDisk, h.runner.InMemory = r.OnDisk, r.InMemory
 	h.promised = ""
 	h.sequence = r.Sequence
 	h.synced = true
@@ -136,7 +145,7 @@
 }
 
 // state is the runner as the policy sees it.
-func (h *host) state(requests int) *policy.HostState {
+func (h *host) state(requests int, now time.Time) *policy.HostState {
 	models := make(map[string]bool, len(h.models))
 	for name, m := range h.models {
 		if m.phase != unloading {
@@ -146,8 +155,14 @@
 	if h.promised != "" {
 		models[h.promised] = true
 	}
+	near := map[string]bool{}
+	for i := range h.engine.Models {
+		if name := h.engine.Models[i].Name; h.near(name, now) {
+			near[name] = true
+		}
+	}
 	return &policy.HostState{
-		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Near: maps.Clone(h.near),
+		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Near: near,
 		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Requests: requests,
 	}
 }
