A send is counted once, so that streams do go on at another runner

Found by a test: a stream that broke off counted as two runs, at its answer and at its break, and with two attempts allowed it never went on.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -168,7 +168,6 @@
 		_ = reply.Body.Close()
 		return nil, j.afterRejection(r, reply)
 	}
-	j.runs++
 	if err := check(reply); err != nil {
 		_ = reply.Body.Close()
 		return nil, j.afterError(ctx, r, err)
@@ -226,6 +225,9 @@
 	j.tried[r.ID] = true
 	j.d.loads.Begin(r.ID)
 	reply, err := j.d.sender.Send(ctx, r, j.q, out)
+	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
+		j.runs++
+	}
 	if err != nil {
 		j.d.loads.End(r.ID)
 		return nil, err
@@ -255,7 +257,6 @@
 		}
 		return j.refuse("unreachable", "no runner could be reached", err)
 	}
-	j.runs++
 	if j.mayRepeat() {
 		j.log.Info("answer lost, trying another runner", zap.String("runner", r.ID), zap.Error(err))
 		return nil
--- /dev/null
+++ b/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,319 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"primroseward/coordination/load"
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+// act is what a runner does with a request.
+type act int
+
+const (
+	serves act = iota
+	unreachable
+	rejects
+	fails     // answers 500
+	loses     // runs it, no answer
+	breaksOff // a stream, in the middle of an event
+	hangs     // until the time limit
+	unsigned  // a success without its signature
+	acts
+)
+
+const events = 6
+
+// fleet answers for all runners as a test tells it to.
+type fleet struct {
+	mu    sync.Mutex
+	next  func(runner string) act
+	runs  []string // runners that ran the request
+	sends []core.Outgoing
+}
+
+func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sends = append(f.sends, o)
+	a := f.next(r.ID)
+	if a != unreachable && a != rejects {
+		f.runs = append(f.runs, r.ID)
+	}
+	info := core.ReplyInfo{Stamped: true}
+	switch a {
+	case unreachable:
+		return nil, eris.Wrap(core.ErrNotSent, "dial")
+	case loses:
+		return nil, eris.Wrap(core.ErrLost, "reset")
+	case hangs:
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, eris.Wrap(core.ErrLost, "closed")
+	case rejects:
+		info.NotRun = true
+		return answer(http.StatusServiceUnavailable, info, "", nil), nil
+	case fails:
+		return answer(http.StatusInternalServerError, info, "failed", nil), nil
+	case unsigned:
+		return answer(http.StatusOK, core.ReplyInfo{}, "ok", nil), nil
+	case breaksOff:
+		return answer(http.StatusOK, info, pieces(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
+	default:
+		return answer(http.StatusOK, info, pieces(o.LastEvent, events), nil), nil
+	}
+}
+
+// pieces is the events after last up to n.
+func pieces(last string, n int) string {
+	var b strings.Builder
+	from := 0
+	_, _ = fmt.Sscan(last, &from)
+	for i := from + 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func answer(status int, info core.ReplyInfo, text string, end error) *core.Reply {
+	return &core.Reply{Status: status, Header: http.Header{}, Info: info, Body: io.NopCloser(&ends{strings.NewReader(text), end})}
+}
+
+// ends gives an error instead of io.EOF.
+type ends struct {
+	io.Reader
+	err error
+}
+
+func (e *ends) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err == io.EOF && e.err != nil {
+		err = e.err
+	}
+	return n, err
+}
+
+type noPlacer struct{}
+
+func (noPlacer) Place(context.Context, string, string, string) (string, error) {
+	return "", core.ErrUnavailable
+}
+
+// newDispatcher has n runners with model m.
+func newDispatcher(f *fleet, n int) *Dispatcher {
+	clock := clockwork.NewRealClock()
+	c := catalog.New(clock)
+	config := &core.Config{Version: 1, Services: map[string]*core.Service{"s": {Name: "s"}}}
+	config.Index()
+	c.SetConfig(config)
+	for i := range n {
+		c.Put(core.Runner{ID: fmt.Sprint("r", i), Service: "s", Slots: 4, Holdings: []core.Holding{{Model: "m"}}}, clock.Now())
+	}
+	budget := policy.NewBudget(clock, 10*time.Second, 0.2, func() float64 { return 100 })
+	return New("p", c, load.New(clock), f, noPlacer{}, budget, NewDemand(), clock, zap.NewNop())
+}
+
+func route(kind core.RequestKind, resumable bool, attempts int) *core.Route {
+	return &core.Route{
+		Name: "r", Kind: kind, Resumable: resumable, MaxAttempts: attempts, Timeout: 2 * time.Second,
+		Target: 100 * time.Millisecond, Shares: []core.Share{{Service: "s", Weight: 1}},
+	}
+}
+
+// call serves one request and reads its answer to the end.
+func call(d *Dispatcher, r *core.Route) (status int, body string, err error) {
+	q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), TimeLimit: 3 * time.Second}
+	reply, err := d.Do(context.Background(), r, q)
+	if err != nil {
+		return core.AsRequestError(err).Status, "", err
+	}
+	defer reply.Body.Close()
+	data, err := io.ReadAll(reply.Body)
+	return reply.Status, string(data), err
+}
+
+// Whatever runners do, in whatever order: what may not be repeated runs once; a
+// refusal says the truth; no runner sees more attempts than the route allows;
+// a stream that ends whole has each event once; every request has its answer
+// by its time limit.
+func TestPromisesWhateverRunnersDo(t *testing.T) {
+	routes := []*core.Route{
+		route(core.KindUnsafe, false, 2), route(core.KindSafe, false, 2), route(core.KindSafe, false, 3),
+		route(core.KindStream, false, 2), route(core.KindStream, true, 2), route(core.KindStream, true, 3),
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		r := rapid.SampledFrom(routes).Draw(rt, "route")
+		script := rapid.SliceOfN(rapid.IntRange(0, int(acts)-1), 8, 8).Draw(rt, "acts")
+		runners := rapid.IntRange(0, 5).Draw(rt, "runners")
+		synctest.Test(t, func(*testing.T) {
+			step := 0
+			f := &fleet{next: func(string) act {
+				step++
+				return act(script[(step-1)%len(script)])
+			}}
+			d := newDispatcher(f, runners)
+			began := time.Now()
+			status, body, err := call(d, r)
+			assert.Assert(rt, time.Since(began) <= r.Timeout+time.Millisecond, "%v", time.Since(began))
+			if !r.Repeatable() {
+				assert.Assert(rt, len(f.runs) <= 1, "ran at %v", f.runs)
+			}
+			assert.Assert(rt, len(f.runs) <= r.MaxAttempts, "ran at %v", f.runs)
+			var re *core.RequestError
+			if errors.As(err, &re) && re.Outcome == core.OutcomeNotRun && !r.Repeatable() {
+				assert.Equal(rt, len(f.runs), 0, "refused, though it ran at %v", f.runs)
+			}
+			if status == http.StatusOK && err == nil {
+				assert.Equal(rt, body, pieces("", events))
+			}
+			for _, o := range f.sends {
+				assert.Assert(rt, o.TimeLimit > 0 && o.TimeLimit <= r.Timeout)
+			}
+			assert.Equal(rt, d.Running(), 0)
+		})
+	})
+}
+
+func script(list ...act) func(string) act {
+	return func(string) act {
+		if len(list) == 0 {
+			return serves
+		}
+		a := list[0]
+		list = list[1:]
+		return a
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name  string
+		route *core.Route
+		acts  []act
+		want  int
+		runs  int
+	}{
+		{"served", route(core.KindUnsafe, false, 1), nil, 200, 1},
+		{"another runner after a rejection", route(core.KindUnsafe, false, 1), []act{rejects}, 200, 1},
+		{"another runner where one is unreachable", route(core.KindUnsafe, false, 1), []act{unreachable}, 200, 1},
+		{"an unsafe request is not repeated", route(core.KindUnsafe, false, 3), []act{loses}, 502, 1},
+		{"a safe request is repeated", route(core.KindSafe, false, 2), []act{loses}, 200, 2},
+		{"a safe request that fails is repeated", route(core.KindSafe, false, 2), []act{fails}, 200, 2},
+		{"a failure is passed on", route(core.KindUnsafe, false, 2), []act{fails}, 500, 1},
+		{"the last failure is passed on", route(core.KindSafe, false, 2), []act{fails, fails}, 500, 2},
+		{"a success without signature is none", route(core.KindUnsafe, false, 1), []act{unsigned}, 502, 1},
+		{"nothing by the time limit", route(core.KindUnsafe, false, 1), []act{hangs}, 504, 1},
+		{"all reject", route(core.KindUnsafe, false, 1), []act{rejects, rejects, rejects, rejects, rejects}, 503, 0},
+		{"a stream goes on elsewhere", route(core.KindStream, true, 2), []act{breaksOff}, 200, 2},
+	}
+	for _, one := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{next: script(one.acts...)}
+			status, _, _ := call(newDispatcher(f, 5), one.route)
+			assert.Equal(t, status, one.want, one.name)
+			assert.Equal(t, len(f.runs), one.runs, one.name)
+		})
+	}
+}
+
+// A caller sees a sentence twice or with words missing. A runner breaks off in
+// the middle of an event; the next one goes on after the last whole event.
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	f := &fleet{next: script(breaksOff)}
+	_, body, err := call(newDispatcher(f, 3), route(core.KindStream, true, 2))
+	assert.NilError(t, err)
+	assert.Equal(t, body, pieces("", events))
+	assert.Equal(t, f.sends[1].LastEvent, "3")
+	assert.Assert(t, f.runs[0] != f.runs[1])
+}
+
+// A stream that cannot go on must not look whole.
+func TestBrokenStreamDoesNotEndWell(t *testing.T) {
+	f := &fleet{next: script(breaksOff)}
+	status, body, err := call(newDispatcher(f, 3), route(core.KindStream, false, 2))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, pieces("", 3))
+	assert.Assert(t, err != nil)
+}
+
+// A runner that leaves gets a request that was on its way to be sent.
+func TestLeavingRunnersGetNothing(t *testing.T) {
+	f := &fleet{next: script()}
+	d := newDispatcher(f, 2)
+	for _, id := range []string{"r0", "r1"} {
+		e := *d.catalog.Runner(id)
+		e.Draining = true
+		d.catalog.Put(e.Runner, d.clock.Now())
+	}
+	status, _, _ := call(d, route(core.KindSafe, false, 1))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(f.runs), 0)
+}
+
+func TestWholeEvents(t *testing.T) {
+	cases := []struct {
+		text string
+		want int
+	}{
+		{"", 0},
+		{"id: 1\n", 0},
+		{"\n", 0},
+		{"id: 1\ndata: x\n\n", 15},
+		{"id: 1\ndata: x\n\nid: 2\nda", 15},
+		{"id: 1\r\ndata: x\r\n\r\nid", 18},
+		{"a\n\nb\n\nc", 6},
+	}
+	for _, one := range cases {
+		assert.Equal(t, wholeEvents([]byte(one.text)), one.want, "%q", one.text)
+	}
+}
+
+// slow gives a byte at a time.
+type slow struct{ io.Reader }
+
+func (s slow) Read(p []byte) (int, error) { return s.Reader.Read(p[:min(1, len(p))]) }
+
+func TestEventsInAnyPieces(t *testing.T) {
+	text := pieces("", events)
+	in := &eventReader{in: slow{strings.NewReader(text)}}
+	var got []byte
+	for {
+		part, err := in.next()
+		got = append(got, part...)
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, string(got), text)
+	assert.Equal(t, in.last, fmt.Sprint(events))
+}
+
+func TestPickKeepsTheWeights(t *testing.T) {
+	counts := map[string]int{}
+	for range 10000 {
+		counts[pick([]core.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}})]++
+	}
+	assert.Assert(t, counts["a"] > 8700 && counts["a"] < 9300, "%v", counts)
+	assert.Equal(t, pick([]core.Share{{Service: "a", Weight: 0}}), "a")
+	assert.Assert(t, slices.Contains([]string{"a", "b"}, pick([]core.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}})))
+}
--- a/coordination/dispatch/events.go
+++ b/coordination/dispatch/events.go
@@ -8,9 +8,9 @@
 // maxEvent bounds an event of a stream, in bytes.
 const maxEvent = 1 << 20
 
-// events reads a stream of server-sent events. Whole events only are handed
+// eventReader reads a stream of server-sent events. Whole events only are handed
 // on, so that a stream that breaks inside of one can go on elsewhere.
-type events struct {
+type eventReader struct {
 	in   io.Reader
 	buf  []byte
 	last string // id of the last whole event handed on
@@ -19,7 +19,7 @@
 
 // next returns the whole events that have come, at least one. At the end of
 // the stream it returns what is left after the last whole event, and io.EOF.
-func (e *events) next() ([]byte, error) {
+func (e *eventReader) next() ([]byte, error) {
 	var chunk [8 << 10]byte
 	for e.err == nil {
 		n, err := e.in.Read(chunk[:])
@@ -57,7 +57,7 @@
 }
 
 // note remembers the last id of a run of whole events.
-func (e *events) note(b []byte) {
+func (e *eventReader) note(b []byte) {
 	for line := range bytes.Lines(b) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.last = string(bytes.TrimSpace(id))
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -27,7 +27,7 @@
 	j       *job
 	runner  *core.Runner
 	body    io.ReadCloser
-	in      *events
+	in      *eventReader
 	ready   []byte
 	ended   error
 	firstAt time.Time
@@ -51,7 +51,7 @@
 // stream waits for the first event, so that a runner that breaks off before it
 // can still be answered for by another, or by a refusal.
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
-	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &events{in: reply.Body, last: j.last}}
+	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, last: j.last}}
 	first, err := s.in.next()
 	if err != nil && err != io.EOF {
 		_ = reply.Body.Close()
@@ -101,7 +101,7 @@
 		reply, err := j.send(s.ctx, r)
 		if err == nil && reply.Status == http.StatusOK && check(reply) == nil {
 			j.log.Info("stream resumed", zap.String("runner", r.ID), zap.String("after", j.last))
-			s.runner, s.body, s.in = r, reply.Body, &events{in: reply.Body, last: j.last}
+			s.runner, s.body, s.in = r, reply.Body, &eventReader{in: reply.Body, last: j.last}
 			return nil
 		}
 		switch {
