--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -46,6 +46,7 @@
 type Copy struct {
 	Version uint64        `json:"version"`
 	Objects []core.Object `json:"objects"`
+	Calm    time.Duration `json:"calm"` // since the store last failed for its daemon
 }
 
 // Neighbour gets another daemon's copy of a kind. It fails with ErrUnavailable
@@ -143,7 +144,7 @@
 	if k.failing || k.version == 0 {
 		return Copy{}, core.ErrUnavailable
 	}
-	c := Copy{Version: k.version, Objects: make([]core.Object, 0, len(k.objects))}
+	c := Copy{Version: k.version, Calm: w.clock.Since(w.lostAt()), Objects: make([]core.Object, 0, len(k.objects))}
 	for _, o := range k.objects {
 		c.Objects = append(c.Objects, o)
 	}
@@ -179,7 +180,7 @@
 	if kind == w.reader.ConfigKind {
 		w.takeConfigs(c.Objects)
 	} else {
-		w.takeRunners(c.Objects)
+		w.takeRunners(c)
 	}
 }
 
@@ -237,7 +238,7 @@
 		return err
 	}
 	w.works(kind)
-	w.adopt(kind, Copy{Version: version, Objects: objects})
+	w.adopt(kind, Copy{Version: version, Objects: objects, Calm: w.clock.Since(w.lostAt())})
 	return nil
 }
 
@@ -339,22 +340,25 @@
 	}
 }
 
-func (w *Watcher) takeRunners(objects []core.Object) {
-	listed := make(map[string]bool, len(objects))
-	for _, o := range objects {
+func (w *Watcher) takeRunners(c Copy) {
+	listed := make(map[string]bool, len(c.Objects))
+	for _, o := range c.Objects {
 		listed[o.Name] = true
 		w.takeRunner(core.Event{Object: o})
 	}
 	for id := range w.catalog.All() {
 		if !listed[id] {
-			w.lapse(id)
+			w.lapse(id, c.Calm)
 		}
 	}
 }
 
+// lostAt is when the store last failed here.
+func (w *Watcher) lostAt() time.Time { return time.Unix(0, w.lost.Load()) }
+
 func (w *Watcher) takeRunner(e core.Event) {
 	if e.Deleted {
-		w.lapse(e.Object.Name)
+		w.lapse(e.Object.Name, w.clock.Since(w.lostAt()))
 		return
 	}
 	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
@@ -370,17 +374,14 @@
 	}
 }
 
-// lapse takes in that a runner's entry is missing. After an outage of the
-// store entries of live runners are missing for a moment; to drop their
-// runners then would drop most of the fleet at once. The grace counts from the
-// store's return: a runner that leaves later must get no work two seconds
-// after its entry is gone.
-func (w *Watcher) lapse(id string) {
+// lapse takes in that a runner's entry is missing, as seen by a daemon for which
+// the store has not failed for calm. After an outage of the store entries of
+// live runners are missing for a moment; to drop their runners then would drop
+// most of the fleet at once. The grace counts from the store's return: a runner
+// that leaves later must get no work two seconds after its entry is gone.
+func (w *Watcher) lapse(id string, calm time.Duration) {
 	now := w.clock.Now()
-	goneAt := time.Unix(0, w.lost.Load()).Add(lapseGrace)
-	if goneAt.Before(now) {
-		goneAt = now
-	}
+	goneAt := now.Add(max(0, lapseGrace-calm))
 	w.log.Info("runner's entry is missing", zap.String("runner", id), zap.Duration("grace", goneAt.Sub(now)))
 	w.catalog.Lapse(id, goneAt)
 	w.catalog.Sweep(now)
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -159,3 +159,24 @@
 		within(t, 500*time.Millisecond, "r1 gone", func() bool { return !known("r1") })
 	})
 }
+
+// A runner that has left gets work for as long as one daemon is turned away by
+// the store: its copies of others' lists lacked the runner, and each one began
+// the grace for lapsed entries anew.
+func TestMissingInACopyOfACalmDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(runners, "r1", `"ready"`)
+		a, b := newNode(s), newNode(s)
+		a.near = b
+		for _, n := range []*node{a, b} {
+			n.Start()
+			defer n.Stop()
+		}
+		within(t, time.Second, "start", func() bool { return a.catalog.Runner("r1") != nil && b.catalog.Runner("r1") != nil })
+		a.client.Cut(true)
+		time.Sleep(5 * time.Second)
+		s.Remove(runners, "r1")
+		within(t, 1500*time.Millisecond, "gone", func() bool { return a.catalog.Runner("r1") == nil })
+	})
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -118,7 +118,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.entries[id]
-	if !ok || !e.GoneAt.IsZero() {
+	if !ok || !e.GoneAt.IsZero() && !goneAt.Before(e.GoneAt) {
 		return
 	}
 	lapsed := *e
