--- /dev/null
+++ b/transport/front/front_test.go
@@ -0,0 +1,177 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	"primroseward/platform"
+	"primroseward/state/catalog"
+)
+
+// dispatcher answers as a test tells it to.
+type dispatcher struct {
+	got    *core.Request
+	answer func(ctx context.Context) (*core.Reply, error)
+}
+
+func (d *dispatcher) Do(ctx context.Context, _ *core.Route, q *core.Request) (*core.Reply, error) {
+	d.got = q
+	return d.answer(ctx)
+}
+
+func reply(status int, body io.Reader) (*core.Reply, error) {
+	h := http.Header{"X-Primroseward-Server-Stamp": {"s"}, "Connection": {"keep-alive"}, "Keep-Alive": {"timeout=3"}}
+	return &core.Reply{Status: status, Header: h, Body: io.NopCloser(body)}, nil
+}
+
+// setUp serves one route; without a config if version is 0.
+func setUp(t *testing.T, version uint64, d *dispatcher) (*Front, *httptest.Server) {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	c := catalog.New(clock)
+	if version > 0 {
+		config := &core.Config{
+			Version: version, Limits: core.CallerLimits{BodyBytes: 1000},
+			Routes: []core.Route{{Name: "r", Host: "h.example", Prefix: "/a/"}},
+		}
+		config.Index()
+		c.SetConfig(config)
+	}
+	f := New(c, platform.Dialect{}, d, clock, zap.NewNop())
+	srv := httptest.NewUnstartedServer(f)
+	srv.Config = f.Server()
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return f, srv
+}
+
+// send writes a request as it is and reads the answer.
+func send(t *testing.T, srv *httptest.Server, text string) (*http.Response, string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\nHost: h.example\nX-Primroseward-Request-Id: q1\nContent-Length: %d\n\n%s", path, len(body), body)
+}
+
+// A daemon that has just started answers 404 for all routes, and callers give up
+// for good. Without a configuration it can only say that it does not know yet.
+func TestStatusOfOurOwn(t *testing.T) {
+	cases := []struct {
+		name    string
+		version uint64
+		text    string
+		err     error
+		want    int
+		retry   bool
+	}{
+		{"no config", 0, post("/a/x", ""), nil, 503, true},
+		{"no route", 1, post("/b/x", ""), nil, 404, false},
+		{"no id", 1, strings.Replace(post("/a/x", ""), "X-Primroseward-Request-Id: q1\n", "", 1), nil, 400, false},
+		{"body too large", 1, post("/a/x", strings.Repeat("x", 1001)), nil, 413, false},
+		{"refused", 1, post("/a/x", ""), core.NotRun(503, "full", "", 250e6), 503, true},
+		{"may have run", 1, post("/a/x", ""), core.MayHaveRun("lost", ""), 502, false},
+		{"other errors promise nothing", 1, post("/a/x", ""), errors.New("odd"), 502, false},
+	}
+	for _, one := range cases {
+		d := &dispatcher{answer: func(context.Context) (*core.Reply, error) {
+			if one.err != nil {
+				return nil, one.err
+			}
+			return reply(200, strings.NewReader("ok"))
+		}}
+		_, srv := setUp(t, one.version, d)
+		resp, _, err := send(t, srv, one.text)
+		assert.NilError(t, err, one.name)
+		assert.Equal(t, resp.StatusCode, one.want, one.name)
+		assert.Equal(t, resp.Header.Get("Retry-After") != "", one.retry, one.name)
+	}
+}
+
+func TestBodiesInAnyForm(t *testing.T) {
+	d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, strings.NewReader("ok")) }}
+	_, srv := setUp(t, 1, d)
+	chunked := "POST /a/x?y=1 HTTP/1.1\nHost: h.example:80\nX-Primroseward-Request-Id: q1\nTransfer-Encoding: chunked\n\n3\nabc\n2\nde\n0\n\n"
+	resp, body, err := send(t, srv, chunked)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, string(d.got.Body), "abcde")
+	assert.Equal(t, d.got.Target, "/a/x?y=1")
+	assert.Equal(t, resp.Header.Get("Keep-Alive"), "", "the runner's connection is not the caller's")
+	assert.Equal(t, resp.Header.Get("X-Primroseward-Server-Stamp"), "s")
+}
+
+// broken gives some bytes and then an error.
+type broken struct{ io.Reader }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = core.ErrLost
+	}
+	return n, err
+}
+
+// A caller takes half an answer for the whole.
+func TestBrokenAnswerDoesNotLookComplete(t *testing.T) {
+	d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, broken{strings.NewReader("half")}) }}
+	_, srv := setUp(t, 1, d)
+	_, body, err := send(t, srv, post("/a/x", ""))
+	assert.Equal(t, body, "half")
+	assert.Assert(t, err != nil)
+}
+
+// Runners go on working for callers that have left.
+func TestLeavingCallerEndsTheRequest(t *testing.T) {
+	ended := make(chan struct{})
+	d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
+		<-ctx.Done()
+		close(ended)
+		return nil, core.MayHaveRun("gone", "")
+	}}
+	_, srv := setUp(t, 1, d)
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, strings.ReplaceAll(post("/a/x", ""), "\n", "\r\n"))
+	assert.NilError(t, err)
+	_ = c.Close()
+	<-ended
+}
+
+func TestLeavingDaemonAsksToClose(t *testing.T) {
+	d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, strings.NewReader("ok")) }}
+	f, srv := setUp(t, 1, d)
+	for _, leaving := range []bool{false, true} {
+		if leaving {
+			f.Leave()
+		}
+		resp, _, err := send(t, srv, post("/a/x", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Close, leaving)
+	}
+}
