--- a/coordination/policy/budget.go
+++ b/coordination/policy/budget.go
@@ -19,6 +19,7 @@
 	ratio  func() float64 // repeats allowed as a share of first sends
 	slack  func() float64 // repeats allowed beyond the share
 
+	start    time.Time // turns are counted from here, by the monotonic clock
 	mu       sync.Mutex
 	services map[string]*ring
 }
@@ -31,7 +32,7 @@
 
 // NewBudget makes a Budget of one daemon.
 func NewBudget(clock core.Clock, window time.Duration, ratio, slack func() float64) *Budget {
-	return &Budget{clock: clock, window: window, ratio: ratio, slack: slack, services: map[string]*ring{}}
+	return &Budget{clock: clock, window: window, ratio: ratio, slack: slack, start: clock.Now(), services: map[string]*ring{}}
 }
 
 func (b *Budget) at(service string) (*ring, int) {
@@ -40,7 +41,7 @@
 		r = &ring{}
 		b.services[service] = r
 	}
-	turn := b.clock.Now().UnixNano() / int64(b.window/buckets)
+	turn := int64(b.clock.Since(b.start) / (b.window / buckets))
 	i := int(turn % buckets)
 	if r.epoch[i] != turn {
 		r.epoch[i], r.first[i], r.repeat[i] = turn, 0, 0
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,8 +61,8 @@
 	catalog   *catalog.Catalog
 	clock     core.Clock
 	log       *zap.Logger
-	lost      atomic.Int64 // when the store last failed, in Unix nanoseconds
 	mu        sync.Mutex
+	lost      time.Time // when the store last failed
 	kinds     map[string]*kindState
 	wg        sync.WaitGroup
 	stop      context.CancelFunc
@@ -145,7 +144,7 @@
 	if k.failing || k.version == 0 {
 		return Copy{}, core.ErrUnavailable
 	}
-	c := Copy{Version: k.version, Calm: w.clock.Since(w.lostAt()), Objects: make([]core.Object, 0, len(k.objects))}
+	c := Copy{Version: k.version, Calm: w.clock.Since(w.lost), Objects: make([]core.Object, 0, len(k.objects))}
 	for _, o := range k.objects {
 		c.Objects = append(c.Objects, o)
 	}
@@ -239,7 +238,7 @@
 		return err
 	}
 	w.works(kind)
-	w.adopt(kind, Copy{Version: version, Objects: objects, Calm: w.clock.Since(w.lostAt())})
+	w.adopt(kind, Copy{Version: version, Objects: objects, Calm: w.calm()})
 	return nil
 }
 
@@ -296,8 +295,8 @@
 
 // fails notes a failure of the store, and says whether it is the first.
 func (w *Watcher) fails(kind string, err error) bool {
-	w.lost.Store(w.clock.Now().UnixNano())
 	w.mu.Lock()
+	w.lost = w.clock.Now()
 	k := w.kinds[kind]
 	first := !k.failing
 	k.failing = true
@@ -314,9 +313,11 @@
 	k := w.kinds[kind]
 	back := k.failing
 	k.failing = false
+	if back {
+		w.lost = w.clock.Now()
+	}
 	w.mu.Unlock()
 	if back {
-		w.lost.Store(w.clock.Now().UnixNano())
 		w.log.Info(logs.StoreRegained, zap.String("kind", kind))
 	}
 }
@@ -354,12 +355,18 @@
 	}
 }
 
-// lostAt is when the store last failed here.
-func (w *Watcher) lostAt() time.Time { return time.Unix(0, w.lost.Load()) }
+// calm is how long the store has not failed here. The time of the failure is
+// kept with its monotonic reading: after a step of the time of day the grace for
+// lapsed entries would last as long as the step.
+func (w *Watcher) calm() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Since(w.lost)
+}
 
 func (w *Watcher) takeRunner(e core.Event) {
 	if e.Deleted {
-		w.lapse(e.Object.Name, w.clock.Since(w.lostAt()))
+		w.lapse(e.Object.Name, w.calm())
 		return
 	}
 	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,3 +181,14 @@
 		within(t, 1500*time.Millisecond, "gone", func() bool { return a.catalog.Runner("r1") == nil })
 	})
 }
+
+// A runner that leaves gets work for seconds: the time of day was five seconds
+// ahead when the store failed, and was set back since. Only monotonic time may
+// decide how long the store has been calm.
+func TestStepOfTheTimeOfDay(t *testing.T) {
+	n := newNode(memory.New())
+	n.fails(configs, core.ErrUnavailable)
+	assert.Assert(t, strings.Contains(n.lost.String(), "m="), "%v has no monotonic reading", n.lost)
+	n.works(configs)
+	assert.Assert(t, strings.Contains(n.lost.String(), "m="), "%v has no monotonic reading", n.lost)
+}
