--- /dev/null
+++ b/cmd/primrosectl/follow.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+// followCommand reads a file of logs of one or several daemons; it asks none.
+func followCommand() command {
+	s := flaggy.NewSubcommand("follow")
+	s.Description = "show a request's way, and what was known on it, from a file of logs"
+	var request, file string
+	s.AddPositionalValue(&request, "ID", 1, true, "the caller's request id")
+	s.AddPositionalValue(&file, "FILE", 2, true, "logs of one or several daemons")
+	return command{s, func(c *client) error {
+		in, err := os.Open(file)
+		if err != nil {
+			return eris.Wrap(err, "logs")
+		}
+		defer in.Close()
+		lines, _, err := logs.Read(in)
+		if err != nil {
+			return err
+		}
+		found := logs.Follow(lines, request)
+		if len(found) == 0 {
+			return eris.Wrapf(core.ErrNotFound, "no line on request %s; lines may have been left out, look for %q", request, logs.LinesLeftOut)
+		}
+		if c.json {
+			return printJSON(found)
+		}
+		return logs.Print(os.Stdout, found)
+	}}
+}
--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -88,7 +88,7 @@
 func reload(d server, config string, log *zap.Logger) {
 	set, err := setting.Load(config)
 	if err != nil {
-		log.Error(logs.NotReloaded, zap.Error(err))
+		log.Error(logs.NotReloaded, logs.Err(err))
 		return
 	}
 	d.Reload(set)
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -71,7 +71,7 @@
 	began := j.d.clock.Now()
 	id, err := j.d.placer.Place(ctx, j.service, j.q.Model, j.q.Adapter)
 	if err != nil {
-		j.log.Info(logs.ModelNotPlaced, zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter), zap.Error(err))
+		j.log.Info(logs.ModelNotPlaced, zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter), logs.Err(err))
 		return nil
 	}
 	e := j.d.catalog.Runner(id)
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -252,17 +252,17 @@
 	}
 	j.d.loads.Failed(r.ID)
 	if errors.Is(err, core.ErrNotSent) {
-		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), zap.Error(err))
+		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), logs.Err(err))
 		if j.dials++; j.dials < maxDials {
 			return nil
 		}
 		return j.refuse("unreachable", "no runner could be reached", err)
 	}
 	if j.mayRepeat() {
-		j.log.Info(logs.AnswerRetried, zap.String("runner", r.ID), zap.Error(err))
+		j.log.Info(logs.AnswerRetried, zap.String("runner", r.ID), logs.Err(err))
 		return nil
 	}
-	j.log.Warn(logs.AnswerLost, zap.String("runner", r.ID), zap.Int("runs", j.runs), zap.Error(err))
+	j.log.Warn(logs.AnswerLost, zap.String("runner", r.ID), zap.Int("runs", j.runs), logs.Err(err))
 	return core.MayHaveRun("answer_lost", err.Error())
 }
 
@@ -297,7 +297,7 @@
 func (j *job) refuse(code, message string, err error) error {
 	retry := policy.RetryAfter(j.route.Target)
 	j.log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
-		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Duration("retry", retry), zap.Error(err))
+		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Duration("retry", retry), logs.Err(err))
 	if j.runs > 0 && !j.route.Repeatable() {
 		return core.MayHaveRun(code, message)
 	}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -121,7 +121,7 @@
 	}
 	next.Holder = ""
 	if err := l.write(ctx, next); err != nil {
-		l.log.Warn(logs.LeaseKept, zap.Error(err))
+		l.log.Warn(logs.LeaseKept, logs.Err(err))
 		return
 	}
 	l.log.Info(logs.LeaseGivenBack, zap.Uint64("term", next.Term))
@@ -189,7 +189,7 @@
 		err := l.step(call)
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			l.log.Info(logs.LeaseStepFailed, zap.Error(err))
+			l.log.Info(logs.LeaseStepFailed, logs.Err(err))
 		}
 		l.sleep(ctx, checkEvery/2+rand.N(checkEvery))
 	}
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -129,7 +129,7 @@
 func (p *Peers) Tell(to Peer, kind string, message any) {
 	body, err := json.Marshal(message)
 	if err != nil {
-		p.log.Error(logs.MessageUnwritten, zap.Error(err))
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
 		return
 	}
 	p.post(to.Peer, datagram{Kind: kind, Body: body})
@@ -242,7 +242,7 @@
 	}
 	p.mu.Unlock()
 	if err != nil {
-		p.log.Error(logs.MessageUnwritten, zap.Error(err))
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
 		return
 	}
 	for _, addr := range to {
@@ -252,7 +252,7 @@
 
 func (p *Peers) send(to netip.AddrPort, data []byte) {
 	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
-		p.log.Debug(logs.DatagramUnsent, zap.Stringer("to", to), zap.Error(err))
+		p.log.Debug(logs.DatagramUnsent, zap.Stringer("to", to), logs.Err(err))
 	}
 }
 
@@ -265,12 +265,12 @@
 			return
 		}
 		if err != nil {
-			p.log.Debug(logs.DatagramUnread, zap.Error(err))
+			p.log.Debug(logs.DatagramUnread, logs.Err(err))
 			continue
 		}
 		var d datagram
 		if err := json.Unmarshal(buf[:n], &d); err != nil || d.From.Name == "" {
-			p.log.Warn(logs.DatagramUnreadable, zap.Error(err))
+			p.log.Warn(logs.DatagramUnreadable, logs.Err(err))
 			continue
 		}
 		p.take(d)
@@ -336,7 +336,7 @@
 		}
 		body, err := json.Marshal(v)
 		if err != nil {
-			p.log.Error(logs.MessageUnwritten, zap.Error(err))
+			p.log.Error(logs.MessageUnwritten, logs.Err(err))
 			return
 		}
 		p.post(to, datagram{Number: number, Body: body})
@@ -347,7 +347,7 @@
 	d.From = p.Self()
 	data, err := json.Marshal(d)
 	if err != nil {
-		p.log.Error(logs.MessageUnwritten, zap.Error(err))
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
 		return
 	}
 	p.send(to, data)
@@ -393,7 +393,7 @@
 		if err == nil {
 			return
 		}
-		p.log.Warn(logs.DaemonsNotFound, zap.Error(err))
+		p.log.Warn(logs.DaemonsNotFound, logs.Err(err))
 		p.sleep(ctx, findEvery/2+rand.N(findEvery))
 	}
 }
@@ -412,7 +412,7 @@
 	for _, o := range objects {
 		var one Peer
 		if err := json.Unmarshal(o.Body, &one); err != nil {
-			p.log.Error(logs.DaemonUnreadable, zap.String("name", o.Name), zap.Error(err))
+			p.log.Error(logs.DaemonUnreadable, zap.String("name", o.Name), logs.Err(err))
 			continue
 		}
 		if one.Name == p.self.Name || p.known[one.Name] != nil {
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -270,7 +270,7 @@
 	if err != nil || report.Busy {
 		one.retryAt = h.clock.Now().Add(reportLag / 2)
 		if err != nil {
-			h.log.Info(logs.RunnerSilent, zap.String("runner", one.runner.ID), zap.Error(err))
+			h.log.Info(logs.RunnerSilent, zap.String("runner", one.runner.ID), logs.Err(err))
 		}
 		return
 	}
@@ -508,7 +508,7 @@
 		return
 	}
 	h.log.Info(logs.OrderAnswered, zap.String("runner", one.runner.ID), zap.String("model", o.Model), zap.String("adapter", o.Adapter),
-		zap.Bool("load", o.Load), zap.Uint64("expected", o.Expected), zap.Int("result", int(result)), zap.Error(err))
+		zap.Bool("load", o.Load), zap.Uint64("expected", o.Expected), zap.Int("result", int(result)), logs.Err(err))
 	then(result)
 }
 
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -287,7 +287,7 @@
 func (w *Watcher) ask(ctx context.Context, kind string) {
 	c, err := w.neighbour(ctx, kind)
 	if err != nil {
-		w.log.Debug(logs.CopyNotTaken, zap.String("kind", kind), zap.Error(err))
+		w.log.Debug(logs.CopyNotTaken, zap.String("kind", kind), logs.Err(err))
 		return
 	}
 	w.adopt(kind, c)
@@ -302,7 +302,7 @@
 	k.failing = true
 	w.mu.Unlock()
 	if first {
-		w.log.Warn(logs.StoreLost, zap.String("kind", kind), zap.Error(err))
+		w.log.Warn(logs.StoreLost, zap.String("kind", kind), logs.Err(err))
 	}
 	return first
 }
@@ -334,7 +334,7 @@
 	}
 	c, err := w.reader.Config(e.Object.Body)
 	if err != nil {
-		w.log.Error(logs.ConfigUnreadable, zap.Uint64("revision", e.Object.Version), zap.Error(err))
+		w.log.Error(logs.ConfigUnreadable, zap.Uint64("revision", e.Object.Version), logs.Err(err))
 		return
 	}
 	if w.catalog.SetConfig(c) {
@@ -371,7 +371,7 @@
 	}
 	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
 	if err != nil {
-		w.log.Error(logs.RunnerUnreadable, zap.String("runner", e.Object.Name), zap.Error(err))
+		w.log.Error(logs.RunnerUnreadable, zap.String("runner", e.Object.Name), logs.Err(err))
 		return
 	}
 	old := w.catalog.Runner(r.ID)
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -210,3 +210,12 @@
 
 // Sync has nothing to do: lines are written as they come.
 func (c *logCore) Sync() error { return nil }
+
+// Err is the field of an error: its text once, without the trace that errors
+// carry for people at a terminal.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -38,7 +38,7 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(c); err != nil {
-			d.log.Info(logs.CopyNotSent, zap.Error(err))
+			d.log.Info(logs.CopyNotSent, logs.Err(err))
 		}
 	})
 	return mux
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -182,7 +182,7 @@
 	defer d.wg.Done()
 	err := s.Serve(ln)
 	if err != nil && err != http.ErrServerClosed && !d.leaving.Load() {
-		d.log.Error(logs.ListenerFailed, zap.Error(err))
+		d.log.Error(logs.ListenerFailed, logs.Err(err))
 	}
 }
 
@@ -240,7 +240,7 @@
 	left := began.Add(time.Duration(d.bounds.Load().Grace) - exitMargin).Sub(d.clock.Now())
 	drain, cancel := context.WithTimeout(ctx, left)
 	if err := d.servers[0].Shutdown(drain); err != nil {
-		d.log.Warn(logs.CutAtEnd, zap.Int("running", d.dispatcher.Running()), zap.Error(err))
+		d.log.Warn(logs.CutAtEnd, zap.Int("running", d.dispatcher.Running()), logs.Err(err))
 	}
 	cancel()
 	d.log.Info(logs.Stopped, zap.Duration("took", d.clock.Since(began)))
--- a/services/fleet/yield.go
+++ b/services/fleet/yield.go
@@ -32,7 +32,7 @@
 func (d *Daemon) handleYield(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var ask yieldAsk
 	if err := json.Unmarshal(body, &ask); err != nil {
-		d.log.Warn(logs.MessageUnreadable, zap.String("daemon", from.Name), zap.Error(err))
+		d.log.Warn(logs.MessageUnreadable, zap.String("daemon", from.Name), logs.Err(err))
 		return
 	}
 	idle, ok := d.lease.Yield(ask.Term)
@@ -57,7 +57,7 @@
 	defer cancel()
 	var got yieldAnswer
 	if err := r.d.peers.Ask(ctx, p, kindYield, yieldAsk{Term: term}, &got, yieldResend); err != nil {
-		r.d.log.Info(logs.HolderSilent, zap.String("holder", p.Name), zap.Error(err))
+		r.d.log.Info(logs.HolderSilent, zap.String("holder", p.Name), logs.Err(err))
 		return 0, false
 	}
 	return got.Idle, got.Yielded
