Streams leave runners that send nothing at all

A runner that loses its power resets nothing; its streams stood still until callers gave up after two seconds. A stream goes on elsewhere when its runner has sent this daemon nothing for 0.9 s.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -8,9 +8,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -29,6 +31,13 @@
 	maxRejections = 3
 	// maxDials bounds the runners that could not be reached.
 	maxDials = 4
+	// stallLeast is the least silence of a runner after which a stream goes on
+	// elsewhere: callers give up after two seconds, and the next runner needs
+	// a part of the second one. stallTargets and stallGaps are that silence in
+	// targets before the first event, and in longest pauses between events.
+	stallLeast   = 900 * time.Millisecond
+	stallTargets = 3
+	stallGaps    = 6
 	// statusClientGone is only for the log: nobody reads the answer.
 	statusClientGone = 499
 )
@@ -78,7 +87,8 @@
 	rejects  int
 	dials    int
 	sends    int
-	last     string // id of the last event passed on
+	last     string             // id of the last event passed on
+	drop     context.CancelFunc // ends the connection of the latest send
 	log      *zap.Logger
 }
 
@@ -225,21 +235,93 @@
 	j.sends++
 	j.tried[r.ID] = true
 	j.d.loads.Begin(r.ID)
-	reply, err := j.d.sender.Send(ctx, r, j.q, out)
+	ctx, j.drop = context.WithCancel(ctx)
+	reply, err := j.sendOrStall(ctx, r, out)
 	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
 		j.runs++
 	}
 	if err != nil {
+		j.drop()
 		j.d.loads.End(r.ID)
 		return nil, err
 	}
 	if reply.Info.Load != nil {
 		j.d.loads.Said(r.ID, *reply.Info.Load)
 	}
-	reply.Body = &ending{ReadCloser: reply.Body, end: func() { j.d.loads.End(r.ID) }}
+	drop := j.drop
+	reply.Body = &ending{ReadCloser: reply.Body, end: func() {
+		drop()
+		j.d.loads.End(r.ID)
+	}}
 	return reply, nil
 }
 
+// sendOrStall gives a stream that may be repeated up when its runner is silent.
+func (j *job) sendOrStall(ctx context.Context, r *core.Runner, out core.Outgoing) (*core.Reply, error) {
+	watch := j.watchSilence(r, max(stallLeast, stallTargets*j.route.Target))
+	defer watch.stop()
+	reply, err := j.d.sender.Send(ctx, r, j.q, out)
+	if err == nil {
+		j.d.loads.Note(r.ID)
+	}
+	return reply, err
+}
+
+// watchSilence drops the latest send's connection when its runner has been
+// silent for a time, if the stream may go on elsewhere. A runner that loses its
+// power or its network resets nothing: its streams stand still until the caller
+// gives up two seconds later, and only silence tells. A runner that sends
+// anything else in that time is alive and only slow; to leave it would move the
+// load of an overloaded runner to the next one.
+func (j *job) watchSilence(r *core.Runner, limit time.Duration) *silence {
+	s := &silence{job: j, runner: r.ID, limit: limit, drop: j.drop, began: j.d.clock.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.route.Kind == core.KindStream && j.route.Resumable {
+		s.timer = j.d.clock.AfterFunc(limit, s.check)
+	}
+	return s
+}
+
+// silence is a watch of one runner.
+type silence struct {
+	job    *job
+	runner string
+	limit  time.Duration
+	drop   context.CancelFunc
+	began  time.Time
+	mu     sync.Mutex
+	timer  clockwork.Timer
+}
+
+func (s *silence) check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer == nil {
+		return
+	}
+	clock := s.job.d.clock
+	heard := s.job.d.loads.LastHeard(s.runner)
+	if heard.Before(s.began) {
+		heard = s.began
+	}
+	if quiet := clock.Since(heard); quiet < s.limit {
+		s.timer = clock.AfterFunc(s.limit-quiet, s.check)
+		return
+	}
+	s.job.log.Info(logs.RunnerMute, zap.String("runner", s.runner), zap.Duration("limit", s.limit))
+	s.drop()
+}
+
+func (s *silence) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+}
+
 // mayRepeat takes one more send from the budget, if the route allows one.
 func (j *job) mayRepeat() bool {
 	return j.route.Repeatable() && j.runs < j.route.MaxAttempts && j.d.budget.Repeat(j.service)
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -37,6 +37,7 @@
 	breaksOff // a stream, in the middle of an event
 	hangs     // until the time limit
 	unsigned  // a success without its signature
+	freezes   // a stream, after some events, without a word
 	acts
 )
 
@@ -76,6 +77,8 @@
 		return answer(http.StatusInternalServerError, info, "failed", nil), nil
 	case unsigned:
 		return answer(http.StatusOK, core.ReplyInfo{}, "ok", nil), nil
+	case freezes:
+		return answer(http.StatusOK, info, pieces(o.LastEvent, 2), silent{ctx}), nil
 	case breaksOff:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
 	default:
@@ -106,12 +109,21 @@
 
 func (e *ends) Read(p []byte) (int, error) {
 	n, err := e.Reader.Read(p)
-	if err == io.EOF && e.err != nil {
-		err = e.err
+	if err != io.EOF || e.err == nil {
+		return n, err
 	}
-	return n, err
+	if s, ok := e.err.(silent); ok {
+		<-s.ctx.Done()
+	}
+	return n, e.err
 }
 
+// silent is the end of an answer whose connection gives no sign until it is
+// dropped.
+type silent struct{ ctx context.Context }
+
+func (silent) Error() string { return "closed" }
+
 type noPlacer struct{}
 
 func (noPlacer) Place(context.Context, string, string, string) (string, error) {
@@ -246,6 +258,22 @@
 	assert.Assert(t, f.runs[0] != f.runs[1])
 }
 
+// A caller sees a sentence stop and gives up. The runner has lost its power: its
+// connection neither ends nor breaks. The stream goes on elsewhere within the
+// two seconds that callers wait.
+func TestSilentStreamGoesOn(t *testing.T) {
+	for _, first := range []act{freezes, hangs} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{next: script(first)}
+			began := time.Now()
+			_, body, err := call(newDispatcher(f, 3), route(core.KindStream, true, 2))
+			assert.NilError(t, err)
+			assert.Equal(t, body, pieces("", events))
+			assert.Assert(t, time.Since(began) < 1500*time.Millisecond, "%v", time.Since(began))
+		})
+	}
+}
+
 // A stream that cannot go on must not look whole.
 func TestBrokenStreamDoesNotEndWell(t *testing.T) {
 	f := &fleet{next: script(breaksOff)}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -47,13 +47,16 @@
 	}
 	s.lastAt = now
 	s.count++
+	s.j.d.loads.Note(s.runner.ID)
 }
 
 // stream waits for the first event, so that a runner that breaks off before it
 // can still be answered for by another, or by a refusal.
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
 	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, last: j.last}}
+	watch := j.watchSilence(r, max(stallLeast, stallTargets*j.route.Target))
 	first, err := s.in.next()
+	watch.stop()
 	if err != nil && err != io.EOF {
 		_ = reply.Body.Close()
 		return nil, j.afterError(ctx, r, eris.Wrapf(core.ErrLost, "before the first event: %v", err))
@@ -71,8 +74,7 @@
 		if s.ended != nil {
 			return 0, s.ended
 		}
-		s.ready, s.ended = s.in.next()
-		s.arrived()
+		s.ready, s.ended = s.next()
 		if s.ended == io.EOF {
 			s.j.d.loads.Worked(s.runner.ID)
 		}
@@ -85,6 +87,15 @@
 	return n, nil
 }
 
+// next waits for the next events.
+func (s *stream) next() ([]byte, error) {
+	watch := s.j.watchSilence(s.runner, max(stallLeast, stallGaps*s.j.route.MaxGap))
+	defer watch.stop()
+	ready, err := s.in.next()
+	s.arrived()
+	return ready, err
+}
+
 // resume goes on at another runner after the last event passed on. The runner
 // before is let go of first: two must not work on one request.
 func (s *stream) resume(cause error) error {
--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -31,6 +31,7 @@
 	fails map[string]fail
 	peers map[string]peer
 	said  map[string]said
+	heard map[string]time.Time // when a runner last sent anything
 }
 
 type peer struct {
@@ -51,7 +52,7 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}}
+	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
 }
 
 // Begin counts a request sent to a runner.
@@ -77,12 +78,27 @@
 	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner]}
 }
 
+// Note takes in that a runner has sent something.
+func (t *Table) Note(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard[runner] = t.clock.Now()
+}
+
+// LastHeard is when a runner last sent anything to this daemon.
+func (t *Table) LastHeard(runner string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heard[runner]
+}
+
 // Forget drops what is known of a runner that is gone.
 func (t *Table) Forget(runner string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.said, runner)
 	delete(t.fails, runner)
+	delete(t.heard, runner)
 }
 
 // Failed marks a runner for an attempt that failed there.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -15,6 +15,8 @@
 	AnswerRetried = "answer lost, trying another runner"
 	// AnswerLost: no whole answer came; the caller gets 502 or a cut stream.
 	AnswerLost = "answer lost"
+	// RunnerMute: a runner has sent nothing for too long; the stream goes on elsewhere.
+	RunnerMute = "runner sends nothing"
 	// StreamResumed: a broken stream goes on at another runner after an event.
 	StreamResumed = "stream resumed"
 	// StreamEnded: a stream's last event: time to the first, longest pause, whether whole.
