--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -65,7 +65,8 @@
 
 type known struct {
 	Peer
-	heard time.Time
+	heard  time.Time
+	silent bool // its silence has been logged
 }
 
 // Handler answers a question of another daemon. It must not block.
@@ -236,6 +237,10 @@
 			delete(p.known, name)
 			continue
 		}
+		if now.Sub(k.heard) >= aliveFor && !k.silent {
+			k.silent = true
+			p.log.Info(logs.DaemonSilent, zap.String("other", name), zap.Uint64("term", k.Term), zap.Duration("for", now.Sub(k.heard)))
+		}
 		if k.Place == p.self.Place && near || k.Place != p.self.Place && far {
 			to = append(to, k.Peer.Peer)
 		}
@@ -313,14 +318,17 @@
 		return false
 	}
 	if !ok {
-		p.log.Info(logs.DaemonFound, zap.String("daemon", from.Name), zap.Stringer("caller", from.Caller))
+		p.log.Info(logs.DaemonFound, zap.String("other", from.Name), zap.Stringer("caller", from.Caller))
 		k = &known{}
 		p.known[from.Name] = k
 	}
 	if ok && k.Leaving != from.Leaving {
-		p.log.Info(logs.DaemonChanged, zap.String("daemon", from.Name), zap.Bool("leaving", from.Leaving))
+		p.log.Info(logs.DaemonChanged, zap.String("other", from.Name), zap.Bool("leaving", from.Leaving))
+	}
+	if k.silent {
+		p.log.Info(logs.DaemonHeard, zap.String("other", from.Name))
 	}
-	k.Peer, k.heard = from, now
+	k.Peer, k.heard, k.silent = from, now, false
 	return true
 }
 
@@ -412,13 +420,13 @@
 	for _, o := range objects {
 		var one Peer
 		if err := json.Unmarshal(o.Body, &one); err != nil {
-			p.log.Error(logs.DaemonUnreadable, zap.String("name", o.Name), logs.Err(err))
+			p.log.Error(logs.DaemonUnreadable, zap.String("other", o.Name), logs.Err(err))
 			continue
 		}
 		if one.Name == p.self.Name || p.known[one.Name] != nil {
 			continue
 		}
-		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor)}
+		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor), silent: true}
 	}
 	p.mu.Unlock()
 	p.tell(true, true)
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -65,7 +65,7 @@
 	p.Handle(kindNews, func(from peers.Peer, body json.RawMessage, _ func(any)) {
 		var n News
 		if err := json.Unmarshal(body, &n); err != nil {
-			log.Warn(logs.MessageUnreadable, zap.String("daemon", from.Name), logs.Err(err))
+			log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
 			return
 		}
 		l.Learn(n.Runner, n.Model, n.Adapter, n.Held)
@@ -104,7 +104,7 @@
 func (c *Client) handleDemand(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var list []wanted
 	if err := json.Unmarshal(body, &list); err != nil {
-		c.log.Warn(logs.MessageUnreadable, zap.String("daemon", from.Name), logs.Err(err))
+		c.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
 		return
 	}
 	counts := make(map[dispatch.Want]float64, len(list))
--- a/io/logs/follow.go
+++ b/io/logs/follow.go
@@ -33,7 +33,7 @@
 // beliefs are events that tell what a daemon knew when it decided.
 var beliefs = []string{
 	ConfigInForce, ConfigBehind, RunnerSeen, RunnerMissing, RunnerGone, StoreLost, StoreRegained, CopyTaken,
-	LeaseTaken, LeaseLost, LeaseYielded, OrderSent, OrderDone, AdapterYields, Started, Leaving, CutAtEnd, LinesLeftOut,
+	LeaseTaken, LeaseLost, LeaseYielded, OrderSent, OrderDone, AdapterYields, DaemonSilent, DaemonHeard, Started, Leaving, CutAtEnd, LinesLeftOut,
 }
 
 // Read reads lines of logs. What stands before the first brace of a line, such
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -61,6 +61,10 @@
 	DaemonFound = "daemon found"
 	// DaemonChanged: another daemon begins to leave, or has come back.
 	DaemonChanged = "daemon changed"
+	// DaemonSilent: another daemon has not been heard for a while; it is not handed out as an address.
+	DaemonSilent = "daemon silent"
+	// DaemonHeard: a silent daemon is heard again.
+	DaemonHeard = "daemon heard again"
 	// DaemonsNotFound: the store could not be asked for the other daemons.
 	DaemonsNotFound = "daemons not found"
 	// DaemonUnreadable: another daemon's object could not be read.
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -88,6 +88,6 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxCopy)).Decode(&c); err != nil {
 		return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "copy of %s: %v", best.Name, err)
 	}
-	d.log.Info(logs.CopyTaken, zap.String("daemon", best.Name), zap.String("kind", kind), zap.Uint64("version", c.Version))
+	d.log.Info(logs.CopyTaken, zap.String("other", best.Name), zap.String("kind", kind), zap.Uint64("version", c.Version))
 	return c, nil
 }
--- a/services/fleet/yield.go
+++ b/services/fleet/yield.go
@@ -32,7 +32,7 @@
 func (d *Daemon) handleYield(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var ask yieldAsk
 	if err := json.Unmarshal(body, &ask); err != nil {
-		d.log.Warn(logs.MessageUnreadable, zap.String("daemon", from.Name), logs.Err(err))
+		d.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
 		return
 	}
 	idle, ok := d.lease.Yield(ask.Term)
