--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -60,7 +60,7 @@
 	defer out.Close()
 	log := logs.New(out, set.Level)
 	out.Start(log)
-	d, err := newDaemon(set, log)
+	d, err := newDaemon(set, log, out)
 	if err != nil {
 		return err
 	}
@@ -102,10 +102,11 @@
 	Stop(ctx context.Context)
 }
 
-func newDaemon(set *setting.Setting, log *zap.Logger) (server, error) {
+func newDaemon(set *setting.Setting, log *zap.Logger, out *logs.Writer) (server, error) {
 	if set.Fleet == nil {
 		return daemon.New(set, log)
 	}
 	scope, handler := daemon.NewMetrics()
+	out.Count(scope.Counter("log_lines_left_out"))
 	return fleet.New(set, log, scope, handler)
 }
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"primroseward/coordination/load"
@@ -64,12 +65,26 @@
 	demand  *Demand
 	clock   core.Clock
 	log     *zap.Logger
+	metrics *metrics
 	running atomic.Int64
 }
 
+// Option changes a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithScope counts requests in a scope.
+func WithScope(s tally.Scope) Option { return func(d *Dispatcher) { d.metrics = newMetrics(s) } }
+
 // New makes a Dispatcher of a daemon in a place.
-func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger) *Dispatcher {
-	return &Dispatcher{place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand, clock: clock, log: log}
+func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
+		clock: clock, log: log, metrics: newMetrics(tally.NoopScope),
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
 }
 
 // Running is the number of requests in progress.
@@ -112,6 +127,7 @@
 	}
 	d.demand.Count(j.service, q)
 	reply, err := j.first(ctx)
+	d.metrics.done(d.clock.Since(q.Arrived), reply, err)
 	if err != nil {
 		end()
 		return nil, err
--- /dev/null
+++ b/coordination/dispatch/metrics.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"primroseward/core"
+)
+
+// latencies are the bounds of the histogram of times to the answer, or to a
+// stream's first event. Targets lie between 0.1 and 3 s.
+var latencies = tally.DurationBuckets{
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second, 10 * time.Second,
+}
+
+// outcomes of requests as the metrics name them.
+const (
+	outcomeServed  = "served"
+	outcomeRefused = "refused" // not run, the caller may come back
+	outcomeLost    = "lost"    // may have run, no whole answer
+	outcomeTimeout = "timeout"
+	outcomeFailed  = "failed" // a runner's own failure, passed on
+	outcomeGone    = "gone"   // the caller has left
+	outcomeCut     = "cut"    // a stream that ended early, counted beside served
+)
+
+// metrics counts requests.
+type metrics struct {
+	scope    tally.Scope
+	outcomes map[string]tally.Counter
+	latency  tally.Histogram
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{scope: scope, outcomes: map[string]tally.Counter{}, latency: scope.Histogram("request_seconds", latencies)}
+	for _, o := range []string{outcomeServed, outcomeRefused, outcomeLost, outcomeTimeout, outcomeFailed, outcomeGone, outcomeCut} {
+		m.outcomes[o] = scope.Tagged(map[string]string{"outcome": o}).Counter("requests")
+	}
+	return m
+}
+
+// done counts the end of a request, or a stream's first event.
+func (m *metrics) done(took time.Duration, reply *core.Reply, err error) {
+	m.latency.RecordDuration(took)
+	m.outcomes[outcomeOf(reply, err)].Inc(1)
+	var re *core.RequestError
+	if errors.As(err, &re) && re.Outcome == core.OutcomeNotRun {
+		m.scope.Tagged(map[string]string{"code": re.Code}).Counter("refusals").Inc(1)
+	}
+}
+
+func outcomeOf(reply *core.Reply, err error) string {
+	if err == nil {
+		if reply.Status >= http.StatusInternalServerError {
+			return outcomeFailed
+		}
+		return outcomeServed
+	}
+	re := core.AsRequestError(err)
+	switch {
+	case re.Outcome == core.OutcomeNotRun:
+		return outcomeRefused
+	case re.Status == http.StatusGatewayTimeout:
+		return outcomeTimeout
+	case re.Status == statusClientGone:
+		return outcomeGone
+	default:
+		return outcomeLost
+	}
+}
+
+// cut counts a stream that ended early after its answer had begun.
+func (m *metrics) cut() { m.outcomes[outcomeCut].Inc(1) }
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -134,6 +134,9 @@
 
 // Close ends the stream; a runner that still works on it stops.
 func (s *stream) Close() error {
+	if s.ended != io.EOF && s.ctx.Err() == nil {
+		s.j.d.metrics.cut()
+	}
 	s.j.log.Info(logs.StreamEnded, zap.String("runner", s.runner.ID), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
 		zap.Duration("gap", s.maxGap), zap.Int("reads", s.count), zap.Bool("whole", s.ended == io.EOF), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
 	return s.body.Close()
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -42,6 +42,7 @@
 	lines   chan *buffer.Buffer
 	done    chan struct{}
 	dropped [2]atomic.Int64 // of plain lines, of failures
+	counter Counter
 
 	mu     sync.Mutex
 	tokens float64
@@ -102,6 +103,20 @@
 	return w.dropped[plain].Load(), w.dropped[failure].Load()
 }
 
+// Counter counts lines left out.
+type Counter interface{ Inc(n int64) }
+
+// Count also counts lines left out in a metric, before the first line.
+func (w *Writer) Count(c Counter) { w.counter = c }
+
+// leaveOut counts a line that is not written.
+func (w *Writer) leaveOut(class int) {
+	w.dropped[class].Add(1)
+	if w.counter != nil {
+		w.counter.Inc(1)
+	}
+}
+
 // admit takes a line from the second's allowance.
 func (w *Writer) admit(class int) bool {
 	w.mu.Lock()
@@ -126,7 +141,7 @@
 	case w.lines <- b:
 	default:
 		b.Free()
-		w.dropped[class].Add(1)
+		w.leaveOut(class)
 	}
 }
 
@@ -179,7 +194,7 @@
 	}
 	class := classOf(e.Level)
 	if !c.out.admit(class) {
-		c.out.dropped[class].Add(1)
+		c.out.leaveOut(class)
 		return ce
 	}
 	return ce.AddCore(e, c)
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -240,6 +240,20 @@
 	status, _, err = d.send("/none/x", "", "")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusNotFound)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + d.admin + "/metrics")
+		if err != nil {
+			return poll.Error(err)
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		for _, want := range []string{`primrose_requests{outcome="served"} 2`, "primrose_request_seconds_bucket", "primrose_platform_calls"} {
+			if err != nil || !strings.Contains(string(data), want) {
+				return poll.Continue("%v: no %s", err, want)
+			}
+		}
+		return poll.Success()
+	})
 }
 
 // An adapter and a model that no runner has are fetched because they are asked
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -123,7 +123,8 @@
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
 		placement.Spread(d.peers, d.catalog, d.log))
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
-	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log)
+	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
+		dispatch.WithScope(d.scope))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log)
 }
 
