--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -59,11 +59,11 @@
 	out := logs.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer out.Close()
 	log := logs.New(out, set.Level)
-	out.Start(log)
 	d, err := newDaemon(set, log, out)
 	if err != nil {
 		return err
 	}
+	out.Start(log)
 	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hup := make(chan os.Signal, 1)
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -40,17 +40,18 @@
 
 // Peer is a daemon as it tells of itself.
 type Peer struct {
-	Name    string         `json:"name"`
-	Place   string         `json:"place"`
-	Caller  netip.AddrPort `json:"caller"` // that callers connect to
-	Peer    netip.AddrPort `json:"peer"`   // of datagrams
-	Boot    uint64         `json:"boot"`   // later ones are larger
-	Ready   bool           `json:"ready"`
-	Leaving bool           `json:"leaving"`
-	Term    uint64         `json:"term,omitempty"`    // of the lease of orders, while it is held
-	Fresh   bool           `json:"fresh,omitempty"`   // the lease was renewed lately
-	Config  uint64         `json:"config"`            // version of the configuration in force
-	Failing bool           `json:"failing,omitempty"` // does not reach the store
+	Name      string         `json:"name"`
+	Place     string         `json:"place"`
+	Caller    netip.AddrPort `json:"caller"` // that callers connect to
+	Peer      netip.AddrPort `json:"peer"`   // of datagrams
+	Boot      uint64         `json:"boot"`   // later ones are larger
+	Ready     bool           `json:"ready"`
+	Leaving   bool           `json:"leaving"`
+	Term      uint64         `json:"term,omitempty"`    // of the lease of orders, while it is held
+	Fresh     bool           `json:"fresh,omitempty"`   // the lease was renewed lately
+	ConfigAt  uint64         `json:"config"`            // last change of the configuration that it knows
+	RunnersAt uint64         `json:"runners"`           // last change of the runners that it knows
+	Failing   bool           `json:"failing,omitempty"` // does not reach the store
 }
 
 // datagram is what daemons send each other. One of Beat, Ask and Answer is
@@ -74,15 +75,16 @@
 
 // Peers is a daemon's view of the others.
 type Peers struct {
-	store core.Platform
-	kind  string
-	conn  *net.UDPConn
-	clock core.Clock
-	log   *zap.Logger
-	loads func() map[string]int
-	heard func(from Peer, counts map[string]int)
-	claim func() (term uint64, fresh bool)
-	fails func() bool
+	store   core.Platform
+	kind    string
+	conn    *net.UDPConn
+	clock   core.Clock
+	log     *zap.Logger
+	loads   func() map[string]int
+	heard   func(from Peer, counts map[string]int)
+	claim   func() (term uint64, fresh bool)
+	fails   func() bool
+	changes func() (config, runners uint64)
 
 	mu       sync.Mutex
 	self     Peer
@@ -100,7 +102,7 @@
 func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(Peer, map[string]int)) *Peers {
 	return &Peers{
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
-		claim: func() (uint64, bool) { return 0, false }, fails: func() bool { return false }, known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
+		claim: func() (uint64, bool) { return 0, false }, fails: func() bool { return false }, changes: func() (uint64, uint64) { return 0, 0 }, known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
 	}
 }
 
@@ -115,6 +117,9 @@
 // Start.
 func (p *Peers) SetFailing(fn func() bool) { p.fails = fn }
 
+// SetChanges sets what tells the last changes known, before Start.
+func (p *Peers) SetChanges(fn func() (config, runners uint64)) { p.changes = fn }
+
 // Holder returns the daemon that claims the lease of orders.
 func (p *Peers) Holder() (Peer, bool) {
 	var best Peer
@@ -153,15 +158,16 @@
 	p.wg.Wait()
 }
 
-// SetConfig tells the others the configuration in force, with which callers
-// may be sent here.
-func (p *Peers) SetConfig(version uint64) {
+// SetReady tells the others that callers may be sent here.
+func (p *Peers) SetReady() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.self.Ready = true
-	p.self.Config = version
 }
 
+// Nudge tells the others at once, instead of with the next turn.
+func (p *Peers) Nudge() { p.tell(true, true) }
+
 // Leave tells the others at once that this daemon stops.
 func (p *Peers) Leave() {
 	p.mu.Lock()
@@ -226,7 +232,9 @@
 	loads := p.loads()
 	term, fresh := p.claim()
 	failing := p.fails()
+	config, runners := p.changes()
 	p.mu.Lock()
+	p.self.ConfigAt, p.self.RunnersAt = config, runners
 	p.self.Failing = failing
 	p.self.Term, p.self.Fresh = term, fresh
 	data, err := json.Marshal(datagram{From: p.self, Loads: loads})
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -26,6 +26,12 @@
 	// runner still counts: live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
 	sweepEvery = 100 * time.Millisecond
+	// hintPatience is how long a daemon that watches waits for its own watch to
+	// bring a change that another one has told of.
+	hintPatience = 150 * time.Millisecond
+	// followCheck is how often a daemon that does not watch looks whether it
+	// should: those that did may have gone.
+	followCheck = 200 * time.Millisecond
 	// settle is the pause after changes of runners before the next watch. Each
 	// answer of a watch is a counted call of each daemon; runners that change
 	// together then cost one. It is a tenth of the two seconds within which a
@@ -46,12 +52,14 @@
 type Copy struct {
 	Version uint64        `json:"version"`
 	Objects []core.Object `json:"objects"`
-	Calm    time.Duration `json:"calm"` // since the store last failed for its daemon
+	Change  uint64        `json:"change"` // the last one of the kind
+	Calm    time.Duration `json:"calm"`   // since the store last failed for its daemon
 }
 
-// Neighbour gets another daemon's copy of a kind. It fails with ErrUnavailable
-// when no daemon that reaches the store is known.
-type Neighbour func(ctx context.Context, kind string) (Copy, error)
+// Neighbour gets another daemon's copy of a kind: a named daemon's, or that of
+// any that reaches the store if the name is empty. It fails with ErrUnavailable
+// when there is none.
+type Neighbour func(ctx context.Context, kind, name string) (Copy, error)
 
 // Watcher watches the configuration and the runners.
 type Watcher struct {
@@ -64,24 +72,53 @@
 	mu        sync.Mutex
 	lost      time.Time // when the store last failed
 	kinds     map[string]*kindState
+	active    func() bool
+	changed   func()
 	wg        sync.WaitGroup
 	stop      context.CancelFunc
 }
 
+// Option changes a Watcher.
+type Option func(*Watcher)
+
+// WithActive sets what tells whether this daemon watches the store itself.
+// Others take what has changed from those that do.
+func WithActive(fn func() bool) Option { return func(w *Watcher) { w.active = fn } }
+
+// WithChanged calls fn after each change that a watch of this daemon reports.
+func WithChanged(fn func()) Option { return func(w *Watcher) { w.changed = fn } }
+
 // kindState is this daemon's copy of a kind.
 type kindState struct {
 	version uint64 // all changes up to this one are known
+	change  uint64 // the last change of the kind
 	objects map[string]core.Object
 	failing bool
+	passive bool
 	cancel  context.CancelFunc // of the watch
-	hinted  uint64             // last version that another daemon told of
+	hint    hint
+	wake    chan struct{} // of a passive daemon's loop
+}
+
+// hint is what another daemon told of a kind that this one does not know yet.
+type hint struct {
+	change uint64
+	from   string
+	at     time.Time
+	acted  bool
 }
 
 // New makes a Watcher.
-func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger) *Watcher {
-	w := &Watcher{store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{}}
+func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger, opts ...Option) *Watcher {
+	w := &Watcher{
+		store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{},
+		active: func() bool { return true }, changed: func() {},
+	}
 	for _, kind := range []string{reader.ConfigKind, reader.RunnerKind} {
-		w.kinds[kind] = &kindState{objects: map[string]core.Object{}, cancel: func() {}}
+		w.kinds[kind] = &kindState{objects: map[string]core.Object{}, cancel: func() {}, wake: make(chan struct{}, 1)}
+	}
+	for _, o := range opts {
+		o(w)
 	}
 	return w
 }
@@ -102,23 +139,45 @@
 	w.wg.Wait()
 }
 
-// Hint takes in that another daemon has a configuration of a version. If this
-// daemon's is older, its watches may have missed what the others' have seen.
-func (w *Watcher) Hint(version uint64) {
-	held := w.catalog.Config()
-	if held == nil || held.Version >= version {
-		return
-	}
-	k := w.kinds[w.reader.ConfigKind]
+// Changes returns the last change known of the configuration and of the
+// runners, for the other daemons.
+func (w *Watcher) Changes() (config, runners uint64) {
 	w.mu.Lock()
-	known := k.hinted >= version
-	k.hinted = max(k.hinted, version)
-	w.mu.Unlock()
-	if known {
+	defer w.mu.Unlock()
+	return w.kinds[w.reader.ConfigKind].change, w.kinds[w.reader.RunnerKind].change
+}
+
+// Hint takes in the last changes that another daemon knows. A daemon that does
+// not watch gets them from it. One that does may have missed them while the
+// store forgot its history, and lists again, unless its own watch brings them
+// in a moment.
+func (w *Watcher) Hint(from string, config, runners uint64) {
+	w.hint(w.reader.ConfigKind, from, config)
+	w.hint(w.reader.RunnerKind, from, runners)
+}
+
+func (w *Watcher) hint(kind, from string, change uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := w.kinds[kind]
+	if change <= k.version || k.version == 0 {
 		return
 	}
-	w.log.Info(logs.ConfigBehind, zap.Uint64("version", version), zap.Uint64("held", held.Version))
-	w.relist("")
+	now := w.clock.Now()
+	if change > k.hint.change {
+		k.hint = hint{change: change, from: from, at: now}
+	}
+	switch {
+	case k.passive:
+		select {
+		case k.wake <- struct{}{}:
+		default: // it is awake already
+		}
+	case !k.hint.acted && now.Sub(k.hint.at) >= hintPatience:
+		k.hint.acted = true
+		w.log.Info(logs.ConfigBehind, zap.String("kind", kind), zap.String("other", from), zap.Uint64("change", change), zap.Uint64("version", k.version))
+		k.cancel()
+	}
 }
 
 // relist ends the watches of all kinds but one, so that they list again.
@@ -144,7 +203,7 @@
 	if k.failing || k.version == 0 {
 		return Copy{}, core.ErrUnavailable
 	}
-	c := Copy{Version: k.version, Calm: w.clock.Since(w.lost), Objects: make([]core.Object, 0, len(k.objects))}
+	c := Copy{Version: k.version, Change: k.change, Calm: w.clock.Since(w.lost), Objects: make([]core.Object, 0, len(k.objects))}
 	for _, o := range k.objects {
 		c.Objects = append(c.Objects, o)
 	}
@@ -175,7 +234,9 @@
 	k.objects = make(map[string]core.Object, len(c.Objects))
 	for _, o := range c.Objects {
 		k.objects[o.Name] = o
+		k.change = max(k.change, o.Version)
 	}
+	k.change = max(k.change, c.Change)
 	w.mu.Unlock()
 	if kind == w.reader.ConfigKind {
 		w.takeConfigs(c.Objects)
@@ -190,6 +251,7 @@
 	k := w.kinds[kind]
 	k.version = max(k.version, e.Object.Version)
 	if e.Object.Name != "" {
+		k.change = max(k.change, e.Object.Version)
 		k.objects[e.Object.Name] = e.Object
 		if e.Deleted {
 			delete(k.objects, e.Object.Name)
@@ -203,8 +265,14 @@
 	default:
 		w.takeRunner(e)
 	}
+	if e.Object.Name != "" {
+		w.changed()
+	}
 }
 
+// errFollows ends the watch of a daemon that takes changes from others now.
+var errFollows = errors.New("other daemons watch")
+
 // watch runs one watch, which relist ends with ErrGone.
 func (w *Watcher) watch(ctx context.Context, kind string) error {
 	sub, cancel := context.WithCancel(ctx)
@@ -214,17 +282,27 @@
 	k.cancel = cancel
 	version := k.version
 	w.mu.Unlock()
-	changed := false
+	changed, follows := false, false
 	err := w.store.Watch(sub, kind, version, func(e core.Event) {
 		w.works(kind)
 		w.change(kind, e)
 		if e.Object.Name != "" {
 			changed = true
-		} else if changed && kind == w.reader.RunnerKind {
+			return
+		}
+		if !w.active() {
+			follows = true
+			cancel()
+			return
+		}
+		if changed && kind == w.reader.RunnerKind {
 			changed = false
 			w.sleep(sub, settle)
 		}
 	})
+	if follows {
+		return errFollows
+	}
 	if sub.Err() != nil && ctx.Err() == nil {
 		return core.ErrGone
 	}
@@ -251,6 +329,13 @@
 	listed := false
 	pause := firstPause
 	for ctx.Err() == nil {
+		if listed && !w.active() {
+			w.follow(ctx, kind)
+			continue
+		}
+		if w.leadsAgain(kind) {
+			listed = false
+		}
 		var err error
 		if !listed {
 			err = w.list(ctx, kind)
@@ -262,6 +347,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errFollows) {
+			continue
+		}
 		if errors.Is(err, core.ErrGone) {
 			// What one watch has missed the others may have missed as well.
 			if listed {
@@ -283,9 +371,49 @@
 	}
 }
 
+// follow waits, as a daemon that does not watch, until another one tells of a
+// change, and takes that one's copy; the store is asked where this fails.
+func (w *Watcher) follow(ctx context.Context, kind string) {
+	k := w.kinds[kind]
+	w.mu.Lock()
+	k.passive = true
+	w.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return
+	case <-w.clock.After(followCheck):
+		return
+	case <-k.wake:
+	}
+	w.mu.Lock()
+	h, version := k.hint, k.version
+	w.mu.Unlock()
+	if h.change <= version {
+		return
+	}
+	c, err := w.neighbour(ctx, kind, h.from)
+	if err == nil && c.Version >= h.change {
+		w.adopt(kind, c)
+		return
+	}
+	if err := w.list(ctx, kind); err != nil && ctx.Err() == nil {
+		w.fails(kind, err)
+	}
+}
+
+// leadsAgain says whether this daemon watches after it did not.
+func (w *Watcher) leadsAgain(kind string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := w.kinds[kind]
+	was := k.passive
+	k.passive = false
+	return was
+}
+
 // ask takes in the copy of another daemon.
 func (w *Watcher) ask(ctx context.Context, kind string) {
-	c, err := w.neighbour(ctx, kind)
+	c, err := w.neighbour(ctx, kind, "")
 	if err != nil {
 		w.log.Debug(logs.CopyNotTaken, zap.String("kind", kind), logs.Err(err))
 		return
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -44,9 +44,26 @@
 	return mux
 }
 
-// neighbour gets the copy of a daemon that reaches the store, one of the own
-// place if there is one; it implements watch.Neighbour.
-func (d *Daemon) neighbour(ctx context.Context, kind string) (watch.Copy, error) {
+// neighbour gets the copy of a named daemon, or of any that reaches the store; it
+// implements watch.Neighbour.
+func (d *Daemon) neighbour(ctx context.Context, kind, name string) (watch.Copy, error) {
+	if name != "" {
+		p, ok := d.peers.Get(name)
+		if !ok {
+			return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "daemon %s is not heard", name)
+		}
+		return d.copyOf(ctx, p, kind)
+	}
+	p, ok := d.nearest()
+	if !ok {
+		return watch.Copy{}, eris.Wrap(core.ErrUnavailable, "no daemon reaches the store")
+	}
+	return d.copyOf(ctx, p, kind)
+}
+
+// nearest draws a daemon that reaches the store, one of the own place if there
+// is one.
+func (d *Daemon) nearest() (peers.Peer, bool) {
 	var best peers.Peer
 	found := 0
 	for _, p := range d.peers.Alive()[1:] {
@@ -66,9 +83,11 @@
 		}
 		best = p
 	}
-	if found == 0 {
-		return watch.Copy{}, eris.Wrap(core.ErrUnavailable, "no daemon reaches the store")
-	}
+	return best, found > 0
+}
+
+// copyOf asks a daemon for its copy.
+func (d *Daemon) copyOf(ctx context.Context, best peers.Peer, kind string) (watch.Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: best.Peer.String(), Path: pathCopy + kind}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
@@ -39,6 +40,10 @@
 	// kindLeases is the kind of the leases, leaseName the one of orders.
 	kindLeases = "leases"
 	leaseName  = "orders"
+	// watchers is how many daemons watch the store: with three the loss or the
+	// cut of two at once is nothing, and each change costs three calls instead
+	// of one for each daemon.
+	watchers = 3
 	// giveBack is the time to give the lease back when stopping.
 	giveBack = 300 * time.Millisecond
 	// listenerLife is how long after the signal to stop new connections are
@@ -103,11 +108,11 @@
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
-	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithConfig(func(c *core.Config) { d.peers.SetConfig(c.Version) }))
+	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithConfig(func(*core.Config) { d.peers.SetReady() }))
 	d.watcher = watch.New(store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
-	}, d.neighbour, d.catalog, d.clock, d.log)
+	}, d.neighbour, d.catalog, d.clock, d.log, watch.WithActive(d.watches), watch.WithChanged(func() { d.peers.Nudge() }))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()),
@@ -118,6 +123,7 @@
 	d.lease = lease.New(store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log)
 	d.peers.SetClaim(d.lease.Claim)
 	d.peers.SetFailing(d.watcher.Failing)
+	d.peers.SetChanges(d.watcher.Changes)
 	d.peers.Handle(kindYield, d.handleYield)
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
@@ -202,10 +208,26 @@
 	d.log.Info(logs.Started, zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
+// watches says whether this daemon is one of the few that watch the store. All
+// daemons that hear each other agree on them; one that hears nobody watches.
+func (d *Daemon) watches() bool {
+	if d.watcher.Failing() {
+		return true
+	}
+	self := xxhash.Sum64String(d.set.Name)
+	before := 0
+	for _, p := range d.peers.Alive()[1:] {
+		if !p.Leaving && !p.Failing && p.Ready && xxhash.Sum64String(p.Name) < self {
+			before++
+		}
+	}
+	return before < watchers
+}
+
 // heard takes in what another daemon tells of itself.
 func (d *Daemon) heard(from peers.Peer, counts map[string]int) {
 	d.loads.Heard(from.Name, counts)
-	d.watcher.Hint(from.Config)
+	d.watcher.Hint(from.Name, from.ConfigAt, from.RunnersAt)
 }
 
 // Reload takes in what may change while the daemon runs: how long callers keep
--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -37,6 +37,7 @@
 	mu    sync.Mutex
 	cut   bool
 	lose  int
+	calls int
 }
 
 var _ core.Platform = (*Client)(nil)
@@ -110,9 +111,24 @@
 	s.changed = make(chan struct{})
 }
 
+// Calls is how many calls, and looks of waiting watches, were made so far.
+func (c *Client) Calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// Version is the store's version.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (c *Client) reached() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.calls++
 	if c.cut {
 		return core.ErrUnavailable
 	}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -87,6 +87,10 @@
 		refuse(w, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0))
 		return
 	}
+	if limit := config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+		refuse(w, core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0))
+		return
+	}
 	q, err := f.dialect.ReadRequest(r)
 	if err != nil {
 		refuse(w, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0))
@@ -114,6 +118,17 @@
 	return v
 }
 
+// headerSize is the size of a request's line and headers on the wire.
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
