--- /dev/null
+++ b/coordination/load/load_test.go
@@ -0,0 +1,68 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+)
+
+// All daemons send to the runner that each of them thinks idle. The count is the
+// higher of what all have told and what the runner told, with what was sent from
+// here since.
+func TestRequests(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := New(clock)
+	requests := func() int {
+		n, _ := l.Requests("r")
+		return n
+	}
+	l.Begin("r")
+	l.Begin("r")
+	assert.Equal(t, requests(), 2)
+	l.Heard("d2", map[string]int{"r": 3, "other": 9})
+	assert.Equal(t, requests(), 5)
+	l.Said("r", core.Load{Running: 6, Waiting: 4, Slots: 8})
+	assert.Equal(t, requests(), 10)
+	l.Begin("r")
+	assert.Equal(t, requests(), 11)
+	clock.Advance(reportMemory)
+	assert.Equal(t, requests(), 6, "the runner's word is old")
+	clock.Advance(peerMemory)
+	assert.Equal(t, requests(), 3, "the daemon is silent")
+	for range 3 {
+		l.End("r")
+	}
+	assert.Equal(t, requests(), 0)
+	assert.Equal(t, len(l.Own()), 0)
+}
+
+// A runner that fails is left alone for a while and probed back by a few.
+func TestPenalty(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := New(clock)
+	penalty := func() float64 {
+		_, p := l.Requests("r")
+		return p
+	}
+	for range 20 {
+		l.Failed("r")
+	}
+	assert.Equal(t, penalty(), float64(penaltyMax))
+	clock.Advance(penaltyHalf)
+	assert.Equal(t, penalty(), float64(penaltyMax)/2)
+	l.Worked("r")
+	assert.Equal(t, penalty(), float64(penaltyMax)/4)
+	for range 10 {
+		l.Worked("r")
+	}
+	assert.Equal(t, penalty(), 0.0)
+	l.Failed("r")
+	l.Forget("r")
+	assert.Equal(t, penalty(), 0.0)
+	clock.Advance(time.Hour)
+	assert.Equal(t, penalty(), 0.0)
+}
