--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -8,11 +8,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -272,132 +270,7 @@
 	return reply, nil
 }
 
-// sendOrStall gives a stream that may be repeated up when its runner is silent.
-func (j *job) sendOrStall(ctx context.Context, r *core.Runner, out core.Outgoing) (*core.Reply, error) {
-	watch := j.watchSilence(r, max(stallLeast, stallTargets*j.route.Target))
-	defer watch.stop()
-	reply, err := j.d.sender.Send(ctx, r, j.q, out)
-	if err == nil {
-		j.d.loads.Note(r.ID)
-	}
-	return reply, err
-}
-
-// watchSilence drops the latest send's connection when its runner has been
-// silent for a time, if the stream may go on elsewhere. A runner that loses its
-// power or its network resets nothing: its streams stand still until the caller
-// gives up two seconds later, and only silence tells. A runner that sends
-// anything else in that time is alive and only slow; to leave it would move the
-// load of an overloaded runner to the next one.
-func (j *job) watchSilence(r *core.Runner, limit time.Duration) *silence {
-	s := &silence{job: j, runner: r.ID, limit: limit, drop: j.drop, began: j.d.clock.Now()}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if j.route.Kind == core.KindStream && j.route.Resumable {
-		s.timer = j.d.clock.AfterFunc(limit, s.check)
-	}
-	return s
-}
-
-// silence is a watch of one runner.
-type silence struct {
-	job    *job
-	runner string
-	limit  time.Duration
-	drop   context.CancelFunc
-	began  time.Time
-	mu     sync.Mutex
-	timer  clockwork.Timer
-}
-
-func (s *silence) check() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.timer == nil {
-		return
-	}
-	clock := s.job.d.clock
-	heard := s.job.d.loads.LastHeard(s.runner)
-	if heard.Before(s.began) {
-		heard = s.began
-	}
-	if quiet := clock.Since(heard); quiet < s.limit {
-		s.timer = clock.AfterFunc(s.limit-quiet, s.check)
-		return
-	}
-	s.job.log.Info(logs.RunnerMute, zap.String("runner", s.runner), zap.Duration("limit", s.limit))
-	s.drop()
-}
-
-func (s *silence) stop() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.timer != nil {
-		s.timer.Stop()
-		s.timer = nil
-	}
-}
-
 // mayRepeat takes one more send from the budget, if the route allows one.
 func (j *job) mayRepeat() bool {
 	return j.route.Repeatable() && j.runs < j.route.MaxAttempts && j.d.budget.Repeat(j.service)
 }
-
-// afterError decides on a send without a whole answer.
-func (j *job) afterError(ctx context.Context, r *core.Runner, err error) error {
-	if ctx.Err() != nil {
-		return j.ended(ctx, err)
-	}
-	j.d.loads.Failed(r.ID)
-	if errors.Is(err, core.ErrNotSent) {
-		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), logs.Err(err))
-		if j.dials++; j.dials < maxDials {
-			return nil
-		}
-		return j.refuse("unreachable", "no runner could be reached", err)
-	}
-	if j.mayRepeat() {
-		j.log.Info(logs.AnswerRetried, zap.String("runner", r.ID), logs.Err(err))
-		return nil
-	}
-	j.log.Warn(logs.AnswerLost, zap.String("runner", r.ID), zap.Int("runs", j.runs), logs.Err(err))
-	return core.MayHaveRun("answer_lost", err.Error())
-}
-
-// afterRejection decides on a runner's statement that it did not run the
-// request.
-func (j *job) afterRejection(r *core.Runner, reply *core.Reply) error {
-	j.rejects++
-	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejects))
-	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
-		j.d.catalog.Learn(r.ID, j.q.Model, j.q.Adapter, false)
-	}
-	if j.rejects >= maxRejections || !j.d.budget.Repeat(j.service) {
-		return j.refuse("rejected", "the runners that may serve the request have no room", nil)
-	}
-	return nil
-}
-
-// ended is the answer to a request whose caller has gone or whose time is up.
-func (j *job) ended(ctx context.Context, err error) error {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
-	}
-	if j.runs == 0 && errors.Is(err, core.ErrNotSent) {
-		return j.refuse("timeout", "the time limit was reached before a runner was found", err)
-	}
-	j.log.Warn(logs.TimeLimit, zap.Int("sends", j.sends))
-	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusGatewayTimeout, Code: "timeout", Message: "the time limit was reached"}
-}
-
-// refuse is the answer to a request that has not run. One that may have run at
-// an earlier attempt must not be called not run.
-func (j *job) refuse(code, message string, err error) error {
-	retry := policy.RetryAfter(j.route.Target)
-	j.log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
-		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Duration("retry", retry), logs.Err(err))
-	if j.runs > 0 && !j.route.Repeatable() {
-		return core.MayHaveRun(code, message)
-	}
-	return core.NotRun(http.StatusServiceUnavailable, code, message, retry)
-}
--- /dev/null
+++ b/coordination/dispatch/outcome.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+// afterError decides on a send without a whole answer.
+func (j *job) afterError(ctx context.Context, r *core.Runner, err error) error {
+	if ctx.Err() != nil {
+		return j.ended(ctx, err)
+	}
+	j.d.loads.Failed(r.ID)
+	if errors.Is(err, core.ErrNotSent) {
+		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), logs.Err(err))
+		if j.dials++; j.dials < maxDials {
+			return nil
+		}
+		return j.refuse("unreachable", "no runner could be reached", err)
+	}
+	if j.mayRepeat() {
+		j.log.Info(logs.AnswerRetried, zap.String("runner", r.ID), logs.Err(err))
+		return nil
+	}
+	j.log.Warn(logs.AnswerLost, zap.String("runner", r.ID), zap.Int("runs", j.runs), logs.Err(err))
+	return core.MayHaveRun("answer_lost", err.Error())
+}
+
+// afterRejection decides on a runner's statement that it did not run the
+// request.
+func (j *job) afterRejection(r *core.Runner, reply *core.Reply) error {
+	j.rejects++
+	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejects))
+	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
+		j.d.catalog.Learn(r.ID, j.q.Model, j.q.Adapter, false)
+	}
+	if j.rejects >= maxRejections || !j.d.budget.Repeat(j.service) {
+		return j.refuse("rejected", "the runners that may serve the request have no room", nil)
+	}
+	return nil
+}
+
+// ended is the answer to a request whose caller has gone or whose time is up.
+func (j *job) ended(ctx context.Context, err error) error {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
+	}
+	if j.runs == 0 && errors.Is(err, core.ErrNotSent) {
+		return j.refuse("timeout", "the time limit was reached before a runner was found", err)
+	}
+	j.log.Warn(logs.TimeLimit, zap.Int("sends", j.sends))
+	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusGatewayTimeout, Code: "timeout", Message: "the time limit was reached"}
+}
+
+// refuse is the answer to a request that has not run. One that may have run at
+// an earlier attempt must not be called not run.
+func (j *job) refuse(code, message string, err error) error {
+	retry := policy.RetryAfter(j.route.Target)
+	j.log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
+		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Duration("retry", retry), logs.Err(err))
+	if j.runs > 0 && !j.route.Repeatable() {
+		return core.MayHaveRun(code, message)
+	}
+	return core.NotRun(http.StatusServiceUnavailable, code, message, retry)
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -191,7 +191,7 @@
 		if err != nil && ctx.Err() == nil {
 			l.log.Info(logs.LeaseStepFailed, logs.Err(err))
 		}
-		l.sleep(ctx, checkEvery/2+rand.N(checkEvery))
+		core.Sleep(ctx, l.clock, checkEvery/2+rand.N(checkEvery))
 	}
 }
 
@@ -313,10 +313,3 @@
 	l.log.Info(logs.LeaseTaken, zap.Uint64("term", next.Term), zap.String("before", was.Holder), zap.Duration("wait", wait))
 	return nil
 }
-
-func (l *Lease) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-l.clock.After(d):
-	}
-}
--- /dev/null
+++ b/coordination/peers/ask.go
@@ -0,0 +1,85 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"primroseward/io/logs"
+)
+
+func (p *Peers) answer(d datagram) {
+	h, ok := p.handlers[d.Kind]
+	if !ok {
+		return
+	}
+	to, number := d.From.Peer, d.Number
+	h(d.From, d.Body, func(v any) {
+		if number == 0 {
+			return
+		}
+		body, err := json.Marshal(v)
+		if err != nil {
+			p.log.Error(logs.MessageUnwritten, logs.Err(err))
+			return
+		}
+		p.post(to, datagram{Number: number, Body: body})
+	})
+}
+
+func (p *Peers) post(to netip.AddrPort, d datagram) {
+	d.From = p.Self()
+	data, err := json.Marshal(d)
+	if err != nil {
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
+		return
+	}
+	p.send(to, data)
+}
+
+// ErrNoAnswer is the error of a question that another daemon did not answer.
+var ErrNoAnswer = errors.New("daemon did not answer")
+
+// Ask puts a question to another daemon. The datagram is sent again after
+// every resend without an answer, so handlers must take repeats.
+func (p *Peers) Ask(ctx context.Context, to Peer, kind string, question, out any, resend time.Duration) error {
+	body, err := json.Marshal(question)
+	if err != nil {
+		return eris.Wrap(err, "question")
+	}
+	number := rand.Uint64() | 1
+	ch := make(chan json.RawMessage, 1)
+	p.mu.Lock()
+	p.waiting[number] = ch
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, number)
+		p.mu.Unlock()
+	}()
+	for {
+		p.post(to.Peer, datagram{Kind: kind, Number: number, Body: body})
+		select {
+		case <-ctx.Done():
+			return ErrNoAnswer
+		case got := <-ch:
+			return json.Unmarshal(got, out)
+		case <-p.clock.After(resend):
+		}
+	}
+}
+
+// Tell sends a message that has no answer. It may be lost.
+func (p *Peers) Tell(to Peer, kind string, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
+		return
+	}
+	p.post(to.Peer, datagram{Kind: kind, Body: body})
+}
--- /dev/null
+++ b/coordination/peers/find.go
@@ -0,0 +1,78 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+// runFind registers this daemon in the store and reads who else is there.
+func (p *Peers) runFind(ctx context.Context) {
+	defer p.wg.Done()
+	for ctx.Err() == nil {
+		err := p.find(ctx)
+		if err == nil {
+			return
+		}
+		p.log.Warn(logs.DaemonsNotFound, logs.Err(err))
+		core.Sleep(ctx, p.clock, findEvery/2+rand.N(findEvery))
+	}
+}
+
+// find registers first and lists then. Of two daemons that start together the
+// one that registers last finds the other, and its datagrams tell it.
+func (p *Peers) find(ctx context.Context) error {
+	if err := p.register(ctx); err != nil {
+		return eris.Wrap(err, "register")
+	}
+	objects, _, err := p.store.List(ctx, p.kind)
+	if err != nil {
+		return eris.Wrap(err, "list")
+	}
+	p.mu.Lock()
+	for _, o := range objects {
+		var one Peer
+		if err := json.Unmarshal(o.Body, &one); err != nil {
+			p.log.Error(logs.DaemonUnreadable, zap.String("other", o.Name), logs.Err(err))
+			continue
+		}
+		if one.Name == p.self.Name || p.known[one.Name] != nil {
+			continue
+		}
+		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor), silent: true}
+	}
+	p.mu.Unlock()
+	p.tell(true, true)
+	return nil
+}
+
+func (p *Peers) register(ctx context.Context) error {
+	self := p.Self()
+	body, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	o := core.Object{Kind: p.kind, Name: self.Name, Body: body}
+	_, err = p.store.Create(ctx, o)
+	if !errors.Is(err, core.ErrExists) {
+		return err
+	}
+	old, err := p.store.Get(ctx, p.kind, self.Name)
+	if err != nil {
+		return err
+	}
+	var was Peer
+	if json.Unmarshal(old.Body, &was) == nil && was.Peer == self.Peer && was.Caller == self.Caller {
+		return nil
+	}
+	old.Body = body
+	_, err = p.store.Update(ctx, old)
+	return err
+}
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -8,13 +8,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"primroseward/core"
@@ -131,16 +129,6 @@
 	return best, best.Term > 0
 }
 
-// Tell sends a message that has no answer. It may be lost.
-func (p *Peers) Tell(to Peer, kind string, message any) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
-	}
-	p.post(to.Peer, datagram{Kind: kind, Body: body})
-}
-
 // Start begins to listen and to tell.
 func (p *Peers) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -223,7 +211,7 @@
 			next = now.Add(farEvery)
 		}
 		p.tell(true, far)
-		p.sleep(ctx, nearEvery)
+		core.Sleep(ctx, p.clock, nearEvery)
 	}
 }
 
@@ -339,135 +327,3 @@
 	k.Peer, k.heard, k.silent = from, now, false
 	return true
 }
-
-func (p *Peers) answer(d datagram) {
-	h, ok := p.handlers[d.Kind]
-	if !ok {
-		return
-	}
-	to, number := d.From.Peer, d.Number
-	h(d.From, d.Body, func(v any) {
-		if number == 0 {
-			return
-		}
-		body, err := json.Marshal(v)
-		if err != nil {
-			p.log.Error(logs.MessageUnwritten, logs.Err(err))
-			return
-		}
-		p.post(to, datagram{Number: number, Body: body})
-	})
-}
-
-func (p *Peers) post(to netip.AddrPort, d datagram) {
-	d.From = p.Self()
-	data, err := json.Marshal(d)
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
-	}
-	p.send(to, data)
-}
-
-// ErrNoAnswer is the error of a question that another daemon did not answer.
-var ErrNoAnswer = errors.New("daemon did not answer")
-
-// Ask puts a question to another daemon. The datagram is sent again after
-// every resend without an answer, so handlers must take repeats.
-func (p *Peers) Ask(ctx context.Context, to Peer, kind string, question, out any, resend time.Duration) error {
-	body, err := json.Marshal(question)
-	if err != nil {
-		return eris.Wrap(err, "question")
-	}
-	number := rand.Uint64() | 1
-	ch := make(chan json.RawMessage, 1)
-	p.mu.Lock()
-	p.waiting[number] = ch
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		delete(p.waiting, number)
-		p.mu.Unlock()
-	}()
-	for {
-		p.post(to.Peer, datagram{Kind: kind, Number: number, Body: body})
-		select {
-		case <-ctx.Done():
-			return ErrNoAnswer
-		case got := <-ch:
-			return json.Unmarshal(got, out)
-		case <-p.clock.After(resend):
-		}
-	}
-}
-
-// runFind registers this daemon in the store and reads who else is there.
-func (p *Peers) runFind(ctx context.Context) {
-	defer p.wg.Done()
-	for ctx.Err() == nil {
-		err := p.find(ctx)
-		if err == nil {
-			return
-		}
-		p.log.Warn(logs.DaemonsNotFound, logs.Err(err))
-		p.sleep(ctx, findEvery/2+rand.N(findEvery))
-	}
-}
-
-// find registers first and lists then. Of two daemons that start together the
-// one that registers last finds the other, and its datagrams tell it.
-func (p *Peers) find(ctx context.Context) error {
-	if err := p.register(ctx); err != nil {
-		return eris.Wrap(err, "register")
-	}
-	objects, _, err := p.store.List(ctx, p.kind)
-	if err != nil {
-		return eris.Wrap(err, "list")
-	}
-	p.mu.Lock()
-	for _, o := range objects {
-		var one Peer
-		if err := json.Unmarshal(o.Body, &one); err != nil {
-			p.log.Error(logs.DaemonUnreadable, zap.String("other", o.Name), logs.Err(err))
-			continue
-		}
-		if one.Name == p.self.Name || p.known[one.Name] != nil {
-			continue
-		}
-		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor), silent: true}
-	}
-	p.mu.Unlock()
-	p.tell(true, true)
-	return nil
-}
-
-func (p *Peers) register(ctx context.Context) error {
-	self := p.Self()
-	body, err := json.Marshal(self)
-	if err != nil {
-		return err
-	}
-	o := core.Object{Kind: p.kind, Name: self.Name, Body: body}
-	_, err = p.store.Create(ctx, o)
-	if !errors.Is(err, core.ErrExists) {
-		return err
-	}
-	old, err := p.store.Get(ctx, p.kind, self.Name)
-	if err != nil {
-		return err
-	}
-	var was Peer
-	if json.Unmarshal(old.Body, &was) == nil && was.Peer == self.Peer && was.Caller == self.Caller {
-		return nil
-	}
-	old.Body = body
-	_, err = p.store.Update(ctx, old)
-	return err
-}
-
-func (p *Peers) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-p.clock.After(d):
-	}
-}
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -56,7 +56,7 @@
 	s := memory.New()
 	told := make(chan map[string]int, 100)
 	a := start(t, s, "a", "north", map[string]int{"r1": 3}, nil)
-	b := start(t, s, "b", "south", nil, func(from Peer, counts map[string]int) {
+	b := start(t, s, "b", "south", nil, func(_ Peer, counts map[string]int) {
 		select {
 		case told <- counts:
 		default:
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		for key, a := range one.adapters {
-			if value, ok := h.adapterValue(key, a, copies[key]); ok && (full == nil || value < lowest) {
+			if value, ok := h.adapterValue(a, copies[key]); ok && (full == nil || value < lowest) {
 				full, victim, lowest = one, key, value
 			}
 		}
@@ -178,7 +178,7 @@
 // that has the only copy of another model, and each request for that model's
 // adapters would be refused. An only copy may go when nobody has asked for it
 // lately.
-func (h *Holder) adapterValue(key adapterKey, a *item, copies int) (float64, bool) {
+func (h *Holder) adapterValue(a *item, copies int) (float64, bool) {
 	unused := h.clock.Since(a.used)
 	if a.phase != present || copies < 2 && unused <= keepAdapter {
 		return 0, false
--- /dev/null
+++ b/coordination/placement/models.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"go.uber.org/zap"
+
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+func (h *Holder) planService(service string, engine *core.Engine) {
+	heat := map[string]float64{}
+	for w, v := range h.heat {
+		if w.Service == service {
+			heat[w.Model] += v
+		}
+	}
+	var states []*policy.HostState
+	for _, one := range h.hosts {
+		if one.runner.Service == service {
+			requests, _ := h.loads.Requests(one.runner.ID)
+			states = append(states, one.state(requests, h.clock.Now()))
+		}
+	}
+	if len(heat) == 0 {
+		heat = h.priorOf(service, states)
+	}
+	for _, m := range policy.Place(engine, states, heat) {
+		one := h.hosts[m.Runner]
+		if m.Load && !one.near(m.Model, h.clock.Now()) && !h.storeToken(engine) {
+			continue
+		}
+		h.orderModel(one, m)
+	}
+	h.preload(service, engine)
+}
+
+// priorOf is read once in a term: the plan's own moves would change it.
+func (h *Holder) priorOf(service string, states []*policy.HostState) map[string]float64 {
+	if p, ok := h.prior[service]; ok {
+		return p
+	}
+	for _, one := range h.hosts {
+		if one.runner.Service == service && !one.synced {
+			return map[string]float64{}
+		}
+	}
+	h.prior[service] = policy.Prior(states)
+	return h.prior[service]
+}
+
+// storeToken takes a load from the weight store's rate.
+func (h *Holder) storeToken(engine *core.Engine) bool {
+	now := h.clock.Now()
+	h.storeTok = min(loadBurst, h.storeTok+now.Sub(h.storeAt).Seconds()*engine.LoadsPerSec)
+	h.storeAt = now
+	if h.storeTok < 1 {
+		return false
+	}
+	h.storeTok--
+	return true
+}
+
+// orderModel sends an order for a model. Before an unload the daemons learn of
+// it.
+func (h *Holder) orderModel(one *host, m policy.Move) {
+	if m.Load {
+		it := &item{phase: loading}
+		one.models[m.Model] = it
+		h.sendModel(one, m, it)
+		return
+	}
+	it := one.models[m.Model]
+	it.phase = unloading
+	one.promised = m.For
+	h.tell(News{Runner: one.runner.ID, Model: m.Model})
+	h.after(retireLead, func() {
+		if one.models[m.Model] == it && h.hosts[one.runner.ID] == one && h.hold() {
+			h.sendModel(one, m, it)
+		}
+	})
+}
+
+func (h *Holder) sendModel(one *host, m policy.Move, it *item) {
+	if one.sending {
+		h.after(confirmEvery, func() {
+			if one.models[m.Model] == it && h.hosts[one.runner.ID] == one && h.hold() {
+				h.sendModel(one, m, it)
+			}
+		})
+		return
+	}
+	h.log.Info(logs.OrderSent, zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load),
+		zap.String("for", m.For), zap.Uint64("expected", one.sequence), zap.Bool("near", one.near(m.Model, h.clock.Now())))
+	h.send(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
+		h.modelOrdered(one, m, it, result)
+	})
+}
+
+func (h *Holder) modelOrdered(one *host, m policy.Move, it *item, result core.OrderResult) {
+	if one.models[m.Model] != it {
+		return // the runner has been read anew since
+	}
+	switch result {
+	case core.OrderDone:
+		h.modelDone(one, m, it)
+	case core.OrderAccepted, core.OrderConflict:
+		// A conflict after an acceptance is the order itself in progress; one
+		// before it leaves the sequence in doubt, and send has seen to that.
+		if one.synced {
+			h.after(modelEvery, func() { h.confirmModel(one, m, it) })
+		}
+	case core.OrderUnknown, core.OrderRefused, core.OrderWrongHost:
+		it.doubt = true
+	}
+}
+
+func (h *Holder) confirmModel(one *host, m policy.Move, it *item) {
+	if one.models[m.Model] != it || !h.hold() || h.hosts[one.runner.ID] != one {
+		return
+	}
+	if one.sending {
+		h.after(modelEvery, func() { h.confirmModel(one, m, it) })
+		return
+	}
+	h.confirm(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
+		h.modelOrdered(one, m, it, result)
+	})
+}
+
+func (h *Holder) modelDone(one *host, m policy.Move, it *item) {
+	h.log.Info(logs.OrderDone, zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load))
+	if m.Load {
+		it.phase = present
+		one.loaded[m.Model] = h.clock.Now()
+		h.count("models_loaded")
+		h.tell(News{Runner: one.runner.ID, Model: m.Model, Held: true})
+		return
+	}
+	delete(one.models, m.Model)
+	for key := range one.adapters {
+		if key.model == m.Model {
+			delete(one.adapters, key)
+		}
+	}
+	h.count("models_unloaded")
+	next := one.promised
+	one.promised = ""
+	if _, held := one.models[next]; next == "" || held || !one.usable(one.runner.Service) {
+		return
+	}
+	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.near(next, h.clock.Now()) || h.storeToken(one.engine)) {
+		h.orderModel(one, policy.Move{Runner: one.runner.ID, Model: next, Load: true})
+	}
+}
--- /dev/null
+++ b/coordination/placement/send.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+// send sends an order that changes a runner, one at a time.
+func (h *Holder) send(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
+	h.transmit(one, o, func(result core.OrderResult) {
+		switch result {
+		case core.OrderAccepted:
+			one.sequence++
+			for _, m := range one.models {
+				m.doubt = false
+			}
+		case core.OrderUnknown, core.OrderConflict, core.OrderRefused, core.OrderWrongHost:
+			// The runner's state is read again before the next order. Until
+			// then what was ordered counts as taken.
+			one.synced = false
+			one.retryAt = h.clock.Now().Add(reportLag)
+		case core.OrderDone:
+		}
+		then(result)
+	})
+}
+
+// confirm repeats an order to learn whether it has been carried out. While it
+// is under way the runner accepts the same order again, and its sequence stays.
+func (h *Holder) confirm(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
+	h.transmit(one, o, func(result core.OrderResult) {
+		if result == core.OrderUnknown {
+			one.synced = false
+			one.retryAt = h.clock.Now().Add(reportLag)
+		}
+		then(result)
+	})
+}
+
+func (h *Holder) transmit(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
+	term, ok := h.lease.Use()
+	if !ok || term != h.term {
+		one.synced = false
+		return
+	}
+	one.sending = true
+	o.Holder, o.Fence, o.Expected = h.self, term, one.sequence
+	h.count("orders")
+	h.wg.Add(1)
+	go h.runOrder(one, one.runner, o, then)
+}
+
+func (h *Holder) runOrder(one *host, r core.Runner, o core.RunnerOrder, then func(core.OrderResult)) {
+	defer h.wg.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
+	defer cancel()
+	result, err := h.orders.Order(ctx, &r, o)
+	h.post(func() { h.answered(one, o, result, err, then) })
+}
+
+// answered takes in a runner's answer to an order, unless the term in which the
+// order was sent is over.
+func (h *Holder) answered(one *host, o core.RunnerOrder, result core.OrderResult, err error, then func(core.OrderResult)) {
+	one.sending = false
+	if o.Fence != h.term || h.hosts[one.runner.ID] != one {
+		return
+	}
+	h.log.Info(logs.OrderAnswered, zap.String("runner", one.runner.ID), zap.String("model", o.Model), zap.String("adapter", o.Adapter),
+		zap.Bool("load", o.Load), zap.Uint64("expected", o.Expected), zap.Int("result", int(result)), logs.Err(err))
+	then(result)
+}
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -49,7 +49,7 @@
 	push      chan []tree.Branch
 	pull      chan core.Member
 	pulling   atomic.Bool
-	confirmed atomic.Int64 // unix nanoseconds of the latest confirmation; 0: never
+	confirmed atomic.Pointer[time.Time] // with its monotonic reading: steps of the time of day must not make old settings look fresh
 	relaying  atomic.Bool
 	ready     chan struct{}
 	readyOnce sync.Once
@@ -101,10 +101,10 @@
 // platform's; negative if never.
 func (s *Spreader) Fresh() time.Duration {
 	at := s.confirmed.Load()
-	if at == 0 {
+	if at == nil {
 		return neverFresh
 	}
-	return max(0, s.clock.Since(time.Unix(0, at)))
+	return max(0, s.clock.Since(*at))
 }
 
 // Heard takes in another member's digest: other settings are asked for, and
@@ -128,7 +128,7 @@
 func (s *Spreader) confirm(at time.Time) {
 	for {
 		have := s.confirmed.Load()
-		if at.UnixNano() <= have || s.confirmed.CompareAndSwap(have, at.UnixNano()) {
+		if have != nil && !at.After(*have) || s.confirmed.CompareAndSwap(have, &at) {
 			return
 		}
 	}
@@ -235,7 +235,7 @@
 	for ctx.Err() == nil {
 		if !s.isRelay() {
 			s.relaying.Store(false)
-			s.sleep(ctx, relayCheck)
+			core.Sleep(ctx, s.clock, relayCheck)
 			continue
 		}
 		began := s.clock.Now()
@@ -246,7 +246,7 @@
 		s.relaying.Store(false)
 		// Jitter: after an outage the relays of all places would otherwise
 		// come back in the same instant and bring the platform down again.
-		s.sleep(ctx, wait/2+rand.N(wait))
+		core.Sleep(ctx, s.clock, wait/2+rand.N(wait))
 		wait = min(2*wait, backoffLast)
 	}
 }
@@ -270,14 +270,7 @@
 		if s.replica.Tree() != nil {
 			return
 		}
-		s.sleep(ctx, wait/2+rand.N(wait))
-	}
-}
-
-func (s *Spreader) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-s.clock.After(d):
+		core.Sleep(ctx, s.clock, wait/2+rand.N(wait))
 	}
 }
 
@@ -307,7 +300,7 @@
 		go s.runWatch(ctx, cancel, &wg, kind, version)
 	}
 	for s.isRelay() && ctx.Err() == nil {
-		s.sleep(ctx, relayCheck)
+		core.Sleep(ctx, s.clock, relayCheck)
 	}
 	cancel()
 	wg.Wait()
--- /dev/null
+++ b/coordination/watch/take.go
@@ -0,0 +1,92 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+func (w *Watcher) takeConfigs(objects []core.Object) {
+	for _, o := range objects {
+		w.takeConfig(core.Event{Object: o})
+	}
+}
+
+func (w *Watcher) takeConfig(e core.Event) {
+	if e.Object.Name != w.reader.ConfigName || e.Deleted {
+		return
+	}
+	c, err := w.reader.Config(e.Object.Body)
+	if err != nil {
+		w.log.Error(logs.ConfigUnreadable, zap.Uint64("revision", e.Object.Version), logs.Err(err))
+		return
+	}
+	if w.catalog.SetConfig(c) {
+		w.log.Info(logs.ConfigInForce, zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)))
+	}
+}
+
+func (w *Watcher) takeRunners(c Copy) {
+	listed := make(map[string]bool, len(c.Objects))
+	for _, o := range c.Objects {
+		listed[o.Name] = true
+		w.takeRunner(core.Event{Object: o})
+	}
+	for id := range w.catalog.All() {
+		if !listed[id] {
+			w.lapse(id, c.Calm)
+		}
+	}
+}
+
+// calm is how long the store has not failed here. The time of the failure is
+// kept with its monotonic reading: after a step of the time of day the grace for
+// lapsed entries would last as long as the step.
+func (w *Watcher) calm() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Since(w.lost)
+}
+
+func (w *Watcher) takeRunner(e core.Event) {
+	if e.Deleted {
+		w.lapse(e.Object.Name, w.calm())
+		return
+	}
+	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
+	if err != nil {
+		w.log.Error(logs.RunnerUnreadable, zap.String("runner", e.Object.Name), logs.Err(err))
+		return
+	}
+	old := w.catalog.Runner(r.ID)
+	w.catalog.Put(*r, w.clock.Now())
+	if old == nil || old.Draining != r.Draining {
+		w.log.Info(logs.RunnerSeen, zap.String("runner", r.ID), zap.String("service", r.Service), zap.Stringer("addr", r.Addr),
+			zap.String("place", r.Place), zap.Bool("draining", r.Draining), zap.Duration("leaves", r.Leaves))
+	}
+}
+
+// lapse takes in that a runner's entry is missing, as seen by a daemon for which
+// the store has not failed for calm. After an outage of the store entries of
+// live runners are missing for a moment; to drop their runners then would drop
+// most of the fleet at once. The grace counts from the store's return: a runner
+// that leaves later must get no work two seconds after its entry is gone.
+func (w *Watcher) lapse(id string, calm time.Duration) {
+	now := w.clock.Now()
+	goneAt := now.Add(max(0, lapseGrace-calm))
+	w.log.Info(logs.RunnerMissing, zap.String("runner", id), zap.Duration("grace", goneAt.Sub(now)))
+	w.catalog.Lapse(id, goneAt)
+	w.catalog.Sweep(now)
+}
+
+func (w *Watcher) runSweep(ctx context.Context) {
+	defer w.wg.Done()
+	for ctx.Err() == nil {
+		w.catalog.Sweep(w.clock.Now())
+		core.Sleep(ctx, w.clock, sweepEvery)
+	}
+}
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -139,112 +139,6 @@
 	w.wg.Wait()
 }
 
-// Changes returns the last change known of the configuration and of the
-// runners, for the other daemons.
-func (w *Watcher) Changes() (config, runners uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.kinds[w.reader.ConfigKind].change, w.kinds[w.reader.RunnerKind].change
-}
-
-// Hint takes in the last changes that another daemon knows. A daemon that does
-// not watch gets them from it. One that does may have missed them while the
-// store forgot its history, and lists again, unless its own watch brings them
-// in a moment.
-func (w *Watcher) Hint(from string, config, runners uint64) {
-	w.hint(w.reader.ConfigKind, from, config)
-	w.hint(w.reader.RunnerKind, from, runners)
-}
-
-func (w *Watcher) hint(kind, from string, change uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	k := w.kinds[kind]
-	if change <= k.version || k.version == 0 {
-		return
-	}
-	now := w.clock.Now()
-	if change > k.hint.change {
-		k.hint = hint{change: change, from: from, at: now}
-	}
-	switch {
-	case k.passive:
-		select {
-		case k.wake <- struct{}{}:
-		default: // it is awake already
-		}
-	case !k.hint.acted && now.Sub(k.hint.at) >= hintPatience:
-		k.hint.acted = true
-		w.log.Info(logs.ConfigBehind, zap.String("kind", kind), zap.String("other", from), zap.Uint64("change", change), zap.Uint64("version", k.version))
-		k.cancel()
-	}
-}
-
-// relist ends the watches of all kinds but one, so that they list again.
-func (w *Watcher) relist(but string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for kind, k := range w.kinds {
-		if kind != but {
-			k.cancel()
-		}
-	}
-}
-
-// Copy returns this daemon's copy of a kind for another one. It fails with
-// ErrUnavailable while the store fails here, too.
-func (w *Watcher) Copy(kind string) (Copy, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	k, ok := w.kinds[kind]
-	if !ok {
-		return Copy{}, core.ErrNotFound
-	}
-	if k.failing || k.version == 0 {
-		return Copy{}, core.ErrUnavailable
-	}
-	c := Copy{Version: k.version, Change: k.change, Calm: w.clock.Since(w.lost), Objects: make([]core.Object, 0, len(k.objects))}
-	for _, o := range k.objects {
-		c.Objects = append(c.Objects, o)
-	}
-	return c, nil
-}
-
-// Failing says whether the store fails for this daemon.
-func (w *Watcher) Failing() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, k := range w.kinds {
-		if k.failing {
-			return true
-		}
-	}
-	return false
-}
-
-// adopt replaces the copy of a kind, unless by an older one.
-func (w *Watcher) adopt(kind string, c Copy) {
-	w.mu.Lock()
-	k := w.kinds[kind]
-	if c.Version < k.version {
-		w.mu.Unlock()
-		return
-	}
-	k.version = c.Version
-	k.objects = make(map[string]core.Object, len(c.Objects))
-	for _, o := range c.Objects {
-		k.objects[o.Name] = o
-		k.change = max(k.change, o.Version)
-	}
-	k.change = max(k.change, c.Change)
-	w.mu.Unlock()
-	if kind == w.reader.ConfigKind {
-		w.takeConfigs(c.Objects)
-	} else {
-		w.takeRunners(c)
-	}
-}
-
 // change takes in one event of a watch.
 func (w *Watcher) change(kind string, e core.Event) {
 	w.mu.Lock()
@@ -297,7 +191,7 @@
 		}
 		if changed && kind == w.reader.RunnerKind {
 			changed = false
-			w.sleep(sub, settle)
+			core.Sleep(sub, w.clock, settle)
 		}
 	})
 	if follows {
@@ -366,7 +260,7 @@
 		// where a watch's would come with the next change or the end of its wait.
 		listed = false
 		w.ask(ctx, kind)
-		w.sleep(ctx, pause/2+rand.N(pause))
+		core.Sleep(ctx, w.clock, pause/2+rand.N(pause))
 		pause = min(2*pause, lastPause)
 	}
 }
@@ -449,91 +343,3 @@
 		w.log.Info(logs.StoreRegained, zap.String("kind", kind))
 	}
 }
-
-func (w *Watcher) takeConfigs(objects []core.Object) {
-	for _, o := range objects {
-		w.takeConfig(core.Event{Object: o})
-	}
-}
-
-func (w *Watcher) takeConfig(e core.Event) {
-	if e.Object.Name != w.reader.ConfigName || e.Deleted {
-		return
-	}
-	c, err := w.reader.Config(e.Object.Body)
-	if err != nil {
-		w.log.Error(logs.ConfigUnreadable, zap.Uint64("revision", e.Object.Version), logs.Err(err))
-		return
-	}
-	if w.catalog.SetConfig(c) {
-		w.log.Info(logs.ConfigInForce, zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)))
-	}
-}
-
-func (w *Watcher) takeRunners(c Copy) {
-	listed := make(map[string]bool, len(c.Objects))
-	for _, o := range c.Objects {
-		listed[o.Name] = true
-		w.takeRunner(core.Event{Object: o})
-	}
-	for id := range w.catalog.All() {
-		if !listed[id] {
-			w.lapse(id, c.Calm)
-		}
-	}
-}
-
-// calm is how long the store has not failed here. The time of the failure is
-// kept with its monotonic reading: after a step of the time of day the grace for
-// lapsed entries would last as long as the step.
-func (w *Watcher) calm() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.clock.Since(w.lost)
-}
-
-func (w *Watcher) takeRunner(e core.Event) {
-	if e.Deleted {
-		w.lapse(e.Object.Name, w.calm())
-		return
-	}
-	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
-	if err != nil {
-		w.log.Error(logs.RunnerUnreadable, zap.String("runner", e.Object.Name), logs.Err(err))
-		return
-	}
-	old := w.catalog.Runner(r.ID)
-	w.catalog.Put(*r, w.clock.Now())
-	if old == nil || old.Draining != r.Draining {
-		w.log.Info(logs.RunnerSeen, zap.String("runner", r.ID), zap.String("service", r.Service), zap.Stringer("addr", r.Addr),
-			zap.String("place", r.Place), zap.Bool("draining", r.Draining), zap.Duration("leaves", r.Leaves))
-	}
-}
-
-// lapse takes in that a runner's entry is missing, as seen by a daemon for which
-// the store has not failed for calm. After an outage of the store entries of
-// live runners are missing for a moment; to drop their runners then would drop
-// most of the fleet at once. The grace counts from the store's return: a runner
-// that leaves later must get no work two seconds after its entry is gone.
-func (w *Watcher) lapse(id string, calm time.Duration) {
-	now := w.clock.Now()
-	goneAt := now.Add(max(0, lapseGrace-calm))
-	w.log.Info(logs.RunnerMissing, zap.String("runner", id), zap.Duration("grace", goneAt.Sub(now)))
-	w.catalog.Lapse(id, goneAt)
-	w.catalog.Sweep(now)
-}
-
-func (w *Watcher) runSweep(ctx context.Context) {
-	defer w.wg.Done()
-	for ctx.Err() == nil {
-		w.catalog.Sweep(w.clock.Now())
-		w.sleep(ctx, sweepEvery)
-	}
-}
-
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-w.clock.After(d):
-	}
-}
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -230,7 +230,7 @@
 		d.metrics.scope.Gauge("entry_running").Update(float64(d.entry.Running()))
 		d.metrics.scope.Gauge("owner_running").Update(float64(d.owner.Running()))
 		d.metrics.scope.Gauge("members").Update(float64(len(d.table.All())))
-		d.sleep(ctx, gaugeEvery)
+		core.Sleep(ctx, d.clock, gaugeEvery)
 	}
 }
 
@@ -266,7 +266,7 @@
 	d.callers.Leave()
 	d.planner.Stop()
 	d.table.SetState(core.MemberLeaving)
-	d.sleep(ctx, spreadLeave+d.life)
+	core.Sleep(ctx, d.clock, spreadLeave+d.life)
 	d.drain(ctx)
 	hand, cancel := context.WithTimeout(ctx, handOver)
 	d.entry.HandOver(hand)
@@ -281,7 +281,7 @@
 	d.claims.Stop()
 	d.spread.Stop()
 	d.table.SetState(core.MemberDead)
-	d.sleep(ctx, spreadLeave/2)
+	core.Sleep(ctx, d.clock, spreadLeave/2)
 	d.gossip.Stop()
 	if err := d.servers[0].Shutdown(ctx); err != nil {
 		_ = d.servers[0].Close()
@@ -297,13 +297,6 @@
 // owner.
 func (d *Daemon) drain(ctx context.Context) {
 	for ctx.Err() == nil && (d.entry.Running() > 0 || d.owner.Running() > 0) {
-		d.sleep(ctx, drainCheck)
-	}
-}
-
-func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-d.clock.After(t):
+		core.Sleep(ctx, d.clock, drainCheck)
 	}
 }
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -259,7 +259,7 @@
 	d.lease.Stop(give)
 	cancel()
 	d.peers.Leave()
-	d.sleep(ctx, listenerLife)
+	core.Sleep(ctx, d.clock, listenerLife)
 	left := began.Add(time.Duration(d.bounds.Load().Grace) - exitMargin).Sub(d.clock.Now())
 	drain, cancel := context.WithTimeout(ctx, left)
 	if err := d.servers[0].Shutdown(drain); err != nil {
@@ -275,10 +275,3 @@
 	d.peers.Stop()
 	d.wg.Wait()
 }
-
-func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-d.clock.After(t):
-	}
-}
