A repeated request is never called not run

A safe request that had been lost at one runner and found no other was refused with 503, which says that it has not run. TestPromisesWhateverRunnersDo now asks for the truth of every refusal.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -24,6 +24,9 @@
 		return r, nil
 	}
 	holders, candidates := j.candidates()
+	if len(candidates) == 0 && j.sends > 0 {
+		return nil, j.refuse("exhausted", "no other runner may serve the request", nil)
+	}
 	if len(candidates) == 0 {
 		return nil, j.refuse("absent", "no runner has the model", nil)
 	}
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -191,7 +191,7 @@
 			}
 			assert.Assert(rt, len(f.runs) <= r.MaxAttempts, "ran at %v", f.runs)
 			var re *core.RequestError
-			if errors.As(err, &re) && re.Outcome == core.OutcomeNotRun && !r.Repeatable() {
+			if errors.As(err, &re) && re.Outcome == core.OutcomeNotRun {
 				assert.Equal(rt, len(f.runs), 0, "refused, though it ran at %v", f.runs)
 			}
 			if status == http.StatusOK && err == nil {
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -60,12 +60,13 @@
 }
 
 // refuse is the answer to a request that has not run. One that may have run at
-// an earlier attempt must not be called not run.
+// an earlier attempt must not be called not run, even where it may be repeated:
+// callers count on the word.
 func (j *job) refuse(code, message string, err error) error {
 	retry := policy.RetryAfter(j.route.Target)
 	j.log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
 		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Duration("retry", retry), logs.Err(err))
-	if j.runs > 0 && !j.route.Repeatable() {
+	if j.runs > 0 {
 		return core.MayHaveRun(code, message)
 	}
 	return core.NotRun(http.StatusServiceUnavailable, code, message, retry)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -160,9 +160,6 @@
 	if f.leaving.Load() {
 		header.Set("Connection", "close")
 	}
-	if whole, ok := reply.Body.(interface{ Size() int64 }); ok {
-		header.Set("Content-Length", strconv.FormatInt(whole.Size(), 10))
-	}
 	w.WriteHeader(reply.Status)
 	flush := http.NewResponseController(w)
 	var buf [copyBuffer]byte
