Outcomes of orders are not dropped; a conflict leads to a new report

An order's outcome that found the loop's inbox full was dropped, and its runner got no further orders in that term. A repeated order that met a conflict was repeated for ever.

--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -106,6 +106,7 @@
 	storeTok float64
 
 	wg   sync.WaitGroup
+	done chan struct{}
 	stop context.CancelFunc
 }
 
@@ -121,7 +122,11 @@
 // Start begins to work.
 func (h *Holder) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	h.stop = cancel
+	h.done = make(chan struct{})
+	h.stop = func() {
+		cancel()
+		close(h.done)
+	}
 	h.wg.Add(1)
 	go h.loop(ctx)
 }
@@ -132,6 +137,15 @@
 	h.wg.Wait()
 }
 
+// postSure hands fn to the loop and waits for room: an order whose outcome was
+// dropped would keep its runner from all further ones.
+func (h *Holder) postSure(fn func()) {
+	select {
+	case h.inbox <- fn:
+	case <-h.done:
+	}
+}
+
 // post hands fn to the loop; it is dropped when the loop is far behind.
 func (h *Holder) post(fn func()) {
 	select {
@@ -258,7 +272,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
 	defer cancel()
 	report, err := h.orders.Report(ctx, &r)
-	h.post(func() { h.reported(term, one, report, err) })
+	h.postSure(func() { h.reported(term, one, report, err) })
 }
 
 func (h *Holder) reported(term uint64, one *host, report *core.Report, err error) {
@@ -302,7 +316,7 @@
 
 // after posts fn in a while.
 func (h *Holder) after(d time.Duration, fn func()) {
-	h.clock.AfterFunc(d, func() { h.post(fn) })
+	h.clock.AfterFunc(d, func() { h.postSure(fn) })
 }
 
 // halved is what is left after t of something that halves every half.
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -39,7 +39,7 @@
 	catalog *catalog.Catalog
 	lease   *fakeLease
 	holder  *Holder
-	news    []News
+	started bool
 }
 
 // newWorld places model i on runner i modulo the number of runners.
@@ -63,16 +63,20 @@
 		w.engines[id] = newEngine(t, spec, rand.New(rand.NewPCG(seed, uint64(i))), tr, held[i]...)
 		w.catalog.Put(core.Runner{ID: id, Service: "s", Slots: 8, Place: fmt.Sprint("p", i%2), Addr: netip.MustParseAddrPort("127.0.0.1:1")}, clock.Now())
 	}
-	w.holder = New("d1", w.catalog, load.New(clock), w.engines, w.lease, clock, zap.NewNop(), func(string) {}, func(n News) { w.news = append(w.news, n) })
+	w.holder = New("d1", w.catalog, load.New(clock), w.engines, w.lease, clock, zap.NewNop(), func(string) {}, func(News) {})
 	return w
 }
 
+// run holds the lease in a term while fn runs.
 func (w *world) run(term uint64, fn func()) {
 	w.lease.term.Store(term)
-	w.holder.Start()
+	if !w.started {
+		w.started = true
+		w.holder.Start()
+		w.t.Cleanup(w.holder.Stop)
+	}
 	fn()
 	w.lease.term.Store(0)
-	w.holder.Stop()
 }
 
 // ask places an adapter and waits for the answer.
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -33,7 +33,9 @@
 // is under way the runner accepts the same order again, and its sequence stays.
 func (h *Holder) confirm(one *host, o core.RunnerOrder, then func(core.OrderResult)) {
 	h.transmit(one, o, func(result core.OrderResult) {
-		if result == core.OrderUnknown {
+		if result == core.OrderUnknown || result == core.OrderConflict {
+			// A conflict shows a sequence that is not known here, such as that
+			// of an order that was thought lost.
 			one.synced = false
 			one.retryAt = h.clock.Now().Add(reportLag)
 		}
@@ -59,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
 	defer cancel()
 	result, err := h.orders.Order(ctx, &r, o)
-	h.post(func() { h.answered(one, o, result, err, then) })
+	h.postSure(func() { h.answered(one, o, result, err, then) })
 }
 
 // answered takes in a runner's answer to an order, unless the term in which the
