--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -266,7 +267,9 @@
 				time.Sleep(200 * time.Millisecond)
 			}
 		})
-		loads := count.loads
+		count.mu.Lock()
+		loads := slices.Clone(count.loads)
+		count.mu.Unlock()
 		for i := range loads {
 			n := 0
 			for _, at := range loads[i:] {
