--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -16,12 +16,14 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"primroseward/coordination/load"
 	"primroseward/coordination/policy"
 	"primroseward/core"
+	"primroseward/io/logs"
 	"primroseward/state/catalog"
 )
 
@@ -345,3 +347,53 @@
 	assert.Equal(t, pick([]core.Share{{Service: "a", Weight: 0}}), "a")
 	assert.Assert(t, slices.Contains([]string{"a", "b"}, pick([]core.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}})))
 }
+
+// An engineer has only the log of a request that failed. Each way to fail leaves
+// a line that names its cause, with the request's id.
+func TestEachFailureIsLogged(t *testing.T) {
+	unsafe, safe, open := route(core.KindUnsafe, false, 1), route(core.KindSafe, false, 2), route(core.KindStream, false, 1)
+	cases := []struct {
+		name    string
+		route   *core.Route
+		runners int
+		model   string
+		acts    []act
+		event   string
+		field   string
+		value   string
+	}{
+		{"no runner has the model", unsafe, 2, "other", nil, logs.Refused, "code", "absent"},
+		{"why it could not be placed", unsafe, 2, "other", nil, logs.ModelNotPlaced, "error", "unavailable"},
+		{"no runner at all", unsafe, 0, "m", nil, logs.Refused, "code", "absent"},
+		{"all reject", unsafe, 4, "m", []act{rejects, rejects, rejects, rejects}, logs.Refused, "code", "rejected"},
+		{"each rejection", unsafe, 4, "m", []act{rejects, rejects, rejects, rejects}, logs.RunnerRejected, "runner", "r"},
+		{"all that there are reject", unsafe, 1, "m", []act{rejects}, logs.Refused, "code", "exhausted"},
+		{"none is reached", unsafe, 6, "m", []act{unreachable, unreachable, unreachable, unreachable}, logs.Refused, "code", "unreachable"},
+		{"each that is not reached", unsafe, 6, "m", []act{unreachable}, logs.RunnerUnreachable, "error", "dial"},
+		{"lost", unsafe, 3, "m", []act{loses}, logs.AnswerLost, "error", "reset"},
+		{"lost and tried again", safe, 3, "m", []act{loses}, logs.AnswerRetried, "error", "reset"},
+		{"failed and tried again", safe, 3, "m", []act{fails}, logs.RunnerFailed, "runner", "r"},
+		{"unsigned", unsafe, 3, "m", []act{unsigned}, logs.AnswerLost, "error", "signature"},
+		{"late", unsafe, 3, "m", []act{hangs}, logs.TimeLimit, "request", "q"},
+		{"a cut stream", open, 3, "m", []act{breaksOff}, logs.AnswerLost, "error", "unexpected EOF"},
+		{"a silent stream", route(core.KindStream, true, 2), 3, "m", []act{freezes}, logs.RunnerMute, "runner", "r"},
+	}
+	for _, one := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDispatcher(&fleet{next: script(one.acts...)}, one.runners)
+			seen, lines := observer.New(zap.InfoLevel)
+			d.log = zap.New(seen)
+			q := &core.Request{ID: "q", Model: one.model, Header: http.Header{}, Arrived: d.clock.Now()}
+			if reply, err := d.Do(context.Background(), one.route, q); err == nil {
+				_, _ = io.ReadAll(reply.Body)
+				_ = reply.Body.Close()
+			}
+			found := false
+			for _, l := range lines.FilterMessage(one.event).All() {
+				fields := l.ContextMap()
+				found = found || fields["request"] == "q" && strings.Contains(fmt.Sprint(fields[one.field]), one.value)
+			}
+			assert.Assert(t, found, "%s: no line %q with %s=%s in %v", one.name, one.event, one.field, one.value, lines.All())
+		})
+	}
+}
