Refusals for what is absent tell when it may be there; unused parts are gone

Gone: preferences for kept prompts and present adapters that nothing set, prompt parts that nothing read, a setting that nothing used.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -28,7 +28,7 @@
 		return nil, j.refuse("exhausted", "no other runner may serve the request", nil)
 	}
 	if len(candidates) == 0 {
-		return nil, j.refuse("absent", "no runner has the model", nil)
+		return nil, j.refuse(codeAbsent, "no runner has the model", nil)
 	}
 	spec := j.d.catalog.Config().Services[j.service]
 	i := policy.Choose(candidates, spec != nil && spec.Engine != nil)
@@ -55,7 +55,7 @@
 		requests, penalty := j.d.loads.Requests(e.ID)
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
-			ID: e.ID, Slots: e.Slots, Requests: requests, Penalty: penalty, Adapter: true,
+			ID: e.ID, Slots: e.Slots, Requests: requests, Penalty: penalty,
 			SamePlace: e.Place == j.d.place, Leaving: e.Leaves > 0 && e.Leaves < leaveMargin,
 		})
 	}
@@ -72,8 +72,9 @@
 		return nil
 	}
 	began := j.d.clock.Now()
-	id, err := j.d.placer.Place(ctx, j.service, j.q.Model, j.q.Adapter)
+	id, retry, err := j.d.placer.Place(ctx, j.service, j.q.Model, j.q.Adapter)
 	if err != nil {
+		j.retry = retry
 		j.log.Info(logs.ModelNotPlaced, zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter), logs.Err(err))
 		return nil
 	}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -48,8 +48,9 @@
 
 // Placer gets a model or adapter that no runner has.
 type Placer interface {
-	// Place returns the runner that has, or is about to have, the adapter.
-	Place(ctx context.Context, service, model, adapter string) (string, error)
+	// Place returns the runner that has the model or adapter now. With an error
+	// comes when it may be there, 0 if that is not known.
+	Place(ctx context.Context, service, model, adapter string) (runner string, retry time.Duration, err error)
 }
 
 // Dispatcher serves requests.
@@ -100,6 +101,7 @@
 	rejects  int
 	dials    int
 	sends    int
+	retry    time.Duration      // when what is absent may be there; 0: not known
 	last     string             // id of the last event passed on
 	drop     context.CancelFunc // ends the connection of the latest send
 	log      *zap.Logger
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -128,8 +128,8 @@
 
 type noPlacer struct{}
 
-func (noPlacer) Place(context.Context, string, string, string) (string, error) {
-	return "", core.ErrUnavailable
+func (noPlacer) Place(context.Context, string, string, string) (string, time.Duration, error) {
+	return "", 0, core.ErrUnavailable
 }
 
 // newDispatcher has n runners with model m.
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -11,6 +11,11 @@
 	"primroseward/io/logs"
 )
 
+// retryAdapter is when a caller may come back for an adapter for which there is
+// no place: requests hold adapters for about a second, and several places come
+// free in that time.
+const retryAdapter = 300 * time.Millisecond
+
 // retryModel is when a caller may come back for a model that is not there: it
 // takes between half a second and a few to load.
 const retryModel = time.Second
@@ -109,7 +114,7 @@
 	case one == nil && h.clock.Since(list.since) < waitForPlace:
 		h.after(advanceEvery, func() { h.advance(w) })
 	case one == nil:
-		h.answer(w, Placed{Retry: retryModel})
+		h.answer(w, Placed{Retry: retryAdapter})
 	case victim != (adapterKey{}):
 		h.unloadAdapter(one, victim, w)
 	default:
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -115,12 +115,12 @@
 }
 
 // Place implements dispatch.Placer.
-func (c *Client) Place(ctx context.Context, service, model, adapter string) (string, error) {
+func (c *Client) Place(ctx context.Context, service, model, adapter string) (string, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	to, ok := c.peers.Holder()
 	if !ok {
-		return "", eris.Wrap(core.ErrUnavailable, "no daemon holds the lease of orders")
+		return "", 0, eris.Wrap(core.ErrUnavailable, "no daemon holds the lease of orders")
 	}
 	w := dispatch.Want{Service: service, Model: model, Adapter: adapter}
 	var got Placed
@@ -130,15 +130,15 @@
 		select {
 		case got = <-ch:
 		case <-ctx.Done():
-			return "", eris.Wrap(core.ErrUnavailable, "placement took too long")
+			return "", 0, eris.Wrap(core.ErrUnavailable, "placement took too long")
 		}
 	} else if err := c.peers.Ask(ctx, to, kindPlace, w, &got, askResend); err != nil {
-		return "", eris.Wrapf(err, "holder %s", to.Name)
+		return "", 0, eris.Wrapf(err, "holder %s", to.Name)
 	}
 	if got.Runner == "" {
-		return "", eris.Wrap(core.ErrUnavailable, "no runner can take it now")
+		return "", got.Retry, eris.Wrap(core.ErrUnavailable, "no runner can take it now")
 	}
-	return got.Runner, nil
+	return got.Runner, 0, nil
 }
 
 func (c *Client) run(ctx context.Context) {
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -13,11 +13,6 @@
 	// a few milliseconds only. A quarter of the slots keeps requests in their
 	// place until it is clearly the busier one.
 	otherPlace = 0.25
-	// newAdapter is what a runner without the request's adapter costs: 5 to
-	// 10 ms to fetch it, as much as a few requests before it.
-	newAdapter = 0.15
-	// keptPrefix is what a runner gains that has read the prompt's parts.
-	keptPrefix = 0.1
 	// leaving is what a runner costs that goes before the request is likely to
 	// end.
 	leaving = 2
@@ -35,8 +30,6 @@
 	Slots     int
 	Requests  int // in progress there, from all daemons, as far as known
 	SamePlace bool
-	Adapter   bool // has the request's adapter, or none is asked for
-	Prefix    bool // has lately read the prompt's shared parts
 	Leaving   bool
 	Penalty   float64 // for lately failed attempts, in parts of its slots
 }
@@ -47,12 +40,6 @@
 	if !c.SamePlace {
 		cost += otherPlace
 	}
-	if !c.Adapter {
-		cost += newAdapter
-	}
-	if c.Prefix {
-		cost -= keptPrefix
-	}
 	if c.Leaving {
 		cost += leaving
 	}
--- a/coordination/policy/choose_test.go
+++ b/coordination/policy/choose_test.go
@@ -10,17 +10,15 @@
 )
 
 func TestChoose(t *testing.T) {
-	near := Candidate{ID: "near", Slots: 8, SamePlace: true, Adapter: true}
-	far := Candidate{ID: "far", Slots: 8, Adapter: true}
+	near := Candidate{ID: "near", Slots: 8, SamePlace: true}
+	far := Candidate{ID: "far", Slots: 8}
 	busy := func(c Candidate, n int) Candidate {
 		c.Requests = n
 		return c
 	}
-	failed, leaves, bare, kept := near, near, near, far
+	failed, leaves := near, near
 	failed.Penalty = 1
 	leaves.Leaving = true
-	bare.Adapter = false
-	kept.Prefix = true
 	cases := []struct {
 		name string
 		from []Candidate
@@ -32,8 +30,6 @@
 		{"own place when hardly busier", []Candidate{busy(near, 1), far}, 0},
 		{"failed lately", []Candidate{failed, far}, 1},
 		{"is taken away", []Candidate{leaves, far}, 1},
-		{"without the adapter", []Candidate{bare, near}, 1},
-		{"the prompt's parts are kept", []Candidate{far, kept}, 1},
 		{"all are full", []Candidate{busy(near, 10), busy(far, 12)}, -1},
 		{"the one that is not full", []Candidate{busy(near, 10), busy(far, 9)}, 1},
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -22,8 +22,6 @@
 	Adapter   string
 	Input     int    // tokens of the prompt
 	MaxOutput int    // most tokens of the answer
-	Session   string // the prompt's last part, which the request's session owns
-	Shared    string // the prompt's parts before it
 	LastEvent string // events up to this id need not be sent
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -116,7 +116,7 @@
 	dir := c.t.TempDir()
 	file := filepath.Join(dir, "primrosed.json")
 	text := fmt.Sprintf(`{"name":%q,"place":%q,"caller":%q,"peer":%q,"admin":%q,"platform":%q,"fleet":{"ready":%q,"directory":%q,
-		"keep":"1s","grace":%q,"lease":"500ms","ratio":0.2,"slack":20,"window":"10s","ceiling":1.1}}`,
+		"keep":"1s","grace":%q,"lease":"500ms","ratio":0.2,"slack":20,"window":"10s"}}`,
 		name, place, d.caller, freePort(c.t), d.admin, c.addr, d.ready, d.directory, grace.String())
 	assert.NilError(c.t, os.WriteFile(file, []byte(text), 0o600))
 	d.log = filepath.Join(dir, "log")
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -44,7 +44,6 @@
 	Ratio     float64       `json:"ratio"`     // of requests that may be sent once more, over all daemons
 	Slack     float64       `json:"slack"`     // requests that may be sent once more beyond that, over all daemons
 	Window    core.Duration `json:"window"`    // in which both are counted
-	Ceiling   float64       `json:"ceiling"`   // model loads over the allowed rate
 }
 
 // FleetAddrs are the checked addresses of a Fleet.
