--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -111,8 +111,8 @@
 // *core.RequestError.
 func (d *Dispatcher) Do(ctx context.Context, route *core.Route, q *core.Request) (*core.Reply, error) {
 	limit := route.Timeout
-	if q.TimeLimit > 0 && (limit == 0 || q.TimeLimit < limit) {
-		limit = q.TimeLimit
+	if q.Timeout > 0 && (limit == 0 || q.Timeout < limit) {
+		limit = q.Timeout
 	}
 	j := &job{
 		d: d, q: q, route: route, service: pick(route.Shares), deadline: q.Arrived.Add(limit),
@@ -239,9 +239,9 @@
 func (j *job) send(ctx context.Context, r *core.Runner) (*core.Reply, error) {
 	left := j.deadline.Sub(j.d.clock.Now())
 	if left <= 0 {
-		return nil, eris.Wrap(core.ErrNotSent, "time limit reached")
+		return nil, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
-	out := core.Outgoing{TimeLimit: left, Instance: r.ID, Priority: -1, LastEvent: j.last}
+	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.last}
 	if j.q.Model != "" {
 		out.Priority = j.route.Priority
 	}
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -37,7 +37,7 @@
 	fails     // answers 500
 	loses     // runs it, no answer
 	breaksOff // a stream, in the middle of an event
-	hangs     // until the time limit
+	hangs     // until the deadline
 	unsigned  // a success without its signature
 	freezes   // a stream, after some events, without a word
 	acts
@@ -155,7 +155,7 @@
 
 // call serves one request and reads its answer to the end.
 func call(d *Dispatcher, r *core.Route) (status int, body string, err error) {
-	q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), TimeLimit: 3 * time.Second}
+	q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: 3 * time.Second}
 	reply, err := d.Do(context.Background(), r, q)
 	if err != nil {
 		return core.AsRequestError(err).Status, "", err
@@ -168,7 +168,7 @@
 // Whatever runners do, in whatever order: what may not be repeated runs once; a
 // refusal says the truth; no runner sees more attempts than the route allows;
 // a stream that ends whole has each event once; every request has its answer
-// by its time limit.
+// by its deadline.
 func TestPromisesWhateverRunnersDo(t *testing.T) {
 	routes := []*core.Route{
 		route(core.KindUnsafe, false, 2), route(core.KindSafe, false, 2), route(core.KindSafe, false, 3),
@@ -200,7 +200,7 @@
 				assert.Equal(rt, body, pieces("", events))
 			}
 			for _, o := range f.sends {
-				assert.Assert(rt, o.TimeLimit > 0 && o.TimeLimit <= r.Timeout)
+				assert.Assert(rt, o.Timeout > 0 && o.Timeout <= r.Timeout)
 			}
 			assert.Equal(rt, d.Running(), 0)
 		})
@@ -235,7 +235,7 @@
 		{"a failure is passed on", route(core.KindUnsafe, false, 2), []act{fails}, 500, 1},
 		{"the last failure is passed on", route(core.KindSafe, false, 2), []act{fails, fails}, 500, 2},
 		{"a success without signature is none", route(core.KindUnsafe, false, 1), []act{unsigned}, 502, 1},
-		{"nothing by the time limit", route(core.KindUnsafe, false, 1), []act{hangs}, 504, 1},
+		{"nothing by the deadline", route(core.KindUnsafe, false, 1), []act{hangs}, 504, 1},
 		{"all reject", route(core.KindUnsafe, false, 1), []act{rejects, rejects, rejects, rejects, rejects}, 503, 0},
 		{"a stream goes on elsewhere", route(core.KindStream, true, 2), []act{breaksOff}, 200, 2},
 	}
@@ -374,7 +374,7 @@
 		{"lost and tried again", safe, 3, "m", []act{loses}, logs.AnswerRetried, "error", "reset"},
 		{"failed and tried again", safe, 3, "m", []act{fails}, logs.RunnerFailed, "runner", "r"},
 		{"unsigned", unsafe, 3, "m", []act{unsigned}, logs.AnswerLost, "error", "signature"},
-		{"late", unsafe, 3, "m", []act{hangs}, logs.TimeLimit, "request", "q"},
+		{"late", unsafe, 3, "m", []act{hangs}, logs.DeadlineExceeded, "request", "q"},
 		{"a cut stream", open, 3, "m", []act{breaksOff}, logs.AnswerLost, "error", "unexpected EOF"},
 		{"a silent stream", route(core.KindStream, true, 2), 3, "m", []act{freezes}, logs.RunnerMute, "runner", "r"},
 	}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -53,10 +53,10 @@
 		return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
 	}
 	if j.runs == 0 && errors.Is(err, core.ErrNotSent) {
-		return j.refuse("timeout", "the time limit was reached before a runner was found", err)
+		return j.refuse("timeout", "the deadline was reached before a runner was found", err)
 	}
-	j.log.Warn(logs.TimeLimit, zap.Int("sends", j.sends))
-	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusGatewayTimeout, Code: "timeout", Message: "the time limit was reached"}
+	j.log.Warn(logs.DeadlineExceeded, zap.Int("sends", j.sends))
+	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusGatewayTimeout, Code: "timeout", Message: "the deadline was reached"}
 }
 
 // codeAbsent is the code of a refusal for a model or adapter that no runner has.
--- a/coordination/lease/clock.go
+++ b/coordination/lease/clock.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// BootTime is the time since the machine started, the time that it was
+// BootTime is the time since the VM started, the time that it was
 // suspended included. The runtime's monotonic clock stands still during a
 // suspend: a holder that was suspended would believe its lease still valid.
 func BootTime() time.Duration {
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -252,7 +252,7 @@
 	return nil
 }
 
-// tryTake takes the lease if it is free, was this machine's own before a
+// tryTake takes the lease if it is free, was this VM's own before a
 // restart, or has stood unchanged for too long.
 func (l *Lease) tryTake(ctx context.Context) error {
 	object, err := l.store.Get(ctx, l.kind, l.name)
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// A machine sleeps for some seconds and wakes: its own timers say that no time
+// A VM sleeps for some seconds and wakes: its own timers say that no time
 // has passed, and it goes on ordering beside the new holder.
 func TestSuspendedHolderHasStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -27,7 +27,7 @@
 	}
 	for _, m := range policy.Place(engine, states, heat) {
 		one := h.hosts[m.Runner]
-		if m.Load && !one.near(m.Model, h.clock.Now()) && !h.storeToken(engine) {
+		if m.Load && !one.hasLocal(m.Model, h.clock.Now()) && !h.storeToken(engine) {
 			continue
 		}
 		h.orderModel(one, m)
@@ -91,7 +91,7 @@
 		return
 	}
 	h.log.Info(logs.OrderSent, zap.String("runner", one.runner.ID), zap.String("model", m.Model), zap.Bool("load", m.Load),
-		zap.String("for", m.For), zap.Uint64("expected", one.sequence), zap.Bool("near", one.near(m.Model, h.clock.Now())))
+		zap.String("for", m.For), zap.Uint64("expected", one.sequence), zap.Bool("local", one.hasLocal(m.Model, h.clock.Now())))
 	h.send(one, core.RunnerOrder{Load: m.Load, Model: m.Model}, func(result core.OrderResult) {
 		h.modelOrdered(one, m, it, result)
 	})
@@ -149,7 +149,7 @@
 	if _, held := one.models[next]; next == "" || held || !one.usable(one.runner.Service) {
 		return
 	}
-	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.near(next, h.clock.Now()) || h.storeToken(one.engine)) {
+	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.hasLocal(next, h.clock.Now()) || h.storeToken(one.engine)) {
 		h.orderModel(one, policy.Move{Runner: one.runner.ID, Model: next, Load: true})
 	}
 }
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -81,11 +81,11 @@
 	return free
 }
 
-// near says whether a model loads from a copy that the runner keeps, and so
+// hasLocal says whether a model loads from a copy that the runner keeps, and so
 // does not count against the weight store's rate. The runner drops copies that
 // it has not used for long, so only its latest description counts, and what has
 // been loaded since.
-func (h *host) near(model string, now time.Time) bool {
+func (h *host) hasLocal(model string, now time.Time) bool {
 	return slices.Contains(h.runner.OnDisk, model) || slices.Contains(h.runner.InMemory, model) ||
 		now.Sub(h.loaded[model]) < descriptionLag
 }
@@ -155,14 +155,14 @@
 	if h.promised != "" {
 		models[h.promised] = true
 	}
-	near := map[string]bool{}
+	local := map[string]bool{}
 	for i := range h.engine.Models {
-		if name := h.engine.Models[i].Name; h.near(name, now) {
-			near[name] = true
+		if name := h.engine.Models[i].Name; h.hasLocal(name, now) {
+			local[name] = true
 		}
 	}
 	return &policy.HostState{
-		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Near: near,
+		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Local: local,
 		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Requests: requests,
 	}
 }
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -12,7 +12,7 @@
 	Place    string
 	FreeMB   float64         // not taken, nor promised to what is on its way
 	Models   map[string]bool // present, being loaded, or promised the room of one that goes
-	Near     map[string]bool // copies on the runner's own disk or in its memory
+	Local    map[string]bool // copies on the runner's own disk or in its memory
 	Busy     bool            // an order for a model is in progress
 	Leaving  bool
 	Requests int
@@ -204,7 +204,7 @@
 // unload waits for the requests that run.
 func (p *placement) hostCost(h *HostState, model, victim string) float64 {
 	cost := 0.0
-	if !h.Near[model] {
+	if !h.Local[model] {
 		cost += 3
 	}
 	if victim != "" {
--- a/coordination/policy/place_test.go
+++ b/coordination/policy/place_test.go
@@ -26,7 +26,7 @@
 	for i := range n {
 		f.hosts = append(f.hosts, &HostState{
 			ID: fmt.Sprintf("r%02d", i), Place: fmt.Sprint("p", i%3), FreeMB: memoryMB,
-			Models: map[string]bool{}, Near: map[string]bool{},
+			Models: map[string]bool{}, Local: map[string]bool{},
 		})
 	}
 	return f
--- a/coordination/watch/copy.go
+++ b/coordination/watch/copy.go
@@ -71,7 +71,7 @@
 	if k.failing || k.version == 0 {
 		return Copy{}, core.ErrUnavailable
 	}
-	c := Copy{Version: k.version, Change: k.change, Calm: w.clock.Since(w.lost), Objects: make([]core.Object, 0, len(k.objects))}
+	c := Copy{Version: k.version, Change: k.change, Healthy: w.clock.Since(w.lost), Objects: make([]core.Object, 0, len(k.objects))}
 	for _, o := range k.objects {
 		c.Objects = append(c.Objects, o)
 	}
--- a/coordination/watch/take.go
+++ b/coordination/watch/take.go
@@ -38,15 +38,15 @@
 	}
 	for id := range w.catalog.All() {
 		if !listed[id] {
-			w.lapse(id, c.Calm)
+			w.lapse(id, c.Healthy)
 		}
 	}
 }
 
-// calm is how long the store has not failed here. The time of the failure is
+// healthyFor is how long the store has not failed here. The time of the failure is
 // kept with its monotonic reading: after a step of the time of day the grace for
 // lapsed entries would last as long as the step.
-func (w *Watcher) calm() time.Duration {
+func (w *Watcher) healthyFor() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.clock.Since(w.lost)
@@ -54,7 +54,7 @@
 
 func (w *Watcher) takeRunner(e core.Event) {
 	if e.Deleted {
-		w.lapse(e.Object.Name, w.calm())
+		w.lapse(e.Object.Name, w.healthyFor())
 		return
 	}
 	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
@@ -71,13 +71,13 @@
 }
 
 // lapse takes in that a runner's entry is missing, as seen by a daemon for which
-// the store has not failed for calm. After an outage of the store entries of
+// the store has not failed for the time healthy. After an outage of the store entries of
 // live runners are missing for a moment; to drop their runners then would drop
 // most of the fleet at once. The grace counts from the store's return: a runner
 // that leaves later must get no work two seconds after its entry is gone.
-func (w *Watcher) lapse(id string, calm time.Duration) {
+func (w *Watcher) lapse(id string, healthy time.Duration) {
 	now := w.clock.Now()
-	goneAt := now.Add(max(0, lapseGrace-calm))
+	goneAt := now.Add(max(0, lapseGrace-healthy))
 	w.log.Info(logs.RunnerMissing, zap.String("runner", id), zap.Duration("grace", goneAt.Sub(now)))
 	w.catalog.Lapse(id, goneAt)
 	w.catalog.Sweep(now)
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -18,7 +18,7 @@
 const (
 	// firstPause and lastPause bound the wait between two tries while the
 	// store fails. The configuration must be in force two seconds after its
-	// confirmation, so the last try before the store's return must not lie
+	// acknowledgement, so the last try before the store's return must not lie
 	// much further back than half a second.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
@@ -52,8 +52,8 @@
 type Copy struct {
 	Version uint64        `json:"version"`
 	Objects []core.Object `json:"objects"`
-	Change  uint64        `json:"change"` // the last one of the kind
-	Calm    time.Duration `json:"calm"`   // since the store last failed for its daemon
+	Change  uint64        `json:"change"`  // the last one of the kind
+	Healthy time.Duration `json:"healthy"` // since the store last failed for its daemon
 }
 
 // Neighbour gets another daemon's copy of a kind: a named daemon's, or that of
@@ -210,14 +210,14 @@
 		return err
 	}
 	w.works(kind)
-	w.adopt(kind, Copy{Version: version, Objects: objects, Calm: w.calm()})
+	w.adopt(kind, Copy{Version: version, Objects: objects, Healthy: w.healthyFor()})
 	return nil
 }
 
 // run lists a kind, then watches it from there; it lists again when the store
 // no longer has the history in between, or has failed. While the store fails it takes
 // the copy of another daemon that reaches it: the store may turn away some
-// machines and serve the others.
+// VMs and serve the others.
 func (w *Watcher) run(ctx context.Context, kind string) {
 	defer w.wg.Done()
 	listed := false
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -83,10 +83,10 @@
 		n.Start()
 		defer n.Stop()
 		within(t, time.Second, "first config", func() bool { return n.version() == 1 })
-		s.Deafen(true)
+		s.DropEvents(true)
 		s.Put(configs, "main", "2")
 		s.Forget()
-		s.Deafen(false)
+		s.DropEvents(false)
 		within(t, 4*time.Second, "second config", func() bool { return n.version() == 2 })
 	})
 }
@@ -101,9 +101,9 @@
 		n.Start()
 		defer n.Stop()
 		within(t, time.Second, "first config", func() bool { return n.version() == 1 })
-		s.Deafen(true)
+		s.DropEvents(true)
 		s.Put(configs, "main", "2")
-		s.Deafen(false)
+		s.DropEvents(false)
 		for range 3 { // beats repeat it; the first ones are given a moment
 			n.Hint("other", s.Version(), 0)
 			time.Sleep(hintPatience)
@@ -112,7 +112,7 @@
 	})
 }
 
-// The store turns one machine away and serves the others: its requests go by an
+// The store turns one VM away and serves the others: its requests go by an
 // old configuration and to runners that have left, for as long as that lasts.
 func TestCopyOfAnotherDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -169,7 +169,7 @@
 // A runner that has left gets work for as long as one daemon is turned away by
 // the store: its copies of others' lists lacked the runner, and each one began
 // the grace for lapsed entries anew.
-func TestMissingInACopyOfACalmDaemon(t *testing.T) {
+func TestMissingInACopyOfAHealthyDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := memory.New()
 		s.Put(runners, "r1", `"ready"`)
@@ -189,7 +189,7 @@
 
 // A runner that leaves gets work for seconds: the time of day was five seconds
 // ahead when the store failed, and was set back since. Only monotonic time may
-// decide how long the store has been calm.
+// decide how long the store has not failed.
 func TestStepOfTheTimeOfDay(t *testing.T) {
 	n := newNode(memory.New())
 	n.fails(configs, core.ErrUnavailable)
--- a/core/request.go
+++ b/core/request.go
@@ -16,7 +16,7 @@
 	Target    string      // path and query as sent
 	Header    http.Header // what goes on to the endpoint
 	Body      []byte
-	TimeLimit time.Duration // how long the caller waits; 0: not said
+	Timeout   time.Duration // how long the caller waits; 0: not said
 	Arrived   time.Time
 	Model     string
 	Adapter   string
@@ -27,8 +27,8 @@
 
 // Outgoing is what the system itself says to an endpoint with a request.
 type Outgoing struct {
-	TimeLimit time.Duration
-	Instance  string // refuse unless this lifetime of the runner
+	Timeout   time.Duration
+	Instance  string // refuse unless this instance of the runner
 	Priority  int    // 0 is first; below 0: not said
 	LastEvent string // resume after this event
 }
@@ -59,7 +59,7 @@
 	ReadRequest(r *http.Request) (*Request, error)
 	// WriteOutgoing sets the system's own headers.
 	WriteOutgoing(h http.Header, o Outgoing)
-	// WriteInstance asks any other lifetime of a runner to refuse the call.
+	// WriteInstance asks any other instance of a runner to refuse the call.
 	WriteInstance(h http.Header, id string)
 	ReadReply(status int, h http.Header) ReplyInfo
 	WriteOrder(o RunnerOrder) (path string, body []byte, err error)
--- a/core/runner.go
+++ b/core/runner.go
@@ -14,7 +14,7 @@
 }
 
 // Runner is a running endpoint as it last described itself. ID names one
-// lifetime of it: a restarted runner has another.
+// instance of it: a restarted runner has another.
 type Runner struct {
 	ID       string
 	Service  string
@@ -91,5 +91,5 @@
 	OrderDone                         // holds already
 	OrderConflict                     // another one is in progress, or the sequence differs
 	OrderRefused                      // does not exist, or an older fence
-	OrderWrongHost                    // another lifetime of the runner
+	OrderWrongHost                    // another instance of the runner
 )
--- a/io/logs/follow.go
+++ b/io/logs/follow.go
@@ -37,7 +37,7 @@
 }
 
 // Read reads lines of logs. What stands before the first brace of a line, such
-// as a machine's name, is skipped; lines that are no logs are counted.
+// as a VM's name, is skipped; lines that are no logs are counted.
 func Read(in io.Reader) (lines []Line, skipped int, err error) {
 	scan := bufio.NewScanner(in)
 	scan.Buffer(make([]byte, 0, 64<<10), maxScan)
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// admit takes a line from the second's allowance.
+// admit takes a line from the rate.
 func (w *Writer) admit(class int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -186,7 +186,7 @@
 	return next
 }
 
-// Check drops a line before it is written out when the second's allowance is
+// Check drops a line before it is written out when the rate is
 // used up.
 func (c *logCore) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if !c.Enabled(e.Level) {
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -23,8 +23,8 @@
 	StreamEnded = "stream ended"
 	// Refused: the caller is told that the request has not run, and when to come back.
 	Refused = "refused"
-	// TimeLimit: the caller's or the route's time is up; the caller gets 504.
-	TimeLimit = "time limit reached"
+	// DeadlineExceeded: the caller's or the route's time is up; the caller gets 504.
+	DeadlineExceeded = "deadline exceeded"
 	// NoRoute: no route of the configuration in force has the host and path.
 	NoRoute = "no route"
 	// ModelPlaced: a request waited for an adapter or model, and a runner has it now.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -183,7 +183,7 @@
 	}
 	defer conn.Close()
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s: q%d\r\n%s: 4000\r\nContent-Length: %d\r\n", path, wire.HeaderRequestID, fleetSerial, wire.HeaderTimeLimit, len(body))
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s: q%d\r\n%s: 4000\r\nContent-Length: %d\r\n", path, wire.HeaderRequestID, fleetSerial, wire.HeaderTimeout, len(body))
 	if model != "" {
 		fmt.Fprintf(&b, "%s: %s\r\n", wire.HeaderModel, model)
 	}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -40,7 +40,7 @@
 // keepAlive finds a silent connection within three seconds of its last byte.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-// Client keeps connections to runners, per lifetime of a runner.
+// Client keeps connections to runners, per instance of a runner.
 type Client struct {
 	clock   core.Clock
 	dialect core.Dialect
@@ -280,7 +280,7 @@
 	return reply.Status, data, nil
 }
 
-// Order sends an order to one lifetime of a runner. OrderUnknown comes with
+// Order sends an order to one instance of a runner. OrderUnknown comes with
 // the error that explains it.
 func (c *Client) Order(ctx context.Context, r *core.Runner, o core.RunnerOrder) (core.OrderResult, error) {
 	path, payload, err := c.dialect.WriteOrder(o)
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -90,7 +90,7 @@
 }
 
 func get(c *Client, s *raw, q *core.Request) (string, error) {
-	reply, err := c.Send(context.Background(), &s.runner, q, core.Outgoing{TimeLimit: time.Second, Instance: "i-1", Priority: -1})
+	reply, err := c.Send(context.Background(), &s.runner, q, core.Outgoing{Timeout: time.Second, Instance: "i-1", Priority: -1})
 	if err != nil {
 		return "", err
 	}
@@ -246,7 +246,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err := client().Send(ctx, &s.runner, request("a", ""), core.Outgoing{TimeLimit: time.Minute})
+	_, err := client().Send(ctx, &s.runner, request("a", ""), core.Outgoing{Timeout: time.Minute})
 	assert.ErrorIs(t, err, core.ErrLost)
 	<-closed
 }
--- a/standin/memory/memory.go
+++ b/standin/memory/memory.go
@@ -17,13 +17,13 @@
 
 // Store implements core.Platform.
 type Store struct {
-	mu      sync.Mutex
-	version uint64
-	objects map[string]core.Object
-	history []core.Event
-	oldest  uint64 // changes up to this version are forgotten
-	changed chan struct{}
-	deaf    bool
+	mu       sync.Mutex
+	version  uint64
+	objects  map[string]core.Object
+	history  []core.Event
+	oldest   uint64 // changes up to this version are forgotten
+	changed  chan struct{}
+	dropping bool
 }
 
 // New returns an empty Store.
@@ -60,11 +60,11 @@
 	c.lose = n
 }
 
-// Deafen lets waiting watches hear nothing.
-func (s *Store) Deafen(deaf bool) {
+// DropEvents lets waiting watches hear nothing.
+func (s *Store) DropEvents(dropping bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deaf = deaf
+	s.dropping = dropping
 }
 
 // Forget drops the history: older watches fail with ErrGone.
@@ -97,7 +97,7 @@
 		delete(s.objects, key)
 	}
 	s.history = append(s.history, core.Event{Object: o, Deleted: removed})
-	if !s.deaf {
+	if !s.dropping {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -89,7 +89,7 @@
 	return true
 }
 
-// Runner returns a runner by its lifetime's id, nil if it is not known.
+// Runner returns a runner by its instance's id, nil if it is not known.
 func (c *Catalog) Runner(id string) *Entry { return c.view.Load().byID[id] }
 
 // Runners returns all runners of a service, those that leave included.
