Models and adapters that no configuration lists are not ordered

A model that an operator takes off the list while a runner holds it would have stopped the holder (a nil model in the plan); a request for an adapter that does not exist was ordered, refused and ordered again.

--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"strconv"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +41,10 @@
 	if len(h.hosts) == 0 {
 		h.refresh()
 	}
+	if !h.offered(w) {
+		answer(Placed{})
+		return
+	}
 	if w.Adapter == "" {
 		answer(h.placeModel(w))
 		return
@@ -59,6 +63,20 @@
 	h.advance(w)
 }
 
+// offered says whether the configuration lists what is wanted. An order for
+// anything else would be refused by the runner, again and again.
+func (h *Holder) offered(w dispatch.Want) bool {
+	config := h.catalog.Config()
+	if config == nil || config.Services[w.Service] == nil || config.Services[w.Service].Engine == nil {
+		return false
+	}
+	spec := config.Services[w.Service].Engine.Model(w.Model)
+	if spec == nil {
+		return false
+	}
+	return w.Adapter == "" || slices.Contains(spec.AdapterNames(), w.Adapter)
+}
+
 // waiters are the requests that wait for an adapter.
 type waiters struct {
 	since   time.Time
@@ -143,10 +161,11 @@
 	copies := h.adapterCopies(w.Service)
 	for _, one := range h.hosts {
 		m, ok := one.models[w.Model]
-		if !ok || m.phase != present || !one.usable(w.Service) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
+		spec := one.engine.Model(w.Model)
+		if !ok || spec == nil || m.phase != present || !one.usable(w.Service) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
 			continue
 		}
-		if len(one.adapters) < one.engine.AdapterSlots && one.freeMB() >= one.engine.Model(w.Model).AdapterMB {
+		if len(one.adapters) < one.engine.AdapterSlots && one.freeMB() >= spec.AdapterMB {
 			if n, _ := h.loads.Requests(one.runner.ID); free == nil || n < low {
 				free, low = one, n
 			}
@@ -292,8 +311,8 @@
 		if m.phase != present || spec == nil || one.freeMB() < spec.AdapterMB {
 			continue
 		}
-		for i := 1; i <= spec.Adapters; i++ {
-			key := adapterKey{name, "a" + strconv.Itoa(i)}
+		for _, adapter := range spec.AdapterNames() {
+			key := adapterKey{name, adapter}
 			if _, ok := one.adapters[key]; ok {
 				continue
 			}
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -300,3 +300,26 @@
 	}
 	return result, err
 }
+
+// Requests for a model or an adapter that no configuration lists are answered at
+// once, and no runner is ordered to load it; nor does a model that was taken off
+// the list stop the holder.
+func TestWhatIsNotOffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2, trouble{reportIn: 200 * time.Millisecond}, 1)
+		w.engines["r0"].spec = &core.Engine{MemoryMB: 1e9, AdapterSlots: 99, Models: append([]core.Model{{Name: "unlisted"}}, w.spec.Models...)}
+		w.engines["r0"].models["unlisted"] = true
+		w.engines["r0"].note()
+		w.run(1, func() {
+			time.Sleep(time.Second)
+			for _, model := range []string{"unlisted", "none"} {
+				assert.Equal(t, w.ask(model, "a1").Runner, "")
+				assert.Equal(t, w.ask(model, "").Runner, "")
+			}
+			began := time.Now()
+			assert.Equal(t, w.ask("m1", "a99").Runner, "")
+			assert.Equal(t, time.Since(began), time.Duration(0))
+			assert.Equal(t, w.ask("m1", "a1").Runner, "r1")
+		})
+	})
+}
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -242,8 +242,9 @@
 func (p *placement) victim(h *HostState, model string, need float64) string {
 	best := ""
 	for v := range h.Models {
+		spec := p.engine.Model(v)
 		surplus := p.copies[v] > p.target[v] || p.copies[model] == 0 && p.copies[v] > 1
-		if !surplus || h.FreeMB+p.engine.Model(v).MemoryMB < need {
+		if spec == nil || !surplus || h.FreeMB+spec.MemoryMB < need {
 			continue
 		}
 		if best == "" || p.perCopy(v) < p.perCopy(best) || p.perCopy(v) == p.perCopy(best) && v < best {
--- a/coordination/policy/place_test.go
+++ b/coordination/policy/place_test.go
@@ -110,6 +110,8 @@
 // sharesOfDemand are what the four busy models get of the requests.
 var sharesOfDemand = []float64{53, 20, 15, 12}
 
+func (f *fleet) demandOf(model string) map[string]float64 { return map[string]float64{model: 1} }
+
 func (f *fleet) demand(from int) map[string]float64 {
 	heat := map[string]float64{}
 	for i, share := range sharesOfDemand {
@@ -165,6 +167,19 @@
 	assert.Assert(t, moves[0].Load && moves[0].Model == lost || moves[0].For == lost, "%v", moves)
 }
 
+// The daemon that orders runners crashes: an operator has taken a model off the
+// service's list while runners still hold it. It is left alone.
+func TestModelsThatAreNoLongerListed(t *testing.T) {
+	f := newFleet(2, 83000, workshopSizes[:3])
+	for _, h := range f.hosts {
+		h.Models["unlisted"] = true
+		h.FreeMB = 0
+	}
+	for _, m := range Place(f.engine, f.hosts, f.demandOf("m00")) {
+		assert.Assert(t, m.Model != "unlisted")
+	}
+}
+
 // One crash must not take all copies of a model: the second one goes to another
 // place than the first.
 func TestCopiesAreInSeveralPlaces(t *testing.T) {
--- a/core/config.go
+++ b/core/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -93,8 +94,13 @@
 	DiskLoad  time.Duration // from the runner's disk
 	Adapters  int
 	AdapterMB float64
+
+	adapterNames []string
 }
 
+// AdapterNames lists the names of a model's adapters: a1, a2 and so on.
+func (m *Model) AdapterNames() []string { return m.adapterNames }
+
 // Model returns a model by name, nil if the engine does not offer it.
 func (e *Engine) Model(name string) *Model {
 	return e.byName[name]
@@ -120,7 +126,12 @@
 func (e *Engine) index() {
 	e.byName = make(map[string]*Model, len(e.Models))
 	for i := range e.Models {
-		e.byName[e.Models[i].Name] = &e.Models[i]
+		m := &e.Models[i]
+		e.byName[m.Name] = m
+		m.adapterNames = make([]string, m.Adapters)
+		for k := range m.adapterNames {
+			m.adapterNames[k] = "a" + strconv.Itoa(k+1)
+		}
 	}
 }
 
