--- a/core/request.go
+++ b/core/request.go
@@ -57,6 +57,8 @@
 	// ReadRequest fails with ErrInvalid for a request without what the form
 	// demands. It does not read the body.
 	ReadRequest(r *http.Request) (*Request, error)
+	// RequestID is the caller's id of a request, empty if it has none.
+	RequestID(h http.Header) string
 	// WriteOutgoing sets the system's own headers.
 	WriteOutgoing(h http.Header, o Outgoing)
 	// WriteInstance asks any other instance of a runner to refuse the call.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -25,8 +25,8 @@
 	Refused = "refused"
 	// DeadlineExceeded: the caller's or the route's time is up; the caller gets 504.
 	DeadlineExceeded = "deadline exceeded"
-	// NoRoute: no route of the configuration in force has the host and path.
-	NoRoute = "no route"
+	// RefusedAtFront: a request was refused before it went anywhere: no configuration, no route, too large or malformed.
+	RefusedAtFront = "refused at the front"
 	// ModelPlaced: a request waited for an adapter or model, and a runner has it now.
 	ModelPlaced = "model placed"
 	// ModelNotPlaced: a request waited for an adapter or model in vain.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -132,7 +132,7 @@
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
 		dispatch.WithScope(d.scope))
-	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log)
+	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope))
 }
 
 // ratio is the share of requests that may be repeated.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"primroseward/core"
@@ -48,12 +49,23 @@
 	to      Dispatcher
 	clock   core.Clock
 	log     *zap.Logger
+	scope   tally.Scope
 	leaving atomic.Bool
 }
 
+// Option changes a Front.
+type Option func(*Front)
+
+// WithScope counts the front's own refusals in a scope.
+func WithScope(s tally.Scope) Option { return func(f *Front) { f.scope = s } }
+
 // New makes a Front.
-func New(c *catalog.Catalog, dialect core.Dialect, to Dispatcher, clock core.Clock, log *zap.Logger) *Front {
-	return &Front{catalog: c, dialect: dialect, to: to, clock: clock, log: log}
+func New(c *catalog.Catalog, dialect core.Dialect, to Dispatcher, clock core.Clock, log *zap.Logger, opts ...Option) *Front {
+	f := &Front{catalog: c, dialect: dialect, to: to, clock: clock, log: log, scope: tally.NoopScope}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
 }
 
 // Leave makes every answer ask its caller to close the connection.
@@ -76,38 +88,54 @@
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	q, route, refusal := f.read(w, r)
+	if refusal != nil {
+		f.refuse(w, r, refusal)
+		return
+	}
+	q.Arrived = arrived
+	reply, err := f.to.Do(r.Context(), route, q)
+	if err != nil {
+		writeError(w, core.AsRequestError(err))
+		return
+	}
+	defer reply.Body.Close()
+	f.pass(w, reply)
+}
+
+// read reads a request and finds its route. What it refuses no runner has seen.
+func (f *Front) read(w http.ResponseWriter, r *http.Request) (*core.Request, *core.Route, *core.RequestError) {
 	config := f.catalog.Config()
 	if config == nil {
-		refuse(w, core.NotRun(http.StatusServiceUnavailable, "no_config", "no configuration is known yet", noConfigRetry))
-		return
+		return nil, nil, core.NotRun(http.StatusServiceUnavailable, "no_config", "no configuration is known yet", noConfigRetry)
 	}
 	route := config.Route(hostOf(r.Host), r.URL.Path)
 	if route == nil {
-		f.log.Info(logs.NoRoute, zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Uint64("config", config.Version))
-		refuse(w, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0))
-		return
+		return nil, nil, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0)
 	}
 	if limit := config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
-		refuse(w, core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0))
-		return
+		return nil, nil, core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0)
 	}
 	q, err := f.dialect.ReadRequest(r)
 	if err != nil {
-		refuse(w, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0))
-		return
+		return nil, nil, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0)
 	}
-	q.Arrived = arrived
 	if q.Body, err = f.readBody(w, r, config.Limits.BodyBytes); err != nil {
-		refuse(w, core.AsRequestError(err))
-		return
+		return nil, nil, core.AsRequestError(err)
 	}
-	reply, err := f.to.Do(r.Context(), route, q)
-	if err != nil {
-		refuse(w, core.AsRequestError(err))
-		return
+	return q, route, nil
+}
+
+// refuse writes a refusal of the front's own, tells of it and counts it.
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, e *core.RequestError) {
+	version := uint64(0)
+	if config := f.catalog.Config(); config != nil {
+		version = config.Version
 	}
-	defer reply.Body.Close()
-	f.pass(w, reply)
+	f.log.Info(logs.RefusedAtFront, zap.String("request", f.dialect.RequestID(r.Header)), zap.String("code", e.Code), zap.Int("status", e.Status),
+		zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Uint64("config", version), zap.String("reason", e.Message))
+	f.scope.Tagged(map[string]string{"code": e.Code}).Counter("refusals").Inc(1)
+	writeError(w, e)
 }
 
 // hostOf is a Host header without its port.
@@ -182,8 +210,8 @@
 	}
 }
 
-// refuse writes an error of the system's own.
-func refuse(w http.ResponseWriter, e *core.RequestError) {
+// writeError writes an error of the system's own.
+func writeError(w http.ResponseWriter, e *core.RequestError) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	if e.Retry > 0 {
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -14,9 +14,12 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	"primroseward/io/logs"
 	"primroseward/platform"
 	"primroseward/state/catalog"
 )
@@ -37,6 +40,9 @@
 	return &core.Reply{Status: status, Header: h, Body: io.NopCloser(body)}, nil
 }
 
+// lines are the log lines of the front that setUp made last.
+var lines *observer.ObservedLogs
+
 // setUp serves one route; without a config if version is 0.
 func setUp(t *testing.T, version uint64, d *dispatcher) (*Front, *httptest.Server) {
 	t.Helper()
@@ -50,7 +56,9 @@
 		config.Index()
 		c.SetConfig(config)
 	}
-	f := New(c, platform.Dialect{}, d, clock, zap.NewNop())
+	var seen zapcore.Core
+	seen, lines = observer.New(zap.InfoLevel)
+	f := New(c, platform.Dialect{}, d, clock, zap.New(seen))
 	srv := httptest.NewUnstartedServer(f)
 	srv.Config = f.Server()
 	srv.Start()
@@ -88,15 +96,16 @@
 		err     error
 		want    int
 		retry   bool
+		code    string // of the line that tells of it
 	}{
-		{"no config", 0, post("/a/x", ""), nil, 503, true},
-		{"no route", 1, post("/b/x", ""), nil, 404, false},
-		{"no id", 1, strings.Replace(post("/a/x", ""), "X-Primroseward-Request-Id: q1\n", "", 1), nil, 400, false},
-		{"body too large", 1, post("/a/x", strings.Repeat("x", 1001)), nil, 413, false},
-		{"headers too large", 1, strings.Replace(post("/a/x", ""), "Host:", "X-Long: "+strings.Repeat("x", 2000)+"\nHost:", 1), nil, 431, false},
-		{"refused", 1, post("/a/x", ""), core.NotRun(503, "full", "", 250e6), 503, true},
-		{"may have run", 1, post("/a/x", ""), core.MayHaveRun("lost", ""), 502, false},
-		{"other errors promise nothing", 1, post("/a/x", ""), errors.New("odd"), 502, false},
+		{"no config", 0, post("/a/x", ""), nil, 503, true, "no_config"},
+		{"no route", 1, post("/b/x", ""), nil, 404, false, "no_route"},
+		{"no id", 1, strings.Replace(post("/a/x", ""), "X-Primroseward-Request-Id: q1\n", "", 1), nil, 400, false, "bad_request"},
+		{"body too large", 1, post("/a/x", strings.Repeat("x", 1001)), nil, 413, false, "too_large"},
+		{"headers too large", 1, strings.Replace(post("/a/x", ""), "Host:", "X-Long: "+strings.Repeat("x", 2000)+"\nHost:", 1), nil, 431, false, "headers_too_large"},
+		{"refused", 1, post("/a/x", ""), core.NotRun(503, "full", "", 250e6), 503, true, ""},
+		{"may have run", 1, post("/a/x", ""), core.MayHaveRun("lost", ""), 502, false, ""},
+		{"other errors promise nothing", 1, post("/a/x", ""), errors.New("odd"), 502, false, ""},
 	}
 	for _, one := range cases {
 		d := &dispatcher{answer: func(context.Context) (*core.Reply, error) {
@@ -110,6 +119,11 @@
 		assert.NilError(t, err, one.name)
 		assert.Equal(t, resp.StatusCode, one.want, one.name)
 		assert.Equal(t, resp.Header.Get("Retry-After") != "", one.retry, one.name)
+		told := lines.FilterMessage(logs.RefusedAtFront).All()
+		assert.Equal(t, len(told) > 0, one.code != "", one.name)
+		if one.code != "" {
+			assert.Equal(t, told[0].ContextMap()["code"], one.code)
+		}
 	}
 }
 
