--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -164,10 +164,15 @@
 	}
 }
 
+// errRelist ends a watch that relist has cancelled. It is not the store's own
+// ErrGone, which makes the other kinds list again: two kinds would do so in turns
+// without end.
+var errRelist = errors.New("listed again")
+
 // errFollows ends the watch of a daemon that takes changes from others now.
 var errFollows = errors.New("other daemons watch")
 
-// watch runs one watch, which relist ends with ErrGone.
+// watch runs one watch, which relist ends with errRelist.
 func (w *Watcher) watch(ctx context.Context, kind string) error {
 	sub, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -198,7 +203,7 @@
 		return errFollows
 	}
 	if sub.Err() != nil && ctx.Err() == nil {
-		return core.ErrGone
+		return errRelist
 	}
 	return err
 }
@@ -215,8 +220,8 @@
 }
 
 // run lists a kind, then watches it from there; it lists again when the store
-// no longer has the history in between, or has failed. While the store fails it takes
-// the copy of another daemon that reaches it: the store may turn away some
+// no longer has the history in between, or has failed. While the store fails it
+// takes the copy of another daemon that reaches it: the store may turn away some
 // VMs and serve the others.
 func (w *Watcher) run(ctx context.Context, kind string) {
 	defer w.wg.Done()
@@ -244,9 +249,9 @@
 		if errors.Is(err, errFollows) {
 			continue
 		}
-		if errors.Is(err, core.ErrGone) {
+		if errors.Is(err, core.ErrGone) || errors.Is(err, errRelist) {
 			// What one watch has missed the others may have missed as well.
-			if listed {
+			if errors.Is(err, core.ErrGone) {
 				w.relist(kind)
 			}
 			w.log.Info(logs.WatchAnew, zap.String("kind", kind))
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -232,3 +232,24 @@
 		within(t, time.Second, "leads", func() bool { return b.version() == 10 })
 	})
 }
+
+// The store is asked for all objects again and again: each kind that is listed
+// again makes the other one be listed again.
+func TestForgottenHistoryIsListedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(configs, "main", "1")
+		n := newNode(s)
+		n.Start()
+		defer n.Stop()
+		within(t, time.Second, "first config", func() bool { return n.version() == 1 })
+		s.DropEvents(true)
+		s.Put(configs, "main", "2")
+		s.Forget()
+		s.DropEvents(false)
+		within(t, 4*time.Second, "second config", func() bool { return n.version() == 2 })
+		before := n.client.Calls()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, n.client.Calls()-before < 30, "%d looks in ten seconds", n.client.Calls()-before)
+	})
+}
