--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -253,3 +254,16 @@
 		assert.Assert(t, n.client.Calls()-before < 30, "%d looks in ten seconds", n.client.Calls()-before)
 	})
 }
+
+// The same at its cause: a watch that is cancelled to list again must not pass
+// for one whose history the store has forgotten.
+func TestRelistIsNotAForgottenHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(memory.New())
+		ended := make(chan error, 1)
+		go func() { ended <- n.watch(context.Background(), configs) }()
+		time.Sleep(time.Second)
+		n.relist("")
+		assert.Assert(t, !errors.Is(<-ended, core.ErrGone))
+	})
+}
