Read back: a flag nobody read, candidates made twice, one keep-alive

Cause: the change kept a flag of doubtful orders that was only written; what protects memory is that an order names the runner's sequence and that the runner is read anew, as the comments say now. A request's candidates were computed twice on its way, and are once unless it waited for a model. The same keep-alive stood in two clients; io/tcp holds it. A loop did what strings.LastIndexByte does. No test was changed.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -20,10 +20,13 @@
 // catalog at the last moment: one that has begun to leave since the request
 // came must not get it.
 func (j *job) choose(ctx context.Context) (*core.Runner, error) {
-	if r := j.placed(ctx); r != nil {
-		return r, nil
-	}
 	holders, candidates := j.candidates()
+	if len(candidates) == 0 && j.q.Model != "" && j.sends == 0 {
+		if r := j.placed(ctx); r != nil {
+			return r, nil
+		}
+		holders, candidates = j.candidates() // may have come while it waited
+	}
 	if len(candidates) == 0 && j.sends > 0 {
 		return nil, j.refuse("exhausted", "no other runner may serve the request", nil)
 	}
@@ -65,12 +68,6 @@
 // placed asks for the request's adapter or model where no runner that is free
 // for it has it, and returns the runner that gets it.
 func (j *job) placed(ctx context.Context) *core.Runner {
-	if j.q.Model == "" || j.sends > 0 {
-		return nil
-	}
-	if _, c := j.candidates(); len(c) > 0 {
-		return nil
-	}
 	began := j.d.clock.Now()
 	id, retry, err := j.d.placer.Place(ctx, j.service, j.q.Model, j.q.Adapter)
 	if err != nil {
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -239,7 +239,7 @@
 			h.after(next, func() { h.confirmAdapter(one, w, it) })
 		}
 	case core.OrderUnknown, core.OrderRefused, core.OrderWrongHost:
-		it.doubt = true
+		// It counts as taken until the runner has been read anew, which send sees to.
 	}
 }
 
@@ -277,7 +277,7 @@
 			it.phase = unloading
 			h.after(modelEvery, func() { one.synced = false })
 		case core.OrderUnknown, core.OrderConflict, core.OrderRefused, core.OrderWrongHost:
-			it.doubt = true
+			// It counts as taken until the runner has been read anew, which send sees to.
 		}
 	})
 }
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -111,7 +111,7 @@
 			h.after(modelEvery, func() { h.confirmModel(one, m, it) })
 		}
 	case core.OrderUnknown, core.OrderRefused, core.OrderWrongHost:
-		it.doubt = true
+		// It counts as taken until the runner has been read anew, which send sees to.
 	}
 }
 
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -15,9 +15,6 @@
 		switch result {
 		case core.OrderAccepted:
 			one.sequence++
-			for _, m := range one.models {
-				m.doubt = false
-			}
 		case core.OrderUnknown, core.OrderConflict, core.OrderRefused, core.OrderWrongHost:
 			// The runner's state is read again before the next order. Until
 			// then what was ordered counts as taken.
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"primroseward/coordination/policy"
@@ -23,10 +24,6 @@
 type item struct {
 	phase phase
 	used  time.Time // when it was last asked for
-	// doubt is set for an order without an answer: it may still be carried out
-	// as long as the runner's sequence is the one that it expected. Its memory
-	// counts as taken until then.
-	doubt bool
 }
 
 // adapterKey names an adapter of a model.
@@ -105,8 +102,9 @@
 	return n
 }
 
-// take sets the state from a report. What the report does not show yet is in
-// doubt no more only if the runner has accepted an order since.
+// take sets the state from a report. An order without an answer that it does not
+// show may still be carried out, but only at the report's sequence: the next
+// order that is accepted at it makes that one void.
 func (h *host) take(r *core.Report, now time.Time) {
 	used := h.adapters
 	h.models = map[string]*item{}
@@ -136,12 +134,11 @@
 }
 
 func cutAdapter(name string) (model, adapter string, ok bool) {
-	for i := len(name) - 1; i >= 0; i-- {
-		if name[i] == '/' {
-			return name[:i], name[i+1:], true
-		}
+	i := strings.LastIndexByte(name, '/')
+	if i < 0 {
+		return "", "", false
 	}
-	return "", "", false
+	return name[:i], name[i+1:], true
 }
 
 // state is the runner as the policy sees it.
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"primroseward/core"
+	"primroseward/io/tcp"
 )
 
 const (
@@ -37,9 +38,6 @@
 	maxForeign = 2
 )
 
-// keepAlive finds a silent connection within three seconds of its last byte.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
 // Client keeps connections to runners, per instance of a runner.
 type Client struct {
 	clock   core.Clock
@@ -61,7 +59,7 @@
 func New(clock core.Clock, dialect core.Dialect, opts ...Option) *Client {
 	c := &Client{
 		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {},
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout},
 	}
 	for _, o := range opts {
 		o(c)
