A daemon that starts takes its copies from another one; the lease is created once

Cause: at a start of the whole fleet each of 70 daemons listed three kinds, watched them and tried to create the lease: 630 of 1,832 calls. Nudges of four watchers went to 52 daemons in other places at each change of a runner (17 MB).

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -29,6 +29,8 @@
 	renewEvery = 800 * time.Millisecond
 	checkEvery = 200 * time.Millisecond
 	callLimit  = 1500 * time.Millisecond
+	// firstWait is in which time daemons that start together create the lease.
+	firstWait = 600 * time.Millisecond
 	// freshFor is how long after a renewal the holder is left alone. Then the
 	// others begin to watch the object, so that the lease changes hands as soon
 	// as it has run out: one renewal and its answer may be lost before.
@@ -257,6 +259,11 @@
 func (l *Lease) tryTake(ctx context.Context) error {
 	object, err := l.store.Get(ctx, l.kind, l.name)
 	if errors.Is(err, core.ErrNotFound) {
+		// All start for the first time: one is enough to create it.
+		core.Sleep(ctx, l.clock, rand.N(firstWait))
+		if l.rival.Fresh() {
+			return nil
+		}
 		return l.take(ctx, core.Object{}, record{}, 0)
 	}
 	if err != nil {
--- a/coordination/peers/find.go
+++ b/coordination/peers/find.go
@@ -48,8 +48,12 @@
 		}
 		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor), silent: true}
 	}
+	p.found = true
 	p.mu.Unlock()
-	p.tell(true, true)
+	b := p.beats(true)
+	for _, to := range p.due(true, true) {
+		p.send(to.Peer, b.to(to.Place))
+	}
 	return nil
 }
 
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -56,13 +56,13 @@
 	Caller  netip.AddrPort `json:"caller"` // that callers connect to
 	Peer    netip.AddrPort `json:"peer"`   // of datagrams
 	Boot    uint64         `json:"boot"`   // later ones are larger
-	Leaving bool           `json:"leaving"`
+	Leaving bool           `json:"leaving,omitempty"`
 	State
 }
 
 // State is what changes of a daemon while it serves.
 type State struct {
-	Ready     bool          `json:"ready"`             // callers may be sent there
+	Ready     bool          `json:"ready,omitempty"`   // callers may be sent there
 	Failing   bool          `json:"failing,omitempty"` // does not reach the store
 	Term      uint64        `json:"term,omitempty"`    // of the lease of orders, while it is held
 	Fresh     bool          `json:"fresh,omitempty"`   // the lease was renewed lately
@@ -84,6 +84,7 @@
 type beat struct {
 	Peer
 	Loads map[string]int `json:"loads,omitempty"` // requests in progress by runner; null: not told, as between places of a large fleet
+	New   bool           `json:"new,omitempty"`   // has just started and knows nobody
 }
 
 type known struct {
@@ -161,8 +162,20 @@
 	p.wg.Wait()
 }
 
-// Nudge tells the others at once, instead of with the next turn.
-func (p *Peers) Nudge() { p.tell(true, true) }
+// Nudge tells the daemons of this place at once, instead of with the next turn,
+// and those of other places if far is set.
+func (p *Peers) Nudge(far bool) { p.tell(true, far) }
+
+// Known returns the names of the other daemons that are known, silent ones too, and
+// whether the store has been asked for them.
+func (p *Peers) Known() (names []string, found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.known {
+		names = append(names, name)
+	}
+	return names, p.found
+}
 
 // Leave tells the others at once that this daemon stops.
 func (p *Peers) Leave() {
@@ -262,19 +275,63 @@
 	}
 }
 
-// tell sends a datagram to the daemons of this place and of other places.
-func (p *Peers) tell(near, far bool) {
-	loads := p.loads()
-	state := p.state()
+// greet tells a daemon that has just started of this one, so that it needs to wait
+// for no turn to find one that can give it its copies.
+func (p *Peers) greet(to Peer) {
+	b := p.beats(false)
+	p.send(to.Peer, b.to(to.Place))
+}
+
+// beats are this daemon's beats as of now.
+type beats struct {
+	place     string
+	near, far []byte
+}
+
+func (b *beats) to(place string) []byte {
+	if place == b.place {
+		return b.near
+	}
+	return b.far
+}
+
+// beats makes the beats for daemons of this place and of others; fresh is for one
+// that has just started.
+func (p *Peers) beats(fresh bool) *beats {
+	loads, state := p.loads(), p.state()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.self.State = state
-	data, err := json.Marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads}})
-	bare, bareErr := data, error(nil)
-	if p.large() {
-		bare, bareErr = json.Marshal(datagram{Beat: &beat{Peer: p.self}})
+	out := &beats{place: p.self.Place, near: p.beat(loads, fresh)}
+	if out.far = out.near; p.large() {
+		out.far = p.beat(nil, fresh)
+	}
+	return out
+}
+
+// beat writes a beat; the caller holds the lock. All of its parts can be written.
+func (p *Peers) beat(loads map[string]int, fresh bool) []byte {
+	data, err := json.Marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, New: fresh}})
+	if err != nil {
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
 	}
+	return data
+}
+
+// tell sends a beat to the daemons of this place and of other places.
+func (p *Peers) tell(near, far bool) {
+	b := p.beats(false)
+	for _, to := range p.due(near, far) {
+		p.send(to.Peer, b.to(to.Place))
+	}
+}
+
+// due are the daemons to tell, with those left out that have been silent for long.
+func (p *Peers) due(near, far bool) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.clock.Now()
-	var to, farther []netip.AddrPort
+	var out []Peer
 	for name, k := range p.known {
 		if now.Sub(k.heard) > forgetAfter {
 			delete(p.known, name)
@@ -284,24 +341,11 @@
 			k.silent = true
 			p.log.Info(logs.DaemonSilent, zap.String("other", name), zap.Uint64("term", k.Term), zap.Duration("for", now.Sub(k.heard)))
 		}
-		switch {
-		case k.Place == p.self.Place && near:
-			to = append(to, k.Peer.Peer)
-		case k.Place != p.self.Place && far:
-			farther = append(farther, k.Peer.Peer)
+		if k.Place == p.self.Place && near || k.Place != p.self.Place && far {
+			out = append(out, k.Peer)
 		}
 	}
-	p.mu.Unlock()
-	if err := errors.Join(err, bareErr); err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
-	}
-	for _, addr := range to {
-		p.send(addr, data)
-	}
-	for _, addr := range farther {
-		p.send(addr, bare)
-	}
+	return out
 }
 
 func (p *Peers) send(to netip.AddrPort, data []byte) {
@@ -333,8 +377,12 @@
 
 func (p *Peers) take(d datagram) {
 	if d.Beat != nil {
-		if p.note(d.Beat.Peer) {
-			p.heard(d.Beat.Peer, d.Beat.Loads)
+		if !p.note(d.Beat.Peer) {
+			return
+		}
+		p.heard(d.Beat.Peer, d.Beat.Loads)
+		if d.Beat.New {
+			p.greet(d.Beat.Peer)
 		}
 		return
 	}
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -27,6 +27,11 @@
 	// runner still counts: live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
 	sweepEvery = 100 * time.Millisecond
+	// firstPatience is how long a daemon that starts waits for another one's copy;
+	// those that read the store have it within some ten milliseconds and tell so at
+	// once. firstCheck is how often it looks.
+	firstPatience = 800 * time.Millisecond
+	firstCheck    = 40 * time.Millisecond
 	// hintPatience is how long a daemon that watches waits for its own watch to
 	// bring a change that another one has told of.
 	hintPatience = 150 * time.Millisecond
@@ -90,7 +95,8 @@
 	kinds     map[string]*kindState
 	settings  *tree.Replica // nil: none are kept
 	active    func() bool
-	changed   func()
+	changed   func(kind string)
+	first     func() bool
 	wg        sync.WaitGroup
 	stop      context.CancelFunc
 }
@@ -110,8 +116,13 @@
 	}
 }
 
-// WithChanged calls fn after each change that a watch of this daemon reports.
-func WithChanged(fn func()) Option { return func(w *Watcher) { w.changed = fn } }
+// WithChanged calls fn with the kind of each change that a watch of this daemon
+// reports.
+func WithChanged(fn func(kind string)) Option { return func(w *Watcher) { w.changed = fn } }
+
+// WithFirst sets what tells whether this daemon should read the store when it
+// starts, rather than wait a moment for another one's copy.
+func WithFirst(fn func() bool) Option { return func(w *Watcher) { w.first = fn } }
 
 // kindState is this daemon's copy of a kind.
 type kindState struct {
@@ -144,7 +155,7 @@
 func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
 		store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{},
-		active: func() bool { return true }, changed: func() {},
+		active: func() bool { return true }, changed: func(string) {}, first: func() bool { return true },
 	}
 	for _, kind := range []string{reader.ConfigKind, reader.RunnerKind} {
 		w.addKind(kind)
@@ -197,7 +208,7 @@
 		return
 	}
 	w.take(kind, e, w.healthyFor())
-	w.changed()
+	w.changed(kind)
 }
 
 // take hands one change on. healthy is how long the store had not failed for the
@@ -274,7 +285,7 @@
 // VMs and serve the others.
 func (w *Watcher) run(ctx context.Context, kind string) {
 	defer w.wg.Done()
-	listed := false
+	listed := w.begin(ctx, kind)
 	pause := firstPause
 	for ctx.Err() == nil {
 		if listed && !w.active() {
@@ -319,6 +330,21 @@
 	}
 }
 
+// begin gets the first copy of another daemon where that is likely to have one, and
+// says whether it has. Of 70 daemons that start together five read the store instead
+// of all, and one that starts again asks the store for nothing.
+func (w *Watcher) begin(ctx context.Context, kind string) bool {
+	began := w.clock.Now()
+	for ctx.Err() == nil && !w.first() && w.clock.Since(began) < firstPatience {
+		if c, err := w.neighbour(ctx, kind, "", 0); err == nil && !c.Stale {
+			w.adopt(kind, c)
+			return true
+		}
+		core.Sleep(ctx, w.clock, firstCheck)
+	}
+	return false
+}
+
 // follow waits, as a daemon that does not watch, until another one tells of a
 // change, and takes that one's copy; the store is asked where this fails.
 func (w *Watcher) follow(ctx context.Context, kind string) {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -128,7 +128,7 @@
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
 	}, d.neighbour, d.catalog, d.clock, d.log, watch.WithSettings(d.settings),
-		watch.WithActive(d.watches), watch.WithChanged(func() { d.peers.Nudge() }))
+		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()),
@@ -261,6 +261,29 @@
 	return before < most
 }
 
+// first says whether this daemon should read the store at its start: where no
+// daemon is known that would rather do so. Those that the store lists and that are
+// silent yet count, as all may start at once.
+func (d *Daemon) first() bool {
+	names, found := d.peers.Known()
+	if !found {
+		return false
+	}
+	self := xxhash.Sum64String(d.set.Name)
+	for _, name := range names {
+		if xxhash.Sum64String(name) < self {
+			return false
+		}
+	}
+	return true
+}
+
+// changed tells the others of a change at once. In a large fleet each place has a
+// daemon that watches the runners for it.
+func (d *Daemon) changed(kind string) {
+	d.peers.Nudge(kind != platform.KindRunners || !d.peers.Large())
+}
+
 // heard takes in what another daemon tells of itself.
 func (d *Daemon) heard(from peers.Peer, counts map[string]int) {
 	if counts != nil {
