--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -3,7 +3,10 @@
 package platform
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -27,6 +30,8 @@
 type Faults struct {
 	Down       bool `json:"down"`        // refuses every call and ends watches
 	LoseWrites int  `json:"lose_writes"` // carries out this many writes but drops their answers
+	LateWrites int  `json:"late_writes"` // carries out this many writes a second or two late, without an answer
+	Busy       bool `json:"busy"`        // answers every other call with 429
 	Delay      int  `json:"delay"`       // milliseconds before each answer
 	StaleWatch bool `json:"stale_watch"` // watches repeat old events first
 }
@@ -47,6 +52,7 @@
 	changed chan struct{}
 	faults  Faults
 	counts  map[string]int
+	calls   int
 }
 
 // New returns an empty platform.
@@ -103,16 +109,31 @@
 			verb = "WATCH"
 		}
 		s.counts[verb]++
-		lose := r.Method != http.MethodGet && f.LoseWrites > 0
+		write := r.Method != http.MethodGet
+		lose := write && f.LoseWrites > 0
+		late := write && !lose && f.LateWrites > 0
 		if lose {
 			s.faults.LoseWrites--
 		}
+		if late {
+			s.faults.LateWrites--
+		}
+		s.calls++
+		busy := f.Busy && s.calls%2 == 0
 		s.mu.Unlock()
 		time.Sleep(time.Duration(f.Delay) * time.Millisecond)
 		if f.Down {
 			status(w, http.StatusServiceUnavailable, "platform is down")
 			return
 		}
+		if busy {
+			status(w, http.StatusTooManyRequests, "too many calls")
+			return
+		}
+		if late {
+			s.carryOutLate(next, r)
+			panic(http.ErrAbortHandler)
+		}
 		if lose {
 			next.ServeHTTP(discard{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
@@ -121,6 +142,51 @@
 	})
 }
 
+// lateBy is how late a write is carried out that gets no answer.
+const lateBy = 1500 * time.Millisecond
+
+// carryOutLate lets a write take effect later, if its condition still holds then.
+func (s *Server) carryOutLate(next http.Handler, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	again := r.Clone(context.WithoutCancel(r.Context()))
+	again.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(lateBy, func() { next.ServeHTTP(discard{header: http.Header{}}, again) })
+}
+
+// Put writes an object past all faults and conditions, as runners and operators do
+// once they get through.
+func (s *Server) Put(kind, name string, spec any) error {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, false, wire.Item{Metadata: wire.Meta{Name: name}, Spec: body})
+	return nil
+}
+
+// Remove takes an object out the same way.
+func (s *Server) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.objects[kind][name]; ok {
+		s.put(kind, true, old)
+		delete(s.objects[kind], name)
+	}
+}
+
+// Forget drops the history: watches from older versions are told that it is gone.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.history = []event{{version: s.version}}
+}
+
 type discard struct{ header http.Header }
 
 func (d discard) Header() http.Header         { return d.header }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,13 @@
 	Models  []string
 	Events  int           // of a stream
 	Gap     time.Duration // between events, and before a plain answer
+	// Bounds of what may be loaded; 0: any number. An order beyond them is kept as
+	// a violation.
+	MaxModels, MaxAdapters int
+	Load                   time.Duration // until an ordered model is there
+	// Reached is where others reach the runner that listens at an address; nil:
+	// there.
+	Reached func(addr string) string
 }
 
 // Run is a request that has run.
@@ -36,6 +44,8 @@
 	Body   string
 	Model  string
 	Header http.Header
+	At     time.Time
+	Whole  bool // the answer was written to its end
 }
 
 // Server is the stand-in.
@@ -50,7 +60,18 @@
 	sequence uint64
 	draining bool
 	cutAfter int // events after which the next stream is cut; 0: never
-	terms    []uint64
+	failing  int // requests to answer 500
+	running  int
+	busy     bool // a model is being loaded
+	terms    []Term
+	wrong    []string
+}
+
+// Term is an order's holder and fencing number.
+type Term struct {
+	Holder string
+	Fence  uint64
+	At     time.Time
 }
 
 // New starts a runner that writes its entry through store.
@@ -89,6 +110,27 @@
 	s.cutAfter = n
 }
 
+// FailNext answers the next n requests with 500.
+func (s *Server) FailNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = n
+}
+
+// Terms returns the holders that orders were accepted from, in order.
+func (s *Server) Terms() []Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Term(nil), s.terms...)
+}
+
+// Violations are orders beyond the runner's bounds.
+func (s *Server) Violations() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.wrong...)
+}
+
 // Runs returns the requests that have run here.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -129,8 +171,12 @@
 
 func (s *Server) register() {
 	s.mu.Lock()
+	address := s.srv.Listener.Addr().String()
+	if s.Reached != nil {
+		address = s.Reached(address)
+	}
 	entry := map[string]any{
-		"service": s.Service, "address": s.srv.Listener.Addr().String(), "zone": s.Place, "slots": s.Slots,
+		"service": s.Service, "address": address, "zone": s.Place, "slots": s.Slots,
 		"state": "ready", "sequence": s.sequence, "models": s.holdings(),
 	}
 	if s.draining {
@@ -143,7 +189,7 @@
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"models": s.holdings(), "sequence": s.sequence, "busy": false})
+	reply(w, http.StatusOK, map[string]any{"models": s.holdings(), "sequence": s.sequence, "busy": s.busy})
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
@@ -152,6 +198,7 @@
 		Model     string `json:"model"`
 		Adapter   string `json:"adapter"`
 		Expected  uint64 `json:"expected"`
+		Holder    string `json:"holder"`
 		Fence     uint64 `json:"fencing_token"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get(platform.HeaderInstance) != s.ID {
@@ -160,36 +207,69 @@
 	}
 	s.mu.Lock()
 	status := s.apply(o.Operation == "load", o.Model, o.Adapter, o.Expected)
-	s.terms = append(s.terms, o.Fence)
+	s.terms = append(s.terms, Term{o.Holder, o.Fence, time.Now()})
 	s.mu.Unlock()
 	s.register()
 	w.WriteHeader(status)
 }
 
-// apply carries an order out at once.
+// apply carries an order out: at once, but for a model that takes a while to load.
 func (s *Server) apply(load bool, model, adapter string, expected uint64) int {
 	adapters, held := s.models[model]
 	if adapter != "" {
-		held = strings.Contains(" "+strings.Join(adapters, " ")+" ", " "+adapter+" ")
+		held = slices.Contains(adapters, adapter)
 	}
 	if held == load {
 		return http.StatusOK
 	}
-	if expected != s.sequence {
+	if expected != s.sequence || s.busy && adapter == "" {
 		return http.StatusConflict
 	}
 	s.sequence++
 	switch {
 	case adapter == "" && load:
-		s.models[model] = nil
+		s.check("models", len(s.models)+1, s.MaxModels)
+		s.loadModel(model)
 	case adapter == "":
 		delete(s.models, model)
 	case load:
-		s.models[model] = append(adapters, adapter)
+		s.models[model] = append(slices.Clone(adapters), adapter)
+		s.check("adapters", s.adapters(), s.MaxAdapters)
+	default:
+		s.models[model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == adapter })
 	}
 	return http.StatusAccepted
 }
 
+func (s *Server) check(what string, n, most int) {
+	if most > 0 && n > most {
+		s.wrong = append(s.wrong, fmt.Sprintf("%s: %d %s of %d", s.ID, n, what, most))
+	}
+}
+
+func (s *Server) adapters() int {
+	n := 0
+	for _, list := range s.models {
+		n += len(list)
+	}
+	return n
+}
+
+func (s *Server) loadModel(model string) {
+	if s.Load == 0 {
+		s.models[model] = nil
+		return
+	}
+	s.busy = true
+	time.AfterFunc(s.Load, func() {
+		s.mu.Lock()
+		s.busy = false
+		s.models[model] = nil
+		s.mu.Unlock()
+		s.register()
+	})
+}
+
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -205,16 +285,39 @@
 		return
 	}
 	s.mu.Lock()
-	s.runs = append(s.runs, Run{ID: id, Target: r.RequestURI, Body: string(body), Model: model, Header: r.Header.Clone()})
-	cut := s.cutAfter
+	if s.Slots > 0 && s.running >= 2*s.Slots {
+		s.mu.Unlock()
+		w.Header().Set(platform.HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.running++
+	run := len(s.runs)
+	s.runs = append(s.runs, Run{ID: id, Target: r.RequestURI, Body: string(body), Model: model, Header: r.Header.Clone(), At: time.Now()})
+	cut, fail := s.cutAfter, s.failing > 0
 	s.cutAfter = 0
+	if fail {
+		s.failing--
+	}
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}()
 	w.Header().Set(platform.HeaderStamp, s.ID+"."+id)
+	if fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if s.Events > 0 {
 		s.stream(w, r, cut)
 		return
 	}
 	time.Sleep(s.Gap)
+	s.mu.Lock()
+	s.runs[run].Whole = true
+	s.mu.Unlock()
 	text := s.ID + " " + r.RequestURI + " " + string(body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
