--- a/soak/callers.go
+++ b/soak/callers.go
@@ -194,7 +194,7 @@
 			w.note("%s: refused without a time to come back: %.200s", a.id, a.answer)
 		}
 	}
-	if took := a.ended.Sub(a.sent); took > timeout+lateMargin && !a.daemon.harmed(a.sent, a.ended) {
+	if took := a.ended.Sub(a.sent); took > timeout+w.slow(lateMargin) && !a.daemon.harmed(a.sent, a.ended) {
 		w.note("%s: %s at %s after %v, its time is %v", a.id, a.kind, a.daemon.name, took, timeout)
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -40,10 +40,10 @@
 func (w *World) checkRoutes(old, now string) {
 	for _, d := range w.daemons {
 		if got := d.get(now); got != http.StatusOK && got != http.StatusServiceUnavailable {
-			w.note("%s answers %d on a route that was added %v ago", d.name, got, inForce)
+			w.note("%s answers %d on a route that was added %v ago", d.name, got, w.slow(inForce))
 		}
 		if got := d.get(old); got != http.StatusNotFound {
-			w.note("%s answers %d on a route that was dropped %v ago", d.name, got, inForce)
+			w.note("%s answers %d on a route that was dropped %v ago", d.name, got, w.slow(inForce))
 		}
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	defer w.close()
-	if !w.awaitReady(startLimit) {
+	if !w.awaitReady(w.slow(startLimit)) {
 		return nil, errNotReady
 	}
 	stop := make(chan struct{})
@@ -131,8 +131,8 @@
 		h.proxy.Set(Harm{})
 	}
 	w.event("healed")
-	time.Sleep(settle)
-	if !w.awaitReady(startLimit) {
+	time.Sleep(w.slow(settle))
+	if !w.awaitReady(w.slow(startLimit)) {
 		w.note("the daemons do not find each other again")
 	}
 	w.event("calm")
@@ -153,7 +153,7 @@
 	if leaving != nil {
 		leaving.Drain()
 	}
-	time.Sleep(inForce)
+	time.Sleep(w.slow(inForce))
 	w.checkRoutes(old, prefix(w.config))
 	stopped := w.anyDaemon(w.rng)
 	w.event("planned stop of %s", stopped.name)
@@ -163,5 +163,5 @@
 	})
 	time.Sleep(calm)
 	w.pending.Wait()
-	w.checkRuns(leaving, narrowed.Add(inForce))
+	w.checkRuns(leaving, narrowed.Add(w.slow(inForce)))
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -33,6 +33,7 @@
 	Daemons int           // processes
 	Callers int           // that send requests at the same time
 	Length  time.Duration // in which things go wrong; healing and its checks come after
+	Slow    int           // by how much more than usual all may take, on a busy machine; 0: 1
 	Dir     string        // for settings files and logs
 }
 
@@ -85,6 +86,9 @@
 	drained time.Time // when it said that it leaves; zero: it has not
 }
 
+// slow stretches a time for a busy machine.
+func (w *World) slow(d time.Duration) time.Duration { return d * time.Duration(max(1, w.opts.Slow)) }
+
 // note keeps a promise that was broken.
 func (w *World) note(format string, args ...any) {
 	w.mu.Lock()
