--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -30,7 +30,6 @@
 	own   map[string]int
 	fails map[string]fail
 	peers map[string]peer
-	far   map[string]peer // by place, of a large fleet
 	said  map[string]said
 	heard map[string]time.Time // when a runner last sent anything
 }
@@ -53,7 +52,7 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, far: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
+	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
 }
 
 // Begin counts a request sent to a runner.
@@ -152,34 +151,6 @@
 	t.peers[daemon] = peer{at: t.clock.Now(), counts: counts}
 }
 
-// HeardPlace takes in the counts of all daemons of another place.
-func (t *Table) HeardPlace(place string, counts map[string]int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.far[place] = peer{at: t.clock.Now(), counts: counts}
-}
-
-// Place returns the requests in progress by runner of this daemon and of those that
-// have told theirs, which in a large fleet are the others of its place.
-func (t *Table) Place() map[string]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	out := make(map[string]int, len(t.own))
-	for id, n := range t.own {
-		out[id] += n
-	}
-	for _, p := range t.peers {
-		if now.Sub(p.at) >= peerMemory {
-			continue
-		}
-		for id, n := range p.counts {
-			out[id] += n
-		}
-	}
-	return out
-}
-
 // Requests returns the requests in progress at a runner, and its penalty. The
 // higher of two estimates counts: what all daemons have told, and what the
 // runner has told with what this daemon has sent since.
@@ -188,11 +159,9 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	sum := t.own[runner]
-	for _, told := range []map[string]peer{t.peers, t.far} {
-		for _, p := range told {
-			if now.Sub(p.at) < peerMemory {
-				sum += p.counts[runner]
-			}
+	for _, p := range t.peers {
+		if now.Sub(p.at) < peerMemory {
+			sum += p.counts[runner]
 		}
 	}
 	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
--- a/coordination/load/load_test.go
+++ b/coordination/load/load_test.go
@@ -1,15 +1,12 @@
 package load
 
 import (
-	"fmt"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"primroseward/coordination/peers"
 	"primroseward/core"
 )
 
@@ -69,48 +66,3 @@
 	clock.Advance(time.Hour)
 	assert.Equal(t, penalty(), 0.0)
 }
-
-// One in six requests goes to a runner that has no room: of a runner's requests a
-// daemon of a large fleet sees those of its own place only. The places tell each
-// other their sums, which count until they are old.
-func TestLoadsOfOtherPlaces(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	a := New(clock)
-	a.Begin("r1")
-	a.Heard("near", map[string]int{"r1": 2, "r2": 1})
-	assert.DeepEqual(t, a.Place(), map[string]int{"r1": 3, "r2": 1})
-	a.HeardPlace("south", map[string]int{"r1": 4})
-	a.HeardPlace("south", map[string]int{"r1": 5})
-	a.HeardPlace("east", map[string]int{"r1": 1})
-	n, _ := a.Requests("r1")
-	assert.Equal(t, n, 9)
-	assert.DeepEqual(t, a.Place(), map[string]int{"r1": 3, "r2": 1}) // what others told is not told again
-	clock.Advance(peerMemory)
-	n, _ = a.Requests("r1")
-	assert.Equal(t, n, 1)
-}
-
-// Two daemons of each other place are told, the same ones whoever tells.
-func TestSpeakers(t *testing.T) {
-	var alive []peers.Peer
-	for i := range 40 {
-		p := peers.Peer{Name: fmt.Sprint("d", i), Place: fmt.Sprint("p", i%4), Leaving: i < 8}
-		p.Ready = i != 9
-		alive = append(alive, p)
-	}
-	told := speakers(alive, "p0")
-	assert.Equal(t, len(told), 3*shareTo)
-	slices.Reverse(alive)
-	assert.DeepEqual(t, names(speakers(alive, "p0")), names(told))
-	for _, p := range told {
-		assert.Assert(t, p.Place != "p0" && !p.Leaving && p.Ready, "%v", p)
-	}
-}
-
-func names(list []peers.Peer) []string {
-	var out []string
-	for _, p := range list {
-		out = append(out, p.Name)
-	}
-	return out
-}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -80,7 +80,6 @@
 	watcher    *watch.Watcher
 	runners    *runner.Client
 	loads      *load.Table
-	sharer     *load.Sharer
 	peers      *peers.Peers
 	lease      *lease.Lease
 	holder     *placement.Holder
@@ -140,7 +139,6 @@
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log)
 	d.peers.SetState(d.state)
 	d.peers.Handle(kindYield, d.handleYield)
-	d.sharer = load.NewSharer(d.loads, d.peers, d.watches, d.clock, d.log)
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
 		placement.NewSpreader(d.peers, d.catalog, d.clock, d.log).Tell)
@@ -237,7 +235,6 @@
 	d.lease.Start()
 	d.holder.Start()
 	d.placer.Start()
-	d.sharer.Start()
 	d.log.Info(logs.Started, zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
@@ -337,7 +334,6 @@
 	cancel()
 	d.log.Info(logs.Stopped, zap.Duration("took", d.clock.Since(began)))
 	d.placer.Stop()
-	d.sharer.Stop()
 	d.watcher.Stop()
 	for _, s := range d.servers {
 		_ = s.Close()
