Starts: patience for another daemon's copy, shorter reads of the store

Cause: after a power cut of all VMs during an outage each daemon's read that had been sent before the store's return waited two seconds for its timeout, and no daemon knew a configuration until 1.6 s after the return. At a first start the few that read the store could not give 75 copies within 0.6 s each, so that most read the store as well; and all asked for the lease five times a second.

Found on the way: the lease asked whether it may take over while holding its own lock, and the answer asks for the lease: all daemons stood still. The new test of the lease has that call in it.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -29,6 +29,9 @@
 	renewEvery = 800 * time.Millisecond
 	checkEvery = 200 * time.Millisecond
 	callLimit  = 1500 * time.Millisecond
+	// askEvery is how often a daemon that should not take the lease over asks
+	// whether it was its own before a restart, until the store answers.
+	askEvery = time.Second
 	// firstWait is in which time daemons that start together create the lease.
 	firstWait = 600 * time.Millisecond
 	// freshFor is how long after a renewal the holder is left alone. Then the
@@ -80,6 +83,7 @@
 	actFrom time.Duration // boot time from which orders may be sent
 	used    time.Duration // boot time of the last order
 	seen    time.Duration // boot time at which object was first seen as it is
+	asked   time.Duration // boot time at which the object was last read
 
 	wg   sync.WaitGroup
 	stop context.CancelFunc
@@ -205,13 +209,16 @@
 }
 
 func (l *Lease) step(ctx context.Context) error {
+	may := l.may() // which may ask for the lease's state
 	l.mu.Lock()
-	held, due, read := l.held, l.boot() >= l.renewed+renewEvery, l.object.Version > 0
+	now := l.boot()
+	held, due := l.held, now >= l.renewed+renewEvery
+	waits := !may && (l.object.Version > 0 || l.asked > 0 && now < l.asked+askEvery)
 	l.mu.Unlock()
 	switch {
 	case held && due:
 		return l.renew(ctx)
-	case held || l.rival.Fresh() || read && !l.may():
+	case held || l.rival.Fresh() || waits:
 		return nil
 	default:
 		return l.tryTake(ctx)
@@ -264,6 +271,9 @@
 // tryTake takes the lease if it is free, was this VM's own before a
 // restart, or has stood unchanged for too long.
 func (l *Lease) tryTake(ctx context.Context) error {
+	l.mu.Lock()
+	l.asked = l.boot()
+	l.mu.Unlock()
 	object, err := l.store.Get(ctx, l.kind, l.name)
 	if errors.Is(err, core.ErrNotFound) {
 		// All start for the first time: one is enough to create it.
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -203,3 +203,54 @@
 		d.Stop(context.Background())
 	})
 }
+
+// The store is asked thousands of times for a silent holder's lease, or nobody takes
+// it: of many daemons only those that should take it over ask, which know the state
+// of the lease themselves; and one that held it before its restart goes on at once.
+func TestOnlyCandidatesTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		may := map[string]bool{"b": true}
+		for _, d := range g.all {
+			WithCandidate(func() bool {
+				_, _ = d.Claim() // as the daemons do to tell each other
+				return may[d.name]
+			})(d.Lease)
+			d.Start()
+		}
+		time.Sleep(2 * time.Second)
+		var first *daemon
+		for _, d := range g.all {
+			if _, ok := d.Term(); ok {
+				first = d
+			}
+		}
+		assert.Assert(t, first != nil, "nobody creates the lease")
+		for _, d := range g.all {
+			d.Stop(context.Background())
+		}
+		// The one before is gone without giving it back, and is silent.
+		g.store.Put("leases", "orders", `{"holder":"c","term":9}`)
+		calls := g.all[0].client.Calls()
+		for _, d := range g.all[:2] {
+			d.Lease = New(d.client, "leases", "orders", d.name, pause, d, clockwork.NewRealClock(), zap.NewNop(), WithBoot(g.boot), WithCandidate(func() bool { return may[d.name] }))
+			d.Start()
+		}
+		time.Sleep(takeAfter + pause + 2*time.Second)
+		_, ok := g.all[1].Term()
+		assert.Assert(t, ok, "the candidate has not taken over")
+		assert.Assert(t, g.all[0].client.Calls()-calls <= 2, "%d calls of one that is none", g.all[0].client.Calls()-calls)
+		// The former holder starts again after the candidate has given the lease back
+		// to it, as it were.
+		g.all[1].Stop(context.Background())
+		g.store.Put("leases", "orders", `{"holder":"c","term":20}`)
+		c := g.all[2]
+		c.Lease = New(c.client, "leases", "orders", "c", pause, c, clockwork.NewRealClock(), zap.NewNop(), WithBoot(g.boot), WithCandidate(func() bool { return false }))
+		c.Start()
+		time.Sleep(time.Second)
+		_, ok = c.Term()
+		assert.Assert(t, ok, "its own lease is not taken again")
+		g.all[0].Stop(context.Background())
+		c.Stop(context.Background())
+	})
+}
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -27,11 +27,8 @@
 	// runner still counts: live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
 	sweepEvery = 100 * time.Millisecond
-	// firstPatience is how long a daemon that starts waits for another one's copy;
-	// those that read the store have it within some ten milliseconds and tell so at
-	// once. firstCheck is how often it looks.
-	firstPatience = 800 * time.Millisecond
-	firstCheck    = 40 * time.Millisecond
+	// firstCheck is how often a daemon that starts looks for another one's copy.
+	firstCheck = 40 * time.Millisecond
 	// failMemory is how long a daemon that does not watch counts the store as failing
 	// after it has tried in vain: about as long as the store's outages.
 	failMemory = 5 * time.Second
@@ -98,7 +95,7 @@
 	settings  *tree.Replica // nil: none are kept
 	active    func() bool
 	changed   func(kind string)
-	first     func() bool
+	first     func(since time.Duration) bool
 	wg        sync.WaitGroup
 	stop      context.CancelFunc
 }
@@ -122,9 +119,9 @@
 // reports.
 func WithChanged(fn func(kind string)) Option { return func(w *Watcher) { w.changed = fn } }
 
-// WithFirst sets what tells whether this daemon should read the store when it
-// starts, rather than wait a moment for another one's copy.
-func WithFirst(fn func() bool) Option { return func(w *Watcher) { w.first = fn } }
+// WithFirst sets what tells whether this daemon should read the store itself, so long
+// after its start, rather than wait for another one's copy.
+func WithFirst(fn func(since time.Duration) bool) Option { return func(w *Watcher) { w.first = fn } }
 
 // kindState is this daemon's copy of a kind.
 type kindState struct {
@@ -158,7 +155,7 @@
 func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
 		store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{},
-		active: func() bool { return true }, changed: func(string) {}, first: func() bool { return true },
+		active: func() bool { return true }, changed: func(string) {}, first: func(time.Duration) bool { return true },
 	}
 	for _, kind := range []string{reader.ConfigKind, reader.RunnerKind} {
 		w.addKind(kind)
@@ -343,7 +340,7 @@
 // of all, and one that starts again asks the store for nothing.
 func (w *Watcher) begin(ctx context.Context, kind string) bool {
 	began := w.clock.Now()
-	for ctx.Err() == nil && !w.first() && w.clock.Since(began) < firstPatience {
+	for ctx.Err() == nil && !w.first(w.clock.Since(began)) {
 		if c, err := w.neighbour(ctx, kind, "", 0); err == nil && !c.Stale {
 			w.adopt(kind, c)
 			return true
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -25,8 +25,9 @@
 	pathCopy = "/copies/"
 	// queryAfter is the version up to which the asking daemon knows all.
 	queryAfter = "after"
-	// copyLimit is for a copy of a megabyte over a busy link.
-	copyLimit = 600 * time.Millisecond
+	// copyLimit is for whole copies of 70 KB to twenty daemons at the same time over
+	// a link of 10 Mbit/s.
+	copyLimit = 1500 * time.Millisecond
 	maxCopy   = 64 << 20
 )
 
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -51,6 +51,13 @@
 	// of other places are missed late. The others' watchers tell all of each
 	// change, too, while a place's own is being replaced.
 	placeWatchers = 1
+	// Patience of a daemon that starts, before it reads the store itself: with one
+	// that is ready to give its copy, which 70 may ask for at the same time; with
+	// those that the store lists, which are ready some 100 ms after their start;
+	// and with the store's list of daemons, which takes some 10 ms.
+	copyPatience  = 2 * time.Second
+	startPatience = time.Second
+	findPatience  = 300 * time.Millisecond
 	// giveBack is the time to give the lease back and to take the daemon's
 	// object out of the store when stopping.
 	giveBack = 300 * time.Millisecond
@@ -262,13 +269,19 @@
 	return before < most
 }
 
-// first says whether this daemon should read the store at its start: where no
-// daemon is known that would rather do so. Those that the store lists and that are
-// silent yet count, as all may start at once.
-func (d *Daemon) first() bool {
+// first says whether this daemon should read the store itself, so long after its
+// start: at once where no daemon is known that would rather do so. Those that the
+// store lists and that are silent yet count, as all may start together.
+func (d *Daemon) first(since time.Duration) bool {
+	if _, ok := d.nearest(); ok {
+		return since > copyPatience
+	}
 	names, found := d.peers.Known()
 	if !found {
-		return false
+		return since > findPatience
+	}
+	if since > startPatience {
+		return true
 	}
 	self := xxhash.Sum64String(d.set.Name)
 	for _, name := range names {
