--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -29,8 +29,8 @@
 	renewEvery = 800 * time.Millisecond
 	checkEvery = 200 * time.Millisecond
 	callLimit  = 1500 * time.Millisecond
-	// askEvery is how often a daemon that should not take the lease over asks
-	// whether it was its own before a restart, until the store answers.
+	// askEvery is how often a daemon that has just started asks for the lease until
+	// the store answers: all of a fleet may start during an outage.
 	askEvery = time.Second
 	// firstWait is in which time daemons that start together create the lease.
 	firstWait = 600 * time.Millisecond
@@ -213,7 +213,8 @@
 	l.mu.Lock()
 	now := l.boot()
 	held, due := l.held, now >= l.renewed+renewEvery
-	waits := !may && (l.object.Version > 0 || l.asked > 0 && now < l.asked+askEvery)
+	known := l.object.Version > 0
+	waits := known && !may || !known && l.asked > 0 && now < l.asked+askEvery
 	l.mu.Unlock()
 	switch {
 	case held && due:
