--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -27,7 +27,7 @@
 	clock core.Clock
 
 	mu    sync.Mutex
-	own   map[string]int
+	own   map[string]core.Counts
 	fails map[string]fail
 	peers map[string]peer
 	said  map[string]said
@@ -36,7 +36,7 @@
 
 type peer struct {
 	at     time.Time
-	counts map[string]int
+	counts map[string]core.Counts
 }
 
 type said struct {
@@ -52,21 +52,22 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
+	return &Table{clock: clock, own: map[string]core.Counts{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
 }
 
-// Begin counts a request sent to a runner.
-func (t *Table) Begin(runner string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.own[runner]++
-}
+// Begin counts a request of a priority that is sent to a runner.
+func (t *Table) Begin(runner string, priority int) { t.add(runner, priority, 1) }
 
 // End counts its end.
-func (t *Table) End(runner string) {
+func (t *Table) End(runner string, priority int) { t.add(runner, priority, -1) }
+
+func (t *Table) add(runner string, priority, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.own[runner]--; t.own[runner] <= 0 {
+	c := t.own[runner]
+	c[core.Level(priority)] += n
+	t.own[runner] = c
+	if c.Sum() <= 0 {
 		delete(t.own, runner)
 	}
 }
@@ -75,7 +76,7 @@
 func (t *Table) Said(runner string, l core.Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner]}
+	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner].Sum()}
 }
 
 // Note takes in that a runner has sent something.
@@ -134,10 +135,10 @@
 }
 
 // Own returns this daemon's requests in progress by runner.
-func (t *Table) Own() map[string]int {
+func (t *Table) Own() map[string]core.Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]int, len(t.own))
+	out := make(map[string]core.Counts, len(t.own))
 	for id, n := range t.own {
 		out[id] = n
 	}
@@ -145,7 +146,7 @@
 }
 
 // Heard takes in another daemon's counts.
-func (t *Table) Heard(daemon string, counts map[string]int) {
+func (t *Table) Heard(daemon string, counts map[string]core.Counts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers[daemon] = peer{at: t.clock.Now(), counts: counts}
@@ -158,14 +159,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	sum := t.own[runner]
+	_, sum := t.counts(runner, now)
+	return sum, t.fails[runner].left(now)
+}
+
+// Ahead returns how many of the requests in progress at a runner are at least as
+// urgent as one of a priority: those that it would have to wait for, as runners of
+// models take the more urgent ones first. Of those that only the runner knows the
+// same share is taken to be so as of those that daemons have told.
+func (t *Table) Ahead(runner string, priority int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	told, sum := t.counts(runner, t.clock.Now())
+	ahead := told.Ahead(core.Level(priority))
+	if n := told.Sum(); n > 0 {
+		return (ahead*sum + n - 1) / n
+	}
+	return sum
+}
+
+// counts are the requests in progress at a runner that daemons have told, and how
+// many there are as far as is known; the caller holds the lock.
+func (t *Table) counts(runner string, now time.Time) (told core.Counts, sum int) {
+	told = t.own[runner]
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerMemory {
-			sum += p.counts[runner]
+			told = told.Plus(p.counts[runner])
 		}
 	}
+	sum = told.Sum()
 	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
-		sum = max(sum, s.load.Running+s.load.Waiting+t.own[runner]-s.own)
+		sum = max(sum, s.load.Running+s.load.Waiting+t.own[runner].Sum()-s.own)
 	}
-	return sum, t.fails[runner].left(now)
+	return told, sum
 }
