--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -40,7 +40,7 @@
 	}
 	c := &candidates[i]
 	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
-		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("ahead", c.Ahead), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace))
+		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace))
 	return &holders[i].Runner, nil
 }
 
@@ -56,13 +56,9 @@
 			continue
 		}
 		requests, penalty := j.d.loads.Requests(e.ID)
-		ahead := requests
-		if j.q.Model != "" {
-			ahead = j.d.loads.Ahead(e.ID, j.route.Priority)
-		}
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
-			ID: e.ID, Slots: e.Slots, Requests: requests, Ahead: ahead, Penalty: penalty,
+			ID: e.ID, Slots: e.Slots, Requests: requests, Penalty: penalty,
 			SamePlace: e.Place == j.d.place, Leaving: e.Leaves > 0 && e.Leaves < leaveMargin,
 		})
 	}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -264,7 +264,7 @@
 	}
 	j.sends++
 	j.tried[r.ID] = true
-	j.d.loads.Begin(r.ID, j.route.Priority)
+	j.d.loads.Begin(r.ID)
 	ctx, j.drop = context.WithCancel(ctx)
 	reply, err := j.sendOrStall(ctx, r, out)
 	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
@@ -272,7 +272,7 @@
 	}
 	if err != nil {
 		j.drop()
-		j.d.loads.End(r.ID, j.route.Priority)
+		j.d.loads.End(r.ID)
 		return nil, err
 	}
 	if reply.Info.Load != nil {
@@ -281,7 +281,7 @@
 	drop := j.drop
 	reply.Body = &ending{ReadCloser: reply.Body, end: func() {
 		drop()
-		j.d.loads.End(r.ID, j.route.Priority)
+		j.d.loads.End(r.ID)
 	}}
 	return reply, nil
 }
--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -27,7 +27,7 @@
 	clock core.Clock
 
 	mu    sync.Mutex
-	own   map[string]core.Counts
+	own   map[string]int
 	fails map[string]fail
 	peers map[string]peer
 	said  map[string]said
@@ -36,7 +36,7 @@
 
 type peer struct {
 	at     time.Time
-	counts map[string]core.Counts
+	counts map[string]int
 }
 
 type said struct {
@@ -52,22 +52,21 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, own: map[string]core.Counts{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
+	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
 }
 
-// Begin counts a request of a priority that is sent to a runner.
-func (t *Table) Begin(runner string, priority int) { t.add(runner, priority, 1) }
+// Begin counts a request sent to a runner.
+func (t *Table) Begin(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own[runner]++
+}
 
 // End counts its end.
-func (t *Table) End(runner string, priority int) { t.add(runner, priority, -1) }
-
-func (t *Table) add(runner string, priority, n int) {
+func (t *Table) End(runner string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.own[runner]
-	c[core.Level(priority)] += n
-	t.own[runner] = c
-	if c.Sum() <= 0 {
+	if t.own[runner]--; t.own[runner] <= 0 {
 		delete(t.own, runner)
 	}
 }
@@ -76,7 +75,7 @@
 func (t *Table) Said(runner string, l core.Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner].Sum()}
+	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner]}
 }
 
 // Note takes in that a runner has sent something.
@@ -135,10 +134,10 @@
 }
 
 // Own returns this daemon's requests in progress by runner.
-func (t *Table) Own() map[string]core.Counts {
+func (t *Table) Own() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]core.Counts, len(t.own))
+	out := make(map[string]int, len(t.own))
 	for id, n := range t.own {
 		out[id] = n
 	}
@@ -146,7 +145,7 @@
 }
 
 // Heard takes in another daemon's counts.
-func (t *Table) Heard(daemon string, counts map[string]core.Counts) {
+func (t *Table) Heard(daemon string, counts map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers[daemon] = peer{at: t.clock.Now(), counts: counts}
@@ -159,37 +158,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	_, sum := t.counts(runner, now)
-	return sum, t.fails[runner].left(now)
-}
-
-// Ahead returns how many of the requests in progress at a runner are at least as
-// urgent as one of a priority: those that it would have to wait for, as runners of
-// models take the more urgent ones first. Of those that only the runner knows the
-// same share is taken to be so as of those that daemons have told.
-func (t *Table) Ahead(runner string, priority int) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	told, sum := t.counts(runner, t.clock.Now())
-	ahead := told.Ahead(core.Level(priority))
-	if n := told.Sum(); n > 0 {
-		return (ahead*sum + n - 1) / n
-	}
-	return sum
-}
-
-// counts are the requests in progress at a runner that daemons have told, and how
-// many there are as far as is known; the caller holds the lock.
-func (t *Table) counts(runner string, now time.Time) (told core.Counts, sum int) {
-	told = t.own[runner]
+	sum := t.own[runner]
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerMemory {
-			told = told.Plus(p.counts[runner])
+			sum += p.counts[runner]
 		}
 	}
-	sum = told.Sum()
 	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
-		sum = max(sum, s.load.Running+s.load.Waiting+t.own[runner].Sum()-s.own)
+		sum = max(sum, s.load.Running+s.load.Waiting+t.own[runner]-s.own)
 	}
-	return told, sum
+	return sum, t.fails[runner].left(now)
 }
--- a/coordination/load/load_test.go
+++ b/coordination/load/load_test.go
@@ -20,21 +20,21 @@
 		n, _ := l.Requests("r")
 		return n
 	}
-	l.Begin("r", 1)
-	l.Begin("r", 1)
+	l.Begin("r")
+	l.Begin("r")
 	assert.Equal(t, requests(), 2)
-	l.Heard("d2", map[string]core.Counts{"r": {0, 3}, "other": {9}})
+	l.Heard("d2", map[string]int{"r": 3, "other": 9})
 	assert.Equal(t, requests(), 5)
 	l.Said("r", core.Load{Running: 6, Waiting: 4, Slots: 8})
 	assert.Equal(t, requests(), 10)
-	l.Begin("r", 1)
+	l.Begin("r")
 	assert.Equal(t, requests(), 11)
 	clock.Advance(reportMemory)
 	assert.Equal(t, requests(), 6, "the runner's word is old")
 	clock.Advance(peerMemory)
 	assert.Equal(t, requests(), 3, "the daemon is silent")
 	for range 3 {
-		l.End("r", 1)
+		l.End("r")
 	}
 	assert.Equal(t, requests(), 0)
 	assert.Equal(t, len(l.Own()), 0)
@@ -66,25 +66,3 @@
 	clock.Advance(time.Hour)
 	assert.Equal(t, penalty(), 0.0)
 }
-
-// Urgent labels are refused while runners are full of drafts, which would give way to
-// them: only what is at least as urgent is in a request's way.
-func TestAhead(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	l := New(clock)
-	l.Begin("r", 0)
-	l.Begin("r", 2)
-	l.Heard("d2", map[string]core.Counts{"r": {1, 0, 5, 2}})
-	ahead := func() (out []int) {
-		for p := range 5 {
-			out = append(out, l.Ahead("r", p))
-		}
-		return out
-	}
-	assert.DeepEqual(t, ahead(), []int{2, 2, 8, 10, 10})
-	l.Said("r", core.Load{Running: 12, Waiting: 8})
-	assert.DeepEqual(t, ahead(), []int{4, 4, 16, 20, 20})
-	assert.Equal(t, l.Ahead("other", 0), 0)
-	l.Said("other", core.Load{Running: 7})
-	assert.Equal(t, l.Ahead("other", 0), 7, "nothing is known of their urgency")
-}
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -83,8 +83,8 @@
 // beat is a daemon's word of itself.
 type beat struct {
 	Peer
-	Loads map[string]core.Counts `json:"loads,omitempty"` // requests in progress by runner; null: not told, as between places of a large fleet
-	New   bool                   `json:"new,omitempty"`   // has just started and knows nobody
+	Loads map[string]int `json:"loads,omitempty"` // requests in progress by runner; null: not told, as between places of a large fleet
+	New   bool           `json:"new,omitempty"`   // has just started and knows nobody
 }
 
 type known struct {
@@ -103,8 +103,8 @@
 	conn  *net.UDPConn
 	clock core.Clock
 	log   *zap.Logger
-	loads func() map[string]core.Counts
-	heard func(from Peer, counts map[string]core.Counts)
+	loads func() map[string]int
+	heard func(from Peer, counts map[string]int)
 	state func() State
 
 	mu       sync.Mutex
@@ -120,7 +120,7 @@
 
 // New makes a Peers that tells loads to others and reports theirs to heard.
 // The daemons' objects have the given kind.
-func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]core.Counts, heard func(Peer, map[string]core.Counts)) *Peers {
+func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(Peer, map[string]int)) *Peers {
 	return &Peers{
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
 		state: func() State { return State{Confirmed: -1} },
@@ -310,7 +310,7 @@
 }
 
 // beat writes a beat; the caller holds the lock. All of its parts can be written.
-func (p *Peers) beat(loads map[string]core.Counts, fresh bool) []byte {
+func (p *Peers) beat(loads map[string]int, fresh bool) []byte {
 	data, err := json.Marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, New: fresh}})
 	if err != nil {
 		p.log.Error(logs.MessageUnwritten, logs.Err(err))
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -13,23 +13,22 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"primroseward/core"
 	"primroseward/standin/memory"
 )
 
 const daemons = "daemons"
 
 // start starts a daemon's Peers on a loopback port; loads are what it tells.
-func start(t *testing.T, s *memory.Store, name, place string, loads map[string]core.Counts, heard func(Peer, map[string]core.Counts)) *Peers {
+func start(t *testing.T, s *memory.Store, name, place string, loads map[string]int, heard func(Peer, map[string]int)) *Peers {
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
 	addr := netip.MustParseAddrPort(conn.LocalAddr().String())
 	self := Peer{Name: name, Place: place, Peer: addr, Caller: netip.MustParseAddrPort("127.0.0.1:1"), Boot: uint64(time.Now().UnixNano())}
 	if heard == nil {
-		heard = func(Peer, map[string]core.Counts) {}
+		heard = func(Peer, map[string]int) {}
 	}
-	p := New(self, daemons, s.Client(), conn, clockwork.NewRealClock(), zap.NewNop(), func() map[string]core.Counts { return loads }, heard)
+	p := New(self, daemons, s.Client(), conn, clockwork.NewRealClock(), zap.NewNop(), func() map[string]int { return loads }, heard)
 	return p
 }
 
@@ -55,9 +54,9 @@
 // progress, and no longer count a daemon that is silent.
 func TestDaemonsFindEachOther(t *testing.T) {
 	s := memory.New()
-	told := make(chan map[string]core.Counts, 100)
-	a := start(t, s, "a", "north", map[string]core.Counts{"r1": {1, 2}}, nil)
-	b := start(t, s, "b", "south", nil, func(_ Peer, counts map[string]core.Counts) {
+	told := make(chan map[string]int, 100)
+	a := start(t, s, "a", "north", map[string]int{"r1": 3}, nil)
+	b := start(t, s, "b", "south", nil, func(_ Peer, counts map[string]int) {
 		select {
 		case told <- counts:
 		default:
@@ -67,7 +66,7 @@
 	b.Start()
 	defer a.Stop()
 	eventually(t, "both are known", func() bool { return names(a)["b"] && names(b)["a"] })
-	assert.Equal(t, (<-told)["r1"].Sum(), 3)
+	assert.Equal(t, (<-told)["r1"], 3)
 	assert.NilError(t, b.Unregister(context.Background()))
 	objects, _, err := s.Client().List(context.Background(), daemons)
 	assert.NilError(t, err)
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -22,12 +22,6 @@
 	// service's last some 10 ms.
 	engineOver = 1.25
 	plainOver  = 4
-	// engineMost is how many requests of all priorities a runner of models may
-	// have: runners keep up to two more for each slot waiting and reject others.
-	engineMost = 2.5
-	// lessUrgent is what a less urgent request in progress costs, in parts of one
-	// that is ahead.
-	lessUrgent = 0.5
 )
 
 // Candidate is a runner that may serve a request, as seen by one daemon.
@@ -35,17 +29,14 @@
 	ID        string
 	Slots     int
 	Requests  int // in progress there, from all daemons, as far as known
-	Ahead     int // of them at least as urgent as the request
 	SamePlace bool
 	Leaving   bool
 	Penalty   float64 // for lately failed attempts, in parts of its slots
 }
 
-// cost is the expected delay at a runner, in parts of its slots. Requests that are
-// less urgent wait for this one, which costs them a part of what it would wait.
+// cost is the expected delay at a runner, in parts of its slots.
 func (c *Candidate) cost() float64 {
-	wait := float64(c.Ahead) + lessUrgent*float64(c.Requests-c.Ahead)
-	cost := wait/float64(max(1, c.Slots)) + c.Penalty
+	cost := float64(c.Requests)/float64(max(1, c.Slots)) + c.Penalty
 	if !c.SamePlace {
 		cost += otherPlace
 	}
@@ -55,15 +46,13 @@
 	return cost
 }
 
-// Full says whether a runner has no room for one request more. A runner of models
-// takes the more urgent requests first, so that those that are less urgent than the
-// request take no room from it, up to what the runner takes at all.
+// Full says whether a runner has no room for one request more.
 func (c *Candidate) Full(engine bool) bool {
-	slots := float64(max(1, c.Slots))
-	if !engine {
-		return float64(c.Requests) >= plainOver*slots
+	over := float64(plainOver)
+	if engine {
+		over = engineOver
 	}
-	return float64(c.Ahead) >= engineOver*slots || float64(c.Requests) >= engineMost*slots
+	return float64(c.Requests) >= over*float64(max(1, c.Slots))
 }
 
 // Choose returns the index of the best candidate that has room, or -1. Equal
--- a/coordination/policy/choose_test.go
+++ b/coordination/policy/choose_test.go
@@ -13,11 +13,7 @@
 	near := Candidate{ID: "near", Slots: 8, SamePlace: true}
 	far := Candidate{ID: "far", Slots: 8}
 	busy := func(c Candidate, n int) Candidate {
-		c.Requests, c.Ahead = n, n
-		return c
-	}
-	drafts := func(c Candidate, n, ahead int) Candidate {
-		c.Requests, c.Ahead = n, ahead
+		c.Requests = n
 		return c
 	}
 	failed, leaves := near, near
@@ -35,9 +31,6 @@
 		{"failed lately", []Candidate{failed, far}, 1},
 		{"is taken away", []Candidate{leaves, far}, 1},
 		{"all are full", []Candidate{busy(near, 10), busy(far, 12)}, -1},
-		{"full of less urgent requests", []Candidate{drafts(near, 12, 2)}, 0},
-		{"too full of less urgent requests", []Candidate{drafts(near, 20, 2)}, -1},
-		{"fewer of them", []Candidate{drafts(near, 12, 2), drafts(near, 8, 2)}, 1},
 		{"the one that is not full", []Candidate{busy(near, 10), busy(far, 9)}, 1},
 	}
 	for _, one := range cases {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -299,7 +299,7 @@
 }
 
 // heard takes in what another daemon tells of itself.
-func (d *Daemon) heard(from peers.Peer, counts map[string]core.Counts) {
+func (d *Daemon) heard(from peers.Peer, counts map[string]int) {
 	if counts != nil {
 		d.loads.Heard(from.Name, counts)
 	}
