--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -56,8 +56,12 @@
 	// those that the store lists, which are ready some 100 ms after their start;
 	// and with the store's list of daemons, which takes some 10 ms.
 	copyPatience  = 2 * time.Second
-	startPatience = time.Second
+	startPatience = 400 * time.Millisecond
 	findPatience  = 300 * time.Millisecond
+	// startReaders is how many daemons read the store at once when many start.
+	// Those that the store lists may be gone for good: with one, all waited for the
+	// patience to end, a second without service after each kill of all.
+	startReaders = 3
 	// giveBack is the time to give the lease back and to take the daemon's
 	// object out of the store when stopping.
 	giveBack = 300 * time.Millisecond
@@ -130,7 +134,7 @@
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
-	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone))
+	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithConfig(d.newConfig))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
@@ -227,6 +231,10 @@
 	}
 }
 
+// newConfig tells the others at once that a configuration has come: those that have
+// just started wait for copies of a daemon that has one.
+func (d *Daemon) newConfig(*core.Config) { d.peers.Nudge(true) }
+
 // Ready says whether the daemon can serve callers.
 func (d *Daemon) Ready() bool {
 	return d.knows() && !d.leaving.Load()
@@ -284,12 +292,13 @@
 		return true
 	}
 	self := xxhash.Sum64String(d.set.Name)
+	before := 0
 	for _, name := range names {
 		if xxhash.Sum64String(name) < self {
-			return false
+			before++
 		}
 	}
-	return true
+	return before < startReaders
 }
 
 // changed tells the others of a change at once. In a large fleet each place has a
