--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -13,6 +13,9 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"primroseward/coordination/load"
@@ -38,6 +41,8 @@
 	stallLeast   = 900 * time.Millisecond
 	stallTargets = 3
 	stallGaps    = 6
+	// tracer names the spans of attempts.
+	tracer = "primroseward"
 	// statusClientGone is only for the log: nobody reads the answer.
 	statusClientGone = 499
 )
@@ -264,6 +269,7 @@
 	}
 	j.sends++
 	j.tried[r.ID] = true
+	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
 	j.d.loads.Begin(r.ID)
 	ctx, j.drop = context.WithCancel(ctx)
 	reply, err := j.sendOrStall(ctx, r, out)
@@ -271,6 +277,8 @@
 		j.runs++
 	}
 	if err != nil {
+		span.RecordError(err)
+		span.End()
 		j.drop()
 		j.d.loads.End(r.ID)
 		return nil, err
@@ -280,6 +288,7 @@
 	}
 	drop := j.drop
 	reply.Body = &ending{ReadCloser: reply.Body, end: func() {
+		span.End()
 		drop()
 		j.d.loads.End(r.ID)
 	}}
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -16,6 +16,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
@@ -500,3 +503,26 @@
 		assert.Equal(t, status, http.StatusOK, "the ones before are counted out")
 	})
 }
+
+// An operator cannot follow a slow request: each attempt has a span of its own, which
+// ends with its answer, below the span that the request came with.
+func TestEachAttemptHasASpan(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(sdk.NewTracerProvider(sdk.WithSpanProcessor(spans)))
+	defer otel.SetTracerProvider(before)
+	d := newDispatcher(&fleet{next: script(breaksOff)}, 3)
+	ctx, parent := otel.Tracer("test").Start(context.Background(), "request")
+	q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now()}
+	reply, err := d.Do(ctx, route(core.KindStream, true, 2), q)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(reply.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+	ended := spans.Ended()
+	assert.Equal(t, len(ended), 2)
+	for _, s := range ended {
+		assert.Equal(t, s.Name(), "attempt")
+		assert.Equal(t, s.SpanContext().TraceID(), parent.SpanContext().TraceID())
+	}
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -14,6 +14,10 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"primroseward/core"
@@ -31,6 +35,8 @@
 	// says less.
 	headerBytes = 64 << 10
 	copyBuffer  = 16 << 10
+	// tracer names the spans of requests.
+	tracer = "primroseward"
 	// noConfigRetry is when a caller may come back to a daemon that knows no
 	// configuration yet; it reads one within milliseconds of reaching the
 	// store.
@@ -99,7 +105,11 @@
 		return
 	}
 	q.Arrived = arrived
-	reply, err := f.to.Do(r.Context(), route, q)
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := otel.Tracer(tracer).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("request", q.ID), attribute.String("route", route.Name)))
+	defer span.End()
+	reply, err := f.to.Do(ctx, route, q)
 	if err != nil {
 		writeError(w, core.AsRequestError(err))
 		return
