Stand-ins and soak write the platform's messages by its types; one guard for orders put off

The stand-in of runners and the soak had the platform's field names in them; the types of package platform have them now, for both directions.

--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -249,7 +249,7 @@
 }
 
 func (h *Holder) confirmAdapter(one *host, w dispatch.Want, it *item) {
-	if one.adapters[adapterKey{w.Model, w.Adapter}] != it || !h.hold() || h.hosts[one.runner.ID] != one {
+	if !h.mayOrder(one, one.adapters[adapterKey{w.Model, w.Adapter}], it) {
 		return
 	}
 	if one.sending {
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -92,16 +92,22 @@
 	one.promised = m.For
 	h.tell(News{Runner: one.runner.ID, Model: m.Model})
 	h.after(retireLead, func() {
-		if one.models[m.Model] == it && h.hosts[one.runner.ID] == one && h.hold() {
+		if h.mayOrder(one, one.models[m.Model], it) {
 			h.sendModel(one, m, it)
 		}
 	})
 }
 
+// mayOrder says whether an order that was put off may be sent: the runner's item is
+// still the one that it was decided on, and this daemon still holds the lease.
+func (h *Holder) mayOrder(one *host, now, decided *item) bool {
+	return now == decided && h.hosts[one.runner.ID] == one && h.hold()
+}
+
 func (h *Holder) sendModel(one *host, m policy.Move, it *item) {
 	if one.sending {
 		h.after(confirmEvery, func() {
-			if one.models[m.Model] == it && h.hosts[one.runner.ID] == one && h.hold() {
+			if h.mayOrder(one, one.models[m.Model], it) {
 				h.sendModel(one, m, it)
 			}
 		})
@@ -141,7 +147,7 @@
 }
 
 func (h *Holder) confirmModel(one *host, m policy.Move, it *item) {
-	if one.models[m.Model] != it || !h.hold() || h.hosts[one.runner.ID] != one {
+	if !h.mayOrder(one, one.models[m.Model], it) {
 		return
 	}
 	if one.sending {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	wire "primroseward/platform"
 	"primroseward/standin/platform"
 )
 
@@ -164,7 +165,7 @@
 		w.replace(h, r)
 		h.Kill()
 		h.proxy.Close()
-		w.later(seconds(r, 0.5, 3), func() { w.store.Remove("servers", h.ID) })
+		w.later(seconds(r, 0.5, 3), func() { w.store.Remove(wire.KindRunners, h.ID) })
 		return h.ID
 	}},
 	{"runner leaves", func(w *World, r *rand.Rand) string {
@@ -180,7 +181,7 @@
 		w.later(4*time.Second, func() {
 			h.Kill()
 			h.proxy.Close()
-			w.store.Remove("servers", h.ID)
+			w.store.Remove(wire.KindRunners, h.ID)
 		})
 		return h.ID
 	}},
--- a/soak/world.go
+++ b/soak/world.go
@@ -184,29 +184,26 @@
 	w.config++
 	version := w.config
 	w.mu.Unlock()
-	route := func(name, path, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "path_prefix": path, "kind": kind, "service": service, "timeout_ms": 4000,
-			"target_latency_ms": 400, "gap_aim_ms": 200, "max_attempts": attempts, "resumable": resumable, "priority": 1,
+	route := func(name, path, kind, service string, attempts int, resumable bool) wire.RouteMessage {
+		return wire.RouteMessage{
+			Name: name, Host: "h.example", Prefix: path, Kind: kind, Service: service, TimeoutMS: 4000,
+			TargetMS: 400, MaxGapMS: 200, MaxAttempts: attempts, Resumable: resumable, Priority: 1,
 		}
 	}
-	models := []map[string]any{
-		{"name": "m1", "weights_mb": 40, "load_s": 0.4, "adapters": 6, "adapter_mb": 1},
-		{"name": "m2", "weights_mb": 40, "load_s": 0.4},
+	engine := &wire.EngineMessage{
+		Slots: slots, MemoryMB: 100, AdapterSlots: maxAdapters, LoadsPerSec: 4,
+		Models: []wire.ModelMessage{{Name: "m1", MemoryMB: 40, LoadS: modelLoad.Seconds(), Adapters: 6, AdapterMB: 1}, {Name: "m2", MemoryMB: 40, LoadS: modelLoad.Seconds()}},
 	}
-	return w.store.Put(wire.KindConfig, wire.NameConfig, map[string]any{
-		"version": version,
-		"routes": []any{
+	return w.store.Put(wire.KindConfig, wire.NameConfig, wire.ConfigMessage{
+		Version: uint64(version),
+		Routes: []wire.RouteMessage{
 			route("gen", "/gen/", "streaming", "gen", 2, true),
 			route("order", "/order/", "unsafe", "app", 2, false),
 			route("ask", "/ask/", "safe", "app", 3, false),
 			route("new", prefix(version), "safe", "app", 2, false),
 		},
-		"services": []any{
-			map[string]any{"name": "gen", "engine": map[string]any{"slots": slots, "weights_mb": 100, "adapter_slots": maxAdapters, "loads_per_s": 4, "models": models}},
-			map[string]any{"name": "app"},
-		},
-		"limits": map[string]any{"max_body_bytes": 1 << 20},
+		Services: []wire.ServiceMessage{{Name: "gen", Engine: engine}, {Name: "app"}},
+		Limits:   wire.LimitsMessage{BodyBytes: 1 << 20},
 	})
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -154,17 +154,11 @@
 	return false
 }
 
-type holding struct {
-	Name     string   `json:"name"`
-	Version  int      `json:"version"`
-	Adapters []string `json:"adapters"`
-}
-
 // holdings lists the models; the caller holds the lock.
-func (s *Server) holdings() []holding {
-	out := []holding{}
+func (s *Server) holdings() []platform.HoldingMessage {
+	out := []platform.HoldingMessage{}
 	for m, adapters := range s.models {
-		out = append(out, holding{Name: m, Version: 1, Adapters: adapters})
+		out = append(out, platform.HoldingMessage{Name: m, Version: 1, Adapters: adapters})
 	}
 	return out
 }
@@ -175,12 +169,12 @@
 	if s.Reached != nil {
 		address = s.Reached(address)
 	}
-	entry := map[string]any{
-		"service": s.Service, "address": address, "zone": s.Place, "slots": s.Slots,
-		"state": "ready", "sequence": s.sequence, "models": s.holdings(),
+	entry := platform.RunnerMessage{
+		Service: s.Service, Address: address, Zone: s.Place, Slots: s.Slots,
+		State: platform.StateReady, Sequence: s.sequence, Models: s.holdings(),
 	}
 	if s.draining {
-		entry["state"] = "draining"
+		entry.State = platform.StateDraining
 	}
 	s.mu.Unlock()
 	s.store(platform.KindRunners, s.ID, entry)
@@ -189,24 +183,17 @@
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"models": s.holdings(), "sequence": s.sequence, "busy": s.busy})
+	reply(w, http.StatusOK, platform.ReportMessage{Models: s.holdings(), Sequence: s.sequence, Busy: s.busy})
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Operation string `json:"operation"`
-		Model     string `json:"model"`
-		Adapter   string `json:"adapter"`
-		Expected  uint64 `json:"expected"`
-		Holder    string `json:"holder"`
-		Fence     uint64 `json:"fencing_token"`
-	}
+	var o platform.OrderMessage
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get(platform.HeaderInstance) != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	s.mu.Lock()
-	status := s.apply(o.Operation == "load", o.Model, o.Adapter, o.Expected)
+	status := s.apply(o.Operation == platform.OperationLoad, o.Model, o.Adapter, o.Expected)
 	s.terms = append(s.terms, Term{o.Holder, o.Fence, time.Now()})
 	s.mu.Unlock()
 	s.register()
