--- a/soak/faults.go
+++ b/soak/faults.go
@@ -43,10 +43,10 @@
 }
 
 // harm keeps that a daemon's answers may be late from now on for a time.
-func (d *daemon) harm(for_ time.Duration) {
+func (d *daemon) harm(length time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.harms = append(d.harms, span{time.Now(), time.Now().Add(for_ + harmTail)})
+	d.harms = append(d.harms, span{time.Now(), time.Now().Add(length + harmTail)})
 }
 
 // harmTail is how long after its end a fault may still make answers late.
@@ -62,9 +62,9 @@
 }
 
 // harmAll is harm to each daemon.
-func (w *World) harmAll(for_ time.Duration) {
+func (w *World) harmAll(length time.Duration) {
 	for _, d := range w.daemons {
-		d.harm(for_)
+		d.harm(length)
 	}
 }
 
@@ -135,14 +135,14 @@
 		if h == nil {
 			return "none"
 		}
-		for_ := seconds(r, 0.3, 3)
-		w.harmAll(for_)
-		return h.ID + " " + harmProxy(w, r, h.proxy, for_)
+		length := seconds(r, 0.3, 3)
+		w.harmAll(length)
+		return h.ID + " " + harmProxy(w, r, h.proxy, length)
 	}},
 	{"way of callers", func(w *World, r *rand.Rand) string {
-		d, for_ := w.anyDaemon(r), seconds(r, 0.2, 1.5)
-		d.harm(for_ + timeout + patience)
-		return d.name + " " + harmProxy(w, r, d.front, for_)
+		d, length := w.anyDaemon(r), seconds(r, 0.2, 1.5)
+		d.harm(length + timeout + patience)
+		return d.name + " " + harmProxy(w, r, d.front, length)
 	}},
 	{"runner breaks off", func(w *World, r *rand.Rand) string {
 		h := w.anyRunner(r)
@@ -199,7 +199,7 @@
 }
 
 // harmProxy harms the connections through a proxy in one of the ways that there are.
-func harmProxy(w *World, r *rand.Rand, p *Proxy, for_ time.Duration) string {
+func harmProxy(w *World, r *rand.Rand, p *Proxy, length time.Duration) string {
 	how := ""
 	switch r.IntN(6) {
 	case 0:
@@ -222,11 +222,11 @@
 		how = "one way down"
 		p.Set(Harm{Down: true})
 	}
-	w.later(for_, func() {
+	w.later(length, func() {
 		p.Set(Harm{})
 		p.Reset() // what was swallowed is lost: the connections are of no use
 	})
-	return fmt.Sprintf("%s for %v", how, for_)
+	return fmt.Sprintf("%s for %v", how, length)
 }
 
 // replace lets a new, empty runner take the place of one that goes.
