Copies go compressed; a silent stream is kept where it cannot go on elsewhere

The repeat is taken, and a runner with room looked for, before a stream is let go of. TestSilentStreamIsKeptWhereItCannotGoOn fails without it (exhausted).

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -33,8 +33,7 @@
 	if len(candidates) == 0 {
 		return nil, j.refuse(codeAbsent, "no runner has the model", nil)
 	}
-	spec := j.d.catalog.Config().Services[j.service]
-	i := policy.Choose(candidates, spec != nil && spec.Engine != nil)
+	i := policy.Choose(candidates, j.engine())
 	if i < 0 {
 		return nil, j.refuse("full", "all runners that may serve the request are full", nil)
 	}
@@ -44,6 +43,12 @@
 	return &holders[i].Runner, nil
 }
 
+// engine says whether the request goes to runners of models.
+func (j *job) engine() bool {
+	spec := j.d.catalog.Config().Services[j.service]
+	return spec != nil && spec.Engine != nil
+}
+
 // candidates are the runners that can serve the request now.
 func (j *job) candidates() ([]*catalog.Entry, []policy.Candidate) {
 	var holders []*catalog.Entry
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -111,6 +111,7 @@
 	rejects  int
 	dials    int
 	sends    int
+	kept     bool               // a repeat of the budget has been taken for the next send
 	retry    time.Duration      // when what is absent may be there; 0: not known
 	last     string             // id of the last event passed on
 	drop     context.CancelFunc // ends the connection of the latest send
@@ -300,5 +301,9 @@
 
 // mayRepeat takes one more send from the budget, if the route allows one.
 func (j *job) mayRepeat() bool {
+	if j.kept {
+		j.kept = false
+		return j.repeatable() && j.runs < j.route.MaxAttempts
+	}
 	return j.repeatable() && j.runs < j.route.MaxAttempts && j.d.budget.Repeat(j.service)
 }
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -46,6 +46,7 @@
 	hangs     // until the deadline
 	unsigned  // a success without its signature
 	freezes   // a stream, after some events, without a word
+	pauses    // a stream, for longer than others are given up for
 	acts
 )
 
@@ -87,6 +88,9 @@
 		return answer(http.StatusOK, core.ReplyInfo{}, "ok", nil), nil
 	case freezes:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 2), silent{ctx}), nil
+	case pauses:
+		body := io.MultiReader(strings.NewReader(pieces(o.LastEvent, 2)), &late{ctx: ctx, text: pieces("2", events)})
+		return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: info, Body: io.NopCloser(body)}, nil
 	case breaksOff:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
 	default:
@@ -126,6 +130,27 @@
 	return n, e.err
 }
 
+// late gives its text after a pause that is longer than others are given up for.
+type late struct {
+	ctx  context.Context
+	text string
+	done *strings.Reader
+}
+
+const latePause = stallLeast + 500*time.Millisecond
+
+func (l *late) Read(p []byte) (int, error) {
+	if l.done == nil {
+		select {
+		case <-time.After(latePause):
+		case <-l.ctx.Done():
+			return 0, l.ctx.Err()
+		}
+		l.done = strings.NewReader(l.text)
+	}
+	return l.done.Read(p)
+}
+
 // silent is the end of an answer whose connection gives no sign until it is
 // dropped.
 type silent struct{ ctx context.Context }
@@ -282,6 +307,49 @@
 	}
 }
 
+// plainFull is more than a runner of a test takes.
+const plainFull = 16
+
+// A draft is cut and retyped, though its runner is only slow: its stream was silent
+// for long, was let go of, and could not go on anywhere else. It is kept where there
+// is no other runner, no room, or no repeat left in the budget.
+func TestSilentStreamIsKeptWhereItCannotGoOn(t *testing.T) {
+	cases := []struct {
+		name    string
+		runners int
+		route   *core.Route
+		slack   float64
+		full    bool
+		runs    int
+	}{
+		{"no other runner", 1, route(core.KindStream, true, 2), 100, false, 1},
+		{"no attempt left", 3, route(core.KindStream, true, 1), 100, false, 1},
+		{"no repeat left", 3, route(core.KindStream, true, 2), 0, false, 1},
+		{"no room elsewhere", 2, route(core.KindStream, true, 2), 100, true, 1},
+		{"elsewhere", 2, route(core.KindStream, true, 2), 100, false, 2},
+	}
+	for _, one := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{next: script(pauses)}
+			d := newDispatcher(f, one.runners)
+			d.budget = policy.NewBudget(d.clock, 10*time.Second, func() float64 { return 0 }, func() float64 { return one.slack })
+			if next := f.next; one.full {
+				f.next = func(id string) act { // others' requests fill both meanwhile
+					for range plainFull {
+						d.loads.Begin("r0")
+						d.loads.Begin("r1")
+					}
+					return next(id)
+				}
+			}
+			_, body, err := call(d, one.route)
+			assert.NilError(t, err, one.name)
+			assert.Equal(t, body, pieces("", events), one.name)
+			assert.Equal(t, len(f.runs), one.runs, one.name)
+		})
+	}
+}
+
 // A stream that cannot go on must not look whole.
 func TestBrokenStreamDoesNotEndWell(t *testing.T) {
 	f := &fleet{next: script(breaksOff)}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -54,7 +54,7 @@
 // can still be answered for by another, or by a refusal.
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
 	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, last: j.last}}
-	watch := j.watchSilence(r, max(stallLeast, stallTargets*j.route.Target))
+	watch := j.watchSilence(r, max(stallLeast, stallTargets*j.route.Target), 0)
 	first, err := s.in.next()
 	watch.stop()
 	if err != nil && err != io.EOF {
@@ -89,7 +89,7 @@
 
 // next waits for the next events.
 func (s *stream) next() ([]byte, error) {
-	watch := s.j.watchSilence(s.runner, max(stallLeast, stallGaps*s.j.route.MaxGap))
+	watch := s.j.watchSilence(s.runner, max(stallLeast, stallGaps*s.j.route.MaxGap), 0)
 	defer watch.stop()
 	ready, err := s.in.next()
 	s.arrived()
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -25,6 +24,9 @@
 	pathCopy = "/copies/"
 	// queryAfter is the version up to which the asking daemon knows all.
 	queryAfter = "after"
+	// What differs each time that the same copy is asked for.
+	headerHealthy = "Copy-Healthy" // since the store last failed for the daemon that answers
+	headerStale   = "Copy-Stale"   // whether it fails for it now
 	// copyLimit is for whole copies of 70 KB to twenty daemons at the same time over
 	// a link of 10 Mbit/s.
 	copyLimit = 1500 * time.Millisecond
@@ -48,8 +50,14 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(c); err != nil {
+		data, err := d.packed.get(r.PathValue("kind"), c.After, c)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set(headerHealthy, c.Healthy.String())
+		w.Header().Set(headerStale, strconv.FormatBool(c.Stale))
+		if _, err := w.Write(data); err != nil {
 			d.log.Info(logs.CopyNotSent, logs.Err(err))
 		}
 	})
@@ -120,10 +128,26 @@
 	if resp.StatusCode != http.StatusOK {
 		return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "copy of %s: status %d", best.Name, resp.StatusCode)
 	}
-	var c watch.Copy
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxCopy)).Decode(&c); err != nil {
+	c, err := readCopy(resp)
+	if err != nil {
 		return watch.Copy{}, eris.Wrapf(core.ErrUnavailable, "copy of %s: %v", best.Name, err)
 	}
 	d.log.Info(logs.CopyTaken, zap.String("other", best.Name), zap.String("kind", kind), zap.Uint64("version", c.Version), zap.Uint64("after", c.After), zap.Int("objects", len(c.Objects)))
 	return c, nil
 }
+
+func readCopy(resp *http.Response) (watch.Copy, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCopy))
+	if err != nil {
+		return watch.Copy{}, err
+	}
+	c, err := unpack(data)
+	if err != nil {
+		return watch.Copy{}, err
+	}
+	if c.Healthy, err = time.ParseDuration(resp.Header.Get(headerHealthy)); err != nil {
+		return watch.Copy{}, err
+	}
+	c.Stale, err = strconv.ParseBool(resp.Header.Get(headerStale))
+	return c, err
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -101,6 +101,7 @@
 	bounds     atomic.Pointer[setting.Fleet] // as last read
 
 	calls   *http.Client // to other daemons
+	packed  packed
 	servers []*http.Server
 	wg      sync.WaitGroup
 }
