--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -216,6 +216,8 @@
 				_, _ = d.Claim() // as the daemons do to tell each other
 				return may[d.name]
 			})(d.Lease)
+		}
+		for _, d := range g.all {
 			d.Start()
 		}
 		time.Sleep(2 * time.Second)
@@ -234,6 +236,8 @@
 		calls := g.all[0].client.Calls()
 		for _, d := range g.all[:2] {
 			d.Lease = New(d.client, "leases", "orders", d.name, pause, d, clockwork.NewRealClock(), zap.NewNop(), WithBoot(g.boot), WithCandidate(func() bool { return may[d.name] }))
+		}
+		for _, d := range g.all[:2] {
 			d.Start()
 		}
 		time.Sleep(takeAfter + pause + 2*time.Second)
@@ -242,7 +246,9 @@
 		assert.Assert(t, g.all[0].client.Calls()-calls <= 2, "%d calls of one that is none", g.all[0].client.Calls()-calls)
 		// The former holder starts again after the candidate has given the lease back
 		// to it, as it were.
-		g.all[1].Stop(context.Background())
+		for _, d := range g.all[:2] {
+			d.Stop(context.Background())
+		}
 		g.store.Put("leases", "orders", `{"holder":"c","term":20}`)
 		c := g.all[2]
 		c.Lease = New(c.client, "leases", "orders", "c", pause, c, clockwork.NewRealClock(), zap.NewNop(), WithBoot(g.boot), WithCandidate(func() bool { return false }))
@@ -250,7 +256,6 @@
 		time.Sleep(time.Second)
 		_, ok = c.Term()
 		assert.Assert(t, ok, "its own lease is not taken again")
-		g.all[0].Stop(context.Background())
 		c.Stop(context.Background())
 	})
 }
