Each attempt goes by the settings of its moment

Read back: a request's tree was kept from its arrival, so that a stream could go on in a place that operators had taken away meanwhile. TestSettingsChangeBetweenAttempts.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -103,8 +103,7 @@
 	q        *core.Request
 	route    *core.Route
 	service  string
-	tree     *tree.Tree      // in force when the request came; nil: none
-	eff      *tree.Effective // what it says of the request
+	eff      *tree.Effective // what the settings said of the request when it came
 	deadline time.Time
 	tried    map[string]bool // runners that the request has been sent to
 	runs     int             // sends that may have run
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -546,6 +546,25 @@
 	}
 }
 
+// A stream goes on in a place that operators have taken away since it began: each
+// further attempt goes by the settings of its moment.
+func TestSettingsChangeBetweenAttempts(t *testing.T) {
+	f := &fleet{}
+	d := held(t, f, tree.Settings{}, 0)
+	replica := d.settings.replica
+	f.next = func(id string) act {
+		other := map[string]string{"r0": "north", "r1": "south"}[id]
+		body, err := json.Marshal(tree.Stored{Node: &tree.Node{Set: tree.Settings{Places: &[]string{other}}}})
+		assert.NilError(t, err)
+		replica.Apply([]tree.Branch{{Name: "service/s", Version: 2, Body: body}})
+		return breaksOff
+	}
+	_, body, err := call(d, route(core.KindStream, true, 2))
+	assert.Equal(t, core.AsRequestError(err).Code, "exhausted")
+	assert.Equal(t, body, pieces("", 3))
+	assert.Equal(t, len(f.runs), 1, "%v", f.runs)
+}
+
 // A service takes the whole system down: operators bound its requests in progress
 // and its rate, and no daemon counts.
 func TestLimitsOfTheSettings(t *testing.T) {
--- a/coordination/dispatch/settings.go
+++ b/coordination/dispatch/settings.go
@@ -46,7 +46,6 @@
 	if t == nil || t.Empty() {
 		return func() {}, nil
 	}
-	j.tree = t
 	j.eff = t.Effective(tree.Coord{Service: j.service, Model: j.q.Model})
 	if j.eff.Body > 0 && int64(len(j.q.Body)) > j.eff.Body {
 		return nil, j.held("body", core.NotRun(http.StatusRequestEntityTooLarge, "body_too_large",
@@ -77,11 +76,16 @@
 	return e
 }
 
-// allows says whether the request may be served in a place.
+// allows says whether the request may be sent to a place now: operators may have taken
+// it away since the request came.
 func (j *job) allows(place string) bool {
-	if j.tree == nil {
+	if j.d.settings == nil {
 		return true
 	}
-	_, ok := j.tree.Allowed(tree.Coord{Service: j.service, Model: j.q.Model, Place: place})
+	t := j.d.settings.replica.Tree()
+	if t == nil || t.Empty() {
+		return true
+	}
+	_, ok := t.Allowed(tree.Coord{Service: j.service, Model: j.q.Model, Place: place})
 	return ok
 }
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -48,8 +48,8 @@
 	// of one for each daemon.
 	watchers = 3
 	// placeWatchers is how many do in each place of a large fleet, where daemons
-	// of other places are missed late. The others' watchers tell all of each
-	// change, too, while a place's own is being replaced.
+	// of other places are missed late. One that falls silent is replaced within
+	// the 1.5 s after which its place misses it.
 	placeWatchers = 1
 	// Patience of a daemon that starts, before it reads the store itself: with one
 	// that is ready to give its copy, which 70 may ask for at the same time; with
