--- a/cmd/primrosectl/store.go
+++ b/cmd/primrosectl/store.go
@@ -42,7 +42,7 @@
 	}
 	branches := make([]tree.Branch, 0, len(objects))
 	for _, o := range objects {
-		branches = append(branches, tree.Branch{Name: tree.BranchName(o.Name), Version: o.Version, Body: o.Body})
+		branches = append(branches, tree.BranchOf(core.Event{Object: o}))
 	}
 	replica.Adopt(branches, version)
 	o, err := client.Get(ctx, platform.KindConfig, platform.NameConfig)
--- a/coordination/spread/wire.go
+++ b/coordination/spread/wire.go
@@ -19,7 +19,7 @@
 func branchesOf(kind string, e core.Event) []tree.Branch {
 	o := e.Object
 	if kind == core.KindTree {
-		return []tree.Branch{{Name: tree.BranchName(o.Name), Version: o.Version, Body: o.Body, Deleted: e.Deleted}}
+		return []tree.Branch{tree.BranchOf(e)}
 	}
 	var vm vmSpec
 	if json.Unmarshal(o.Body, &vm) != nil {
--- a/coordination/watch/take.go
+++ b/coordination/watch/take.go
@@ -35,17 +35,13 @@
 func (w *Watcher) takeTree(c Copy) {
 	branches := make([]tree.Branch, 0, len(c.Objects))
 	for _, o := range c.Objects {
-		branches = append(branches, branchOf(core.Event{Object: o}))
+		branches = append(branches, tree.BranchOf(core.Event{Object: o}))
 	}
 	w.branchesTaken(w.settings.Adopt(branches, c.Version))
 }
 
 func (w *Watcher) takeBranch(e core.Event) {
-	w.branchesTaken(w.settings.Apply([]tree.Branch{branchOf(e)}))
-}
-
-func branchOf(e core.Event) tree.Branch {
-	return tree.Branch{Name: tree.BranchName(e.Object.Name), Version: e.Object.Version, Body: e.Object.Body, Deleted: e.Deleted}
+	w.branchesTaken(w.settings.Apply([]tree.Branch{tree.BranchOf(e)}))
 }
 
 func (w *Watcher) branchesTaken(branches []tree.Branch) {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -45,7 +45,6 @@
 	Model  string
 	Header http.Header
 	At     time.Time
-	Whole  bool // the answer was written to its end
 }
 
 // Server is the stand-in.
@@ -279,7 +278,6 @@
 		return
 	}
 	s.running++
-	run := len(s.runs)
 	s.runs = append(s.runs, Run{ID: id, Target: r.RequestURI, Body: string(body), Model: model, Header: r.Header.Clone(), At: time.Now()})
 	cut, fail := s.cutAfter, s.failing > 0
 	s.cutAfter = 0
@@ -302,9 +300,6 @@
 		return
 	}
 	time.Sleep(s.Gap)
-	s.mu.Lock()
-	s.runs[run].Whole = true
-	s.mu.Unlock()
 	text := s.ID + " " + r.RequestURI + " " + string(body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
--- a/state/tree/versions.go
+++ b/state/tree/versions.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"primroseward/core"
 )
 
 // VMPrefix begins the names of entries that say which VMs are leaving. They
@@ -42,6 +44,11 @@
 	Deleted bool
 }
 
+// BranchOf is the branch that a change of the store's objects tells of.
+func BranchOf(e core.Event) Branch {
+	return Branch{Name: BranchName(e.Object.Name), Version: e.Object.Version, Body: e.Object.Body, Deleted: e.Deleted}
+}
+
 // held is a branch with the last body that parsed.
 type held struct {
 	branch Branch
