Runners that start again under their id; entries that no runner has written

Cause: a runner's id named one life of it. One that starts again may now keep it and tell its start in its entry: the daemon then went by the models, adapters, loads, failures, sequence and connections of the former life; streams there waited in silence until the deadline. An entry or an item that could not be read failed the whole list or watch of its kind, and a runner of which only a part could be read was used.

Change: a later start drops all that was believed (catalog, loads, connections, sends in progress, the holder's view). An earlier one counts after it has stood for 3 s: a write of an ended process is replaced within a heartbeat, a clock set back is not. Room is kept for a load of a former life that was not answered, as the new count of orders may come to the one that it expects. An item that can't be read names nothing; a runner's entry is checked field by field, told of once and counted.

Ruled out: bringing the start into the ids that daemons tell each other (bytes between places, and the runner checks only its id).

Tests: each guard was taken out and its test failed (restart in the catalog, former life after the new one, holder's view, late order, sends of a former life, its mark, spoiled entry, counts). Soak and stand-in have both kinds.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	log     *zap.Logger
 	metrics *metrics
 	running atomic.Int64
+	sent    inFlight
 	// settings are nil where no tree is kept.
 	settings *settings
 }
@@ -220,7 +221,7 @@
 	}
 	if reply.Status >= http.StatusInternalServerError && j.mayRepeat() {
 		_ = reply.Body.Close()
-		j.d.loads.Failed(r.ID)
+		j.failed(r)
 		j.log.Info(logs.RunnerFailed, zap.String("runner", r.ID), zap.Int("status", reply.Status))
 		return nil, nil
 	}
@@ -270,8 +271,9 @@
 	j.sends++
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
-	j.d.loads.Begin(r.ID)
+	leave := j.d.loads.Begin(r.ID)
 	ctx, j.drop = context.WithCancel(ctx)
+	done := j.d.sent.add(r.ID, j.drop)
 	reply, err := j.sendOrStall(ctx, r, out)
 	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
 		j.runs++
@@ -279,8 +281,9 @@
 	if err != nil {
 		span.RecordError(err)
 		span.End()
+		done()
 		j.drop()
-		j.d.loads.End(r.ID)
+		leave()
 		return nil, err
 	}
 	if reply.Info.Load != nil {
@@ -289,8 +292,9 @@
 	drop := j.drop
 	reply.Body = &ending{ReadCloser: reply.Body, end: func() {
 		span.End()
+		done()
 		drop()
-		j.d.loads.End(r.ID)
+		leave()
 	}}
 	return reply, nil
 }
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -17,7 +17,7 @@
 	if ctx.Err() != nil {
 		return j.ended(ctx, err)
 	}
-	j.d.loads.Failed(r.ID)
+	j.failed(r)
 	if errors.Is(err, core.ErrNotSent) {
 		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), logs.Err(err))
 		if j.dials++; j.dials < maxDials {
@@ -33,6 +33,13 @@
 	return core.MayHaveRun("answer_lost", err.Error())
 }
 
+// failed marks a runner for a failed attempt, unless it was one at a former life of it.
+func (j *job) failed(r *core.Runner) {
+	if e := j.d.catalog.Runner(r.ID); e == nil || e.Born.Equal(r.Born) {
+		j.d.loads.Failed(r.ID)
+	}
+}
+
 // afterRejection decides on a runner's statement that it did not run the
 // request.
 func (j *job) afterRejection(r *core.Runner, reply *core.Reply) error {
--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -3,6 +3,7 @@
 package load
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -27,7 +28,7 @@
 	clock core.Clock
 
 	mu    sync.Mutex
-	own   map[string]int
+	own   map[string]*int // requests in progress from here
 	fails map[string]fail
 	peers map[string]peer
 	said  map[string]said
@@ -52,22 +53,46 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, own: map[string]int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
+	return &Table{clock: clock, own: map[string]*int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}}
 }
 
-// Begin counts a request sent to a runner.
-func (t *Table) Begin(runner string) {
+// Begin counts a request sent to a runner, until end is called. A count begins with
+// each life of the runner: an end of a request to an earlier one must not lower it.
+func (t *Table) Begin(runner string) (end func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.own[runner]++
+	n := t.own[runner]
+	if n == nil {
+		n = new(int)
+		t.own[runner] = n
+	}
+	*n++
+	return sync.OnceFunc(func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if *n--; *n == 0 && t.own[runner] == n {
+			delete(t.own, runner)
+		}
+	})
+}
+
+// ownOf is this daemon's requests in progress at a runner; the caller holds the lock.
+func (t *Table) ownOf(runner string) int {
+	if n := t.own[runner]; n != nil {
+		return *n
+	}
+	return 0
 }
 
-// End counts its end.
-func (t *Table) End(runner string) {
+// Restarted drops all that is known of a runner that has started again under its id:
+// none of the requests that were in progress there is.
+func (t *Table) Restarted(runner string) {
+	t.Forget(runner)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.own[runner]--; t.own[runner] <= 0 {
-		delete(t.own, runner)
+	delete(t.own, runner)
+	for _, p := range t.peers {
+		delete(p.counts, runner)
 	}
 }
 
@@ -75,7 +100,7 @@
 func (t *Table) Said(runner string, l core.Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.own[runner]}
+	t.said[runner] = said{at: t.clock.Now(), load: l, own: t.ownOf(runner)}
 }
 
 // Note takes in that a runner has sent something.
@@ -139,7 +164,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]int, len(t.own))
 	for id, n := range t.own {
-		out[id] = n
+		out[id] = *n
 	}
 	return out
 }
@@ -148,7 +173,7 @@
 func (t *Table) Heard(daemon string, counts map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[daemon] = peer{at: t.clock.Now(), counts: counts}
+	t.peers[daemon] = peer{at: t.clock.Now(), counts: maps.Clone(counts)}
 }
 
 // Requests returns the requests in progress at a runner, and its penalty. The
@@ -158,14 +183,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	sum := t.own[runner]
+	sum := t.ownOf(runner)
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerMemory {
 			sum += p.counts[runner]
 		}
 	}
 	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
-		sum = max(sum, s.load.Running+s.load.Waiting+t.own[runner]-s.own)
+		sum = max(sum, s.load.Running+s.load.Waiting+t.ownOf(runner)-s.own)
 	}
 	return sum, t.fails[runner].left(now)
 }
--- a/coordination/load/load_test.go
+++ b/coordination/load/load_test.go
@@ -20,21 +20,20 @@
 		n, _ := l.Requests("r")
 		return n
 	}
-	l.Begin("r")
-	l.Begin("r")
+	ends := []func(){l.Begin("r"), l.Begin("r")}
 	assert.Equal(t, requests(), 2)
 	l.Heard("d2", map[string]int{"r": 3, "other": 9})
 	assert.Equal(t, requests(), 5)
 	l.Said("r", core.Load{Running: 6, Waiting: 4, Slots: 8})
 	assert.Equal(t, requests(), 10)
-	l.Begin("r")
+	ends = append(ends, l.Begin("r"))
 	assert.Equal(t, requests(), 11)
 	clock.Advance(reportMemory)
 	assert.Equal(t, requests(), 6, "the runner's word is old")
 	clock.Advance(peerMemory)
 	assert.Equal(t, requests(), 3, "the daemon is silent")
-	for range 3 {
-		l.End("r")
+	for i := range ends {
+		ends[i]()
 	}
 	assert.Equal(t, requests(), 0)
 	assert.Equal(t, len(l.Own()), 0)
@@ -66,3 +65,28 @@
 	clock.Advance(time.Hour)
 	assert.Equal(t, penalty(), 0.0)
 }
+
+// A runner that has started again gets no work, or too much: requests to its former
+// life are counted as in progress, and their ends are counted as ends of new ones.
+func TestRestart(t *testing.T) {
+	l := New(clockwork.NewFakeClock())
+	requests := func() int {
+		n, _ := l.Requests("r")
+		return n
+	}
+	former := l.Begin("r")
+	l.Heard("d2", map[string]int{"r": 3})
+	l.Said("r", core.Load{Running: 9, Slots: 8})
+	l.Failed("r")
+	l.Restarted("r")
+	n, penalty := l.Requests("r")
+	assert.Equal(t, n, 0)
+	assert.Equal(t, penalty, 0.0)
+	next := l.Begin("r")
+	former()
+	assert.Equal(t, requests(), 1)
+	next()
+	next()
+	assert.Equal(t, requests(), 0)
+	assert.Equal(t, len(l.Own()), 0)
+}
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -170,7 +170,7 @@
 		if !ok || spec == nil || m.phase != present || !h.mayServe(one, w) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
 			continue
 		}
-		if len(one.adapters) < one.engine.AdapterSlots && one.freeMB() >= spec.AdapterMB {
+		if one.adaptersTaken() < one.engine.AdapterSlots && one.freeMB() >= spec.AdapterMB {
 			if n, _ := h.loads.Requests(one.runner.ID); free == nil || n < low {
 				free, low = one, n
 			}
@@ -296,7 +296,7 @@
 		if !one.usable(service) || !one.synced || one.sending || one.busy() || one.inPhase(loading) > 0 {
 			continue
 		}
-		if len(one.adapters)+spareAdapters >= engine.AdapterSlots {
+		if one.adaptersTaken()+spareAdapters >= engine.AdapterSlots {
 			continue
 		}
 		if key, ok := h.nextAdapter(one, copies); ok {
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -281,7 +282,7 @@
 	if config == nil {
 		return
 	}
-	all := h.catalog.All()
+	all, now := h.catalog.All(), h.clock.Now()
 	for id := range h.hosts {
 		if all[id] == nil {
 			delete(h.hosts, id)
@@ -293,11 +294,16 @@
 			continue
 		}
 		one, ok := h.hosts[id]
-		if !ok {
-			one = newHost(e.Runner, service.Engine)
+		if !ok || !one.runner.Born.Equal(e.Born) {
+			next := newHost(e.Runner, service.Engine)
+			if ok {
+				next.late = one.mayCome()
+			}
+			one = next
 			h.hosts[id] = one
 		}
 		one.runner, one.engine = e.Runner, service.Engine
+		one.late = slices.DeleteFunc(one.late, func(o lateOrder) bool { return !now.Before(o.until) })
 		h.sync(one)
 	}
 }
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -48,6 +50,7 @@
 	}
 	one.sending = true
 	o.Holder, o.Fence, o.Expected = h.self, term, one.sequence
+	one.sentOut(o, h.clock.Now())
 	h.count("orders")
 	h.wg.Add(1)
 	go h.runOrder(one, one.runner, o, then)
@@ -65,6 +68,9 @@
 // order was sent is over.
 func (h *Holder) answered(one *host, o core.RunnerOrder, result core.OrderResult, err error, then func(core.OrderResult)) {
 	one.sending = false
+	if result != core.OrderUnknown {
+		one.answeredFor(o)
+	}
 	if o.Fence != h.term || h.hosts[one.runner.ID] != one {
 		return
 	}
@@ -72,3 +78,18 @@
 		zap.Bool("load", o.Load), zap.Uint64("expected", o.Expected), zap.Int("result", int(result)), logs.Err(err))
 	then(result)
 }
+
+// sentOut keeps an order for a load until it is answered, or can't come any more.
+func (h *host) sentOut(o core.RunnerOrder, now time.Time) {
+	h.unanswered = slices.DeleteFunc(h.unanswered, func(l lateOrder) bool { return !now.Before(l.until) || l.expected < h.sequence })
+	if o.Load {
+		h.unanswered = append(h.unanswered, lateOrder{model: o.Model, adapter: o.Adapter, expected: o.Expected, until: now.Add(lateFor)})
+	}
+}
+
+// answeredFor takes out an order that was answered.
+func (h *host) answeredFor(o core.RunnerOrder) {
+	h.unanswered = slices.DeleteFunc(h.unanswered, func(l lateOrder) bool {
+		return l.model == o.Model && l.adapter == o.Adapter && l.expected == o.Expected
+	})
+}
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -43,6 +43,50 @@
 	adapters map[adapterKey]*item
 	loaded   map[string]time.Time // when loads were done
 	promised string               // model that gets the room of the one being unloaded
+	// unanswered are the orders to this life of the runner that may come late, and
+	// late those to its former lives.
+	unanswered []lateOrder
+	late       []lateOrder
+}
+
+// lateOrder is a load that a runner has not answered. It may be carried out seconds
+// later, as long as the runner's sequence is the one that it expects. A runner that has
+// started again counts its orders from 0, so that one to its former life may be carried
+// out when the count comes by, on top of what the new life has been ordered to load:
+// more than its memory holds, at which it crashes. Room is kept for it until then.
+type lateOrder struct {
+	model, adapter string
+	expected       uint64
+	until          time.Time
+}
+
+// lateFor is how long an order without an answer may still be carried out: they were
+// seen up to 12 s late.
+const lateFor = 15 * time.Second
+
+// mayCome are the orders that may yet be carried out by the next life of the runner.
+func (h *host) mayCome() []lateOrder {
+	return append(slices.Clone(h.late), h.unanswered...)
+}
+
+// lateLoads calls fn for each load of former lives that may still be carried out.
+func (h *host) lateLoads(fn func(lateOrder)) {
+	for _, o := range h.late {
+		if h.sequence <= o.expected {
+			fn(o)
+		}
+	}
+}
+
+// adaptersTaken is how many places for adapters are taken, or kept for late orders.
+func (h *host) adaptersTaken() int {
+	n := len(h.adapters)
+	h.lateLoads(func(o lateOrder) {
+		if _, ok := h.adapters[adapterKey{o.model, o.adapter}]; !ok && o.adapter != "" {
+			n++
+		}
+	})
+	return n
 }
 
 func newHost(r core.Runner, engine *core.Engine) *host {
@@ -75,6 +119,13 @@
 			free -= m.AdapterMB
 		}
 	}
+	h.lateLoads(func(o lateOrder) {
+		if m := h.engine.Model(o.model); m != nil && o.adapter != "" {
+			free -= m.AdapterMB
+		} else if _, ok := h.models[o.model]; m != nil && !ok {
+			free -= m.MemoryMB
+		}
+	})
 	return free
 }
 
--- a/coordination/watch/take.go
+++ b/coordination/watch/take.go
@@ -79,14 +79,16 @@
 
 func (w *Watcher) takeRunner(e core.Event, healthy time.Duration) {
 	if e.Deleted {
+		w.readable(e.Object.Name)
 		w.lapse(e.Object.Name, healthy)
 		return
 	}
 	r, err := w.reader.Runner(e.Object.Name, e.Object.Body)
 	if err != nil {
-		w.log.Error(logs.RunnerUnreadable, zap.String("runner", e.Object.Name), logs.Err(err))
+		w.spoiled(e.Object, err)
 		return
 	}
+	w.readable(r.ID)
 	old := w.catalog.Runner(r.ID)
 	w.catalog.Put(*r, w.clock.Now())
 	if old == nil || old.Draining != r.Draining {
@@ -95,6 +97,35 @@
 	}
 }
 
+// spoiled takes in a runner's entry that can't be read: another writer's, which names
+// no runner to use. A runner that was known under its name gets no more work until its
+// own heartbeat has replaced the entry. Lists and copies repeat the entry; it is told
+// of once.
+func (w *Watcher) spoiled(o core.Object, err error) {
+	w.mu.Lock()
+	version, told := w.unread[o.Name]
+	told = told && version == o.Version
+	if !told && len(w.unread) < maxUnread {
+		w.unread[o.Name] = o.Version
+	}
+	w.mu.Unlock()
+	now := w.clock.Now()
+	w.catalog.Lapse(o.Name, now)
+	w.catalog.Sweep(now)
+	if told {
+		return
+	}
+	w.unreadable()
+	w.log.Error(logs.RunnerUnreadable, zap.String("runner", o.Name), zap.Uint64("revision", o.Version), logs.Err(err))
+}
+
+// readable forgets that a runner's entry could not be read.
+func (w *Watcher) readable(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.unread, name)
+}
+
 // lapse takes in that a runner's entry is missing, as seen by a daemon for which
 // the store has not failed for the time healthy. After an outage of the store entries of
 // live runners are missing for a moment; to drop their runners then would drop
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -26,6 +26,8 @@
 	// lapseGrace is how long after the store's return a missing entry of a
 	// runner still counts: live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
+	// maxUnread bounds the entries that are remembered as told of.
+	maxUnread  = 1000
 	sweepEvery = 100 * time.Millisecond
 	// firstCheck is how often a daemon that starts looks for another one's copy.
 	firstCheck = 40 * time.Millisecond
@@ -92,12 +94,15 @@
 	log       *zap.Logger
 	mu        sync.Mutex
 	kinds     map[string]*kindState
-	settings  *tree.Replica // nil: none are kept
+	unread    map[string]uint64 // versions of runners' entries that could not be read
+	settings  *tree.Replica     // nil: none are kept
 	active    func() bool
 	changed   func(kind string)
 	first     func(since time.Duration) bool
-	wg        sync.WaitGroup
-	stop      context.CancelFunc
+	// unreadable is called for each version of a runner's entry that can't be read.
+	unreadable func()
+	wg         sync.WaitGroup
+	stop       context.CancelFunc
 }
 
 // Option changes a Watcher.
@@ -123,6 +128,9 @@
 // after its start, rather than wait for another one's copy.
 func WithFirst(fn func(since time.Duration) bool) Option { return func(w *Watcher) { w.first = fn } }
 
+// WithUnreadable calls fn for each runner's entry that can't be read.
+func WithUnreadable(fn func()) Option { return func(w *Watcher) { w.unreadable = fn } }
+
 // kindState is this daemon's copy of a kind.
 type kindState struct {
 	version uint64 // all changes up to this one are known
@@ -154,7 +162,7 @@
 // New makes a Watcher.
 func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
-		store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{},
+		store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{}, unread: map[string]uint64{}, unreadable: func() {},
 		active: func() bool { return true }, changed: func(string) {}, first: func(time.Duration) bool { return true },
 	}
 	for _, kind := range []string{reader.ConfigKind, reader.RunnerKind} {
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -29,6 +29,9 @@
 	runners = "runners"
 )
 
+// spoiled is a runner's entry that can't be read.
+const spoiled = `"spoiled"`
+
 // node is one daemon's watches; its neighbour is another node.
 type node struct {
 	*Watcher
@@ -49,6 +52,9 @@
 			return c, err
 		},
 		Runner: func(id string, body []byte) (*core.Runner, error) {
+			if string(body) == spoiled {
+				return nil, core.ErrInvalid
+			}
 			return &core.Runner{ID: id, Service: "s", Draining: string(body) == `"draining"`}, nil
 		},
 	}, n.neighbour, n.catalog, clock, zap.NewNop(), opts...)
@@ -547,3 +553,42 @@
 		})
 	}
 }
+
+// Requests go to a runner whose entry another writer has replaced, or no change of any
+// runner is learned of any more. The entry names no runner, in a list, a watch and
+// another daemon's copy; it is told of once, and the others hold.
+func TestSpoiledEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		s.Put(runners, "r1", `"ready"`)
+		s.Put(runners, "r2", spoiled)
+		told := map[string]int{}
+		counted := func(name string) Option { return WithUnreadable(func() { told[name]++ }) }
+		var leads atomic.Bool
+		leads.Store(true)
+		a, b := newNode(s, counted("a")), newNode(s, counted("b"), WithActive(leads.Load))
+		b.near = a
+		for _, n := range []*node{a, b} {
+			n.Start()
+			defer n.Stop()
+		}
+		known := func(id string) bool { return a.catalog.Runner(id) != nil && b.catalog.Runner(id) != nil }
+		within(t, time.Second, "listed", func() bool { return known("r1") })
+		assert.Assert(t, a.catalog.Runner("r2") == nil && b.catalog.Runner("r2") == nil)
+		leads.Store(false)
+		time.Sleep(time.Second)
+		step := func(name, entry string, there bool) {
+			t.Helper()
+			s.Put(runners, name, entry)
+			within(t, time.Second, name, func() bool {
+				b.Hint("a", true, a.Changes())
+				return (a.catalog.Runner(name) != nil) == there && (b.catalog.Runner(name) != nil) == there
+			})
+		}
+		step("r1", spoiled, false)
+		step("r2", `"ready"`, true)
+		step("r1", `"ready"`, true)
+		assert.NilError(t, a.list(context.Background(), runners))
+		assert.DeepEqual(t, told, map[string]int{"a": 2, "b": 2})
+	})
+}
--- a/core/runner.go
+++ b/core/runner.go
@@ -13,10 +13,11 @@
 	Adapters []string
 }
 
-// Runner is a running endpoint as it last described itself. ID names one
-// instance of it: a restarted runner has another.
+// Runner is a running endpoint as it last described itself. One that starts again
+// may keep its ID; it then holds nothing of before, and Born tells the two apart.
 type Runner struct {
 	ID       string
+	Born     time.Time // when it started; zero if it does not say
 	Service  string
 	Addr     netip.AddrPort
 	Place    string
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -47,6 +47,10 @@
 	RunnerSeen = "runner"
 	// RunnerUnreadable: a runner's entry could not be read.
 	RunnerUnreadable = "runner unreadable"
+	// ObjectNameless: the store lists something without a name that can be read.
+	ObjectNameless = "object without a name"
+	// RunnerRestarted: a runner has started again under its id; nothing known of it before holds.
+	RunnerRestarted = "runner started again"
 	// RunnerMissing: a runner's entry is gone; it counts as gone after the grace.
 	RunnerMissing = "runner's entry is missing"
 	// RunnerGone: a runner gets no more work.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -131,16 +131,21 @@
 	set := d.set
 	d.store = platform.New(set.PlatformAddr, d.clock,
 		platform.WithRate(set.Limits.Platform, int(set.Limits.Platform)),
-		platform.WithCount(func(verb string) { d.scope.Tagged(map[string]string{"verb": verb}).Counter("platform_calls").Inc(1) }))
+		platform.WithCount(func(verb string) { d.scope.Tagged(map[string]string{"verb": verb}).Counter("platform_calls").Inc(1) }),
+		platform.WithNameless(func(kind string) {
+			d.log.Error(logs.ObjectNameless, zap.String("kind", kind))
+			d.scope.Tagged(map[string]string{"kind": kind}).Counter("objects_nameless").Inc(1)
+		}))
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
-	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithConfig(d.newConfig))
+	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithRestarted(d.restarted), catalog.WithConfig(d.newConfig))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
 	}, d.neighbour, d.catalog, d.clock, d.log, watch.WithSettings(d.settings),
-		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed))
+		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed),
+		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()),
@@ -176,6 +181,16 @@
 	d.loads.Forget(r.ID)
 }
 
+// restarted takes in that a runner has started again under its id. All that was
+// believed of it goes, before anything else is sent there; what was sent to its former
+// life ends, as nothing more will come of it.
+func (d *Daemon) restarted(was core.Runner) {
+	d.log.Info(logs.RunnerRestarted, zap.String("runner", was.ID), zap.String("service", was.Service), zap.Time("former", was.Born))
+	d.runners.Forget(was.ID)
+	d.loads.Restarted(was.ID)
+	d.dispatcher.Restarted(was.ID)
+}
+
 // listen opens the listeners.
 func (d *Daemon) listen() error {
 	dir := &front.Directory{
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -185,6 +186,30 @@
 		})
 		return h.ID
 	}},
+	{"runner starts again", func(w *World, r *rand.Rand) string {
+		h := w.anyRunner(r)
+		if h == nil {
+			return "none"
+		}
+		w.harmAll(time.Second)
+		for range 1 + r.IntN(2) {
+			h.Restart(seconds(r, 0.001, 3))
+		}
+		return h.ID
+	}},
+	{"entry of another writer", func(w *World, r *rand.Rand) string {
+		h := w.anyRunner(r)
+		name, spoiled := "i-other", spoiledEntries[r.IntN(len(spoiledEntries))]
+		if h != nil && r.IntN(2) == 0 {
+			name = h.ID
+			w.harmAll(time.Second)
+			w.later(seconds(r, 0.2, 1.2), h.Register)
+		}
+		if err := w.store.Put(wire.KindRunners, name, json.RawMessage(spoiled)); err != nil {
+			return err.Error()
+		}
+		return name + " " + spoiled
+	}},
 	{"configuration", func(w *World, _ *rand.Rand) string {
 		if err := w.putConfig(); err != nil {
 			return err.Error()
@@ -198,6 +223,16 @@
 	}},
 }
 
+// spoiledEntries are entries that no runner writes.
+var spoiledEntries = []string{
+	`{}`, `[]`, `"ready"`, `7`,
+	`{"service":"gen","address":"127.0.0.1:1","zone":"p1","slots":"4","state":"ready"}`,
+	`{"service":"gen","address":"127.0.0.1:1","zone":"p1","slots":4,"state":"resting"}`,
+	`{"service":"gen","address":"nowhere","zone":"p1","slots":4,"state":"ready"}`,
+	`{"service":"app","address":"127.0.0.1:1","zone":"p1","slots":4,"state":"ready","born":1.5}`,
+	`{"service":"other","address":"127.0.0.1:1","zone":"p1","slots":4,"state":"ready"}`,
+}
+
 // harmProxy harms the connections through a proxy in one of the ways that there are.
 func harmProxy(w *World, r *rand.Rand, p *Proxy, length time.Duration) string {
 	how := ""
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -54,6 +54,7 @@
 	store func(kind, name string, spec any)
 
 	mu       sync.Mutex
+	born     time.Time // of its life
 	runs     []Run
 	models   map[string][]string // with their adapters
 	sequence uint64
@@ -75,7 +76,7 @@
 
 // New starts a runner that writes its entry through store.
 func New(spec Spec, store func(kind, name string, spec any)) *Server {
-	s := &Server{Spec: spec, store: store, models: map[string][]string{}}
+	s := &Server{Spec: spec, store: store, born: time.Now(), models: map[string][]string{}}
 	for _, m := range spec.Models {
 		s.models[m] = nil
 	}
@@ -84,10 +85,28 @@
 	mux.HandleFunc("POST "+platform.PathOrder, s.order)
 	mux.HandleFunc("/", s.request)
 	s.srv = httptest.NewServer(mux)
-	s.register()
+	s.Register()
 	return s
 }
 
+// Restart begins another life of the runner under its ID, on which it holds nothing and
+// has taken no orders. It was born as long after the former life as step says.
+func (s *Server) Restart(step time.Duration) {
+	s.srv.CloseClientConnections()
+	s.mu.Lock()
+	s.born = s.born.Add(step)
+	s.models, s.sequence, s.draining, s.busy = map[string][]string{}, 0, false, false
+	s.mu.Unlock()
+	s.Register()
+}
+
+// Born is when the runner's present life began.
+func (s *Server) Born() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born
+}
+
 // Kill ends the runner and all its connections.
 func (s *Server) Kill() {
 	s.srv.CloseClientConnections()
@@ -99,7 +118,7 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
-	s.register()
+	s.Register()
 }
 
 // CutNext cuts the next stream after n events.
@@ -162,14 +181,16 @@
 	return out
 }
 
-func (s *Server) register() {
+// Register writes the runner's entry.
+func (s *Server) Register() {
 	s.mu.Lock()
+	born := uint64(s.born.UnixMilli())
 	address := s.srv.Listener.Addr().String()
 	if s.Reached != nil {
 		address = s.Reached(address)
 	}
 	entry := platform.RunnerMessage{
-		Service: s.Service, Address: address, Zone: s.Place, Slots: s.Slots,
+		Born: &born, Service: s.Service, Address: address, Zone: s.Place, Slots: s.Slots,
 		State: platform.StateReady, Sequence: s.sequence, Models: s.holdings(),
 	}
 	if s.draining {
@@ -195,7 +216,7 @@
 	status := s.apply(o.Operation == platform.OperationLoad, o.Model, o.Adapter, o.Expected)
 	s.terms = append(s.terms, Term{o.Holder, o.Fence, time.Now()})
 	s.mu.Unlock()
-	s.register()
+	s.Register()
 	w.WriteHeader(status)
 }
 
@@ -247,12 +268,17 @@
 		return
 	}
 	s.busy = true
+	born := s.born
 	time.AfterFunc(s.Load, func() {
 		s.mu.Lock()
+		if !s.born.Equal(born) {
+			s.mu.Unlock()
+			return
+		}
 		s.busy = false
 		s.models[model] = nil
 		s.mu.Unlock()
-		s.register()
+		s.Register()
 	})
 }
 
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -17,6 +17,10 @@
 	Seen time.Time // when the description was taken in
 	// GoneAt is when a lapsed entry counts as gone; zero while it stands.
 	GoneAt time.Time
+	// former is a description of an earlier life of the runner that was seen after
+	// one of this life, at formerAt.
+	former   *core.Runner
+	formerAt time.Time
 
 	learned map[learnedKey]learned
 }
@@ -45,6 +49,7 @@
 	mu      sync.Mutex
 	entries map[string]*Entry
 	gone    func(core.Runner)
+	again   func(core.Runner)
 	fresh   func(*core.Config)
 	clock   core.Clock
 }
@@ -60,12 +65,16 @@
 // WithGone calls fn for each runner that is gone.
 func WithGone(fn func(core.Runner)) Option { return func(c *Catalog) { c.gone = fn } }
 
+// WithRestarted calls fn for each runner that has started again under its id, as it
+// was before.
+func WithRestarted(fn func(core.Runner)) Option { return func(c *Catalog) { c.again = fn } }
+
 // WithConfig calls fn for each configuration that comes in force.
 func WithConfig(fn func(*core.Config)) Option { return func(c *Catalog) { c.fresh = fn } }
 
 // New returns an empty catalog.
 func New(clock core.Clock, opts ...Option) *Catalog {
-	c := &Catalog{clock: clock, entries: map[string]*Entry{}, gone: func(core.Runner) {}, fresh: func(*core.Config) {}}
+	c := &Catalog{clock: clock, entries: map[string]*Entry{}, gone: func(core.Runner) {}, again: func(core.Runner) {}, fresh: func(*core.Config) {}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -98,18 +107,54 @@
 // All returns all runners by id.
 func (c *Catalog) All() map[string]*Entry { return c.view.Load().byID }
 
+// formerPatience is how long the description of an earlier life must stand before
+// it goes before that of a later one. A process that has ended may still have a
+// write on its way, which the runner's next heartbeat replaces, within 1.2 s; but a
+// runner whose clock was set back before it started again is told of by nothing else.
+const formerPatience = 3 * time.Second
+
 // Put takes in a runner's description. What has been learned since holds on:
-// a description is up to a second old, and leaves most adapters out.
+// a description is up to a second old, and leaves most adapters out. Of a runner
+// that has started again nothing holds on: it has none of what it had, and requests
+// sent by what was known would be rejected by it, each one at the budget's cost.
 func (c *Catalog) Put(r core.Runner, now time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	old := c.entries[r.ID]
+	if old != nil && r.Born.Before(old.Born) {
+		c.putFormer(old, r, now)
+		c.mu.Unlock()
+		return
+	}
+	restarted := c.put(old, r, now)
+	c.mu.Unlock()
+	if restarted {
+		c.again(old.Runner)
+	}
+}
+
+// put replaces a runner's description and says whether it is one of another life;
+// the caller holds the lock.
+func (c *Catalog) put(old *Entry, r core.Runner, now time.Time) (restarted bool) {
 	e := &Entry{Runner: r, Seen: now}
-	if old, ok := c.entries[r.ID]; ok {
+	restarted = old != nil && !r.Born.Equal(old.Born)
+	if old != nil && !restarted {
 		e.learned = old.learned
 	}
 	e.apply(now)
 	c.entries[r.ID] = e
 	c.publish()
+	return restarted
+}
+
+// putFormer keeps the description of an earlier life; the caller holds the lock.
+func (c *Catalog) putFormer(old *Entry, r core.Runner, now time.Time) {
+	next := *old
+	if next.former == nil || !next.former.Born.Equal(r.Born) {
+		next.formerAt = now
+	}
+	next.former, next.GoneAt = &r, time.Time{}
+	c.entries[r.ID] = &next
+	c.publish()
 }
 
 // Lapse marks a runner whose entry is missing. It counts as gone at goneAt,
@@ -127,11 +172,17 @@
 	c.publish()
 }
 
-// Sweep removes the runners that count as gone by now and returns how many.
+// Sweep removes the runners that count as gone by now and returns how many. It also
+// takes in descriptions of earlier lives that have stood for long enough.
 func (c *Catalog) Sweep(now time.Time) int {
 	c.mu.Lock()
-	var gone []core.Runner
+	var gone, again []core.Runner
 	for id, e := range c.entries {
+		if e.former != nil && now.Sub(e.formerAt) >= formerPatience {
+			c.put(e, *e.former, now)
+			again = append(again, e.Runner)
+			continue
+		}
 		if !e.GoneAt.IsZero() && !now.Before(e.GoneAt) {
 			gone = append(gone, e.Runner)
 			delete(c.entries, id)
@@ -144,6 +195,9 @@
 	for _, r := range gone {
 		c.gone(r)
 	}
+	for _, r := range again {
+		c.again(r)
+	}
 	return len(gone)
 }
 
--- a/state/catalog/catalog_test.go
+++ b/state/catalog/catalog_test.go
@@ -77,3 +77,63 @@
 	assert.Assert(t, c.Runner("r1") != nil && c.Runner("r2") == nil)
 	assert.Assert(t, slices.ContainsFunc(c.Runners("s"), func(e *Entry) bool { return e.ID == "r1" }))
 }
+
+// Requests are rejected one after the other: a runner has started again under its id
+// and holds nothing, while the daemon still goes by what it has learned of its former
+// life.
+func TestNothingHoldsOnAcrossARestart(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var again []core.Runner
+	c := New(clock, WithRestarted(func(r core.Runner) { again = append(again, r) }))
+	born := clock.Now()
+	life := func(at time.Time, models ...string) core.Runner {
+		r := core.Runner{ID: "r1", Service: "s", Born: at}
+		for _, m := range models {
+			r.Holdings = append(r.Holdings, core.Holding{Model: m})
+		}
+		return r
+	}
+	c.Put(life(born, "m"), clock.Now())
+	c.Learn("r1", "m", "a1", true)
+	c.Learn("r1", "n", "", true)
+	c.Put(life(born, "m"), clock.Now())
+	assert.Equal(t, len(again), 0, "the same life again")
+	for i := range 2 { // twice within a second
+		at := born.Add(time.Duration(i+1) * 300 * time.Millisecond)
+		c.Put(life(at, "m"), clock.Now())
+		assert.Equal(t, len(again), i+1)
+		e := c.Runner("r1")
+		assert.Assert(t, e.Born.Equal(at) && !e.HoldsAdapter("m", "a1") && !e.Holds("n"))
+	}
+	assert.Assert(t, again[0].Born.Equal(born), "told of is the life that ended")
+}
+
+// The same, and the runner is lost for good: the last write of its former life comes
+// after the first of the new one, in a list, a watch or a copy of another daemon. Or
+// its clock was set back before it started again, and nothing else will ever be told.
+func TestFormerLifeSeenAfterTheNewOne(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var again []core.Runner
+	c := New(clock, WithRestarted(func(r core.Runner) { again = append(again, r) }))
+	late, early := clock.Now().Add(time.Second), clock.Now()
+	c.Put(core.Runner{ID: "r1", Service: "s", Born: late}, clock.Now())
+	former := core.Runner{ID: "r1", Service: "s", Born: early, Holdings: []core.Holding{{Model: "m"}}}
+	for range 3 {
+		c.Put(former, clock.Now())
+		clock.Advance(time.Second / 2)
+		c.Sweep(clock.Now())
+		assert.Assert(t, !c.Runner("r1").Holds("m"))
+	}
+	c.Put(core.Runner{ID: "r1", Service: "s", Born: late}, clock.Now()) // its heartbeat
+	clock.Advance(formerPatience)
+	c.Sweep(clock.Now())
+	assert.Assert(t, c.Runner("r1").Born.Equal(late), "a late write has replaced the runner")
+	assert.Equal(t, len(again), 0)
+	c.Put(former, clock.Now())
+	clock.Advance(formerPatience / 2)
+	c.Put(former, clock.Now())
+	clock.Advance(formerPatience / 2)
+	c.Sweep(clock.Now())
+	assert.Assert(t, c.Runner("r1").Born.Equal(early) && c.Runner("r1").Holds("m"), "never taken in")
+	assert.Equal(t, len(again), 1)
+}
