primrosectl losses: how requests ended, by route, load of the runner, time and refusal

Cause: logs told of one request at a time; which requests a bad hour cost, and whether their runners were full when they were chosen, took scripts. A plain request's end was not logged, and a stream's line did not tell what it was held against.

Change: answer ended; targets and slots in the lines; a command that counts them, beside follow.

--- /dev/null
+++ b/cmd/primrosectl/losses.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"primroseward/io/logs"
+)
+
+// lossesCommand reads a file of logs of one or several daemons; it asks none.
+func lossesCommand() command {
+	s := flaggy.NewSubcommand("losses")
+	s.Description = "show which requests were late, refused or lost, and when, from a file of logs"
+	var file string
+	s.AddPositionalValue(&file, "FILE", 1, true, "logs of one or several daemons")
+	return command{s, func(c *client) error {
+		in, err := os.Open(file)
+		if err != nil {
+			return eris.Wrap(err, "logs")
+		}
+		defer in.Close()
+		lines, _, err := logs.Read(in)
+		if err != nil {
+			return err
+		}
+		losses := logs.CountLosses(lines)
+		if c.json {
+			return printJSON(losses)
+		}
+		return losses.Print(os.Stdout)
+	}}
+}
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -39,7 +39,7 @@
 	}
 	c := &candidates[i]
 	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
-		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace))
+		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace))
 	return &holders[i].Runner, nil
 }
 
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -250,6 +250,8 @@
 	if reply.Status < http.StatusInternalServerError {
 		j.d.loads.Worked(r.ID)
 	}
+	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", reply.Status),
+		zap.Duration("took", j.d.clock.Since(j.q.Arrived)), zap.Duration("target", j.route.Target))
 	reply.Body = newWhole(data)
 	return reply, nil
 }
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -138,6 +138,6 @@
 		s.j.d.metrics.cut()
 	}
 	s.j.log.Info(logs.StreamEnded, zap.String("runner", s.runner.ID), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
-		zap.Duration("gap", s.maxGap), zap.Int("reads", s.count), zap.Bool("whole", s.ended == io.EOF), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
+		zap.Duration("target", s.j.route.Target), zap.Duration("gap", s.maxGap), zap.Duration("maxgap", s.j.route.MaxGap), zap.Int("reads", s.count), zap.Bool("whole", s.ended == io.EOF), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
 	return s.body.Close()
 }
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -21,6 +21,8 @@
 	StreamResumed = "stream resumed"
 	// StreamEnded: a stream's last event: time to the first, longest pause, whether whole.
 	StreamEnded = "stream ended"
+	// AnswerEnded: a plain request's answer is there: its status, and how long it took.
+	AnswerEnded = "answer ended"
 	// Refused: the caller is told that the request has not run, and when to come back.
 	Refused = "refused"
 	// RefusedBySettings: the settings tree does not allow the request now: which node says so.
