A daemon's prompts for a runner go out at the pace at which it reads them

Cause: all daemons send to the runner that they think least busy, and requests come in clumps, so that ten prompts and more reach one runner within 150 ms. It then reads without a gap and the events of all its streams come late.

Change: each daemon learns how fast runners read (first events), puts its prompts in line for each runner, prefers runners where they need not wait, and lets them wait for at most a quarter of their target.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -38,9 +38,33 @@
 		return nil, j.refuse("full", "all runners that may serve the request are full", nil)
 	}
 	c := &candidates[i]
+	wait := j.takeTurn(c.ID)
 	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
-		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace))
-	return &holders[i].Runner, nil
+		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace), zap.Duration("wait", wait))
+	if wait == 0 {
+		return &holders[i].Runner, nil
+	}
+	core.Sleep(ctx, j.d.clock, wait)
+	if e := j.d.catalog.Runner(c.ID); e != nil && j.mayServe(e) {
+		return &e.Runner, nil
+	}
+	return j.choose(ctx) // it has begun to leave, or the settings have changed
+}
+
+// takeTurn puts the request in line for a runner and returns how long it is to wait.
+// A repeat waits no more: much of its time is gone.
+func (j *job) takeTurn(runner string) time.Duration {
+	if !j.engine() || j.sends > 0 || j.waited {
+		return 0
+	}
+	j.waited = true
+	return j.d.pace.Take(j.d.clock.Now(), j.service, runner, j.q.Input, j.d.daemons(), j.route.Target)
+}
+
+// mayServe says whether the request may go to a runner now.
+func (j *job) mayServe(e *catalog.Entry) bool {
+	return e.Usable() && !j.tried[e.ID] && j.allows(e.Place) && (j.q.Model == "" || e.Holds(j.q.Model)) &&
+		(j.q.Adapter == "" || e.HoldsAdapter(j.q.Model, j.q.Adapter))
 }
 
 // engine says whether the request goes to runners of models.
@@ -53,11 +77,9 @@
 func (j *job) candidates() ([]*catalog.Entry, []policy.Candidate) {
 	var holders []*catalog.Entry
 	var out []policy.Candidate
+	now := j.d.clock.Now()
 	for _, e := range j.d.catalog.Runners(j.service) {
-		if !e.Usable() || j.tried[e.ID] || !j.allows(e.Place) || j.q.Model != "" && !e.Holds(j.q.Model) {
-			continue
-		}
-		if j.q.Adapter != "" && !e.HoldsAdapter(j.q.Model, j.q.Adapter) {
+		if !j.mayServe(e) {
 			continue
 		}
 		requests, penalty := j.d.loads.Requests(e.ID)
@@ -65,6 +87,7 @@
 		out = append(out, policy.Candidate{
 			ID: e.ID, Slots: e.Slots, Requests: requests, Penalty: penalty,
 			SamePlace: e.Place == j.d.place, Leaving: e.Leaves > 0 && e.Leaves < leaveMargin,
+			Wait: j.d.pace.Wait(now, e.ID),
 		})
 	}
 	return holders, out
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 	sender  Sender
 	placer  Placer
 	budget  *policy.Budget
+	pace    *policy.Pace
+	daemons func() int // that send to runners now
 	demand  *Demand
 	clock   core.Clock
 	log     *zap.Logger
@@ -83,11 +85,14 @@
 // WithScope counts requests in a scope.
 func WithScope(s tally.Scope) Option { return func(d *Dispatcher) { d.metrics = newMetrics(s) } }
 
+// WithDaemons sets what tells how many daemons share the runners.
+func WithDaemons(fn func() int) Option { return func(d *Dispatcher) { d.daemons = fn } }
+
 // New makes a Dispatcher of a daemon in a place.
 func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
-		clock: clock, log: log, metrics: newMetrics(tally.NoopScope),
+		pace: policy.NewPace(), daemons: func() int { return 1 }, clock: clock, log: log, metrics: newMetrics(tally.NoopScope),
 	}
 	for _, o := range opts {
 		o(d)
@@ -111,6 +116,8 @@
 	rejects  int
 	dials    int
 	sends    int
+	waited   bool               // has had its turn for a runner
+	sentAt   time.Time          // of the latest send
 	kept     bool               // a repeat of the budget has been taken for the next send
 	retry    time.Duration      // when what is absent may be there; 0: not known
 	last     string             // id of the last event passed on
@@ -271,6 +278,7 @@
 		j.d.budget.First(j.service)
 	}
 	j.sends++
+	j.sentAt = j.d.clock.Now()
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
 	leave := j.d.loads.Begin(r.ID)
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -186,7 +186,12 @@
 
 // call serves one request and reads its answer to the end.
 func call(d *Dispatcher, r *core.Route) (status int, body string, err error) {
-	q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: 3 * time.Second}
+	return callWith(d, r, 0)
+}
+
+// callWith is call with a prompt of a number of tokens.
+func callWith(d *Dispatcher, r *core.Route, tokens int) (status int, body string, err error) {
+	q := &core.Request{ID: "q", Model: "m", Input: tokens, Header: http.Header{}, Arrived: d.clock.Now(), Timeout: 3 * time.Second}
 	reply, err := d.Do(context.Background(), r, q)
 	if err != nil {
 		return core.AsRequestError(err).Status, "", err
--- a/coordination/dispatch/restart.go
+++ b/coordination/dispatch/restart.go
@@ -47,11 +47,15 @@
 	return out
 }
 
+// Forget drops what is known of a runner that is gone.
+func (d *Dispatcher) Forget(runner string) { d.pace.Forget(runner) }
+
 // Restarted ends the sends to a runner that has started again under its id. A runner
 // that lost its power resets nothing: its callers would wait until their deadline for
 // answers that its new life knows nothing of. A stream that may be resumed goes on
 // elsewhere, another request is answered at once.
 func (d *Dispatcher) Restarted(runner string) {
+	d.pace.Forget(runner)
 	for _, drop := range d.sent.take(runner) {
 		drop()
 	}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -62,6 +62,9 @@
 		return nil, j.afterError(ctx, r, eris.Wrapf(core.ErrLost, "before the first event: %v", err))
 	}
 	s.ready, s.ended = first, err
+	if j.engine() {
+		j.d.pace.Learn(j.service, j.q.Input, j.d.clock.Since(j.sentAt))
+	}
 	s.arrived()
 	reply.Body = s
 	return reply, nil
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -13,6 +13,9 @@
 	// a few milliseconds only. A quarter of the slots keeps requests in their
 	// place until it is clearly the busier one.
 	otherPlace = 0.25
+	// waiting is what a second's wait before the send costs, in parts of a runner's
+	// slots: a tenth of one costs as much as another place.
+	waiting = 2.5
 	// leaving is what a runner costs that goes before the request is likely to
 	// end.
 	leaving = 2
@@ -32,11 +35,13 @@
 	SamePlace bool
 	Leaving   bool
 	Penalty   float64 // for lately failed attempts, in parts of its slots
+	// Wait is how long a prompt would wait for its turn to be sent there.
+	Wait time.Duration
 }
 
 // cost is the expected delay at a runner, in parts of its slots.
 func (c *Candidate) cost() float64 {
-	cost := float64(c.Requests)/float64(max(1, c.Slots)) + c.Penalty
+	cost := float64(c.Requests)/float64(max(1, c.Slots)) + c.Penalty + waiting*c.Wait.Seconds()
 	if !c.SamePlace {
 		cost += otherPlace
 	}
--- /dev/null
+++ b/coordination/policy/pace.go
@@ -0,0 +1,111 @@
+package policy
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// readShare is the part of a runner's reading speed that prompts may come at.
+	// A runner reads prompts between the tokens of its streams: where prompts come
+	// without a gap, no stream's next event comes in time. Of streams that saw 14
+	// prompts of 700 tokens come to their runner within 150 ms, 71 in 100 had a
+	// pause of over 150 ms; of those that saw seven, 9 in 100, and seven take three
+	// quarters of the time to read.
+	readShare = 0.75
+	// sendersShare is how many of the daemons send to one runner at a time, as a
+	// share of all: each prefers those of its own place.
+	sendersShare = 0.4
+	// readSamples is how many first events tell the reading speed. Until then
+	// prompts go out as they come.
+	readSamples = 50
+	// readUp and readDown are how fast the speed follows a faster and a slower
+	// first event. Their ratio makes it the speed that one in twenty exceeds: most
+	// first events wait for something else as well.
+	readUp, readDown = 0.05, 0.05 / 19
+	// maxPaceShare bounds a prompt's wait, in parts of its route's target: most of
+	// the target is left for reading it.
+	maxPaceShare = 0.25
+	// leastPace is the shortest wait that a timer keeps.
+	leastPace = 2 * time.Millisecond
+)
+
+// Pace spreads the prompts that a daemon sends to a runner. Requests come in clumps,
+// and each daemon sends to the runner that it thinks least busy, so that many prompts
+// reach one runner at once. Their own first events wait in any case; those of all its
+// streams wait needlessly. A prompt waits here until the ones before it are likely to
+// have been read, or goes to a runner where it need not wait.
+type Pace struct {
+	mu       sync.Mutex
+	readings map[string]*reading  // by service
+	due      map[string]time.Time // by runner: when the next prompt may go out
+}
+
+// reading is how fast the runners of a service read prompts.
+type reading struct {
+	speed   float64 // tokens a second
+	samples int
+}
+
+// NewPace makes a Pace that knows no service yet.
+func NewPace() *Pace { return &Pace{readings: map[string]*reading{}, due: map[string]time.Time{}} }
+
+// Learn takes in how long after its sending a prompt's first event came.
+func (p *Pace) Learn(service string, tokens int, first time.Duration) {
+	if tokens <= 0 || first <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.readings[service]
+	if r == nil {
+		r = &reading{}
+		p.readings[service] = r
+	}
+	got := float64(tokens) / first.Seconds()
+	r.samples++
+	switch {
+	case r.samples == 1:
+		r.speed = got
+	case got > r.speed:
+		r.speed += readUp * (got - r.speed)
+	default:
+		r.speed += readDown * (got - r.speed)
+	}
+}
+
+// Wait is how long a prompt for a runner would wait now.
+func (p *Pace) Wait(now time.Time, runner string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, p.due[runner].Sub(now))
+}
+
+// Take puts a prompt in line for a runner, to which as many daemons send, and returns
+// how long it is to wait: never for long, measured by its route's target.
+func (p *Pace) Take(now time.Time, service, runner string, tokens, daemons int, target time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.readings[service]
+	if r == nil || r.samples < readSamples || tokens <= 0 {
+		return 0
+	}
+	rate := r.speed * readShare / max(1, sendersShare*float64(daemons))
+	at := p.due[runner]
+	if at.Before(now) {
+		at = now
+	}
+	p.due[runner] = at.Add(time.Duration(float64(tokens) / rate * float64(time.Second)))
+	wait := min(at.Sub(now), time.Duration(maxPaceShare*float64(target)))
+	if wait < leastPace {
+		return 0
+	}
+	return wait
+}
+
+// Forget drops what is in line for a runner that is gone or has started again.
+func (p *Pace) Forget(runner string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.due, runner)
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -162,7 +162,7 @@
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
+		dispatch.WithScope(d.scope), dispatch.WithDaemons(d.serving), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows))
 }
 
@@ -179,6 +179,7 @@
 	d.log.Info(logs.RunnerGone, zap.String("runner", r.ID), zap.String("service", r.Service))
 	d.runners.Forget(r.ID)
 	d.loads.Forget(r.ID)
+	d.dispatcher.Forget(r.ID)
 }
 
 // restarted takes in that a runner has started again under its id. All that was
