Room at an engine's runner by target and by how long streams take; when to come back

Cause: runners were filled to 1.25 times their slots whatever that did to the first event.

Change: a line for a slot as long as three quarters of the target take to pass, by the streams' length as learned, half of the slots at most; the most urgent requests of a service may always be in that line, as a full runner takes them in at once. Callers of engines are told four targets, 0.5 to 4 s, spread by 0.3.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -33,7 +33,7 @@
 	if len(candidates) == 0 {
 		return nil, j.refuse(codeAbsent, "no runner has the model", nil)
 	}
-	i := policy.Choose(candidates, j.engine())
+	i := policy.Choose(candidates, j.ask())
 	if i < 0 {
 		return nil, j.refuse("full", "all runners that may serve the request are full", nil)
 	}
@@ -67,6 +67,18 @@
 		(j.q.Adapter == "" || e.HoldsAdapter(j.q.Model, j.q.Adapter))
 }
 
+// ask is what the request asks of its runner.
+func (j *job) ask() policy.Ask {
+	spec := j.d.catalog.Config().Services[j.service]
+	if spec == nil || spec.Engine == nil {
+		return policy.Ask{}
+	}
+	if spec.Ranked && j.route.Priority == spec.Urgent {
+		return policy.Ask{Engine: true, Queue: policy.UrgentQueue()}
+	}
+	return policy.Ask{Engine: true, Queue: policy.Queue(j.route.Target, j.d.pace.Length(j.service))}
+}
+
 // engine says whether the request goes to runners of models.
 func (j *job) engine() bool {
 	spec := j.d.catalog.Config().Services[j.service]
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -73,7 +73,7 @@
 // an earlier attempt must not be called not run, even where it may be repeated:
 // callers count on the word.
 func (j *job) refuse(code, message string, err error) error {
-	retry := policy.RetryAfter(j.route.Target)
+	retry := policy.RetryAfter(j.route.Target, j.engine())
 	if code == codeAbsent && j.retry > 0 {
 		retry = j.retry
 	}
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -84,7 +84,7 @@
 	if !j.repeatable() || j.runs+pending >= j.route.MaxAttempts {
 		return false
 	}
-	if _, candidates := j.candidates(); policy.Choose(candidates, j.engine()) < 0 {
+	if _, candidates := j.candidates(); policy.Choose(candidates, j.ask()) < 0 {
 		return false
 	}
 	j.kept = j.d.budget.Repeat(j.service)
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -80,6 +80,7 @@
 		s.ready, s.ended = s.next()
 		if s.ended == io.EOF {
 			s.j.d.loads.Worked(s.runner.ID)
+			s.j.d.pace.Ended(s.j.service, s.lastAt.Sub(s.firstAt))
 		}
 		if s.ended != nil && s.ended != io.EOF {
 			s.ended = s.resume(s.ended)
--- a/coordination/policy/choose_test.go
+++ b/coordination/policy/choose_test.go
@@ -34,7 +34,7 @@
 		{"the one that is not full", []Candidate{busy(near, 10), busy(far, 9)}, 1},
 	}
 	for _, one := range cases {
-		assert.Equal(t, Choose(one.from, true), one.want, one.name)
+		assert.Equal(t, Choose(one.from, Ask{Engine: true, Queue: 0.25}), one.want, one.name)
 	}
 }
 
@@ -43,7 +43,7 @@
 func TestEqualRunnersAreDrawn(t *testing.T) {
 	seen := map[int]int{}
 	for range 300 {
-		seen[Choose(make([]Candidate, 3), false)]++
+		seen[Choose(make([]Candidate, 3), Ask{})]++
 	}
 	assert.Equal(t, len(seen), 3)
 }
@@ -89,9 +89,44 @@
 }
 
 func TestRetryAfterIsBounded(t *testing.T) {
-	assert.Equal(t, RetryAfter(0), minRetry)
-	assert.Equal(t, RetryAfter(time.Second), 500*time.Millisecond)
-	assert.Equal(t, RetryAfter(time.Hour), maxRetry)
+	assert.Equal(t, RetryAfter(0, false), minRetry)
+	assert.Equal(t, RetryAfter(time.Second, false), 500*time.Millisecond)
+	assert.Equal(t, RetryAfter(time.Hour, false), maxRetry)
+	for _, one := range []struct{ target, want time.Duration }{
+		{0, minEngineRetry}, {400 * time.Millisecond, 1600 * time.Millisecond}, {time.Hour, maxEngineRetry},
+	} {
+		for range 100 {
+			got := RetryAfter(one.target, true)
+			assert.Assert(t, got <= one.want && float64(got) >= (1-retrySpread)*float64(one.want), "%v of %v", got, one.want)
+		}
+	}
+}
+
+// All callers of a busy model are late: its runners have a quarter more requests than
+// slots for as long as more is asked of it than its copies can do, and those in line wait
+// longer than their targets. Each route's requests may be in a line that leaves them in
+// time; those that may stand behind stand behind.
+func TestRoomByTarget(t *testing.T) {
+	const length = 3 * time.Second
+	cases := []struct {
+		name     string
+		target   time.Duration
+		requests int // at a runner of 32 slots
+		room     bool
+	}{
+		{"a live request finds a slot", 400 * time.Millisecond, 31, true},
+		{"is fourth in line", 400 * time.Millisecond, 35, true},
+		{"would be late", 400 * time.Millisecond, 36, false},
+		{"a patient one stands behind", 4 * time.Second, 40, true},
+		{"but not until its caller has gone", 4 * time.Second, 48, false},
+	}
+	for _, one := range cases {
+		c := Candidate{Slots: 32, Requests: one.requests}
+		a := Ask{Engine: true, Queue: Queue(one.target, length)}
+		assert.Equal(t, !c.Full(a), one.room, one.name)
+	}
+	assert.Equal(t, Queue(time.Second, 0), maxQueue, "before any stream has ended")
+	assert.Assert(t, Queue(time.Second, 8*time.Second) < Queue(time.Second, 4*time.Second), "a slower runner has a shorter line")
 }
 
 func BenchmarkChoose(b *testing.B) {
@@ -101,6 +136,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		Choose(candidates, true)
+		Choose(candidates, Ask{Engine: true, Queue: 0.25})
 	}
 }
--- a/coordination/policy/pace.go
+++ b/coordination/policy/pace.go
@@ -41,10 +41,43 @@
 	due      map[string]time.Time // by runner: when the next prompt may go out
 }
 
-// reading is how fast the runners of a service read prompts.
+// reading is how fast the runners of a service work.
 type reading struct {
-	speed   float64 // tokens a second
+	speed   float64 // tokens of prompts read a second
 	samples int
+	length  time.Duration // of a stream, from its first event to its last
+}
+
+// lengthStep is how fast the length of streams follows a new one: some 50 streams, a
+// second or two of a daemon's, tell that runners have become slower.
+const lengthStep = 0.02
+
+// Ended takes in how long a whole stream took from its first event.
+func (p *Pace) Ended(service string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.of(service)
+	if r.length == 0 {
+		r.length = took
+	}
+	r.length += time.Duration(lengthStep * float64(took-r.length))
+}
+
+// Length is how long the streams of a service take, 0 if none has ended yet.
+func (p *Pace) Length(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(service).length
+}
+
+// of returns what is known of a service; the caller holds the lock.
+func (p *Pace) of(service string) *reading {
+	r := p.readings[service]
+	if r == nil {
+		r = &reading{}
+		p.readings[service] = r
+	}
+	return r
 }
 
 // NewPace makes a Pace that knows no service yet.
@@ -57,11 +90,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.readings[service]
-	if r == nil {
-		r = &reading{}
-		p.readings[service] = r
-	}
+	r := p.of(service)
 	got := float64(tokens) / first.Seconds()
 	r.samples++
 	switch {
@@ -86,8 +115,8 @@
 func (p *Pace) Take(now time.Time, service, runner string, tokens, daemons int, target time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.readings[service]
-	if r == nil || r.samples < readSamples || tokens <= 0 {
+	r := p.of(service)
+	if r.samples < readSamples || tokens <= 0 {
 		return 0
 	}
 	rate := r.speed * readShare / max(1, sendersShare*float64(daemons))
--- a/coordination/policy/pace_test.go
+++ b/coordination/policy/pace_test.go
@@ -55,7 +55,7 @@
 					for i := range candidates {
 						candidates[i] = Candidate{Slots: 64, Requests: 20, SamePlace: i == best, Wait: p.Wait(at, id(i))}
 					}
-					to = Choose(candidates, true)
+					to = Choose(candidates, Ask{Engine: true})
 					wait = p.Take(at, "s", id(to), tokens, daemons, target)
 					assert.Assert(t, wait <= target/4)
 				}
@@ -145,3 +145,17 @@
 		}
 	})
 }
+
+// A runner's line is as long as when its streams were short: how long they take is
+// learned, and follows.
+func TestLengthOfStreams(t *testing.T) {
+	p := NewPace()
+	assert.Equal(t, p.Length("s"), time.Duration(0))
+	p.Ended("s", time.Second)
+	assert.Equal(t, p.Length("s"), time.Second)
+	for range 150 {
+		p.Ended("s", 3*time.Second)
+	}
+	assert.Assert(t, p.Length("s") > 2800*time.Millisecond && p.Length("s") < 3*time.Second, "%v", p.Length("s"))
+	assert.Equal(t, p.Length("other"), time.Duration(0))
+}
--- a/core/config.go
+++ b/core/config.go
@@ -72,6 +72,10 @@
 	HealthPath string
 	MaxConns   int     // a runner's, from all callers together
 	Engine     *Engine // nil for a plain service
+	// Ranked says whether the service's routes differ in urgency; Urgent is then the
+	// priority of the most urgent ones.
+	Ranked bool
+	Urgent int
 }
 
 // Engine is what all runners of a model service have in common.
@@ -135,6 +139,28 @@
 			s.Engine.index()
 		}
 	}
+	c.rank()
+}
+
+// rank finds the most urgent routes of each service.
+func (c *Config) rank() {
+	seen := map[*Service]bool{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, share := range r.Shares {
+			s := c.Services[share.Service]
+			if s == nil {
+				continue
+			}
+			if seen[s] && s.Urgent != r.Priority {
+				s.Ranked = true
+			}
+			if !seen[s] || r.Priority < s.Urgent {
+				s.Urgent = r.Priority
+			}
+			seen[s] = true
+		}
+	}
 }
 
 func (e *Engine) index() {
