Duties of a few daemons in a file of their own, one order for both

Cause: fleet.watches and fleet.first each ranked the daemons by their names in its own loop, in a file that also puts the parts together. precedes is the order, duties.go holds who watches the store, who reads it first and who is told of a change. No change of behaviour; tests of services/fleet run.

--- /dev/null
+++ b/services/fleet/duties.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"primroseward/platform"
+)
+
+// precedes says whether another daemon comes before this one where a few of all do
+// something. All daemons agree on the order, and it spreads over places, which are a
+// part of the names.
+func (d *Daemon) precedes(name string) bool {
+	return xxhash.Sum64String(name) < xxhash.Sum64String(d.set.Name)
+}
+
+// watches says whether this daemon is one of the few that watch the store. All
+// daemons that hear each other agree on them; one that hears nobody watches. Those
+// for which the store fails are passed over; but where it fails here as well, the
+// first of all keep trying and the others wait for their word: all at once made two
+// thirds of the calls of a day with an outage, each of which is counted.
+func (d *Daemon) watches() bool {
+	failing := d.watcher.Failing()
+	large, most := d.peers.Large(), watchers
+	if large {
+		most = placeWatchers
+	}
+	before := 0
+	for _, p := range d.peers.Alive()[1:] {
+		if large && p.Place != d.set.Place {
+			continue
+		}
+		if !p.Leaving && (failing || !p.Failing) && p.Ready && d.precedes(p.Name) {
+			before++
+		}
+	}
+	return before < most
+}
+
+// first says whether this daemon should read the store itself, so long after its
+// start: at once where no daemon is known that would rather do so. Those that the
+// store lists and that are silent yet count, as all may start together.
+func (d *Daemon) first(since time.Duration) bool {
+	if _, ok := d.nearest(); ok {
+		return since > copyPatience
+	}
+	names, found := d.peers.Known()
+	if !found {
+		return since > findPatience
+	}
+	if since > startPatience {
+		return true
+	}
+	before := 0
+	for _, name := range names {
+		if d.precedes(name) {
+			before++
+		}
+	}
+	return before < startReaders
+}
+
+// changed tells the others of a change at once. In a large fleet each place has a
+// daemon that watches the runners for it.
+func (d *Daemon) changed(kind string) {
+	d.peers.Nudge(kind != platform.KindRunners || !d.peers.Large())
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
@@ -270,60 +269,6 @@
 	d.log.Info(logs.Started, zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
-// watches says whether this daemon is one of the few that watch the store. All
-// daemons that hear each other agree on them; one that hears nobody watches. Those
-// for which the store fails are passed over; but where it fails here as well, the
-// first of all keep trying and the others wait for their word: all at once made two
-// thirds of the calls of a day with an outage, each of which is counted.
-func (d *Daemon) watches() bool {
-	failing := d.watcher.Failing()
-	self := xxhash.Sum64String(d.set.Name)
-	large, most := d.peers.Large(), watchers
-	if large {
-		most = placeWatchers
-	}
-	before := 0
-	for _, p := range d.peers.Alive()[1:] {
-		if large && p.Place != d.set.Place {
-			continue
-		}
-		if !p.Leaving && (failing || !p.Failing) && p.Ready && xxhash.Sum64String(p.Name) < self {
-			before++
-		}
-	}
-	return before < most
-}
-
-// first says whether this daemon should read the store itself, so long after its
-// start: at once where no daemon is known that would rather do so. Those that the
-// store lists and that are silent yet count, as all may start together.
-func (d *Daemon) first(since time.Duration) bool {
-	if _, ok := d.nearest(); ok {
-		return since > copyPatience
-	}
-	names, found := d.peers.Known()
-	if !found {
-		return since > findPatience
-	}
-	if since > startPatience {
-		return true
-	}
-	self := xxhash.Sum64String(d.set.Name)
-	before := 0
-	for _, name := range names {
-		if xxhash.Sum64String(name) < self {
-			before++
-		}
-	}
-	return before < startReaders
-}
-
-// changed tells the others of a change at once. In a large fleet each place has a
-// daemon that watches the runners for it.
-func (d *Daemon) changed(kind string) {
-	d.peers.Nudge(kind != platform.KindRunners || !d.peers.Large())
-}
-
 // heard takes in what another daemon tells of itself.
 func (d *Daemon) heard(from peers.Peer, counts map[string]int) {
 	if counts != nil {
