--- a/coordination/dispatch/restart_test.go
+++ b/coordination/dispatch/restart_test.go
@@ -34,7 +34,9 @@
 			d := newDispatcher(f, 2)
 			go func() {
 				time.Sleep(100 * time.Millisecond)
+				f.mu.Lock()
 				r := d.catalog.Runner(f.runs[0]).Runner
+				f.mu.Unlock()
 				r.Born = r.Born.Add(time.Second)
 				d.catalog.Put(r, time.Now())
 				d.Restarted(r.ID)
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -562,11 +562,11 @@
 		s := memory.New()
 		s.Put(runners, "r1", `"ready"`)
 		s.Put(runners, "r2", spoiled)
-		told := map[string]int{}
-		counted := func(name string) Option { return WithUnreadable(func() { told[name]++ }) }
+		var toldA, toldB atomic.Int32
+		counted := func(n *atomic.Int32) Option { return WithUnreadable(func() { n.Add(1) }) }
 		var leads atomic.Bool
 		leads.Store(true)
-		a, b := newNode(s, counted("a")), newNode(s, counted("b"), WithActive(leads.Load))
+		a, b := newNode(s, counted(&toldA)), newNode(s, counted(&toldB), WithActive(leads.Load))
 		b.near = a
 		for _, n := range []*node{a, b} {
 			n.Start()
@@ -589,6 +589,7 @@
 		step("r2", `"ready"`, true)
 		step("r1", `"ready"`, true)
 		assert.NilError(t, a.list(context.Background(), runners))
-		assert.DeepEqual(t, told, map[string]int{"a": 2, "b": 2})
+		assert.Equal(t, toldA.Load(), int32(2))
+		assert.Equal(t, toldB.Load(), int32(2))
 	})
 }
