--- a/cmd/primrosectl/follow.go
+++ b/cmd/primrosectl/follow.go
@@ -18,12 +18,7 @@
 	s.AddPositionalValue(&request, "ID", 1, true, "the caller's request id")
 	s.AddPositionalValue(&file, "FILE", 2, true, "logs of one or several daemons")
 	return command{s, func(c *client) error {
-		in, err := os.Open(file)
-		if err != nil {
-			return eris.Wrap(err, "logs")
-		}
-		defer in.Close()
-		lines, _, err := logs.Read(in)
+		lines, err := readLogs(file)
 		if err != nil {
 			return err
 		}
@@ -37,3 +32,14 @@
 		return logs.Print(os.Stdout, found)
 	}}
 }
+
+// readLogs reads a file of logs.
+func readLogs(file string) ([]logs.Line, error) {
+	in, err := os.Open(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "logs")
+	}
+	defer in.Close()
+	lines, _, err := logs.Read(in)
+	return lines, err
+}
--- a/cmd/primrosectl/losses.go
+++ b/cmd/primrosectl/losses.go
@@ -4,7 +4,6 @@
 	"os"
 
 	"github.com/integrii/flaggy"
-	"github.com/rotisserie/eris"
 
 	"primroseward/io/logs"
 )
@@ -16,12 +15,7 @@
 	var file string
 	s.AddPositionalValue(&file, "FILE", 1, true, "logs of one or several daemons")
 	return command{s, func(c *client) error {
-		in, err := os.Open(file)
-		if err != nil {
-			return eris.Wrap(err, "logs")
-		}
-		defer in.Close()
-		lines, _, err := logs.Read(in)
+		lines, err := readLogs(file)
 		if err != nil {
 			return err
 		}
