A daemon is ready once it knows the runners

Change: ready needs a list of the runners that has been taken in. Ruled out: load alone; the order of the three copies decides, which is drawn anew at each start.

After it: the test six times with the race detector, its package's and the watch's tests.

--- a/coordination/watch/take.go
+++ b/coordination/watch/take.go
@@ -64,8 +64,13 @@
 			w.lapse(id, c.Healthy)
 		}
 	}
+	w.runnersKnown.Store(true)
 }
 
+// KnowsRunners says whether a list of the runners has been taken in. A daemon that is
+// ready before refuses its first requests, as no runner has what they ask for.
+func (w *Watcher) KnowsRunners() bool { return w.runnersKnown.Load() }
+
 // healthyFor is how long the store has not failed here for a kind: calls for other
 // kinds may be turned away, which says nothing of this one's objects, and would let
 // requests go on to runners that have left. The time of the failure is kept with its
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -86,19 +87,20 @@
 
 // Watcher watches the configuration and the runners.
 type Watcher struct {
-	store     core.Platform
-	reader    Reader
-	neighbour Neighbour
-	catalog   *catalog.Catalog
-	clock     core.Clock
-	log       *zap.Logger
-	mu        sync.Mutex
-	kinds     map[string]*kindState
-	unread    map[string]uint64 // versions of runners' entries that could not be read
-	settings  *tree.Replica     // nil: none are kept
-	active    func() bool
-	changed   func(kind string)
-	first     func(since time.Duration) bool
+	store        core.Platform
+	reader       Reader
+	neighbour    Neighbour
+	catalog      *catalog.Catalog
+	clock        core.Clock
+	log          *zap.Logger
+	mu           sync.Mutex
+	kinds        map[string]*kindState
+	runnersKnown atomic.Bool
+	unread       map[string]uint64 // versions of runners' entries that could not be read
+	settings     *tree.Replica     // nil: none are kept
+	active       func() bool
+	changed      func(kind string)
+	first        func(since time.Duration) bool
 	// unreadable is called for each version of a runner's entry that can't be read.
 	unreadable func()
 	wg         sync.WaitGroup
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -233,9 +233,9 @@
 	}
 }
 
-// knows says whether the configuration and the operators' settings are known.
+// knows says whether the configuration, the runners and the operators' settings are known.
 func (d *Daemon) knows() bool {
-	return d.catalog.Config() != nil && d.settings.Tree() != nil
+	return d.catalog.Config() != nil && d.watcher.KnowsRunners() && d.settings.Tree() != nil
 }
 
 // state is what the others are told of this daemon.
