Read back: one test for which runner has a request's model, one way to its service

Cause: the room for an adapter elsewhere repeated the conditions of mayServe but for the adapter, so that a further condition would have had to be added twice; the service of a request was looked up in two places. The story of a test of readiness told more than the test shows, and a line in it did nothing.

Change: hasModel and spec; no change of behaviour, all assertions as they were. Ruled out: ask by way of engine, which would read the configuration twice, and it may change between.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -70,7 +70,7 @@
 func (j *job) roomElsewhere() bool {
 	ask := j.ask()
 	for _, e := range j.d.catalog.Runners(j.service) {
-		if !e.Usable() || j.tried[e.ID] || !j.allows(e.Place) || !e.Holds(j.q.Model) || e.HoldsAdapter(j.q.Model, j.q.Adapter) || j.d.loads.Down(e.ID) {
+		if !j.hasModel(e) || e.HoldsAdapter(j.q.Model, j.q.Adapter) || j.d.loads.Down(e.ID) {
 			continue
 		}
 		requests, _ := j.d.loads.Requests(e.ID)
@@ -93,13 +93,17 @@
 
 // mayServe says whether the request may go to a runner now.
 func (j *job) mayServe(e *catalog.Entry) bool {
-	return e.Usable() && !j.tried[e.ID] && j.allows(e.Place) && (j.q.Model == "" || e.Holds(j.q.Model)) &&
-		(j.q.Adapter == "" || e.HoldsAdapter(j.q.Model, j.q.Adapter))
+	return j.hasModel(e) && (j.q.Adapter == "" || e.HoldsAdapter(j.q.Model, j.q.Adapter))
+}
+
+// hasModel is mayServe but for the request's adapter.
+func (j *job) hasModel(e *catalog.Entry) bool {
+	return e.Usable() && !j.tried[e.ID] && j.allows(e.Place) && (j.q.Model == "" || e.Holds(j.q.Model))
 }
 
 // ask is what the request asks of its runner.
 func (j *job) ask() policy.Ask {
-	spec := j.d.catalog.Config().Services[j.service]
+	spec := j.spec()
 	if spec == nil || spec.Engine == nil {
 		return policy.Ask{}
 	}
@@ -111,10 +115,13 @@
 
 // engine says whether the request goes to runners of models.
 func (j *job) engine() bool {
-	spec := j.d.catalog.Config().Services[j.service]
+	spec := j.spec()
 	return spec != nil && spec.Engine != nil
 }
 
+// spec is the request's service as the configuration in force has it, nil if it has none.
+func (j *job) spec() *core.Service { return j.d.catalog.Config().Services[j.service] }
+
 // candidates are the runners that can serve the request now.
 func (j *job) candidates() ([]*catalog.Entry, []policy.Candidate) {
 	var holders []*catalog.Entry
--- a/coordination/watch/ready_test.go
+++ b/coordination/watch/ready_test.go
@@ -12,15 +12,13 @@
 
 // Callers of a daemon that has just started are refused although runners are there: it
 // knew the configuration and the settings, counted as ready, and had not taken in the
-// list of runners, which came 4 ms later. Runners that are known by changes alone, or
-// none at all, are no list.
+// list of runners, which came 4 ms later.
 func TestRunnersAreKnownOnceListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := memory.New()
 		s.Put(configs, "main", "1")
 		s.Put(runners, "r1", `"ready"`)
 		n := newNode(s)
-		n.takeConfigs(nil)
 		assert.Assert(t, !n.KnowsRunners())
 		n.Start()
 		defer n.Stop()
