Test runner that pauses goes on after the event it is asked to

The test's own runner was at fault: act pauses, sent a stream that is to go on after event 3, went on after event 2 whatever it had been asked. Ruled out: the stream's resumption. The send after the break carried Last-Event-Id 3, and the reader's last id was 3. The case stands as a test of its own, which failed before. Conclusion: the check itself is unchanged and as strict.

--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -92,7 +92,7 @@
 	case freezes:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 2), silent{ctx}), nil
 	case pauses:
-		body := io.MultiReader(strings.NewReader(pieces(o.LastEvent, 2)), &late{ctx: ctx, text: pieces("2", events)})
+		body := io.MultiReader(strings.NewReader(pieces(o.LastEvent, 2)), &late{ctx: ctx, text: pieces(later(o.LastEvent, "2"), events)})
 		return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: info, Body: io.NopCloser(body)}, nil
 	case breaksOff:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
@@ -112,6 +112,14 @@
 	return b.String()
 }
 
+// later is the later one of two ids, "" being before all others.
+func later(a, b string) string {
+	if len(a) > len(b) || len(a) == len(b) && a > b {
+		return a
+	}
+	return b
+}
+
 func answer(status int, info core.ReplyInfo, text string, end error) *core.Reply {
 	return &core.Reply{Status: status, Header: http.Header{}, Info: info, Body: io.NopCloser(&ends{strings.NewReader(text), end})}
 }
@@ -217,32 +225,56 @@
 		r := rapid.SampledFrom(routes).Draw(rt, "route")
 		script := rapid.SliceOfN(rapid.IntRange(0, int(acts)-1), 8, 8).Draw(rt, "acts")
 		runners := rapid.IntRange(0, 5).Draw(rt, "runners")
+		var (
+			f            *fleet
+			status       int
+			body         string
+			err          error
+			took         time.Duration
+			stillRunning int
+		)
 		synctest.Test(t, func(*testing.T) {
 			step := 0
-			f := &fleet{next: func(string) act {
+			f = &fleet{next: func(string) act {
 				step++
 				return act(script[(step-1)%len(script)])
 			}}
 			d := newDispatcher(f, runners)
 			began := time.Now()
-			status, body, err := call(d, r)
-			assert.Assert(rt, time.Since(began) <= r.Timeout+time.Millisecond, "%v", time.Since(began))
-			if !r.Repeatable() {
-				assert.Assert(rt, len(f.runs) <= 1, "ran at %v", f.runs)
-			}
-			assert.Assert(rt, len(f.runs) <= r.MaxAttempts, "ran at %v", f.runs)
-			var re *core.RequestError
-			if errors.As(err, &re) && re.Outcome == core.OutcomeNotRun {
-				assert.Equal(rt, len(f.runs), 0, "refused, though it ran at %v", f.runs)
-			}
-			if status == http.StatusOK && err == nil {
-				assert.Equal(rt, body, pieces("", events))
-			}
-			for _, o := range f.sends {
-				assert.Assert(rt, o.Timeout > 0 && o.Timeout <= r.Timeout)
-			}
-			assert.Equal(rt, d.Running(), 0)
+			status, body, err = call(d, r)
+			took, stillRunning = time.Since(began), d.Running()
 		})
+		// Outside of the bubble: a failed check ends its goroutine, and rapid then
+		// shrinks the case and prints it.
+		assert.Assert(rt, took <= r.Timeout+time.Millisecond, "%v", took)
+		if !r.Repeatable() {
+			assert.Assert(rt, len(f.runs) <= 1, "ran at %v", f.runs)
+		}
+		assert.Assert(rt, len(f.runs) <= r.MaxAttempts, "ran at %v", f.runs)
+		var re *core.RequestError
+		if errors.As(err, &re) && re.Outcome == core.OutcomeNotRun {
+			assert.Equal(rt, len(f.runs), 0, "refused, though it ran at %v", f.runs)
+		}
+		if status == http.StatusOK && err == nil {
+			assert.Equal(rt, body, pieces("", events))
+		}
+		for _, o := range f.sends {
+			assert.Assert(rt, o.Timeout > 0 && o.Timeout <= r.Timeout)
+		}
+		assert.Equal(rt, stillRunning, 0)
+	})
+}
+
+// A stream that is resumed at a runner which then pauses has each event once: a caller
+// saw the third event twice when the test's own runner, asked to go on after the third,
+// went on after the second.
+func TestStreamResumedAtRunnerThatPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{next: script(deserted, fails, breaksOff, pauses)}
+		_, body, err := call(newDispatcher(f, 4), route(core.KindStream, true, 3))
+		assert.NilError(t, err)
+		assert.Equal(t, body, pieces("", events))
+		assert.Equal(t, f.sends[len(f.sends)-1].LastEvent, "3")
 	})
 }
 
