Room is kept for late orders that a runner's former life had passed

Cause: found by reading, while orders were sent again as a trial. Of the loads that a runner has not answered, the holder dropped those whose expected sequence the runner's own had gone by, and all copies of one of which a later copy was answered. Both are void in that life; the next life under the same id counts from 0 and comes by the sequence again, so that the late order loads a model on top of what was ordered: the runner crashes for want of memory. Before: the new test failed, 200 of 200 MB free where 60 are promised.

--- a/coordination/placement/restart_test.go
+++ b/coordination/placement/restart_test.go
@@ -102,6 +102,44 @@
 	})
 }
 
+// A runner crashes some seconds after it has started again. An order to its former life
+// had not been answered, and later orders were accepted, so that its count had gone by
+// what the order expected, or it was sent again and that copy was accepted. The new life
+// counts from 0 and comes by it again. Of several such orders for one model one can fill
+// the memory.
+func TestRoomForALateOrderThatTheFormerLifeHadPassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 0, trouble{}, 1)
+		for i := range 4 {
+			w.spec.Models = append(w.spec.Models, core.Model{Name: modelName(i), MemoryMB: 60})
+		}
+		config := &core.Config{Version: 2, Services: map[string]*core.Service{"s": {Name: "s", Engine: w.spec}}}
+		config.Index()
+		w.catalog.SetConfig(config)
+		h := w.holder
+		h.refresh()
+		one := h.hosts["r0"]
+		for expected := range uint64(2) {
+			one.sequence = expected
+			one.sentOut(core.RunnerOrder{Load: true, Model: "m3", Expected: expected}, time.Now())
+		}
+		one.sentOut(core.RunnerOrder{Load: true, Model: "m3", Expected: 1}, time.Now())
+		one.answeredFor(core.RunnerOrder{Load: true, Model: "m3", Expected: 1})
+		one.sequence = 7
+		one.sentOut(core.RunnerOrder{Load: true, Model: "m1", Expected: 7}, time.Now())
+		one.answeredFor(core.RunnerOrder{Load: true, Model: "m1", Expected: 7})
+		w.restart("r0", time.Now())
+		h.refresh()
+		one = h.hosts["r0"]
+		assert.Equal(t, one.freeMB(), 140.0, "room for m3, once")
+		one.sequence = 1
+		assert.Equal(t, one.freeMB(), 140.0, "the copy that was not answered")
+		one.sequence = 2
+		assert.Equal(t, one.freeMB(), 200.0, "no order expects this any more")
+		w.holder.wg.Wait()
+	})
+}
+
 // Requests for an adapter are refused for seconds after a crash: the holder answers with
 // the runner that had it, whose entry stands. It is loaded on another copy of the model
 // at once. The models stay where they are: a process that ends is back, empty, in less
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -79,17 +79,22 @@
 	then(result)
 }
 
-// sentOut keeps an order for a load until it is answered, or can't come any more.
+// sentOut keeps an order for a load until it is answered, or can't come any more. One that
+// the runner's sequence has gone by is kept as well: the runner's next life counts from 0.
 func (h *host) sentOut(o core.RunnerOrder, now time.Time) {
-	h.unanswered = slices.DeleteFunc(h.unanswered, func(l lateOrder) bool { return !now.Before(l.until) || l.expected < h.sequence })
+	h.unanswered = slices.DeleteFunc(h.unanswered, func(l lateOrder) bool { return !now.Before(l.until) })
 	if o.Load {
 		h.unanswered = append(h.unanswered, lateOrder{model: o.Model, adapter: o.Adapter, expected: o.Expected, until: now.Add(lateFor)})
 	}
 }
 
-// answeredFor takes out an order that was answered.
+// answeredFor takes out an order that was answered: the latest one like it, as an earlier
+// copy that was not answered may still come.
 func (h *host) answeredFor(o core.RunnerOrder) {
-	h.unanswered = slices.DeleteFunc(h.unanswered, func(l lateOrder) bool {
-		return l.model == o.Model && l.adapter == o.Adapter && l.expected == o.Expected
-	})
+	for i, l := range slices.Backward(h.unanswered) {
+		if l.model == o.Model && l.adapter == o.Adapter && l.expected == o.Expected {
+			h.unanswered = slices.Delete(h.unanswered, i, i+1)
+			return
+		}
+	}
 }
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -74,10 +74,14 @@
 	return append(slices.Clone(h.late), h.unanswered...)
 }
 
-// lateLoads calls fn for each load of former lives that may still be carried out.
+// lateLoads calls fn once for each model and adapter whose load, ordered of a former
+// life, may still be carried out.
 func (h *host) lateLoads(fn func(lateOrder)) {
+	seen := map[adapterKey]bool{}
 	for _, o := range h.late {
-		if h.sequence <= o.expected {
+		key := adapterKey{o.model, o.adapter}
+		if h.sequence <= o.expected && !seen[key] {
+			seen[key] = true
 			fn(o)
 		}
 	}
