Placement waits until the runners that start together are listed

Runners that start together are listed one by one over two seconds. The holder planned from the first two of twelve: eighteen models counted as absent, and copies of the busy ones gave way for them, so that at the first request the busiest model had three copies of six.

--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -48,6 +48,10 @@
 	// to send no more requests for the model there: those that arrive after the
 	// order are rejected.
 	retireLead = 30 * time.Millisecond
+	// settleFor is how long no new runner must have come before placement goes by the
+	// list while nothing is asked for. Of 12 to 18 runners that start together each is
+	// listed within half a second of another, over two seconds; a heartbeat takes 1.2 s.
+	settleFor = 1500 * time.Millisecond
 	// loadBurst is how many loads from the weight store may begin at once. Three
 	// more than the rate are allowed in a few seconds; one is left for a load
 	// that turns out to come from the store.
@@ -98,6 +102,7 @@
 	heat     map[dispatch.Want]float64
 	heatAt   time.Time
 	begun    time.Time                     // of the term
+	grown    time.Time                     // when a runner was last new
 	prior    map[string]map[string]float64 // demand to expect before any is seen, by service
 	waiting  map[dispatch.Want]*waiters
 	storeAt  time.Time // since when tokens of the weight store are counted
@@ -298,6 +303,8 @@
 			next := newHost(e.Runner, service.Engine)
 			if ok {
 				next.late = one.mayCome()
+			} else {
+				h.grown = now
 			}
 			one = next
 			h.hosts[id] = one
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -254,6 +255,47 @@
 	})
 }
 
+// The busiest models have one copy each when the first requests come, and these are
+// refused: runners that start together are listed one by one, and a holder that knows two
+// of twelve takes the models of the others for absent. It drops the copies of the busy
+// models to load them.
+func TestRunnersListedOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6, 6, trouble{reportIn: 200 * time.Millisecond}, 1)
+		for _, e := range w.engines {
+			e.models["m0"] = true
+			e.history = nil
+			e.note()
+		}
+		all := w.catalog.All()
+		ids := slices.Sorted(maps.Keys(all))
+		for _, id := range ids {
+			w.catalog.Lapse(id, time.Now())
+		}
+		w.catalog.Sweep(time.Now())
+		w.run(1, func() {
+			for _, id := range ids {
+				w.catalog.Put(all[id].Runner, time.Now())
+				time.Sleep(time.Second)
+			}
+			for _, id := range ids {
+				assert.Equal(t, w.engines[id].loadsSoFar(), 0, "%s was ordered to load", id)
+				assert.Assert(t, w.engines[id].has("m0"), "%s lost the busy model", id)
+			}
+			// What is asked for is not kept waiting by runners that come.
+			w.catalog.Lapse(ids[1], time.Now())
+			w.catalog.Sweep(time.Now())
+			w.holder.Demand(map[dispatch.Want]float64{{Service: "s", Model: "m1"}: 10})
+			time.Sleep(settleFor / 2)
+			loads := 0
+			for _, id := range ids {
+				loads += w.engines[id].loadsSoFar()
+			}
+			assert.Assert(t, loads > 0, "the lost model is not loaded")
+		})
+	})
+}
+
 // The weight store gets more loads in five seconds than it allows.
 func TestLoadsKeepTheStoresRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -17,6 +17,12 @@
 			heat[w.Model] += v
 		}
 	}
+	if len(heat) == 0 && h.clock.Since(h.grown) < settleFor {
+		// Models of runners that are not listed yet would count as absent, and copies of
+		// the busy ones give way for them: 6 of 25 loads from the weight store in a day
+		// of 12 runners, 6 of 42 in one of 18. Nobody waits for a model yet.
+		return
+	}
 	var states []*policy.HostState
 	for _, one := range h.hosts {
 		if one.runner.Service == service {
