--- /dev/null
+++ b/coordination/dispatch/fake_test.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"primroseward/coordination/load"
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+// act is what a runner does with a request.
+type act int
+
+const (
+	serves act = iota
+	unreachable
+	rejects
+	fails     // answers 500
+	loses     // runs it, no answer
+	breaksOff // a stream, in the middle of an event
+	hangs     // until the deadline
+	unsigned  // a success without its signature
+	freezes   // a stream, after some events, without a word
+	pauses    // a stream, for longer than others are given up for
+	deserted  // unreachable, as nothing listens
+	acts
+)
+
+const events = 6
+
+// fleet answers for all runners as a test tells it to.
+type fleet struct {
+	mu    sync.Mutex
+	next  func(runner string) act
+	runs  []string // runners that ran the request
+	sends []core.Outgoing
+}
+
+func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sends = append(f.sends, o)
+	a := f.next(r.ID)
+	if a != unreachable && a != deserted && a != rejects {
+		f.runs = append(f.runs, r.ID)
+	}
+	info := core.ReplyInfo{Stamped: true}
+	switch a {
+	case unreachable:
+		return nil, eris.Wrap(core.ErrNotSent, "dial")
+	case deserted:
+		return nil, fmt.Errorf("%w: %w", core.ErrNotSent, core.ErrNoListener)
+	case loses:
+		return nil, eris.Wrap(core.ErrLost, "reset")
+	case hangs:
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, eris.Wrap(core.ErrLost, "closed")
+	case rejects:
+		info.NotRun = true
+		return answer(http.StatusServiceUnavailable, info, "", nil), nil
+	case fails:
+		return answer(http.StatusInternalServerError, info, "failed", nil), nil
+	case unsigned:
+		return answer(http.StatusOK, core.ReplyInfo{}, "ok", nil), nil
+	case freezes:
+		return answer(http.StatusOK, info, pieces(o.LastEvent, 2), silent{ctx}), nil
+	case pauses:
+		body := io.MultiReader(strings.NewReader(pieces(o.LastEvent, 2)), &late{ctx: ctx, text: pieces(later(o.LastEvent, "2"), events)})
+		return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: info, Body: io.NopCloser(body)}, nil
+	case breaksOff:
+		return answer(http.StatusOK, info, pieces(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
+	default:
+		return answer(http.StatusOK, info, pieces(o.LastEvent, events), nil), nil
+	}
+}
+
+// pieces is the events after last up to n.
+func pieces(last string, n int) string {
+	var b strings.Builder
+	from := 0
+	_, _ = fmt.Sscan(last, &from)
+	for i := from + 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// later is the later one of two ids, "" being before all others.
+func later(a, b string) string {
+	if len(a) > len(b) || len(a) == len(b) && a > b {
+		return a
+	}
+	return b
+}
+
+func answer(status int, info core.ReplyInfo, text string, end error) *core.Reply {
+	return &core.Reply{Status: status, Header: http.Header{}, Info: info, Body: io.NopCloser(&ends{strings.NewReader(text), end})}
+}
+
+// ends gives an error instead of io.EOF.
+type ends struct {
+	io.Reader
+	err error
+}
+
+func (e *ends) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err != io.EOF || e.err == nil {
+		return n, err
+	}
+	if s, ok := e.err.(silent); ok {
+		<-s.ctx.Done()
+	}
+	return n, e.err
+}
+
+// late gives its text after a pause that is longer than others are given up for.
+type late struct {
+	ctx  context.Context
+	text string
+	done *strings.Reader
+}
+
+const latePause = stallLeast + 500*time.Millisecond
+
+func (l *late) Read(p []byte) (int, error) {
+	if l.done == nil {
+		select {
+		case <-time.After(latePause):
+		case <-l.ctx.Done():
+			return 0, l.ctx.Err()
+		}
+		l.done = strings.NewReader(l.text)
+	}
+	return l.done.Read(p)
+}
+
+// silent is the end of an answer whose connection gives no sign until it is
+// dropped.
+type silent struct{ ctx context.Context }
+
+func (silent) Error() string { return "closed" }
+
+type noPlacer struct{}
+
+func (noPlacer) Place(context.Context, Want) (string, time.Duration, error) {
+	return "", 0, core.ErrUnavailable
+}
+
+// newDispatcher has n runners with model m.
+func newDispatcher(f *fleet, n int) *Dispatcher {
+	clock := clockwork.NewRealClock()
+	c := catalog.New(clock)
+	config := &core.Config{Version: 1, Services: map[string]*core.Service{"s": {Name: "s"}}}
+	config.Index()
+	c.SetConfig(config)
+	for i := range n {
+		c.Put(core.Runner{ID: fmt.Sprint("r", i), Service: "s", Slots: 4, Holdings: []core.Holding{{Model: "m"}}}, clock.Now())
+	}
+	budget := policy.NewBudget(clock, 10*time.Second, func() float64 { return 0.2 }, func() float64 { return 100 })
+	return New("p", c, load.New(clock), f, noPlacer{}, budget, NewDemand(), clock, zap.NewNop())
+}
+
+func route(kind core.RequestKind, resumable bool, attempts int) *core.Route {
+	return &core.Route{
+		Name: "r", Kind: kind, Resumable: resumable, MaxAttempts: attempts, Timeout: 2 * time.Second,
+		Target: 100 * time.Millisecond, Shares: []core.Share{{Service: "s", Weight: 1}},
+	}
+}
+
+// call serves one request and reads its answer to the end.
+func call(d *Dispatcher, r *core.Route) (status int, body string, err error) {
+	return callWith(d, r, 0)
+}
+
+// callWith is call with a prompt of a number of tokens.
+func callWith(d *Dispatcher, r *core.Route, tokens int) (status int, body string, err error) {
+	q := &core.Request{ID: "q", Model: "m", Input: tokens, Header: http.Header{}, Arrived: d.clock.Now(), Timeout: 3 * time.Second}
+	reply, err := d.Do(context.Background(), r, q)
+	if err != nil {
+		return core.AsRequestError(err).Status, "", err
+	}
+	defer reply.Body.Close()
+	data, err := io.ReadAll(reply.Body)
+	return reply.Status, string(data), err
+}
+
+func script(list ...act) func(string) act {
+	return func(string) act {
+		if len(list) == 0 {
+			return serves
+		}
+		a := list[0]
+		list = list[1:]
+		return a
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/stream_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/coordination/policy"
+	"primroseward/core"
+)
+
+// A stream that is resumed at a runner which then pauses has each event once: a caller
+// saw the third event twice when the test's own runner, asked to go on after the third,
+// went on after the second.
+func TestStreamResumedAtRunnerThatPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{next: script(deserted, fails, breaksOff, pauses)}
+		_, body, err := call(newDispatcher(f, 4), route(core.KindStream, true, 3))
+		assert.NilError(t, err)
+		assert.Equal(t, body, pieces("", events))
+		assert.Equal(t, f.sends[len(f.sends)-1].LastEvent, "3")
+	})
+}
+
+// A caller sees a sentence twice or with words missing. A runner breaks off in
+// the middle of an event; the next one goes on after the last whole event.
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	f := &fleet{next: script(breaksOff)}
+	_, body, err := call(newDispatcher(f, 3), route(core.KindStream, true, 2))
+	assert.NilError(t, err)
+	assert.Equal(t, body, pieces("", events))
+	assert.Equal(t, f.sends[1].LastEvent, "3")
+	assert.Assert(t, f.runs[0] != f.runs[1])
+}
+
+// A caller sees a sentence stop and gives up. The runner has lost its power: its
+// connection neither ends nor breaks. The stream goes on elsewhere within the
+// two seconds that callers wait.
+func TestSilentStreamGoesOn(t *testing.T) {
+	for _, first := range []act{freezes, hangs} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{next: script(first)}
+			began := time.Now()
+			_, body, err := call(newDispatcher(f, 3), route(core.KindStream, true, 2))
+			assert.NilError(t, err)
+			assert.Equal(t, body, pieces("", events))
+			assert.Assert(t, time.Since(began) < 1500*time.Millisecond, "%v", time.Since(began))
+		})
+	}
+}
+
+// A draft is cut and retyped, though its runner is only slow: its stream was silent
+// for long, was let go of, and could not go on anywhere else. It is kept where there
+// is no other runner, no room, or no repeat left in the budget.
+func TestSilentStreamIsKeptWhereItCannotGoOn(t *testing.T) {
+	cases := []struct {
+		name    string
+		runners int
+		route   *core.Route
+		slack   float64
+		full    bool
+		runs    int
+	}{
+		{"no other runner", 1, route(core.KindStream, true, 2), 100, false, 1},
+		{"no attempt left", 3, route(core.KindStream, true, 1), 100, false, 1},
+		{"no repeat left", 3, route(core.KindStream, true, 2), 0, false, 1},
+		{"no room elsewhere", 2, route(core.KindStream, true, 2), 100, true, 1},
+		{"elsewhere", 2, route(core.KindStream, true, 2), 100, false, 2},
+	}
+	for _, one := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{next: script(pauses)}
+			d := newDispatcher(f, one.runners)
+			d.budget = policy.NewBudget(d.clock, 10*time.Second, func() float64 { return 0 }, func() float64 { return one.slack })
+			if next := f.next; one.full {
+				f.next = func(id string) act { // others' requests fill both meanwhile
+					for range plainFull {
+						d.loads.Begin("r0")
+						d.loads.Begin("r1")
+					}
+					return next(id)
+				}
+			}
+			_, body, err := call(d, one.route)
+			assert.NilError(t, err, one.name)
+			assert.Equal(t, body, pieces("", events), one.name)
+			assert.Equal(t, len(f.runs), one.runs, one.name)
+		})
+	}
+}
+
+// A stream that cannot go on must not look whole.
+func TestBrokenStreamDoesNotEndWell(t *testing.T) {
+	f := &fleet{next: script(breaksOff)}
+	status, body, err := call(newDispatcher(f, 3), route(core.KindStream, false, 2))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, pieces("", 3))
+	assert.Assert(t, err != nil)
+}
+
+func TestWholeEvents(t *testing.T) {
+	cases := []struct {
+		text string
+		want int
+	}{
+		{"", 0},
+		{"id: 1\n", 0},
+		{"\n", 0},
+		{"id: 1\ndata: x\n\n", 15},
+		{"id: 1\ndata: x\n\nid: 2\nda", 15},
+		{"id: 1\r\ndata: x\r\n\r\nid", 18},
+		{"a\n\nb\n\nc", 6},
+	}
+	for _, one := range cases {
+		assert.Equal(t, wholeEvents([]byte(one.text)), one.want, "%q", one.text)
+	}
+}
+
+// slow gives a byte at a time.
+type slow struct{ io.Reader }
+
+func (s slow) Read(p []byte) (int, error) { return s.Reader.Read(p[:min(1, len(p))]) }
+
+func TestEventsInAnyPieces(t *testing.T) {
+	text := pieces("", events)
+	in := &eventReader{in: slow{strings.NewReader(text)}}
+	var got []byte
+	for {
+		part, err := in.next()
+		got = append(got, part...)
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, string(got), text)
+	assert.Equal(t, in.last, fmt.Sprint(events))
+}
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -113,10 +113,10 @@
 		if !ok || a.phase != p || !h.mayServe(one, w) {
 			continue
 		}
-		if w.Busy && p == present && h.fullOf(one) {
+		n, _ := h.loads.Requests(one.runner.ID)
+		if w.Busy && p == present && n >= one.engine.Slots {
 			continue
 		}
-		n, _ := h.loads.Requests(one.runner.ID)
 		if best == nil || n < low {
 			best, low = one, n
 		}
@@ -124,12 +124,6 @@
 	return best
 }
 
-// fullOf says whether all slots of a runner are taken.
-func (h *Holder) fullOf(one *host) bool {
-	n, _ := h.loads.Requests(one.runner.ID)
-	return n >= one.engine.Slots
-}
-
 // advance does the next step for an adapter that requests wait for.
 func (h *Holder) advance(w dispatch.Want) {
 	list, ok := h.waiting[w]
@@ -189,11 +183,12 @@
 		if !ok || spec == nil || m.phase != present || !h.mayServe(one, w) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
 			continue
 		}
-		if _, has := one.adapters[adapterKey{w.Model, w.Adapter}]; has || w.Busy && h.fullOf(one) {
+		n, _ := h.loads.Requests(one.runner.ID)
+		if _, has := one.adapters[adapterKey{w.Model, w.Adapter}]; has || w.Busy && n >= one.engine.Slots {
 			continue
 		}
 		if one.adaptersTaken() < one.engine.AdapterSlots && one.freeMB() >= spec.AdapterMB {
-			if n, _ := h.loads.Requests(one.runner.ID); free == nil || n < low {
+			if free == nil || n < low {
 				free, low = one, n
 			}
 			continue
