--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -81,6 +81,15 @@
 	w.lease.term.Store(0)
 }
 
+// everywhere puts a model on all runners, as if it had always been there.
+func (w *world) everywhere(model string) {
+	for _, e := range w.engines {
+		e.models[model] = true
+		e.history = nil
+		e.note()
+	}
+}
+
 // ask places an adapter and waits for the answer.
 func (w *world) ask(model, adapter string) Placed {
 	ch := make(chan Placed, 1)
@@ -231,11 +240,7 @@
 func TestPlanBeforeTrafficEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 6, 6, trouble{reportIn: 200 * time.Millisecond}, 1)
-		for _, e := range w.engines {
-			e.models["m0"] = true
-			e.history = nil
-			e.note()
-		}
+		w.everywhere("m0")
 		w.run(1, func() {
 			time.Sleep(15 * time.Second)
 			accepted, busy := 0, 0
@@ -262,11 +267,7 @@
 func TestRunnersListedOneByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 6, 6, trouble{reportIn: 200 * time.Millisecond}, 1)
-		for _, e := range w.engines {
-			e.models["m0"] = true
-			e.history = nil
-			e.note()
-		}
+		w.everywhere("m0")
 		all := w.catalog.All()
 		ids := slices.Sorted(maps.Keys(all))
 		for _, id := range ids {
