--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -320,9 +320,12 @@
 
 // mayRepeat takes one more send from the budget, if the route allows one.
 func (j *job) mayRepeat() bool {
-	if j.kept {
-		j.kept = false
-		return j.repeatable() && j.runs < j.route.MaxAttempts
-	}
-	return j.repeatable() && j.runs < j.route.MaxAttempts && j.d.budget.Repeat(j.service)
+	kept := j.kept
+	j.kept = false
+	return j.attemptsLeft(0) && (kept || j.d.budget.Repeat(j.service))
+}
+
+// attemptsLeft says whether the route allows one more run besides those that are pending.
+func (j *job) attemptsLeft(pending int) bool {
+	return j.repeatable() && j.runs+pending < j.route.MaxAttempts
 }
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -78,7 +78,9 @@
 	case freezes:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 2), silent{ctx}), nil
 	case pauses:
-		body := io.MultiReader(strings.NewReader(pieces(o.LastEvent, 2)), &late{ctx: ctx, text: pieces(later(o.LastEvent, "2"), events)})
+		before := pieces(o.LastEvent, 2)
+		after := strings.TrimPrefix(pieces(o.LastEvent, events), before)
+		body := io.MultiReader(strings.NewReader(before), &late{ctx: ctx, text: after})
 		return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: info, Body: io.NopCloser(body)}, nil
 	case breaksOff:
 		return answer(http.StatusOK, info, pieces(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
@@ -98,14 +100,6 @@
 	return b.String()
 }
 
-// later is the later one of two ids, "" being before all others.
-func later(a, b string) string {
-	if len(a) > len(b) || len(a) == len(b) && a > b {
-		return a
-	}
-	return b
-}
-
 func answer(status int, info core.ReplyInfo, text string, end error) *core.Reply {
 	return &core.Reply{Status: status, Header: http.Header{}, Info: info, Body: io.NopCloser(&ends{strings.NewReader(text), end})}
 }
--- a/coordination/dispatch/restart.go
+++ b/coordination/dispatch/restart.go
@@ -55,7 +55,7 @@
 // answers that its new life knows nothing of. A stream that may be resumed goes on
 // elsewhere, another request is answered at once.
 func (d *Dispatcher) Restarted(runner string) {
-	d.pace.Forget(runner)
+	d.Forget(runner)
 	for _, drop := range d.sent.take(runner) {
 		drop()
 	}
--- a/coordination/dispatch/settings.go
+++ b/coordination/dispatch/settings.go
@@ -42,8 +42,8 @@
 	if s == nil {
 		return func() {}, nil
 	}
-	t := s.replica.Tree()
-	if t == nil || t.Empty() {
+	t := s.replica.InForce()
+	if t == nil {
 		return func() {}, nil
 	}
 	j.eff = t.Effective(tree.Coord{Service: j.service, Model: j.q.Model})
@@ -82,8 +82,8 @@
 	if j.d.settings == nil {
 		return true
 	}
-	t := j.d.settings.replica.Tree()
-	if t == nil || t.Empty() {
+	t := j.d.settings.replica.InForce()
+	if t == nil {
 		return true
 	}
 	_, ok := t.Allowed(tree.Coord{Service: j.service, Model: j.q.Model, Place: place})
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -81,7 +81,7 @@
 // budget for it. It is called while the job waits for its runner, which the watch's
 // lock sees to.
 func (j *job) mayMove(pending int) bool {
-	if !j.repeatable() || j.runs+pending >= j.route.MaxAttempts {
+	if !j.attemptsLeft(pending) {
 		return false
 	}
 	if _, candidates := j.candidates(); policy.Choose(candidates, j.ask()) < 0 {
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -130,10 +130,7 @@
 	if h.replica == nil {
 		return nil
 	}
-	if t := h.replica.Tree(); t != nil && !t.Empty() {
-		return t
-	}
-	return nil
+	return h.replica.InForce()
 }
 
 // allowed says whether requests for a model of a service may be served in a
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -53,9 +53,7 @@
 		spec.Models = append(spec.Models, core.Model{Name: modelName(i), MemoryMB: 60, Load: 2 * time.Second, Adapters: 6, AdapterMB: 4})
 	}
 	w := &world{t: t, spec: spec, engines: orders{}, catalog: catalog.New(clock), lease: &fakeLease{}}
-	config := &core.Config{Version: 1, Services: map[string]*core.Service{"s": {Name: "s", Engine: spec}}}
-	config.Index()
-	w.catalog.SetConfig(config)
+	w.configure(1)
 	held := make([][]string, runners)
 	for i := range models {
 		held[i%runners] = append(held[i%runners], modelName(i))
@@ -81,6 +79,13 @@
 	w.lease.term.Store(0)
 }
 
+// configure puts the spec in force as a version of the configuration.
+func (w *world) configure(version uint64) {
+	config := &core.Config{Version: version, Services: map[string]*core.Service{"s": {Name: "s", Engine: w.spec}}}
+	config.Index()
+	w.catalog.SetConfig(config)
+}
+
 // everywhere puts a model on all runners, as if it had always been there.
 func (w *world) everywhere(model string) {
 	for _, e := range w.engines {
@@ -146,9 +151,7 @@
 		}
 		// The other models need a whole runner each, so that one m0 must go.
 		w.spec.Models = append(w.spec.Models, core.Model{Name: "big", MemoryMB: 190})
-		config := &core.Config{Version: 2, Services: map[string]*core.Service{"s": {Name: "s", Engine: w.spec}}}
-		config.Index()
-		w.catalog.SetConfig(config)
+		w.configure(2)
 		w.run(1, func() {
 			for range 40 {
 				w.holder.Demand(map[dispatch.Want]float64{{Service: "s", Model: "m0"}: 10})
--- a/coordination/placement/restart_test.go
+++ b/coordination/placement/restart_test.go
@@ -74,9 +74,7 @@
 		for i := range 4 {
 			w.spec.Models = append(w.spec.Models, core.Model{Name: modelName(i), MemoryMB: 60, AdapterMB: 4})
 		}
-		config := &core.Config{Version: 2, Services: map[string]*core.Service{"s": {Name: "s", Engine: w.spec}}}
-		config.Index()
-		w.catalog.SetConfig(config)
+		w.configure(2)
 		h := w.holder
 		h.refresh()
 		h.hosts["r0"].sequence = 3
@@ -113,9 +111,7 @@
 		for i := range 4 {
 			w.spec.Models = append(w.spec.Models, core.Model{Name: modelName(i), MemoryMB: 60})
 		}
-		config := &core.Config{Version: 2, Services: map[string]*core.Service{"s": {Name: "s", Engine: w.spec}}}
-		config.Index()
-		w.catalog.SetConfig(config)
+		w.configure(2)
 		h := w.holder
 		h.refresh()
 		one := h.hosts["r0"]
--- a/io/logs/losses.go
+++ b/io/logs/losses.go
@@ -85,13 +85,13 @@
 	requests := map[string]*request{}
 	for i := range lines {
 		l := &lines[i]
-		id := text(l, "request")
+		id := l.text("request")
 		if id == "" {
 			continue
 		}
 		r := requests[id]
 		if r == nil {
-			r = &request{load: -1, route: text(l, "route")}
+			r = &request{load: -1, route: l.text("route")}
 			requests[id] = r
 		}
 		r.take(l)
@@ -115,23 +115,23 @@
 func (r *request) take(l *Line) {
 	switch l.Event {
 	case RunnerChosen:
-		if slots := number(l, "slots"); slots > 0 && text(l, "model") != "" {
-			r.load = min(loadClasses, int(loadClasses*number(l, "requests")/slots))
+		if slots := l.number("slots"); slots > 0 && l.text("model") != "" {
+			r.load = min(loadClasses, int(loadClasses*l.number("requests")/slots))
 		}
 	case StreamEnded:
-		r.end(l, streamOutcome(l), duration(l, "first"))
+		r.end(l, streamOutcome(l), l.duration("first"))
 	case AnswerEnded:
 		o := inTime
 		switch {
-		case number(l, "status") >= 500:
+		case l.number("status") >= 500:
 			o = failed
-		case duration(l, "took") > duration(l, "target"):
+		case l.duration("took") > l.duration("target"):
 			o = lateFirst
 		}
-		r.end(l, o, duration(l, "took"))
+		r.end(l, o, l.duration("took"))
 	case Refused, RefusedBySettings:
 		r.end(l, refused, 0)
-		r.code = text(l, "code")
+		r.code = l.text("code")
 	case AnswerLost, DeadlineExceeded:
 		r.end(l, failed, 0)
 	}
@@ -142,9 +142,9 @@
 	switch {
 	case !whole:
 		return failed
-	case duration(l, "first") > duration(l, "target"):
+	case l.duration("first") > l.duration("target"):
 		return lateFirst
-	case duration(l, "maxgap") > 0 && duration(l, "gap") > duration(l, "maxgap"):
+	case l.duration("maxgap") > 0 && l.duration("gap") > l.duration("maxgap"):
 		return paused
 	}
 	return inTime
@@ -214,17 +214,12 @@
 	return w.Flush()
 }
 
-func text(l *Line, field string) string {
-	s, _ := l.Fields[field].(string)
-	return s
-}
-
-func number(l *Line, field string) float64 {
+func (l *Line) number(field string) float64 {
 	n, _ := l.Fields[field].(float64)
 	return n
 }
 
 // duration reads a field that is in seconds, as durations are logged.
-func duration(l *Line, field string) time.Duration {
-	return time.Duration(number(l, field) * float64(time.Second))
+func (l *Line) duration(field string) time.Duration {
+	return time.Duration(l.number(field) * float64(time.Second))
 }
--- a/state/tree/versions.go
+++ b/state/tree/versions.go
@@ -89,6 +89,14 @@
 // anything is known of a tree over a configuration.
 func (s *Replica) Tree() *Tree { return s.current.Load() }
 
+// InForce is Tree, but nil as well where the tree says nothing.
+func (s *Replica) InForce() *Tree {
+	if t := s.Tree(); t != nil && !t.Empty() {
+		return t
+	}
+	return nil
+}
+
 // Sum returns a digest of all versions; equal sums mean equal settings.
 func (s *Replica) Sum() uint64 { return s.sum.Load() }
 
