--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -278,6 +278,9 @@
 	object, err := l.store.Get(ctx, l.kind, l.name)
 	if errors.Is(err, core.ErrNotFound) {
 		// All start for the first time: one is enough to create it.
+		if !l.may() {
+			return nil
+		}
 		core.Sleep(ctx, l.clock, rand.N(firstWait))
 		if l.rival.Fresh() {
 			return nil
--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -30,6 +30,9 @@
 	toldMemory = time.Second
 )
 
+// Others is what stands for all other daemons of a large fleet in Heard.
+const Others = ""
+
 // Table holds the loads.
 type Table struct {
 	clock core.Clock
@@ -39,14 +42,14 @@
 	fails map[string]fail
 	peers map[string]peer
 	said  map[string]said
-	heard map[string]time.Time // when a runner last sent anything
-	down  map[string]time.Time // when a connection to a runner was last refused, here
-	told  map[string]time.Time // the same, as another daemon has told
+	heard map[string]time.Time    // when a runner last sent anything
+	down  map[string]time.Time    // when a connection to a runner was last refused, here
+	told  map[core.Code]time.Time // the same, as another daemon has told
 }
 
 type peer struct {
 	at     time.Time
-	counts map[string]int
+	counts map[core.Code]int
 }
 
 type said struct {
@@ -62,7 +65,7 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, own: map[string]*int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}, down: map[string]time.Time{}, told: map[string]time.Time{}}
+	return &Table{clock: clock, own: map[string]*int{}, fails: map[string]fail{}, peers: map[string]peer{}, said: map[string]said{}, heard: map[string]time.Time{}, down: map[string]time.Time{}, told: map[core.Code]time.Time{}}
 }
 
 // Begin counts a request sent to a runner, until end is called. A count begins with
@@ -101,7 +104,7 @@
 	defer t.mu.Unlock()
 	delete(t.own, runner)
 	for _, p := range t.peers {
-		delete(p.counts, runner)
+		delete(p.counts, core.CodeOf(runner))
 	}
 }
 
@@ -134,7 +137,7 @@
 	delete(t.fails, runner)
 	delete(t.heard, runner)
 	delete(t.down, runner)
-	delete(t.told, runner)
+	delete(t.told, core.CodeOf(runner))
 }
 
 // Refused takes in that a connection to a runner was refused: its process has ended.
@@ -153,7 +156,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.down, runner)
-	delete(t.told, runner)
+	delete(t.told, core.CodeOf(runner))
 }
 
 // Down says whether a connection to a runner was refused lately, here or at another
@@ -171,19 +174,19 @@
 	if ok && now.Sub(at) < downMemory {
 		return true
 	}
-	at, ok = t.told[runner]
+	at, ok = t.told[core.CodeOf(runner)]
 	return ok && now.Sub(at) < toldMemory
 }
 
 // OwnDown are the runners that have refused connections of this daemon lately.
-func (t *Table) OwnDown() []string {
+func (t *Table) OwnDown() []core.Code {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	var out []string
+	var out []core.Code
 	for id, at := range t.down {
 		if now.Sub(at) < downMemory {
-			out = append(out, id)
+			out = append(out, core.CodeOf(id))
 		}
 	}
 	slices.Sort(out)
@@ -191,14 +194,14 @@
 }
 
 // HeardDown takes in the runners that another daemon counts as down.
-func (t *Table) HeardDown(runners []string) {
+func (t *Table) HeardDown(runners []core.Code) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	for _, id := range runners {
-		t.told[id] = now
+	for _, code := range runners {
+		t.told[code] = now
 	}
-	maps.DeleteFunc(t.told, func(_ string, at time.Time) bool { return now.Sub(at) >= toldMemory })
+	maps.DeleteFunc(t.told, func(_ core.Code, at time.Time) bool { return now.Sub(at) >= toldMemory })
 }
 
 // Failed marks a runner for an attempt that failed there.
@@ -234,18 +237,19 @@
 }
 
 // Own returns this daemon's requests in progress by runner.
-func (t *Table) Own() map[string]int {
+func (t *Table) Own() map[core.Code]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]int, len(t.own))
+	out := make(map[core.Code]int, len(t.own))
 	for id, n := range t.own {
-		out[id] = *n
+		out[core.CodeOf(id)] += *n
 	}
 	return out
 }
 
-// Heard takes in another daemon's counts.
-func (t *Table) Heard(daemon string, counts map[string]int) {
+// Heard takes in another daemon's counts, or under the name of Others the sum of what
+// the daemons of a large fleet have told.
+func (t *Table) Heard(daemon string, counts map[core.Code]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers[daemon] = peer{at: t.clock.Now(), counts: maps.Clone(counts)}
@@ -259,9 +263,10 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	sum := t.ownOf(runner)
+	code := core.CodeOf(runner)
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerMemory {
-			sum += p.counts[runner]
+			sum += p.counts[code]
 		}
 	}
 	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
--- a/coordination/peers/ask.go
+++ b/coordination/peers/ask.go
@@ -14,7 +14,7 @@
 	"primroseward/io/logs"
 )
 
-func (p *Peers) answer(d datagram) {
+func (p *Peers) answer(addr netip.AddrPort, d datagram) {
 	h, ok := p.handlers[d.Kind]
 	if !ok {
 		return
@@ -27,11 +27,12 @@
 	}
 	p.mu.Unlock()
 	if !ok {
-		// Its first beat was lost. It asks again, and beats before that.
+		// Its first beat was lost, or only its hub knows it. It asks again.
 		p.log.Debug(logs.DaemonUnknown, zap.String("other", d.From))
+		p.askWho(addr)
 		return
 	}
-	to, number := from.Peer, d.Number
+	number := d.Number
 	h(from, d.Body, func(v any) {
 		if number == 0 {
 			return
@@ -41,18 +42,18 @@
 			p.log.Error(logs.MessageUnwritten, logs.Err(err))
 			return
 		}
-		p.post(to, datagram{Number: number, Body: body})
+		p.post(from, kindAnswer, datagram{Number: number, Body: body})
 	})
 }
 
-func (p *Peers) post(to netip.AddrPort, d datagram) {
+func (p *Peers) post(to Peer, kind string, d datagram) {
 	d.From = p.self.Name // which never changes
 	data, err := json.Marshal(d)
 	if err != nil {
 		p.log.Error(logs.MessageUnwritten, logs.Err(err))
 		return
 	}
-	p.send(to, data)
+	p.send(to, kind, data)
 }
 
 // ErrNoAnswer is the error of a question that another daemon did not answer.
@@ -76,7 +77,7 @@
 		p.mu.Unlock()
 	}()
 	for {
-		p.post(to.Peer, datagram{Kind: kind, Number: number, Body: body})
+		p.post(to, kind, datagram{Kind: kind, Number: number, Body: body})
 		select {
 		case <-ctx.Done():
 			return ErrNoAnswer
@@ -87,6 +88,53 @@
 	}
 }
 
+// TellAll sends a message that has no answer to all daemons that are alive. In a large
+// fleet the hubs pass it on: a holder of orders that told 294 daemons of each adapter
+// itself would have time for nothing else. It may be lost.
+func (p *Peers) TellAll(kind string, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
+		return
+	}
+	d := datagram{Kind: kind, Body: body}
+	if !p.Large() {
+		for _, to := range p.Alive()[1:] {
+			p.post(to, kind, d)
+		}
+		return
+	}
+	p.mu.Lock()
+	now := p.clock.Now()
+	hubs, group := p.peersOf(p.roster.Hubs(now)), p.peersOf(p.roster.Group(now))
+	p.mu.Unlock()
+	for _, to := range group {
+		p.post(to, kind, d)
+	}
+	d.Pass = true
+	for _, to := range hubs {
+		p.post(to, kind, d)
+	}
+}
+
+// pass gives a message for all on to this hub's group.
+func (p *Peers) pass(d datagram) {
+	d.Pass = false
+	data, err := json.Marshal(d)
+	if err != nil {
+		p.log.Error(logs.MessageUnwritten, logs.Err(err))
+		return
+	}
+	p.mu.Lock()
+	group := p.peersOf(p.roster.Group(p.clock.Now()))
+	p.mu.Unlock()
+	for _, to := range group {
+		if to.Name != d.From {
+			p.send(to, d.Kind, data)
+		}
+	}
+}
+
 // Tell sends a message that has no answer. It may be lost.
 func (p *Peers) Tell(to Peer, kind string, message any) {
 	body, err := json.Marshal(message)
@@ -94,5 +142,5 @@
 		p.log.Error(logs.MessageUnwritten, logs.Err(err))
 		return
 	}
-	p.post(to.Peer, datagram{Kind: kind, Body: body})
+	p.post(to, kind, datagram{Kind: kind, Body: body})
 }
--- a/coordination/peers/find.go
+++ b/coordination/peers/find.go
@@ -46,13 +46,15 @@
 		if one.Name == p.self.Name || p.known[one.Name] != nil {
 			continue
 		}
-		p.known[one.Name] = &known{Peer: one, heard: p.clock.Now().Add(-aliveFor), silent: true}
+		now := p.clock.Now()
+		p.known[one.Name] = &known{Peer: one, heard: now.Add(-aliveFor), silent: true}
+		p.roster.Know(now, one.daemon())
 	}
 	p.found = true
 	p.mu.Unlock()
-	b := p.beats(true)
-	for _, to := range p.due(true, true) {
-		p.send(to.Peer, b.to(to.Place))
+	data := p.beat(true)
+	for _, to := range p.contacts() {
+		p.send(to, kindBeat, data)
 	}
 	return nil
 }
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"primroseward/coordination/roster"
 	"primroseward/core"
 	"primroseward/io/logs"
 )
@@ -24,21 +25,10 @@
 	// place and of other places. Traffic between places is paid for.
 	nearEvery = 200 * time.Millisecond
 	farEvery  = 400 * time.Millisecond
-	// In a fleet of more than smallFleet daemons those of other places are told
-	// once in largeEvery, and without loads: runners tell their load on answers
-	// as well. What others must know soon is told at once: that a daemon is
-	// ready, leaves, or holds the lease. A daemon of another place counts as
-	// alive for largeAlive, a datagram and a half: the directory must not name one
-	// that has long been off, and leaves out a live one for a moment where a
-	// datagram is lost. With 70 daemons told each second these were 75 of 155 MB
-	// a day between places.
+	// smallFleet is the size from which daemons tell each other by hubs (package
+	// roster). Up to it each tells each: the word is as young as can be, and sixteen
+	// daemons cost each other 80 datagrams a second.
 	smallFleet = 16
-	largeEvery = 4 * time.Second
-	largeAlive = 5500 * time.Millisecond
-	// urgentEvery and urgentAlive are for the daemon that holds the lease, which
-	// others must miss soon, and for one that leaves, whose word may be lost.
-	urgentEvery = time.Second
-	urgentAlive = 3500 * time.Millisecond
 	// aliveFor is how long a daemon counts as alive after its last datagram:
 	// three that were sent to other places may be lost.
 	aliveFor = 1500 * time.Millisecond
@@ -55,9 +45,10 @@
 type Peer struct {
 	Name    string         `json:"name"`
 	Place   string         `json:"place"`
-	Caller  netip.AddrPort `json:"caller"` // that callers connect to
-	Peer    netip.AddrPort `json:"peer"`   // of datagrams
-	Boot    uint64         `json:"boot"`   // later ones are larger
+	Caller  netip.AddrPort `json:"caller"`          // that callers connect to
+	Peer    netip.AddrPort `json:"peer"`            // of datagrams
+	Boot    uint64         `json:"boot"`            // later ones are larger
+	Cores   float64        `json:"cores,omitempty"` // of a processor that it may use; 0: not known
 	Leaving bool           `json:"leaving,omitempty"`
 	State
 }
@@ -68,8 +59,8 @@
 	Failing   bool          `json:"failing,omitempty"` // does not reach the store
 	Term      uint64        `json:"term,omitempty"`    // of the lease of orders, while it is held
 	Fresh     bool          `json:"fresh,omitempty"`   // the lease was renewed lately
-	Knows     core.Changes  `json:"knows"`             // the last changes that it knows
-	Down      []string      `json:"down,omitempty"`    // runners that have refused its connections lately
+	Knows     core.Changes  `json:"knows"`             // the last changes that it knows; in a large fleet only of the settings
+	Down      []core.Code   `json:"down,omitempty"`    // runners that have refused its connections lately; not kept in a large fleet
 	Confirmed time.Duration `json:"confirmed"`         // since its settings were known to be the newest, below 0: never
 }
 
@@ -81,19 +72,22 @@
 	Kind   string          `json:"kind,omitempty"`   // of a question or of news
 	Number uint64          `json:"number,omitempty"` // joins an answer to its question
 	Body   json.RawMessage `json:"body,omitempty"`
+	Pass   bool            `json:"pass,omitempty"` // to the group of the hub that gets it
 }
 
 // beat is a daemon's word of itself.
 type beat struct {
 	Peer
-	Loads map[string]int `json:"loads,omitempty"` // requests in progress by runner; null: not told, as between places of a large fleet
-	New   bool           `json:"new,omitempty"`   // has just started and knows nobody
+	Loads map[core.Code]int `json:"loads,omitempty"` // requests in progress by runner; null: told by hubs
+	New   bool              `json:"new,omitempty"`   // has just started and knows nobody
 }
 
 type known struct {
 	Peer
 	heard  time.Time
-	silent bool // its silence has been logged
+	listed bool // by a hub, as alive
+	silent bool // its silence has been logged, or it has not been heard yet
+	met    bool // it has been heard
 }
 
 // Handler answers a question of another daemon. It must not block.
@@ -106,8 +100,10 @@
 	conn  *net.UDPConn
 	clock core.Clock
 	log   *zap.Logger
-	loads func() map[string]int
-	heard func(from Peer, counts map[string]int)
+	loads func() map[core.Code]int
+	heard func(from Peer, counts map[core.Code]int)
+	told  func(News)
+	count func(kind string, near bool, bytes int)
 	state func() State
 
 	mu       sync.Mutex
@@ -116,19 +112,43 @@
 	handlers map[string]Handler
 	waiting  map[uint64]chan json.RawMessage
 	found    bool
+	roster   *roster.Roster // used in a large fleet
+	acting   bool           // as a hub
+	out      chan outgoing  // to daemons of a large fleet
 
 	wg   sync.WaitGroup
 	stop context.CancelFunc
 }
 
 // New makes a Peers that tells loads to others and reports theirs to heard.
-// The daemons' objects have the given kind.
-func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[string]int, heard func(Peer, map[string]int)) *Peers {
-	return &Peers{
+// The daemons' objects have the given kind. In a large fleet the loads of all others are
+// reported at once, as those of the Peer without a name.
+func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[core.Code]int, heard func(Peer, map[core.Code]int), opts ...Option) *Peers {
+	p := &Peers{
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
 		state: func() State { return State{Confirmed: -1} },
+		told:  func(News) {}, count: func(string, bool, int) {},
 		known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
+		roster: roster.New(clock.Now(), self.daemon()), out: make(chan outgoing, maxOut),
 	}
+	for _, o := range opts {
+		o(p)
+	}
+	p.Handle(kindNames, p.handleNames)
+	return p
+}
+
+// Option changes a Peers.
+type Option func(*Peers)
+
+// WithNews sets what takes in what the hubs of a large fleet tell beyond loads and
+// the daemons' states.
+func WithNews(fn func(News)) Option { return func(p *Peers) { p.told = fn } }
+
+// WithCount tells of each datagram that is sent: what it is for, whether to a daemon of
+// the same place, and its size.
+func WithCount(fn func(kind string, near bool, bytes int)) Option {
+	return func(p *Peers) { p.count = fn }
 }
 
 // Handle sets the handler of a kind of questions, before Start.
@@ -152,9 +172,11 @@
 func (p *Peers) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
-	p.wg.Add(3)
+	p.wg.Add(5)
 	go p.runRead()
 	go p.runTell(ctx)
+	go p.runNames(ctx)
+	go p.runSend(ctx)
 	go p.runFind(ctx)
 }
 
@@ -167,17 +189,31 @@
 
 // Nudge tells the daemons of this place at once, instead of with the next turn,
 // and those of other places if far is set.
-func (p *Peers) Nudge(far bool) { p.tell(true, far) }
+func (p *Peers) Nudge(far bool) { p.tellNow(far) }
+
+// Acquaintance is another daemon that is known, whether it is alive or not.
+type Acquaintance struct {
+	Peer
+	Alive bool
+}
 
-// Known returns the names of the other daemons that are known, silent ones too, and
-// whether the store has been asked for them.
-func (p *Peers) Known() (names []string, found bool) {
+// Known returns the other daemons that are known, silent ones too.
+func (p *Peers) Known() []Acquaintance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name := range p.known {
-		names = append(names, name)
+	now := p.clock.Now()
+	out := make([]Acquaintance, 0, len(p.known))
+	for _, k := range p.known {
+		out = append(out, Acquaintance{Peer: k.Peer, Alive: k.alive(now)})
 	}
-	return names, p.found
+	return out
+}
+
+// Found says whether the store has been asked for the others.
+func (p *Peers) Found() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.found
 }
 
 // Leave tells the others at once that this daemon stops.
@@ -185,7 +221,7 @@
 	p.mu.Lock()
 	p.self.Leaving = true
 	p.mu.Unlock()
-	p.tell(true, true)
+	p.tellNow(true)
 }
 
 // Self is this daemon.
@@ -204,13 +240,29 @@
 	out := []Peer{self}
 	now := p.clock.Now()
 	for _, k := range p.known {
-		if now.Sub(k.heard) < p.aliveFor(k) {
+		if k.alive(now) {
 			out = append(out, k.Peer)
 		}
 	}
 	return out
 }
 
+// Count is how many daemons Alive returns.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, n := p.clock.Now(), 1
+	for _, k := range p.known {
+		if k.alive(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// alive says whether a daemon was heard lately, by its own datagrams or by a hub.
+func (k *known) alive(now time.Time) bool { return k.listed || now.Sub(k.heard) < aliveFor }
+
 // Get returns a daemon that was heard lately.
 func (p *Peers) Get(name string) (Peer, bool) {
 	p.mu.Lock()
@@ -219,7 +271,7 @@
 		return p.self, true
 	}
 	k, ok := p.known[name]
-	if !ok || p.clock.Now().Sub(k.heard) >= p.aliveFor(k) {
+	if !ok || !k.alive(p.clock.Now()) {
 		return Peer{}, false
 	}
 	return k.Peer, true
@@ -230,19 +282,24 @@
 	var last time.Time
 	var said State
 	for ctx.Err() == nil {
+		if p.Large() {
+			p.tellHubs(false)
+			core.Sleep(ctx, p.clock, roster.TellEvery)
+			continue
+		}
 		now := p.clock.Now()
 		state := p.state()
 		urgent := state.Ready != said.Ready || state.Term != said.Term
-		far := urgent || now.Sub(last) >= p.farEvery(state)
+		far := urgent || now.Sub(last) >= farEvery
 		if far {
 			last, said = now, state
 		}
-		p.tell(true, far)
+		p.tell(far)
 		core.Sleep(ctx, p.clock, nearEvery)
 	}
 }
 
-// Large says whether the fleet is a large one, whose places tell each other less.
+// Large says whether the fleet is a large one, whose daemons tell each other by hubs.
 func (p *Peers) Large() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,68 +309,22 @@
 // large says whether the fleet is a large one; the caller holds the lock.
 func (p *Peers) large() bool { return len(p.known) >= smallFleet }
 
-func (p *Peers) farEvery(s State) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case !p.large():
-		return farEvery
-	case s.Term > 0 || p.self.Leaving:
-		return urgentEvery
-	default:
-		return largeEvery
-	}
-}
-
-// aliveFor is how long a daemon counts as alive after its last datagram; the
-// caller holds the lock.
-func (p *Peers) aliveFor(k *known) time.Duration {
-	switch {
-	case !p.large() || k.Place == p.self.Place:
-		return aliveFor
-	case k.Term > 0 || k.Leaving:
-		return urgentAlive
-	default:
-		return largeAlive
-	}
-}
-
 // greet tells a daemon that has just started of this one, so that it needs to wait
 // for no turn to find one that can give it its copies.
 func (p *Peers) greet(to Peer) {
-	b := p.beats(false)
-	p.send(to.Peer, b.to(to.Place))
+	p.send(to, kindBeat, p.beat(false))
 }
 
-// beats are this daemon's beats as of now.
-type beats struct {
-	place     string
-	near, far []byte
-}
-
-func (b *beats) to(place string) []byte {
-	if place == b.place {
-		return b.near
-	}
-	return b.far
-}
-
-// beats makes the beats for daemons of this place and of others; fresh is for one
-// that has just started.
-func (p *Peers) beats(fresh bool) *beats {
+// beat writes this daemon's beat as of now; fresh is for one that has just started. All
+// of its parts can be written.
+func (p *Peers) beat(fresh bool) []byte {
 	loads, state := p.loads(), p.state()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.self.State = state
-	out := &beats{place: p.self.Place, near: p.beat(loads, fresh)}
-	if out.far = out.near; p.large() {
-		out.far = p.beat(nil, fresh)
+	if p.large() {
+		loads = nil
 	}
-	return out
-}
-
-// beat writes a beat; the caller holds the lock. All of its parts can be written.
-func (p *Peers) beat(loads map[string]int, fresh bool) []byte {
 	data, err := json.Marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, New: fresh}})
 	if err != nil {
 		p.log.Error(logs.MessageUnwritten, logs.Err(err))
@@ -321,37 +332,68 @@
 	return data
 }
 
-// tell sends a beat to the daemons of this place and of other places.
-func (p *Peers) tell(near, far bool) {
-	b := p.beats(false)
-	for _, to := range p.due(near, far) {
-		p.send(to.Peer, b.to(to.Place))
+// tellNow tells others of this daemon out of turn, those of other places if far is set.
+func (p *Peers) tellNow(far bool) {
+	if p.Large() {
+		p.tellHubs(true)
+		return
+	}
+	p.tell(far)
+}
+
+// tell tells the daemons of this place, and those of other places if far is set.
+func (p *Peers) tell(far bool) {
+	data := p.beat(false)
+	for _, to := range p.due(far) {
+		p.send(to, kindBeat, data)
 	}
 }
 
 // due are the daemons to tell, with those left out that have been silent for long.
-func (p *Peers) due(near, far bool) []Peer {
+func (p *Peers) due(far bool) []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	var out []Peer
 	for name, k := range p.known {
-		if now.Sub(k.heard) > forgetAfter {
-			delete(p.known, name)
+		if p.miss(now, name, k) {
 			continue
 		}
-		if now.Sub(k.heard) >= p.aliveFor(k) && !k.silent {
-			k.silent = true
-			p.log.Info(logs.DaemonSilent, zap.String("other", name), zap.Uint64("term", k.Term), zap.Duration("for", now.Sub(k.heard)))
-		}
-		if k.Place == p.self.Place && near || k.Place != p.self.Place && far {
+		if far || k.Place == p.self.Place {
 			out = append(out, k.Peer)
 		}
 	}
 	return out
 }
 
-func (p *Peers) send(to netip.AddrPort, data []byte) {
+// logHeard tells that a daemon that was silent is heard.
+func (p *Peers) logHeard(k *known) {
+	if k.silent && k.met {
+		p.log.Info(logs.DaemonHeard, zap.String("other", k.Name))
+	}
+}
+
+// miss notes that a daemon is silent, and forgets one that has been for long, which it
+// says. The caller holds the lock.
+func (p *Peers) miss(now time.Time, name string, k *known) (forgotten bool) {
+	if now.Sub(k.heard) > forgetAfter {
+		delete(p.known, name)
+		p.roster.Forget(name)
+		return true
+	}
+	if !k.alive(now) && !k.silent {
+		k.silent = true
+		p.log.Info(logs.DaemonSilent, zap.String("other", name), zap.Uint64("term", k.Term), zap.Duration("for", now.Sub(k.heard)))
+	}
+	return false
+}
+
+func (p *Peers) send(to Peer, kind string, data []byte) {
+	p.count(kind, to.Place == p.self.Place, len(data)) // a place never changes
+	p.sendTo(to.Peer, data)
+}
+
+func (p *Peers) sendTo(to netip.AddrPort, data []byte) {
 	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
 		p.log.Debug(logs.DatagramUnsent, zap.Stringer("to", to), logs.Err(err))
 	}
@@ -361,7 +403,7 @@
 	defer p.wg.Done()
 	buf := make([]byte, maxDatagram)
 	for {
-		n, err := p.conn.Read(buf)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -369,16 +411,20 @@
 			p.log.Debug(logs.DatagramUnread, logs.Err(err))
 			continue
 		}
+		if n > 0 && buf[0] != '{' {
+			p.takeRoster(from, buf[:n])
+			continue
+		}
 		var d datagram
 		if err := json.Unmarshal(buf[:n], &d); err != nil || d.Beat == nil && d.From == "" {
 			p.log.Warn(logs.DatagramUnreadable, logs.Err(err))
 			continue
 		}
-		p.take(d)
+		p.take(from, d)
 	}
 }
 
-func (p *Peers) take(d datagram) {
+func (p *Peers) take(from netip.AddrPort, d datagram) {
 	if d.Beat != nil {
 		if !p.note(d.Beat.Peer) {
 			return
@@ -390,8 +436,13 @@
 		return
 	}
 	switch {
+	case d.Kind == kindWho:
+		p.sendTo(from, p.beat(false))
 	case d.Kind != "":
-		p.answer(d)
+		p.answer(from, d)
+		if d.Pass {
+			p.pass(d)
+		}
 	case d.Number != 0:
 		p.mu.Lock()
 		ch := p.waiting[d.Number]
@@ -425,9 +476,8 @@
 	if ok && k.Leaving != from.Leaving {
 		p.log.Info(logs.DaemonChanged, zap.String("other", from.Name), zap.Bool("leaving", from.Leaving))
 	}
-	if k.silent {
-		p.log.Info(logs.DaemonHeard, zap.String("other", from.Name))
-	}
-	k.Peer, k.heard, k.silent = from, now, false
+	p.logHeard(k)
+	k.Peer, k.heard, k.silent, k.met = from, now, false, true
+	p.roster.Know(now, from.daemon())
 	return true
 }
--- a/coordination/placement/news.go
+++ b/coordination/placement/news.go
@@ -88,7 +88,5 @@
 	if len(list) == 0 {
 		return
 	}
-	for _, one := range s.peers.Alive()[1:] {
-		s.peers.Tell(one, kindNews, list)
-	}
+	s.peers.TellAll(kindNews, list)
 }
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -41,6 +41,9 @@
 	// Queue is how many requests may be in line for a slot of the runner ahead of
 	// it, in parts of the slots.
 	Queue float64
+	// Spread is how far the costs of runners may lie apart to be drawn from, in parts of
+	// a runner's slots.
+	Spread float64
 }
 
 // Queue is the line that a request of a target can be in and still be in time, in parts
@@ -60,6 +63,26 @@
 // at once also by a full runner, which puts off its least urgent request for each.
 func UrgentQueue() float64 { return maxQueue }
 
+const (
+	// directDaemons is how many daemons tell each other their loads at once, as each
+	// request begins and ends; more than that know them by sums that are half a second
+	// old.
+	directDaemons = 16
+	// largeSpread is the Spread of a large fleet. Its daemons choose by the same list for
+	// half a second, in which they send more requests than a runner has room for: to the
+	// one that was the least busy.
+	largeSpread = 0.6
+)
+
+// Spread is how far the costs of runners may lie apart for as many daemons that send to
+// them.
+func Spread(daemons int) float64 {
+	if daemons <= directDaemons {
+		return 0
+	}
+	return largeSpread
+}
+
 // Candidate is a runner that may serve a request, as seen by one daemon.
 type Candidate struct {
 	ID        string
@@ -98,19 +121,20 @@
 	return float64(c.Requests) >= over*float64(max(1, c.Slots))
 }
 
-// Choose returns the index of the best candidate that has room, or -1. Equal
-// ones are drawn, so that daemons that know the same do not all choose alike.
+// Choose returns the index of the best candidate that has room, or -1. Those that cost
+// about the same are drawn, so that daemons that know the same do not all choose alike.
 func Choose(candidates []Candidate, a Ask) int {
-	best, ties := -1, 0
+	best, least, ties := -1, 0.0, 0
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Full(a) {
 			continue
 		}
+		cost := c.cost() + a.Spread*rand.Float64()
 		switch {
-		case best < 0 || c.cost() < candidates[best].cost():
-			best, ties = i, 1
-		case c.cost() == candidates[best].cost():
+		case best < 0 || cost < least:
+			best, least, ties = i, cost, 1
+		case cost == least:
 			ties++
 			if rand.IntN(ties) == 0 {
 				best = i
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"container/heap"
 	"slices"
 
 	"primroseward/core"
@@ -139,23 +140,60 @@
 			}
 		}
 	}
-	for {
-		best := -1
-		for i := range engine.Models {
-			m := &engine.Models[i]
-			if heat[m.Name] <= 0 || out[m.Name] >= most[m.Name] || m.MemoryMB > left {
-				continue
-			}
-			if best < 0 || heat[m.Name]/float64(out[m.Name]) > heat[engine.Models[best].Name]/float64(out[engine.Models[best].Name]) {
-				best = i
-			}
+	queue := make(needs, 0, len(engine.Models))
+	for i := range engine.Models {
+		m := &engine.Models[i]
+		if heat[m.Name] > 0 {
+			queue = append(queue, need{model: m, heat: heat[m.Name], order: i, copies: 1})
 		}
-		if best < 0 {
-			return out
+	}
+	heap.Init(&queue)
+	for len(queue) > 0 {
+		n := &queue[0]
+		if n.copies >= most[n.model.Name] || n.model.MemoryMB > left {
+			heap.Pop(&queue) // there is never more room than now
+			continue
 		}
-		out[engine.Models[best].Name]++
-		left -= engine.Models[best].MemoryMB
+		n.copies++
+		left -= n.model.MemoryMB
+		out[n.model.Name] = n.copies
+		heap.Fix(&queue, 0)
 	}
+	return out
+}
+
+// need is a model in the queue for one more copy.
+type need struct {
+	model  *core.Model
+	heat   float64
+	order  int // in the service's list
+	copies int
+}
+
+// needs is a heap: the model whose copies have most to do comes first.
+type needs []need
+
+func (q needs) Len() int { return len(q) }
+
+func (q needs) Less(i, k int) bool {
+	a, b := q[i].heat/float64(q[i].copies), q[k].heat/float64(q[k].copies)
+	if a != b {
+		return a > b
+	}
+	return q[i].order < q[k].order
+}
+
+func (q needs) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
+
+// Push implements heap.Interface.
+func (q *needs) Push(x any) { *q = append(*q, x.(need)) }
+
+// Pop implements heap.Interface.
+func (q *needs) Pop() any {
+	last := len(*q) - 1
+	n := (*q)[last]
+	*q = (*q)[:last]
+	return n
 }
 
 // wanted lists the models that lack copies, most urgent first.
@@ -192,6 +230,7 @@
 	var best *HostState
 	var victim string
 	bestCost := 0.0
+	places := p.places(model)
 	for _, h := range p.hosts {
 		if h.Busy || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
 			continue
@@ -202,7 +241,7 @@
 				continue
 			}
 		}
-		if cost := p.hostCost(h, model, v); best == nil || cost < bestCost {
+		if cost := p.hostCost(h, model, v, places[h.Place]); best == nil || cost < bestCost {
 			best, victim, bestCost = h, v, cost
 		}
 	}
@@ -228,7 +267,7 @@
 // take until the copy serves, roughly: a load from the weight store takes
 // about three, one from the runner's own disk or memory less than one, and an
 // unload waits for the requests that run.
-func (p *placement) hostCost(h *HostState, model, victim string) float64 {
+func (p *placement) hostCost(h *HostState, model, victim string, samePlace bool) float64 {
 	cost := 0.0
 	if !h.Local[model] {
 		cost += 3
@@ -236,7 +275,7 @@
 	if victim != "" {
 		cost++
 	}
-	if p.samePlace(h.Place, model) {
+	if samePlace {
 		cost += 0.5 // one crash or cut of a place must not take all copies
 	}
 	cost += placeWeight * float64(p.placesLost(h, model, victim))
@@ -258,8 +297,15 @@
 	return int(free/largest) - int((free-p.engine.Model(model).MemoryMB)/largest)
 }
 
-func (p *placement) samePlace(place, model string) bool {
-	return slices.ContainsFunc(p.hosts, func(h *HostState) bool { return h.Place == place && h.Models[model] })
+// places are those that have a copy of a model.
+func (p *placement) places(model string) map[string]bool {
+	out := map[string]bool{}
+	for _, h := range p.hosts {
+		if h.Models[model] {
+			out[h.Place] = true
+		}
+	}
+	return out
 }
 
 // victim is the model that a runner gives up for another: one with more copies
--- /dev/null
+++ b/coordination/roster/tell.go
@@ -0,0 +1,380 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"primroseward/core"
+	rosterv1 "primroseward/protocol/rosterv1"
+)
+
+// report tells this daemon's word to its hubs.
+func (r *Roster) report(now time.Time) []Message {
+	hub, to := r.hubs(now)
+	if len(to) == 0 {
+		return nil
+	}
+	r.told = r.word.Loads
+	self, w := r.known[r.self], &r.word
+	report := &rosterv1.Report{
+		Name: self.Name, Boot: self.Boot, Tag: uint32(self.Tag), Flags: uint32(flagsOf(&w.Status)), Term: w.Term,
+		Knows: changesTo(w.Knows), Confirmed: millis(w.Confirmed), Down: codesTo(w.Down), Loads: loadsTo(w.Loads),
+	}
+	out := make([]Message, len(to))
+	for i, code := range to {
+		report.Spare = code != hub
+		out[i] = Message{To: code, Kind: KindReport, Data: write(&rosterv1.Datagram{Kind: &rosterv1.Datagram_Report{Report: report}})}
+	}
+	return out
+}
+
+// digests tells this daemon's group of the fleet, and the other hubs of the group.
+// Turn 0 is out of turn and for all of them.
+func (r *Roster) digests(now time.Time, turn int) []Message {
+	if r.acting.IsZero() {
+		r.acting = now
+	}
+	own := r.gather(now)
+	if r.complete(now) {
+		r.total = r.fleetLoads(now)
+	}
+	r.told = r.word.Loads
+	return append(r.toHubs(now, own, turn), r.toGroup(now, turn)...)
+}
+
+// toHubs tells the hubs of the other groups of this one.
+func (r *Roster) toHubs(now time.Time, own *part, turn int) []Message {
+	full := own.fresh > 0 || turn%lonelyTurns == 0
+	packets := pack(false, []*rosterv1.Part{r.write(now, own, full)}, inTurn(chunksOf(own.loads), turn/farTurns, hubChunks))
+	var out []Message
+	for key, codes := range r.allGroups() {
+		if key == r.own || key.place != r.own.place && turn%farTurns != 0 {
+			continue
+		}
+		to := slices.DeleteFunc(slices.Clone(codes), func(code core.Code) bool {
+			p := r.parts[code]
+			return p == nil || now.Sub(p.at) >= partLife
+		})
+		if len(to) == 0 {
+			to = r.search(codes)
+		}
+		for _, code := range to {
+			out = appendTo(out, code, packets)
+		}
+	}
+	return out
+}
+
+// toGroup tells the daemons of this group what is known of all groups. The members of a
+// part are told where they have changed, and in turn.
+func (r *Roster) toGroup(now time.Time, turn int) []Message {
+	hubs := slices.Sorted(maps.Keys(r.parts))
+	hubs = append([]core.Code{r.self}, slices.DeleteFunc(hubs, func(c core.Code) bool { return c == r.self })...)
+	var parts []*rosterv1.Part
+	for i, hub := range hubs {
+		p := r.parts[hub]
+		inTurn := (i+turn*partsPerTurn)%len(hubs) < partsPerTurn
+		if i > 0 && p.due == 0 && !inTurn {
+			continue
+		}
+		full := p.fresh > 0 || turn%len(hubs) == i
+		p.fresh, p.due = max(0, p.fresh-1), max(0, p.due-1)
+		parts = append(parts, r.write(now, p, full))
+	}
+	var loads []*rosterv1.Loads
+	if turn > 0 && r.complete(now) {
+		// One chunk a turn: each daemon gets one packet a turn, however many runners
+		// there are.
+		loads = inTurn(chunksOf(r.total), turn, 1)
+	}
+	packets := pack(true, parts, loads)
+	var out []Message
+	for _, code := range r.mine() {
+		_, follows := r.reports[code]
+		if code != r.self && (follows || turn%lonelyTurns == 0) {
+			out = appendTo(out, code, packets)
+		}
+	}
+	return out
+}
+
+// inTurn returns the chunks that a turn tells, n of all.
+func inTurn(chunks []*rosterv1.Loads, turn, n int) []*rosterv1.Loads {
+	if len(chunks) <= n {
+		return chunks
+	}
+	at := turn * n % len(chunks)
+	return append(chunks, chunks...)[at : at+n]
+}
+
+func appendTo(out []Message, to core.Code, packets [][]byte) []Message {
+	for _, data := range packets {
+		out = append(out, Message{To: to, Kind: KindDigest, Data: data})
+	}
+	return out
+}
+
+// pack writes digests of parts and loads, each of one packet. The first part is the
+// sender's own, which each of them begins with, as it names the sender.
+func pack(fleet bool, parts []*rosterv1.Part, loads []*rosterv1.Loads) [][]byte {
+	own := proto.CloneOf(parts[0])
+	own.Members = nil
+	begin := func() *rosterv1.Digest { return &rosterv1.Digest{Fleet: fleet, Parts: []*rosterv1.Part{own}} }
+	digests := []*rosterv1.Digest{{Fleet: fleet, Parts: parts[:1]}}
+	for _, one := range parts[1:] {
+		last := digests[len(digests)-1]
+		if proto.Size(last)+proto.Size(one) > maxPacket {
+			last = begin()
+			digests = append(digests, last)
+		}
+		last.Parts = append(last.Parts, one)
+	}
+	for _, one := range loads {
+		last := digests[len(digests)-1]
+		if last.Loads != nil || proto.Size(last)+proto.Size(one) > maxPacket {
+			last = begin()
+			digests = append(digests, last)
+		}
+		last.Loads = one
+	}
+	out := make([][]byte, len(digests))
+	for i, one := range digests {
+		out[i] = write(&rosterv1.Datagram{Kind: &rosterv1.Datagram_Digest{Digest: one}})
+	}
+	return out
+}
+
+// gather sums up the reports of this group, as a part of its own.
+func (r *Roster) gather(now time.Time) *part {
+	was := r.parts[r.self]
+	p := &part{
+		hub: r.self, at: now, loadsAt: now, confirmed: -1, members: make(map[core.Code]member, len(r.reports)+1),
+		claims: map[core.Code]claim{}, loads: map[core.Code]int{},
+	}
+	words := make(map[core.Code]*Word, len(r.reports)+1)
+	for code, one := range r.reports {
+		words[code] = &one.Word
+		if one.spare && now.Sub(r.acting) >= loadLife {
+			continue // is counted by the hub that it follows
+		}
+		for runner, n := range one.Loads {
+			p.loads[runner] += n
+		}
+	}
+	for runner, n := range r.word.Loads {
+		p.loads[runner] += n
+	}
+	words[r.self] = &r.word
+	down := map[core.Code]bool{}
+	for code, w := range words {
+		if w.Knows.Runners > p.knows.Runners || w.Knows.Config > p.knows.Config || p.source == 0 {
+			p.source = code
+		}
+		p.knows.Config = max(p.knows.Config, w.Knows.Config)
+		p.knows.Runners = max(p.knows.Runners, w.Knows.Runners)
+		p.knows.Settings = max(p.knows.Settings, w.Knows.Settings)
+		for _, runner := range w.Down {
+			down[runner] = true
+		}
+		if w.Term > 0 {
+			p.claims[code] = claim{w.Term, w.Fresh}
+		}
+	}
+	p.down = slices.Sorted(maps.Keys(down))
+	for code, w := range words {
+		p.members[code] = member{tag: r.known[code].Tag, flags: flagsOf(&w.Status), lag: p.knows.Settings - w.Knows.Settings}
+		if w.Knows.Settings == p.knows.Settings && w.Confirmed >= 0 && (p.confirmed < 0 || w.Confirmed < p.confirmed) {
+			p.confirmed = w.Confirmed
+		}
+	}
+	p.version = versionOf(p.members)
+	p.held = p.version
+	switch {
+	case was == nil || was.version != p.version:
+		p.fresh = repeats
+	default:
+		p.fresh = was.fresh
+	}
+	r.parts[r.self] = p
+	return p
+}
+
+// versionOf is equal for equal members.
+func versionOf(members map[core.Code]member) uint64 {
+	h := xxhash.New()
+	for _, code := range slices.Sorted(maps.Keys(members)) {
+		m := members[code]
+		_, _ = h.Write([]byte{
+			byte(code), byte(code >> 8), byte(code >> 16), byte(code >> 24), m.tag, byte(m.flags),
+			byte(m.lag), byte(m.lag >> 8), byte(m.lag >> 16), byte(m.lag >> 24),
+		}) // a hash takes all bytes
+	}
+	return h.Sum64()
+}
+
+// fleetLoads sums up the loads of all groups.
+func (r *Roster) fleetLoads(now time.Time) map[core.Code]int {
+	out := map[core.Code]int{}
+	for _, p := range r.parts {
+		if now.Sub(p.loadsAt) >= loadLife {
+			continue
+		}
+		for runner, n := range p.loads {
+			out[runner] += n
+		}
+	}
+	return out
+}
+
+// complete says whether the sum of loads is that of all groups. One that has just begun
+// to act has not heard from all hubs: its sum would make runners seem idle.
+func (r *Roster) complete(now time.Time) bool {
+	if now.Sub(r.acting) >= loadLife {
+		return true
+	}
+	for _, p := range r.parts {
+		if p.loadsAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// write writes a part, with its members if full is set.
+func (r *Roster) write(now time.Time, p *part, full bool) *rosterv1.Part {
+	k, ok := r.known[p.hub]
+	if !ok {
+		return &rosterv1.Part{}
+	}
+	age := now.Sub(p.at)
+	out := &rosterv1.Part{
+		Hub: k.Name, Age: uint32(age.Milliseconds()), Version: p.version, Knows: changesTo(p.knows), Source: uint32(p.source),
+		Confirmed: millis(p.confirmed), Down: codesTo(p.down),
+	}
+	for code, c := range p.claims {
+		out.Claims = append(out.Claims, &rosterv1.Claim{Code: uint32(code), Term: c.term, Fresh: c.fresh})
+	}
+	if !full || p.held != p.version {
+		return out
+	}
+	m := &rosterv1.Members{}
+	for code, one := range p.members {
+		m.Codes = append(m.Codes, uint32(code))
+		m.Tags = append(m.Tags, one.tag)
+		m.Flags = append(m.Flags, byte(one.flags))
+		m.Lag = append(m.Lag, one.lag)
+	}
+	out.Members = m
+	return out
+}
+
+// write encodes a datagram. All of its parts can be written.
+func write(d *rosterv1.Datagram) []byte {
+	data, err := proto.Marshal(d)
+	if err != nil {
+		panic(err) // only strings that are no UTF-8 can't be written; names are checked at the start
+	}
+	return data
+}
+
+func flagsOf(s *Status) rosterv1.Flag {
+	var f rosterv1.Flag
+	for _, one := range []struct {
+		set  bool
+		flag rosterv1.Flag
+	}{
+		{s.Ready, rosterv1.Flag_FLAG_READY}, {s.Failing, rosterv1.Flag_FLAG_FAILING},
+		{s.Leaving, rosterv1.Flag_FLAG_LEAVING}, {s.Fresh, rosterv1.Flag_FLAG_FRESH},
+	} {
+		if one.set {
+			f |= one.flag
+		}
+	}
+	return f
+}
+
+func changesTo(c core.Changes) *rosterv1.Changes {
+	return &rosterv1.Changes{Config: c.Config, Runners: c.Runners, Settings: c.Settings}
+}
+
+func changesFrom(c *rosterv1.Changes) core.Changes {
+	return core.Changes{Config: c.GetConfig(), Runners: c.GetRunners(), Settings: c.GetSettings()}
+}
+
+// millis is a time on the wire; one below zero stays so.
+func millis(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
+func codesTo(codes []core.Code) []uint32 {
+	out := make([]uint32, len(codes))
+	for i, c := range codes {
+		out[i] = uint32(c)
+	}
+	return out
+}
+
+func codesFrom(codes []uint32) []core.Code {
+	out := make([]core.Code, len(codes))
+	for i, c := range codes {
+		out[i] = core.Code(c)
+	}
+	return out
+}
+
+func loadsTo(loads map[core.Code]int) *rosterv1.Loads {
+	out := &rosterv1.Loads{}
+	for runner, n := range loads {
+		if n > 0 {
+			out.Runners = append(out.Runners, uint32(runner))
+			out.Requests = append(out.Requests, uint32(n))
+		}
+	}
+	return out
+}
+
+// chunksOf writes loads in chunks that fit into packets.
+func chunksOf(loads map[core.Code]int) []*rosterv1.Loads {
+	chunks := max(1, (len(loads)+maxChunk-1)/maxChunk)
+	out := make([]*rosterv1.Loads, chunks)
+	for i := range out {
+		out[i] = &rosterv1.Loads{Chunk: uint32(i), Chunks: uint32(chunks)}
+	}
+	for runner, n := range loads {
+		if one := out[int(runner)%chunks]; n > 0 {
+			one.Runners = append(one.Runners, uint32(runner))
+			one.Requests = append(one.Requests, uint32(n))
+		}
+	}
+	return out
+}
+
+// merge puts a chunk in place of what was told before of its runners.
+func merge(loads map[core.Code]int, l *rosterv1.Loads) map[core.Code]int {
+	chunks := max(1, l.GetChunks())
+	out := make(map[core.Code]int, len(loads)+len(l.GetRunners()))
+	for runner, n := range loads {
+		if uint32(runner)%chunks != l.GetChunk() {
+			out[runner] = n
+		}
+	}
+	maps.Copy(out, loadsFrom(l))
+	return out
+}
+
+func loadsFrom(l *rosterv1.Loads) map[core.Code]int {
+	out := make(map[core.Code]int, len(l.GetRunners()))
+	for i, runner := range l.GetRunners() {
+		if i < len(l.GetRequests()) {
+			out[core.Code(runner)] = int(l.GetRequests()[i])
+		}
+	}
+	return out
+}
--- a/coordination/watch/follow.go
+++ b/coordination/watch/follow.go
@@ -48,7 +48,7 @@
 		w.adopt(kind, c)
 		w.mayWork(kind, c)
 		if kind == w.reader.RunnerKind {
-			core.Sleep(ctx, w.clock, settle)
+			core.Sleep(ctx, w.clock, w.pause())
 		}
 		return
 	}
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -101,6 +101,7 @@
 	active       func() bool
 	changed      func(kind string)
 	first        func(since time.Duration) bool
+	pause        func() time.Duration // of a daemon that does not watch, after it has taken a copy
 	// unreadable is called for each version of a runner's entry that can't be read.
 	unreadable func()
 	wg         sync.WaitGroup
@@ -114,6 +115,10 @@
 // Others take what has changed from those that do.
 func WithActive(fn func() bool) Option { return func(w *Watcher) { w.active = fn } }
 
+// WithPause sets how long a daemon that does not watch waits after a copy of the runners
+// before it takes the next one: runners that change in that time cost one copy.
+func WithPause(fn func() time.Duration) Option { return func(w *Watcher) { w.pause = fn } }
+
 // WithSettings keeps a replica of the operators' settings tree in step, too.
 func WithSettings(r *tree.Replica) Option {
 	return func(w *Watcher) {
@@ -165,7 +170,7 @@
 func New(store core.Platform, reader Reader, neighbour Neighbour, c *catalog.Catalog, clock core.Clock, log *zap.Logger, opts ...Option) *Watcher {
 	w := &Watcher{
 		store: store, reader: reader, neighbour: neighbour, catalog: c, clock: clock, log: log, kinds: map[string]*kindState{}, unread: map[string]uint64{}, unreadable: func() {},
-		active: func() bool { return true }, changed: func(string) {}, first: func(time.Duration) bool { return true },
+		active: func() bool { return true }, changed: func(string) {}, first: func(time.Duration) bool { return true }, pause: func() time.Duration { return settle },
 	}
 	for _, kind := range []string{reader.ConfigKind, reader.RunnerKind} {
 		w.addKind(kind)
@@ -214,11 +219,9 @@
 		k.close(e.Object.Version)
 	}
 	w.mu.Unlock()
-	if e.Object.Name == "" {
-		return
+	if e.Object.Name != "" {
+		w.take(kind, e, w.healthyFor(kind))
 	}
-	w.take(kind, e, w.healthyFor(kind))
-	w.changed(kind)
 }
 
 // take hands one change on. healthy is how long the store had not failed for the
@@ -259,6 +262,10 @@
 			changed = true
 			return
 		}
+		if changed {
+			// Once for each answer: one of a release tells of fifty runners.
+			w.changed(kind)
+		}
 		if !w.active() {
 			follows = true
 			cancel()
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -79,6 +79,8 @@
 	DaemonSilent = "daemon silent"
 	// DaemonHeard: a silent daemon is heard again.
 	DaemonHeard = "daemon heard again"
+	// HubChanged: this daemon begins or ends to act as the hub of its group of daemons.
+	HubChanged = "hub"
 	// DaemonsNotFound: the store could not be asked for the other daemons.
 	DaemonsNotFound = "daemons not found"
 	// DaemonUnreadable: another daemon's object could not be read.
--- a/services/fleet/duties.go
+++ b/services/fleet/duties.go
@@ -5,14 +5,19 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"primroseward/coordination/peers"
 	"primroseward/platform"
 )
 
 // precedes says whether another daemon comes before this one where a few of all do
-// something. All daemons agree on the order; it goes by a hash, as names that sort
-// together are of one place.
-func (d *Daemon) precedes(name string) bool {
-	return xxhash.Sum64String(name) < xxhash.Sum64String(d.set.Name)
+// something. All daemons agree on the order: those that may use more of a processor come
+// first, as the duties are to watch the store and to plan for all runners; the others
+// go by a hash, as names that sort together are of one place.
+func (d *Daemon) precedes(p peers.Acquaintance) bool {
+	if p.Cores != d.set.Limits.Cores {
+		return p.Cores > d.set.Limits.Cores
+	}
+	return xxhash.Sum64String(p.Name) < xxhash.Sum64String(d.set.Name)
 }
 
 // watches says whether this daemon is one of the few that watch the store. All
@@ -26,12 +31,18 @@
 	if large {
 		most = placeWatchers
 	}
+	since := d.clock.Since(d.started)
+	starting := since < d.patience()
+	if !d.peers.Found() && since < findPatience {
+		return false // others may be there
+	}
 	before := 0
-	for _, p := range d.peers.Alive()[1:] {
-		if large && p.Place != d.set.Place {
+	for _, p := range d.peers.Known() {
+		if large && p.Place != d.set.Place || !d.precedes(p) {
 			continue
 		}
-		if !p.Leaving && (failing || !p.Failing) && p.Ready && d.precedes(p.Name) {
+		able := p.Alive && !p.Leaving && (failing || !p.Failing) && p.Ready
+		if able || starting && !p.Alive {
 			before++
 		}
 	}
@@ -45,22 +56,37 @@
 	if _, ok := d.nearest(); ok {
 		return since > copyPatience
 	}
-	names, found := d.peers.Known()
-	if !found {
+	if !d.peers.Found() {
 		return since > findPatience
 	}
-	if since > startPatience {
+	if since > d.patience() {
 		return true
 	}
-	before := 0
-	for _, name := range names {
-		if d.precedes(name) {
+	large, before := d.peers.Large(), 0
+	for _, p := range d.peers.Known() {
+		if (!large || p.Place == d.set.Place) && d.precedes(p) {
 			before++
 		}
 	}
 	return before < startReaders
 }
 
+// patience is how long this daemon leaves the store to others when it starts.
+func (d *Daemon) patience() time.Duration {
+	if d.peers.Large() {
+		return largePatience
+	}
+	return startPatience
+}
+
+// copyPause is how long a daemon that does not watch waits between two copies.
+func (d *Daemon) copyPause() time.Duration {
+	if d.peers.Large() {
+		return largeCopyPause
+	}
+	return smallCopyPause
+}
+
 // changed tells the others of a change at once. In a large fleet each place has a
 // daemon that watches the runners for it.
 func (d *Daemon) changed(kind string) {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,15 +53,25 @@
 	placeWatchers = 1
 	// Patience of a daemon that starts, before it reads the store itself: with one
 	// that is ready to give its copy, which 70 may ask for at the same time; with
-	// those that the store lists, which are ready some 100 ms after their start;
-	// and with the store's list of daemons, which takes some 10 ms.
+	// those that the store lists, which are ready some 100 ms after their start, in a
+	// large fleet, on VMs with a fifth of a core, 800 ms; and with the store's list
+	// of daemons. Where patience ended sooner all of 295 read the store, 15 calls each.
 	copyPatience  = 2 * time.Second
 	startPatience = 400 * time.Millisecond
-	findPatience  = 300 * time.Millisecond
-	// startReaders is how many daemons read the store at once when many start.
-	// Those that the store lists may be gone for good: with one, all waited for the
-	// patience to end, a second without service after each kill of all.
+	largePatience = 1200 * time.Millisecond
+	findPatience  = time.Second
+	// startReaders is how many daemons read the store at once when many start, in
+	// a large fleet in each place, so that its others find a copy near by. Those that
+	// the store lists may be gone for good: with one, all waited for the patience to
+	// end, a second without service after each kill of all.
 	startReaders = 3
+	// smallCopyPause and largeCopyPause are how long a daemon that does not watch the
+	// store waits between two copies of the runners. Among hundreds of runners some
+	// change all the time; with the pause of a small fleet each of 295 daemons took 4.4
+	// copies a second. A runner that leaves must get no more work after two seconds,
+	// three in large fleets: a copy is at most half of that old.
+	smallCopyPause = 200 * time.Millisecond
+	largeCopyPause = 600 * time.Millisecond
 	// giveBack is the time to give the lease back and to take the daemon's
 	// object out of the store when stopping.
 	giveBack = 300 * time.Millisecond
@@ -96,6 +107,7 @@
 	placer     *placement.Client
 	dispatcher *dispatch.Dispatcher
 	front      *front.Front
+	started    time.Time
 	leaving    atomic.Bool
 	bounds     atomic.Pointer[setting.Fleet] // as last read
 
@@ -114,6 +126,7 @@
 		calls: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	d.bounds.Store(set.Fleet)
+	d.started = d.clock.Now()
 	var err error
 	if d.traces, err = observe.StartTraces(set); err != nil {
 		return nil, eris.Wrap(err, "traces")
@@ -143,13 +156,13 @@
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
 	}, d.neighbour, d.catalog, d.clock, d.log, watch.WithSettings(d.settings),
-		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed),
+		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.copyPause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
-		Boot: uint64(d.clock.Now().UnixNano()),
+		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
 	}
-	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.Own, d.heard)
+	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.Own, d.heard, peers.WithNews(d.news), peers.WithCount(d.countDatagram))
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.Window), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log, lease.WithCandidate(d.watches))
@@ -171,7 +184,7 @@
 // slack is this daemon's part of the repeats that all daemons may make beyond
 // their share of requests.
 func (d *Daemon) slack() float64 {
-	return d.bounds.Load().Slack * budgetShare / 100 / float64(len(d.peers.Alive()))
+	return d.bounds.Load().Slack * budgetShare / 100 / float64(d.peers.Count())
 }
 
 func (d *Daemon) gone(r core.Runner) {
@@ -257,7 +270,7 @@
 }
 
 // serving is the number of daemons that share the callers.
-func (d *Daemon) serving() int { return len(d.peers.Alive()) }
+func (d *Daemon) serving() int { return d.peers.Count() }
 
 // Start begins to serve.
 func (d *Daemon) Start() {
@@ -269,16 +282,35 @@
 	d.log.Info(logs.Started, zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
-// heard takes in what another daemon tells of itself.
-func (d *Daemon) heard(from peers.Peer, counts map[string]int) {
+// heard takes in what another daemon tells of itself, or the loads of all others.
+func (d *Daemon) heard(from peers.Peer, counts map[core.Code]int) {
 	if counts != nil {
 		d.loads.Heard(from.Name, counts)
 	}
+	if from.Name == load.Others {
+		return
+	}
 	d.loads.HeardDown(from.Down)
 	d.watcher.Hint(from.Name, from.Place == d.set.Place, from.Knows)
 	d.watcher.Confirm(from.Knows.Settings, from.Confirmed)
 }
 
+// news takes in what a hub tells of its group.
+func (d *Daemon) news(n peers.News) {
+	d.loads.HeardDown(n.Down)
+	if n.Source != "" && n.Source != d.set.Name {
+		d.watcher.Hint(n.Source, n.Place == d.set.Place, n.Knows)
+	}
+	d.watcher.Confirm(n.Knows.Settings, n.Confirmed)
+}
+
+// countDatagram counts what this daemon tells others, by what it is for.
+func (d *Daemon) countDatagram(kind string, near bool, bytes int) {
+	s := d.scope.Tagged(map[string]string{"kind": kind, "near": strconv.FormatBool(near)})
+	s.Counter("peer_datagrams").Inc(1)
+	s.Counter("peer_bytes").Inc(int64(bytes))
+}
+
 // Reload takes in what may change while the daemon runs: how long callers keep
 // addresses, and the budget of repeats. Addresses, names and places need a
 // restart.
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -75,6 +75,7 @@
 	Body     core.Bytes    `json:"body"`
 	Sender   core.Duration `json:"sender"`   // longest time for a request's body
 	Platform float64       `json:"platform"` // calls per second
+	Cores    float64       `json:"cores"`    // of a processor that the daemon may use; 0: not known
 }
 
 // Setting is a checked File.
@@ -196,4 +197,7 @@
 	if s.Limits.Header < 1e3 || s.Limits.Body <= 0 || s.Limits.Sender <= 0 || s.Limits.Platform <= 0 {
 		c.add("limits", "header must be 1KB or more, the others above zero")
 	}
+	if s.Limits.Cores < 0 {
+		c.add("limits.cores", "must not be below zero")
+	}
 }
