--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -70,11 +70,11 @@
 func (j *job) roomElsewhere() bool {
 	ask := j.ask()
 	for _, e := range j.d.catalog.Runners(j.service) {
-		if !j.hasModel(e) || e.HoldsAdapter(j.q.Model, j.q.Adapter) || j.d.loads.Down(e.ID) {
+		if !j.hasModel(e) || e.HoldsAdapter(j.q.Model, j.q.Adapter) {
 			continue
 		}
-		requests, _ := j.d.loads.Requests(e.ID)
-		if c := (policy.Candidate{Slots: e.Slots, Requests: requests}); !c.Full(ask) {
+		v := j.d.loads.View(e.ID)
+		if c := (policy.Candidate{Slots: e.Slots, Requests: v.Requests}); !v.Down && !c.Full(ask) {
 			return true
 		}
 	}
@@ -135,12 +135,12 @@
 		if !j.mayServe(e) {
 			continue
 		}
-		requests, penalty := j.d.loads.Requests(e.ID)
+		v := j.d.loads.View(e.ID)
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
-			ID: e.ID, Slots: e.Slots, Requests: requests, Penalty: penalty,
+			ID: e.ID, Slots: e.Slots, Requests: v.Requests, Penalty: v.Penalty,
 			SamePlace: e.Place == j.d.place, Leaving: e.Leaves > 0 && e.Leaves < leaveMargin,
-			Wait: j.d.pace.Wait(now, e.ID), Down: j.d.loads.Down(e.ID),
+			Wait: j.d.pace.Wait(now, e.ID), Down: v.Down,
 		})
 	}
 	return holders, out
--- a/coordination/dispatch/restart_test.go
+++ b/coordination/dispatch/restart_test.go
@@ -50,7 +50,7 @@
 			} else {
 				assert.Assert(t, err != nil && !errors.Is(err, core.ErrNotSent), "%v", err)
 			}
-			_, penalty := d.loads.Requests(f.runs[0])
+			penalty := d.loads.View(f.runs[0]).Penalty
 			assert.Equal(t, penalty, 0.0)
 			assert.Equal(t, len(d.sent.by), 0)
 		})
--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -255,15 +255,22 @@
 	t.peers[daemon] = peer{at: t.clock.Now(), counts: maps.Clone(counts)}
 }
 
-// Requests returns the requests in progress at a runner, and its penalty. The
-// higher of two estimates counts: what all daemons have told, and what the
-// runner has told with what this daemon has sent since.
-func (t *Table) Requests(runner string) (int, float64) {
+// View is what is known of a runner's load.
+type View struct {
+	Requests int     // in progress, from all daemons
+	Penalty  float64 // for attempts that failed lately, in parts of its slots
+	Down     bool    // has refused a connection lately, see Table.Down
+}
+
+// View returns what is known of a runner. Of two estimates of its requests the higher
+// counts: what all daemons have told, and what the runner has told with what this
+// daemon has sent since.
+func (t *Table) View(runner string) View {
+	code := core.CodeOf(runner)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	sum := t.ownOf(runner)
-	code := core.CodeOf(runner)
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerMemory {
 			sum += p.counts[code]
@@ -272,5 +279,5 @@
 	if s, ok := t.said[runner]; ok && now.Sub(s.at) < reportMemory {
 		sum = max(sum, s.load.Running+s.load.Waiting+t.ownOf(runner)-s.own)
 	}
-	return sum, t.fails[runner].left(now)
+	return View{Requests: sum, Penalty: t.fails[runner].left(now), Down: t.isDown(runner, now)}
 }
--- a/coordination/load/load_test.go
+++ b/coordination/load/load_test.go
@@ -17,8 +17,7 @@
 	clock := clockwork.NewFakeClock()
 	l := New(clock)
 	requests := func() int {
-		n, _ := l.Requests("r")
-		return n
+		return l.View("r").Requests
 	}
 	ends := []func(){l.Begin("r"), l.Begin("r")}
 	assert.Equal(t, requests(), 2)
@@ -44,8 +43,7 @@
 	clock := clockwork.NewFakeClock()
 	l := New(clock)
 	penalty := func() float64 {
-		_, p := l.Requests("r")
-		return p
+		return l.View("r").Penalty
 	}
 	for range 20 {
 		l.Failed("r")
@@ -71,15 +69,15 @@
 func TestRestart(t *testing.T) {
 	l := New(clockwork.NewFakeClock())
 	requests := func() int {
-		n, _ := l.Requests("r")
-		return n
+		return l.View("r").Requests
 	}
 	former := l.Begin("r")
 	l.Heard("d2", map[core.Code]int{core.CodeOf("r"): 3})
 	l.Said("r", core.Load{Running: 9, Slots: 8})
 	l.Failed("r")
 	l.Restarted("r")
-	n, penalty := l.Requests("r")
+	v := l.View("r")
+	n, penalty := v.Requests, v.Penalty
 	assert.Equal(t, n, 0)
 	assert.Equal(t, penalty, 0.0)
 	next := l.Begin("r")
--- a/coordination/peers/fleet.go
+++ b/coordination/peers/fleet.go
@@ -193,6 +193,12 @@
 		p.refresh(now)
 		others = p.roster.Others()
 	}
+	if p.roster.HasUnknown(now) {
+		select {
+		case p.strangers <- struct{}{}:
+		default: // they are being asked for
+		}
+	}
 	news := p.news(told)
 	p.mu.Unlock()
 	switch {
@@ -246,9 +252,13 @@
 // runNames asks hubs for the daemons that they name and that are not known here.
 func (p *Peers) runNames(ctx context.Context) {
 	defer p.wg.Done()
-	for ctx.Err() == nil {
-		if !p.askNames(ctx) {
-			core.Sleep(ctx, p.clock, nearEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.strangers:
+		}
+		for p.askNames(ctx) {
 		}
 	}
 }
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -113,7 +113,7 @@
 		if !ok || a.phase != p || !h.mayServe(one, w) {
 			continue
 		}
-		n, _ := h.loads.Requests(one.runner.ID)
+		n := h.loads.View(one.runner.ID).Requests
 		if w.Busy && p == present && n >= one.engine.Slots {
 			continue
 		}
@@ -183,7 +183,7 @@
 		if !ok || spec == nil || m.phase != present || !h.mayServe(one, w) || !one.synced || one.sending || one.inPhase(loading) >= maxComing {
 			continue
 		}
-		n, _ := h.loads.Requests(one.runner.ID)
+		n := h.loads.View(one.runner.ID).Requests
 		if _, has := one.adapters[adapterKey{w.Model, w.Adapter}]; has || w.Busy && n >= one.engine.Slots {
 			continue
 		}
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -26,7 +26,7 @@
 	var states []*policy.HostState
 	for _, one := range h.hosts {
 		if one.runner.Service == service {
-			requests, _ := h.loads.Requests(one.runner.ID)
+			requests := h.loads.View(one.runner.ID).Requests
 			s := one.state(requests, h.clock.Now())
 			if h.settings() != nil {
 				s.Allows = func(model string) bool { return h.allowed(service, model, s.Place) }
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	"primroseward/core"
 	rosterv1 "primroseward/protocol/rosterv1"
@@ -118,36 +117,6 @@
 	return out
 }
 
-// pack writes digests of parts and loads, each of one packet. The first part is the
-// sender's own, which each of them begins with, as it names the sender.
-func pack(fleet bool, parts []*rosterv1.Part, loads []*rosterv1.Loads) [][]byte {
-	own := proto.CloneOf(parts[0])
-	own.Members = nil
-	begin := func() *rosterv1.Digest { return &rosterv1.Digest{Fleet: fleet, Parts: []*rosterv1.Part{own}} }
-	digests := []*rosterv1.Digest{{Fleet: fleet, Parts: parts[:1]}}
-	for _, one := range parts[1:] {
-		last := digests[len(digests)-1]
-		if proto.Size(last)+proto.Size(one) > maxPacket {
-			last = begin()
-			digests = append(digests, last)
-		}
-		last.Parts = append(last.Parts, one)
-	}
-	for _, one := range loads {
-		last := digests[len(digests)-1]
-		if last.Loads != nil || proto.Size(last)+proto.Size(one) > maxPacket {
-			last = begin()
-			digests = append(digests, last)
-		}
-		last.Loads = one
-	}
-	out := make([][]byte, len(digests))
-	for i, one := range digests {
-		out[i] = write(&rosterv1.Datagram{Kind: &rosterv1.Datagram_Digest{Digest: one}})
-	}
-	return out
-}
-
 // gather sums up the reports of this group, as a part of its own.
 func (r *Roster) gather(now time.Time) *part {
 	was := r.parts[r.self]
@@ -271,110 +240,3 @@
 	out.Members = m
 	return out
 }
-
-// write encodes a datagram. All of its parts can be written.
-func write(d *rosterv1.Datagram) []byte {
-	data, err := proto.Marshal(d)
-	if err != nil {
-		panic(err) // only strings that are no UTF-8 can't be written; names are checked at the start
-	}
-	return data
-}
-
-func flagsOf(s *Status) rosterv1.Flag {
-	var f rosterv1.Flag
-	for _, one := range []struct {
-		set  bool
-		flag rosterv1.Flag
-	}{
-		{s.Ready, rosterv1.Flag_FLAG_READY}, {s.Failing, rosterv1.Flag_FLAG_FAILING},
-		{s.Leaving, rosterv1.Flag_FLAG_LEAVING}, {s.Fresh, rosterv1.Flag_FLAG_FRESH},
-	} {
-		if one.set {
-			f |= one.flag
-		}
-	}
-	return f
-}
-
-func changesTo(c core.Changes) *rosterv1.Changes {
-	return &rosterv1.Changes{Config: c.Config, Runners: c.Runners, Settings: c.Settings}
-}
-
-func changesFrom(c *rosterv1.Changes) core.Changes {
-	return core.Changes{Config: c.GetConfig(), Runners: c.GetRunners(), Settings: c.GetSettings()}
-}
-
-// millis is a time on the wire; one below zero stays so.
-func millis(d time.Duration) int64 {
-	if d < 0 {
-		return -1
-	}
-	return d.Milliseconds()
-}
-
-func codesTo(codes []core.Code) []uint32 {
-	out := make([]uint32, len(codes))
-	for i, c := range codes {
-		out[i] = uint32(c)
-	}
-	return out
-}
-
-func codesFrom(codes []uint32) []core.Code {
-	out := make([]core.Code, len(codes))
-	for i, c := range codes {
-		out[i] = core.Code(c)
-	}
-	return out
-}
-
-func loadsTo(loads map[core.Code]int) *rosterv1.Loads {
-	out := &rosterv1.Loads{}
-	for runner, n := range loads {
-		if n > 0 {
-			out.Runners = append(out.Runners, uint32(runner))
-			out.Requests = append(out.Requests, uint32(n))
-		}
-	}
-	return out
-}
-
-// chunksOf writes loads in chunks that fit into packets.
-func chunksOf(loads map[core.Code]int) []*rosterv1.Loads {
-	chunks := max(1, (len(loads)+maxChunk-1)/maxChunk)
-	out := make([]*rosterv1.Loads, chunks)
-	for i := range out {
-		out[i] = &rosterv1.Loads{Chunk: uint32(i), Chunks: uint32(chunks)}
-	}
-	for runner, n := range loads {
-		if one := out[int(runner)%chunks]; n > 0 {
-			one.Runners = append(one.Runners, uint32(runner))
-			one.Requests = append(one.Requests, uint32(n))
-		}
-	}
-	return out
-}
-
-// merge puts a chunk in place of what was told before of its runners.
-func merge(loads map[core.Code]int, l *rosterv1.Loads) map[core.Code]int {
-	chunks := max(1, l.GetChunks())
-	out := make(map[core.Code]int, len(loads)+len(l.GetRunners()))
-	for runner, n := range loads {
-		if uint32(runner)%chunks != l.GetChunk() {
-			out[runner] = n
-		}
-	}
-	maps.Copy(out, loadsFrom(l))
-	return out
-}
-
-func loadsFrom(l *rosterv1.Loads) map[core.Code]int {
-	out := make(map[core.Code]int, len(l.GetRunners()))
-	for i, runner := range l.GetRunners() {
-		if i < len(l.GetRequests()) {
-			out[core.Code(runner)] = int(l.GetRequests()[i])
-		}
-	}
-	return out
-}
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -102,7 +102,7 @@
 }
 
 func (r runners) status(e *catalog.Entry, holder string) service.RunnerStatus {
-	requests, _ := r.d.loads.Requests(e.ID)
+	requests := r.d.loads.View(e.ID).Requests
 	out := service.RunnerStatus{Runner: e.ID, Place: e.Place, Owner: holder, Slots: e.Slots, Running: requests, Leaving: e.Draining}
 	config := r.d.catalog.Config()
 	if config == nil || config.Services[e.Service] == nil || config.Services[e.Service].Engine == nil {
--- a/services/fleet/duties.go
+++ b/services/fleet/duties.go
@@ -79,12 +79,12 @@
 	return startPatience
 }
 
-// copyPause is how long a daemon that does not watch waits between two copies.
-func (d *Daemon) copyPause() time.Duration {
+// pause is how long this daemon waits for more changes of the runners.
+func (d *Daemon) pause() time.Duration {
 	if d.peers.Large() {
-		return largeCopyPause
+		return largePause
 	}
-	return smallCopyPause
+	return smallPause
 }
 
 // changed tells the others of a change at once. In a large fleet each place has a
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -65,13 +65,14 @@
 	// the store lists may be gone for good: with one, all waited for the patience to
 	// end, a second without service after each kill of all.
 	startReaders = 3
-	// smallCopyPause and largeCopyPause are how long a daemon that does not watch the
-	// store waits between two copies of the runners. Among hundreds of runners some
-	// change all the time; with the pause of a small fleet each of 295 daemons took 4.4
-	// copies a second. A runner that leaves must get no more work after two seconds,
-	// three in large fleets: a copy is at most half of that old.
-	smallCopyPause = 200 * time.Millisecond
-	largeCopyPause = 600 * time.Millisecond
+	// smallPause and largePause are how long a daemon waits after changes of the runners
+	// before it watches on, or takes the next copy. Among hundreds of runners some change
+	// all the time: with the pause of a small fleet each of 295 daemons took 4.4 copies a
+	// second, and half of the calls of the store were watches. A runner that leaves must
+	// get no more work after two seconds, three in large fleets: both pauses together
+	// take one of them.
+	smallPause = 200 * time.Millisecond
+	largePause = 500 * time.Millisecond
 	// giveBack is the time to give the lease back and to take the daemon's
 	// object out of the store when stopping.
 	giveBack = 300 * time.Millisecond
@@ -156,7 +157,7 @@
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
 	}, d.neighbour, d.catalog, d.clock, d.log, watch.WithSettings(d.settings),
-		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.copyPause),
+		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.pause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
