Placement uses the weight store's rate where it is more than ten loads a second

Now as many as the rate brings in 0.3 s may begin at once, at least two as before: nothing changes up to 6.7 a second. Over five seconds that is 31.8 loads for each five of the rate, of 33 that are allowed.

--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -52,10 +52,14 @@
 	// list while nothing is asked for. Of 12 to 18 runners that start together each is
 	// listed within half a second of another, over two seconds; a heartbeat takes 1.2 s.
 	settleFor = 1500 * time.Millisecond
-	// loadBurst is how many loads from the weight store may begin at once. Three
-	// more than the rate are allowed in a few seconds; one is left for a load
-	// that turns out to come from the store.
+	// loadBurst is how many loads from the weight store may begin at once, where its
+	// rate brings no more between two plans. Three more than the rate are allowed in a
+	// few seconds; one is left for a load that turns out to come from the store.
 	loadBurst = 2
+	// burstFor is the time whose loads by the weight store's rate may begin at once: a
+	// plan and half of the next one. A store that takes 30 a second would otherwise get
+	// ten, two in each plan.
+	burstFor = 300 * time.Millisecond
 	// termStart is how long a new holder waits for the daemons to tell what is
 	// asked for before it plans.
 	termStart = 600 * time.Millisecond
