Hubs tell each kind of change with a daemon that knows it

Cause, found by reading: a hub named one daemon as the source of all changes that its group knows. One with a newer configuration may lack the newest change of the runners; its place's daemons would ask it, find that it lacks the change, and read the store, fifty at once. TestEachChangeHasItsSource.

--- a/coordination/peers/fleet.go
+++ b/coordination/peers/fleet.go
@@ -34,11 +34,18 @@
 	namesResend = 200 * time.Millisecond
 )
 
+// Change is the last change of what daemons read from the store that a group knows: one of
+// its fields is set.
+type Change struct {
+	core.Changes
+	Source string // a daemon that knows it
+}
+
 // News is what the hub of a group of daemons tells of it.
 type News struct {
 	Place     string
-	Source    string // a daemon that knows the changes; empty if it is not known
-	Knows     core.Changes
+	Changes   []Change
+	Settings  uint64        // the last change of them that the group knows
 	Confirmed time.Duration // since the settings were known to be the newest; below 0: never
 	Down      []core.Code   // runners that have refused connections
 }
@@ -222,8 +229,19 @@
 func (p *Peers) news(told []roster.News) []News {
 	out := make([]News, 0, len(told))
 	for _, n := range told {
-		one := News{Place: n.Place, Knows: n.Knows, Confirmed: n.Confirmed, Down: n.Down}
-		one.Source = p.roster.Name(n.Source)
+		one := News{Place: n.Place, Settings: n.Knows.Settings, Confirmed: n.Confirmed, Down: n.Down}
+		for _, c := range []struct {
+			change core.Changes
+			source core.Code
+		}{
+			{core.Changes{Config: n.Knows.Config}, n.Sources.Config},
+			{core.Changes{Runners: n.Knows.Runners}, n.Sources.Runners},
+			{core.Changes{Settings: n.Knows.Settings}, n.Sources.Settings},
+		} {
+			if name := p.roster.Name(c.source); name != "" {
+				one.Changes = append(one.Changes, Change{c.change, name})
+			}
+		}
 		out = append(out, one)
 	}
 	return out
--- a/coordination/roster/codec.go
+++ b/coordination/roster/codec.go
@@ -75,6 +75,14 @@
 	return core.Changes{Config: c.GetConfig(), Runners: c.GetRunners(), Settings: c.GetSettings()}
 }
 
+func sourcesTo(s Sources) *rosterv1.Sources {
+	return &rosterv1.Sources{Config: uint32(s.Config), Runners: uint32(s.Runners), Settings: uint32(s.Settings)}
+}
+
+func sourcesFrom(s *rosterv1.Sources) Sources {
+	return Sources{Config: core.Code(s.GetConfig()), Runners: core.Code(s.GetRunners()), Settings: core.Code(s.GetSettings())}
+}
+
 // millis is a time on the wire; one below zero stays so.
 func millis(d time.Duration) int64 {
 	if d < 0 {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -123,12 +123,16 @@
 // News is what a hub has told of its group beyond its members' states.
 type News struct {
 	Place     string
-	Source    core.Code // a daemon that knows the changes
+	Sources   Sources
 	Knows     core.Changes
 	Confirmed time.Duration
 	Down      []core.Code
 }
 
+// Sources are daemons that know the last change of each kind, 0: none is told of. One that
+// has a newer configuration may lack a change of the runners.
+type Sources struct{ Config, Runners, Settings core.Code }
+
 type groupKey struct {
 	place string
 	index int
@@ -158,7 +162,7 @@
 	fresh     int    // digests that are still to carry the members
 	due       int    // digests that are still to carry the part, out of its turn
 	knows     core.Changes
-	source    core.Code
+	sources   Sources
 	confirmed time.Duration
 	down      []core.Code
 	claims    map[core.Code]claim
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -303,6 +303,22 @@
 	}
 }
 
+// One daemon knows a newer configuration and another a newer list of runners: each change
+// is told with the daemon that has it. Asked of the other one, all of a place would find
+// that it lacks the change, and read the store.
+func TestEachChangeHasItsSource(t *testing.T) {
+	s := fleetOf(10, 40, 1)
+	s.run(5 * time.Second)
+	a, b := s.order[3], s.order[4]
+	a.word.Knows = core.Changes{Config: 6, Runners: 9}
+	b.word.Knows = core.Changes{Config: 5, Runners: 10}
+	s.run(time.Second)
+	hub := s.hub(a)
+	got := hub.roster.parts[hub.code]
+	assert.Equal(t, got.knows, core.Changes{Config: 6, Runners: 10})
+	assert.Equal(t, got.sources, Sources{Config: a.code, Runners: b.code})
+}
+
 func TestUnreadableDatagrams(t *testing.T) {
 	r := New(time.Unix(1e9, 0), Daemon{Name: "a", Place: "north"})
 	for _, data := range [][]byte{{0xff, 1, 2}, {}, write(nil)} {
--- a/coordination/roster/take.go
+++ b/coordination/roster/take.go
@@ -179,7 +179,7 @@
 	}
 	was := p.version
 	knew := p.knows
-	p.at, p.version, p.knows, p.source = at, m.Version, changesFrom(m.Knows), core.Code(m.Source)
+	p.at, p.version, p.knows, p.sources = at, m.Version, changesFrom(m.Knows), sourcesFrom(m.Sources)
 	p.confirmed, p.down = time.Duration(m.Confirmed)*time.Millisecond, codesFrom(m.Down)
 	if m.Confirmed < 0 {
 		p.confirmed = -1
@@ -198,7 +198,7 @@
 	if changed {
 		p.due = repeats
 	}
-	return taken{News{Place: r.known[hub].Place, Source: p.source, Knows: p.knows, Confirmed: p.confirmed, Down: p.down}, true, changed}
+	return taken{News{Place: r.known[hub].Place, Sources: p.sources, Knows: p.knows, Confirmed: p.confirmed, Down: p.down}, true, changed}
 }
 
 // membersFrom reads a list of members.
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -140,12 +140,7 @@
 	words[r.self] = &r.word
 	down := map[core.Code]bool{}
 	for code, w := range words {
-		if w.Knows.Runners > p.knows.Runners || w.Knows.Config > p.knows.Config || p.source == 0 {
-			p.source = code
-		}
-		p.knows.Config = max(p.knows.Config, w.Knows.Config)
-		p.knows.Runners = max(p.knows.Runners, w.Knows.Runners)
-		p.knows.Settings = max(p.knows.Settings, w.Knows.Settings)
+		p.learn(code, w.Knows)
 		for _, runner := range w.Down {
 			down[runner] = true
 		}
@@ -172,6 +167,23 @@
 	return p
 }
 
+// learn takes in the changes that a daemon of the group knows.
+func (p *part) learn(code core.Code, knows core.Changes) {
+	for _, one := range []struct {
+		is     uint64
+		newest *uint64
+		source *core.Code
+	}{
+		{knows.Config, &p.knows.Config, &p.sources.Config},
+		{knows.Runners, &p.knows.Runners, &p.sources.Runners},
+		{knows.Settings, &p.knows.Settings, &p.sources.Settings},
+	} {
+		if one.is > *one.newest {
+			*one.newest, *one.source = one.is, code
+		}
+	}
+}
+
 // versionOf is equal for equal members.
 func versionOf(members map[core.Code]member) uint64 {
 	h := xxhash.New()
@@ -221,7 +233,7 @@
 	}
 	age := now.Sub(p.at)
 	out := &rosterv1.Part{
-		Hub: k.Name, Age: uint32(age.Milliseconds()), Version: p.version, Knows: changesTo(p.knows), Source: uint32(p.source),
+		Hub: k.Name, Age: uint32(age.Milliseconds()), Version: p.version, Knows: changesTo(p.knows), Sources: sourcesTo(p.sources),
 		Confirmed: millis(p.confirmed), Down: codesTo(p.down),
 	}
 	for code, c := range p.claims {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -298,10 +298,12 @@
 // news takes in what a hub tells of its group.
 func (d *Daemon) news(n peers.News) {
 	d.loads.HeardDown(n.Down)
-	if n.Source != "" && n.Source != d.set.Name {
-		d.watcher.Hint(n.Source, n.Place == d.set.Place, n.Knows)
+	for _, c := range n.Changes {
+		if c.Source != d.set.Name {
+			d.watcher.Hint(c.Source, n.Place == d.set.Place, c.Changes)
+		}
 	}
-	d.watcher.Confirm(n.Knows.Settings, n.Confirmed)
+	d.watcher.Confirm(n.Settings, n.Confirmed)
 }
 
 // countDatagram counts what this daemon tells others, by what it is for.
