--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -103,18 +103,14 @@
 
 // ask is what the request asks of its runner.
 func (j *job) ask() policy.Ask {
-	a := policy.Ask{Spread: policy.Spread(j.d.daemons())}
 	spec := j.spec()
 	if spec == nil || spec.Engine == nil {
-		return a
+		return policy.Ask{}
 	}
-	a.Engine = true
 	if spec.Ranked && j.route.Priority == spec.Urgent {
-		a.Queue = policy.UrgentQueue()
-	} else {
-		a.Queue = policy.Queue(j.route.Target, j.d.pace.Length(j.service))
+		return policy.Ask{Engine: true, Queue: policy.UrgentQueue()}
 	}
-	return a
+	return policy.Ask{Engine: true, Queue: policy.Queue(j.route.Target, j.d.pace.Length(j.service))}
 }
 
 // engine says whether the request goes to runners of models.
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -41,9 +41,6 @@
 	// Queue is how many requests may be in line for a slot of the runner ahead of
 	// it, in parts of the slots.
 	Queue float64
-	// Spread is how far the costs of runners may lie apart to be drawn from, in parts of
-	// a runner's slots.
-	Spread float64
 }
 
 // Queue is the line that a request of a target can be in and still be in time, in parts
@@ -63,28 +60,6 @@
 // at once also by a full runner, which puts off its least urgent request for each.
 func UrgentQueue() float64 { return maxQueue }
 
-const (
-	// directDaemons is how many daemons tell each other their loads at once, as each
-	// request begins and ends; more than that know them by sums that are half a second
-	// old.
-	directDaemons = 16
-	// largeSpread is the Spread of a large fleet. Its daemons choose by the same list for
-	// half a second, in which they send more requests than a runner has slots: to the one
-	// that was the least busy. Of 85 daemons at six runners of 32 slots, 90 requests a
-	// second of 1.5 s each, 9 in 100 find all slots taken with no spread, 5 with 0.6, one
-	// in a thousand with 1.5 (TestDaemonsDoNotAllChooseAlike).
-	largeSpread = 1.5
-)
-
-// Spread is how far the costs of runners may lie apart for as many daemons that send to
-// them.
-func Spread(daemons int) float64 {
-	if daemons <= directDaemons {
-		return 0
-	}
-	return largeSpread
-}
-
 // Candidate is a runner that may serve a request, as seen by one daemon.
 type Candidate struct {
 	ID        string
@@ -123,8 +98,8 @@
 	return float64(c.Requests) >= over*float64(max(1, c.Slots))
 }
 
-// Choose returns the index of the best candidate that has room, or -1. Those that cost
-// about the same are drawn, so that daemons that know the same do not all choose alike.
+// Choose returns the index of the best candidate that has room, or -1. Equal
+// ones are drawn, so that daemons that know the same do not all choose alike.
 func Choose(candidates []Candidate, a Ask) int {
 	best, least, ties := -1, 0.0, 0
 	for i := range candidates {
@@ -132,7 +107,7 @@
 		if c.Full(a) {
 			continue
 		}
-		cost := c.cost() + a.Spread*rand.Float64()
+		cost := c.cost()
 		switch {
 		case best < 0 || cost < least:
 			best, least, ties = i, cost, 1
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -192,7 +192,7 @@
 	told    map[core.Code]int // loads of the last report
 	reports map[core.Code]*report
 	parts   map[core.Code]*part     // by hub; this one's while it acts
-	total   map[core.Code]int       // loads of the fleet as last told
+	total   map[core.Code]int       // loads of the place as last told
 	unknown map[core.Code]core.Code // hubs that are not known, and the hub that named them
 	turn    int
 	urgent  time.Time // of the last digest out of turn
@@ -283,7 +283,7 @@
 	return !ok || k.Tag != m.tag && code != r.self
 }
 
-// Others are the requests in progress at each runner from all other daemons.
+// Others are the requests in progress at each runner from the other daemons of the place.
 func (r *Roster) Others() map[core.Code]int {
 	out := make(map[core.Code]int, len(r.total))
 	for code, n := range r.total {
--- a/coordination/roster/sim_test.go
+++ b/coordination/roster/sim_test.go
@@ -206,6 +206,17 @@
 	return n
 }
 
+// neighbours is how many other daemons of a daemon's place live.
+func (s *sim) neighbours(of *node) int {
+	n := 0
+	for _, one := range s.order {
+		if one.up && one != of && one.Place == of.Place {
+			n++
+		}
+	}
+	return n
+}
+
 // hub returns the daemon that acts as hub of another one's group.
 func (s *sim) hub(of *node) *node {
 	for _, code := range of.roster.mine() {
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -39,7 +39,7 @@
 	}
 	own := r.gather(now)
 	if r.complete(now) {
-		r.total = r.fleetLoads(now)
+		r.total = r.placeLoads(now)
 	}
 	r.told = r.word.Loads
 	return append(r.toHubs(now, own, turn), r.toGroup(now, turn)...)
@@ -48,7 +48,8 @@
 // toHubs tells the hubs of the other groups of this one.
 func (r *Roster) toHubs(now time.Time, own *part, turn int) []Message {
 	full := own.fresh > 0 || turn%lonelyTurns == 0
-	packets := pack(false, []*rosterv1.Part{r.write(now, own, full)}, inTurn(chunksOf(own.loads), turn/farTurns, hubChunks))
+	parts := []*rosterv1.Part{r.write(now, own, full)}
+	near, far := pack(false, parts, inTurn(chunksOf(own.loads), turn, hubChunks)), pack(false, parts, nil)
 	var out []Message
 	for key, codes := range r.allGroups() {
 		if key == r.own || key.place != r.own.place && turn%farTurns != 0 {
@@ -61,6 +62,10 @@
 		if len(to) == 0 {
 			to = r.search(codes)
 		}
+		packets := far
+		if key.place == r.own.place {
+			packets = near
+		}
 		for _, code := range to {
 			out = appendTo(out, code, packets)
 		}
@@ -197,11 +202,11 @@
 	return h.Sum64()
 }
 
-// fleetLoads sums up the loads of all groups.
-func (r *Roster) fleetLoads(now time.Time) map[core.Code]int {
+// placeLoads sums up the loads of the place's groups.
+func (r *Roster) placeLoads(now time.Time) map[core.Code]int {
 	out := map[core.Code]int{}
 	for _, p := range r.parts {
-		if now.Sub(p.loadsAt) >= loadLife {
+		if !r.near(p) || now.Sub(p.loadsAt) >= loadLife {
 			continue
 		}
 		for runner, n := range p.loads {
@@ -211,14 +216,20 @@
 	return out
 }
 
-// complete says whether the sum of loads is that of all groups. One that has just begun
-// to act has not heard from all hubs: its sum would make runners seem idle.
+// near says whether a part is of this daemon's place.
+func (r *Roster) near(p *part) bool {
+	k, ok := r.known[p.hub]
+	return ok && k.Place == r.own.place
+}
+
+// complete says whether the sum of loads is that of all groups of the place. A hub that
+// has just begun to act has not heard from all: its sum would make runners seem idle.
 func (r *Roster) complete(now time.Time) bool {
 	if now.Sub(r.acting) >= loadLife {
 		return true
 	}
 	for _, p := range r.parts {
-		if p.loadsAt.IsZero() {
+		if r.near(p) && p.loadsAt.IsZero() {
 			return false
 		}
 	}
