--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -30,7 +30,7 @@
 	toldMemory = time.Second
 )
 
-// Others is what stands for all other daemons of a large fleet in Heard.
+// Others stands in Heard for the other daemons of this place of a large fleet.
 const Others = ""
 
 // Table holds the loads.
@@ -248,7 +248,7 @@
 }
 
 // Heard takes in another daemon's counts, or under the name of Others the sum of what
-// the daemons of a large fleet have told.
+// the daemons of the place have told.
 func (t *Table) Heard(daemon string, counts map[core.Code]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -121,8 +121,8 @@
 }
 
 // New makes a Peers that tells loads to others and reports theirs to heard.
-// The daemons' objects have the given kind. In a large fleet the loads of all others are
-// reported at once, as those of the Peer without a name.
+// The daemons' objects have the given kind. In a large fleet heard gets the sum of the
+// loads of the place's other daemons, as those of a Peer without a name.
 func New(self Peer, kind string, store core.Platform, conn *net.UDPConn, clock core.Clock, log *zap.Logger, loads func() map[core.Code]int, heard func(Peer, map[core.Code]int), opts ...Option) *Peers {
 	p := &Peers{
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -282,7 +282,7 @@
 	d.log.Info(logs.Started, zap.String("place", d.set.Place), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
-// heard takes in what another daemon tells of itself, or the loads of all others.
+// heard takes in what another daemon tells of itself, or the loads of the place's others.
 func (d *Daemon) heard(from peers.Peer, counts map[core.Code]int) {
 	if counts != nil {
 		d.loads.Heard(from.Name, counts)
