--- a/coordination/roster/group.go
+++ b/coordination/roster/group.go
@@ -83,9 +83,9 @@
 	return true
 }
 
-// hubs are the daemons that this one reports to: the group's hub and the one that comes
-// after it, beside the hub itself. One that has not been heard is still told now and then, as it may just have
-// started and know nobody.
+// hubs are the daemons that this one reports to: the group's hub, which is returned by
+// itself as well, and the one that comes after it. One before them that lives but has not
+// been heard is told now and then, as it may just have started and know nobody.
 func (r *Roster) hubs(now time.Time) (hub core.Code, out []core.Code) {
 	found := false
 	for _, code := range r.mine() {
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -81,8 +81,8 @@
 	var parts []*rosterv1.Part
 	for i, hub := range hubs {
 		p := r.parts[hub]
-		inTurn := (i+turn*partsPerTurn)%len(hubs) < partsPerTurn
-		if i > 0 && p.due == 0 && !inTurn {
+		itsTurn := (i+turn*partsPerTurn)%len(hubs) < partsPerTurn
+		if i > 0 && p.due == 0 && !itsTurn {
 			continue
 		}
 		full := p.fresh > 0 || turn%len(hubs) == i
