Peers and roster: one writer of messages, of loads and of flags; strangers found in one place

Cause, found by reading the whole change: messages between daemons were written and their failure logged in six places (answer, post, TellAll, pass, Tell, askWho), a message for many was written once for each of them; the loads of a report and of a digest had a writer each; the flags of a state were read in two places; Unknown and HasUnknown went through the members each in its own way.

Now marshal, encode and postAll (written once, sent to all), split for loads, statusOf beside flagsOf, and strangers. Behaviour, bounds and tests stay as they are; a report says that its loads are one chunk, where it left the number out, which nobody reads.

--- a/coordination/peers/ask.go
+++ b/coordination/peers/ask.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,23 +38,42 @@
 		if number == 0 {
 			return
 		}
-		body, err := json.Marshal(v)
-		if err != nil {
-			p.log.Error(logs.MessageUnwritten, logs.Err(err))
-			return
+		if body := p.marshal(v); body != nil {
+			p.post(from, kindAnswer, datagram{Number: number, Body: body})
 		}
-		p.post(from, kindAnswer, datagram{Number: number, Body: body})
 	})
 }
 
-func (p *Peers) post(to Peer, kind string, d datagram) {
-	d.From = p.self.Name // which never changes
-	data, err := json.Marshal(d)
+func (p *Peers) post(to Peer, kind string, d datagram) { p.postAll([]Peer{to}, kind, d) }
+
+// postAll sends a message to several daemons, as this one's unless it is passed on.
+func (p *Peers) postAll(to []Peer, kind string, d datagram) {
+	data := p.encode(d)
+	if data == nil {
+		return
+	}
+	for _, one := range to {
+		p.send(one, kind, data)
+	}
+}
+
+// encode writes a message, as this daemon's unless it is passed on; nil if it can't be
+// written, which is logged.
+func (p *Peers) encode(d datagram) []byte {
+	if d.From == "" {
+		d.From = p.self.Name // which never changes
+	}
+	return p.marshal(d)
+}
+
+// marshal writes a value; nil if it can't be written, which is logged.
+func (p *Peers) marshal(v any) []byte {
+	data, err := json.Marshal(v)
 	if err != nil {
 		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
+		return nil
 	}
-	p.send(to, kind, data)
+	return data
 }
 
 // ErrNoAnswer is the error of a question that another daemon did not answer.
@@ -92,55 +112,37 @@
 // fleet the hubs pass it on: a holder of orders that told 294 daemons of each adapter
 // itself would have time for nothing else. It may be lost.
 func (p *Peers) TellAll(kind string, message any) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
+	body := p.marshal(message)
+	if body == nil {
 		return
 	}
 	d := datagram{Kind: kind, Body: body}
 	if !p.Large() {
-		for _, to := range p.Alive()[1:] {
-			p.post(to, kind, d)
-		}
+		p.postAll(p.Alive()[1:], kind, d)
 		return
 	}
 	p.mu.Lock()
 	now := p.clock.Now()
 	hubs, group := p.peersOf(p.roster.Hubs(now)), p.peersOf(p.roster.Group(now))
 	p.mu.Unlock()
-	for _, to := range group {
-		p.post(to, kind, d)
-	}
+	p.postAll(group, kind, d)
 	d.Pass = true
-	for _, to := range hubs {
-		p.post(to, kind, d)
-	}
+	p.postAll(hubs, kind, d)
 }
 
 // pass gives a message for all on to this hub's group.
 func (p *Peers) pass(d datagram) {
 	d.Pass = false
-	data, err := json.Marshal(d)
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
-	}
 	p.mu.Lock()
 	group := p.peersOf(p.roster.Group(p.clock.Now()))
 	p.mu.Unlock()
-	for _, to := range group {
-		if to.Name != d.From {
-			p.send(to, d.Kind, data)
-		}
-	}
+	group = slices.DeleteFunc(group, func(one Peer) bool { return one.Name == d.From })
+	p.postAll(group, d.Kind, d)
 }
 
 // Tell sends a message that has no answer. It may be lost.
 func (p *Peers) Tell(to Peer, kind string, message any) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
+	if body := p.marshal(message); body != nil {
+		p.post(to, kind, datagram{Kind: kind, Body: body})
 	}
-	p.post(to, kind, datagram{Kind: kind, Body: body})
 }
--- a/coordination/peers/beat.go
+++ b/coordination/peers/beat.go
@@ -28,11 +28,7 @@
 	if p.large() {
 		loads = nil
 	}
-	data, err := json.Marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, New: fresh}})
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-	}
-	return data
+	return p.marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, New: fresh}})
 }
 
 // tellNow tells others of this daemon out of turn, those of other places if far is set.
--- a/coordination/peers/fleet.go
+++ b/coordination/peers/fleet.go
@@ -249,12 +249,9 @@
 
 // askWho asks a daemon that is not known, or that has other addresses now, for its beat.
 func (p *Peers) askWho(addr netip.AddrPort) {
-	data, err := json.Marshal(datagram{From: p.self.Name, Kind: kindWho})
-	if err != nil {
-		p.log.Error(logs.MessageUnwritten, logs.Err(err))
-		return
+	if data := p.encode(datagram{Kind: kindWho}); data != nil {
+		p.sendTo(addr, data)
 	}
-	p.sendTo(addr, data)
 }
 
 // contacts are the daemons that this one tells of itself when it starts.
--- a/coordination/roster/codec.go
+++ b/coordination/roster/codec.go
@@ -67,6 +67,14 @@
 	return f
 }
 
+// statusOf is the inverse of flagsOf, for what flags tell.
+func statusOf(f rosterv1.Flag) Status {
+	return Status{
+		Ready: f&rosterv1.Flag_FLAG_READY != 0, Failing: f&rosterv1.Flag_FLAG_FAILING != 0,
+		Leaving: f&rosterv1.Flag_FLAG_LEAVING != 0, Fresh: f&rosterv1.Flag_FLAG_FRESH != 0,
+	}
+}
+
 func changesTo(c core.Changes) *rosterv1.Changes {
 	return &rosterv1.Changes{Config: c.Config, Runners: c.Runners, Settings: c.Settings}
 }
@@ -107,20 +115,14 @@
 	return out
 }
 
-func loadsTo(loads map[core.Code]int) *rosterv1.Loads {
-	out := &rosterv1.Loads{}
-	for runner, n := range loads {
-		if n > 0 {
-			out.Runners = append(out.Runners, uint32(runner))
-			out.Requests = append(out.Requests, uint32(n))
-		}
-	}
-	return out
-}
+func loadsTo(loads map[core.Code]int) *rosterv1.Loads { return split(loads, 1)[0] }
 
 // chunksOf writes loads in chunks that fit into packets.
 func chunksOf(loads map[core.Code]int) []*rosterv1.Loads {
-	chunks := max(1, (len(loads)+maxChunk-1)/maxChunk)
+	return split(loads, max(1, (len(loads)+maxChunk-1)/maxChunk))
+}
+
+func split(loads map[core.Code]int, chunks int) []*rosterv1.Loads {
 	out := make([]*rosterv1.Loads, chunks)
 	for i := range out {
 		out[i] = &rosterv1.Loads{Chunk: uint32(i), Chunks: uint32(chunks)}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -248,33 +248,38 @@
 	clear(r.unknown)
 	_, hubs := r.hubs(now)
 	direct := len(hubs) == 0 || r.acts(now)
-	for _, p := range r.live(now) {
-		from := p.hub
+	r.strangers(now, func(hub, code core.Code) bool {
 		if !direct {
-			from = hubs[0]
-		}
-		for code, m := range p.members {
-			if r.strange(code, m) {
-				note(from, code)
-			}
+			hub = hubs[0]
 		}
-	}
+		note(hub, code)
+		return true
+	})
 	return ask, codes
 }
 
 // HasUnknown says whether hubs have named daemons that are not known here.
 func (r *Roster) HasUnknown(now time.Time) bool {
-	if len(r.unknown) > 0 {
-		return true
+	found := len(r.unknown) > 0
+	if !found {
+		r.strangers(now, func(core.Code, core.Code) bool {
+			found = true
+			return false
+		})
 	}
-	for _, p := range r.parts {
+	return found
+}
+
+// strangers goes through the members that are not known, with the hub that names each,
+// while fn returns true.
+func (r *Roster) strangers(now time.Time, fn func(hub, code core.Code) bool) {
+	for _, p := range r.live(now) {
 		for code, m := range p.members {
-			if r.strange(code, m) && now.Sub(p.at) < partLife {
-				return true
+			if r.strange(code, m) && !fn(p.hub, code) {
+				return
 			}
 		}
 	}
-	return false
 }
 
 // strange says whether a member is not known, or has other addresses than are known.
--- a/coordination/roster/status.go
+++ b/coordination/roster/status.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"primroseward/core"
-	rosterv1 "primroseward/protocol/rosterv1"
 )
 
 // Status is the state of a daemon that is alive. Of two hubs that name it the later word
@@ -48,14 +47,10 @@
 // status is the state of one of a part's members.
 func (p *part) status(now time.Time, code core.Code) Status {
 	m := p.members[code]
-	has := func(f rosterv1.Flag) bool { return m.flags&f != 0 }
-	s := Status{
-		Ready: has(rosterv1.Flag_FLAG_READY), Failing: has(rosterv1.Flag_FLAG_FAILING), Leaving: has(rosterv1.Flag_FLAG_LEAVING),
-		Settings: p.knows.Settings - m.lag, Confirmed: p.confirmed,
-	}
-	if c, ok := p.claims[code]; ok {
-		s.Term, s.Fresh = c.term, c.fresh
-	}
+	s := statusOf(m.flags)
+	s.Settings, s.Confirmed = p.knows.Settings-m.lag, p.confirmed
+	c := p.claims[code]
+	s.Term, s.Fresh = c.term, c.fresh
 	if s.Confirmed >= 0 {
 		s.Confirmed += now.Sub(p.at)
 	}
--- a/coordination/roster/take.go
+++ b/coordination/roster/take.go
@@ -47,14 +47,8 @@
 		return nil, nil // of a process that has been replaced
 	}
 	k.Boot = m.Boot
-	has := func(f rosterv1.Flag) bool { return rosterv1.Flag(m.Flags)&f != 0 }
-	w := Word{
-		Status: Status{
-			Ready: has(rosterv1.Flag_FLAG_READY), Failing: has(rosterv1.Flag_FLAG_FAILING), Leaving: has(rosterv1.Flag_FLAG_LEAVING), Fresh: has(rosterv1.Flag_FLAG_FRESH),
-			Term: m.Term, Confirmed: time.Duration(m.Confirmed) * time.Millisecond,
-		},
-		Knows: changesFrom(m.Knows), Down: codesFrom(m.Down), Loads: loadsFrom(m.Loads),
-	}
+	w := Word{Status: statusOf(rosterv1.Flag(m.Flags)), Knows: changesFrom(m.Knows), Down: codesFrom(m.Down), Loads: loadsFrom(m.Loads)}
+	w.Term, w.Confirmed = m.Term, time.Duration(m.Confirmed)*time.Millisecond
 	r.reports[code] = &report{Word: w, at: now, spare: m.Spare}
 	if !ok || r.soon(&was.Word, &w) {
 		return r.outOfTurn(now), nil
