Roster: a field's name, a method of one line

Cause: read as a newcomer, r.known[code].known was two things by one name, and dropOwnPart, one line called once, hid which part goes. Now since, and the line itself with its reason. No behaviour changes; tests of roster and peers pass.

--- a/coordination/roster/group.go
+++ b/coordination/roster/group.go
@@ -62,7 +62,7 @@
 // has just started. Of a fleet that starts together only the first of each group acts.
 func (r *Roster) expected(now time.Time, code core.Code) bool {
 	k := r.known[code]
-	return k.known.Sub(r.started) < hubSilence && now.Sub(k.known) < hubSilence
+	return k.since.Sub(r.started) < hubSilence && now.Sub(k.since) < hubSilence
 }
 
 // acts says whether this daemon acts as the hub of its group: it hears none before it
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -142,7 +142,7 @@
 type daemon struct {
 	Daemon
 	hub   time.Time // when it was last heard as a hub
-	known time.Time // since when it is known
+	since time.Time // when it became known
 }
 
 // report is a daemon's word as its hub keeps it.
@@ -222,7 +222,7 @@
 		k.Daemon = d
 		return
 	}
-	r.known[code] = &daemon{Daemon: d, known: now}
+	r.known[code] = &daemon{Daemon: d, since: now}
 	r.groups = nil
 }
 
@@ -311,7 +311,7 @@
 		return append(out, r.digests(now, r.turn)...)
 	}
 	r.acting = time.Time{}
-	r.dropOwnPart()
+	delete(r.parts, r.self) // another hub tells of the group now
 	return out
 }
 
@@ -332,11 +332,6 @@
 	return r.digests(now, 0)
 }
 
-// dropOwnPart forgets what this daemon has told as a hub, once another one acts.
-func (r *Roster) dropOwnPart() {
-	delete(r.parts, r.self)
-}
-
 // excuse makes what was heard before a time in which this daemon stood still as young as
 // it was then. What came meanwhile is still to be read: a small VM that had no turn for
 // two seconds would miss all others.
