Logs of choices and lost answers name what was asked: a digest of caller, path and body

Cause: when runners end one after another, nobody can tell from the logs whether the same request was there each time: a caller's next attempt has another id.

No decision uses it yet. Tests: core, dispatch and front pass.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -39,7 +39,7 @@
 	}
 	c := &candidates[i]
 	wait := j.takeTurn(c.ID)
-	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
+	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.Stringer("digest", j.q.Digest), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
 		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SamePlace), zap.Duration("wait", wait))
 	if wait == 0 {
 		return &holders[i].Runner, nil
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -123,6 +123,7 @@
 	asked    bool               // the holder of orders has been asked for the model or adapter
 	waited   bool               // has had its turn for a runner
 	sentAt   time.Time          // of the latest send
+	stage    stage              // how far its answer has come
 	kept     bool               // a repeat of the budget has been taken for the next send
 	retry    time.Duration      // when what is absent may be there; 0: not known
 	last     string             // id of the last event passed on
@@ -284,7 +285,7 @@
 		j.d.budget.First(j.service)
 	}
 	j.sends++
-	j.sentAt = j.d.clock.Now()
+	j.sentAt, j.stage = j.d.clock.Now(), stageSent
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
 	leave := j.d.loads.Begin(r.ID)
@@ -302,6 +303,7 @@
 		leave()
 		return nil, err
 	}
+	j.stage = stageHead
 	if reply.Info.Load != nil {
 		j.d.loads.Said(r.ID, *reply.Info.Load)
 	}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -30,13 +30,34 @@
 		return j.refuse("unreachable", "no runner could be reached", err)
 	}
 	if j.mayRepeat() {
-		j.log.Info(logs.AnswerRetried, zap.String("runner", r.ID), logs.Err(err))
+		j.log.Info(logs.AnswerRetried, append(j.lost(r), logs.Err(err))...)
 		return nil
 	}
-	j.log.Warn(logs.AnswerLost, zap.String("runner", r.ID), zap.Int("runs", j.runs), logs.Err(err))
+	j.log.Warn(logs.AnswerLost, append(j.lost(r), zap.Int("runs", j.runs), logs.Err(err))...)
 	return core.MayHaveRun("answer_lost", err.Error())
 }
 
+// stage is how far the answer to a send has come.
+type stage string
+
+// Stages of an answer. A runner that works on requests by turns sends the head when a
+// request's turn comes.
+const (
+	stageSent   stage = "sent"
+	stageHead   stage = "head"
+	stageEvents stage = "events"
+)
+
+// lost tells of a send without a whole answer. Of the requests that were at a runner when
+// it ended, those whose digest was there at other ends too may be the cause, and most of
+// all those that the runner had just begun.
+func (j *job) lost(r *core.Runner) []zap.Field {
+	return []zap.Field{
+		zap.String("runner", r.ID), zap.Stringer("digest", j.q.Digest), zap.Stringer("caller", j.q.Caller),
+		zap.String("stage", string(j.stage)), zap.Duration("since", j.d.clock.Since(j.sentAt)),
+	}
+}
+
 // failed marks a runner for a failed attempt, unless it was one at a former life of it.
 func (j *job) failed(r *core.Runner) {
 	if e := j.d.catalog.Runner(r.ID); e == nil || e.Born.Equal(r.Born) {
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -47,6 +47,7 @@
 	}
 	s.lastAt = now
 	s.count++
+	s.j.stage = stageEvents
 	s.j.d.loads.Note(s.runner.ID)
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -23,6 +24,8 @@
 	Input     int    // tokens of the prompt
 	MaxOutput int    // most tokens of the answer
 	LastEvent string // events up to this id need not be sent
+	Caller    netip.Addr
+	Digest    Digest // of what it asks; its caller's next attempt has the same
 }
 
 // Outgoing is what the system itself says to an endpoint with a request.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -141,6 +141,8 @@
 	if q.Body, err = f.readBody(w, r, config.Limits.BodyBytes); err != nil {
 		return nil, nil, core.AsRequestError(err)
 	}
+	q.Caller = core.CallerOf(r.RemoteAddr)
+	q.Digest = core.DigestOf(q)
 	return q, route, nil
 }
 
