--- /dev/null
+++ b/scripts/tests/main_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const good = "./proof TestA/b | go test -run TestA ./proof | - | lost | issue 1"
+
+func TestList(t *testing.T) {
+	got, err := readList(strings.NewReader("# comment\n\n" + good + "\n"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, []entry{{Package: "./proof", Test: "TestA/b", Command: "go test -run TestA ./proof", Seed: "-", Seen: "lost", Issue: "issue 1"}})
+	assert.Equal(t, got[0].pattern(), "^TestA$/^b$")
+	for _, line := range []string{
+		"./proof TestA", "./proof TestA | c | - | lost", "./proof TestA | | - | lost | 1",
+		"proof TestA | c | - | lost | 1", "./proof A | c | - | lost | 1", "./proof TestA TestB | c | - | lost | 1",
+	} {
+		_, err := readList(strings.NewReader(line))
+		assert.Assert(t, errors.Is(err, errEntry), line)
+	}
+}
+
+// A fault is listed, and from then on hides others: a test of the same name in another
+// package, a test that was renamed, one that passes by now, a package that does not build.
+func TestVerdict(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs the go command")
+	}
+	for _, tt := range []struct {
+		name, list, file string
+		ok               bool
+	}{
+		{"nothing listed, all pass", "", "func TestA(t *testing.T) {}", true},
+		{"nothing listed, one fails", "", "func TestA(t *testing.T) { t.Fail() }", false},
+		{"listed and fails", "./a TestA", "func TestA(t *testing.T) { t.Fail() }", true},
+		{"listed and passes", "./a TestA", "func TestA(t *testing.T) {}", false},
+		{"listed and skipped", "./a TestA", "func TestA(t *testing.T) { t.Skip() }", false},
+		{"listed, no such test", "./a TestB", "func TestA(t *testing.T) {}", false},
+		{"listed, no such package", "./b TestA", "func TestA(t *testing.T) {}", false},
+		{"only the beginning is listed", "./a Test", "func TestA(t *testing.T) { t.Fail() }", false},
+		{"another one fails too", "./a TestA", "func TestA(t *testing.T) { t.Fail() }\nfunc TestB(t *testing.T) { t.Fail() }", false},
+		{"a subtest", "./a TestA/one", "func TestA(t *testing.T) { t.Run(\"one\", func(t *testing.T) { t.Fail() }); t.Run(\"two\", func(*testing.T) {}) }", true},
+		{"another subtest fails too", "./a TestA/one", "func TestA(t *testing.T) { for _, n := range []string{\"one\", \"two\"} { t.Run(n, func(t *testing.T) { t.Fail() }) } }", false},
+		{"does not build", "./a TestA", "func TestA(t *testing.T) { none() }", false},
+		{"the same name elsewhere", "./c TestA", "func TestA(t *testing.T) { t.Fail() }", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			write(t, dir, "go.mod", "module m\n\ngo 1.26\n")
+			write(t, dir, "a/a_test.go", "package a\n\nimport \"testing\"\n\n"+tt.file+"\n")
+			write(t, dir, "c/c_test.go", "package c\n\nimport \"testing\"\n\nfunc TestA(t *testing.T) { "+map[bool]string{true: "t.Fail()"}[strings.HasPrefix(tt.list, "./c")]+" }\n")
+			if tt.list != "" {
+				write(t, dir, listFile, tt.list+" | c | - | seen | issue 1\n")
+			}
+			var out strings.Builder
+			r := &runner{out: &out, run: func(out io.Writer, args ...string) (string, error) {
+				return goCommand(out, append([]string{"-C", dir}, args...)...)
+			}}
+			err := r.all(filepath.Join(dir, listFile), nil)
+			assert.Equal(t, err == nil, tt.ok, out.String())
+			assert.Equal(t, strings.Contains(out.String(), "KNOWN RED"), tt.list != "", out.String())
+		})
+	}
+}
+
+func write(t *testing.T, dir, name, text string) {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	assert.NilError(t, os.MkdirAll(filepath.Dir(path), 0o700))
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -32,6 +32,10 @@
 	// a violation.
 	MaxModels, MaxAdapters int
 	Load                   time.Duration // until an ordered model is there
+	// Fatal says whether a request's body ends the runner once it has begun to run it;
+	// nil: none does. Ended is called then.
+	Fatal func(body string) bool
+	Ended func()
 	// Reached is where others reach the runner that listens at an address; nil:
 	// there.
 	Reached func(addr string) string
@@ -317,6 +321,9 @@
 		s.mu.Unlock()
 	}()
 	w.Header().Set(platform.HeaderStamp, s.ID+"."+id)
+	if s.Fatal != nil && s.Fatal(string(body)) {
+		s.crash(w)
+	}
 	if fail {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -331,6 +338,17 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// crash begins an answer and ends the runner with all of its connections.
+func (s *Server) crash(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // the caller may have gone
+	time.Sleep(s.Gap)
+	s.srv.Listener.Close()
+	s.srv.CloseClientConnections()
+	s.Ended()
+	panic(http.ErrAbortHandler)
+}
+
 // stream sends events; it stops in the middle of one where it is to be cut.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, cut int) {
 	from, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
