--- a/services/holds/holds.go
+++ b/services/holds/holds.go
@@ -55,7 +55,9 @@
 }
 
 // NewStore returns a Store.
-func NewStore(store core.Platform, clock core.Clock) *Store { return &Store{store: store, clock: clock} }
+func NewStore(store core.Platform, clock core.Clock) *Store {
+	return &Store{store: store, clock: clock}
+}
 
 // Holds lists the records; those that can't be read are left out.
 func (s *Store) Holds(ctx context.Context) ([]Status, error) {
