--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,13 +136,17 @@
 }
 
 // attempt is a caller's request.
-type attempt struct{ path, body, model string }
+type attempt struct {
+	path, body, model string
+	addresses         byte // from which its caller sends it, one if it is 0
+}
 
 // repeat sends requests again and again, each to a daemon drawn at random, for a time.
 func (c *fleetCluster) repeat(long time.Duration, list ...attempt) {
 	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(returnGap) {
 		for _, a := range list {
-			go func() { _, _, _ = c.daemons[rand.N(len(c.daemons))].send(a.path, a.body, a.model) }() // whatever it is told
+			from := net.IPv4(127, 0, 0, 1+rand.N(max(1, a.addresses)))
+			go func() { _, _, _ = c.daemons[rand.N(len(c.daemons))].sendFrom(from, a.path, a.body, a.model) }() // whatever it is told
 		}
 	}
 }
@@ -162,24 +166,35 @@
 }
 
 // served counts what callers of a harmless request got.
-type served struct{ all, whole atomic.Int64 }
+type served struct {
+	mu    sync.Mutex
+	all   int
+	whole int
+	lost  map[string]int // by what was told
+}
+
+func (s *served) count(status int, body string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all++
+	if err == nil && status == http.StatusOK {
+		s.whole++
+		return
+	}
+	s.lost[fmt.Sprintf("%d %v %.60s", status, err, body)]++
+}
 
 // repeatHarmless sends a harmless request again and again, at each daemon, until stop is
 // called, which waits.
 func (c *fleetCluster) repeatHarmless(a attempt) (s *served, stop func()) {
-	s = &served{}
+	s = &served{lost: map[string]int{}}
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, d := range c.daemons {
 		wg.Go(func() {
 			for {
 				status, body, err := d.send(a.path, a.body, a.model)
-				s.all.Add(1)
-				if err == nil && status == http.StatusOK {
-					s.whole.Add(1)
-				} else {
-					c.t.Logf("%s: harmless request: status %d, %v, %s", d.name, status, err, body)
-				}
+				s.count(status, body, err)
 				select {
 				case <-done:
 					return
@@ -217,12 +232,13 @@
 		fatal    []attempt
 		harmless attempt
 	}{
-		{"a stream", models, []attempt{{"/gen/x", fatal, "m1"}}, attempt{"/gen/x", "harmless", "m1"}},
-		{"a slow one", slow(models), []attempt{{"/gen/x", fatal, "m1"}}, attempt{"/gen/x", "harmless", "m1"}},
-		{"two", models, []attempt{{"/gen/x", fatal, "m1"}, {"/gen/y", fatal + "2", "m2"}}, attempt{"/gen/x", "harmless", "m1"}},
-		{"an adapter's", models, []attempt{{"/gen/x", fatal, "m1/a1"}}, attempt{"/gen/x", "harmless", "m1"}},
-		{"one that may not be repeated", plains, []attempt{{"/order/x", fatal, ""}}, attempt{"/order/x", "harmless", ""}},
-		{"a slow one that may be repeated", slow(plains), []attempt{{"/ask/x", fatal, ""}}, attempt{"/ask/x", "harmless", ""}},
+		{"a stream", models, []attempt{{path: "/gen/x", body: fatal, model: "m1"}}, attempt{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"a slow one", slow(models), []attempt{{path: "/gen/x", body: fatal, model: "m1"}}, attempt{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"from many addresses", models, []attempt{{path: "/gen/x", body: fatal, model: "m1", addresses: 200}}, attempt{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"two", models, []attempt{{path: "/gen/x", body: fatal, model: "m1"}, {path: "/gen/y", body: fatal + "2", model: "m2"}}, attempt{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"an adapter's", models, []attempt{{path: "/gen/x", body: fatal, model: "m1/a1"}}, attempt{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"one that may not be repeated", plains, []attempt{{path: "/order/x", body: fatal, model: ""}}, attempt{path: "/order/x", body: "harmless", model: ""}},
+		{"a slow one that may be repeated", slow(plains), []attempt{{path: "/ask/x", body: fatal, model: ""}}, attempt{path: "/ask/x", body: "harmless", model: ""}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -236,10 +252,10 @@
 			stop()
 			for _, a := range tt.fatal {
 				late := k.late(a.body)
-				t.Logf("%s: %d runs, %d of them late; %d runners ended; harmless %d of %d", a.body, len(k.arrivals(a.body)), late, k.count(), got.whole.Load(), got.all.Load())
+				t.Logf("%s: %d runs, %d of them late; %d runners ended; harmless %d of %d, lost %v", a.body, len(k.arrivals(a.body)), late, k.count(), got.whole, got.all, got.lost)
 				assert.Check(t, late <= retriesBorne, "%s: %d more runs, %d runners ended in all", a.body, late, k.count())
 			}
-			assert.Check(t, got.whole.Load()*100 >= servedShare*got.all.Load(), "harmless: %d of %d", got.whole.Load(), got.all.Load())
+			assert.Check(t, got.whole*100 >= servedShare*got.all, "harmless: %d of %d", got.whole, got.all)
 		})
 	}
 }
@@ -250,8 +266,8 @@
 func TestHeldRequestOutlivesDaemons(t *testing.T) {
 	c := startFleet(t, 3)
 	k := c.startCrashes(6, models)
-	c.awaitServed(attempt{"/gen/x", "harmless", "m1"})
-	a := attempt{"/gen/x", fatal, "m1"}
+	c.awaitServed(attempt{path: "/gen/x", body: "harmless", model: "m1"})
+	a := attempt{path: "/gen/x", body: fatal, model: "m1"}
 	c.repeat(2*time.Second, a)
 	kept := func() bool {
 		out, _ := c.ctl(c.daemons[0], "", "holds", "--json")
@@ -296,8 +312,8 @@
 func TestOperatorReleasesHeldRequest(t *testing.T) {
 	c := startFleet(t, 2)
 	k := c.startCrashes(5, models)
-	c.awaitServed(attempt{"/gen/x", "harmless", "m1"})
-	a := attempt{"/gen/x", fatal, "m1"}
+	c.awaitServed(attempt{path: "/gen/x", body: "harmless", model: "m1"})
+	a := attempt{path: "/gen/x", body: fatal, model: "m1"}
 	c.repeat(2*time.Second, a)
 	time.Sleep(time.Second)
 	out, code := c.ctl(c.daemons[0], "", "holds")
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -192,8 +192,14 @@
 
 // send makes one request of a caller on a connection of its own.
 func (d *fleetDaemon) send(path, body, model string) (int, string, error) {
+	return d.sendFrom(net.IPv4(127, 0, 0, 1), path, body, model)
+}
+
+// sendFrom makes one request from one of its caller's addresses.
+func (d *fleetDaemon) sendFrom(from net.IP, path, body, model string) (int, string, error) {
 	serial := fleetSerial.Add(1)
-	conn, err := net.Dial("tcp", d.caller)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: from}}
+	conn, err := dialer.Dial("tcp", d.caller)
 	if err != nil {
 		return 0, "", err
 	}
