The digest of a request leaves its caller's address out

Cause: the digest took in the connection's address as the caller. A caller is many VMs, and a returning request comes from any of them, so each attempt was a new request again. Ruled out: the finding of ends and the counting.

Now the digest is of method, host, path with query, and body. Two callers that ask the very same share it, which is right for a runner that ends under it; a popular harmless one is excused as it is served. An end also counts where the runner's entry is missing: an outage of the store takes entries of runners that live.

--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -59,13 +59,14 @@
 }
 
 // broke tells the guard of a connection that the runner has closed. A runner that had
-// said that it leaves, or whose entry has gone, was taken away by the platform.
+// said that it leaves was taken away by the platform. One whose entry is missing may only
+// have lost it to an outage of the store, and counts.
 func (j *job) broke(r *core.Runner, err error) {
 	if !errors.Is(err, core.ErrClosed) || j.proven() {
 		return
 	}
 	e := j.d.catalog.Runner(r.ID)
-	if e == nil || e.Draining || !e.GoneAt.IsZero() || !e.Born.Equal(r.Born) {
+	if e == nil || e.Draining || !e.Born.Equal(r.Born) {
 		return
 	}
 	j.d.guard.Broke(Broken{
--- a/core/digest.go
+++ b/core/digest.go
@@ -8,18 +8,19 @@
 	"github.com/rotisserie/eris"
 )
 
-// digestSize is half of a SHA-256 sum, in bytes: nobody can make a request of the same
-// digest as another caller's.
+// digestSize is half of a SHA-256 sum, in bytes: nobody can make another request of the
+// same digest.
 const digestSize = 16
 
-// Digest stands for what a request asks: its caller, host, path with query, and body. A
-// caller that sends a request again gives it another id; the digest is the same.
+// Digest stands for what a request asks: its host, path with query, and body. A caller
+// that sends a request again gives it another id, and may send it from another address,
+// as one caller has many VMs; the digest is the same. Callers that ask the same share it.
 type Digest [digestSize]byte
 
 // DigestOf returns the digest of a request whose body has been read.
 func DigestOf(q *Request) Digest {
 	h := sha256.New()
-	for _, part := range []string{q.Caller.String(), q.Method, q.Host, q.Target} {
+	for _, part := range []string{q.Method, q.Host, q.Target} {
 		h.Write([]byte(part))
 		h.Write([]byte{0}) // none of the parts can hold one
 	}
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -3,7 +3,7 @@
 // Names of events: the message of each line. docs/OPERATIONS.md shows how to
 // read them together.
 const (
-	// RunnerChosen: a request goes to a runner: which, of how many, how busy it was thought to be, how long its prompt waits for its turn.
+	// RunnerChosen: a request goes to a runner: which, of how many, how busy it was thought to be, the digest of what is asked, how long its prompt waits for its turn.
 	RunnerChosen = "runner chosen"
 	// RunnerRejected: the runner states that it did not run the request.
 	RunnerRejected = "runner rejected the request"
--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -223,8 +223,9 @@
 // there. It comes again under new ids, at any daemon. Each daemon took each attempt for a
 // new request and sent it on, and soon all runners of the service were gone. Nothing
 // connected the attempts: who asked for what was forgotten when an attempt ended, and no
-// daemon heard of what had happened at another. With logs that name a digest of caller,
-// path and body, one digest stood at each end, and only that one at all.
+// daemon heard of what had happened at another. With logs that name a digest of path and
+// body, one digest stood at each end, and only that one at all. Its caller has many
+// addresses: with the address in the digest each attempt was new again.
 func TestRequestThatEndsRunnersIsStopped(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
