Soak: requests that end runners, in series with the other faults

Cause for it: the soak killed runners itself, so that no end had a request behind it, and the incident could not show.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -126,30 +126,40 @@
 // any more.
 func (c *caller) once(d *daemon, conn net.Conn, in *bufio.Reader) bool {
 	a := c.draw(d)
+	model := ""
+	if a.kind == "gen" {
+		model = c.model()
+		a.left = c.rng.IntN(100) < leaves
+	}
+	return c.w.send(a, model, conn, in)
+}
+
+// send sends a request and reads its answer; false when the connection is of no use any
+// more.
+func (w *World) send(a *ask, model string, conn net.Conn, in *bufio.Reader) bool {
 	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n",
 		a.target, wire.HeaderRequestID, a.id, wire.HeaderTimeout, timeout.Milliseconds(), len(a.body))
 	if a.kind == "gen" {
-		header += wire.HeaderModel + ": " + c.model() + "\r\n"
-		a.left = c.rng.IntN(100) < leaves
+		header += wire.HeaderModel + ": " + model + "\r\n"
 	}
 	a.sent = time.Now()
-	c.w.mu.Lock()
-	c.w.asked = append(c.w.asked, a)
-	c.w.mu.Unlock()
+	w.mu.Lock()
+	w.asked = append(w.asked, a)
+	w.mu.Unlock()
 	_ = conn.SetDeadline(a.sent.Add(timeout + patience)) // a closed connection fails below
 	_, err := io.WriteString(conn, header+"\r\n"+a.body)
 	if err == nil {
-		err = c.read(a, in)
+		err = a.read(in)
 	}
-	c.w.mu.Lock()
+	w.mu.Lock()
 	a.ended, a.err = time.Now(), err
-	c.w.mu.Unlock()
-	c.w.judge(a)
+	w.mu.Unlock()
+	w.judge(a)
 	return err == nil && !a.left
 }
 
 // read reads the answer; a caller that leaves reads a part of it.
-func (c *caller) read(a *ask, in *bufio.Reader) error {
+func (a *ask) read(in *bufio.Reader) error {
 	resp, err := http.ReadResponse(in, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return err
--- a/soak/check.go
+++ b/soak/check.go
@@ -98,6 +98,7 @@
 			}
 		}
 	}
+	w.checkFatal()
 	good, all := w.count(calmFrom, calmTo)
 	if all == 0 || (all-good)*100 > maxLost*all {
 		w.note("%d of %d requests served while all was calm", good, all)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -223,6 +223,7 @@
 		}
 		return name + " " + spoiled
 	}},
+	{"request that ends runners", func(w *World, r *rand.Rand) string { return w.sendFatal(r) }},
 }
 
 // spoiledEntries are entries that no runner writes.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 	{1, 14, "none"},
 	{2, 14, "none"},
 	{1, 0, "none"},
+	{3, 0, "none"},
 	{114, 14, "a daemon's port was taken by an outgoing connection while the daemon was down"},
 	{114, 16, "a daemon was killed while another process took its place, which the harness read without its lock"},
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -155,6 +155,7 @@
 	h := &host{}
 	spec := runner.Spec{
 		ID: id, Service: service, Place: place, Slots: slots, Models: models, Gap: 5 * time.Millisecond,
+		Fatal: isFatal, FatalAfter: fatalAfter, Ended: func() { w.crashed(h) },
 		Reached: func(addr string) string {
 			if h.proxy == nil {
 				h.proxy, _ = NewProxy(addr) // a port of loopback; without one the run ends at once
