--- a/core/digest_test.go
+++ b/core/digest_test.go
@@ -49,3 +49,19 @@
 	assert.Equal(t, CallerOf("10.0.0.1:81"), netip.MustParseAddr("10.0.0.1"))
 	assert.Equal(t, CallerOf("pipe"), netip.Addr{})
 }
+
+func BenchmarkDigest(b *testing.B) {
+	for _, tt := range []struct {
+		name string
+		size int
+	}{{"1KB", 1 << 10}, {"4MB", 4 << 20}} {
+		b.Run(tt.name, func(b *testing.B) {
+			q := &Request{Method: "POST", Host: "h.example", Target: "/a/b", Body: make([]byte, tt.size)}
+			b.SetBytes(int64(tt.size))
+			b.ReportAllocs()
+			for b.Loop() {
+				DigestOf(q)
+			}
+		})
+	}
+}
