A test that fails: a model that ends each runner which loads it

The class of the incident at another place, found by looking for it: an input that ends its worker, given to the next one without memory of that.

--- /dev/null
+++ b/coordination/placement/fatal_test.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/coordination/dispatch"
+	"primroseward/core"
+)
+
+const (
+	fatalModel = "mx"
+	// loadsBorne bounds the loads of a model that ends runners, within a minute: three
+	// until that is known, those that were under way then at the other runners, and three
+	// more.
+	loadsBorne = 3 + 3 + 3
+)
+
+// fatalOrders are runners that end when they are ordered to load one model, and have
+// started again, empty, a moment later.
+type fatalOrders struct {
+	w     *world
+	mu    sync.Mutex
+	loads int
+}
+
+func (f *fatalOrders) Report(ctx context.Context, r *core.Runner) (*core.Report, error) {
+	report, err := f.w.engines.Report(ctx, r)
+	if err == nil {
+		report.Born = f.w.catalog.Runner(r.ID).Born
+	}
+	return report, err
+}
+
+func (f *fatalOrders) Order(ctx context.Context, r *core.Runner, o core.RunnerOrder) (core.OrderResult, error) {
+	if !o.Load || o.Model != fatalModel {
+		return f.w.engines.Order(ctx, r, o)
+	}
+	f.mu.Lock()
+	f.loads++
+	f.mu.Unlock()
+	f.w.restart(r.ID, time.Now())
+	return core.OrderUnknown, fmt.Errorf("%w: %w", core.ErrLost, core.ErrClosed)
+}
+
+// Runners end again and again, each with the models that it has: the weights of one
+// model are broken, or are not what the configuration says, and each runner that is
+// ordered to load it ends. Requests for it keep coming, so that it is ordered again, at
+// one runner after the other: the holder forgot that an order had ended its runner.
+func TestModelThatEndsRunnersIsNotLoadedAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 4, trouble{reportIn: 200 * time.Millisecond}, 1)
+		w.spec.Models = append(w.spec.Models, core.Model{Name: fatalModel, MemoryMB: 60, Load: 2 * time.Second})
+		w.configure(2)
+		orders := &fatalOrders{w: w}
+		w.holder.orders = orders
+		w.run(1, func() {
+			for range 60 {
+				for i := range 4 {
+					w.holder.Demand(map[dispatch.Want]float64{{Service: "s", Model: modelName(i)}: 3})
+				}
+				w.holder.Demand(map[dispatch.Want]float64{{Service: "s", Model: fatalModel}: 10})
+				time.Sleep(time.Second)
+			}
+		})
+		orders.mu.Lock()
+		defer orders.mu.Unlock()
+		assert.Check(t, orders.loads > 0)
+		assert.Check(t, orders.loads <= loadsBorne, "%d loads", orders.loads)
+		for i := range 4 {
+			found := false
+			for _, e := range w.engines {
+				found = found || e.has(modelName(i))
+			}
+			assert.Check(t, found, "%s is nowhere", modelName(i))
+		}
+	})
+}
