Loads that end runners are held back like requests

Seen: runners end again and again, each with all models that it has, as one model's weights end each runner that is ordered to load them.

The holder of orders took a runner that ended for one that was lost, forgot which order it had been given, and ordered the same load of the next.

Now such an end is told to the quarantine under a digest of the load, if no request was in progress there, and only of models: adapters load beside requests, which may be the cause (open). While a load is held back, nothing is unloaded for it either.

--- /dev/null
+++ b/coordination/placement/fatal.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"errors"
+	"time"
+
+	"primroseward/coordination/dispatch"
+	"primroseward/core"
+)
+
+// Guard holds back loads that have ended runners, as it does requests.
+type Guard interface {
+	Held(d core.Digest) time.Duration
+	Broke(b dispatch.Broken)
+	Worked(d core.Digest)
+}
+
+// noGuard holds nothing back.
+type noGuard struct{}
+
+func (noGuard) Held(core.Digest) time.Duration { return 0 }
+func (noGuard) Broke(dispatch.Broken)          {}
+func (noGuard) Worked(core.Digest)             {}
+
+// Option changes a Holder.
+type Option func(*Holder)
+
+// WithGuard asks a Guard before models are loaded.
+func WithGuard(g Guard) Option { return func(h *Holder) { h.guard = g } }
+
+// loadDigest stands for the load of a model. No request has it: its method is none.
+func loadDigest(service, model string) core.Digest {
+	return core.DigestOf(&core.Request{Method: "load model", Host: service, Target: model})
+}
+
+// loadHeld says whether a model is not to be loaded now, as runners that were ordered to
+// have ended. Weights may be broken, or not what the configuration says: ordered again
+// and again such a model takes runner after runner, with all other models there.
+func (h *Holder) loadHeld(service, model string) bool {
+	return model != "" && h.guard.Held(loadDigest(service, model)) > 0
+}
+
+// blameLoad tells the guard of a runner that has ended, or does not listen any more, while
+// it was to load a model. One that served requests as well may have ended under these.
+func (h *Holder) blameLoad(one *host, o core.RunnerOrder, err error) {
+	if !o.Load || o.Adapter != "" || !errors.Is(err, core.ErrClosed) && !errors.Is(err, core.ErrNoListener) {
+		return
+	}
+	if one.runner.Draining || h.loads.View(one.runner.ID).Requests > 0 {
+		return
+	}
+	h.guard.Broke(dispatch.Broken{
+		Digest: loadDigest(one.runner.Service, o.Model), Runner: one.runner, Route: "load of " + o.Model, Service: one.runner.Service, Begun: true,
+	})
+}
--- a/coordination/placement/fatal_test.go
+++ b/coordination/placement/fatal_test.go
@@ -8,9 +8,12 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"primroseward/coordination/dispatch"
+	"primroseward/coordination/peers"
+	"primroseward/coordination/quarantine"
 	"primroseward/core"
 )
 
@@ -49,10 +52,24 @@
 	return core.OrderUnknown, fmt.Errorf("%w: %w", core.ErrLost, core.ErrClosed)
 }
 
+// alone is the network of a daemon without others.
+type alone struct{}
+
+func (alone) Self() peers.Peer                { return peers.Peer{Name: "d1"} }
+func (a alone) Alive() []peers.Peer           { return []peers.Peer{a.Self()} }
+func (a alone) Get(string) (peers.Peer, bool) { return a.Self(), true }
+func (alone) Handle(string, peers.Handler)    {}
+func (alone) Tell(peers.Peer, string, any)    {}
+func (alone) TellAll(string, any)             {}
+func (alone) Ask(context.Context, peers.Peer, string, any, any, time.Duration) error {
+	return peers.ErrNoAnswer
+}
+
 // Runners end again and again, each with the models that it has: the weights of one
 // model are broken, or are not what the configuration says, and each runner that is
 // ordered to load it ends. Requests for it keep coming, so that it is ordered again, at
-// one runner after the other: the holder forgot that an order had ended its runner.
+// one runner after the other: the holder forgot that an order had ended its runner. Now
+// the load is held back as a request is.
 func TestModelThatEndsRunnersIsNotLoadedAgainAndAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 4, 4, trouble{reportIn: 200 * time.Millisecond}, 1)
@@ -60,6 +77,8 @@
 		w.configure(2)
 		orders := &fatalOrders{w: w}
 		w.holder.orders = orders
+		guard := quarantine.New(alone{}, orders, w.holder.clock, zap.NewNop())
+		w.holder.guard = guard
 		w.run(1, func() {
 			for range 60 {
 				for i := range 4 {
@@ -71,6 +90,7 @@
 		})
 		orders.mu.Lock()
 		defer orders.mu.Unlock()
+		t.Logf("%d loads", orders.loads)
 		assert.Check(t, orders.loads > 0)
 		assert.Check(t, orders.loads <= loadsBorne, "%d loads", orders.loads)
 		for i := range 4 {
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -99,6 +99,7 @@
 	count   func(name string)
 	tell    func(News)
 	replica *tree.Replica // the operators' settings; nil: none are kept
+	guard   Guard
 
 	inbox    chan func()
 	term     uint64
@@ -118,12 +119,16 @@
 }
 
 // New makes a Holder of the daemon self.
-func New(self string, c *catalog.Catalog, loads *load.Table, orders Orders, lease Lease, clock core.Clock, log *zap.Logger, count func(string), tell func(News)) *Holder {
-	return &Holder{
+func New(self string, c *catalog.Catalog, loads *load.Table, orders Orders, lease Lease, clock core.Clock, log *zap.Logger, count func(string), tell func(News), opts ...Option) *Holder {
+	h := &Holder{
 		self: self, catalog: c, loads: loads, orders: orders, lease: lease, clock: clock, log: log, count: count, tell: tell,
 		inbox: make(chan func(), inboxSize), hosts: map[string]*host{}, heat: map[dispatch.Want]float64{},
-		waiting: map[dispatch.Want]*waiters{},
+		waiting: map[dispatch.Want]*waiters{}, guard: noGuard{},
 	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
 }
 
 // SetSettings lets orders keep to the operators' settings tree, before Start.
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -42,6 +42,9 @@
 		opts = append(opts, policy.RepairOnly())
 	}
 	for _, m := range policy.Place(engine, states, heat, opts...) {
+		if m.Load && h.loadHeld(service, m.Model) || !m.Load && h.loadHeld(service, m.For) {
+			continue
+		}
 		one := h.hosts[m.Runner]
 		if m.Load && !one.hasLocal(m.Model, h.clock.Now()) && !h.storeToken(engine) {
 			continue
@@ -175,6 +178,7 @@
 	if m.Load {
 		it.phase = present
 		one.loaded[m.Model] = h.clock.Now()
+		h.guard.Worked(loadDigest(one.runner.Service, m.Model))
 		h.count("models_loaded")
 		h.tell(News{Runner: one.runner.ID, Model: m.Model, Held: true})
 		return
@@ -188,7 +192,7 @@
 	h.count("models_unloaded")
 	next := one.promised
 	one.promised = ""
-	if _, held := one.models[next]; next == "" || held || !one.usable(one.runner.Service) {
+	if _, held := one.models[next]; next == "" || held || !one.usable(one.runner.Service) || h.loadHeld(one.runner.Service, next) {
 		return
 	}
 	if spec := one.engine.Model(next); spec != nil && one.freeMB() >= spec.MemoryMB && (one.hasLocal(next, h.clock.Now()) || h.storeToken(one.engine)) {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -170,13 +170,13 @@
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log, lease.WithCandidate(d.watches))
 	d.peers.SetState(d.state)
 	d.peers.Handle(kindYield, d.handleYield)
+	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
+		quarantine.WithHeld(func(digest core.Digest) { d.dispatcher.Hold(digest) }), quarantine.WithStore(d.store, d.readsHolds))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
-		placement.NewSpreader(d.peers, d.catalog, d.clock, d.log).Tell)
+		placement.NewSpreader(d.peers, d.catalog, d.clock, d.log).Tell, placement.WithGuard(d.quarantine))
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
-	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
-		quarantine.WithHeld(func(digest core.Digest) { d.dispatcher.Hold(digest) }), quarantine.WithStore(d.store, d.readsHolds))
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
 		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows))
