--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -169,7 +169,7 @@
 		return trialRetry, false
 	}
 	q.scope.Counter("quarantine_trials").Inc(1)
-	q.log.Info(logs.TrialBegins, zap.Stringer("digest", d), zap.Int("level", r.Level))
+	q.log.Info(logs.TrialBegins, zap.Stringer("digest", d), zap.Int("times", r.Level+1))
 	return 0, true
 }
 
@@ -271,7 +271,7 @@
 	q.scope.Gauge("quarantine_size").Update(float64(q.table.Len()))
 	q.log.Warn(logs.HoldChanged, zap.Stringer("digest", r.Digest), zap.String("state", string(r.State)), zap.String("by", string(r.By)),
 		zap.String("from", from), zap.Uint64("version", r.Version), zap.String("route", r.Route), zap.String("service", r.Service),
-		zap.Int("runners", r.Runners), zap.Int("level", r.Level), zap.Duration("left", r.Left(q.clock.Now())))
+		zap.Int("runners", r.Runners), zap.Int("times", r.Level+1), zap.Duration("left", r.Left(q.clock.Now())))
 	q.mu.Lock()
 	q.forget(r.Digest)
 	q.mu.Unlock()
--- a/io/logs/follow.go
+++ b/io/logs/follow.go
@@ -33,9 +33,13 @@
 // beliefs are events that tell what a daemon knew when it decided.
 var beliefs = []string{
 	ConfigInForce, ConfigBehind, RunnerSeen, RunnerMissing, RunnerGone, StoreLost, StoreRegained, CopyTaken,
-	LeaseTaken, LeaseLost, LeaseYielded, OrderSent, OrderDone, AdapterYields, DaemonSilent, DaemonHeard, Started, Leaving, CutAtEnd, LinesLeftOut,
+	RunnerEnded, RunnerLives, LeaseTaken, LeaseLost, LeaseYielded, OrderSent, OrderDone, AdapterYields, DaemonSilent, DaemonHeard, Started, Leaving, CutAtEnd, LinesLeftOut,
 }
 
+// blames are events on why a request's digest was held back, or was not. They are shown
+// whenever they were: a request may have been held back long before it came again.
+var blames = []string{RequestBlamed, RequestExcused, HoldChanged, TrialBegins, TrialRefused}
+
 // Read reads lines of logs. What stands before the first brace of a line, such
 // as a VM's name, is skipped; lines that are no logs are counted.
 func Read(in io.Reader) (lines []Line, skipped int, err error) {
@@ -88,7 +92,7 @@
 // order.
 func Follow(lines []Line, request string) []Line {
 	var first, last time.Time
-	daemons, runners, models := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	daemons, runners, models, digests := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for i := range lines {
 		l := &lines[i]
 		if l.text("request") != request {
@@ -103,12 +107,15 @@
 		daemons[l.text("daemon")] = true
 		runners[l.text("runner")] = true
 		models[l.text("model")] = true
+		digests[l.text("digest")] = true
 	}
 	delete(runners, "")
 	delete(models, "")
+	delete(digests, "")
 	var out []Line
 	for _, l := range lines {
-		if l.text("request") == request || !first.IsZero() && l.concerns(first, last, daemons, runners, models) {
+		blamed := digests[l.text("digest")] && slices.Contains(blames, l.Event)
+		if l.text("request") == request || blamed || !first.IsZero() && l.concerns(first, last, daemons, runners, models) {
 			out = append(out, l)
 		}
 	}
--- a/proof/inputs_test.go
+++ b/proof/inputs_test.go
@@ -8,7 +8,6 @@
 
 	"primroseward/coordination/policy"
 	"primroseward/coordination/roster"
-	"primroseward/core"
 	wire "primroseward/platform"
 	"primroseward/state/hold"
 	"primroseward/state/tree"
