A decision on a request begins comparisons at once

Seen: a daemon that had missed each message that a request is held back learned of it up to 15 s later.

Cause: a daemon that held nothing back rests 5 to 15 s between two comparisons, and did not end that rest when a decision came; only then it compares each second. Ruled out: that the accusations or the question to all got lost (eight blames and two decisions in the lines).

--- a/coordination/quarantine/compare.go
+++ b/coordination/quarantine/compare.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"primroseward/coordination/peers"
-	"primroseward/core"
 	"primroseward/io/logs"
 	"primroseward/state/hold"
 )
@@ -88,7 +87,18 @@
 		if every == idleEvery && q.table.Len() > 0 {
 			wait = compareEvery
 		}
-		core.Sleep(q.ctx, q.clock, wait/2+rand.N(wait))
+		q.rest(wait/2 + rand.N(wait))
+	}
+}
+
+// rest waits for a time, or until a decision has come. Who held nothing back would sleep
+// on for many seconds, and a daemon that has missed each message of it would not learn of
+// it from anybody.
+func (q *Quarantine) rest(d time.Duration) {
+	select {
+	case <-q.ctx.Done():
+	case <-q.decided:
+	case <-q.clock.After(d):
 	}
 }
 
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -78,8 +78,9 @@
 	held   func(core.Digest)
 	keeper *keeper
 
-	table  *hold.Table
-	recent *recent
+	table   *hold.Table
+	recent  *recent
+	decided chan struct{} // a decision has been taken in
 
 	mu       sync.Mutex
 	blame    *policy.Blame
@@ -114,7 +115,7 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, held: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), blame: policy.NewBlame(), checks: map[policy.Life]*check{},
+		table: hold.NewTable(), recent: newRecent(clock), decided: make(chan struct{}, 1), blame: policy.NewBlame(), checks: map[policy.Life]*check{},
 		consults: map[core.Digest]*consult{}, excused: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
@@ -278,6 +279,10 @@
 	if r.State == hold.StateHeld {
 		q.held(r.Digest)
 	}
+	select {
+	case q.decided <- struct{}{}:
+	default: // one is waiting to be seen
+	}
 	return true
 }
 
--- a/coordination/quarantine/sim_test.go
+++ b/coordination/quarantine/sim_test.go
@@ -20,7 +20,7 @@
 type network struct {
 	mu      sync.Mutex
 	daemons map[string]*daemon
-	loss    float64 // share of messages that are lost
+	loss    float64        // share of messages that are lost
 	sums    map[string]int // comparisons by the daemon that began them
 	bytes   int
 }
