--- /dev/null
+++ b/coordination/quarantine/hubs_test.go
@@ -0,0 +1,66 @@
+package quarantine
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"primroseward/coordination/peers"
+	"primroseward/core"
+	"primroseward/standin/memory"
+)
+
+// hubFleet is how many daemons tell each other by hubs: more than sixteen do.
+const hubFleet = 20
+
+// In a large fleet no daemon tells all others itself. A request is held back at all of
+// them, and released, by messages that hubs pass on over real sockets.
+func TestHeldBackByHubs(t *testing.T) {
+	store, r := memory.New(), newRunners()
+	all := make([]*daemon, hubFleet)
+	for i := range all {
+		all[i] = startOnSockets(t, store, fmt.Sprint("d", i), []string{"north", "south"}[i%2], r)
+	}
+	for _, d := range all {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n := len(d.Quarantine.net.Alive()); n != hubFleet {
+				return poll.Continue("%s knows %d", d.name, n)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	}
+	for i := range 3 {
+		r.crash(all[i], fmt.Sprint("r", i), guilty)
+	}
+	until(t, "held back", all, knows(guilty))
+	assert.Assert(t, all[7].Release(guilty))
+	until(t, "released", all, released(guilty))
+}
+
+// startOnSockets brings up a daemon's part that knows the others by their datagrams.
+func startOnSockets(t *testing.T, store *memory.Store, name, place string, r *runners) *daemon {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	clock := clockwork.NewRealClock()
+	addr := netip.MustParseAddrPort(conn.LocalAddr().String())
+	self := peers.Peer{Name: name, Place: place, Caller: addr, Peer: addr, Boot: 1, Cores: 1}
+	p := peers.New(self, "daemons", store.Client(), conn, clock, zap.NewNop(),
+		func() map[core.Code]int { return nil }, func(peers.Peer, map[core.Code]int) {})
+	p.SetState(func() peers.State { return peers.State{Ready: true, Confirmed: -1} })
+	d := &daemon{name: name, Quarantine: New(p, r, clock, zap.NewNop())}
+	p.Start()
+	d.Start()
+	t.Cleanup(func() {
+		d.Stop()
+		p.Stop()
+	})
+	return d
+}
