--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -76,6 +76,8 @@
 	places  []string
 	engines []engineSpec
 	plain   []string // names; each is a service "parts" endpoint
+	// serve makes the server of an engine and returns its address; nil: a common one.
+	serve func(h http.Handler) string
 }
 
 type engineSpec struct {
@@ -172,11 +174,15 @@
 			},
 		},
 	}
+	serve := c.serve
+	if s.serve != nil {
+		serve = s.serve
+	}
 	for _, e := range s.engines {
 		srv := engine.New(e.cfg)
 		c.engines[e.name] = srv
 		root.Endpoints[e.name] = tree.Endpoint{
-			Addr: c.serve(srv), Place: e.place, Kind: tree.KindModel, Memory: 80 * gb, Cache: 16 * gb, Slots: e.cfg.Slots, Fenced: e.cfg.Fenced,
+			Addr: serve(srv), Place: e.place, Kind: tree.KindModel, Memory: 80 * gb, Cache: 16 * gb, Slots: e.cfg.Slots, Fenced: e.cfg.Fenced,
 		}
 	}
 	for _, name := range s.plain {
