Soak: a runner that leaves and then ends under a request is replaced once

Traced by its logs: each was sent once and answered once; the runner stood twice in the harness's list of those that are gone, as it had been replaced when it said that it leaves and again when it ended.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -33,9 +33,16 @@
 // isFatal says whether a request's body ends runners.
 func isFatal(body string) bool { return strings.HasPrefix(body, fatal) }
 
-// crashed replaces a runner that a request has ended.
+// crashed replaces a runner that a request has ended, unless it has been replaced already,
+// as it had said that it leaves.
 func (w *World) crashed(h *host) {
 	h.proxy.Close()
+	w.mu.Lock()
+	replaced := slices.Contains(w.gone, h)
+	w.mu.Unlock()
+	if replaced {
+		return
+	}
 	r := rand.New(rand.NewPCG(w.opts.Seed, uint64(len(h.ID))))
 	w.harmAll(time.Second)
 	w.replace(h, r)
