--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
@@ -190,3 +192,15 @@
 		assert.Equal(t, resp.Close, leaving)
 	}
 }
+
+// A caller is refused with a time to come back that rounds to none, as a request that is
+// held back for less than half a millisecond more: it can't tell that from never.
+func TestTimeToComeBackIsNeverNone(t *testing.T) {
+	for _, left := range []time.Duration{1, 400 * time.Microsecond, time.Millisecond, 2 * time.Second} {
+		w := httptest.NewRecorder()
+		writeError(w, core.NotRun(http.StatusServiceUnavailable, "held_back", "held back", left))
+		s, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, s > 0, "%v", left)
+	}
+}
