--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -41,6 +41,9 @@
 	// configuration yet; it reads one within milliseconds of reaching the
 	// store.
 	noConfigRetry = 300 * time.Millisecond
+	// leastRetry is the least time to come back that a caller is told: Retry-After has
+	// three decimals, and one that rounds to 0 says that nothing is known.
+	leastRetry = time.Millisecond
 )
 
 // Dispatcher serves requests.
@@ -235,7 +238,7 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	if e.Retry > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(e.Retry.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(max(e.Retry, leastRetry).Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(e.Status)
 	body := struct {
