Guard: one step before each send, one empty guard, no lock for each event

Cause, found by reading the whole change: choosing a runner and asking the guard stood one after the other in two places (first send, resumption); a guard that holds nothing back was written in dispatch and again in placement; a broken request carried its id, which nobody read; and each event of each stream took the lock that all requests share, to say once more that the answer had begun, which had been said.

Now job.next does both steps, dispatch.NoGuard serves both packages, the id is gone, and what ends an in-flight entry runs once and is free after that. Behaviour as it was.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -95,7 +95,7 @@
 func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
-		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: noGuard{},
+		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: NoGuard{},
 	}
 	for _, o := range opts {
 		o(d)
@@ -217,13 +217,10 @@
 // attempt sends the request to one runner. Without reply and error another
 // attempt may be made.
 func (j *job) attempt(ctx context.Context) (*core.Reply, error) {
-	r, err := j.choose(ctx)
+	r, err := j.next(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if err := j.admit(ctx); err != nil {
-		return nil, err
-	}
 	reply, err := j.send(ctx, r)
 	if err != nil {
 		return nil, j.afterError(ctx, r, err)
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -38,7 +38,6 @@
 
 // Broken is a request whose runner has closed the connection before a whole answer.
 type Broken struct {
-	Request string // its id
 	Digest  core.Digest
 	Runner  core.Runner
 	Route   string
@@ -46,13 +45,20 @@
 	Begun   bool // the runner may have begun to run it
 }
 
-// noGuard holds nothing back.
-type noGuard struct{}
+// NoGuard holds nothing back.
+type NoGuard struct{}
 
-func (noGuard) Held(core.Digest) time.Duration                           { return 0 }
-func (noGuard) Admit(context.Context, core.Digest) (time.Duration, bool) { return 0, true }
-func (noGuard) Broke(Broken)                                             {}
-func (noGuard) Worked(core.Digest)                                       {}
+// Held implements Guard.
+func (NoGuard) Held(core.Digest) time.Duration { return 0 }
+
+// Admit implements Guard.
+func (NoGuard) Admit(context.Context, core.Digest) (time.Duration, bool) { return 0, true }
+
+// Broke implements Guard.
+func (NoGuard) Broke(Broken) {}
+
+// Worked implements Guard.
+func (NoGuard) Worked(core.Digest) {}
 
 // enter refuses a request that may not be served now, and counts it in.
 func (j *job) enter() (leave func(), err error) {
@@ -62,14 +68,18 @@
 	return j.hold()
 }
 
-// admit asks whether the request may be sent to a runner. It is asked before each send:
-// the request may have come to be held back while it waited, or by its own doing at the
-// runner before.
-func (j *job) admit(ctx context.Context) error {
+// next finds the runner for the next send. The guard is asked last, before each send: the
+// request may have come to be held back while it waited, or by its own doing at the runner
+// before.
+func (j *job) next(ctx context.Context) (*core.Runner, error) {
+	r, err := j.choose(ctx)
+	if err != nil {
+		return nil, err
+	}
 	if retry, ok := j.d.guard.Admit(ctx, j.q.Digest); !ok {
-		return j.heldBack(retry)
+		return nil, j.heldBack(retry)
 	}
-	return nil
+	return r, nil
 }
 
 // heldBack is the answer to a request like one that has ended runners: what is true of
@@ -103,7 +113,7 @@
 		return
 	}
 	j.d.guard.Broke(Broken{
-		Request: j.q.ID, Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
+		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
 		Begun: j.stage != stageSent || !j.engine(),
 	})
 }
--- a/coordination/dispatch/restart.go
+++ b/coordination/dispatch/restart.go
@@ -25,14 +25,16 @@
 	f.next++
 	id, sends := f.next, f.by[key]
 	sends[id] = drop
-	return func() {
+	// Each event of a stream says again that the answer has begun; only the first one has
+	// to wait for the lock that all requests share.
+	return sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(sends, id)
 		if now := f.by[key]; len(now) == 0 {
 			delete(f.by, key)
 		}
-	}
+	})
 }
 
 // take returns the sends of a key and forgets them.
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -128,13 +128,10 @@
 		return err
 	}
 	for {
-		r, err := j.choose(s.ctx)
+		r, err := j.next(s.ctx)
 		if err != nil {
 			return err
 		}
-		if err := j.admit(s.ctx); err != nil {
-			return err
-		}
 		reply, err := j.send(s.ctx, r)
 		if err == nil && reply.Status == http.StatusOK && check(reply) == nil {
 			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("after", j.last))
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -15,13 +15,6 @@
 	Worked(d core.Digest)
 }
 
-// noGuard holds nothing back.
-type noGuard struct{}
-
-func (noGuard) Held(core.Digest) time.Duration { return 0 }
-func (noGuard) Broke(dispatch.Broken)          {}
-func (noGuard) Worked(core.Digest)             {}
-
 // Option changes a Holder.
 type Option func(*Holder)
 
--- a/coordination/placement/fatal_test.go
+++ b/coordination/placement/fatal_test.go
@@ -55,12 +55,11 @@
 // alone is the network of a daemon without others.
 type alone struct{}
 
-func (alone) Self() peers.Peer                { return peers.Peer{Name: "d1"} }
-func (a alone) Alive() []peers.Peer           { return []peers.Peer{a.Self()} }
-func (a alone) Get(string) (peers.Peer, bool) { return a.Self(), true }
-func (alone) Handle(string, peers.Handler)    {}
-func (alone) Tell(peers.Peer, string, any)    {}
-func (alone) TellAll(string, any)             {}
+func (alone) Self() peers.Peer             { return peers.Peer{Name: "d1"} }
+func (a alone) Alive() []peers.Peer        { return []peers.Peer{a.Self()} }
+func (alone) Handle(string, peers.Handler) {}
+func (alone) Tell(peers.Peer, string, any) {}
+func (alone) TellAll(string, any)          {}
 func (alone) Ask(context.Context, peers.Peer, string, any, any, time.Duration) error {
 	return peers.ErrNoAnswer
 }
