Quarantine: what was computed or written twice is there once

Cause, found by reading the whole change: the daemons that live were listed and ranked anew for each request of a runner's end, and each judge looked up again by its name; the same question of a record (known, and held?) stood in seven places; a release forgot what was counted twice; two messages were told again and again by a loop each, of which one went on after the stop; lists were cut into messages by hand; who can read the store for others stood in watches and in readsHolds.

Now judgesOf and byJudge take the list of daemons, hold.Table.Held answers the question, tellAll tells at several times, slices.Chunk cuts, able says who can read. Network needs no Get any more. Behaviour as it was, but that no question is told after the stop.

--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -155,34 +156,39 @@
 // accuse tells the judges of each request that a runner has ended under it.
 func (q *Quarantine) accuse(c *check, strikes []strike) {
 	self := q.net.Self().Name
-	for judge, list := range q.byJudge(strikes) {
-		for len(list) > 0 {
-			n := min(len(list), blameMost)
-			a := accusation{Runner: c.runner.ID, Life: c.life, Strikes: list[:n]}
-			list = list[n:]
-			if judge == self {
+	for _, one := range byJudge(strikes, q.net.Alive()) {
+		for part := range slices.Chunk(one.strikes, blameMost) {
+			a := accusation{Runner: c.runner.ID, Life: c.life, Strikes: part}
+			if one.judge.Name == self {
 				q.judge(a, self)
 				continue
 			}
-			if to, ok := q.net.Get(judge); ok {
-				q.wg.Add(1)
-				go q.runAccuse(to, a)
-			}
+			q.wg.Add(1)
+			go q.runAccuse(one.judge, a)
 		}
 	}
 }
 
-// byJudge groups requests by the daemons that they fall to.
-func (q *Quarantine) byJudge(strikes []strike) map[string][]strike {
-	out := map[string][]strike{}
+// share is the requests that fall to one judge.
+type share struct {
+	judge   peers.Peer
+	strikes []strike
+}
+
+// byJudge groups requests by the daemons that they fall to, of all that live.
+func byJudge(strikes []strike, all []peers.Peer) map[string]*share {
+	out := map[string]*share{}
 	seen := map[core.Digest]bool{}
 	for _, s := range strikes {
 		if seen[s.Digest] && !s.Begun {
 			continue
 		}
 		seen[s.Digest] = true
-		for _, judge := range q.judgesOf(s.Digest) {
-			out[judge.Name] = append(out[judge.Name], s)
+		for _, judge := range judgesOf(s.Digest, all) {
+			if out[judge.Name] == nil {
+				out[judge.Name] = &share{judge: judge}
+			}
+			out[judge.Name].strikes = append(out[judge.Name].strikes, s)
 		}
 	}
 	return out
--- a/coordination/quarantine/compare.go
+++ b/coordination/quarantine/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"primroseward/coordination/peers"
@@ -28,17 +29,21 @@
 	holdsMost = 4
 )
 
-// spreadAgain are the times after which a decision is told again to all: a datagram may
-// be lost, and what it tells must be known within a second or two.
-var spreadAgain = []time.Duration{0, 60 * time.Millisecond, 300 * time.Millisecond}
+// spreadTells are the times after which a decision is told to all: a datagram may be lost,
+// and what it tells must be known within a second or two.
+var spreadTells = []time.Duration{0, 60 * time.Millisecond, 300 * time.Millisecond}
 
 // spread tells a decision to all daemons.
 func (q *Quarantine) spread(r hold.Record) {
-	list := q.encode([]hold.Record{r})
-	for _, after := range spreadAgain {
+	q.tellAll(kindHolds, q.encode([]hold.Record{r}), spreadTells)
+}
+
+// tellAll tells all daemons the same at several times from now on.
+func (q *Quarantine) tellAll(kind string, message any, times []time.Duration) {
+	for _, after := range times {
 		q.clock.AfterFunc(after, func() {
 			if q.ctx.Err() == nil {
-				q.net.TellAll(kindHolds, list)
+				q.net.TellAll(kind, message)
 			}
 		})
 	}
@@ -138,10 +143,7 @@
 
 // tellHolds tells another daemon all decisions.
 func (q *Quarantine) tellHolds(to peers.Peer) {
-	list := q.encode(q.table.All())
-	for len(list) > 0 {
-		n := min(len(list), holdsMost)
-		q.net.Tell(to, kindHolds, list[:n])
-		list = list[n:]
+	for part := range slices.Chunk(q.encode(q.table.All()), holdsMost) {
+		q.net.Tell(to, kindHolds, part)
 	}
 }
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -16,13 +16,14 @@
 	// consultTime is how long the other daemons are waited for when they are asked
 	// whether a request has been served: some round trips, and a turn of a hub.
 	consultTime = 150 * time.Millisecond
-	// consultAgain repeats the question, which may have been lost.
-	consultAgain = 50 * time.Millisecond
 	// workedFor is how long ago a request may have been served to count as harmless. What
 	// it asks for may have changed since.
 	workedFor = time.Minute
 )
 
+// consultTells are the times after which the question is asked: it may be lost.
+var consultTells = []time.Duration{0, 50 * time.Millisecond}
+
 // consult is a question to all daemons whether a request has been served lately.
 type consult struct {
 	record hold.Record // that holds it back if it has not
@@ -50,15 +51,15 @@
 	for _, s := range a.Strikes {
 		r, ok := q.table.Get(s.Digest)
 		switch {
-		case ok && r.State == hold.StateHeld && r.Left(q.clock.Now()) > 0:
+		case !ok || r.State != hold.StateHeld:
+			q.count(a, s, from, r)
+		case r.Left(q.clock.Now()) > 0:
 			// It was in progress when it came to be held back.
-		case ok && r.State == hold.StateHeld:
+		default:
 			q.log.Info(logs.RequestBlamed, zap.Stringer("digest", s.Digest), zap.String("runner", a.Runner), zap.String("from", from), zap.Bool("tried", true))
 			r.Level++
 			r.Runners++
 			q.hold(r)
-		default:
-			q.count(a, s, from, r)
 		}
 	}
 }
@@ -90,10 +91,7 @@
 	if at, ok := q.excused[d]; ok {
 		within = min(within, q.clock.Since(at)) // that it was served before then has been heard
 	}
-	question := seen{Digest: d, Within: within}
-	tell := func() { q.net.TellAll(kindSeen, question) }
-	q.clock.AfterFunc(0, tell)
-	q.clock.AfterFunc(consultAgain, tell)
+	q.tellAll(kindSeen, seen{Digest: d, Within: within}, consultTells)
 	q.clock.AfterFunc(consultTime, func() { q.conclude(d) })
 	if q.recent.within(d, within) {
 		q.consults[d].worked = q.net.Self().Name
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -28,19 +28,9 @@
 	"primroseward/state/hold"
 )
 
-const (
-	// judges is how many daemons count the ends of runners under a request: with three
-	// the loss or the cut of two at once loses nothing.
-	judges = 3
-	// trialTime is how long a judge lets nothing else through once it has let one run be
-	// tried; a stream is served or has ended its runner by then.
-	trialTime = 15 * time.Second
-	// trialLimit is how long a daemon waits for leave to try a run, trialResend repeats
-	// the question, and trialRetry is when a caller may come back where leave is not given.
-	trialLimit  = 200 * time.Millisecond
-	trialResend = 60 * time.Millisecond
-	trialRetry  = 2 * time.Second
-)
+// judges is how many daemons count the ends of runners under a request: with three
+// the loss or the cut of two at once loses nothing.
+const judges = 3
 
 // Kinds of messages between daemons.
 const (
@@ -56,7 +46,6 @@
 type Network interface {
 	Self() peers.Peer
 	Alive() []peers.Peer
-	Get(name string) (peers.Peer, bool)
 	Handle(kind string, h peers.Handler)
 	Tell(to peers.Peer, kind string, message any)
 	TellAll(kind string, message any)
@@ -149,8 +138,8 @@
 
 // Held implements dispatch.Guard.
 func (q *Quarantine) Held(d core.Digest) time.Duration {
-	r, ok := q.table.Get(d)
-	if !ok || r.State != hold.StateHeld {
+	r, ok := q.table.Held(d)
+	if !ok {
 		return 0
 	}
 	return r.Left(q.clock.Now())
@@ -159,8 +148,8 @@
 // Admit implements dispatch.Guard. Once a request's term is over one run of it is let
 // through, by the daemon that the request falls to.
 func (q *Quarantine) Admit(ctx context.Context, d core.Digest) (time.Duration, bool) {
-	r, ok := q.table.Get(d)
-	if !ok || r.State != hold.StateHeld {
+	r, ok := q.table.Held(d)
+	if !ok {
 		return 0, true
 	}
 	if left := r.Left(q.clock.Now()); left > 0 {
@@ -174,60 +163,19 @@
 	return 0, true
 }
 
-// askTrial asks the first judge of a request for leave to try a run.
-func (q *Quarantine) askTrial(ctx context.Context, d core.Digest) bool {
-	judge := q.judgesOf(d)[0]
-	if judge.Name == q.net.Self().Name {
-		return q.grant(d)
-	}
-	ctx, cancel := context.WithTimeout(ctx, trialLimit)
-	defer cancel()
-	var granted bool
-	if err := q.net.Ask(ctx, judge, kindTrial, d, &granted, trialResend); err != nil {
-		q.log.Info(logs.TrialRefused, zap.Stringer("digest", d), zap.String("judge", judge.Name), logs.Err(err))
-		return false
-	}
-	return granted
-}
-
-func (q *Quarantine) handleTrial(from peers.Peer, body json.RawMessage, answer func(any)) {
-	var d core.Digest
-	if !q.read(from, body, &d) {
-		return
-	}
-	answer(q.grant(d))
-}
-
-// grant lets one run of a request be tried, unless one is being tried. A question that is
-// repeated, as its answer was lost, gets no leave: the caller comes again.
-func (q *Quarantine) grant(d core.Digest) bool {
-	r, ok := q.table.Get(d)
-	now := q.clock.Now()
-	if !ok || r.State != hold.StateHeld || r.Left(now) > 0 {
-		return false
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if at, tried := q.trials[d]; tried && now.Sub(at) < trialTime {
-		return false
-	}
-	q.trials[d] = now
-	return true
-}
-
 // Worked implements dispatch.Guard. A request that was served while it is held back was
 // blamed wrongly, or what it asks for has been repaired.
 func (q *Quarantine) Worked(d core.Digest) {
 	q.recent.add(d)
-	if r, ok := q.table.Get(d); ok && r.State == hold.StateHeld {
+	if r, ok := q.table.Held(d); ok {
 		q.release(r, hold.ByWork)
 	}
 }
 
 // Release ends the hold of a request by an operator's word; false if there is none.
 func (q *Quarantine) Release(d core.Digest) bool {
-	r, ok := q.table.Get(d)
-	if !ok || r.State != hold.StateHeld {
+	r, ok := q.table.Held(d)
+	if !ok {
 		return false
 	}
 	q.release(r, hold.ByOperator)
@@ -240,9 +188,6 @@
 // release decides that a request is held back no longer.
 func (q *Quarantine) release(r hold.Record, by hold.By) {
 	r.Release(by, q.clock.Now())
-	q.mu.Lock()
-	q.forget(r.Digest)
-	q.mu.Unlock()
 	q.decide(r)
 }
 
@@ -273,9 +218,7 @@
 	q.log.Warn(logs.HoldChanged, zap.Stringer("digest", r.Digest), zap.String("state", string(r.State)), zap.String("by", string(r.By)),
 		zap.String("from", from), zap.Uint64("version", r.Version), zap.String("route", r.Route), zap.String("service", r.Service),
 		zap.Int("runners", r.Runners), zap.Int("times", r.Level+1), zap.Duration("left", r.Left(q.clock.Now())))
-	q.mu.Lock()
 	q.forget(r.Digest)
-	q.mu.Unlock()
 	if r.State == hold.StateHeld {
 		q.held(r.Digest)
 	}
@@ -286,30 +229,31 @@
 	return true
 }
 
-// forget drops what was counted of a request once it has been decided on; the caller
-// holds the lock.
+// forget drops what was counted of a request once it has been decided on.
 func (q *Quarantine) forget(d core.Digest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	q.blame.Clear(d)
 	delete(q.consults, d)
 	delete(q.trials, d)
 }
 
-// judgesOf returns the daemons that a request falls to, by a hash that all daemons agree
-// on as far as they know the same daemons; this one is among them where it knows few.
-func (q *Quarantine) judgesOf(d core.Digest) []peers.Peer {
-	all := q.net.Alive()
+// judgesOf returns the daemons that a request falls to, of all that live, this one first,
+// by a hash that all daemons agree on as far as they know the same daemons. One that
+// leaves judges nothing, unless it is the only one.
+func judgesOf(d core.Digest, all []peers.Peer) []peers.Peer {
 	type ranked struct {
 		peers.Peer
 		rank uint64
 	}
 	list := make([]ranked, 0, len(all))
 	for _, p := range all {
-		if !p.Leaving || len(all) == 1 {
+		if !p.Leaving {
 			list = append(list, ranked{p, xxhash.Sum64String(string(d[:]) + p.Name)})
 		}
 	}
 	if len(list) == 0 {
-		return all[:1] // this one, which leaves last
+		return all[:1]
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	out := make([]peers.Peer, 0, judges)
--- a/coordination/quarantine/sim_test.go
+++ b/coordination/quarantine/sim_test.go
@@ -138,8 +138,6 @@
 	return out
 }
 
-func (d *daemon) Get(name string) (peers.Peer, bool) { return peers.Peer{Name: name}, true }
-
 func (d *daemon) Handle(kind string, h peers.Handler) { d.handlers[kind] = h }
 
 func (d *daemon) Tell(to peers.Peer, kind string, message any) {
--- a/services/fleet/duties.go
+++ b/services/fleet/duties.go
@@ -41,14 +41,19 @@
 		if large && p.Place != d.set.Place || !d.precedes(p) {
 			continue
 		}
-		able := p.Alive && !p.Leaving && (failing || !p.Failing) && p.Ready
-		if able || starting && !p.Alive {
+		if able(p, failing) || starting && !p.Alive {
 			before++
 		}
 	}
 	return before < most
 }
 
+// able says whether another daemon can read the store for others; with failing one for
+// which the store fails can as well as any.
+func able(p peers.Acquaintance, failing bool) bool {
+	return p.Alive && p.Ready && !p.Leaving && (failing || !p.Failing)
+}
+
 // first says whether this daemon should read the store itself, so long after its
 // start: at once where no daemon is known that would rather do so. Those that the
 // store lists and that are silent yet count, as all may start together.
@@ -79,7 +84,7 @@
 		return false
 	}
 	for _, p := range d.peers.Known() {
-		if p.Alive && p.Ready && !p.Leaving && !p.Failing && d.precedes(p) {
+		if able(p, false) && d.precedes(p) {
 			return false
 		}
 	}
--- a/state/hold/table.go
+++ b/state/hold/table.go
@@ -46,6 +46,13 @@
 	return *r, true
 }
 
+// Held returns the record of a request that is held back, or may be tried; false if it
+// has none or is released.
+func (t *Table) Held(d core.Digest) (Record, bool) {
+	r, ok := t.Get(d)
+	return r, ok && r.State == StateHeld
+}
+
 // All returns all records.
 func (t *Table) All() []Record {
 	t.mu.RLock()
