--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -1,19 +1,11 @@
 package proof
 
 import (
-	"bufio"
 	"bytes"
-	"encoding/json"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,221 +16,8 @@
 	"primroseward/io/logs"
 	wire "primroseward/platform"
 	"primroseward/standin/platform"
-	"primroseward/standin/runner"
 )
 
-// fleetCluster is daemons of the platform's kind with its store and runners.
-type fleetCluster struct {
-	t       *testing.T
-	store   *platform.Server
-	addr    string
-	runners []*runner.Server
-	daemons []*fleetDaemon
-}
-
-// fleetDaemon is one primrosed process that serves through the platform.
-type fleetDaemon struct {
-	name, caller, ready, directory, admin string
-	cmd                                   *exec.Cmd
-	log, file                             string
-}
-
-const grace = 4 * time.Second
-
-// startFleet brings up the store, two runners of each service and n daemons.
-func startFleet(t *testing.T, n int) *fleetCluster {
-	t.Helper()
-	c := &fleetCluster{t: t, store: platform.New()}
-	srv := httptest.NewServer(c.store)
-	t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Config.Close()
-	})
-	c.addr = srv.Listener.Addr().String()
-	c.put(wire.KindConfig, wire.NameConfig, fleetConfig(1, "/gen/"))
-	for i, spec := range []runner.Spec{
-		{ID: "i-gen-1", Service: "gen", Place: "north", Slots: 8, Models: []string{"m1"}, Events: 20, Gap: 20 * time.Millisecond},
-		{ID: "i-gen-2", Service: "gen", Place: "south", Slots: 8, Models: []string{"m1", "m2"}, Events: 20, Gap: 20 * time.Millisecond},
-		{ID: "i-app-1", Service: "app", Place: "north", Slots: 8, Gap: 5 * time.Millisecond},
-		{ID: "i-app-2", Service: "app", Place: "south", Slots: 8, Gap: 5 * time.Millisecond},
-	} {
-		c.runners = append(c.runners, runner.New(spec, c.put))
-		t.Cleanup(c.runners[i].Kill)
-	}
-	for i := range n {
-		c.startDaemon(fmt.Sprintf("vm-%d", i+1), []string{"north", "south"}[i%2])
-	}
-	for _, d := range c.daemons {
-		c.await(d, http.StatusOK)
-	}
-	return c
-}
-
-func fleetConfig(version int, prefix string) any {
-	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": 4000,
-			"target_latency_ms": 300, "max_attempts": attempts, "resumable": resumable, "priority": 1,
-		}
-	}
-	models := []map[string]any{
-		{"name": "m1", "weights_mb": 50, "load_s": 1, "adapters": 4, "adapter_mb": 1},
-		{"name": "m2", "weights_mb": 40, "load_s": 1},
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("gen", prefix, "streaming", "gen", 2, true),
-			route("order", "/order/", "unsafe", "app", 2, false),
-			route("ask", "/ask/", "safe", "app", 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": "gen", "engine": map[string]any{"slots": 8, "weights_mb": 100, "adapter_slots": 2, "loads_per_s": 2, "models": models}},
-			map[string]any{"name": "app"},
-		},
-		"limits": map[string]any{"max_body_bytes": 1 << 20},
-	}
-}
-
-// put writes an object as operators and runners do.
-func (c *fleetCluster) put(kind, name string, spec any) {
-	body, err := json.Marshal(spec)
-	assert.NilError(c.t, err)
-	base := "http://" + c.addr + wire.PathObjects + kind
-	item := wire.Item{Metadata: wire.Meta{Name: name}, Spec: body}
-	if call(adminClient, http.MethodPost, base, item, nil) == http.StatusConflict {
-		assert.Equal(c.t, call(adminClient, http.MethodPut, base+"/"+name, item, nil), http.StatusOK)
-	}
-}
-
-func (c *fleetCluster) startDaemon(name, place string) *fleetDaemon {
-	c.t.Helper()
-	d := &fleetDaemon{name: name, caller: freePort(c.t), ready: freePort(c.t), directory: freePort(c.t), admin: freePort(c.t)}
-	dir := c.t.TempDir()
-	file := filepath.Join(dir, "primrosed.json")
-	text := fmt.Sprintf(`{"name":%q,"place":%q,"caller":%q,"peer":%q,"admin":%q,"platform":%q,"fleet":{"ready":%q,"directory":%q,
-		"keep":"1s","grace":%q,"lease":"500ms","ratio":0.2,"slack":20,"window":"10s"}}`,
-		name, place, d.caller, freePort(c.t), d.admin, c.addr, d.ready, d.directory, grace.String())
-	assert.NilError(c.t, os.WriteFile(file, []byte(text), 0o600))
-	d.log, d.file = filepath.Join(dir, "log"), file
-	d.run(c)
-	c.daemons = append(c.daemons, d)
-	c.t.Cleanup(func() {
-		_ = d.cmd.Process.Kill()
-		_, _ = d.cmd.Process.Wait()
-		data, _ := os.ReadFile(d.log)
-		assert.Check(c.t, !bytes.Contains(data, []byte("DATA RACE")), "%s", data)
-		if c.t.Failed() {
-			c.t.Logf("%s:\n%s", d.name, data)
-		}
-	})
-	return d
-}
-
-// run starts the process.
-func (d *fleetDaemon) run(c *fleetCluster) {
-	c.t.Helper()
-	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	assert.NilError(c.t, err)
-	d.cmd = exec.Command(binary, "--config", d.file)
-	d.cmd.Stdout, d.cmd.Stderr = out, out
-	assert.NilError(c.t, d.cmd.Start())
-	_ = out.Close()
-}
-
-// restart kills the process and starts another one.
-func (d *fleetDaemon) restart(c *fleetCluster) {
-	c.t.Helper()
-	_ = d.cmd.Process.Kill()
-	_, _ = d.cmd.Process.Wait()
-	d.run(c)
-}
-
-func (c *fleetCluster) await(d *fleetDaemon, status int) {
-	c.t.Helper()
-	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
-		resp, err := http.Get("http://" + d.ready + wire.PathReady)
-		if err != nil {
-			return poll.Continue("%v", err)
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode != status {
-			return poll.Continue("status %d", resp.StatusCode)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(20*time.Second))
-}
-
-// addresses asks a daemon's directory.
-func (c *fleetCluster) addresses(d *fleetDaemon) []string {
-	c.t.Helper()
-	resp, err := http.Get("http://" + d.directory + wire.PathDirectory + "?name=h.example&region=r&zone=north")
-	assert.NilError(c.t, err)
-	defer resp.Body.Close()
-	var got struct {
-		Addresses []string `json:"addresses"`
-		Keep      float64  `json:"ttl_s"`
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil
-	}
-	assert.NilError(c.t, json.NewDecoder(resp.Body).Decode(&got))
-	assert.Equal(c.t, got.Keep, 1.0)
-	return got.Addresses
-}
-
-// fleetSerial numbers the requests of callers.
-var fleetSerial atomic.Int64
-
-// send makes one request of a caller on a connection of its own.
-func (d *fleetDaemon) send(path, body, model string) (int, string, error) {
-	return d.sendFrom(net.IPv4(127, 0, 0, 1), path, body, model)
-}
-
-// sendFrom makes one request from one of its caller's addresses.
-func (d *fleetDaemon) sendFrom(from net.IP, path, body, model string) (int, string, error) {
-	serial := fleetSerial.Add(1)
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: from}}
-	conn, err := dialer.Dial("tcp", d.caller)
-	if err != nil {
-		return 0, "", err
-	}
-	defer conn.Close()
-	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s: q%d\r\n%s: 4000\r\nContent-Length: %d\r\n", path, wire.HeaderRequestID, serial, wire.HeaderTimeout, len(body))
-	if model != "" {
-		fmt.Fprintf(&b, "%s: %s\r\n", wire.HeaderModel, model)
-	}
-	b.WriteString("\r\n" + body)
-	if _, err := io.WriteString(conn, b.String()); err != nil {
-		return 0, "", err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, "", err
-	}
-	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data), err
-}
-
-func wholeStream(n int) string {
-	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return b.String()
-}
-
-func (c *fleetCluster) runsOf(service string) int {
-	n := 0
-	for _, r := range c.runners {
-		if r.Service == service {
-			n += len(r.Runs())
-		}
-	}
-	return n
-}
-
 // The whole path through the platform: callers find daemons, daemons find
 // runners, requests and streams come back unchanged, and refusals are told
 // apart from routes that do not exist.
@@ -430,17 +209,6 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
-// ctl runs primrosectl against the store and a daemon, and returns what it
-// printed and its exit code.
-func (c *fleetCluster) ctl(d *fleetDaemon, stdin string, args ...string) (string, int) {
-	c.t.Helper()
-	all := append([]string{"--store", c.addr, "--admin", d.admin, "--by", "nino"}, args...)
-	cmd := exec.Command(buildCtl(c.t), all...)
-	cmd.Stdin = strings.NewReader(stdin)
-	out, _ := cmd.CombinedOutput() // the exit code tells
-	return string(out), cmd.ProcessState.ExitCode()
-}
-
 // Regulated data is served in a place that operators have taken away, because the
 // platform's configuration knows no places. Operators narrow a service in the
 // settings tree, in the store as on this platform nobody calls a daemon to edit;
