The own interface holds back requests that end endpoints

Cause: its entry and owner path kept nothing of a request under which an endpoint had ended, so that each return was a new request. The quarantine is the one of the platform's path: the owner tells it of attempts whose connection broke and of those that were served, the entry asks it before each attempt, messages go as calls between daemons.

Ruled out: counting at entries (one end seen by three entries is three ends, and a harmless request beside it is blamed for them).

Guard and what it takes in move to core, as two packages carry it out.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 	running atomic.Int64
 	sent    inFlight[string]      // by runner
 	asked   inFlight[core.Digest] // by what they ask, until their answer begins
-	guard   Guard
+	guard   core.Guard
 	// settings are nil where no tree is kept.
 	settings *settings
 }
@@ -88,14 +88,14 @@
 // WithDaemons sets what tells how many daemons share the runners.
 func WithDaemons(fn func() int) Option { return func(d *Dispatcher) { d.daemons = fn } }
 
-// WithGuard asks a Guard before each send.
-func WithGuard(g Guard) Option { return func(d *Dispatcher) { d.guard = g } }
+// WithGuard asks a guard before each send.
+func WithGuard(g core.Guard) Option { return func(d *Dispatcher) { d.guard = g } }
 
 // New makes a Dispatcher of a daemon in a place.
 func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
-		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: NoGuard{},
+		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: core.NoGuard{},
 	}
 	for _, o := range opts {
 		o(d)
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,53 +11,10 @@
 	"primroseward/io/logs"
 )
 
-const (
-	// codeHeld is the code of answers to requests that are held back.
-	codeHeld = "held_back"
-	// provenAfter is how long a runner must have sent events of a stream for it to count
-	// as harmless there. A request that ends its runner does so when it is begun; long
-	// streams that are cut again and again by others' doing never come to their end.
-	provenAfter = 2 * time.Second
-)
-
-// Guard holds back requests that have ended runners.
-type Guard interface {
-	// Held says for how much longer a request is held back, 0 if it is not or may be
-	// tried.
-	Held(d core.Digest) time.Duration
-	// Admit says whether a request may be sent to a runner now, and if not when it may
-	// come back.
-	Admit(ctx context.Context, d core.Digest) (retry time.Duration, ok bool)
-	// Broke takes in that a runner has closed a request's connection before a whole
-	// answer.
-	Broke(b Broken)
-	// Worked takes in that a runner has served a request, or has worked on it for long.
-	Worked(d core.Digest)
-}
-
-// Broken is a request whose runner has closed the connection before a whole answer.
-type Broken struct {
-	Digest  core.Digest
-	Runner  core.Runner
-	Route   string
-	Service string
-	Begun   bool // the runner may have begun to run it
-}
-
-// NoGuard holds nothing back.
-type NoGuard struct{}
-
-// Held implements Guard.
-func (NoGuard) Held(core.Digest) time.Duration { return 0 }
-
-// Admit implements Guard.
-func (NoGuard) Admit(context.Context, core.Digest) (time.Duration, bool) { return 0, true }
-
-// Broke implements Guard.
-func (NoGuard) Broke(Broken) {}
-
-// Worked implements Guard.
-func (NoGuard) Worked(core.Digest) {}
+// provenAfter is how long a runner must have sent events of a stream for it to count
+// as harmless there. A request that ends its runner does so when it is begun; long
+// streams that are cut again and again by others' doing never come to their end.
+const provenAfter = 2 * time.Second
 
 // enter refuses a request that may not be served now, and counts it in.
 func (j *job) enter() (leave func(), err error) {
@@ -85,15 +41,9 @@
 // heldBack is the answer to a request like one that has ended runners: what is true of
 // this one, and when it may come back.
 func (j *job) heldBack(retry time.Duration) error {
-	j.log.Warn(logs.Refused, zap.String("code", codeHeld), zap.Stringer("digest", j.q.Digest), zap.String("service", j.service),
+	j.log.Warn(logs.Refused, zap.String("code", core.CodeHeld), zap.Stringer("digest", j.q.Digest), zap.String("service", j.service),
 		zap.String("model", j.q.Model), zap.Int("runs", j.runs), zap.Duration("retry", retry))
-	const message = "runners have ended under this request; it is held back"
-	if j.runs == 0 {
-		return core.NotRun(http.StatusServiceUnavailable, codeHeld, message, retry)
-	}
-	e := core.MayHaveRun(codeHeld, message)
-	e.Retry = retry
-	return e
+	return core.HeldBack(j.runs, retry)
 }
 
 // proven says whether the runner has worked for long on the request.
@@ -112,7 +62,7 @@
 	if e == nil || e.Draining || !e.Born.Equal(r.Born) {
 		return
 	}
-	j.d.guard.Broke(Broken{
+	j.d.guard.Broke(core.Broken{
 		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
 		Begun: j.stage != stageSent || !j.engine(),
 	})
--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -17,7 +17,7 @@
 type guard struct {
 	mu     sync.Mutex
 	admits int // how often it lets the request through; below 0: held back from the start
-	broke  []Broken
+	broke  []core.Broken
 	worked int
 }
 
@@ -42,7 +42,7 @@
 	return 0, true
 }
 
-func (g *guard) Broke(b Broken) {
+func (g *guard) Broke(b core.Broken) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.broke = append(g.broke, b)
@@ -106,16 +106,16 @@
 		code    string
 		retry   time.Duration
 	}{
-		{"safe, from the start", safe, 0, -1, 503, core.OutcomeNotRun, codeHeld, holdTime},
-		{"unsafe, from the start", unsafe, 0, -1, 503, core.OutcomeNotRun, codeHeld, holdTime},
-		{"a stream, from the start", stream, 0, -1, 503, core.OutcomeNotRun, codeHeld, holdTime},
-		{"safe, while it waited", safe, 0, 0, 503, core.OutcomeNotRun, codeHeld, holdTime},
-		{"unsafe, while it waited", unsafe, 0, 0, 503, core.OutcomeNotRun, codeHeld, holdTime},
-		{"a stream, while it waited", whole, 0, 0, 503, core.OutcomeNotRun, codeHeld, holdTime},
-		{"safe, after it has ended a runner", safe, 0, 1, 502, core.OutcomeMayHaveRun, codeHeld, holdTime},
+		{"safe, from the start", safe, 0, -1, 503, core.OutcomeNotRun, core.CodeHeld, holdTime},
+		{"unsafe, from the start", unsafe, 0, -1, 503, core.OutcomeNotRun, core.CodeHeld, holdTime},
+		{"a stream, from the start", stream, 0, -1, 503, core.OutcomeNotRun, core.CodeHeld, holdTime},
+		{"safe, while it waited", safe, 0, 0, 503, core.OutcomeNotRun, core.CodeHeld, holdTime},
+		{"unsafe, while it waited", unsafe, 0, 0, 503, core.OutcomeNotRun, core.CodeHeld, holdTime},
+		{"a stream, while it waited", whole, 0, 0, 503, core.OutcomeNotRun, core.CodeHeld, holdTime},
+		{"safe, after it has ended a runner", safe, 0, 1, 502, core.OutcomeMayHaveRun, core.CodeHeld, holdTime},
 		{"unsafe, after it has ended a runner", unsafe, 0, 1, 502, core.OutcomeMayHaveRun, "answer_lost", 0},
-		{"a stream, before its first event", stream, 0, 1, 502, core.OutcomeMayHaveRun, codeHeld, holdTime},
-		{"a stream, in its middle", stream, 3, 1, 502, core.OutcomeMayHaveRun, codeHeld, holdTime},
+		{"a stream, before its first event", stream, 0, 1, 502, core.OutcomeMayHaveRun, core.CodeHeld, holdTime},
+		{"a stream, in its middle", stream, 3, 1, 502, core.OutcomeMayHaveRun, core.CodeHeld, holdTime},
 		{"a stream that may not go on, in its middle", whole, 3, 1, 502, core.OutcomeMayHaveRun, "answer_lost", 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/coordination/entry/ask.go
+++ b/coordination/entry/ask.go
@@ -28,6 +28,12 @@
 	Stream   bool
 	Repeat   bool
 	Deadline time.Time
+	Digest   core.Digest // of what it asks; its caller's next attempt has the same
+}
+
+// digest stands for what the request asks, whoever asks it.
+func (a *Ask) digest() core.Digest {
+	return core.DigestOf(&core.Request{Method: a.Method, Host: a.Service + "/" + a.Model, Target: a.Path, Body: a.Body})
 }
 
 // holdKey is the name under which the answer is held.
--- a/coordination/entry/attempts.go
+++ b/coordination/entry/attempts.go
@@ -42,6 +42,7 @@
 	relay   *relay
 	refused map[string]bool // runners that refused it
 	last    *core.RequestError
+	runs    int // attempts that may have run
 	retries int
 	tries   int
 }
@@ -58,6 +59,9 @@
 		if err != nil {
 			return err
 		}
+		if retry, ok := e.guard.Admit(ctx, a.Digest); !ok {
+			return core.HeldBack(w.runs, retry)
+		}
 		err = w.once(ctx, runner)
 		if err == nil {
 			return nil
@@ -87,6 +91,7 @@
 		w.keepLast(re)
 		return nil
 	}
+	w.runs++
 	w.e.health.Failed(runner.Runner)
 	w.last = re
 	if !w.ask.Repeat {
@@ -228,6 +233,7 @@
 		Body:     w.relay.body(),
 		Repeat:   a.Repeat,
 		Retry:    w.retries > 0,
+		Digest:   a.Digest,
 	}
 }
 
@@ -374,6 +380,7 @@
 		Body:    r.Body,
 		Repeat:  r.Repeat,
 		Retry:   r.Retry,
+		Digest:  r.Digest[:],
 	}
 	msg.Headers = headToWire(&answer.Head{Header: r.Header}).Headers
 	return msg
@@ -395,5 +402,13 @@
 		Body:     msg.Body,
 		Repeat:   msg.Repeat,
 		Retry:    msg.Retry,
+		Digest:   digestFromWire(msg.Digest),
 	}
 }
+
+// digestFromWire reads a request's digest; daemons of an older version tell none.
+func digestFromWire(data []byte) core.Digest {
+	var d core.Digest
+	copy(d[:], data)
+	return d
+}
--- a/coordination/entry/entry.go
+++ b/coordination/entry/entry.go
@@ -55,6 +55,7 @@
 	demand  *Demand
 	budget  *route.Budget
 	health  *route.Health
+	guard   core.Guard
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by hold key
@@ -76,6 +77,9 @@
 	return func(e *Entry) { e.keep = answer.NewKeep(e.clock, limit, life) }
 }
 
+// WithGuard asks a guard before each attempt.
+func WithGuard(g core.Guard) Option { return func(e *Entry) { e.guard = g } }
+
 // New makes an Entry.
 func New(replica *tree.Replica, members core.Members, dial peer.Dial, own *owner.Manager, dir *directory.Directory, claims *claim.Claims, clock core.Clock, opts ...Option) *Entry {
 	e := &Entry{
@@ -94,6 +98,7 @@
 		demand:  NewDemand(clock),
 		budget:  route.NewBudget(),
 		health:  route.NewHealth(clock),
+		guard:   core.NoGuard{},
 		running: map[string]context.CancelFunc{},
 	}
 	e.locator = newLocator(e)
@@ -168,6 +173,11 @@
 		e.count("joined")
 		return held.Buffer, nil
 	}
+	a.Digest = a.digest()
+	if left := e.guard.Held(a.Digest); left > 0 {
+		e.keep.Forget(held)
+		return nil, core.HeldBack(0, left)
+	}
 	e.demand.Seen(a.Model)
 	done, err := e.limits.Enter(eff)
 	if err != nil {
--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -44,6 +44,7 @@
 	Body     []byte
 	Repeat   bool
 	Retry    bool
+	Digest   core.Digest // of what the request asks
 }
 
 // Attempt is one attempt in progress or lately ended.
@@ -57,8 +58,10 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	began    time.Time // of its slot; set before run starts
+	life     life      // of the endpoint when it was sent; set before run starts
 	readAt   time.Time // last seen with a reader; held by the sweep
 	ended    time.Time // held by the sweep
+	status   int       // of the answer; held by run
 	span     trace.SpanContext
 	unwatch  func() bool // ends the watch for a deadline in the queue
 }
@@ -69,10 +72,11 @@
 	a.cancel()
 }
 
-// run sends the attempt and copies its answer until it ends; it then tells its
-// runner.
-func (a *Attempt) run(done func(*Attempt)) {
+// run sends the attempt and copies its answer until it ends; it then tells the guard
+// and its runner.
+func (a *Attempt) run(guard core.Guard, done func(*Attempt)) {
 	defer done(a)
+	defer a.tell(guard)
 	defer a.cancel()
 	ctx := trace.ContextWithRemoteSpanContext(a.ctx, a.span)
 	ctx, span := otel.Tracer("primroseward").Start(ctx, "endpoint", trace.WithAttributes(
@@ -83,6 +87,7 @@
 		a.Buffer.Fail(core.AsRequestError(err))
 		return
 	}
+	a.status = ans.Status
 	a.Buffer.SetHead(answer.Head{Status: ans.Status, Header: ans.Header})
 	if err := a.copyAll(ctx, ans); err != nil {
 		a.Buffer.Fail(a.explain(err))
@@ -92,6 +97,19 @@
 	a.Buffer.Finish()
 }
 
+// tell tells the guard how the attempt has ended at its endpoint.
+func (a *Attempt) tell(guard core.Guard) {
+	_, err := a.Buffer.Done()
+	switch {
+	case err == nil && a.status < http.StatusInternalServerError:
+		guard.Worked(a.Digest)
+	case err == nil:
+	case err.Code == core.CodeEndpointBroken:
+		// The endpoint is sent no more than it has slots, so that it had begun.
+		guard.Broke(core.Broken{Digest: a.Digest, Runner: a.life.runner(a.Runner), Route: a.Service, Service: a.Service, Begun: true})
+	}
+}
+
 func (a *Attempt) call() core.Call {
 	return core.Call{
 		Attempt: a.Attempt,
@@ -181,7 +199,7 @@
 		}
 		return core.MayHaveRun("cancelled", "the caller has gone")
 	}
-	return core.MayHaveRun("endpoint_broken", err.Error())
+	return core.MayHaveRun(core.CodeEndpointBroken, err.Error())
 }
 
 // tellGone frees the engine from work that nobody waits for.
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -50,6 +50,7 @@
 	send     Sender
 	find     Finder
 	fresh    func() time.Duration
+	guard    core.Guard
 	clock    core.Clock
 	log      *zap.Logger
 	scope    tally.Scope
@@ -82,6 +83,9 @@
 // confirmed.
 func WithFresh(fn func() time.Duration) Option { return func(m *Manager) { m.fresh = fn } }
 
+// WithGuard tells a guard how attempts end at their endpoints.
+func WithGuard(g core.Guard) Option { return func(m *Manager) { m.guard = g } }
+
 // WithDirectory sets how reports are given and found.
 func WithDirectory(s Sender, f Finder) Option {
 	return func(m *Manager) { m.send, m.find = s, f }
@@ -97,6 +101,7 @@
 		send:     func(context.Context, core.Member, []directory.Report) error { return nil },
 		find:     func(context.Context, string) []directory.Report { return nil },
 		fresh:    func() time.Duration { return 0 },
+		guard:    core.NoGuard{},
 		clock:    clock,
 		log:      zap.NewNop(),
 		scope:    tally.NoopScope,
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -61,6 +61,7 @@
 	report  directory.Report
 	given   directory.Report // to the directory, last
 	missing bool
+	alive   lives
 	// meanCost is a copy of cost for readers outside the loop.
 	meanCost time.Duration
 }
@@ -82,6 +83,7 @@
 		perModel: map[string]int{},
 		cost:     firstCost,
 		ready:    map[string]bool{},
+		alive:    lives{clock: mgr.clock, is: life{begun: mgr.clock.Now()}},
 	}
 	r.publish()
 	if spec.Kind == tree.KindModel {
@@ -206,10 +208,11 @@
 	a.endpoint = r.endpoint
 	a.stall = t.Effective(r.coord(a)).Stall
 	a.began = r.mgr.clock.Now()
+	a.life = r.alive.now()
 	r.running[a.Attempt] = a
 	r.perModel[a.Model]++
 	r.wg.Add(1)
-	go a.run(r.ended)
+	go a.run(r.mgr.guard, r.ended)
 }
 
 // ended is called by an attempt's own goroutine.
@@ -311,7 +314,7 @@
 	defer r.wg.Done()
 	for {
 		asked := r.mgr.clock.Now()
-		obs, err := r.endpoint.Observe(r.ctx)
+		obs, err := r.observe(r.ctx)
 		if r.ctx.Err() != nil {
 			return
 		}
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -4,14 +4,13 @@
 	"errors"
 	"time"
 
-	"primroseward/coordination/dispatch"
 	"primroseward/core"
 )
 
 // Guard holds back loads that have ended runners, as it does requests.
 type Guard interface {
 	Held(d core.Digest) time.Duration
-	Broke(b dispatch.Broken)
+	Broke(b core.Broken)
 	Worked(d core.Digest)
 }
 
@@ -42,7 +41,7 @@
 	if one.runner.Draining || h.loads.View(one.runner.ID).Requests > 0 {
 		return
 	}
-	h.guard.Broke(dispatch.Broken{
+	h.guard.Broke(core.Broken{
 		Digest: loadDigest(one.runner.Service, o.Model), Runner: one.runner, Route: "load of " + o.Model, Service: one.runner.Service, Begun: true,
 	})
 }
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -123,7 +123,7 @@
 	h := &Holder{
 		self: self, catalog: c, loads: loads, orders: orders, lease: lease, clock: clock, log: log, count: count, tell: tell,
 		inbox: make(chan func(), inboxSize), hosts: map[string]*host{}, heat: map[dispatch.Want]float64{},
-		waiting: map[dispatch.Want]*waiters{}, guard: dispatch.NoGuard{},
+		waiting: map[dispatch.Want]*waiters{}, guard: core.NoGuard{},
 	}
 	for _, opt := range opts {
 		opt(h)
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"primroseward/coordination/dispatch"
 	"primroseward/coordination/peers"
 	"primroseward/coordination/policy"
 	"primroseward/core"
@@ -69,8 +68,8 @@
 	return policy.Life(xxhash.Sum64String(r.ID + " " + strconv.FormatInt(r.Born.UnixMilli(), 10)))
 }
 
-// Broke implements dispatch.Guard.
-func (q *Quarantine) Broke(b dispatch.Broken) {
+// Broke implements core.Guard.
+func (q *Quarantine) Broke(b core.Broken) {
 	life := lifeOf(&b.Runner)
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -20,7 +20,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"primroseward/coordination/dispatch"
 	"primroseward/coordination/peers"
 	"primroseward/coordination/policy"
 	"primroseward/core"
@@ -57,7 +56,7 @@
 	Report(ctx context.Context, r *core.Runner) (*core.Report, error)
 }
 
-// Quarantine is one daemon's part in it; it implements dispatch.Guard.
+// Quarantine is one daemon's part in it; it implements core.Guard.
 type Quarantine struct {
 	net    Network
 	prober Prober
@@ -83,7 +82,7 @@
 	stop context.CancelFunc
 }
 
-var _ dispatch.Guard = (*Quarantine)(nil)
+var _ core.Guard = (*Quarantine)(nil)
 
 // Option changes a Quarantine.
 type Option func(*Quarantine)
@@ -136,7 +135,7 @@
 	q.wg.Wait()
 }
 
-// Held implements dispatch.Guard.
+// Held implements core.Guard.
 func (q *Quarantine) Held(d core.Digest) time.Duration {
 	r, ok := q.table.Held(d)
 	if !ok {
@@ -145,7 +144,7 @@
 	return r.Left(q.clock.Now())
 }
 
-// Admit implements dispatch.Guard. Once a request's term is over one run of it is let
+// Admit implements core.Guard. Once a request's term is over one run of it is let
 // through, by the daemon that the request falls to.
 func (q *Quarantine) Admit(ctx context.Context, d core.Digest) (time.Duration, bool) {
 	r, ok := q.table.Held(d)
@@ -163,7 +162,7 @@
 	return 0, true
 }
 
-// Worked implements dispatch.Guard. A request that was served while it is held back was
+// Worked implements core.Guard. A request that was served while it is held back was
 // blamed wrongly, or what it asks for has been repaired.
 func (q *Quarantine) Worked(d core.Digest) {
 	q.recent.add(d)
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -12,7 +12,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"primroseward/coordination/dispatch"
 	"primroseward/coordination/peers"
 	"primroseward/core"
 	"primroseward/standin/memory"
@@ -28,8 +27,8 @@
 func newRunners() *runners { return &runners{says: map[string]error{}, born: born} }
 
 // broke is a request whose connection a runner has closed.
-func broke(d core.Digest, runner string) dispatch.Broken {
-	return dispatch.Broken{Digest: d, Runner: core.Runner{ID: runner, Born: born}, Route: "r", Service: "s", Begun: true}
+func broke(d core.Digest, runner string) core.Broken {
+	return core.Broken{Digest: d, Runner: core.Runner{ID: runner, Born: born}, Route: "r", Service: "s", Begun: true}
 }
 
 // crash ends a runner under requests at a daemon.
--- a/core/errors.go
+++ b/core/errors.go
@@ -30,6 +30,10 @@
 	OutcomeMayHaveRun Outcome = "may_have_run"
 )
 
+// CodeEndpointBroken is the code of an attempt whose endpoint closed the connection, or
+// went silent, before a whole answer.
+const CodeEndpointBroken = "endpoint_broken"
+
 // RequestError is the final answer to a request that was not served whole.
 type RequestError struct {
 	Outcome Outcome
--- a/proof/mortal_test.go
+++ b/proof/mortal_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"primroseward/services/holds"
 )
 
 // mortal is an endpoint whose process ends under a fatal request, with all of its
@@ -74,10 +76,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// The product's own interface: a caller's request ends each endpoint that begins to run
-// it. It comes again under new keys and ids, at any daemon, and each takes it for a new
-// one, as on the platform before requests were held back there: the entry's and the
-// owner's path has no memory of what an endpoint ended under.
+// A request of the product's own interface ends each endpoint that begins to run it, at
+// whichever daemon and under whichever id it comes.
 func TestOwnInterfaceStopsRequestsThatEndEndpoints(t *testing.T) {
 	var all []*mortal
 	s := small()
@@ -109,5 +109,15 @@
 	before := runs()
 	send(3 * time.Second)
 	after := runs()
+	t.Logf("%d more runs, %d in all", after-before, after)
 	assert.Assert(t, after-before <= retriesBorne, "%d more runs, %d in all", after-before, after)
+	for _, d := range c.daemons {
+		var list []holds.Status
+		assert.Equal(t, d.adminCall(http.MethodGet, "/admin/holds", nil, &list), http.StatusOK)
+		assert.Equal(t, len(list), 1, "%s", d.name)
+		assert.Equal(t, list[0].Service, "chat")
+	}
+	got, err := c.daemons[0].chat("m", "harmless", 5, true)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
 }
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -159,7 +161,7 @@
 
 func broken(wrote bool, err error) error {
 	if wrote {
-		return core.MayHaveRun("endpoint_broken", err.Error())
+		return core.MayHaveRun(core.CodeEndpointBroken, err.Error())
 	}
 	return core.NotRun(http.StatusServiceUnavailable, "endpoint_unreachable", err.Error(), time.Second)
 }
@@ -220,7 +222,10 @@
 		return nil, eris.Wrap(core.ErrInvalid, err.Error())
 	}
 	resp, err := c.reused.RoundTrip(req)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, eris.Wrapf(core.ErrNoListener, "endpoint: %v", err)
+	case err != nil:
 		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
 	}
 	defer resp.Body.Close()
--- a/protocol/peerv1/peerv1connect/peer.connect.go
+++ b/protocol/peerv1/peerv1connect/peer.connect.go
@@ -67,6 +67,8 @@
 	PeerViewProcedure = "/peerv1.Peer/View"
 	// PeerStatusProcedure is the fully-qualified name of the Peer's Status RPC.
 	PeerStatusProcedure = "/peerv1.Peer/Status"
+	// PeerMessageProcedure is the fully-qualified name of the Peer's Message RPC.
+	PeerMessageProcedure = "/peerv1.Peer/Message"
 )
 
 // PeerClient is a client for the peerv1.Peer service.
@@ -102,6 +104,8 @@
 	View(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.Views], error)
 	// Status says what is in force at the callee.
 	Status(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.MemberStatus], error)
+	// Message gives the callee a message of a part that daemons have in common.
+	Message(context.Context, *connect.Request[peerv1.MessageRequest]) (*connect.Response[peerv1.MessageReply], error)
 }
 
 // NewPeerClient constructs a client for the peerv1.Peer service. By default, it uses the Connect
@@ -205,6 +209,12 @@
 			connect.WithSchema(peerMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		message: connect.NewClient[peerv1.MessageRequest, peerv1.MessageReply](
+			httpClient,
+			baseURL+PeerMessageProcedure,
+			connect.WithSchema(peerMethods.ByName("Message")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -225,6 +235,7 @@
 	order    *connect.Client[peerv1.OrderRequest, peerv1.OrderReply]
 	view     *connect.Client[peerv1.Empty, peerv1.Views]
 	status   *connect.Client[peerv1.Empty, peerv1.MemberStatus]
+	message  *connect.Client[peerv1.MessageRequest, peerv1.MessageReply]
 }
 
 // Dispatch calls peerv1.Peer.Dispatch.
@@ -302,6 +313,11 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Message calls peerv1.Peer.Message.
+func (c *peerClient) Message(ctx context.Context, req *connect.Request[peerv1.MessageRequest]) (*connect.Response[peerv1.MessageReply], error) {
+	return c.message.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the peerv1.Peer service.
 type PeerHandler interface {
 	// Dispatch runs one attempt of a request at a runner that the callee owns.
@@ -335,6 +351,8 @@
 	View(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.Views], error)
 	// Status says what is in force at the callee.
 	Status(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.MemberStatus], error)
+	// Message gives the callee a message of a part that daemons have in common.
+	Message(context.Context, *connect.Request[peerv1.MessageRequest]) (*connect.Response[peerv1.MessageReply], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -434,6 +452,12 @@
 		connect.WithSchema(peerMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerMessageHandler := connect.NewUnaryHandler(
+		PeerMessageProcedure,
+		svc.Message,
+		connect.WithSchema(peerMethods.ByName("Message")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peerv1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerDispatchProcedure:
@@ -466,6 +490,8 @@
 			peerViewHandler.ServeHTTP(w, r)
 		case PeerStatusProcedure:
 			peerStatusHandler.ServeHTTP(w, r)
+		case PeerMessageProcedure:
+			peerMessageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -534,3 +560,7 @@
 func (UnimplementedPeerHandler) Status(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.MemberStatus], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peerv1.Peer.Status is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Message(context.Context, *connect.Request[peerv1.MessageRequest]) (*connect.Response[peerv1.MessageReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peerv1.Peer.Message is not implemented"))
+}
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -23,11 +23,13 @@
 	"primroseward/coordination/member"
 	"primroseward/coordination/owner"
 	"primroseward/coordination/planner"
+	"primroseward/coordination/quarantine"
 	"primroseward/coordination/spread"
 	"primroseward/core"
 	"primroseward/io/logs"
 	"primroseward/platform"
 	"primroseward/protocol/endpoint"
+	"primroseward/services/holds"
 	"primroseward/services/observe"
 	service "primroseward/services/tree"
 	"primroseward/setting"
@@ -63,6 +65,8 @@
 	gossip  *member.Gossip
 	replica *tree.Replica
 	spread  *spread.Spreader
+	network *network
+	guard   *quarantine.Quarantine
 	owner   *owner.Manager
 	claims  *claim.Claims
 	entry   *entry.Entry
@@ -114,18 +118,36 @@
 	d.gossip = member.New(d.table, d.clock, udp, member.WithSeeds(set.SeedAddrs), member.WithSync(d.sync),
 		member.WithDigest(d.spread), member.WithLogger(d.log), member.WithCount(d.byteCounter("gossip")))
 	dir := directory.New(d.clock)
+	d.network = newNetwork(d.table, d.pool.Dial, d.clock, d.log)
+	d.guard = quarantine.New(d.network, prober{d}, d.clock, d.log, quarantine.WithScope(scope), quarantine.WithStore(client, d.readsHolds))
 	d.owner = owner.New(d.replica, d.table, client, d.connect, d.clock, owner.WithLogger(d.log), owner.WithScope(scope.SubScope("owner")),
-		owner.WithFresh(d.spread.Fresh), owner.WithDirectory(d.report, d.find))
+		owner.WithFresh(d.spread.Fresh), owner.WithDirectory(d.report, d.find), owner.WithGuard(d.guard))
 	d.claims = claim.New(client, d.table, d.clock, d.log)
 	d.entry = entry.New(d.replica, d.table, d.pool.Dial, d.owner, dir, d.claims, d.clock, entry.WithLogger(d.log),
-		entry.WithScope(scope.SubScope("entry")), entry.WithHeld(int64(set.Held.Bytes), time.Duration(set.Held.Life)))
+		entry.WithScope(scope.SubScope("entry")), entry.WithGuard(d.guard), entry.WithHeld(int64(set.Held.Bytes), time.Duration(set.Held.Life)))
 	d.planner = planner.NewRole(planner.Default(), d.replica, d.table, d.pool.Dial, d.clock, d.log)
 	d.callers = routers.New(d.entry, d.clock, d.log, int64(set.Limits.Body), time.Duration(set.Limits.Sender))
 	return d.listen(&rpc.Handler{
 		Table: d.table, Spread: d.spread, Replica: d.replica, Owner: d.owner, Entry: d.entry, Dir: dir, Clock: d.clock, Planner: d.planner,
+		Messages: d.network,
 	}, client)
 }
 
+// prober asks endpoints that this daemon owns; it implements quarantine.Prober.
+type prober struct{ d *Daemon }
+
+// Report implements quarantine.Prober.
+func (p prober) Report(ctx context.Context, r *core.Runner) (*core.Report, error) {
+	return p.d.owner.Report(ctx, r)
+}
+
+// readsHolds says whether this daemon is the one that reads what operators have changed of
+// the requests that are held back.
+func (d *Daemon) readsHolds() bool {
+	first := d.table.Rank(core.KindHolds, "", 1)
+	return len(first) > 0 && first[0].Name == d.set.Name
+}
+
 // byteCounter counts bytes between daemons, both ways.
 func (d *Daemon) byteCounter(kind string) func(int) {
 	c := d.metrics.Scope.Tagged(map[string]string{"kind": kind}).Counter("peer_bytes")
@@ -181,6 +203,7 @@
 		Trees:    trees,
 		Statuses: service.NewStatuses(trees, d.table, d.pool.Dial),
 		Fleet:    service.NewFleet(d.table, d.pool.Dial),
+		Holds:    holds.NewTable(d.guard, d.clock),
 		Metrics:  d.metrics.Handler,
 		Ready:    d.Ready,
 		Token:    d.set.Token,
@@ -244,6 +267,7 @@
 	d.gossip.Start()
 	d.spread.Start()
 	d.claims.Start()
+	d.guard.Start()
 	d.owner.Start()
 	d.entry.Start()
 	d.planner.Start()
@@ -279,6 +303,8 @@
 	}
 	d.entry.Stop()
 	d.owner.Stop()
+	d.guard.Stop()
+	d.network.stop()
 	d.claims.Stop()
 	d.spread.Stop()
 	d.table.SetState(core.MemberDead)
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -26,7 +26,7 @@
 func (d *Daemon) admin() *admin.Admin {
 	trees := service.New(d.settings, d.store, applier{d.settings}, d.clock, service.WithOffered(d.offers))
 	return &admin.Admin{
-		Trees: trees, Statuses: &statuses{d, trees}, Fleet: runners{d}, Holds: held{d},
+		Trees: trees, Statuses: &statuses{d, trees}, Fleet: runners{d}, Holds: holds.NewTable(d.quarantine, d.clock),
 		Metrics: d.metrics.Handler, Ready: d.Ready, Token: d.set.Token, ReadOnly: d.set.Token == "",
 	}
 }
@@ -123,22 +123,6 @@
 	return out
 }
 
-// held tells of the requests that this daemon holds back; it implements admin.Holds.
-type held struct{ d *Daemon }
-
-// Holds implements admin.Holds.
-func (h held) Holds(context.Context) ([]holds.Status, error) {
-	return holds.List(h.d.quarantine.Records(), h.d.clock.Now()), nil
-}
-
-// Release implements admin.Holds.
-func (h held) Release(_ context.Context, digest core.Digest) error {
-	if !h.d.quarantine.Release(digest) {
-		return holds.ErrNotHeld
-	}
-	return nil
-}
-
 func megabytes(mb float64) int64 { return int64(mb * 1e6) }
 
 // Moves implements admin.Fleet: only the daemon that sends the orders knows.
--- a/services/holds/holds.go
+++ b/services/holds/holds.go
@@ -47,6 +47,35 @@
 // ErrNotHeld is the error of a release of what is not held back. It wraps core.ErrNotFound.
 var ErrNotHeld = eris.Wrap(core.ErrNotFound, "the request is not held back")
 
+// Keeper is a daemon's part in holding requests back.
+type Keeper interface {
+	Records() []hold.Record
+	// Release says whether the request was held back.
+	Release(d core.Digest) bool
+}
+
+// Table shows and changes the records that a daemon knows.
+type Table struct {
+	keeper Keeper
+	clock  core.Clock
+}
+
+// NewTable returns a Table.
+func NewTable(k Keeper, clock core.Clock) *Table { return &Table{keeper: k, clock: clock} }
+
+// Holds lists the records.
+func (t *Table) Holds(context.Context) ([]Status, error) {
+	return List(t.keeper.Records(), t.clock.Now()), nil
+}
+
+// Release ends a request's hold. Its error is ErrNotHeld if there is none.
+func (t *Table) Release(_ context.Context, d core.Digest) error {
+	if !t.keeper.Release(d) {
+		return ErrNotHeld
+	}
+	return nil
+}
+
 // Store shows and changes the records that the platform's store keeps. Daemons take in
 // such a change within seconds.
 type Store struct {
--- a/transport/rpc/handler.go
+++ b/transport/rpc/handler.go
@@ -30,6 +30,15 @@
 	Dir     *directory.Directory
 	Clock   core.Clock
 	Planner Planner
+	// Messages takes in what other daemons say to the parts that daemons have in common.
+	Messages Messages
+}
+
+// Messages takes in messages of other daemons.
+type Messages interface {
+	// Take returns the answer, nil if there is none. It fails with core.ErrNotFound for a
+	// sender or a kind that is not known.
+	Take(from, kind string, body []byte) ([]byte, error)
 }
 
 // Planner is what a status says of the planner role.
@@ -194,6 +203,15 @@
 	return w
 }
 
+// Message hands on a message of another daemon.
+func (h *Handler) Message(_ context.Context, req *connect.Request[peerv1.MessageRequest]) (*connect.Response[peerv1.MessageReply], error) {
+	body, err := h.Messages.Take(req.Msg.From, req.Msg.Kind, req.Msg.Body)
+	if err != nil {
+		return nil, peer.Wrap(err)
+	}
+	return connect.NewResponse(&peerv1.MessageReply{Body: body}), nil
+}
+
 // Status says what is in force here.
 func (h *Handler) Status(context.Context, *connect.Request[peerv1.Empty]) (*connect.Response[peerv1.MemberStatus], error) {
 	out := &peerv1.MemberStatus{
