Workspaces: keys, ranks, and allowances over all daemons

Callers of a configuration with workspaces need a key, which is read before the body; it is kept as a hash, and the runner gets the workspace's name in its place. A key is looked up again before each send. Allowances are buckets of the whole fleet: daemons tell each other what is asked and let in, and each daemon brings an even part to those that hear it.

--- /dev/null
+++ b/coordination/allowance/bucket.go
@@ -0,0 +1,135 @@
+package allowance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"primroseward/core"
+)
+
+// bucket is one workspace's, as this daemon knows it.
+type bucket struct {
+	mu      sync.Mutex
+	name    string
+	rate    float64 // units a second, over all daemons
+	depth   float64 // the most that all daemons' bucket holds
+	left    float64 // units that may be let in at once, below 0 after too much was
+	share   float64 // of the bucket that left is of
+	at      time.Time
+	asked   meter
+	spent   meter
+	others  core.Usage // of the other daemons
+	heardAt time.Time  // when they told it; zero: never
+	refused int64
+	counts  counts
+}
+
+// counts are a workspace's counters.
+type counts struct{ spent, refused tally.Counter }
+
+// reconfigure takes in that the workspace's allowance may have changed.
+func (b *bucket) reconfigure(now time.Time, w *core.Workspace, window core.Window) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(now, b.share)
+	b.configure(w, window)
+	b.left = min(b.left, b.depth*b.share)
+}
+
+// configure takes in the workspace's allowance; the caller holds the lock, or has just
+// made the bucket.
+func (b *bucket) configure(w *core.Workspace, window core.Window) {
+	beyond := window.Most(w) - w.Rate*window.Length.Seconds() - w.Burst
+	b.name, b.rate, b.depth = w.Name, w.Rate, w.Burst+debtShare*max(0, beyond)
+}
+
+// update brings the estimate up to now, for daemons that have a share of the bucket; the
+// caller holds the lock.
+func (b *bucket) update(now time.Time, share float64) {
+	if now.Sub(b.heardAt) > wordLife {
+		b.others = core.Usage{}
+	}
+	if b.share > share && b.left > 0 {
+		b.left *= share / b.share // those out of touch have their parts of it
+	}
+	b.share = share
+	seconds := max(0, now.Sub(b.at).Seconds())
+	b.at = now
+	b.left = min(b.depth*share, b.left+(b.rate*share-b.others.Spent)*seconds)
+}
+
+// spend counts units as let in, or back; the caller holds the lock.
+func (b *bucket) spend(now time.Time, units float64) {
+	b.left -= units
+	b.spent.add(now, units)
+	if units > 0 {
+		b.counts.spent.Inc(int64(units))
+	}
+}
+
+// hear takes in what the others tell of the workspace. A daemon that has just started
+// takes their word for what is left.
+func (b *bucket) hear(now time.Time, u core.Usage, young bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(now, b.share)
+	first := b.heardAt.IsZero()
+	b.others, b.heardAt = u, now
+	switch {
+	case math.IsNaN(u.Left):
+	case young && first:
+		b.left = u.Left
+	default:
+		b.left += follow * (u.Left - b.left)
+	}
+}
+
+// usage is what the others are told, if there is anything to tell.
+func (b *bucket) usage(now time.Time, share float64) (core.Usage, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(now, share)
+	u := core.Usage{Asked: b.asked.rate(now), Spent: b.spent.rate(now), Left: b.left}
+	return u, u.Asked >= leastTold || u.Spent >= leastTold || b.others.Asked >= leastTold || b.left < b.depth*share
+}
+
+// state tells operators of the bucket.
+func (b *bucket) state(now time.Time, share float64) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(now, share)
+	return State{
+		Name: b.name, Rate: b.rate, Asked: b.asked.rate(now) + b.others.Asked, Spent: b.spent.rate(now) + b.others.Spent,
+		Left: b.left, Share: b.share, Refused: b.refused, Age: b.age(now),
+	}
+}
+
+// age is how long ago the others told of the workspace, 0 if they never have.
+func (b *bucket) age(now time.Time) time.Duration {
+	if b.heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(b.heardAt)
+}
+
+// meterSpan is the time over which a rate is measured: a turn and a half in which daemons
+// tell each other.
+const meterSpan = 300 * time.Millisecond
+
+// meter measures a rate.
+type meter struct {
+	value float64 // units a second as of at
+	at    time.Time
+}
+
+func (m *meter) rate(now time.Time) float64 {
+	return m.value * math.Exp(-max(0, now.Sub(m.at).Seconds())/meterSpan.Seconds())
+}
+
+func (m *meter) add(now time.Time, units float64) {
+	m.value = max(0, m.rate(now)+units/meterSpan.Seconds())
+	m.at = now
+}
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -107,7 +107,7 @@
 	if spec == nil || spec.Engine == nil {
 		return policy.Ask{}
 	}
-	if spec.Ranked && j.route.Priority == spec.Urgent {
+	if spec.Ranked && j.rank() == spec.Urgent {
 		return policy.Ask{Engine: true, Queue: policy.UrgentQueue()}
 	}
 	return policy.Ask{Engine: true, Queue: policy.Queue(j.route.Target, j.d.pace.Length(j.service))}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -72,6 +72,8 @@
 	sent    inFlight[string]      // by runner
 	asked   inFlight[core.Digest] // by what they ask, until their answer begins
 	guard   core.Guard
+	// allowance holds workspaces to theirs.
+	allowance core.Allowance
 	// settings are nil where no tree is kept.
 	settings *settings
 }
@@ -91,11 +93,15 @@
 // WithGuard asks a guard before each send.
 func WithGuard(g core.Guard) Option { return func(d *Dispatcher) { d.guard = g } }
 
+// WithAllowance holds workspaces to their allowances.
+func WithAllowance(a core.Allowance) Option { return func(d *Dispatcher) { d.allowance = a } }
+
 // New makes a Dispatcher of a daemon in a place.
 func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
 		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: core.NoGuard{},
+		allowance: core.Unbounded{},
 	}
 	for _, o := range opts {
 		o(d)
@@ -119,6 +125,7 @@
 	rejects  int
 	dials    int
 	sends    int
+	units    float64 // taken of the workspace's allowance by each run
 	asked    bool               // the holder of orders has been asked for the model or adapter
 	waited   bool               // has had its turn for a runner
 	sentAt   time.Time          // of the latest send
@@ -155,6 +162,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	d.running.Add(1)
 	end := func() {
+		j.giveBack()
 		cancel()
 		leave()
 		d.running.Add(-1)
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -16,12 +16,21 @@
 // streams that are cut again and again by others' doing never come to their end.
 const provenAfter = 2 * time.Second
 
-// enter refuses a request that may not be served now, and counts it in.
+// enter refuses a request that may not be served now, and counts it in. Its workspace's
+// allowance comes last: what is refused for another reason takes nothing of it.
 func (j *job) enter() (leave func(), err error) {
 	if left := j.d.guard.Held(j.q.Digest); left > 0 {
 		return nil, j.heldBack(left)
 	}
-	return j.hold()
+	leave, err = j.hold()
+	if err != nil {
+		return nil, err
+	}
+	if err := j.admit(); err != nil {
+		leave()
+		return nil, err
+	}
+	return leave, nil
 }
 
 // next finds the runner for the next send. The guard is asked last, before each send: the
@@ -35,7 +44,7 @@
 	if retry, ok := j.d.guard.Admit(ctx, j.q.Digest); !ok {
 		return nil, j.heldBack(retry)
 	}
-	return r, nil
+	return r, j.authorize()
 }
 
 // heldBack is the answer to a request like one that has ended runners: what is true of
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -24,8 +24,12 @@
 	}
 	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.last}
 	if j.q.Model != "" {
-		out.Priority = j.route.Priority
+		out.Priority = j.rank()
 	}
+	if j.q.Workspace != nil {
+		out.Workspace = j.q.Workspace.Name
+	}
+	j.charge()
 	if j.sends == 0 {
 		j.d.budget.First(j.service)
 	}
--- /dev/null
+++ b/coordination/dispatch/workspace.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+// Codes of refusals that concern a caller's workspace.
+const (
+	codeAllowance = "allowance"
+	codeKey       = "unknown_key"
+)
+
+// admit takes the request's units of its workspace's allowance, or refuses it.
+func (j *job) admit() error {
+	w := j.q.Workspace
+	if w == nil {
+		return nil
+	}
+	j.units = w.Weight(j.q)
+	a := j.d.allowance.Take(w, j.units)
+	if a.OK {
+		return nil
+	}
+	j.log.Warn(logs.RefusedByAllowance, zap.String("code", codeAllowance), zap.String("workspace", w.Name), zap.Float64("units", j.units), zap.Bool("invalid", w.Invalid),
+		zap.Float64("left", a.Left), zap.Float64("asked", a.Asked), zap.Int("heard", a.Heard), zap.Int("known", a.Known), zap.Duration("age", a.Age), zap.Duration("retry", a.Retry))
+	return core.NotRun(http.StatusTooManyRequests, codeAllowance, "the workspace's allowance is used up", a.Retry)
+}
+
+// charge counts a run beyond the first.
+func (j *job) charge() {
+	if j.q.Workspace != nil && j.runs > 0 {
+		j.d.allowance.Charge(j.q.Workspace, j.units)
+	}
+}
+
+// giveBack gives back what was taken for a request that has not run.
+func (j *job) giveBack() {
+	if j.q.Workspace != nil && j.runs == 0 {
+		j.d.allowance.Give(j.q.Workspace, j.units)
+	}
+}
+
+// authorize refuses a request whose key has been taken away since it came. The key may
+// have come to be another workspace's.
+func (j *job) authorize() error {
+	if j.q.Workspace == nil {
+		return nil
+	}
+	config := j.d.catalog.Config()
+	if w := config.Workspace(j.q.Key); w != nil {
+		j.q.Workspace = w
+		return nil
+	}
+	j.log.Warn(logs.Refused, zap.String("code", codeKey), zap.Stringer("key", j.q.Key), zap.Uint64("config", config.Version), zap.Int("runs", j.runs))
+	const message = "the key has been taken away"
+	if j.runs > 0 {
+		return core.MayHaveRun(codeKey, message)
+	}
+	return core.NotRun(http.StatusUnauthorized, codeKey, message, 0)
+}
+
+// rank is the request's urgency, 0 the most urgent.
+func (j *job) rank() int { return j.d.catalog.Config().Rank(j.q.Workspace, j.route) }
--- a/coordination/peers/beat.go
+++ b/coordination/peers/beat.go
@@ -21,14 +21,14 @@
 // beat writes this daemon's beat as of now; fresh is for one that has just started. All
 // of its parts can be written.
 func (p *Peers) beat(fresh bool) []byte {
-	loads, state := p.loads(), p.state()
+	loads, usage, state := p.loads(), p.usage(), p.state()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.self.State = state
 	if p.large() {
-		loads = nil
+		loads, usage = nil, nil
 	}
-	return p.marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, New: fresh}})
+	return p.marshal(datagram{Beat: &beat{Peer: p.self, Loads: loads, Usage: usage, New: fresh}})
 }
 
 // tellNow tells others of this daemon out of turn, those of other places if far is set.
@@ -125,7 +125,7 @@
 
 func (p *Peers) take(from netip.AddrPort, d datagram) {
 	if d.Beat != nil {
-		if !p.note(d.Beat.Peer) {
+		if !p.note(d.Beat) {
 			return
 		}
 		p.heard(d.Beat.Peer, d.Beat.Loads)
@@ -156,7 +156,8 @@
 // note takes in a daemon's word of itself. One of a process that has been
 // replaced since is dropped, unless the newer one is silent: a process that
 // starts after its clock was set back has the smaller number.
-func (p *Peers) note(from Peer) bool {
+func (p *Peers) note(b *beat) bool {
+	from := b.Peer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if from.Name == p.self.Name {
@@ -176,7 +177,7 @@
 		p.log.Info(logs.DaemonChanged, zap.String("other", from.Name), zap.Bool("leaving", from.Leaving))
 	}
 	p.logHeard(k)
-	k.Peer, k.heard, k.silent, k.met = from, now, false, true
+	k.Peer, k.heard, k.silent, k.met, k.usage = from, now, false, true, b.Usage
 	p.roster.Know(now, from.daemon())
 	return true
 }
--- a/coordination/peers/fleet.go
+++ b/coordination/peers/fleet.go
@@ -58,13 +58,13 @@
 
 // word is what this daemon reports to its hubs; it is made without the lock.
 func (p *Peers) word() roster.Word {
-	state, loads := p.state(), p.loads()
+	state, loads, usage := p.state(), p.loads(), p.usage()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.self.State = state
 	return roster.Word{
 		Status: roster.Status{Ready: state.Ready, Failing: state.Failing, Leaving: p.self.Leaving, Fresh: state.Fresh, Term: state.Term, Confirmed: state.Confirmed},
-		Knows:  state.Knows, Down: state.Down, Loads: loads,
+		Knows:  state.Knows, Down: state.Down, Loads: loads, Usage: usage,
 	}
 }
 
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -76,8 +76,9 @@
 // beat is a daemon's word of itself.
 type beat struct {
 	Peer
-	Loads map[core.Code]int `json:"loads,omitempty"` // requests in progress by runner; null: told by hubs
-	New   bool              `json:"new,omitempty"`   // has just started and knows nobody
+	Loads map[core.Code]int        `json:"loads,omitempty"` // requests in progress by runner; null: told by hubs
+	Usage map[core.Code]core.Usage `json:"usage,omitempty"` // of its callers by workspace; null: told by hubs
+	New   bool                     `json:"new,omitempty"`   // has just started and knows nobody
 }
 
 type known struct {
@@ -86,6 +87,7 @@
 	listed bool // by a hub, as alive
 	silent bool // its silence has been logged, or it has not been heard yet
 	met    bool // it has been heard
+	usage  map[core.Code]core.Usage
 }
 
 // Handler answers a question of another daemon. It must not block.
@@ -102,6 +104,8 @@
 	heard func(from Peer, counts map[core.Code]int)
 	told  func(News)
 	count func(kind string, near bool, bytes int)
+	usage func() map[core.Code]core.Usage
+	users func(heard, known int, others map[core.Code]core.Usage)
 	state func() State
 
 	mu       sync.Mutex
@@ -128,6 +132,7 @@
 		store: store, kind: kind, conn: conn, clock: clock, log: log, loads: loads, heard: heard, self: self,
 		state: func() State { return State{Confirmed: -1} },
 		told:  func(News) {}, count: func(string, bool, int) {},
+		usage: func() map[core.Code]core.Usage { return nil }, users: func(int, int, map[core.Code]core.Usage) {},
 		known: map[string]*known{}, handlers: map[string]Handler{}, waiting: map[uint64]chan json.RawMessage{},
 		roster: roster.New(clock.Now(), self.daemon()), out: make(chan outgoing, maxOut), strangers: make(chan struct{}, 1),
 	}
@@ -151,6 +156,14 @@
 	return func(p *Peers) { p.count = fn }
 }
 
+// WithUsage tells the others what workspaces use here, and gives what they tell to heard
+// in each turn, with how many daemons are in touch, this one included, and how many there
+// may be, 0 as long as that is not known. What is left of an allowance is as the others
+// think, NaN where they do not know.
+func WithUsage(own func() map[core.Code]core.Usage, heard func(heard, known int, others map[core.Code]core.Usage)) Option {
+	return func(p *Peers) { p.usage, p.users = own, heard }
+}
+
 // Handle sets the handler of a kind of questions, before Start.
 func (p *Peers) Handle(kind string, h Handler) { p.handlers[kind] = h }
 
@@ -282,6 +295,7 @@
 	var last time.Time
 	var said State
 	for ctx.Err() == nil {
+		p.tellUsage()
 		if p.Large() {
 			p.tellHubs(false)
 			core.Sleep(ctx, p.clock, roster.TellEvery)
--- a/coordination/roster/codec.go
+++ b/coordination/roster/codec.go
@@ -10,9 +10,9 @@
 	rosterv1 "primroseward/protocol/rosterv1"
 )
 
-// pack writes digests of parts and loads, each of one packet. The first part is the
+// pack writes digests of parts, loads and usage, each of one packet. The first part is the
 // sender's own, which each of them begins with, as it names the sender.
-func pack(fleet bool, parts []*rosterv1.Part, loads []*rosterv1.Loads) [][]byte {
+func pack(fleet bool, parts []*rosterv1.Part, loads []*rosterv1.Loads, usage []*rosterv1.Usage) [][]byte {
 	own := proto.CloneOf(parts[0])
 	own.Members = nil
 	begin := func() *rosterv1.Digest { return &rosterv1.Digest{Fleet: fleet, Parts: []*rosterv1.Part{own}} }
@@ -33,6 +33,17 @@
 		}
 		last.Loads = one
 	}
+	for _, one := range usage {
+		last := digests[len(digests)-1]
+		if len(one.Workspaces) == 0 && one.Chunks == 1 && len(digests) > 1 {
+			continue // none is used, which a digest without usage tells as well
+		}
+		if last.Usage != nil || proto.Size(last)+proto.Size(one) > maxPacket {
+			last = begin()
+			digests = append(digests, last)
+		}
+		last.Usage = one
+	}
 	out := make([][]byte, len(digests))
 	for i, one := range digests {
 		out[i] = write(&rosterv1.Datagram{Kind: &rosterv1.Datagram_Digest{Digest: one}})
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -77,6 +77,8 @@
 	hubChunks = 2
 	// maxChunk bounds the runners of one message, five or six bytes each.
 	maxChunk = 150
+	// maxUsage bounds the workspaces of one message, sixteen bytes each.
+	maxUsage = 70
 	// stalled is the time between two turns from which this daemon, not the others, was
 	// the one that stood still.
 	stalled = 2 * TellEvery
@@ -103,8 +105,9 @@
 type Word struct {
 	Status
 	Knows core.Changes
-	Down  []core.Code       // runners that have refused its connections lately
-	Loads map[core.Code]int // its requests in progress by runner
+	Down  []core.Code              // runners that have refused its connections lately
+	Loads map[core.Code]int        // its requests in progress by runner
+	Usage map[core.Code]core.Usage // of its own callers, by workspace
 }
 
 // Message is a datagram to another daemon.
@@ -166,8 +169,9 @@
 	confirmed time.Duration
 	down      []core.Code
 	claims    map[core.Code]claim
-	loads     map[core.Code]int // known to hubs only
-	loadsAt   time.Time         // zero: not told yet
+	loads     map[core.Code]int        // known to hubs only
+	loadsAt   time.Time                // zero: not told yet
+	usage     map[core.Code]core.Usage // of the group by workspace; known to hubs only
 }
 
 type member struct {
@@ -191,9 +195,12 @@
 	word    Word
 	told    map[core.Code]int // loads of the last report
 	reports map[core.Code]*report
-	parts   map[core.Code]*part     // by hub; this one's while it acts
-	total   map[core.Code]int       // loads of the place as last told
-	unknown map[core.Code]core.Code // hubs that are not known, and the hub that named them
+	parts   map[core.Code]*part      // by hub; this one's while it acts
+	total   map[core.Code]int        // loads of the place as last told
+	usage   map[core.Code]core.Usage // of the fleet by workspace, as last told
+	usageAt time.Time
+	used    map[core.Code]core.Usage // as this daemon told it last
+	unknown map[core.Code]core.Code  // hubs that are not known, and the hub that named them
 	turn    int
 	urgent  time.Time // of the last digest out of turn
 	acting  time.Time // since when this daemon acts as a hub, zero if it does not
@@ -299,6 +306,21 @@
 	return out
 }
 
+// Usage is that of the other daemons by workspace. What is left is as the hub thinks, or
+// as the other hubs do where this daemon acts as one.
+func (r *Roster) Usage(now time.Time) map[core.Code]core.Usage {
+	if now.Sub(r.usageAt) >= partLife {
+		return nil
+	}
+	out := make(map[core.Code]core.Usage, len(r.usage))
+	for code, u := range r.usage {
+		own := r.used[code]
+		u.Asked, u.Spent = max(0, u.Asked-own.Asked), max(0, u.Spent-own.Spent)
+		out[code] = u
+	}
+	return out
+}
+
 // Tick takes in what this daemon tells of itself, and returns what is to be sent each
 // TellEvery.
 func (r *Roster) Tick(now time.Time, word Word) []Message {
--- a/coordination/roster/take.go
+++ b/coordination/roster/take.go
@@ -47,7 +47,10 @@
 		return nil, nil // of a process that has been replaced
 	}
 	k.Boot = m.Boot
-	w := Word{Status: statusOf(rosterv1.Flag(m.Flags)), Knows: changesFrom(m.Knows), Down: codesFrom(m.Down), Loads: loadsFrom(m.Loads)}
+	w := Word{
+		Status: statusOf(rosterv1.Flag(m.Flags)), Knows: changesFrom(m.Knows), Down: codesFrom(m.Down),
+		Loads: loadsFrom(m.Loads), Usage: usageFrom(m.Usage),
+	}
 	w.Term, w.Confirmed = m.Term, time.Duration(m.Confirmed)*time.Millisecond
 	r.reports[code] = &report{Word: w, at: now, spare: m.Spare}
 	if !ok || r.soon(&was.Word, &w) {
@@ -91,6 +94,9 @@
 	if m.Loads != nil {
 		p.loads, p.loadsAt = merge(p.loads, m.Loads), now
 	}
+	if m.Usage != nil {
+		p.usage = mergeUsage(p.usage, m.Usage)
+	}
 	if r.acts(now) {
 		if news.changed {
 			return r.outOfTurn(now), news.list(), nil
@@ -132,6 +138,9 @@
 	if !acts && m.Loads != nil && r.counts(from) {
 		r.total = merge(r.total, m.Loads)
 	}
+	if !acts && m.Usage != nil && r.counts(from) {
+		r.usage, r.usageAt = mergeUsage(r.usage, m.Usage), now
+	}
 	return nil, out, nil
 }
 
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -17,11 +17,12 @@
 	if len(to) == 0 {
 		return nil
 	}
-	r.told = r.word.Loads
+	r.told, r.used = r.word.Loads, r.word.Usage
 	self, w := r.known[r.self], &r.word
 	report := &rosterv1.Report{
 		Name: self.Name, Boot: self.Boot, Tag: uint32(self.Tag), Flags: uint32(flagsOf(&w.Status)), Term: w.Term,
 		Knows: changesTo(w.Knows), Confirmed: millis(w.Confirmed), Down: codesTo(w.Down), Loads: loadsTo(w.Loads),
+		Usage: usageTo(w.Usage),
 	}
 	out := make([]Message, len(to))
 	for i, code := range to {
@@ -41,7 +42,8 @@
 	if r.complete(now) {
 		r.total = r.placeLoads(now)
 	}
-	r.told = r.word.Loads
+	r.told, r.used = r.word.Loads, r.word.Usage
+	r.usage, r.usageAt = r.fleetUsage(now), now
 	return append(r.toHubs(now, own, turn), r.toGroup(now, turn)...)
 }
 
@@ -49,7 +51,8 @@
 func (r *Roster) toHubs(now time.Time, own *part, turn int) []Message {
 	full := own.fresh > 0 || turn%lonelyTurns == 0
 	parts := []*rosterv1.Part{r.write(now, own, full)}
-	near, far := pack(false, parts, inTurn(chunksOf(own.loads), turn, hubChunks)), pack(false, parts, nil)
+	usage := inTurn(usageChunks(own.usage), turn, hubChunks)
+	near, far := pack(false, parts, inTurn(chunksOf(own.loads), turn, hubChunks), usage), pack(false, parts, nil, usage)
 	var out []Message
 	for key, codes := range r.allGroups() {
 		if key == r.own || key.place != r.own.place && turn%farTurns != 0 {
@@ -95,7 +98,11 @@
 		// there are.
 		loads = inTurn(chunksOf(r.total), turn, 1)
 	}
-	packets := pack(true, parts, loads)
+	var usage []*rosterv1.Usage
+	if turn > 0 {
+		usage = inTurn(usageChunks(r.usage), turn, 1)
+	}
+	packets := pack(true, parts, loads, usage)
 	var out []Message
 	for _, code := range r.mine() {
 		_, follows := r.reports[code]
@@ -107,7 +114,7 @@
 }
 
 // inTurn returns the chunks that a turn tells, n of all.
-func inTurn(chunks []*rosterv1.Loads, turn, n int) []*rosterv1.Loads {
+func inTurn[T any](chunks []T, turn, n int) []T {
 	if len(chunks) <= n {
 		return chunks
 	}
@@ -128,6 +135,7 @@
 	p := &part{
 		hub: r.self, at: now, loadsAt: now, confirmed: -1, members: make(map[core.Code]member, len(r.reports)+1),
 		claims: map[core.Code]claim{}, loads: map[core.Code]int{},
+		usage: map[core.Code]core.Usage{},
 	}
 	words := make(map[core.Code]*Word, len(r.reports)+1)
 	for code, one := range r.reports {
@@ -138,10 +146,13 @@
 		for runner, n := range one.Loads {
 			p.loads[runner] += n
 		}
+		addUsage(p.usage, one.Usage)
 	}
 	for runner, n := range r.word.Loads {
 		p.loads[runner] += n
 	}
+	addUsage(p.usage, r.word.Usage)
+	p.settle(r.word.Usage)
 	words[r.self] = &r.word
 	down := map[core.Code]bool{}
 	for code, w := range words {
--- a/coordination/watch/take.go
+++ b/coordination/watch/take.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if w.catalog.SetConfig(c) {
-		w.log.Info(logs.ConfigInForce, zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)))
+		w.log.Info(logs.ConfigInForce, zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)), zap.Int("workspaces", len(c.Workspaces)))
 	}
 }
 
--- a/core/config.go
+++ b/core/config.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -28,9 +30,22 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   CallerLimits
-	hosts    map[string][]*Route // by host, longest prefix first
+	// Workspaces share the system; nil: callers need no key.
+	Workspaces []*Workspace
+	// Problems are faults of single entries that were left out of the configuration,
+	// each with its path.
+	Problems []string
+
+	hosts map[string][]*Route // by host, longest prefix first
+	keys  map[KeyID]*Workspace
+	ranks map[rankKey]int
+	// lowest is the priority of requests that are of no workspace.
+	lowest int
 }
 
+// rankKey is what the urgency of a request goes by.
+type rankKey struct{ workspace, route int }
+
 // CallerLimits bounds what a caller may send and how long it may take.
 type CallerLimits struct {
 	HeaderBytes   int
@@ -59,6 +74,7 @@
 	MaxAttempts int
 	Sticky      bool // requests carry parts of their prompts
 	Resumable   bool // a stream may go on at another runner
+	Public      bool // callers need no key
 }
 
 // Repeatable says whether a request may be sent again after it may have run.
@@ -72,8 +88,8 @@
 	HealthPath string
 	MaxConns   int     // a runner's, from all callers together
 	Engine     *Engine // nil for a plain service
-	// Ranked says whether the service's routes differ in urgency; Urgent is then the
-	// priority of the most urgent ones.
+	// Ranked says whether the service's requests differ in urgency; Urgent is then the
+	// rank of the most urgent ones.
 	Ranked bool
 	Urgent int
 }
@@ -139,11 +155,53 @@
 			s.Engine.index()
 		}
 	}
+	c.indexKeys()
 	c.rank()
 }
 
-// rank finds the most urgent routes of each service.
+// indexKeys gives each key its workspace. One that two workspaces hold is nobody's.
+func (c *Config) indexKeys() {
+	c.keys = map[KeyID]*Workspace{}
+	for _, w := range c.Workspaces {
+		w.Code = CodeOf(w.Name)
+		c.lowest = max(c.lowest, w.Priority+1)
+		for _, k := range w.Keys {
+			if was, taken := c.keys[k]; taken && was != w {
+				c.keys[k] = nil
+				continue
+			}
+			c.keys[k] = w
+		}
+	}
+}
+
+// Workspace returns the workspace that holds a key, nil if none does.
+func (c *Config) Workspace(k KeyID) *Workspace { return c.keys[k] }
+
+// NeedsKey says whether a route's callers need a key.
+func (c *Config) NeedsKey(r *Route) bool { return c.Workspaces != nil && !r.Public }
+
+// maxRank is the rank of the least urgent requests, where workspaces and routes differ in
+// more ways than runners tell apart.
+const maxRank = 9
+
+// rank orders the kinds of requests by urgency, and finds the most urgent ones of each
+// service.
 func (c *Config) rank() {
+	c.ranks = map[rankKey]int{}
+	for i := range c.Routes {
+		for _, k := range c.rankKeys(&c.Routes[i]) {
+			c.ranks[k] = k.route
+		}
+	}
+	if c.Workspaces != nil {
+		keys := slices.SortedFunc(maps.Keys(c.ranks), func(a, b rankKey) int {
+			return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.route, b.route))
+		})
+		for i, k := range keys {
+			c.ranks[k] = i * (maxRank + 1) / max(maxRank+1, len(keys))
+		}
+	}
 	seen := map[*Service]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -152,17 +210,53 @@
 			if s == nil {
 				continue
 			}
-			if seen[s] && s.Urgent != r.Priority {
-				s.Ranked = true
-			}
-			if !seen[s] || r.Priority < s.Urgent {
-				s.Urgent = r.Priority
+			for _, k := range c.rankKeys(r) {
+				s.rank(c.ranks[k], seen[s])
+				seen[s] = true
 			}
-			seen[s] = true
 		}
 	}
 }
 
+// rankKeys are the kinds of requests that a route has by urgency.
+func (c *Config) rankKeys(r *Route) []rankKey {
+	if !c.NeedsKey(r) {
+		return []rankKey{c.rankKey(nil, r)}
+	}
+	out := make([]rankKey, 0, len(c.Workspaces))
+	for _, w := range c.Workspaces {
+		out = append(out, c.rankKey(w, r))
+	}
+	return out
+}
+
+// rankKey is what a request's urgency goes by. One of no workspace comes after those of
+// all workspaces.
+func (c *Config) rankKey(w *Workspace, r *Route) rankKey {
+	k := rankKey{route: r.Priority}
+	if w != nil {
+		k.workspace = w.Priority
+		return k
+	}
+	k.workspace = c.lowest
+	return k
+}
+
+// rank takes in the rank of some of the service's requests.
+func (s *Service) rank(rank int, seen bool) {
+	if seen && s.Urgent != rank {
+		s.Ranked = true
+	}
+	if !seen || rank < s.Urgent {
+		s.Urgent = rank
+	}
+}
+
+// Rank is the urgency of a request of a workspace, nil if it has none, on a route: the
+// workspace's priority goes before the route's. 0 is the most urgent; without workspaces
+// it is the route's priority.
+func (c *Config) Rank(w *Workspace, r *Route) int { return c.ranks[c.rankKey(w, r)] }
+
 func (e *Engine) index() {
 	e.byName = make(map[string]*Model, len(e.Models))
 	for i := range e.Models {
--- a/core/request.go
+++ b/core/request.go
@@ -23,9 +23,12 @@
 	Adapter   string
 	Input     int    // tokens of the prompt
 	MaxOutput int    // most tokens of the answer
+	Counted   bool   // it tells both
 	LastEvent string // events up to this id need not be sent
 	Caller    netip.Addr
-	Digest    Digest // of what it asks; its caller's next attempt has the same
+	Digest    Digest     // of what it asks; its caller's next attempt has the same
+	Key       KeyID      // of its caller, where callers need one
+	Workspace *Workspace // that holds the key; nil: none is needed
 }
 
 // Outgoing is what the system itself says to an endpoint with a request.
@@ -33,6 +36,7 @@
 	Timeout   time.Duration
 	Instance  string // refuse unless this instance of the runner
 	Priority  int    // 0 is first; below 0: not said
+	Workspace string // of the caller; empty: none
 	LastEvent string // resume after this event
 }
 
@@ -57,6 +61,10 @@
 
 // Dialect is the form in which requests, answers and orders are written.
 type Dialect interface {
+	// ReadKey returns the ID of the caller's key. Its error is ErrKey.
+	ReadKey(h http.Header) (KeyID, error)
+	// DropKey takes the caller's key out of what goes on to a runner.
+	DropKey(h http.Header)
 	// ReadRequest fails with ErrInvalid for a request without what the form
 	// demands. It does not read the body.
 	ReadRequest(r *http.Request) (*Request, error)
--- /dev/null
+++ b/core/workspace_test.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A key lets a caller into a workspace that shares it with another one.
+func TestKeysAreOfOneWorkspace(t *testing.T) {
+	a, b, c := KeyIDOf("a"), KeyIDOf("b"), KeyIDOf("c")
+	one, two := &Workspace{Name: "one", Keys: []KeyID{a, a, b}}, &Workspace{Name: "two", Keys: []KeyID{b, c}}
+	config := &Config{Workspaces: []*Workspace{one, two}}
+	config.Index()
+	assert.Equal(t, config.Workspace(a), one)
+	assert.Assert(t, config.Workspace(b) == nil)
+	assert.Equal(t, config.Workspace(c), two)
+	assert.Assert(t, config.Workspace(KeyIDOf("d")) == nil)
+}
+
+// A workspace's requests go after those of a less urgent one, or the routes of one
+// workspace lose their order.
+func TestRankOfRequests(t *testing.T) {
+	urgent, other := &Workspace{Name: "u", Priority: 1}, &Workspace{Name: "o", Priority: 3}
+	config := &Config{
+		Routes: []Route{
+			{Priority: 2, Shares: []Share{{Service: "s", Weight: 1}}},
+			{Priority: 0, Shares: []Share{{Service: "s", Weight: 1}}},
+			{Priority: 1, Public: true, Shares: []Share{{Service: "open", Weight: 1}}},
+		},
+		Services:   map[string]*Service{"s": {}, "open": {}},
+		Workspaces: []*Workspace{other, urgent},
+	}
+	config.Index()
+	slow, fast, public := &config.Routes[0], &config.Routes[1], &config.Routes[2]
+	for i, tt := range []struct {
+		w *Workspace
+		r *Route
+	}{{urgent, fast}, {urgent, slow}, {other, fast}, {other, slow}, {nil, public}} {
+		assert.Equal(t, config.Rank(tt.w, tt.r), i)
+	}
+	assert.Assert(t, config.Services["s"].Ranked && !config.Services["open"].Ranked)
+	assert.Equal(t, config.Services["s"].Urgent, 0)
+	config.Workspaces = nil
+	config.Index()
+	assert.Equal(t, config.Rank(nil, slow), 2)
+}
+
+// More kinds of requests than runners tell apart have ranks that these do not know.
+func TestManyRanks(t *testing.T) {
+	config := &Config{Routes: []Route{{Priority: 0}, {Priority: 1}, {Priority: 2}}}
+	for i := range 16 {
+		config.Workspaces = append(config.Workspaces, &Workspace{Name: string(rune('a' + i)), Priority: i})
+	}
+	config.Index()
+	last := 0
+	for _, w := range config.Workspaces {
+		for i := range config.Routes {
+			rank := config.Rank(w, &config.Routes[i])
+			assert.Assert(t, rank >= last && rank <= maxRank, "%s %d: %d after %d", w.Name, i, rank, last)
+			last = rank
+		}
+	}
+	assert.Equal(t, last, maxRank)
+}
--- a/io/logs/losses.go
+++ b/io/logs/losses.go
@@ -129,7 +129,7 @@
 			o = lateFirst
 		}
 		r.end(l, o, l.duration("took"))
-	case Refused, RefusedBySettings:
+	case Refused, RefusedBySettings, RefusedByAllowance:
 		r.end(l, refused, 0)
 		r.code = l.text("code")
 	case AnswerLost, DeadlineExceeded:
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -49,6 +49,9 @@
 	Refused = "refused"
 	// RefusedBySettings: the settings tree does not allow the request now: which node says so.
 	RefusedBySettings = "refused by the settings"
+	// RefusedByAllowance: the workspace's allowance over all daemons is used up: what is left
+	// and asked for, by how many daemons of how many, and how old their word is.
+	RefusedByAllowance = "refused by the allowance"
 	// SettingsInForce: a branch of the settings tree is used from now on.
 	SettingsInForce = "settings in force"
 	// SettingsUnreadable: a branch of the settings tree could not be read; the one held stays.
@@ -63,6 +66,8 @@
 	ModelNotPlaced = "model not placed"
 	// ConfigInForce: a newer configuration is used from now on.
 	ConfigInForce = "config in force"
+	// ConfigProblem: an entry of a configuration is faulty and was left out.
+	ConfigProblem = "config problem"
 	// ConfigUnreadable: a configuration could not be read.
 	ConfigUnreadable = "config unreadable, keeping the one held"
 	// ConfigBehind: this daemon's watches have missed a configuration.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"primroseward/coordination/allowance"
 	"primroseward/coordination/dispatch"
 	"primroseward/coordination/lease"
 	"primroseward/coordination/limit"
@@ -108,6 +109,7 @@
 	placer     *placement.Client
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Quarantine
+	allowances *allowance.Pool
 	front      *front.Front
 	started    time.Time
 	leaving    atomic.Bool
@@ -160,11 +162,13 @@
 	}, d.neighbour, d.catalog, d.clock, d.log, watch.WithSettings(d.settings),
 		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.pause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
+	d.allowances = allowance.New(d.clock, func() core.Window { return d.bounds.Load().Quota.Bounds() }, allowance.WithScope(d.scope))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
 	}
-	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.Own, d.heard, peers.WithNews(d.news), peers.WithCount(d.countDatagram))
+	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.Own, d.heard, peers.WithNews(d.news), peers.WithCount(d.countDatagram),
+		peers.WithUsage(d.allowances.Usage, d.allowances.Heard))
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.Window), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log, lease.WithCandidate(d.watches))
@@ -178,7 +182,7 @@
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
+		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows))
 }
 
@@ -264,9 +268,15 @@
 	}
 }
 
-// newConfig tells the others at once that a configuration has come: those that have
-// just started wait for copies of a daemon that has one.
-func (d *Daemon) newConfig(*core.Config) { d.peers.Nudge(true) }
+// newConfig takes in the workspaces of a configuration, and tells the others at once that
+// it has come: those that have just started wait for copies of a daemon that has one.
+func (d *Daemon) newConfig(c *core.Config) {
+	d.allowances.Configure(c.Workspaces)
+	for _, p := range c.Problems {
+		d.log.Error(logs.ConfigProblem, zap.Uint64("config", c.Version), zap.String("problem", p))
+	}
+	d.peers.Nudge(true)
+}
 
 // Ready says whether the daemon can serve callers.
 func (d *Daemon) Ready() bool {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -44,6 +44,27 @@
 	Ratio     float64       `json:"ratio"`     // of requests that may be sent once more, over all daemons
 	Slack     float64       `json:"slack"`     // requests that may be sent once more beyond that, over all daemons
 	Window    core.Duration `json:"window"`    // in which both are counted
+	Quota     Quota         `json:"quota"`     // of workspaces
+}
+
+// Quota is over which time workspaces' allowances are checked, and by how much more than
+// these may be let in then, over all daemons.
+type Quota struct {
+	Window core.Duration `json:"window"` // 0: 8s
+	Over   float64       `json:"over"`   // a share of rate and burst
+	Slack  float64       `json:"slack"`  // units
+}
+
+// quotaWindow is a Quota's window where none is given.
+const quotaWindow = 8 * time.Second
+
+// Bounds returns the quota as the rule of allowances has it.
+func (q Quota) Bounds() core.Window {
+	w := core.Window{Length: time.Duration(q.Window), Over: q.Over, Slack: q.Slack}
+	if w.Length == 0 {
+		w.Length = quotaWindow
+	}
+	return w
 }
 
 // FleetAddrs are the checked addresses of a Fleet.
@@ -171,6 +192,9 @@
 			c.add("fleet."+one.path, "must be above zero")
 		}
 	}
+	if f.Quota.Window < 0 || f.Quota.Over < 0 || f.Quota.Slack < 0 {
+		c.add("fleet.quota", "window, over and slack must not be below zero")
+	}
 	if f.Ratio < 0 || f.Slack < 0 {
 		c.add("fleet.ratio", "ratio and slack must not be below zero")
 	}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -134,6 +134,10 @@
 	if route == nil {
 		return nil, nil, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0)
 	}
+	key, workspace, refusal := f.authorize(config, route, r)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
 	if limit := config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
 		return nil, nil, core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0)
 	}
@@ -144,11 +148,32 @@
 	if q.Body, err = f.readBody(w, r, config.Limits.BodyBytes); err != nil {
 		return nil, nil, core.AsRequestError(err)
 	}
+	if config.Workspaces != nil {
+		f.dialect.DropKey(q.Header)
+	}
+	q.Key, q.Workspace = key, workspace
 	q.Caller = core.CallerOf(r.RemoteAddr)
 	q.Digest = core.DigestOf(q)
 	return q, route, nil
 }
 
+// authorize finds the workspace of a caller's key, before anything of the body is read.
+// Routes without keys have none.
+func (f *Front) authorize(config *core.Config, route *core.Route, r *http.Request) (core.KeyID, *core.Workspace, *core.RequestError) {
+	if !config.NeedsKey(route) {
+		return core.KeyID{}, nil, nil
+	}
+	key, err := f.dialect.ReadKey(r.Header)
+	if err != nil {
+		return key, nil, core.NotRun(http.StatusUnauthorized, "no_key", "the route needs exactly one key", 0)
+	}
+	w := config.Workspace(key)
+	if w == nil {
+		return key, nil, core.NotRun(http.StatusUnauthorized, "unknown_key", "no workspace holds key "+key.String(), 0)
+	}
+	return key, w, nil
+}
+
 // refuse writes a refusal of the front's own, tells of it and counts it.
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, e *core.RequestError) {
 	version := uint64(0)
