--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -125,7 +125,7 @@
 	rejects  int
 	dials    int
 	sends    int
-	units    float64 // taken of the workspace's allowance by each run
+	units    float64            // taken of the workspace's allowance by each run
 	asked    bool               // the holder of orders has been asked for the model or adapter
 	waited   bool               // has had its turn for a runner
 	sentAt   time.Time          // of the latest send
