--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -8,7 +8,7 @@
 // Daemons tell each other what their callers ask for and what they have let in. Each keeps
 // an estimate of what is left in the bucket, and lets requests in with a probability that
 // falls as less is left for what is asked: no daemon has to know by which daemons a
-// workspace's callers come.
+// workspace's callers come. Small requests go before large ones, as more are served then.
 package allowance
 
 import (
@@ -164,7 +164,8 @@
 	b.update(now, f.share())
 	b.asked.add(now, units)
 	out := core.Admission{Left: b.left, Asked: b.asked.rate(now) + b.others.Asked, Heard: f.heard, Known: f.known, Age: b.age(now)}
-	chance := out.Left / (out.Asked * horizon.Seconds())
+	share := out.Left / (out.Asked * horizon.Seconds())
+	chance := b.chance(share, units)
 	if chance >= 1 || chance > 0 && p.draw() < chance {
 		out.OK = true
 		b.spend(now, units)
--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -23,6 +23,7 @@
 	spent   meter
 	others  core.Usage // of the other daemons
 	heardAt time.Time  // when they told it; zero: never
+	size    size // of the requests that are asked for
 	refused int64
 	counts  counts
 }
@@ -61,6 +62,16 @@
 	b.left = min(b.depth*share, b.left+(b.rate*share-b.others.Spent)*seconds)
 }
 
+// chance is the probability with which a request is let in where a share of what is asked
+// for can be; the caller holds the lock.
+func (b *bucket) chance(share, units float64) float64 {
+	b.size.add(units)
+	if share >= 1 || share <= 0 {
+		return share
+	}
+	return math.Pow(share, units/b.size.mean())
+}
+
 // spend counts units as let in, or back; the caller holds the lock.
 func (b *bucket) spend(now time.Time, units float64) {
 	b.left -= units
@@ -115,6 +126,25 @@
 	return now.Sub(b.heardAt)
 }
 
+// sizeMemory is over how many requests their mean size is taken.
+const sizeMemory = 32
+
+// size is the mean size of requests, each weighed by its own size.
+type size struct{ sum, squares float64 }
+
+func (s *size) add(units float64) {
+	s.sum += (units - s.sum) / sizeMemory
+	s.squares += (units*units - s.squares) / sizeMemory
+}
+
+// mean is above 0 once a request of any size has been added.
+func (s *size) mean() float64 {
+	if s.sum <= 0 {
+		return 1
+	}
+	return s.squares / s.sum
+}
+
 // meterSpan is the time over which a rate is measured: a turn and a half in which daemons
 // tell each other.
 const meterSpan = 300 * time.Millisecond
