--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -24,14 +24,20 @@
 )
 
 const (
-	// horizon is the time that what is left is to last at the rate that is asked for.
+	// horizon is the time within which what is left is let in.
 	horizon = time.Second
+	// crowd is how many times its rate a workspace asks for when nothing is let in beyond
+	// what is left: what the others let in meanwhile is known too late.
+	crowd = 2
+	// youngFlow is the share of its rate that a workspace is let in beyond what is left at a
+	// daemon that has just started, as it does not know yet what is asked for.
+	youngFlow = 0.5
 	// debtShare is the part of what the rule allows beyond rate and burst that is used as
 	// more burst; the other part covers what daemons spend before they hear of each other.
-	debtShare = 0.5
+	debtShare = 0.35
 	// wordLife is how long what the others have told counts.
 	wordLife = 2 * time.Second
-	// youngFor is how long after its start a daemon takes over what others say is left.
+	// youngFor is how long a daemon has just started: it takes over what others say is left.
 	youngFor = time.Second
 	// follow is the share by which an estimate moves to what others tell in a turn.
 	follow = 0.2
@@ -164,8 +170,7 @@
 	b.update(now, f.share())
 	b.asked.add(now, units)
 	out := core.Admission{Left: b.left, Asked: b.asked.rate(now) + b.others.Asked, Heard: f.heard, Known: f.known, Age: b.age(now)}
-	share := out.Left / (out.Asked * horizon.Seconds())
-	chance := b.chance(share, units)
+	chance := b.chance(b.allowed(out.Asked, now.Sub(p.started) < youngFor), units)
 	if chance >= 1 || chance > 0 && p.draw() < chance {
 		out.OK = true
 		b.spend(now, units)
@@ -180,10 +185,11 @@
 // retry is the time until a request is likely to be let in; the caller holds the bucket's
 // lock.
 func (p *Pool) retry(b *bucket, chance float64) time.Duration {
-	wait := mostRetry.Seconds()
-	if chance > 0 {
+	var wait float64
+	switch refill := b.rate * b.share; {
+	case chance > 0:
 		wait = horizon.Seconds() / chance
-	} else if refill := b.rate * b.share; refill > 0 {
+	case refill > 0:
 		wait = horizon.Seconds() - b.left/refill
 	}
 	wait = min(wait, mostRetry.Seconds()) * (1 + retrySpread*(2*p.draw()-1))
--- a/coordination/allowance/allowance_test.go
+++ b/coordination/allowance/allowance_test.go
@@ -51,17 +51,22 @@
 	}, 0},
 	{"hot, and all start again", 270e3, func(r float64) func(time.Duration) float64 { return hot(usual*r, 6, 10*time.Second, 20*time.Second) }, nil, func(s *sim) func(time.Duration) {
 		return func(at time.Duration) {
-			if at == 16*time.Second {
-				for _, n := range s.nodes {
-					s.start(n)
-				}
+			for _, n := range s.nodes {
+				s.restart(n, at, 16*time.Second)
 			}
 		}
 	}, 0},
+	{"calm, and all start again", 270e3, func(r float64) func(time.Duration) float64 { return steady(usual * r) }, nil, func(s *sim) func(time.Duration) {
+		return func(at time.Duration) {
+			for _, n := range s.nodes {
+				s.restart(n, at, 16*time.Second)
+			}
+		}
+	}, 0.03},
 	{"hot, and one by one starts again", 270e3, func(r float64) func(time.Duration) float64 { return hot(usual*r, 6, 10*time.Second, 20*time.Second) }, nil, func(s *sim) func(time.Duration) {
 		return func(at time.Duration) {
-			if at >= 12*time.Second && at%time.Second == 0 {
-				s.start(s.nodes[int(at/time.Second)%len(s.nodes)])
+			for i, n := range s.nodes {
+				s.restart(n, at, 12*time.Second+time.Duration(i)*time.Second)
 			}
 		}
 	}, 0},
--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -23,7 +23,7 @@
 	spent   meter
 	others  core.Usage // of the other daemons
 	heardAt time.Time  // when they told it; zero: never
-	size    size // of the requests that are asked for
+	size    size       // of the requests that are asked for
 	refused int64
 	counts  counts
 }
@@ -57,11 +57,29 @@
 		b.left *= share / b.share // those out of touch have their parts of it
 	}
 	b.share = share
+	if share == 0 {
+		return // what comes in until the fleet's size is known comes in then
+	}
 	seconds := max(0, now.Sub(b.at).Seconds())
 	b.at = now
 	b.left = min(b.depth*share, b.left+(b.rate*share-b.others.Spent)*seconds)
 }
 
+// allowed is the share of what is asked for, in units a second over all daemons in touch,
+// that may be let in now; the caller holds the lock. A workspace that asks for no more than
+// its rate is let in as long as anything is left.
+func (b *bucket) allowed(asked float64, young bool) float64 {
+	refill, flow := b.rate*b.share, 1.0
+	if refill <= 0 {
+		return b.left / (asked * horizon.Seconds())
+	}
+	if young {
+		asked, flow = max(asked, refill), youngFlow
+	}
+	flow *= min(1, max(0, crowd-asked/refill))
+	return (flow*refill + b.left/horizon.Seconds()) / asked
+}
+
 // chance is the probability with which a request is let in where a share of what is asked
 // for can be; the caller holds the lock.
 func (b *bucket) chance(share, units float64) float64 {
--- a/coordination/allowance/sim_test.go
+++ b/coordination/allowance/sim_test.go
@@ -19,6 +19,8 @@
 	turn    = 200 * time.Millisecond
 	lag     = 300 * time.Millisecond
 	silence = 2 * time.Second
+	// away is how long a process that has ended is away at least.
+	away = 300 * time.Millisecond
 	// settle is when callers come after the daemons have started.
 	settle = 3 * time.Second
 )
@@ -100,6 +102,16 @@
 	s.configure(n)
 }
 
+// restart has a daemon end at a time, and start again a moment later.
+func (s *sim) restart(n *node, at, when time.Duration) {
+	switch at {
+	case when:
+		n.up, n.down = false, s.clock.Now()
+	case when + away:
+		s.start(n)
+	}
+}
+
 func (s *sim) configure(n *node) {
 	var list []*core.Workspace
 	for _, u := range s.users {
