--- a/proof/fleet_cluster_test.go
+++ b/proof/fleet_cluster_test.go
@@ -115,7 +115,8 @@
 	dir := c.t.TempDir()
 	file := filepath.Join(dir, "primrosed.json")
 	text := fmt.Sprintf(`{"name":%q,"place":%q,"caller":%q,"peer":%q,"admin":%q,"platform":%q,"fleet":{"ready":%q,"directory":%q,
-		"keep":"1s","grace":%q,"lease":"500ms","ratio":0.2,"slack":20,"window":"10s"}}`,
+		"keep":"1s","grace":%q,"lease":"500ms","ratio":0.2,"slack":20,"window":"10s",
+		"quota":{"window":"2s","over":0.1,"slack":200}}}`,
 		name, place, d.caller, freePort(c.t), d.admin, c.addr, d.ready, d.directory, grace.String())
 	assert.NilError(c.t, os.WriteFile(file, []byte(text), 0o600))
 	d.log, d.file = filepath.Join(dir, "log"), file
@@ -189,12 +190,12 @@
 var fleetSerial atomic.Int64
 
 // send makes one request of a caller on a connection of its own.
-func (d *fleetDaemon) send(path, body, model string) (int, string, error) {
-	return d.sendFrom(net.IPv4(127, 0, 0, 1), path, body, model)
+func (d *fleetDaemon) send(path, body, model string, header ...string) (int, string, error) {
+	return d.sendFrom(net.IPv4(127, 0, 0, 1), path, body, model, header...)
 }
 
 // sendFrom makes one request from one of its caller's addresses.
-func (d *fleetDaemon) sendFrom(from net.IP, path, body, model string) (int, string, error) {
+func (d *fleetDaemon) sendFrom(from net.IP, path, body, model string, header ...string) (int, string, error) {
 	serial := fleetSerial.Add(1)
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: from}}
 	conn, err := dialer.Dial("tcp", d.caller)
@@ -207,6 +208,9 @@
 	if model != "" {
 		fmt.Fprintf(&b, "%s: %s\r\n", wire.HeaderModel, model)
 	}
+	for _, line := range header {
+		b.WriteString(line + "\r\n")
+	}
 	b.WriteString("\r\n" + body)
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return 0, "", err
--- /dev/null
+++ b/proof/workspaces_test.go
@@ -0,0 +1,216 @@
+package proof
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	wire "primroseward/platform"
+	"primroseward/standin/platform"
+	"primroseward/standin/runner"
+)
+
+// workspace is one of a configuration, as operators write it.
+type workspace struct {
+	name        string
+	keys        []string
+	rate, burst float64
+}
+
+// plainTokens is what a request weighs that tells no tokens.
+const plainTokens = 50
+
+// workspaceConfig is fleetConfig with workspaces, and a route that needs no key.
+func workspaceConfig(version int, list ...workspace) any {
+	config := fleetConfig(version, "/gen/").(map[string]any)
+	public := map[string]any{
+		"name": "open", "host": "h.example", "path_prefix": "/open/", "kind": "safe", "service": "app", "timeout_ms": 4000,
+		"target_latency_ms": 300, "max_attempts": 2, "priority": 1, "public": true,
+	}
+	config["routes"] = append(config["routes"].([]any), public)
+	tenants := []any{}
+	for _, w := range list {
+		tenants = append(tenants, map[string]any{
+			"name": w.name, "api_keys": w.keys, "priority": 1, "unit": "tokens", "plain_tokens": plainTokens, "rate_per_s": w.rate, "burst": w.burst,
+		})
+	}
+	config["tenants"] = tenants
+	return config
+}
+
+func withKey(key string) string { return wire.HeaderKey + ": " + wire.KeyScheme + " " + key }
+
+// awaitStatus waits until a daemon answers requests with a key as wanted.
+func (c *fleetCluster) awaitStatus(d *fleetDaemon, key string, want int) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		status, body, err := d.send("/ask/x", "", "", withKey(key))
+		if err != nil || status != want {
+			return poll.Continue("%s: %d %s %v", d.name, status, body, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
+
+// runsAt are the requests of a service that have run, at all runners.
+func (c *fleetCluster) runsAt(service string) []runner.Run {
+	var out []runner.Run
+	for _, r := range c.runners {
+		if r.Service == service {
+			out = append(out, r.Runs()...)
+		}
+	}
+	return out
+}
+
+// A request runs without a key that a workspace holds, or its runner sees the key or
+// another workspace's name.
+func TestFleetAsksForKeys(t *testing.T) {
+	c := startFleet(t, 2)
+	c.put(wire.KindConfig, wire.NameConfig, workspaceConfig(2, workspace{name: "one", keys: []string{"k1"}}, workspace{name: "two", keys: []string{"k2"}}))
+	for _, d := range c.daemons {
+		c.awaitStatus(d, "none", http.StatusUnauthorized)
+	}
+	for _, tt := range []struct {
+		name, path, model string
+		header            []string
+		status            int
+		workspace         string
+	}{
+		{"a key", "/ask/a", "", []string{withKey("k1")}, http.StatusOK, "one"},
+		{"another workspace's", "/order/a", "", []string{withKey("k2")}, http.StatusOK, "two"},
+		{"a stream", "/gen/a", "m1", []string{withKey("k2")}, http.StatusOK, "two"},
+		{"a workspace that the caller names", "/ask/b", "", []string{withKey("k1"), strings.ToUpper(wire.HeaderWorkspace) + ": two"}, http.StatusOK, "one"},
+		{"no key", "/ask/c", "", nil, http.StatusUnauthorized, ""},
+		{"an unknown key", "/ask/c", "", []string{withKey("k3")}, http.StatusUnauthorized, ""},
+		{"two keys", "/ask/c", "", []string{withKey("k1"), withKey("k2")}, http.StatusUnauthorized, ""},
+		{"a public route", "/open/a", "", []string{withKey("k3"), wire.HeaderWorkspace + ": two"}, http.StatusOK, ""},
+	} {
+		status, body, err := c.daemons[0].send(tt.path, tt.name, tt.model, tt.header...)
+		assert.NilError(t, err, tt.name)
+		assert.Equal(t, status, tt.status, "%s: %s", tt.name, body)
+		ran := false
+		for _, r := range append(c.runsAt("app"), c.runsAt("gen")...) {
+			if r.Body != tt.name {
+				continue
+			}
+			ran = true
+			assert.Equal(t, r.Header.Get(wire.HeaderKey), "", tt.name)
+			assert.Equal(t, strings.Join(r.Header.Values(wire.HeaderWorkspace), ","), tt.workspace, tt.name)
+		}
+		assert.Equal(t, ran, status == http.StatusOK, tt.name)
+	}
+	out, code := c.ctl(c.daemons[0], "", "workspaces")
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.Contains(out, "one") && !strings.Contains(out, "k1"), out)
+}
+
+// A key that has been taken away lets callers in: at a daemon whose store is away, that has
+// just started, on a connection that is open. Or a caller that changes its key in time is
+// refused.
+func TestFleetTakesKeysAway(t *testing.T) {
+	c := startFleet(t, 3)
+	one := func(version int, keys ...string) {
+		c.put(wire.KindConfig, wire.NameConfig, workspaceConfig(version, workspace{name: "one", keys: keys}))
+	}
+	one(2, "old")
+	for _, d := range c.daemons {
+		c.awaitStatus(d, "old", http.StatusOK)
+	}
+	one(3, "old", "new")
+	for _, d := range c.daemons {
+		c.awaitStatus(d, "new", http.StatusOK)
+	}
+	for _, d := range c.daemons {
+		for _, key := range []string{"old", "new"} {
+			status, body, err := d.send("/ask/x", "", "", withKey(key))
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK, "%s: %s", key, body)
+		}
+	}
+	one(4, "new")
+	time.Sleep(2 * time.Second)
+	before := len(c.runsAt("app"))
+	refused := func() {
+		t.Helper()
+		for _, d := range c.daemons {
+			status, body, err := d.send("/ask/x", "", "", withKey("old"))
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusUnauthorized, "%s: %s", d.name, body)
+		}
+	}
+	refused()
+	c.store.SetFaults(platform.Faults{Down: true})
+	refused()
+	c.daemons[2].restart(c)
+	c.await(c.daemons[2], http.StatusOK)
+	refused()
+	c.store.SetFaults(platform.Faults{})
+	assert.Equal(t, len(c.runsAt("app")), before)
+}
+
+// A workspace uses more than its allowance by sending to all daemons, also as one of them
+// starts again; or a workspace beside it is not served.
+func TestFleetHoldsAllowances(t *testing.T) {
+	const rate, burst, window, slack = 1000.0, 1000.0, 2 * time.Second, 200.0
+	c := startFleet(t, 3)
+	c.put(wire.KindConfig, wire.NameConfig, workspaceConfig(2,
+		workspace{name: "hot", keys: []string{"hot"}, rate: rate, burst: burst}, workspace{name: "calm", keys: []string{"calm"}, rate: rate, burst: burst}))
+	for _, d := range c.daemons {
+		c.awaitStatus(d, "calm", http.StatusOK)
+	}
+	time.Sleep(2 * time.Second)
+	var mu sync.Mutex
+	calm, served := 0, 0
+	var wg sync.WaitGroup
+	end := time.Now().Add(6 * time.Second)
+	for i := range 9 {
+		d := c.daemons[i%len(c.daemons)]
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				_, _, _ = d.send("/ask/hot", "hot", "", withKey("hot")) // mostly refused
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	wg.Go(func() {
+		for n := 0; time.Now().Before(end); n++ {
+			status, _, _ := c.daemons[n%2].send("/ask/calm", "calm", "", withKey("calm"))
+			mu.Lock()
+			if calm++; status == http.StatusOK {
+				served++
+			}
+			mu.Unlock()
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	time.Sleep(3 * time.Second)
+	c.daemons[2].restart(c)
+	wg.Wait()
+	var at []time.Time
+	for _, r := range c.runsAt("app") {
+		if r.Body == "hot" {
+			at = append(at, r.At)
+		}
+	}
+	most := 0
+	for _, from := range at {
+		n := 0
+		for _, one := range at {
+			if !one.Before(from) && one.Sub(from) <= window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	bound := (rate*window.Seconds()+burst)*1.1 + slack
+	t.Logf("hot: %d runs, at most %d in %v, which is %.2f of the bound; calm: %d of %d", len(at), most, window, float64(most)*plainTokens/bound, served, calm)
+	assert.Check(t, float64(most)*plainTokens <= bound)
+	assert.Check(t, float64(len(at))*plainTokens >= 0.7*rate*6, "the allowance is left unused")
+	assert.Check(t, served*100 >= 95*calm, "%d of %d", served, calm)
+}
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -12,6 +12,7 @@
 	"primroseward/core"
 	"primroseward/services/holds"
 	service "primroseward/services/tree"
+	"primroseward/services/workspaces"
 	"primroseward/state/catalog"
 	"primroseward/state/tree"
 	"primroseward/transport/admin"
@@ -26,7 +27,7 @@
 func (d *Daemon) admin() *admin.Admin {
 	trees := service.New(d.settings, d.store, applier{d.settings}, d.clock, service.WithOffered(d.offers))
 	return &admin.Admin{
-		Trees: trees, Statuses: &statuses{d, trees}, Fleet: runners{d}, Holds: holds.NewTable(d.quarantine, d.clock),
+		Trees: trees, Statuses: &statuses{d, trees}, Fleet: runners{d}, Holds: holds.NewTable(d.quarantine, d.clock), Workspaces: d.workspaces,
 		Metrics: d.metrics.Handler, Ready: d.Ready, Token: d.set.Token, ReadOnly: d.set.Token == "",
 	}
 }
@@ -37,6 +38,24 @@
 	return config != nil && config.Offers(kind == tree.ElemService, name)
 }
 
+// workspaces tells of the allowances of the configuration in force.
+func (d *Daemon) workspaces() []workspaces.Status {
+	config := d.catalog.Config()
+	if config == nil {
+		return []workspaces.Status{}
+	}
+	return workspaces.List(config.Workspaces, d.allowances.States())
+}
+
+// problems are those of the settings tree and of the configuration in force.
+func (d *Daemon) problems() []string {
+	out := d.settings.Problems()
+	if config := d.catalog.Config(); config != nil {
+		out = append(out, config.Problems...)
+	}
+	return out
+}
+
 // applier takes in what an edit at this daemon has written. The others learn of it
 // from the store.
 type applier struct{ settings *tree.Replica }
@@ -53,7 +72,7 @@
 // Status compares what the store has accepted with what each daemon knows.
 func (s *statuses) Status(ctx context.Context) service.Status {
 	accepted, ok := s.trees.Accepted(ctx)
-	out := service.Status{Platform: ok, InForce: ok, Problems: s.d.settings.Problems()}
+	out := service.Status{Platform: ok, InForce: ok, Problems: s.d.problems()}
 	behind := map[string]int{}
 	alive := s.d.peers.Alive()
 	for _, b := range accepted {
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -19,6 +19,7 @@
 	"primroseward/io/strict"
 	"primroseward/services/holds"
 	service "primroseward/services/tree"
+	"primroseward/services/workspaces"
 	"primroseward/state/tree"
 )
 
@@ -52,10 +53,12 @@
 	Statuses Statuses
 	Fleet    Fleet
 	Holds    Holds // nil: nothing is held back here
-	Metrics  http.Handler
-	Ready    func() bool
-	Token    string // empty: none is asked for
-	ReadOnly bool   // edits are refused
+	// Workspaces tells of the workspaces' allowances; nil: there are none here.
+	Workspaces func() []workspaces.Status
+	Metrics    http.Handler
+	Ready      func() bool
+	Token      string // empty: none is asked for
+	ReadOnly   bool   // edits are refused
 }
 
 // Problem is the body of an error answer.
@@ -89,6 +92,9 @@
 		r.Get("/runners", a.runners)
 		r.Get("/moves", a.moves)
 		r.Get("/history", a.history)
+		if a.Workspaces != nil {
+			r.Get("/workspaces", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, a.Workspaces()) })
+		}
 		if a.Holds != nil {
 			r.Get("/holds", a.holds)
 			r.Delete("/holds/{digest}", a.release)
