--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,7 @@
 // ask is one request of a caller and what became of it.
 type ask struct {
 	id, kind, target, body string
+	hot                    bool // of the hot workspace
 	daemon                 *daemon
 	process                time.Time // when its process had started
 	sent, ended            time.Time
@@ -102,7 +103,7 @@
 	case 0:
 		a.kind, a.target, a.body = "order", "/order/"+a.id, "belt "+a.id
 	case 1:
-		a.kind, a.target = "ask", "/ask/"+a.id+"?q=1"
+		a.kind, a.target, a.hot = "ask", "/ask/"+a.id+"?q=1", c.rng.IntN(100) < hotShare
 	default:
 		a.kind, a.target = "gen", "/gen/"+a.id
 	}
@@ -137,8 +138,8 @@
 // send sends a request and reads its answer; false when the connection is of no use any
 // more.
 func (w *World) send(a *ask, model string, conn net.Conn, in *bufio.Reader) bool {
-	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n",
-		a.target, wire.HeaderRequestID, a.id, wire.HeaderTimeout, timeout.Milliseconds(), len(a.body))
+	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: %s %s\r\nContent-Length: %d\r\n",
+		a.target, wire.HeaderRequestID, a.id, wire.HeaderTimeout, timeout.Milliseconds(), wire.HeaderKey, wire.KeyScheme, a.key(), len(a.body))
 	if a.kind == "gen" {
 		header += wire.HeaderModel + ": " + model + "\r\n"
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -35,21 +35,25 @@
 	return out
 }
 
-// checkRoutes checks that a configuration is in force at all daemons: its route is
-// there and the one before is not.
-func (w *World) checkRoutes(old, now string) {
+// checkConfig checks that a configuration is in force at all daemons: its route and its
+// key are there and those before are not.
+func (w *World) checkConfig(version int) {
+	old, now := prefix(version-1), prefix(version)
 	for _, d := range w.daemons {
-		if got := d.get(now); got != http.StatusOK && got != http.StatusServiceUnavailable {
+		if got := d.get(now, versionKey(version)); got != http.StatusOK && got != http.StatusServiceUnavailable {
 			w.note("%s answers %d on a route that was added %v ago", d.name, got, w.slow(inForce))
 		}
-		if got := d.get(old); got != http.StatusNotFound {
+		if got := d.get(old, mainWorkspace); got != http.StatusNotFound {
 			w.note("%s answers %d on a route that was dropped %v ago", d.name, got, w.slow(inForce))
 		}
+		if got := d.get(now, versionKey(version-1)); got != http.StatusUnauthorized {
+			w.note("%s answers %d to a key that was taken away %v ago", d.name, got, w.slow(inForce))
+		}
 	}
 }
 
 // get makes one request past all proxies.
-func (d *daemon) get(path string) int {
+func (d *daemon) get(path, key string) int {
 	req, err := http.NewRequest(http.MethodGet, "http://"+d.caller+path, nil)
 	if err != nil {
 		return 0
@@ -57,6 +61,7 @@
 	req.Host = "h.example"
 	req.Header.Set(wire.HeaderRequestID, fmt.Sprintf("probe-%s-%d", d.name, time.Now().UnixNano()))
 	req.Header.Set(wire.HeaderTimeout, "2000")
+	req.Header.Set(wire.HeaderKey, wire.KeyScheme+" "+key)
 	resp, err := directoryClient.Do(req)
 	if err != nil {
 		return 0
@@ -99,6 +104,7 @@
 		}
 	}
 	w.checkFatal()
+	w.checkWorkspaces(runs)
 	good, all := w.count(calmFrom, calmTo)
 	if all == 0 || (all-good)*100 > maxLost*all {
 		w.note("%d of %d requests served while all was calm", good, all)
@@ -157,7 +163,7 @@
 // count returns how many requests were asked in a time, and how many of them served.
 func (w *World) count(from, to time.Time) (good, all int) {
 	for _, a := range w.asked {
-		if a.sent.Before(from) || a.sent.After(to.Add(-timeout)) || a.left {
+		if a.sent.Before(from) || a.sent.After(to.Add(-timeout)) || a.left || a.hot {
 			continue
 		}
 		all++
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -50,8 +50,9 @@
 		return nil, err
 	}
 	text := fmt.Sprintf(`{"name":%q,"place":%q,"caller":%q,"peer":%q,"admin":%q,"platform":%q,"limits":{"platform":100},"fleet":{"ready":%q,"directory":%q,
-"keep":%q,"grace":%q,"lease":%q,"ratio":0.2,"slack":60,"window":"10s"}}`,
-		name, place, d.caller, d.peer, d.admin, d.store.Addr(), d.ready, d.directory, keep, grace, lease)
+"keep":%q,"grace":%q,"lease":%q,"ratio":0.2,"slack":60,"window":"10s",
+"quota":{"window":%q,"over":%v,"slack":%v}}}`,
+		name, place, d.caller, d.peer, d.admin, d.store.Addr(), d.ready, d.directory, keep, grace, lease, quotaWindow, quotaOver, quotaSlack)
 	return d, os.WriteFile(d.file, []byte(text), 0o600)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -149,7 +149,6 @@
 // planned does planned work on a calm system, under load: a configuration, a
 // narrowing, a runner that leaves, a daemon that is stopped and started.
 func (w *World) planned() {
-	old := prefix(w.config)
 	if err := w.putConfig(); err != nil {
 		w.note("configuration: %v", err)
 	}
@@ -162,7 +161,7 @@
 		leaving.Drain()
 	}
 	time.Sleep(w.slow(inForce))
-	w.checkRoutes(old, prefix(w.config))
+	w.checkConfig(w.config)
 	stopped := w.anyDaemon(w.rng)
 	w.event("planned stop of %s", stopped.name)
 	w.later(0, func() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -196,7 +196,12 @@
 		Slots: slots, MemoryMB: 100, AdapterSlots: maxAdapters, LoadsPerSec: 4,
 		Models: []wire.ModelMessage{{Name: "m1", MemoryMB: 40, LoadS: modelLoad.Seconds(), Adapters: 6, AdapterMB: 1}, {Name: "m2", MemoryMB: 40, LoadS: modelLoad.Seconds()}},
 	}
+	list, err := tenants(version)
+	if err != nil {
+		return err
+	}
 	return w.store.Put(wire.KindConfig, wire.NameConfig, wire.ConfigMessage{
+		Tenants: list,
 		Version: uint64(version),
 		Routes: []wire.RouteMessage{
 			route("gen", "/gen/", "streaming", "gen", 2, true),
