--- a/soak/workspaces.go
+++ b/soak/workspaces.go
@@ -14,10 +14,10 @@
 	mainWorkspace, hotWorkspace = "main", "hot"
 	// hotRate and hotBurst are its allowance, in requests, over all daemons; within
 	// quotaWindow quotaOver of it and quotaSlack may come on top.
-	hotRate, hotBurst = 20, 20
+	hotRate, hotBurst = 3, 3
 	quotaWindow       = 2 * time.Second
 	quotaOver         = 0.1
-	quotaSlack        = 10
+	quotaSlack        = 8
 	// hotShare is how many of a hundred requests that may be repeated are the hot
 	// workspace's.
 	hotShare = 50
