Allowances: daemons out of touch are missed sooner, and may have let in as much

Daemons count as in touch for 0.7 s after their last word, hubs tell how many of their group are, and when daemons go out of touch these may have let in as much as the others until they were missed.

--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -34,9 +34,11 @@
 	youngFlow = 0.5
 	// debtShare is the part of what the rule allows beyond rate and burst that is used as
 	// more burst; the other part covers what daemons spend before they hear of each other.
-	debtShare = 0.35
+	debtShare = 0.1
 	// wordLife is how long what the others have told counts.
 	wordLife = 2 * time.Second
+	// missTime is how long it takes at most until daemons out of touch are missed.
+	missTime = time.Second
 	// youngFor is how long a daemon has just started: it takes over what others say is left.
 	youngFor = time.Second
 	// follow is the share by which an estimate moves to what others tell in a turn.
@@ -124,7 +126,7 @@
 			b = &bucket{at: p.started, share: share, counts: p.countersOf(w.Name)}
 			b.configure(w, window)
 			if u, ok := p.told[w.Code]; ok {
-				b.hear(now, u, true)
+				b.hear(now, u, share, true)
 			}
 		} else {
 			b.reconfigure(now, w, window)
@@ -167,7 +169,7 @@
 	f, now := p.fleet.Load(), p.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, f.share())
+	b.update(now)
 	b.asked.add(now, units)
 	out := core.Admission{Left: b.left, Asked: b.asked.rate(now) + b.others.Asked, Heard: f.heard, Known: f.known, Age: b.age(now)}
 	chance := b.chance(b.allowed(out.Asked, now.Sub(p.started) < youngFor), units)
@@ -213,10 +215,10 @@
 // Usage is what this daemon tells the others: of workspaces that are used, or whose bucket
 // is not full.
 func (p *Pool) Usage() map[core.Code]core.Usage {
-	share, now := p.fleet.Load().share(), p.clock.Now()
+	now := p.clock.Now()
 	out := map[core.Code]core.Usage{}
 	for code, b := range *p.buckets.Load() {
-		if u, ok := b.usage(now, share); ok {
+		if u, ok := b.usage(now); ok {
 			out[code] = u
 		}
 	}
@@ -230,7 +232,8 @@
 	if p.alone {
 		heard, others = min(1, heard), nil
 	}
-	p.fleet.Store(&fleet{heard, known})
+	f := &fleet{heard, known}
+	p.fleet.Store(f)
 	now := p.clock.Now()
 	young := now.Sub(p.started) < youngFor
 	p.mu.Lock()
@@ -241,7 +244,7 @@
 		if !ok {
 			u.Left = math.NaN()
 		}
-		b.hear(now, u, young)
+		b.hear(now, u, f.share(), young)
 	}
 }
 
@@ -259,10 +262,10 @@
 
 // States tells of all workspaces that have an allowance.
 func (p *Pool) States() []State {
-	share, now := p.fleet.Load().share(), p.clock.Now()
+	now := p.clock.Now()
 	var out []State
 	for _, b := range *p.buckets.Load() {
-		out = append(out, b.state(now, share))
+		out = append(out, b.state(now))
 	}
 	return out
 }
--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -35,7 +35,7 @@
 func (b *bucket) reconfigure(now time.Time, w *core.Workspace, window core.Window) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, b.share)
+	b.update(now)
 	b.configure(w, window)
 	b.left = min(b.left, b.depth*b.share)
 }
@@ -47,22 +47,28 @@
 	b.name, b.rate, b.depth = w.Name, w.Rate, w.Burst+debtShare*max(0, beyond)
 }
 
-// update brings the estimate up to now, for daemons that have a share of the bucket; the
-// caller holds the lock.
-func (b *bucket) update(now time.Time, share float64) {
+// update brings the estimate up to now; the caller holds the lock.
+func (b *bucket) update(now time.Time) {
 	if now.Sub(b.heardAt) > wordLife {
 		b.others = core.Usage{}
 	}
-	if b.share > share && b.left > 0 {
-		b.left *= share / b.share // those out of touch have their parts of it
-	}
-	b.share = share
-	if share == 0 {
+	if b.share == 0 {
 		return // what comes in until the fleet's size is known comes in then
 	}
 	seconds := max(0, now.Sub(b.at).Seconds())
 	b.at = now
-	b.left = min(b.depth*share, b.left+(b.rate*share-b.others.Spent)*seconds)
+	b.left = min(b.depth*b.share, b.left+(b.rate*b.share-b.others.Spent)*seconds)
+}
+
+// miss takes in that daemons are out of touch: those in touch have a smaller share of the
+// bucket. Until they were missed the others may have let in as much as these, whatever they
+// told last. The caller holds the lock.
+func (b *bucket) miss(now time.Time, u core.Usage, share float64) {
+	gone := b.share - share
+	each := (b.spent.rate(now) + u.Spent) / share
+	told := max(0, b.others.Spent-u.Spent)
+	b.left -= max(0, each*gone-told) * missTime.Seconds()
+	b.left *= share / b.share
 }
 
 // allowed is the share of what is asked for, in units a second over all daemons in touch,
@@ -99,14 +105,17 @@
 	}
 }
 
-// hear takes in what the others tell of the workspace. A daemon that has just started
-// takes their word for what is left.
-func (b *bucket) hear(now time.Time, u core.Usage, young bool) {
+// hear takes in what the others in touch tell of the workspace, and the share of the bucket
+// that all in touch have. A daemon that has just started takes their word for what is left.
+func (b *bucket) hear(now time.Time, u core.Usage, share float64, young bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, b.share)
+	b.update(now)
+	if share > 0 && share < b.share {
+		b.miss(now, u, share)
+	}
 	first := b.heardAt.IsZero()
-	b.others, b.heardAt = u, now
+	b.share, b.others, b.heardAt = share, u, now
 	switch {
 	case math.IsNaN(u.Left):
 	case young && first:
@@ -117,19 +126,19 @@
 }
 
 // usage is what the others are told, if there is anything to tell.
-func (b *bucket) usage(now time.Time, share float64) (core.Usage, bool) {
+func (b *bucket) usage(now time.Time) (core.Usage, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, share)
+	b.update(now)
 	u := core.Usage{Asked: b.asked.rate(now), Spent: b.spent.rate(now), Left: b.left}
-	return u, u.Asked >= leastTold || u.Spent >= leastTold || b.others.Asked >= leastTold || b.left < b.depth*share
+	return u, u.Asked >= leastTold || u.Spent >= leastTold || b.others.Asked >= leastTold || b.left < b.depth*b.share
 }
 
 // state tells operators of the bucket.
-func (b *bucket) state(now time.Time, share float64) State {
+func (b *bucket) state(now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, share)
+	b.update(now)
 	return State{
 		Name: b.name, Rate: b.rate, Asked: b.asked.rate(now) + b.others.Asked, Spent: b.spent.rate(now) + b.others.Spent,
 		Left: b.left, Share: b.share, Refused: b.refused, Age: b.age(now),
--- a/coordination/peers/usage.go
+++ b/coordination/peers/usage.go
@@ -7,6 +7,11 @@
 	"primroseward/core"
 )
 
+// touchFor is how long after its last word a daemon counts as in touch, where that decides
+// on what may be let in: a daemon that is cut off is to be missed soon, and one that is
+// missed wrongly for a moment costs next to nothing.
+const touchFor = 700 * time.Millisecond
+
 // tellUsage tells what the other daemons use of the workspaces' allowances.
 func (p *Peers) tellUsage() {
 	p.mu.Lock()
@@ -28,14 +33,17 @@
 func (p *Peers) sizes(now time.Time) (heard, known int) {
 	heard, known = 1, 1
 	for _, k := range p.known {
-		switch {
-		case k.alive(now):
+		alive := k.alive(now)
+		if alive && now.Sub(k.heard) < touchFor {
 			heard++
-			known++
-		case !k.Leaving:
+		}
+		if alive || !k.Leaving {
 			known++
 		}
 	}
+	if p.large() {
+		heard = max(1, p.roster.Touch(now))
+	}
 	if !p.found {
 		known = 0
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -167,6 +167,7 @@
 	knows     core.Changes
 	sources   Sources
 	confirmed time.Duration
+	touch     int // members that are in touch with the hub, itself included
 	down      []core.Code
 	claims    map[core.Code]claim
 	loads     map[core.Code]int        // known to hubs only
--- a/coordination/roster/take.go
+++ b/coordination/roster/take.go
@@ -187,6 +187,7 @@
 	if m.Confirmed < 0 {
 		p.confirmed = -1
 	}
+	p.touch = int(m.Touch)
 	p.claims = make(map[core.Code]claim, len(m.Claims))
 	for _, c := range m.Claims {
 		p.claims[core.Code(c.Code)] = claim{c.Term, c.Fresh}
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -148,8 +148,12 @@
 		for runner, n := range one.Loads {
 			p.loads[runner] += n
 		}
-		addUsage(p.usage, one.Usage)
+		if now.Sub(one.at) < touchFor {
+			addUsage(p.usage, one.Usage)
+			p.touch++
+		}
 	}
+	p.touch++
 	for runner, n := range r.word.Loads {
 		p.loads[runner] += n
 	}
@@ -258,7 +262,7 @@
 	age := now.Sub(p.at)
 	out := &rosterv1.Part{
 		Hub: k.Name, Age: uint32(age.Milliseconds()), Version: p.version, Knows: changesTo(p.knows), Sources: sourcesTo(p.sources),
-		Confirmed: millis(p.confirmed), Down: codesTo(p.down),
+		Confirmed: millis(p.confirmed), Down: codesTo(p.down), Touch: uint32(p.touch),
 	}
 	for code, c := range p.claims {
 		out.Claims = append(out.Claims, &rosterv1.Claim{Code: uint32(code), Term: c.term, Fresh: c.fresh})
--- a/coordination/roster/usage.go
+++ b/coordination/roster/usage.go
@@ -38,7 +38,7 @@
 	}
 	left := map[core.Code]mean{}
 	for _, p := range r.parts {
-		if now.Sub(p.at) >= partLife {
+		if now.Sub(p.at) >= touchFor {
 			continue
 		}
 		addUsage(out, p.usage)
@@ -56,6 +56,25 @@
 	return out
 }
 
+// touchFor is how long after its last report a daemon counts as in touch, where that decides
+// on what may be let in: one that is cut off is to be missed soon, and to miss one wrongly
+// for a moment costs next to nothing.
+const touchFor = 700 * time.Millisecond
+
+// Touch is how many daemons, this one included, are in touch by what hubs have told lately;
+// they may have told it longer ago in fleets of so many groups that a hub tells of them in
+// turns.
+func (r *Roster) Touch(now time.Time) int {
+	within := touchFor + time.Duration(len(r.parts)/partsPerTurn)*TellEvery
+	n := 0
+	for _, p := range r.parts {
+		if now.Sub(p.at) < within {
+			n += p.touch
+		}
+	}
+	return max(1, n)
+}
+
 // usageComplete says whether the sum of usage is that of all groups. One of a hub that has
 // just begun to act would make workspaces seem idle.
 func (r *Roster) usageComplete(now time.Time) bool {
