--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -26,19 +26,22 @@
 const (
 	// horizon is the time within which what is left is let in.
 	horizon = time.Second
-	// crowd is how many times its rate a workspace asks for when nothing is let in beyond
-	// what is left: what the others let in meanwhile is known too late.
-	crowd = 2
+	// quietShare and crowdShare are how many times its rate a workspace asks for up to which
+	// its rate is let in however little is left, and from which on only what is left is: of
+	// one that asks for much, what the others let in meanwhile is known too late.
+	quietShare = 0.8
+	crowdShare = 1.2
 	// youngFlow is the share of its rate that a workspace is let in beyond what is left at a
 	// daemon that has just started, as it does not know yet what is asked for.
 	youngFlow = 0.5
-	// debtShare is the part of what the rule allows beyond rate and burst that is used as
-	// more burst; the other part covers what daemons spend before they hear of each other.
-	debtShare = 0.1
+	// slackShare is the part of the rule's slack that is used as more burst, which lets small
+	// workspaces send requests of usual size. What else the rule allows beyond rate and burst
+	// covers what daemons let in before they hear of each other.
+	slackShare = 0.45
 	// wordLife is how long what the others have told counts.
 	wordLife = 2 * time.Second
 	// missTime is how long it takes at most until daemons out of touch are missed.
-	missTime = time.Second
+	missTime = 1200 * time.Millisecond
 	// youngFor is how long a daemon has just started: it takes over what others say is left.
 	youngFor = time.Second
 	// follow is the share by which an estimate moves to what others tell in a turn.
--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -43,8 +43,7 @@
 // configure takes in the workspace's allowance; the caller holds the lock, or has just
 // made the bucket.
 func (b *bucket) configure(w *core.Workspace, window core.Window) {
-	beyond := window.Most(w) - w.Rate*window.Length.Seconds() - w.Burst
-	b.name, b.rate, b.depth = w.Name, w.Rate, w.Burst+debtShare*max(0, beyond)
+	b.name, b.rate, b.depth = w.Name, w.Rate, w.Burst+slackShare*window.Slack
 }
 
 // update brings the estimate up to now; the caller holds the lock.
@@ -82,7 +81,7 @@
 	if young {
 		asked, flow = max(asked, refill), youngFlow
 	}
-	flow *= min(1, max(0, crowd-asked/refill))
+	flow *= min(1, max(0, (crowdShare-asked/refill)/(crowdShare-quietShare)))
 	return (flow*refill + b.left/horizon.Seconds()) / asked
 }
 
--- a/coordination/allowance/model_test.go
+++ b/coordination/allowance/model_test.go
@@ -11,6 +11,10 @@
 	"primroseward/core"
 )
 
+// surge is how many times its rate a workspace asks for at most: seven and a half times
+// what it uses as a rule.
+const surge = 7.5 * usual
+
 // model is a fleet under events of any kind in any order.
 type model struct {
 	s      *sim
@@ -46,7 +50,7 @@
 	node := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "daemon")]
 	switch rapid.SampledFrom([]string{"surge", "calm", "cut", "heal", "kill", "start", "limit"}).Draw(t, "event") {
 	case "surge":
-		*load = m.u.Rate * rapid.Float64Range(1, 5).Draw(t, "times")
+		*load = m.u.Rate * rapid.Float64Range(1, surge).Draw(t, "times")
 	case "calm":
 		*load = usual * m.u.Rate
 	case "cut":
--- a/coordination/peers/usage.go
+++ b/coordination/peers/usage.go
@@ -10,7 +10,7 @@
 // touchFor is how long after its last word a daemon counts as in touch, where that decides
 // on what may be let in: a daemon that is cut off is to be missed soon, and one that is
 // missed wrongly for a moment costs next to nothing.
-const touchFor = 700 * time.Millisecond
+const touchFor = 500 * time.Millisecond
 
 // tellUsage tells what the other daemons use of the workspaces' allowances.
 func (p *Peers) tellUsage() {
--- a/coordination/roster/usage.go
+++ b/coordination/roster/usage.go
@@ -59,7 +59,7 @@
 // touchFor is how long after its last report a daemon counts as in touch, where that decides
 // on what may be let in: one that is cut off is to be missed soon, and to miss one wrongly
 // for a moment costs next to nothing.
-const touchFor = 700 * time.Millisecond
+const touchFor = 500 * time.Millisecond
 
 // Touch is how many daemons, this one included, are in touch by what hubs have told lately;
 // they may have told it longer ago in fleets of so many groups that a hub tells of them in
