--- a/coordination/roster/bench_test.go
+++ b/coordination/roster/bench_test.go
@@ -19,6 +19,10 @@
 			s := fleetOf(1, c.daemons, c.places)
 			s.run(5 * time.Second)
 			for _, n := range s.order {
+				n.word.Usage = map[core.Code]core.Usage{}
+				for w := range 16 {
+					n.word.Usage[core.Code(w*104729)] = core.Usage{Asked: 100, Spent: 100, Left: 100}
+				}
 				for range 24 { // 16 requests a second of a second and a half each
 					n.word.Loads[core.Code(s.rand.Intn(c.runners)*7919)]++
 				}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -183,7 +183,7 @@
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
 		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
-	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows))
+	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows), front.WithTrusted(d.trusts))
 }
 
 // ratio is the share of requests that may be repeated.
@@ -259,6 +259,17 @@
 	return d.catalog.Config() != nil && d.watcher.KnowsRunners() && d.settings.Tree() != nil
 }
 
+// trusts says whether callers' keys that are known may be used now. The configuration comes
+// from the store as the operators' settings do, and is as old.
+func (d *Daemon) trusts() bool {
+	keys := d.bounds.Load().Keys
+	if !keys.Closed {
+		return true
+	}
+	age := d.watcher.SettingsAge()
+	return age >= 0 && age <= time.Duration(keys.Confirm)
+}
+
 // state is what the others are told of this daemon.
 func (d *Daemon) state() peers.State {
 	term, fresh := d.lease.Claim()
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -45,6 +45,13 @@
 	Slack     float64       `json:"slack"`     // requests that may be sent once more beyond that, over all daemons
 	Window    core.Duration `json:"window"`    // in which both are counted
 	Quota     Quota         `json:"quota"`     // of workspaces
+	Keys      Keys          `json:"keys"`      // of callers
+}
+
+// Keys is how long callers' keys are trusted that can't be confirmed.
+type Keys struct {
+	Closed  bool          `json:"closed"`  // callers are refused then
+	Confirm core.Duration `json:"confirm"` // since the store was last known to have no newer configuration
 }
 
 // Quota is over which time workspaces' allowances are checked, and by how much more than
@@ -195,6 +202,9 @@
 	if f.Quota.Window < 0 || f.Quota.Over < 0 || f.Quota.Slack < 0 {
 		c.add("fleet.quota", "window, over and slack must not be below zero")
 	}
+	if f.Keys.Confirm < 0 || f.Keys.Closed && f.Keys.Confirm == 0 {
+		c.add("fleet.keys.confirm", "must not be below zero, and above it where keys.closed is set")
+	}
 	if f.Ratio < 0 || f.Slack < 0 {
 		c.add("fleet.ratio", "ratio and slack must not be below zero")
 	}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -41,6 +41,9 @@
 	// configuration yet; it reads one within milliseconds of reaching the
 	// store.
 	noConfigRetry = 300 * time.Millisecond
+	// unconfirmedRetry is when a caller may come back whose key could not be confirmed:
+	// outages of the store last some seconds.
+	unconfirmedRetry = 2 * time.Second
 	// leastRetry is the least time to come back that a caller is told: Retry-After has
 	// three decimals, and one that rounds to 0 says that nothing is known.
 	leastRetry = time.Millisecond
@@ -60,6 +63,7 @@
 	log     *zap.Logger
 	scope   tally.Scope
 	known   func() bool // whether the operators' settings are
+	trusted func() bool // whether keys that are known may be used
 	leaving atomic.Bool
 }
 
@@ -73,9 +77,13 @@
 // a request might be served where they forbid it.
 func WithKnown(fn func() bool) Option { return func(f *Front) { f.known = fn } }
 
+// WithTrusted sets what tells whether keys that are known may be used: one may have been
+// taken away while the store was out of reach.
+func WithTrusted(fn func() bool) Option { return func(f *Front) { f.trusted = fn } }
+
 // New makes a Front.
 func New(c *catalog.Catalog, dialect core.Dialect, to Dispatcher, clock core.Clock, log *zap.Logger, opts ...Option) *Front {
-	f := &Front{catalog: c, dialect: dialect, to: to, clock: clock, log: log, scope: tally.NoopScope, known: func() bool { return true }}
+	f := &Front{catalog: c, dialect: dialect, to: to, clock: clock, log: log, scope: tally.NoopScope, known: func() bool { return true }, trusted: func() bool { return true }}
 	for _, o := range opts {
 		o(f)
 	}
@@ -171,6 +179,9 @@
 	if w == nil {
 		return key, nil, core.NotRun(http.StatusUnauthorized, "unknown_key", "no workspace holds key "+key.String(), 0)
 	}
+	if !f.trusted() {
+		return key, nil, core.NotRun(http.StatusServiceUnavailable, "keys_unconfirmed", "the configuration could not be confirmed in time", unconfirmedRetry)
+	}
 	return key, w, nil
 }
 
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -258,3 +258,22 @@
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.Equal(t, d.got.Header.Get("Authorization"), "Basic x")
 }
+
+// Keys that can't be confirmed are used where operators forbid it.
+func TestKeysThatCannotBeConfirmed(t *testing.T) {
+	d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, strings.NewReader("ok")) }}
+	f, srv := setUp(t, 1, d)
+	config := &core.Config{
+		Version: 2, Routes: []core.Route{{Name: "r", Host: "h.example", Prefix: "/a/"}},
+		Workspaces: []*core.Workspace{{Name: "w", Keys: []core.KeyID{core.KeyIDOf("good")}}},
+	}
+	config.Index()
+	f.catalog.SetConfig(config)
+	for _, trusted := range []bool{true, false} {
+		WithTrusted(func() bool { return trusted })(f)
+		resp, _, err := send(t, srv, "GET /a/x HTTP/1.1\nHost: h.example\nX-Primroseward-Request-Id: q1\nAuthorization: Token good\n\n")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode == 200, trusted)
+		assert.Equal(t, resp.Header.Get("Retry-After") != "", !trusted)
+	}
+}
