--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -44,19 +44,18 @@
 // snapshots that are never changed.
 type Catalog struct {
 	config atomic.Pointer[core.Config]
-	view   atomic.Pointer[view]
-
-	mu      sync.Mutex
-	entries map[string]*Entry
-	gone    func(core.Runner)
-	again   func(core.Runner)
-	fresh   func(*core.Config)
-	clock   core.Clock
-}
 
-type view struct {
-	byID      map[string]*Entry
-	byService map[string][]*Entry
+	mu       sync.RWMutex
+	entries  map[string]*Entry
+	services map[string]map[string]*Entry // entries by service
+	// lists and all are snapshots for readers, made anew when one is asked for after a
+	// change: a change of one runner must not touch all others.
+	lists map[string][]*Entry
+	all   map[string]*Entry
+	gone  func(core.Runner)
+	again func(core.Runner)
+	fresh func(*core.Config)
+	clock core.Clock
 }
 
 // Option changes a Catalog.
@@ -74,11 +73,12 @@
 
 // New returns an empty catalog.
 func New(clock core.Clock, opts ...Option) *Catalog {
-	c := &Catalog{clock: clock, entries: map[string]*Entry{}, gone: func(core.Runner) {}, again: func(core.Runner) {}, fresh: func(*core.Config) {}}
+	c := &Catalog{
+		clock: clock, entries: map[string]*Entry{}, services: map[string]map[string]*Entry{}, lists: map[string][]*Entry{}, gone: func(core.Runner) {}, again: func(core.Runner) {}, fresh: func(*core.Config) {},
+	}
 	for _, o := range opts {
 		o(c)
 	}
-	c.view.Store(&view{})
 	return c
 }
 
@@ -99,13 +99,40 @@
 }
 
 // Runner returns a runner by its instance's id, nil if it is not known.
-func (c *Catalog) Runner(id string) *Entry { return c.view.Load().byID[id] }
+func (c *Catalog) Runner(id string) *Entry {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.entries[id]
+}
 
 // Runners returns all runners of a service, those that leave included.
-func (c *Catalog) Runners(service string) []*Entry { return c.view.Load().byService[service] }
+func (c *Catalog) Runners(service string) []*Entry {
+	c.mu.RLock()
+	list, ok := c.lists[service]
+	c.mu.RUnlock()
+	if ok {
+		return list
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list = slices.Collect(maps.Values(c.services[service]))
+	c.lists[service] = list
+	return list
+}
 
 // All returns all runners by id.
-func (c *Catalog) All() map[string]*Entry { return c.view.Load().byID }
+func (c *Catalog) All() map[string]*Entry {
+	c.mu.RLock()
+	all := c.all
+	c.mu.RUnlock()
+	if all != nil {
+		return all
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = maps.Clone(c.entries)
+	return c.all
+}
 
 // formerPatience is how long the description of an earlier life must stand before
 // it goes before that of a later one. A process that has ended may still have a
@@ -141,8 +168,7 @@
 		e.learned = old.learned
 	}
 	e.apply(now)
-	c.entries[r.ID] = e
-	c.publish()
+	c.set(e)
 	return restarted
 }
 
@@ -153,8 +179,7 @@
 		next.formerAt = now
 	}
 	next.former, next.GoneAt = &r, time.Time{}
-	c.entries[r.ID] = &next
-	c.publish()
+	c.set(&next)
 }
 
 // Lapse marks a runner whose entry is missing. It counts as gone at goneAt,
@@ -168,8 +193,7 @@
 	}
 	lapsed := *e
 	lapsed.GoneAt = goneAt
-	c.entries[id] = &lapsed
-	c.publish()
+	c.set(&lapsed)
 }
 
 // Sweep removes the runners that count as gone by now and returns how many. It also
@@ -185,12 +209,9 @@
 		}
 		if !e.GoneAt.IsZero() && !now.Before(e.GoneAt) {
 			gone = append(gone, e.Runner)
-			delete(c.entries, id)
+			c.drop(id)
 		}
 	}
-	if len(gone) > 0 {
-		c.publish()
-	}
 	c.mu.Unlock()
 	for _, r := range gone {
 		c.gone(r)
@@ -215,8 +236,7 @@
 	maps.Copy(next.learned, e.learned)
 	next.learned[learnedKey{model, adapter}] = learned{held: held, at: now}
 	next.apply(now)
-	c.entries[id] = &next
-	c.publish()
+	c.set(&next)
 }
 
 // apply lays what was learned over the description.
@@ -271,12 +291,28 @@
 	return out
 }
 
-// publish makes a new snapshot; the caller holds the lock.
-func (c *Catalog) publish() {
-	v := &view{byID: make(map[string]*Entry, len(c.entries)), byService: map[string][]*Entry{}}
-	for id, e := range c.entries {
-		v.byID[id] = e
-		v.byService[e.Service] = append(v.byService[e.Service], e)
+// set keeps an entry in the place of the one of its runner; the caller holds the lock.
+func (c *Catalog) set(e *Entry) {
+	c.drop(e.ID)
+	c.entries[e.ID] = e
+	if c.services[e.Service] == nil {
+		c.services[e.Service] = map[string]*Entry{}
+	}
+	c.services[e.Service][e.ID] = e
+	delete(c.lists, e.Service)
+}
+
+// drop forgets an entry; the caller holds the lock.
+func (c *Catalog) drop(id string) {
+	c.all = nil
+	old := c.entries[id]
+	if old == nil {
+		return
+	}
+	delete(c.entries, id)
+	delete(c.services[old.Service], id)
+	delete(c.lists, old.Service)
+	if len(c.services[old.Service]) == 0 {
+		delete(c.services, old.Service)
 	}
-	c.view.Store(v)
 }
--- a/state/catalog/catalog_test.go
+++ b/state/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -137,3 +138,24 @@
 	assert.Assert(t, c.Runner("r1").Born.Equal(early) && c.Runner("r1").Holds("m"), "never taken in")
 	assert.Equal(t, len(again), 1)
 }
+
+// Daemons of large fleets have no time left for requests: each change of one runner
+// touched all of them again.
+func TestCostOfAChangeInALargeFleet(t *testing.T) {
+	cost := func(runners int) float64 {
+		clock := clockwork.NewFakeClock()
+		c := New(clock)
+		put := func(i int) {
+			c.Put(core.Runner{ID: fmt.Sprint("r", i), Service: "s", Slots: 4, Holdings: []core.Holding{{Model: "m"}}}, clock.Now())
+		}
+		for i := range runners {
+			put(i)
+		}
+		return testing.AllocsPerRun(100, func() {
+			put(1)
+			assert.Assert(t, c.Runner("r1") != nil)
+		})
+	}
+	small, large := cost(10), cost(1000)
+	assert.Assert(t, large <= small+2, "%v allocations with 10 runners, %v with 1000", small, large)
+}
