--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -92,7 +92,7 @@
 	if share >= 1 || share <= 0 {
 		return share
 	}
-	return math.Pow(share, units/b.size.mean())
+	return math.Pow(share, math.Sqrt(units/b.size.mean()))
 }
 
 // spend counts units as let in, or back; the caller holds the lock.
