--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -31,8 +31,8 @@
 	// one that asks for much, what the others let in meanwhile is known too late.
 	quietShare = 0.8
 	crowdShare = 1.2
-	// youngFlow is the share of its rate that a workspace is let in beyond what is left at a
-	// daemon that has just started, as it does not know yet what is asked for.
+	// youngFlow lowers that share at a daemon that has just started. It does not know yet
+	// what is asked for, and takes each workspace to ask for its rate at least.
 	youngFlow = 0.5
 	// slackShare is the part of the rule's slack that is used as more burst, which lets small
 	// workspaces send requests of usual size. What else the rule allows beyond rate and burst
