One replacement of chunks, one time in touch; a shorter rank key and case

Read as a whole, the change had the chunks of usage replaced by a copy of the loop for loads, the time within which a daemon is in touch twice, and a rank's key and an attempt's end told longer than they need be; a comment told how a span was found. Behaviour is as it was.

Ruled out: one rule for when sums of loads and of usage are complete, as the first goes by the place and the second by the fleet.

Checks: lint; tests of core, peers, owner, allowance, dispatch and platform with the race detector, and of roster without it, pass.

--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -171,8 +171,7 @@
 	return s.squares / s.sum
 }
 
-// meterSpan is the time over which a rate is measured: a turn and a half in which daemons
-// tell each other.
+// meterSpan is the time over which a rate is measured.
 const meterSpan = 300 * time.Millisecond
 
 // meter measures a rate.
--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -101,9 +101,10 @@
 func (a *Attempt) tell(guard core.Guard) {
 	_, err := a.Buffer.Done()
 	switch {
-	case err == nil && a.status < http.StatusInternalServerError:
-		guard.Worked(a.Digest)
 	case err == nil:
+		if a.status < http.StatusInternalServerError {
+			guard.Worked(a.Digest)
+		}
 	case err.Code == core.CodeEndpointBroken:
 		// The endpoint is sent no more than it has slots, so that it had begun.
 		guard.Broke(core.Broken{Digest: a.Digest, Runner: a.life.runner(a.Runner), Route: a.Service, Service: a.Service, Begun: true})
--- a/coordination/peers/usage.go
+++ b/coordination/peers/usage.go
@@ -4,14 +4,10 @@
 	"math"
 	"time"
 
+	"primroseward/coordination/roster"
 	"primroseward/core"
 )
 
-// touchFor is how long after its last word a daemon counts as in touch, where that decides
-// on what may be let in: a daemon that is cut off is to be missed soon, and one that is
-// missed wrongly for a moment costs next to nothing.
-const touchFor = 500 * time.Millisecond
-
 // tellUsage tells what the other daemons use of the workspaces' allowances.
 func (p *Peers) tellUsage() {
 	p.mu.Lock()
@@ -34,7 +30,7 @@
 	heard, known = 1, 1
 	for _, k := range p.known {
 		alive := k.alive(now)
-		if alive && now.Sub(k.heard) < touchFor {
+		if alive && now.Sub(k.heard) < roster.TouchFor {
 			heard++
 		}
 		if alive || !k.Leaving {
--- a/coordination/roster/codec.go
+++ b/coordination/roster/codec.go
@@ -149,14 +149,20 @@
 
 // merge puts a chunk in place of what was told before of its runners.
 func merge(loads map[core.Code]int, l *rosterv1.Loads) map[core.Code]int {
-	chunks := max(1, l.GetChunks())
-	out := make(map[core.Code]int, len(loads)+len(l.GetRunners()))
-	for runner, n := range loads {
-		if uint32(runner)%chunks != l.GetChunk() {
-			out[runner] = n
+	return replaceChunk(loads, loadsFrom(l), l.GetChunk(), l.GetChunks())
+}
+
+// replaceChunk puts what a chunk tells in place of what was told of its codes, which are
+// those that leave its index when divided by the number of chunks; 0 stands for one.
+func replaceChunk[V any](was, told map[core.Code]V, chunk, chunks uint32) map[core.Code]V {
+	chunks = max(1, chunks)
+	out := make(map[core.Code]V, len(was)+len(told))
+	for code, v := range was {
+		if uint32(code)%chunks != chunk {
+			out[code] = v
 		}
 	}
-	maps.Copy(out, loadsFrom(l))
+	maps.Copy(out, told)
 	return out
 }
 
--- a/coordination/roster/tell.go
+++ b/coordination/roster/tell.go
@@ -148,7 +148,7 @@
 		for runner, n := range one.Loads {
 			p.loads[runner] += n
 		}
-		if now.Sub(one.at) < touchFor {
+		if now.Sub(one.at) < TouchFor {
 			addUsage(p.usage, one.Usage)
 			p.touch++
 		}
--- a/coordination/roster/usage.go
+++ b/coordination/roster/usage.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"maps"
 	"math"
 	"time"
 
@@ -38,7 +37,7 @@
 	}
 	left := map[core.Code]mean{}
 	for _, p := range r.parts {
-		if now.Sub(p.at) >= touchFor {
+		if now.Sub(p.at) >= TouchFor {
 			continue
 		}
 		addUsage(out, p.usage)
@@ -56,16 +55,16 @@
 	return out
 }
 
-// touchFor is how long after its last report a daemon counts as in touch, where that decides
+// TouchFor is how long after its last word a daemon counts as in touch, where that decides
 // on what may be let in: one that is cut off is to be missed soon, and to miss one wrongly
 // for a moment costs next to nothing.
-const touchFor = 500 * time.Millisecond
+const TouchFor = 500 * time.Millisecond
 
 // Touch is how many daemons, this one included, are in touch by what hubs have told lately;
 // they may have told it longer ago in fleets of so many groups that a hub tells of them in
 // turns.
 func (r *Roster) Touch(now time.Time) int {
-	within := touchFor + time.Duration(len(r.parts)/partsPerTurn)*TellEvery
+	within := TouchFor + time.Duration(len(r.parts)/partsPerTurn)*TellEvery
 	n := 0
 	for _, p := range r.parts {
 		if now.Sub(p.at) < within {
@@ -113,15 +112,7 @@
 
 // mergeUsage puts a chunk in place of what was told before of its workspaces.
 func mergeUsage(usage map[core.Code]core.Usage, m *rosterv1.Usage) map[core.Code]core.Usage {
-	chunks := max(1, m.GetChunks())
-	out := make(map[core.Code]core.Usage, len(usage)+len(m.GetWorkspaces()))
-	for code, u := range usage {
-		if uint32(code)%chunks != m.GetChunk() {
-			out[code] = u
-		}
-	}
-	maps.Copy(out, usageFrom(m))
-	return out
+	return replaceChunk(usage, usageFrom(m), m.GetChunk(), m.GetChunks())
 }
 
 // usageFrom reads usage; rates that are none are left out.
--- a/core/config.go
+++ b/core/config.go
@@ -233,13 +233,10 @@
 // rankKey is what a request's urgency goes by. One of no workspace comes after those of
 // all workspaces.
 func (c *Config) rankKey(w *Workspace, r *Route) rankKey {
-	k := rankKey{route: r.Priority}
-	if w != nil {
-		k.workspace = w.Priority
-		return k
+	if w == nil {
+		return rankKey{c.lowest, r.Priority}
 	}
-	k.workspace = c.lowest
-	return k
+	return rankKey{w.Priority, r.Priority}
 }
 
 // rank takes in the rank of some of the service's requests.
