Placement: no orders to runners that have ended; models that only they had

Now no order and no question goes to a runner that is down, and each refused connection of the holder tells. A model without a live copy, neither down nor only promised, comes first; other models give way for it only where they are asked for less. The last live copy of a model stays.

TestNothingIsSentToARunnerThatHasEnded failed before.

--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -325,10 +326,10 @@
 	}
 }
 
-// sync asks a runner for its state. A runner that is at work on an order that
-// is not known here is asked again: its memory can't be known.
+// sync asks a runner for its state, unless it is down. A runner that is at work on an
+// order that is not known here is asked again: its memory can't be known.
 func (h *Holder) sync(one *host) {
-	if one.synced || one.asking || one.sending || h.clock.Now().Before(one.retryAt) {
+	if one.synced || one.asking || one.sending || one.down || h.clock.Now().Before(one.retryAt) {
 		return
 	}
 	one.asking = true
@@ -346,6 +347,7 @@
 
 func (h *Holder) reported(term uint64, one *host, report *core.Report, err error) {
 	one.asking = false
+	h.noteRefused(one, err)
 	if term != h.term || h.hosts[one.runner.ID] != one {
 		return
 	}
@@ -361,6 +363,13 @@
 		zap.Int("models", len(one.models)), zap.Int("adapters", len(one.adapters)))
 }
 
+// noteRefused takes in that nothing listens at a runner's address.
+func (h *Holder) noteRefused(one *host, err error) {
+	if errors.Is(err, core.ErrNoListener) {
+		h.loads.Refused(one.runner.ID)
+	}
+}
+
 // plan sends the orders for models that the policy wants, and the adapters
 // that could not be sent before.
 func (h *Holder) plan() {
--- a/coordination/placement/restart_test.go
+++ b/coordination/placement/restart_test.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +158,54 @@
 	})
 }
 
+// The holder goes on to ask a runner that has ended, and to send it orders, until its
+// entry lapses; each one is a connection to a port where nothing listens.
+func TestNothingIsSentToARunnerThatHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2, trouble{reportIn: 200 * time.Millisecond}, 1)
+		gone := &goneOrders{orders: w.engines}
+		w.holder.orders = gone
+		w.run(1, func() {
+			time.Sleep(settleFor + 2*time.Second)
+			gone.runner.Store("r1")
+			w.holder.postSure(func() { w.holder.hosts["r1"].synced = false })
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, gone.count.Load() <= 1, "%d", gone.count.Load())
+			assert.Assert(t, w.holder.loads.Down("r1"))
+			assert.Assert(t, w.engines["r0"].has("m1"), "its model is loaded where there is room")
+		})
+	})
+}
+
+// goneOrders are runners of which one may have ended.
+type goneOrders struct {
+	orders
+	runner atomic.Value
+	count  atomic.Int32 // sends to it
+}
+
+func (g *goneOrders) refuse(r *core.Runner) error {
+	if r.ID != g.runner.Load() {
+		return nil
+	}
+	g.count.Add(1)
+	return fmt.Errorf("%w: %w", core.ErrNotSent, core.ErrNoListener)
+}
+
+func (g *goneOrders) Order(ctx context.Context, r *core.Runner, o core.RunnerOrder) (core.OrderResult, error) {
+	if err := g.refuse(r); err != nil {
+		return core.OrderUnknown, err
+	}
+	return g.orders.Order(ctx, r, o)
+}
+
+func (g *goneOrders) Report(ctx context.Context, r *core.Runner) (*core.Report, error) {
+	if err := g.refuse(r); err != nil {
+		return nil, err
+	}
+	return g.orders.Report(ctx, r)
+}
+
 // Requests for an adapter are refused while its model's other runners are half idle: the
 // only runner that has the adapter is full. Asked for room, the holder loads it on
 // another one; where there is none with room, it says so at once.
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -39,9 +39,7 @@
 	retryAt time.Time
 	sending bool // an order is on its way
 	// down: its process has ended, though its entry stands. Its adapters count as gone,
-	// which are loaded elsewhere in 10 ms. Its models do not, until the entry lapses: most
-	// processes are back within two seconds, empty, and to load the models elsewhere at
-	// once takes other models' copies and the weight store's rate for nothing.
+	// which are loaded elsewhere in 10 ms, and so do its models that no other runner has.
 	down     bool
 	sequence uint64
 	models   map[string]*item
@@ -234,7 +232,7 @@
 		}
 	}
 	return &policy.HostState{
-		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Local: local,
-		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Requests: requests,
+		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Promised: h.promised, Local: local,
+		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Down: h.down, Requests: requests,
 	}
 }
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -13,9 +13,13 @@
 	Place    string
 	FreeMB   float64         // not taken, nor promised to what is on its way
 	Models   map[string]bool // present, being loaded, or promised the room of one that goes
+	Promised string          // the last of these
 	Local    map[string]bool // copies on the runner's own disk or in its memory
 	Busy     bool            // an order for a model is in progress
 	Leaving  bool
+	// Down: its process has ended, though its entry stands. What it held is lost; an
+	// empty process is likely to take its place soon.
+	Down     bool
 	Requests int
 	// Allows says whether requests for a model may be served here; nil: all.
 	Allows func(model string) bool
@@ -45,6 +49,7 @@
 	hosts  []*HostState
 	heat   map[string]float64
 	copies map[string]int
+	live   map[string]int // copies that are or will soon be of use: neither promised nor down
 	target map[string]int
 	moves  []Move
 	// repairOnly leaves out all but models without a copy.
@@ -58,12 +63,14 @@
 func RepairOnly() PlaceOption { return func(p *placement) { p.repairOnly = true } }
 
 // Place plans which models to load and unload, at most one order a runner. heat
-// is how much work is asked of each model. A model without a copy comes first,
-// the most asked for before others: until it is back each request for it is
-// refused. Then the models whose copies have most to do get more of them.
+// is how much work is asked of each model. A model without a live copy comes first, the
+// most asked for before others: until it is back each request for it is refused. Then
+// the models whose copies have most to do get more of them. Copies on runners that are
+// down count there: most processes are back within seconds, and more copies elsewhere
+// until then would displace models that are in use.
 func Place(engine *core.Engine, hosts []*HostState, heat map[string]float64, opts ...PlaceOption) []Move {
 	heat = expected(engine, heat)
-	p := &placement{engine: engine, heat: heat, copies: map[string]int{}}
+	p := &placement{engine: engine, heat: heat, copies: map[string]int{}, live: map[string]int{}}
 	for _, o := range opts {
 		o(p)
 	}
@@ -73,8 +80,12 @@
 		}
 		p.hosts = append(p.hosts, h)
 		for m := range h.Models {
-			if h.allows(m) {
-				p.copies[m]++
+			if !h.allows(m) {
+				continue
+			}
+			p.copies[m]++
+			if !h.Down && m != h.Promised {
+				p.live[m]++
 			}
 		}
 	}
@@ -200,12 +211,12 @@
 func (p *placement) wanted() []string {
 	var out []string
 	for i := range p.engine.Models {
-		if m := p.engine.Models[i].Name; p.copies[m] < p.target[m] && (!p.repairOnly || p.copies[m] == 0) {
+		if m := p.engine.Models[i].Name; p.live[m] == 0 || p.copies[m] < p.target[m] && !p.repairOnly {
 			out = append(out, m)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b string) int {
-		if absent := p.copies[a] == 0; absent != (p.copies[b] == 0) {
+		if absent := p.live[a] == 0; absent != (p.live[b] == 0) {
 			if absent {
 				return -1
 			}
@@ -231,12 +242,16 @@
 	var victim string
 	bestCost := 0.0
 	places := p.places(model)
+	promised := p.live[model] == 0 && p.promised(model)
 	for _, h := range p.hosts {
-		if h.Busy || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
+		if h.Busy || h.Down || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
 			continue
 		}
 		v := ""
 		if h.FreeMB < need {
+			if promised {
+				continue // one drain is enough, but a runner with room may have it sooner
+			}
 			if v = p.victim(h, model, need); v == "" {
 				continue
 			}
@@ -252,11 +267,18 @@
 		p.moves = append(p.moves, Move{Runner: best.ID, Model: victim, For: model})
 		if best.allows(victim) {
 			p.copies[victim]--
+			p.live[victim]--
 		}
 	} else {
 		p.moves = append(p.moves, Move{Runner: best.ID, Model: model, Load: true})
 	}
 	p.copies[model]++
+	p.live[model]++
+}
+
+// promised says whether a runner is to get a model once another one has been drained.
+func (p *placement) promised(model string) bool {
+	return slices.ContainsFunc(p.hosts, func(h *HostState) bool { return h.Promised == model && !h.Down })
 }
 
 func (p *placement) taken(id string) bool {
@@ -310,13 +332,14 @@
 
 // victim is the model that a runner gives up for another: one with more copies
 // than it should have, least asked for. For a model without any copy each one
-// that has a second copy may go.
+// that has a second copy may go, for one whose runners are all down one that is
+// asked for less, as the processes are likely to be back. The last live copy stays.
 func (p *placement) victim(h *HostState, model string, need float64) string {
 	best := ""
 	for v := range h.Models {
 		spec := p.engine.Model(v)
 		// A copy where no request for the model may be served is of no use.
-		surplus := p.copies[v] > p.target[v] || p.copies[model] == 0 && p.copies[v] > 1 || !h.allows(v)
+		surplus := p.live[v] > 1 && (p.copies[v] > p.target[v] || p.copies[model] == 0 || p.live[model] == 0 && p.perOther(v) < p.heat[model]) || !h.allows(v)
 		if spec == nil || !surplus || h.FreeMB+spec.MemoryMB < need {
 			continue
 		}
@@ -327,4 +350,7 @@
 	return best
 }
 
+// perOther is what each live copy of a model has to do when one of them goes.
+func (p *placement) perOther(m string) float64 { return p.heat[m] / float64(p.live[m]-1) }
+
 func (p *placement) perCopy(m string) float64 { return p.heat[m] / float64(max(1, p.copies[m])) }
--- a/coordination/policy/place_test.go
+++ b/coordination/policy/place_test.go
@@ -264,3 +264,53 @@
 	assert.Equal(t, len(moves), 1)
 	assert.Equal(t, moves[0].Model, lost)
 }
+
+// Requests for a model are refused for seconds, as the runners that had it have ended and
+// their entries stand; or copies that are in use give way for models whose processes are
+// about to be back.
+func TestModelsOfRunnersThatHaveEnded(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		heat map[string]float64
+		more func(f *fleet) // changes what is there
+		want string         // model that is ordered, or gets room
+	}{
+		{"asked for most", map[string]float64{"m00": 9, "m01": 1}, func(*fleet) {}, "m00"},
+		{"asked for less than what would go", map[string]float64{"m00": 1, "m01": 9}, func(*fleet) {}, ""},
+		{"not asked for, where there is room", map[string]float64{"m01": 9}, func(f *fleet) { f.hosts[1].FreeMB, f.hosts[1].Models = 100, map[string]bool{} }, "m00"},
+		{"another copy is up", map[string]float64{"m00": 3, "m01": 9}, func(f *fleet) { f.hosts[3].Models = map[string]bool{"m00": true} }, ""},
+		{"promised once another model has been drained", map[string]float64{"m00": 9, "m01": 1}, func(f *fleet) { f.promise(1, "m00") }, ""},
+		{"promised, and there is room elsewhere", map[string]float64{"m00": 9, "m01": 1}, func(f *fleet) {
+			f.promise(1, "m00")
+			f.hosts[3].FreeMB, f.hosts[3].Models = 100, map[string]bool{}
+		}, "m00"},
+		{"of two models the one that is only promised, as it is asked for more", map[string]float64{"m00": 9, "m01": 1}, func(f *fleet) {
+			f.promise(1, "m00")
+			f.hosts[2].Models, f.hosts[2].Down = map[string]bool{"m01": true}, true
+			f.hosts[3].FreeMB, f.hosts[3].Models = 100, map[string]bool{}
+		}, "m00"},
+	} {
+		f := newFleet(4, 100, []float64{100, 100})
+		for i, h := range f.hosts {
+			h.FreeMB, h.Models, h.Down = 0, map[string]bool{"m01": true}, i == 0
+		}
+		f.hosts[0].Models = map[string]bool{"m00": true}
+		tt.more(f)
+		got := ""
+		for _, m := range Place(f.engine, f.hosts, tt.heat) {
+			assert.Assert(t, !f.host(m.Runner).Down, "%s: %v", tt.name, m)
+			if got == "" {
+				got = m.For
+				if m.Load {
+					got = m.Model
+				}
+			}
+		}
+		assert.Equal(t, got, tt.want, tt.name)
+	}
+}
+
+// promise lets a runner drain its model for another one.
+func (f *fleet) promise(i int, model string) {
+	f.hosts[i].Models, f.hosts[i].Promised, f.hosts[i].Busy = map[string]bool{model: true}, model, true
+}
