Quarantine: two runners that had just begun a request are enough

Callers: each request that ends its runners cost three to five of them, a third of the cooperative's, with some 60 streams each; models in demand lost all copies at once.

A request that ends a runner as it is begun is always in that state, others hardly ever twice.

Now an end of a runner that had just begun a request weighs three instead of two, six hold it back as before: two such ends are enough, or one and two others. Plain services and loads of models are counted as before. A request that a daemon has served within a minute is still excused.

TestTwoRunnersThatHadJustBegunIt, TestRequestsThatHadJustBegunAreToldApart.

--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -73,7 +73,7 @@
 	}
 	j.d.guard.Broke(core.Broken{
 		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
-		Begun: j.stage != stageSent || !j.engine(),
+		Begun: j.stage != stageSent || !j.engine(), Fresh: j.stage == stageHead && j.engine(),
 	})
 }
 
--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -60,6 +60,7 @@
 // crashing is a Sender whose runners end before an answer, or after some events of it.
 type crashing struct {
 	events int
+	head   bool   // the answer's head comes, and no event
 	do     func() // before the end
 }
 
@@ -67,7 +68,7 @@
 	if c.do != nil {
 		c.do()
 	}
-	if c.events == 0 {
+	if c.events == 0 && !c.head {
 		return nil, errEnded
 	}
 	return answer(http.StatusOK, core.ReplyInfo{Stamped: true}, pieces(o.LastEvent, c.events), errEnded), nil
@@ -157,6 +158,35 @@
 	}
 }
 
+// The request that ends its runner as it begins to run it is told apart from those that
+// wait there and from those that are in the middle of their streams.
+func TestRequestsThatHadJustBegunAreToldApart(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		engine       bool
+		sender       Sender
+		begun, fresh bool
+	}{
+		{"waits", true, &crashing{}, false, false},
+		{"has just begun", true, &crashing{head: true}, true, true},
+		{"in the middle", true, &crashing{events: 3}, true, false},
+		{"of a plain service", false, &crashing{head: true}, true, false},
+	} {
+		g := &guard{admits: 1}
+		d := newDispatcher(&fleet{next: script()}, 1)
+		if tt.engine {
+			d = inLine(&fleet{next: script()}, 1)
+		}
+		d.sender = tt.sender
+		WithGuard(g)(d)
+		_, _, err := call(d, route(core.KindStream, false, 1))
+		assert.Assert(t, err != nil, tt.name)
+		assert.Equal(t, len(g.broke), 1, tt.name)
+		assert.Equal(t, g.broke[0].Begun, tt.begun, tt.name)
+		assert.Equal(t, g.broke[0].Fresh, tt.fresh, tt.name)
+	}
+}
+
 // A request waits for its turn at a runner, which it would end, when it comes to be held
 // back. It is taken back.
 func TestRequestsThatWaitAreTakenBack(t *testing.T) {
--- a/coordination/policy/blame.go
+++ b/coordination/policy/blame.go
@@ -7,11 +7,14 @@
 )
 
 const (
-	// crashLimit is how many runners may end under a request before it is held back. With
-	// one or two, requests that were there by chance would be held as well.
+	// crashLimit is how many runners that had begun a request may end under it before it is
+	// held back. With one or two, requests that were there by chance would be held as well.
 	crashLimit = 3
-	// strongBlame and weakBlame weigh the end of a runner that had begun the request, and
-	// of one where it may still have waited for its turn.
+	// freshBlame weighs the end of a runner that had just begun the request. One that ends
+	// its runner is always in that state, of the others hardly any: two ends are enough.
+	// strongBlame is for one that had begun it at any time, weakBlame for one where it may
+	// still have waited for its turn.
+	freshBlame  = 3
 	strongBlame = 2
 	weakBlame   = 1
 	// blameMemory is how long the end of a runner counts.
@@ -42,16 +45,24 @@
 // Strike counts the end of a runner under a request, once however often it is told. It
 // returns how many runners have ended under it, and whether it is to be held back.
 func (b *Blame) Strike(now time.Time, d core.Digest, life Life, begun bool) (runners int, hold bool) {
+	if begun {
+		return b.strike(now, d, life, strongBlame)
+	}
+	return b.strike(now, d, life, weakBlame)
+}
+
+// StrikeFresh is Strike for a request that the runner had just begun.
+func (b *Blame) StrikeFresh(now time.Time, d core.Digest, life Life) (runners int, hold bool) {
+	return b.strike(now, d, life, freshBlame)
+}
+
+func (b *Blame) strike(now time.Time, d core.Digest, life Life, weight int) (runners int, hold bool) {
 	one := b.by[d]
 	if one == nil || now.Sub(one.last) > blameMemory {
 		b.makeRoom(now)
 		one = &blamed{lives: map[Life]int{}}
 		b.by[d] = one
 	}
-	weight := weakBlame
-	if begun {
-		weight = strongBlame
-	}
 	one.lives[life] = max(one.lives[life], weight)
 	one.last = now
 	sum := 0
--- a/coordination/policy/blame_test.go
+++ b/coordination/policy/blame_test.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// A third runner ends under a request that two ended under just as they began it.
+func TestTwoFreshEndsAreEnough(t *testing.T) {
+	b, now := NewBlame(), time.Unix(1e9, 0)
+	_, hold := b.StrikeFresh(now, digest(1), 1)
+	assert.Assert(t, !hold)
+	_, hold = b.StrikeFresh(now, digest(1), 1)
+	assert.Assert(t, !hold, "one runner told twice")
+	b.Strike(now, digest(2), 1, true)
+	_, hold = b.StrikeFresh(now, digest(2), 2)
+	assert.Assert(t, !hold, "one that was at work for longer on the first")
+	runners, hold := b.StrikeFresh(now, digest(1), 2)
+	assert.Assert(t, runners == 2 && hold)
+}
+
 func TestBlameIsCleared(t *testing.T) {
 	b, now := NewBlame(), time.Unix(1e9, 0)
 	b.Strike(now, digest(1), 1, true)
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -44,6 +44,7 @@
 	Route   string      `json:"r"`
 	Service string      `json:"s"`
 	Begun   bool        `json:"b,omitempty"`
+	Fresh   bool        `json:"f,omitempty"`
 }
 
 // accusation tells a judge of a runner's end.
@@ -83,7 +84,7 @@
 		c = &check{q: q, runner: b.Runner, life: life}
 		q.checks[life] = c
 	}
-	c.strikes = append(c.strikes, strike{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.Begun})
+	c.strikes = append(c.strikes, strike{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.Begun, Fresh: b.Fresh})
 	if !c.running {
 		c.running = true
 		q.wg.Add(1)
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"primroseward/coordination/peers"
+	"primroseward/coordination/policy"
 	"primroseward/core"
 	"primroseward/io/logs"
 	"primroseward/state/hold"
@@ -68,9 +69,9 @@
 func (q *Quarantine) count(a accusation, s strike, from string, old hold.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	runners, many := q.blame.Strike(q.clock.Now(), s.Digest, a.Life, s.Begun)
+	runners, many := q.strike(a.Life, s)
 	q.log.Info(logs.RequestBlamed, zap.Stringer("digest", s.Digest), zap.String("runner", a.Runner), zap.String("from", from),
-		zap.Bool("begun", s.Begun), zap.Int("runners", runners), zap.Bool("many", many))
+		zap.Bool("begun", s.Begun), zap.Bool("fresh", s.Fresh), zap.Int("runners", runners), zap.Bool("many", many))
 	if !many {
 		return
 	}
@@ -83,6 +84,14 @@
 	c.record = hold.Record{Digest: s.Digest, Version: old.Version, Route: s.Route, Service: s.Service, Runners: runners}
 }
 
+// strike counts one runner's end; the caller holds the lock.
+func (q *Quarantine) strike(life policy.Life, s strike) (runners int, many bool) {
+	if s.Fresh {
+		return q.blame.StrikeFresh(q.clock.Now(), s.Digest, life)
+	}
+	return q.blame.Strike(q.clock.Now(), s.Digest, life, s.Begun)
+}
+
 // ask asks all daemons whether a request has been served lately; the caller holds the
 // lock. A request that is served again and again may be at work on each of the runners
 // that another one ends; only that it is served tells the two apart.
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// A request that has just begun at two runners when they end costs a third one, though
+// nothing else is in that state. Two are enough, seen by one daemon or by two.
+func TestTwoRunnersThatHadJustBegunIt(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fresh bool
+		held  bool
+	}{
+		{"just begun", true, true},
+		{"begun at some time", false, false},
+	} {
+		n, r := newNetwork(), newRunners()
+		all := n.fleet(t, 3, r)
+		for i := range 2 {
+			r.end(fmt.Sprint("r", i), core.ErrNoListener)
+			b := broke(guilty, fmt.Sprint("r", i))
+			b.Fresh = tt.fresh
+			all[i].Broke(b)
+		}
+		if tt.held {
+			until(t, tt.name, all, knows(guilty))
+			continue
+		}
+		time.Sleep(2 * consultTime)
+		assert.Assert(t, !knows(guilty)(all[0]), tt.name)
+	}
+}
+
 // A request is held back after a calm time, and one daemon misses each message that tells
 // so. It goes on sending the request to runners for up to fifteen seconds: the others,
 // which held nothing back before, were in their long pause between two comparisons and
--- a/core/guard.go
+++ b/core/guard.go
@@ -31,6 +31,7 @@
 	Route   string
 	Service string
 	Begun   bool // the runner may have begun to run it
+	Fresh   bool // the runner had just begun to run it: nothing but the answer's head had come
 }
 
 // NoGuard holds nothing back.
