Entry: what is known of a key or an id goes before a hold

Callers: an order with a key had run and ended its endpoint. When orders like it were held back, its caller came back with its key at another daemon and was told 503, held back, not_run: one who takes a new key on that word orders twice. In the same way an answer that was held for a caller at one daemon was refused at the others.

Cause: the entry asked the quarantine as soon as a request came, before it asked other daemons for its id and the platform for its key; "not run" was said of the return, not of the request.

Now requests without id and key are refused at once as before; others are looked up first, keyed ones by reading the claim, without making one. Where the platform can't be asked, a held keyed request is told that it may have run.

The test of the own interface is unchanged but for the part that starts its cluster, which is shared; plain endpoints of the test cluster can be mortal too.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -108,15 +108,30 @@
 }
 
 func (c *Claims) taken(ctx context.Context, claim Claim) (Claim, Body, error) {
-	o, err := c.platform.Get(ctx, core.KindClaim, claim.name)
+	body, err := c.read(ctx, claim.name)
 	if err != nil {
 		return claim, Body{}, errors.Join(core.ErrUnavailable, err)
 	}
+	return claim, body, core.ErrExists
+}
+
+// Find returns what the claim of a key says, without making one; ErrNotFound if there is
+// none.
+func (c *Claims) Find(ctx context.Context, key string) (Body, error) {
+	return c.read(ctx, name(key))
+}
+
+// read returns what a claim says; one that can't be read says nothing.
+func (c *Claims) read(ctx context.Context, name string) (Body, error) {
+	o, err := c.platform.Get(ctx, core.KindClaim, name)
+	if err != nil {
+		return Body{}, err
+	}
 	var body Body
 	if json.Unmarshal(o.Body, &body) != nil {
-		return claim, Body{}, core.ErrExists
+		return Body{}, nil
 	}
-	return claim, body, core.ErrExists
+	return body, nil
 }
 
 // GiveBack deletes a claim whose request was provably not run, so that the
--- a/coordination/entry/entry.go
+++ b/coordination/entry/entry.go
@@ -34,6 +34,10 @@
 	pointerLife = 15 * time.Minute
 	// AddressLife is how long a caller may use an address that it was given.
 	AddressLife = 10 * time.Second
+	// codeNoClaims is the code of answers to keyed requests while the platform is away,
+	// and claimRetry when these may come back.
+	codeNoClaims = "claim_unavailable"
+	claimRetry   = 2 * time.Second
 )
 
 // Entry is the entry role of a daemon.
@@ -174,7 +178,7 @@
 		return held.Buffer, nil
 	}
 	a.Digest = a.digest()
-	if left := e.guard.Held(a.Digest); left > 0 {
+	if left := e.guard.Held(a.Digest); left > 0 && !a.Returns {
 		e.keep.Forget(held)
 		return nil, core.HeldBack(0, left)
 	}
@@ -261,11 +265,33 @@
 			return err
 		}
 	}
+	once := !a.Repeat && a.Key != ""
+	if left := e.guard.Held(a.Digest); left > 0 {
+		if once {
+			return e.joinHeldBack(ctx, a, held, left)
+		}
+		return core.HeldBack(0, left)
+	}
 	e.point(a)
-	if a.Repeat || a.Key == "" {
-		return e.attempts(ctx, a, held)
+	if once {
+		return e.carryOnce(ctx, a, held)
+	}
+	return e.attempts(ctx, a, held)
+}
+
+// joinHeldBack answers a keyed request that is held back: where its key was used before
+// it may have run, and only the claim tells.
+func (e *Entry) joinHeldBack(ctx context.Context, a *Ask, held *answer.Held, left time.Duration) error {
+	body, err := e.claims.Find(ctx, a.holdKey())
+	switch {
+	case errors.Is(err, core.ErrNotFound):
+		return core.HeldBack(0, left)
+	case err != nil:
+		unknown := core.MayHaveRun(codeNoClaims, "the platform cannot tell now whether the key was used before")
+		unknown.Retry = claimRetry
+		return unknown
 	}
-	return e.carryOnce(ctx, a, held)
+	return e.joinClaim(ctx, a, held, body)
 }
 
 // carryOnce runs a keyed request that may not be repeated. The claim comes
@@ -277,7 +303,7 @@
 	case errors.Is(err, core.ErrExists):
 		return e.joinClaim(ctx, a, held, body)
 	case err != nil:
-		return core.NotRun(http.StatusServiceUnavailable, "claim_unavailable", "the platform cannot record the key now", 2*time.Second)
+		return core.NotRun(http.StatusServiceUnavailable, codeNoClaims, "the platform cannot record the key now", claimRetry)
 	}
 	err = e.attempts(ctx, a, held)
 	var re *core.RequestError
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -76,7 +76,7 @@
 	places  []string
 	engines []engineSpec
 	plain   []string // names; each is a service "parts" endpoint
-	// serve makes the server of an engine and returns its address; nil: a common one.
+	// serve makes the server of an endpoint and returns its address; nil: a common one.
 	serve func(h http.Handler) string
 }
 
@@ -188,7 +188,7 @@
 	for _, name := range s.plain {
 		srv := plain.New(name)
 		c.services[name] = srv
-		root.Endpoints[name] = tree.Endpoint{Addr: c.serve(srv), Place: s.places[0], Kind: tree.KindPlain, Service: "parts", Slots: 16}
+		root.Endpoints[name] = tree.Endpoint{Addr: serve(srv), Place: s.places[0], Kind: tree.KindPlain, Service: "parts", Slots: 16}
 	}
 	return root
 }
--- a/proof/mortal_test.go
+++ b/proof/mortal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"primroseward/core"
 	"primroseward/services/holds"
 )
 
@@ -76,26 +78,38 @@
 	panic(http.ErrAbortHandler)
 }
 
-// A request of the product's own interface ends each endpoint that begins to run it, at
-// whichever daemon and under whichever id it comes.
-func TestOwnInterfaceStopsRequestsThatEndEndpoints(t *testing.T) {
-	var all []*mortal
+// mortals are all endpoints of a cluster.
+type mortals struct{ list []*mortal }
+
+// startMortals starts a cluster whose endpoints are mortal.
+func startMortals(t *testing.T) (*cluster, *mortals) {
+	t.Helper()
+	all := &mortals{}
 	s := small()
 	s.serve = func(h http.Handler) string {
 		m := newMortal(t, h)
-		all = append(all, m)
+		all.list = append(all.list, m)
 		return m.addr
 	}
-	c := start(t, s)
-	runs := func() int {
-		n := 0
-		for _, m := range all {
-			m.mu.Lock()
-			n += m.runs
-			m.mu.Unlock()
-		}
-		return n
+	return start(t, s), all
+}
+
+// runs counts those of fatal requests.
+func (all *mortals) runs() int {
+	n := 0
+	for _, m := range all.list {
+		m.mu.Lock()
+		n += m.runs
+		m.mu.Unlock()
 	}
+	return n
+}
+
+// A request of the product's own interface ends each endpoint that begins to run it, at
+// whichever daemon and under whichever id it comes.
+func TestOwnInterfaceStopsRequestsThatEndEndpoints(t *testing.T) {
+	c, all := startMortals(t)
+	runs := all.runs
 	send := func(long time.Duration) {
 		for end, i := time.Now().Add(long), 0; time.Now().Before(end); i++ {
 			_, _ = c.daemons[i%len(c.daemons)].chat("m", fatal, 5, true) // whatever it is told
@@ -121,3 +135,43 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.status, http.StatusOK, got.body)
 }
+
+// A farmer pays for two belts: an order with a key has ended its endpoint, orders like it
+// come to be held back, and a caller that comes back with its key at another daemon is
+// told that the order has not run. What is known of a key goes first, at each daemon; an
+// order with a new key is refused at once, and its key may be used again.
+func TestOwnInterfaceTellsTheTruthOfKeysHeldBack(t *testing.T) {
+	c, all := startMortals(t)
+	order := func(d *daemon, key string) reply {
+		r, err := d.send(http.MethodPost, "/services/parts/orders/1", fatal, "Idempotency-Key", key)
+		assert.NilError(t, err)
+		return r
+	}
+	first := order(c.daemons[0], "first")
+	assert.Equal(t, first.outcome, "may_have_run", first.body)
+	for i := 0; all.runs() < crashesBorne; i++ {
+		order(c.daemons[i%len(c.daemons)], fmt.Sprint("next-", i))
+		time.Sleep(returnGap)
+	}
+	c.until("held back everywhere", settleTime*2, func() bool {
+		for _, d := range c.daemons {
+			var list []holds.Status
+			if d.adminCall(http.MethodGet, "/admin/holds", nil, &list) != http.StatusOK || len(list) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, d := range c.daemons {
+		got := order(d, "first")
+		assert.Equal(t, got.outcome, "may_have_run", "%s: %d %s", d.name, got.status, got.body)
+	}
+	before := all.runs()
+	for _, d := range c.daemons {
+		got := order(d, "last")
+		assert.Equal(t, got.outcome, "not_run", "%s: %d %s", d.name, got.status, got.body)
+		assert.Equal(t, got.code, core.CodeHeld)
+		assert.Assert(t, got.retry != "")
+	}
+	assert.Equal(t, all.runs(), before)
+}
