--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -5,10 +5,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,7 +14,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -83,49 +80,6 @@
 	return ln.Addr().String(), nil
 }
 
-var ports struct {
-	mu    sync.Mutex
-	given map[string]bool
-}
-
-// Ports below those that the kernel gives to outgoing connections: one of these
-// would be taken while the daemon that should listen there is down.
-const (
-	lowPort  = 12000
-	highPort = 32000
-	maxPorts = 1000 // tries
-)
-
-// FreePort returns an address on loopback that is free for TCP and UDP and that
-// this process has not been given before: two daemons that start at the same
-// time would otherwise be given the same one.
-func FreePort() (string, error) {
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	if ports.given == nil {
-		ports.given = map[string]bool{}
-	}
-	for range maxPorts {
-		addr := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort))
-		if ports.given[addr] {
-			continue
-		}
-		tcp, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		udp, err := net.ListenPacket("udp", addr)
-		_ = tcp.Close()
-		if err != nil {
-			continue
-		}
-		_ = udp.Close()
-		ports.given[addr] = true
-		return addr, nil
-	}
-	return "", errors.New("no free port")
-}
-
 func (f *Fleet) start(binary string, d *Daemon) error {
 	file := map[string]any{
 		"name": d.Name, "place": d.Place, "caller": d.Caller, "peer": d.Peer, "admin": d.Admin,
--- a/soak/run.go
+++ b/soak/run.go
@@ -4,10 +4,13 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"primroseward/standin/platform"
 )
 
@@ -65,7 +68,9 @@
 	}
 	defer w.close()
 	if !w.awaitReady(w.slow(startLimit)) {
-		return nil, errNotReady
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return nil, eris.Wrapf(errNotReady, "%s; logs in %s", strings.Join(w.wrong, "; "), w.opts.Dir)
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
