Quarantine: the field's terms for its parts

Counters are the daemons that count ends of runners (they were judges), a runner's end is told to them (accusations, strikes, blame), a request that was served lately is cleared (excused). No change of behaviour but for names: log events "runner's end counted", "request cleared", "counting daemon does not answer", metrics quarantine_ends and quarantine_cleared, the message kind "end". Daemons of the version before do not understand each other's messages of runners' ends while a fleet is changed over; decisions are still shared.

--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -129,12 +129,12 @@
 	}
 }
 
-// Requests are blamed for runners that the platform takes away.
-func TestRunnersThatLeaveBlameNobody(t *testing.T) {
+// Requests are held back for runners that the platform takes away.
+func TestRunnersThatLeaveAreNotCounted(t *testing.T) {
 	for _, tt := range []struct {
-		name   string
-		change func(r *core.Runner)
-		blamed int
+		name    string
+		change  func(r *core.Runner)
+		counted int
 	}{
 		{"it crashes", func(*core.Runner) {}, 1},
 		{"it has said that it leaves", func(r *core.Runner) { r.Draining = true }, 0},
@@ -153,7 +153,7 @@
 			}
 			_, _, err := call(d, route(core.KindUnsafe, false, 1))
 			assert.Assert(t, err != nil)
-			assert.Equal(t, len(g.broke), tt.blamed)
+			assert.Equal(t, len(g.broke), tt.counted)
 		})
 	}
 }
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -32,9 +32,9 @@
 	return model != "" && h.guard.Held(loadDigest(service, model)) > 0
 }
 
-// blameLoad tells the guard of a runner that has ended, or does not listen any more, while
+// noteLoadEnd tells the guard of a runner that has ended, or does not listen any more, while
 // it was to load a model. One that served requests as well may have ended under these.
-func (h *Holder) blameLoad(one *host, o core.RunnerOrder, err error) {
+func (h *Holder) noteLoadEnd(one *host, o core.RunnerOrder, err error) {
 	if !o.Load || o.Adapter != "" || !errors.Is(err, core.ErrClosed) && !errors.Is(err, core.ErrNoListener) {
 		return
 	}
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -69,7 +69,7 @@
 func (h *Holder) answered(one *host, o core.RunnerOrder, result core.OrderResult, err error, then func(core.OrderResult)) {
 	one.sending = false
 	h.noteRefused(one, err)
-	h.blameLoad(one, o, err)
+	h.noteLoadEnd(one, o, err)
 	if result != core.OrderUnknown {
 		one.answeredFor(o)
 	}
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -25,21 +25,21 @@
 	// checkGap is the least time between two checks of one runner: one that fails requests
 	// and lives is not asked for each of them.
 	checkGap = 250 * time.Millisecond
-	// blameLag is how long requests that broke off at one runner may wait to be told
+	// tellLag is how long requests that broke off at one runner may wait to be told
 	// together: all of them break within some milliseconds.
-	blameLag = 20 * time.Millisecond
+	tellLag = 20 * time.Millisecond
 	// endedMemory is how long it is known that a runner has ended.
 	endedMemory = 30 * time.Second
-	// blameLimit is how long a judge is told, blameResend repeats a message that was lost.
-	blameLimit  = 3 * time.Second
-	blameResend = 100 * time.Millisecond
-	// blameMost is how many requests a message names, which keeps it below a packet of
+	// tellLimit is how long a counter is told, tellResend repeats a message that was lost.
+	tellLimit  = 3 * time.Second
+	tellResend = 100 * time.Millisecond
+	// tellMost is how many requests a message names, which keeps it below a packet of
 	// 1,500 bytes.
-	blameMost = 12
+	tellMost = 12
 )
 
-// strike is a request that was in progress at a runner when it ended, on the wire.
-type strike struct {
+// affected is a request that was in progress at a runner when it ended, on the wire.
+type affected struct {
 	Digest  core.Digest `json:"d"`
 	Route   string      `json:"r"`
 	Service string      `json:"s"`
@@ -47,22 +47,22 @@
 	Fresh   bool        `json:"f,omitempty"`
 }
 
-// accusation tells a judge of a runner's end.
-type accusation struct {
-	Runner  string      `json:"runner"`
-	Life    policy.Life `json:"life"`
-	Strikes []strike    `json:"strikes"`
+// runnerEnd tells a counter of a runner's end.
+type runnerEnd struct {
+	Runner   string      `json:"runner"`
+	Life     policy.Life `json:"life"`
+	Affected []affected  `json:"affected"`
 }
 
 // check finds out whether a runner has ended, for all requests that broke off there.
 type check struct {
-	q       *Quarantine
-	runner  core.Runner
-	life    policy.Life
-	strikes []strike  // not told yet
-	ended   bool      // the runner has
-	at      time.Time // when that was found, or when the runner was found alive
-	running bool
+	q        *Quarantine
+	runner   core.Runner
+	life     policy.Life
+	affected []affected // not told yet
+	ended    bool       // the runner has
+	at       time.Time  // when that was found, or when the runner was found alive
+	running  bool
 }
 
 func lifeOf(r *core.Runner) policy.Life {
@@ -84,7 +84,7 @@
 		c = &check{q: q, runner: b.Runner, life: life}
 		q.checks[life] = c
 	}
-	c.strikes = append(c.strikes, strike{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.Begun, Fresh: b.Fresh})
+	c.affected = append(c.affected, affected{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.Begun, Fresh: b.Fresh})
 	if !c.running {
 		c.running = true
 		q.wg.Add(1)
@@ -118,19 +118,19 @@
 		ended, why = c.probe()
 	}
 	if ended {
-		core.Sleep(q.ctx, q.clock, blameLag)
+		core.Sleep(q.ctx, q.clock, tellLag)
 	}
 	q.mu.Lock()
-	strikes := c.strikes
-	c.strikes, c.ended, c.at, c.running = nil, ended, q.clock.Now(), false
+	affected := c.affected
+	c.affected, c.ended, c.at, c.running = nil, ended, q.clock.Now(), false
 	q.mu.Unlock()
 	if !ended {
-		q.log.Info(logs.RunnerLives, zap.String("runner", c.runner.ID), zap.Int("requests", len(strikes)), logs.Err(why))
+		q.log.Info(logs.RunnerLives, zap.String("runner", c.runner.ID), zap.Int("requests", len(affected)), logs.Err(why))
 		return
 	}
-	q.scope.Counter("quarantine_strikes").Inc(int64(len(strikes)))
-	q.log.Info(logs.RunnerEnded, zap.String("runner", c.runner.ID), zap.Time("born", c.runner.Born), zap.Int("requests", len(strikes)), logs.Err(why))
-	q.accuse(c, strikes)
+	q.scope.Counter("quarantine_ends").Inc(int64(len(affected)))
+	q.log.Info(logs.RunnerEnded, zap.String("runner", c.runner.ID), zap.Time("born", c.runner.Born), zap.Int("requests", len(affected)), logs.Err(why))
+	q.tellEnd(c, affected)
 }
 
 // probe asks the runner for its state until it is known whether it has ended. A runner
@@ -153,54 +153,54 @@
 	return false, err
 }
 
-// accuse tells the judges of each request that a runner has ended under it.
-func (q *Quarantine) accuse(c *check, strikes []strike) {
+// tellEnd tells the counters of each request that a runner has ended under it.
+func (q *Quarantine) tellEnd(c *check, affected []affected) {
 	self := q.net.Self().Name
-	for _, one := range byJudge(strikes, q.net.Alive()) {
-		for part := range slices.Chunk(one.strikes, blameMost) {
-			a := accusation{Runner: c.runner.ID, Life: c.life, Strikes: part}
-			if one.judge.Name == self {
-				q.judge(a, self)
+	for _, one := range byCounter(affected, q.net.Alive()) {
+		for part := range slices.Chunk(one.affected, tellMost) {
+			a := runnerEnd{Runner: c.runner.ID, Life: c.life, Affected: part}
+			if one.counter.Name == self {
+				q.countEnd(a, self)
 				continue
 			}
 			q.wg.Add(1)
-			go q.runAccuse(one.judge, a)
+			go q.runTellEnd(one.counter, a)
 		}
 	}
 }
 
-// share is the requests that fall to one judge.
+// share is the requests that fall to one counter.
 type share struct {
-	judge   peers.Peer
-	strikes []strike
+	counter  peers.Peer
+	affected []affected
 }
 
-// byJudge groups requests by the daemons that they fall to, of all that live.
-func byJudge(strikes []strike, all []peers.Peer) map[string]*share {
+// byCounter groups requests by the daemons that they fall to, of all that live.
+func byCounter(affected []affected, all []peers.Peer) map[string]*share {
 	out := map[string]*share{}
 	seen := map[core.Digest]bool{}
-	for _, s := range strikes {
+	for _, s := range affected {
 		if seen[s.Digest] && !s.Begun {
 			continue
 		}
 		seen[s.Digest] = true
-		for _, judge := range judgesOf(s.Digest, all) {
-			if out[judge.Name] == nil {
-				out[judge.Name] = &share{judge: judge}
+		for _, counter := range countersOf(s.Digest, all) {
+			if out[counter.Name] == nil {
+				out[counter.Name] = &share{counter: counter}
 			}
-			out[judge.Name].strikes = append(out[judge.Name].strikes, s)
+			out[counter.Name].affected = append(out[counter.Name].affected, s)
 		}
 	}
 	return out
 }
 
-// runAccuse tells a judge until it has heard.
-func (q *Quarantine) runAccuse(to peers.Peer, a accusation) {
+// runTellEnd tells a counter until it has heard.
+func (q *Quarantine) runTellEnd(to peers.Peer, a runnerEnd) {
 	defer q.wg.Done()
-	ctx, cancel := context.WithTimeout(q.ctx, blameLimit)
+	ctx, cancel := context.WithTimeout(q.ctx, tellLimit)
 	defer cancel()
 	var heard bool
-	if err := q.net.Ask(ctx, to, kindBlame, a, &heard, blameResend); err != nil {
-		q.log.Info(logs.JudgeSilent, zap.String("judge", to.Name), zap.String("runner", a.Runner), zap.Int("requests", len(a.Strikes)), logs.Err(err))
+	if err := q.net.Ask(ctx, to, kindEnd, a, &heard, tellResend); err != nil {
+		q.log.Info(logs.CounterSilent, zap.String("counter", to.Name), zap.String("runner", a.Runner), zap.Int("requests", len(a.Affected)), logs.Err(err))
 	}
 }
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/count.go
@@ -37,19 +37,19 @@
 	Within time.Duration `json:"within"`
 }
 
-func (q *Quarantine) handleBlame(from peers.Peer, body json.RawMessage, answer func(any)) {
-	var a accusation
+func (q *Quarantine) handleEnd(from peers.Peer, body json.RawMessage, answer func(any)) {
+	var a runnerEnd
 	if !q.read(from, body, &a) {
 		return
 	}
 	answer(true)
-	q.judge(a, from.Name)
+	q.countEnd(a, from.Name)
 }
 
-// judge counts a runner's end under requests, and holds back those at which too many
+// countEnd counts a runner's end under requests, and holds back those at which too many
 // have ended.
-func (q *Quarantine) judge(a accusation, from string) {
-	for _, s := range a.Strikes {
+func (q *Quarantine) countEnd(a runnerEnd, from string) {
+	for _, s := range a.Affected {
 		r, ok := q.table.Get(s.Digest)
 		switch {
 		case !ok || r.State != hold.StateHeld:
@@ -57,7 +57,7 @@
 		case r.Left(q.clock.Now()) > 0:
 			// It was in progress when it came to be held back.
 		default:
-			q.log.Info(logs.RequestBlamed, zap.Stringer("digest", s.Digest), zap.String("runner", a.Runner), zap.String("from", from), zap.Bool("tried", true))
+			q.log.Info(logs.EndCounted, zap.Stringer("digest", s.Digest), zap.String("runner", a.Runner), zap.String("from", from), zap.Bool("tried", true))
 			r.Level++
 			r.Runners++
 			q.hold(r)
@@ -66,11 +66,11 @@
 }
 
 // count adds a runner's end to those under a request that is not held back.
-func (q *Quarantine) count(a accusation, s strike, from string, old hold.Record) {
+func (q *Quarantine) count(a runnerEnd, s affected, from string, old hold.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	runners, many := q.strike(a.Life, s)
-	q.log.Info(logs.RequestBlamed, zap.Stringer("digest", s.Digest), zap.String("runner", a.Runner), zap.String("from", from),
+	runners, many := q.addEnd(a.Life, s)
+	q.log.Info(logs.EndCounted, zap.Stringer("digest", s.Digest), zap.String("runner", a.Runner), zap.String("from", from),
 		zap.Bool("begun", s.Begun), zap.Bool("fresh", s.Fresh), zap.Int("runners", runners), zap.Bool("many", many))
 	if !many {
 		return
@@ -84,12 +84,12 @@
 	c.record = hold.Record{Digest: s.Digest, Version: old.Version, Route: s.Route, Service: s.Service, Runners: runners}
 }
 
-// strike counts one runner's end; the caller holds the lock.
-func (q *Quarantine) strike(life policy.Life, s strike) (runners int, many bool) {
+// addEnd counts one runner's end; the caller holds the lock.
+func (q *Quarantine) addEnd(life policy.Life, s affected) (runners int, many bool) {
 	if s.Fresh {
-		return q.blame.StrikeFresh(q.clock.Now(), s.Digest, life)
+		return q.ends.AddFresh(q.clock.Now(), s.Digest, life)
 	}
-	return q.blame.Strike(q.clock.Now(), s.Digest, life, s.Begun)
+	return q.ends.Add(q.clock.Now(), s.Digest, life, s.Begun)
 }
 
 // ask asks all daemons whether a request has been served lately; the caller holds the
@@ -97,7 +97,7 @@
 // that another one ends; only that it is served tells the two apart.
 func (q *Quarantine) ask(d core.Digest) {
 	within := workedFor
-	if at, ok := q.excused[d]; ok {
+	if at, ok := q.cleared[d]; ok {
 		within = min(within, q.clock.Since(at)) // that it was served before then has been heard
 	}
 	q.tellAll(kindSeen, seen{Digest: d, Within: within}, consultTells)
@@ -126,7 +126,7 @@
 	}
 }
 
-// conclude holds a request back, or excuses it where a daemon has served it.
+// conclude holds a request back, or clears it where a daemon has served it.
 func (q *Quarantine) conclude(d core.Digest) {
 	q.mu.Lock()
 	c := q.consults[d]
@@ -136,25 +136,25 @@
 	}
 	delete(q.consults, d)
 	if c.worked != "" {
-		q.excuse(d)
+		q.clear(d)
 	}
 	q.mu.Unlock()
 	if c.worked == "" {
 		q.hold(c.record)
 		return
 	}
-	q.scope.Counter("quarantine_excused").Inc(1)
-	q.log.Info(logs.RequestExcused, zap.Stringer("digest", d), zap.String("worked", c.worked), zap.Int("runners", c.record.Runners))
+	q.scope.Counter("quarantine_cleared").Inc(1)
+	q.log.Info(logs.RequestCleared, zap.Stringer("digest", d), zap.String("worked", c.worked), zap.Int("runners", c.record.Runners))
 }
 
-// excuse drops what is held against a request; the caller holds the lock.
-func (q *Quarantine) excuse(d core.Digest) {
-	q.blame.Clear(d)
+// clear drops what is held against a request; the caller holds the lock.
+func (q *Quarantine) clear(d core.Digest) {
+	q.ends.Clear(d)
 	now := q.clock.Now()
-	q.excused[d] = now
-	for other, at := range q.excused {
+	q.cleared[d] = now
+	for other, at := range q.cleared {
 		if now.Sub(at) > workedFor {
-			delete(q.excused, other)
+			delete(q.cleared, other)
 		}
 	}
 }
--- a/coordination/quarantine/hubs_test.go
+++ b/coordination/quarantine/hubs_test.go
@@ -37,11 +37,11 @@
 		}, poll.WithTimeout(30*time.Second))
 	}
 	for i := range 3 {
-		r.crash(all[i], fmt.Sprint("r", i), guilty)
+		r.crash(all[i], fmt.Sprint("r", i), harmful)
 	}
-	until(t, "held back", all, knows(guilty))
-	assert.Assert(t, all[7].Release(guilty))
-	until(t, "released", all, released(guilty))
+	until(t, "held back", all, knows(harmful))
+	assert.Assert(t, all[7].Release(harmful))
+	until(t, "released", all, released(harmful))
 }
 
 // startOnSockets brings up a daemon's part that knows the others by their datagrams.
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -1,9 +1,9 @@
 // Package quarantine holds back requests under which runners end. Such a request comes
 // again under other ids and at any daemon, and takes with it all that runs beside it.
 //
-// The daemon whose request breaks off finds out whether the runner has ended, and blames
-// what was in progress there at a few daemons that the request's digest falls to. These
-// count, and hold back what has been there at every end and was never served. Decisions
+// The daemon whose request breaks off finds out whether the runner has ended, and tells
+// what was in progress there to a few daemons, the counters that the request's digest
+// falls to. They count, and hold back what has been there at every end and was never served. Decisions
 // are told to all daemons, kept in the platform's store, and compared by pairs of daemons,
 // so that one that has just started or was cut off learns of them.
 package quarantine
@@ -27,13 +27,13 @@
 	"primroseward/state/hold"
 )
 
-// judges is how many daemons count the ends of runners under a request: with three
+// counters is how many daemons count the ends of runners under a request: with three
 // the loss or the cut of two at once loses nothing.
-const judges = 3
+const counters = 3
 
 // Kinds of messages between daemons.
 const (
-	kindBlame  = "blame"
+	kindEnd    = "end"
 	kindSeen   = "seen"
 	kindWorked = "worked"
 	kindHolds  = "holds"
@@ -71,10 +71,10 @@
 	decided chan struct{} // a decision has been taken in
 
 	mu       sync.Mutex
-	blame    *policy.Blame
+	ends     *policy.Ends
 	checks   map[policy.Life]*check
 	consults map[core.Digest]*consult
-	excused  map[core.Digest]time.Time
+	cleared  map[core.Digest]time.Time
 	trials   map[core.Digest]time.Time // when a run was let through
 
 	wg   sync.WaitGroup
@@ -103,14 +103,14 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, held: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), decided: make(chan struct{}, 1), blame: policy.NewBlame(), checks: map[policy.Life]*check{},
-		consults: map[core.Digest]*consult{}, excused: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
+		table: hold.NewTable(), recent: newRecent(clock), decided: make(chan struct{}, 1), ends: policy.NewEnds(), checks: map[policy.Life]*check{},
+		consults: map[core.Digest]*consult{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(q)
 	}
-	net.Handle(kindBlame, q.handleBlame)
+	net.Handle(kindEnd, q.handleEnd)
 	net.Handle(kindSeen, q.handleSeen)
 	net.Handle(kindWorked, q.handleWorked)
 	net.Handle(kindHolds, q.handleHolds)
@@ -163,7 +163,7 @@
 }
 
 // Worked implements core.Guard. A request that was served while it is held back was
-// blamed wrongly, or what it asks for has been repaired.
+// taken for harmful wrongly, or what it asks for has been repaired.
 func (q *Quarantine) Worked(d core.Digest) {
 	q.recent.add(d)
 	if r, ok := q.table.Held(d); ok {
@@ -232,15 +232,15 @@
 func (q *Quarantine) forget(d core.Digest) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.blame.Clear(d)
+	q.ends.Clear(d)
 	delete(q.consults, d)
 	delete(q.trials, d)
 }
 
-// judgesOf returns the daemons that a request falls to, of all that live, this one first,
+// countersOf returns the daemons that a request falls to, of all that live, this one first,
 // by a hash that all daemons agree on as far as they know the same daemons. One that
-// leaves judges nothing, unless it is the only one.
-func judgesOf(d core.Digest, all []peers.Peer) []peers.Peer {
+// leaves counts nothing, unless it is the only one.
+func countersOf(d core.Digest, all []peers.Peer) []peers.Peer {
 	type ranked struct {
 		peers.Peer
 		rank uint64
@@ -255,8 +255,8 @@
 		return all[:1]
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	out := make([]peers.Peer, 0, judges)
-	for _, one := range list[:min(judges, len(list))] {
+	out := make([]peers.Peer, 0, counters)
+	for _, one := range list[:min(counters, len(list))] {
 		out = append(out, one.Peer)
 	}
 	return out
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -19,9 +19,9 @@
 )
 
 var (
-	born   = time.UnixMilli(1764700000123)
-	guilty = core.DigestOf(&core.Request{Target: "/guilty"})
-	other  = core.DigestOf(&core.Request{Target: "/other"})
+	born    = time.UnixMilli(1764700000123)
+	harmful = core.DigestOf(&core.Request{Target: "/harmful"})
+	other   = core.DigestOf(&core.Request{Target: "/other"})
 )
 
 func newRunners() *runners { return &runners{says: map[string]error{}, born: born} }
@@ -80,9 +80,9 @@
 			n.loss = 0.2
 			all := n.fleet(t, count, r)
 			for i := range 3 {
-				r.crash(all[rand.N(count)], fmt.Sprint("r", i), guilty)
+				r.crash(all[rand.N(count)], fmt.Sprint("r", i), harmful)
 			}
-			until(t, "held back", all, knows(guilty)) // the first may have had its term when the last learns
+			until(t, "held back", all, knows(harmful)) // the first may have had its term when the last learns
 			assert.Equal(t, all[0].Held(other), time.Duration(0))
 		})
 	}
@@ -103,16 +103,16 @@
 		all := n.fleet(t, 3, r)
 		for i := range 2 {
 			r.end(fmt.Sprint("r", i), core.ErrNoListener)
-			b := broke(guilty, fmt.Sprint("r", i))
+			b := broke(harmful, fmt.Sprint("r", i))
 			b.Fresh = tt.fresh
 			all[i].Broke(b)
 		}
 		if tt.held {
-			until(t, tt.name, all, knows(guilty))
+			until(t, tt.name, all, knows(harmful))
 			continue
 		}
 		time.Sleep(2 * consultTime)
-		assert.Assert(t, !knows(guilty)(all[0]), tt.name)
+		assert.Assert(t, !knows(harmful)(all[0]), tt.name)
 	}
 }
 
@@ -133,7 +133,7 @@
 	until(t, "compared", all, compared(1)) // and rest from now on
 	began := time.Now()
 	for i := range 3 {
-		r.crash(all[i], fmt.Sprint("r", i), guilty)
+		r.crash(all[i], fmt.Sprint("r", i), harmful)
 	}
 	until(t, "compared again", all, compared(2))
 	assert.Assert(t, time.Since(began) < idleEvery/2, "after %v, no sooner than without a decision", time.Since(began))
@@ -141,7 +141,7 @@
 
 // Links are cut, VMs lose power, runners fail requests and live: connections close while
 // no request is at fault. None is held back.
-func TestRunnerThatHasNotEndedBlamesNobody(t *testing.T) {
+func TestRunnerThatHasNotEndedTellsNothing(t *testing.T) {
 	for _, tt := range []struct {
 		name string
 		says error
@@ -157,10 +157,10 @@
 			for i := range 5 {
 				id := fmt.Sprint("r", i)
 				r.end(id, tt.says)
-				d.Broke(broke(guilty, id))
+				d.Broke(broke(harmful, id))
 			}
-			time.Sleep(checkLimit + consultTime + blameLag + 200*time.Millisecond)
-			assert.Equal(t, d.Held(guilty), time.Duration(0))
+			time.Sleep(checkLimit + consultTime + tellLag + 200*time.Millisecond)
+			assert.Equal(t, d.Held(harmful), time.Duration(0))
 		})
 	}
 }
@@ -173,25 +173,25 @@
 	for i := range 2 {
 		id := fmt.Sprint("r", i)
 		r.end(id, core.ErrReplaced)
-		d.Broke(broke(guilty, id))
+		d.Broke(broke(harmful, id))
 	}
-	again := broke(guilty, "r3")
+	again := broke(harmful, "r3")
 	again.Runner.Born = born.Add(-time.Hour) // it reports to have been born later
 	d.Broke(again)
-	until(t, "held back", []*daemon{d}, holds(guilty))
+	until(t, "held back", []*daemon{d}, holds(harmful))
 }
 
 // A harmless request comes again and again, and is at work on each runner that another
-// one ends. It has been served meanwhile, by a daemon that no judge need be, and is not
+// one ends. It has been served meanwhile, by a daemon that no counter need be, and is not
 // held back; one that ended runners after it was served is.
-func TestRequestThatIsServedIsExcused(t *testing.T) {
+func TestRequestThatIsServedIsCleared(t *testing.T) {
 	n, r := newNetwork(), newRunners()
 	all := n.fleet(t, 5, r)
 	all[4].Worked(other)
 	for i := range 3 {
-		r.crash(all[i], fmt.Sprint("r", i), guilty, other)
+		r.crash(all[i], fmt.Sprint("r", i), harmful, other)
 	}
-	until(t, "held back", all, holds(guilty))
+	until(t, "held back", all, holds(harmful))
 	time.Sleep(2 * consultTime)
 	for _, d := range all {
 		assert.Equal(t, d.Held(other), time.Duration(0), d.name)
@@ -210,17 +210,17 @@
 	away := all[3]
 	n.setCut(away, true)
 	for i := range 3 {
-		r.crash(all[i], fmt.Sprint("r", i), guilty)
+		r.crash(all[i], fmt.Sprint("r", i), harmful)
 	}
-	until(t, "held back", all[:3], holds(guilty))
-	assert.Equal(t, away.Held(guilty), time.Duration(0))
+	until(t, "held back", all[:3], holds(harmful))
+	assert.Equal(t, away.Held(harmful), time.Duration(0))
 	n.setCut(away, false)
 	late := n.start(t, "late", clockwork.NewRealClock(), r)
-	until(t, "held back", []*daemon{away, late}, holds(guilty))
+	until(t, "held back", []*daemon{away, late}, holds(harmful))
 	n.setCut(away, true)
-	assert.Assert(t, all[0].Release(guilty))
+	assert.Assert(t, all[0].Release(harmful))
 	n.setCut(away, false)
-	until(t, "released", append(all, late), released(guilty))
+	until(t, "released", append(all, late), released(harmful))
 }
 
 // A request is held back while the store is away. When that is back all daemons are
@@ -232,12 +232,12 @@
 	all := n.fleet(t, 3, r, WithStore(client, reads))
 	client.Cut(true)
 	for i := range 3 {
-		r.crash(all[i], fmt.Sprint("r", i), guilty)
+		r.crash(all[i], fmt.Sprint("r", i), harmful)
 	}
-	until(t, "held back", all, holds(guilty))
+	until(t, "held back", all, holds(harmful))
 	client.Cut(false)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, err := client.Get(context.Background(), core.KindHolds, guilty.String()); err != nil {
+		if _, err := client.Get(context.Background(), core.KindHolds, harmful.String()); err != nil {
 			return poll.Continue("%v", err)
 		}
 		return poll.Success()
@@ -247,7 +247,7 @@
 	}
 	next := n.fleet(t, 3, r, WithStore(client, reads))
 	until(t, "known", next, func(d *daemon) bool {
-		_, ok := d.table.Get(guilty)
+		_, ok := d.table.Get(harmful)
 		return ok
 	})
 }
@@ -272,54 +272,54 @@
 func TestTrial(t *testing.T) {
 	q, clock := atRest(t)
 	ctx := context.Background()
-	r := hold.Record{Digest: guilty, Route: "r", Service: "s", Runners: 3}
+	r := hold.Record{Digest: harmful, Route: "r", Service: "s", Runners: 3}
 	q.hold(r)
-	retry, ok := q.Admit(ctx, guilty)
+	retry, ok := q.Admit(ctx, harmful)
 	assert.Assert(t, !ok && retry == hold.Term(0))
 	clock.Advance(hold.Term(0))
-	assert.Equal(t, q.Held(guilty), time.Duration(0), "it may be tried")
-	_, ok = q.Admit(ctx, guilty)
+	assert.Equal(t, q.Held(harmful), time.Duration(0), "it may be tried")
+	_, ok = q.Admit(ctx, harmful)
 	assert.Assert(t, ok)
-	retry, ok = q.Admit(ctx, guilty)
+	retry, ok = q.Admit(ctx, harmful)
 	assert.Assert(t, !ok && retry == trialRetry, "one at a time")
-	q.judge(accusation{Runner: "r9", Life: 9, Strikes: []strike{{Digest: guilty, Begun: true}}}, "d")
-	assert.Equal(t, q.Held(guilty), hold.Term(1))
+	q.countEnd(runnerEnd{Runner: "r9", Life: 9, Affected: []affected{{Digest: harmful, Begun: true}}}, "d")
+	assert.Equal(t, q.Held(harmful), hold.Term(1))
 	clock.Advance(hold.Term(1))
-	_, ok = q.Admit(ctx, guilty)
+	_, ok = q.Admit(ctx, harmful)
 	assert.Assert(t, ok)
 	clock.Advance(trialTime)
-	_, ok = q.Admit(ctx, guilty)
+	_, ok = q.Admit(ctx, harmful)
 	assert.Assert(t, ok, "nothing came of the one before")
-	q.Worked(guilty)
+	q.Worked(harmful)
 	for range 2 {
-		_, ok = q.Admit(ctx, guilty)
+		_, ok = q.Admit(ctx, harmful)
 		assert.Assert(t, ok, "it is released")
 	}
 }
 
 // A request was in progress at several runners when it came to be held back, and ends
 // them as well. It is not held back for longer because of that.
-func TestAccusationsOfAHeldRequestChangeNothing(t *testing.T) {
+func TestEndsUnderAHeldRequestChangeNothing(t *testing.T) {
 	q, _ := atRest(t)
-	q.hold(hold.Record{Digest: guilty, Runners: 3})
-	q.judge(accusation{Runner: "r9", Life: 9, Strikes: []strike{{Digest: guilty, Begun: true}}}, "d")
-	assert.Equal(t, q.Held(guilty), hold.Term(0))
+	q.hold(hold.Record{Digest: harmful, Runners: 3})
+	q.countEnd(runnerEnd{Runner: "r9", Life: 9, Affected: []affected{{Digest: harmful, Begun: true}}}, "d")
+	assert.Equal(t, q.Held(harmful), hold.Term(0))
 	assert.Equal(t, q.Records()[0].Level, 0)
 }
 
 func TestRecentIsBounded(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	r := newRecent(clock)
-	r.add(guilty)
+	r.add(harmful)
 	for i := range recentMost {
-		assert.Assert(t, r.within(guilty, time.Minute), "%d", i)
+		assert.Assert(t, r.within(harmful, time.Minute), "%d", i)
 		r.add(core.DigestOf(&core.Request{Target: fmt.Sprint(i)}))
 	}
-	assert.Assert(t, !r.within(guilty, time.Minute))
+	assert.Assert(t, !r.within(harmful, time.Minute))
 	assert.Equal(t, len(r.at), recentMost)
-	r.add(guilty)
+	r.add(harmful)
 	clock.Advance(time.Second)
-	assert.Assert(t, !r.within(guilty, time.Second/2))
+	assert.Assert(t, !r.within(harmful, time.Second/2))
 }
 
 func BenchmarkHeld(b *testing.B) {
@@ -336,10 +336,10 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				if q.Held(guilty) > 0 {
+				if q.Held(harmful) > 0 {
 					b.Fatal("held")
 				}
-				q.Worked(guilty)
+				q.Worked(harmful)
 			}
 		})
 	}
--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// trialTime is how long a judge lets nothing else through once it has let one run be
+	// trialTime is how long a counter lets nothing else through once it has let one run be
 	// tried; a stream is served or has ended its runner by then.
 	trialTime = 15 * time.Second
 	// trialLimit is how long a daemon waits for leave to try a run, trialResend repeats
@@ -23,17 +23,17 @@
 	trialRetry  = 2 * time.Second
 )
 
-// askTrial asks the first judge of a request for leave to try a run.
+// askTrial asks the first counter of a request for leave to try a run.
 func (q *Quarantine) askTrial(ctx context.Context, d core.Digest) bool {
-	judge := judgesOf(d, q.net.Alive())[0]
-	if judge.Name == q.net.Self().Name {
+	counter := countersOf(d, q.net.Alive())[0]
+	if counter.Name == q.net.Self().Name {
 		return q.grant(d)
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialLimit)
 	defer cancel()
 	var granted bool
-	if err := q.net.Ask(ctx, judge, kindTrial, d, &granted, trialResend); err != nil {
-		q.log.Info(logs.TrialRefused, zap.Stringer("digest", d), zap.String("judge", judge.Name), logs.Err(err))
+	if err := q.net.Ask(ctx, counter, kindTrial, d, &granted, trialResend); err != nil {
+		q.log.Info(logs.TrialRefused, zap.Stringer("digest", d), zap.String("counter", counter.Name), logs.Err(err))
 		return false
 	}
 	return granted
--- a/io/logs/follow.go
+++ b/io/logs/follow.go
@@ -36,9 +36,9 @@
 	RunnerEnded, RunnerLives, LeaseTaken, LeaseLost, LeaseYielded, OrderSent, OrderDone, AdapterYields, DaemonSilent, DaemonHeard, Started, Leaving, CutAtEnd, LinesLeftOut,
 }
 
-// blames are events on why a request's digest was held back, or was not. They are shown
+// reasons are events on why a request's digest was held back, or was not. They are shown
 // whenever they were: a request may have been held back long before it came again.
-var blames = []string{RequestBlamed, RequestExcused, HoldChanged, TrialBegins, TrialRefused}
+var reasons = []string{EndCounted, RequestCleared, HoldChanged, TrialBegins, TrialRefused}
 
 // Read reads lines of logs. What stands before the first brace of a line, such
 // as a VM's name, is skipped; lines that are no logs are counted.
@@ -114,8 +114,8 @@
 	delete(digests, "")
 	var out []Line
 	for _, l := range lines {
-		blamed := digests[l.text("digest")] && slices.Contains(blames, l.Event)
-		if l.text("request") == request || blamed || !first.IsZero() && l.concerns(first, last, daemons, runners, models) {
+		decided := digests[l.text("digest")] && slices.Contains(reasons, l.Event)
+		if l.text("request") == request || decided || !first.IsZero() && l.concerns(first, last, daemons, runners, models) {
 			out = append(out, l)
 		}
 	}
--- a/io/logs/follow_test.go
+++ b/io/logs/follow_test.go
@@ -38,15 +38,15 @@
 // before. Its own lines do not tell why.
 func TestFollowShowsWhyARequestWasHeldBack(t *testing.T) {
 	lines, _, err := Read(strings.NewReader(`
-{"level":"info","ts":"2026-01-01T10:00:00.000Z","msg":"request blamed","daemon":"d2","digest":"aa","runner":"r1","runners":3}
-{"level":"info","ts":"2026-01-01T10:00:00.000Z","msg":"request blamed","daemon":"d2","digest":"bb","runner":"r1","runners":1}
+{"level":"info","ts":"2026-01-01T10:00:00.000Z","msg":"runner's end counted","daemon":"d2","digest":"aa","runner":"r1","runners":3}
+{"level":"info","ts":"2026-01-01T10:00:00.000Z","msg":"runner's end counted","daemon":"d2","digest":"bb","runner":"r1","runners":1}
 {"level":"warn","ts":"2026-01-01T10:00:00.150Z","msg":"hold","daemon":"d2","digest":"aa","state":"held"}
 {"level":"warn","ts":"2026-01-01T10:05:00.000Z","msg":"refused","daemon":"d1","request":"q1","digest":"aa","code":"held_back"}
 `))
 	assert.NilError(t, err)
 	var b bytes.Buffer
 	assert.NilError(t, Print(&b, Follow(lines, "q1")))
-	assert.Equal(t, b.String(), `10:00:00.000 info  d2: request blamed digest=aa runner=r1 runners=3
+	assert.Equal(t, b.String(), `10:00:00.000 info  d2: runner's end counted digest=aa runner=r1 runners=3
 10:00:00.150 warn  d2: hold digest=aa state=held
 10:05:00.000 warn  d1: refused code=held_back digest=aa request=q1
 `)
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -21,12 +21,12 @@
 	RunnerEnded = "runner ended under requests"
 	// RunnerLives: requests broke off at a runner that has not ended, or of which that can't be told.
 	RunnerLives = "runner lives"
-	// RequestBlamed: a judge counts a runner's end under a request; after too many all daemons are asked whether they have served it.
-	RequestBlamed = "request blamed"
-	// RequestExcused: a request under which runners have ended has been served; what was held against it is dropped.
-	RequestExcused = "request excused"
-	// JudgeSilent: a judge could not be told of a runner's end.
-	JudgeSilent = "judge does not answer"
+	// EndCounted: a counter counts a runner's end under a request; after too many all daemons are asked whether they have served it.
+	EndCounted = "runner's end counted"
+	// RequestCleared: a request under which runners have ended has been served; what was held against it is dropped.
+	RequestCleared = "request cleared"
+	// CounterSilent: a counter could not be told of a runner's end.
+	CounterSilent = "counting daemon does not answer"
 	// HoldChanged: a request is held back from now on, or no longer; from which daemon or kind of object that was heard.
 	HoldChanged = "hold"
 	// HoldUnkept: the store could not be brought up to date on a request that is or was held back.
