Owner: a model that ends endpoints is not loaded again and again

Callers of the own interface: models became unreachable one after the other, as each endpoint that was ordered to load a broken model ended with all that it had.

Now the owner tells the quarantine of an endpoint that has ended under a load, at the order or later, and asks it before it sends one or takes up a proposal; a load that comes to be done clears it. The digest of a load is one function of core for both paths.

--- a/coordination/owner/orders.go
+++ b/coordination/owner/orders.go
@@ -57,6 +57,7 @@
 	loaded bool
 	readAt time.Time
 	sent   map[string]time.Time // by model@version
+	loads  map[string]life      // of the endpoint when a load was last sent, the same
 
 	mu     sync.Mutex // guards record
 	record ledger.Record
@@ -70,6 +71,7 @@
 		log:   r.mgr.log.With(zap.String("runner", r.id)),
 		clock: r.mgr.clock,
 		sent:  map[string]time.Time{},
+		loads: map[string]life{},
 	}
 }
 
@@ -147,6 +149,7 @@
 
 // step settles the record by an observation and sends what is pending.
 func (k *ledgerKeeper) step(ctx context.Context, s seen) {
+	k.tellEnds()
 	if !k.load(ctx) || s.asked.Before(k.readAt) {
 		return
 	}
@@ -233,6 +236,10 @@
 		i := k.record.Find(e.Model, e.Version)
 		if e.State == ledger.Loading && (i < 0 || k.record.Entries[i].State == ledger.Ready) {
 			k.r.mgr.store.release(ctx, k.loadID(e.Model, e.Version))
+			delete(k.loads, e.Model+"@"+e.Version)
+		}
+		if e.State == ledger.Loading && i >= 0 && k.record.Entries[i].State == ledger.Ready {
+			k.r.mgr.guard.Worked(k.loadDigest(e.Model))
 		}
 		if i < 0 && !k.record.HasReady(e.Model) {
 			k.r.mgr.floors.done(ctx, e.Model, k.r.id)
@@ -260,6 +267,9 @@
 		if e.State == ledger.Evicting && !k.isIdle(ctx, e.Model) {
 			continue
 		}
+		if e.State == ledger.Loading && k.loadHeld(e.Model) > 0 {
+			continue
+		}
 		k.sent[key] = k.clock.Now()
 		k.send(ctx, e)
 	}
@@ -272,12 +282,18 @@
 	if !e.MaySend(k.clock.Now()) {
 		return
 	}
+	if e.State == ledger.Loading {
+		k.loads[e.Model+"@"+e.Version] = k.r.alive.now()
+	}
 	err := k.r.endpoint.Order(ctx, e.Order(k.object.Version))
 	k.r.mgr.count("orders")
 	switch {
 	case errors.Is(err, core.ErrStaleFence):
 		k.loaded = false
 	case err != nil:
+		if e.State == ledger.Loading && !errors.Is(err, core.ErrNoListener) {
+			k.tellEnd(e) // asked at once: it may be back under the same boot before it is observed
+		}
 		k.log.Info("order is unanswered", zap.String("model", e.Model), zap.String("state", string(e.State)), zap.Error(err))
 	}
 }
@@ -293,6 +309,38 @@
 	}
 }
 
+// loadDigest stands for the load of a model where requests are held back.
+func (k *ledgerKeeper) loadDigest(model string) core.Digest {
+	return core.LoadDigest(k.r.mgr.replica.Tree().ServiceOf(model), model)
+}
+
+// loadHeld is how long a model is not to be loaded, as endpoints that were ordered to
+// have ended.
+func (k *ledgerKeeper) loadHeld(model string) time.Duration {
+	return k.r.mgr.guard.Held(k.loadDigest(model))
+}
+
+// tellEnds tells the guard of loads whose endpoint has ended since they were sent.
+func (k *ledgerKeeper) tellEnds() {
+	for _, e := range k.record.Entries {
+		if was, ok := k.loads[e.Model+"@"+e.Version]; ok && !was.begun.Equal(k.r.alive.now().begun) {
+			k.tellEnd(e)
+		}
+	}
+}
+
+// tellEnd tells the guard that the endpoint may have ended under a load, once for each
+// time that it was sent.
+func (k *ledgerKeeper) tellEnd(e ledger.Entry) {
+	key := e.Model + "@" + e.Version
+	was := k.loads[key]
+	delete(k.loads, key)
+	service := k.r.mgr.replica.Tree().ServiceOf(e.Model)
+	k.r.mgr.guard.Broke(core.Broken{
+		Digest: core.LoadDigest(service, e.Model), Runner: was.runner(k.r.id), Route: "load of " + e.Model, Service: service, Begun: true,
+	})
+}
+
 // decide carries out a proposal as far as the record; the order follows.
 func (k *ledgerKeeper) decide(ctx context.Context, p Proposal) error {
 	if !k.load(ctx) {
@@ -317,6 +365,9 @@
 	if m.Base != "" && !k.record.HasReady(m.Base) {
 		return eris.Wrap(core.ErrInvalid, "the adapter's base is not ready here")
 	}
+	if left := k.loadHeld(p.Model); left > 0 {
+		return eris.Wrapf(core.ErrUnavailable, "endpoints have ended under loads of the model; held back for %v", left)
+	}
 	capacity, _ := k.capacity()
 	e := ledger.Entry{Model: p.Model, Version: p.Version, Bytes: int64(m.Memory), Reason: p.Reason}
 	next, err := k.record.Load(e, capacity, k.object.Version, k.clock.Now())
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -20,16 +20,11 @@
 // WithGuard asks a Guard before models are loaded.
 func WithGuard(g Guard) Option { return func(h *Holder) { h.guard = g } }
 
-// loadDigest stands for the load of a model. No request has it: its method is none.
-func loadDigest(service, model string) core.Digest {
-	return core.DigestOf(&core.Request{Method: "load model", Host: service, Target: model})
-}
-
 // loadHeld says whether a model is not to be loaded now, as runners that were ordered to
 // have ended. Weights may be broken, or not what the configuration says: ordered again
 // and again such a model takes runner after runner, with all other models there.
 func (h *Holder) loadHeld(service, model string) bool {
-	return model != "" && h.guard.Held(loadDigest(service, model)) > 0
+	return model != "" && h.guard.Held(core.LoadDigest(service, model)) > 0
 }
 
 // noteLoadEnd tells the guard of a runner that has ended, or does not listen any more, while
@@ -42,6 +37,6 @@
 		return
 	}
 	h.guard.Broke(core.Broken{
-		Digest: loadDigest(one.runner.Service, o.Model), Runner: one.runner, Route: "load of " + o.Model, Service: one.runner.Service, Begun: true,
+		Digest: core.LoadDigest(one.runner.Service, o.Model), Runner: one.runner, Route: "load of " + o.Model, Service: one.runner.Service, Begun: true,
 	})
 }
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -178,7 +178,7 @@
 	if m.Load {
 		it.phase = present
 		one.loaded[m.Model] = h.clock.Now()
-		h.guard.Worked(loadDigest(one.runner.Service, m.Model))
+		h.guard.Worked(core.LoadDigest(one.runner.Service, m.Model))
 		h.count("models_loaded")
 		h.tell(News{Runner: one.runner.ID, Model: m.Model, Held: true})
 		return
--- a/core/guard.go
+++ b/core/guard.go
@@ -34,6 +34,11 @@
 	Fresh   bool // the runner had just begun to run it: nothing but the answer's head had come
 }
 
+// LoadDigest stands for the load of a model. No request has it: its method is none.
+func LoadDigest(service, model string) Digest {
+	return DigestOf(&Request{Method: "load model", Host: service, Target: model})
+}
+
 // NoGuard holds nothing back.
 type NoGuard struct{}
 
--- a/proof/mortal_test.go
+++ b/proof/mortal_test.go
@@ -15,6 +15,7 @@
 
 	"primroseward/core"
 	"primroseward/services/holds"
+	"primroseward/state/tree"
 )
 
 // mortal is an endpoint whose process ends under a fatal request, with all of its
@@ -175,3 +176,27 @@
 	}
 	assert.Equal(t, all.runs(), before)
 }
+
+const (
+	// loadsBorne bounds the loads of a model that end endpoints: three until that is known,
+	// those under way then, and one after the first term.
+	loadsBorne = 3 + 2 + 1
+	loadsTime  = 20 * time.Second
+)
+
+// Endpoints end again and again, each with the models that it has: the weights of one model
+// are broken, and whoever is ordered to load it ends. It is ordered again as soon as an
+// endpoint is back, by the record that lets an order be sent again.
+func TestOwnInterfaceStopsLoadsThatEndEndpoints(t *testing.T) {
+	c, all := startMortals(t)
+	c.root.Children["service/chat"].Children["model/"+fatal] = &tree.Node{Model: &tree.Model{Version: "1", Memory: 14 * gb}}
+	c.apply()
+	time.Sleep(loadsTime)
+	n := all.runs()
+	t.Logf("%d loads", n)
+	assert.Assert(t, n >= crashesBorne && n <= loadsBorne, "%d loads", n)
+	c.until("the other models are back", settleTime*5, func() bool { return c.served("m", 1) && c.served("r", 1) })
+	got, err := c.daemons[0].chat("m", "harmless", 5, true)
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+}
