--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -330,17 +330,13 @@
 	return out
 }
 
-// victim is the model that a runner gives up for another: one with more copies
-// than it should have, least asked for. For a model without any copy each one
-// that has a second copy may go, for one whose runners are all down one that is
-// asked for less, as the processes are likely to be back. The last live copy stays.
+// victim is the model that a runner gives up for another: of those that may yield the
+// one least asked for.
 func (p *placement) victim(h *HostState, model string, need float64) string {
 	best := ""
 	for v := range h.Models {
 		spec := p.engine.Model(v)
-		// A copy where no request for the model may be served is of no use.
-		surplus := p.live[v] > 1 && (p.copies[v] > p.target[v] || p.copies[model] == 0 || p.live[model] == 0 && p.perOther(v) < p.heat[model]) || !h.allows(v)
-		if spec == nil || !surplus || h.FreeMB+spec.MemoryMB < need {
+		if spec == nil || !p.mayYield(h, v, model) || h.FreeMB+spec.MemoryMB < need {
 			continue
 		}
 		if best == "" || p.perCopy(v) < p.perCopy(best) || p.perCopy(v) == p.perCopy(best) && v < best {
@@ -350,6 +346,23 @@
 	return best
 }
 
+// mayYield says whether a runner may give up its copy of v for a model. A copy where no
+// request for v may be served is of no use; the last live copy stays. For a model
+// without any copy each v that has a second one may go, for one whose runners are all
+// down only a v that is asked for less, as the processes are likely to be back.
+func (p *placement) mayYield(h *HostState, v, model string) bool {
+	switch {
+	case !h.allows(v):
+		return true
+	case p.live[v] < 2:
+		return false
+	case p.copies[v] > p.target[v], p.copies[model] == 0:
+		return true
+	default:
+		return p.live[model] == 0 && p.perOther(v) < p.heat[model]
+	}
+}
+
 // perOther is what each live copy of a model has to do when one of them goes.
 func (p *placement) perOther(m string) float64 { return p.heat[m] / float64(p.live[m]-1) }
 
