Placement: a load that a runner never heard of has not ended it

Callers: a model that no runner had stayed away for five seconds or more, as its load was held back.

A refused connection tells of a load only where the runner had accepted it.

TestLoadsThatARunnerNeverHeardOfAreNotCounted failed before in its first case.

--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -28,9 +28,15 @@
 }
 
 // noteLoadEnd tells the guard of a runner that has ended, or does not listen any more, while
-// it was to load a model. One that served requests as well may have ended under these.
+// it was to load a model. One that served requests as well may have ended under these, and
+// one that did not listen before it had heard of the load has not ended under it.
 func (h *Holder) noteLoadEnd(one *host, o core.RunnerOrder, err error) {
-	if !o.Load || o.Adapter != "" || !errors.Is(err, core.ErrClosed) && !errors.Is(err, core.ErrNoListener) {
+	if !o.Load || o.Adapter != "" {
+		return
+	}
+	it := one.models[o.Model]
+	accepted := it != nil && it.accepted
+	if !errors.Is(err, core.ErrClosed) && !(accepted && errors.Is(err, core.ErrNoListener)) {
 		return
 	}
 	if one.runner.Draining || h.loads.View(one.runner.ID).Requests > 0 {
--- a/coordination/placement/fatal_test.go
+++ b/coordination/placement/fatal_test.go
@@ -101,3 +101,36 @@
 		}
 	})
 }
+
+// A harmless model is not loaded for seconds: the runners that the holder chose for it had
+// ended before they heard of it, which counted as ends under its load. Those that end
+// while they carry it out still count.
+func TestLoadsThatARunnerNeverHeardOfAreNotCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		accepted bool
+		err      error
+		counted  int
+	}{
+		{"it had ended before", false, core.ErrNoListener, 0},
+		{"it ended as it loaded", true, core.ErrNoListener, 1},
+		{"it ended as it was ordered to", false, core.ErrClosed, 1},
+	} {
+		w := newWorld(t, 1, 1, trouble{}, 1)
+		g := &countingGuard{}
+		w.holder.guard = g
+		r := w.catalog.Runner("r0").Runner
+		one := newHost(r, w.spec)
+		one.models["m9"] = &item{phase: loading, accepted: tt.accepted}
+		w.holder.noteLoadEnd(one, core.RunnerOrder{Load: true, Model: "m9"}, fmt.Errorf("order: %w", tt.err))
+		assert.Equal(t, g.broke, tt.counted, tt.name)
+	}
+}
+
+// countingGuard counts what it is told of.
+type countingGuard struct {
+	core.NoGuard
+	broke int
+}
+
+func (g *countingGuard) Broke(core.Broken) { g.broke++ }
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -17,6 +17,9 @@
 		switch result {
 		case core.OrderAccepted:
 			one.sequence++
+			if it := one.models[o.Model]; it != nil && o.Adapter == "" {
+				it.accepted = true
+			}
 		case core.OrderUnknown, core.OrderConflict, core.OrderRefused, core.OrderWrongHost:
 			// The runner's state is read again before the next order. Until
 			// then what was ordered counts as taken.
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -24,6 +24,8 @@
 type item struct {
 	phase phase
 	used  time.Time // when it was last asked for; of a model, when its load was ordered
+	// accepted: the runner has said that it carries out the load.
+	accepted bool
 }
 
 // adapterKey names an adapter of a model.
