primrosed: takes SIGHUP from its first statement on

Operators: a process that has just started ended when its settings file changed.

Cause: SIGHUP was taken only once all listeners were open; until then it ends a process.

--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -28,6 +28,9 @@
 )
 
 func main() {
+	// A signal that the settings have changed ends a process that does not expect it yet.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	var config string
 	var check bool
 	flaggy.SetName("primrosed")
@@ -48,7 +51,7 @@
 		fmt.Println("settings are good")
 		return
 	}
-	if err := run(set, config); err != nil {
+	if err := run(set, config, hup); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
@@ -56,7 +59,7 @@
 
 // run serves until a signal to stop. The first one begins a graceful stop, a
 // second one cuts what is left. SIGHUP reads the settings file again.
-func run(set *setting.Setting, config string) error {
+func run(set *setting.Setting, config string, hup <-chan os.Signal) error {
 	out := logs.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer out.Close()
 	log := logs.New(out, set.Level)
@@ -67,8 +70,6 @@
 	out.Start(log)
 	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	d.Start()
 	for serving := true; serving; {
 		select {
