Read back: one form of a load's end, one key of an order, one refusal by reason

No change of behaviour. The load of a model whose runner has ended was put together in the placement and in the owner, word for word: core.BrokenLoad serves both. The key MODEL@VERSION was written out six times in the owner's orders, the refusal by a reason twice in the dispatcher. How long a caller waits for an event was called patience.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -33,6 +33,9 @@
 	errDown:      "the runners that may serve the request have ended",
 }
 
+// refuseFor is refuse for one of reasons.
+func (j *job) refuseFor(reason error) error { return j.refuse(reason.Error(), reasons[reason], nil) }
+
 // choose finds the runner for the next attempt. The runner is read from the
 // catalog at the last moment: one that has begun to leave since the request
 // came must not get it. Its error is one of reasons.
@@ -72,8 +75,7 @@
 
 // asksFor says whether the holder of orders is to be asked for the request's model or
 // adapter, once: where no runner that is up has it, or where all runners that have the
-// adapter are full or down and another copy of its model has room. An adapter takes some
-// 10 ms to load; 4 to 16 in 100 refusals of heavy days were for adapters on full runners.
+// adapter are full or down and another copy of its model has room.
 func (j *job) asksFor(candidates []policy.Candidate, chosen int) bool {
 	if j.q.Model == "" || j.asked || j.runs > 0 && !j.resumed {
 		return false
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -37,12 +37,12 @@
 	stallLeast   = 900 * time.Millisecond
 	stallTargets = 3
 	stallGaps    = 6
-	// patienceLeast, patienceTargets and patienceGaps are how long callers wait for the
-	// next event of a stream, whichever is longest. patienceMargin is for its way.
-	patienceLeast   = 2 * time.Second
-	patienceTargets = 4
-	patienceGaps    = 8
-	patienceMargin  = 200 * time.Millisecond
+	// eventWaitLeast, eventWaitTargets and eventWaitGaps are how long callers wait for the
+	// next event of a stream, whichever is longest. eventWaitMargin is for its way.
+	eventWaitLeast   = 2 * time.Second
+	eventWaitTargets = 4
+	eventWaitGaps    = 8
+	eventWaitMargin  = 200 * time.Millisecond
 	// resumeEvery is how often a broken stream looks for a runner, half as often after
 	// each rejection; resumeRejections bounds these.
 	resumeEvery      = 50 * time.Millisecond
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -39,7 +39,7 @@
 func (j *job) next(ctx context.Context) (*core.Runner, error) {
 	r, err := j.choose(ctx)
 	if err != nil {
-		return nil, j.refuse(err.Error(), reasons[err], nil)
+		return nil, j.refuseFor(err)
 	}
 	return j.permit(ctx, r)
 }
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	j.resumed, j.asked = true, false
-	until, rejects := s.lastAt.Add(j.patience()), 0
+	until, rejects := s.lastAt.Add(j.eventWait()), 0
 	for {
 		r, err := s.nextUntil(until, resumeEvery<<rejects)
 		if err != nil {
@@ -173,7 +173,7 @@
 			return j.permit(s.ctx, r)
 		}
 		if s.ctx.Err() != nil || !j.d.clock.Now().Add(pause).Before(until) {
-			return nil, j.refuse(err.Error(), reasons[err], nil)
+			return nil, j.refuseFor(err)
 		}
 		core.Sleep(s.ctx, j.d.clock, pause)
 		// Runners that had no room may have some now.
@@ -181,9 +181,9 @@
 	}
 }
 
-// patience is how long the caller waits for the next event of a stream.
-func (j *job) patience() time.Duration {
-	return max(patienceLeast, patienceTargets*j.route.Target, patienceGaps*j.route.MaxGap) - patienceMargin
+// eventWait is how long the caller waits for the next event of a stream.
+func (j *job) eventWait() time.Duration {
+	return max(eventWaitLeast, eventWaitTargets*j.route.Target, eventWaitGaps*j.route.MaxGap) - eventWaitMargin
 }
 
 // Close ends the stream; a runner that still works on it stops.
--- a/coordination/dispatch/stream_test.go
+++ b/coordination/dispatch/stream_test.go
@@ -142,7 +142,7 @@
 			if tt.whole {
 				assert.Equal(t, body, pieces("", events), tt.name)
 			}
-			assert.Assert(t, time.Since(began) < patienceLeast, "%s: %v", tt.name, time.Since(began))
+			assert.Assert(t, time.Since(began) < eventWaitLeast, "%s: %v", tt.name, time.Since(began))
 			assert.Assert(t, len(f.sends) <= 2+resumeRejections, "%s: %d sends", tt.name, len(f.sends))
 		})
 	}
--- a/coordination/owner/orders.go
+++ b/coordination/owner/orders.go
@@ -236,7 +236,7 @@
 		i := k.record.Find(e.Model, e.Version)
 		if e.State == ledger.Loading && (i < 0 || k.record.Entries[i].State == ledger.Ready) {
 			k.r.mgr.store.release(ctx, k.loadID(e.Model, e.Version))
-			delete(k.loads, e.Model+"@"+e.Version)
+			delete(k.loads, orderKey(e.Model, e.Version))
 		}
 		if e.State == ledger.Loading && i >= 0 && k.record.Entries[i].State == ledger.Ready {
 			k.r.mgr.guard.Worked(k.loadDigest(e.Model))
@@ -253,14 +253,17 @@
 }
 
 func (k *ledgerKeeper) loadID(model, version string) string {
-	return k.r.id + "/" + model + "@" + version
+	return k.r.id + "/" + orderKey(model, version)
 }
 
+// orderKey names what an order is for, on one runner.
+func orderKey(model, version string) string { return model + "@" + version }
+
 // sendPending sends the orders that the record authorises and the endpoint has
 // not yet carried out.
 func (k *ledgerKeeper) sendPending(ctx context.Context, obs core.Observation, rules ledger.Rules) {
 	for _, e := range k.record.Entries {
-		key := e.Model + "@" + e.Version
+		key := orderKey(e.Model, e.Version)
 		if !e.Pending(obs, rules) || k.clock.Since(k.sent[key]) < resendEvery {
 			continue
 		}
@@ -283,7 +286,7 @@
 		return
 	}
 	if e.State == ledger.Loading {
-		k.loads[e.Model+"@"+e.Version] = k.r.alive.now()
+		k.loads[orderKey(e.Model, e.Version)] = k.r.alive.now()
 	}
 	err := k.r.endpoint.Order(ctx, e.Order(k.object.Version))
 	k.r.mgr.count("orders")
@@ -323,7 +326,7 @@
 // tellEnds tells the guard of loads whose endpoint has ended since they were sent.
 func (k *ledgerKeeper) tellEnds() {
 	for _, e := range k.record.Entries {
-		if was, ok := k.loads[e.Model+"@"+e.Version]; ok && !was.begun.Equal(k.r.alive.now().begun) {
+		if was, ok := k.loads[orderKey(e.Model, e.Version)]; ok && !was.begun.Equal(k.r.alive.now().begun) {
 			k.tellEnd(e)
 		}
 	}
@@ -332,13 +335,10 @@
 // tellEnd tells the guard that the endpoint may have ended under a load, once for each
 // time that it was sent.
 func (k *ledgerKeeper) tellEnd(e ledger.Entry) {
-	key := e.Model + "@" + e.Version
+	key := orderKey(e.Model, e.Version)
 	was := k.loads[key]
 	delete(k.loads, key)
-	service := k.r.mgr.replica.Tree().ServiceOf(e.Model)
-	k.r.mgr.guard.Broke(core.Broken{
-		Digest: core.LoadDigest(service, e.Model), Runner: was.runner(k.r.id), Route: "load of " + e.Model, Service: service, Begun: true,
-	})
+	k.r.mgr.guard.Broke(core.BrokenLoad(k.r.mgr.replica.Tree().ServiceOf(e.Model), e.Model, was.runner(k.r.id)))
 }
 
 // decide carries out a proposal as far as the record; the order follows.
@@ -416,7 +416,7 @@
 // sendOne sends a new load's order without waiting for the next observation.
 func (k *ledgerKeeper) sendOne(ctx context.Context, p Proposal) {
 	if i := k.record.Find(p.Model, p.Version); i >= 0 {
-		k.sent[p.Model+"@"+p.Version] = k.clock.Now()
+		k.sent[orderKey(p.Model, p.Version)] = k.clock.Now()
 		k.send(ctx, k.record.Entries[i])
 	}
 }
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -42,7 +42,5 @@
 	if one.runner.Draining || h.loads.View(one.runner.ID).Requests > 0 {
 		return
 	}
-	h.guard.Broke(core.Broken{
-		Digest: core.LoadDigest(one.runner.Service, o.Model), Runner: one.runner, Route: "load of " + o.Model, Service: one.runner.Service, Begun: true,
-	})
+	h.guard.Broke(core.BrokenLoad(one.runner.Service, o.Model, one.runner))
 }
--- a/core/guard.go
+++ b/core/guard.go
@@ -39,6 +39,11 @@
 	return DigestOf(&Request{Method: "load model", Host: service, Target: model})
 }
 
+// BrokenLoad is the load of a model whose runner has ended.
+func BrokenLoad(service, model string, r Runner) Broken {
+	return Broken{Digest: LoadDigest(service, model), Runner: r, Route: "load of " + model, Service: service, Begun: true}
+}
+
 // NoGuard holds nothing back.
 type NoGuard struct{}
 
