--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"primroseward/coordination/allowance"
 	"primroseward/coordination/load"
 	"primroseward/coordination/policy"
 	"primroseward/core"
@@ -84,6 +85,8 @@
 	guard   core.Guard
 	// allowance holds workspaces to theirs.
 	allowance core.Allowance
+	// limits are those that runners name in their answers.
+	limits *allowance.Runners
 	// settings are nil where no tree is kept.
 	settings *settings
 }
@@ -106,12 +109,15 @@
 // WithAllowance holds workspaces to their allowances.
 func WithAllowance(a core.Allowance) Option { return func(d *Dispatcher) { d.allowance = a } }
 
+// WithLimits keeps the limits that runners name in their answers.
+func WithLimits(r *allowance.Runners) Option { return func(d *Dispatcher) { d.limits = r } }
+
 // New makes a Dispatcher of a daemon in a place.
 func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
 		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: core.NoGuard{},
-		allowance: core.Unbounded{},
+		allowance: core.Unbounded{}, limits: allowance.NewRunners(clock, log, tally.NoopScope),
 	}
 	for _, o := range opts {
 		o(d)
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -55,6 +55,7 @@
 		return nil, err
 	}
 	j.stage, j.begunAt = stageHead, j.d.clock.Now()
+	j.d.limits.Answered(r.ID, reply.Info)
 	if reply.Info.Load != nil {
 		j.d.loads.Said(r.ID, *reply.Info.Load)
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -47,6 +47,7 @@
 	Stamped   bool // the answer carries the endpoint's signature
 	Encoded   bool // the body is encoded, though nobody asked for that
 	Load      *Load
+	Limit     RateLimit
 }
 
 // Reply is an endpoint's answer.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -5,6 +5,12 @@
 const (
 	// RunnerChosen: a request goes to a runner: which, of how many, how busy it was thought to be, the digest of what is asked, how long its prompt waits for its turn.
 	RunnerChosen = "runner chosen"
+	// RunnerLimit: a runner names in its answers how many requests a second it takes from all
+	// daemons together, another number than before, or none any more: from which daemon that
+	// was heard.
+	RunnerLimit = "runner limit"
+	// RunnerLimitUnreadable: what a runner names as its limit is none.
+	RunnerLimitUnreadable = "runner limit unreadable"
 	// RunnerRejected: the runner states that it did not run the request.
 	RunnerRejected = "runner rejected the request"
 	// RunnerUnreachable: no byte of the request could be sent.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -110,6 +110,7 @@
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Quarantine
 	allowances *allowance.Pool
+	limits     *allowance.Runners
 	front      *front.Front
 	started    time.Time
 	leaving    atomic.Bool
@@ -163,6 +164,7 @@
 		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.pause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	d.allowances = allowance.New(d.clock, func() core.Window { return d.bounds.Load().Quota.Bounds() }, allowance.WithScope(d.scope))
+	d.limits = allowance.NewRunners(d.clock, d.log, d.scope)
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
@@ -182,7 +184,7 @@
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
+		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows), front.WithTrusted(d.trusts))
 }
 
@@ -199,6 +201,7 @@
 	d.log.Info(logs.RunnerGone, zap.String("runner", r.ID), zap.String("service", r.Service))
 	d.runners.Forget(r.ID)
 	d.loads.Forget(r.ID)
+	d.limits.Forget(r.ID)
 	d.dispatcher.Forget(r.ID)
 }
 
@@ -209,6 +212,7 @@
 	d.log.Info(logs.RunnerRestarted, zap.String("runner", was.ID), zap.String("service", was.Service), zap.Time("former", was.Born))
 	d.runners.Forget(was.ID)
 	d.loads.Restarted(was.ID)
+	d.limits.Forget(was.ID)
 	d.dispatcher.Restarted(was.ID)
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -69,6 +69,8 @@
 	running  int
 	busy     bool // a model is being loaded
 	ended    bool // by a fatal request
+	limit    []string    // values of the header that names its limit
+	arrived  []time.Time // of requests
 	terms    []Term
 	wrong    []string
 }
@@ -141,6 +143,31 @@
 	s.failing = n
 }
 
+// SetLimit names a limit in all answers from now on, in as many headers as there are
+// values; none: no limit.
+func (s *Server) SetLimit(values ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = values
+}
+
+// Arrived is when requests have arrived, run or not, oldest first.
+func (s *Server) Arrived() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrived...)
+}
+
+// arrive counts a request and names the limit in its answer.
+func (s *Server) arrive(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrived = append(s.arrived, time.Now())
+	for _, value := range s.limit {
+		h.Add(platform.HeaderLimit, value)
+	}
+}
+
 // Terms returns the holders that orders were accepted from, in order.
 func (s *Server) Terms() []Term {
 	s.mu.Lock()
@@ -294,6 +321,7 @@
 	if err != nil {
 		return
 	}
+	s.arrive(w.Header())
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
 	model := r.Header.Get(platform.HeaderModel)
