Allowance: all daemons together keep to the limit that a runner names

Callers saw nothing; runners in need got many times what they had asked for (86 to 99 requests in 4 s where 17 are allowed; users' record: 83 of 42, 38 of 14).

Cause: the limit was an input of no decision. Ruled out by the logs of the failing test: each daemon keeping the limit for itself (none sent less than before), and other paths of sending (five of six sends had another runner to go to).

A limited runner now has a bucket of the pool that workspaces' allowances have, so that the invariant is the same: each daemon brings rate / known daemons to those that hear it. Refusals have the time at which a place is likely, spread.

--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -1,14 +1,16 @@
-// Package allowance holds workspaces to their allowances over all daemons.
+// Package allowance holds what all daemons let in together to a rate: of workspaces to
+// their allowances, of runners to the limits that they name in their answers.
 //
-// A workspace's allowance is one bucket for the whole fleet. Each daemon that may be alive
-// brings an even part of its rate to the daemons that hear it: these share what all of them
-// bring, and a daemon that hears nobody has its own part. However the fleet falls apart,
-// the parts together are never more than the allowance.
+// Each rate is one bucket for the whole fleet. Each daemon that may be alive brings an even
+// part of it to the daemons that hear it: these share what all of them bring, and a daemon
+// that hears nobody has its own part. However the fleet falls apart, the parts together are
+// never more than the rate.
 //
 // Daemons tell each other what their callers ask for and what they have let in. Each keeps
 // an estimate of what is left in the bucket, and lets requests in with a probability that
-// falls as less is left for what is asked: no daemon has to know by which daemons a
-// workspace's callers come. Small requests go before large ones, as more are served then.
+// falls as less is left for what is asked: no daemon has to know by which daemons the
+// callers come. Of a workspace's requests small ones go before large ones, as more are
+// served then; of a runner's, urgent ones before others.
 package allowance
 
 import (
@@ -24,15 +26,13 @@
 )
 
 const (
-	// horizon is the time within which what is left is let in.
-	horizon = time.Second
 	// quietShare and crowdShare are how many times its rate a workspace asks for up to which
 	// its rate is let in however little is left, and from which on only what is left is: of
 	// one that asks for much, what the others let in meanwhile is known too late.
 	quietShare = 0.8
 	crowdShare = 1.2
-	// youngFlow lowers that share at a daemon that has just started. It does not know yet
-	// what is asked for, and takes each workspace to ask for its rate at least.
+	// youngFlow lowers that share for a bucket that has just been made. What is asked for is
+	// not known yet, and taken to be the rate at least.
 	youngFlow = 0.5
 	// slackShare is the part of the rule's slack that is used as more burst, which lets small
 	// workspaces send requests of usual size. What else the rule allows beyond rate and burst
@@ -42,7 +42,7 @@
 	wordLife = 2 * time.Second
 	// missTime is how long it takes at most until daemons out of touch are missed.
 	missTime = 1200 * time.Millisecond
-	// youngFor is how long a daemon has just started: it takes over what others say is left.
+	// youngFor is how long a bucket has just been made: it takes over what others say is left.
 	youngFor = time.Second
 	// follow is the share by which an estimate moves to what others tell in a turn.
 	follow = 0.2
@@ -58,9 +58,23 @@
 	maxTagged = 64
 )
 
+// timing is how soon a bucket answers to what it learns.
+type timing struct {
+	horizon time.Duration // within which what is left is let in
+	asked   time.Duration // over which what is asked for is measured
+	spent   time.Duration // over which what is let in is measured
+	// counted: each request that the others let in is told at once, rather than how many a
+	// second are.
+	counted bool
+}
+
+// ofWorkspaces is for hundreds of requests a second.
+var ofWorkspaces = timing{horizon: time.Second, asked: 300 * time.Millisecond, spent: 300 * time.Millisecond}
+
 // Pool is one daemon's part in the shared buckets; it implements core.Allowance.
 type Pool struct {
 	clock   core.Clock
+	timing  timing
 	window  func() core.Window
 	scope   tally.Scope
 	draw    func() float64
@@ -102,7 +116,7 @@
 
 // New makes a Pool of a daemon that has just started.
 func New(clock core.Clock, window func() core.Window, opts ...Option) *Pool {
-	p := &Pool{clock: clock, window: window, scope: tally.NoopScope, draw: rand.Float64, started: clock.Now(), tags: map[string]counts{}}
+	p := &Pool{clock: clock, timing: ofWorkspaces, window: window, scope: tally.NoopScope, draw: rand.Float64, started: clock.Now(), tags: map[string]counts{}}
 	for _, o := range opts {
 		o(p)
 	}
@@ -126,19 +140,28 @@
 		}
 		b := was[w.Code]
 		if b == nil {
-			b = &bucket{at: p.started, share: share, counts: p.countersOf(w.Name)}
-			b.configure(w, window)
-			if u, ok := p.told[w.Code]; ok {
-				b.hear(now, u, share, true)
-			}
+			b = p.newBucket(w.Code, p.started, share, rateOf(w, window))
+			b.counts = p.countersOf(w.Name)
 		} else {
-			b.reconfigure(now, w, window)
+			b.reconfigure(now, rateOf(w, window))
 		}
 		next[w.Code] = b
 	}
 	p.buckets.Store(&next)
 }
 
+// newBucket returns a bucket that fills since a time; the caller holds the lock.
+func (p *Pool) newBucket(code core.Code, since time.Time, share float64, r rate) *bucket {
+	b := &bucket{timing: p.timing, rate: r, at: since, born: since, share: share}
+	if u, ok := p.told[code]; ok {
+		b.hear(p.clock.Now(), u, share)
+		if !math.IsNaN(u.Left) {
+			b.left = u.Left
+		}
+	}
+	return b
+}
+
 // countersOf returns a workspace's counters; those beyond maxTagged share some. The caller
 // holds the lock.
 func (p *Pool) countersOf(name string) counts {
@@ -169,20 +192,25 @@
 	if b == nil {
 		return core.Admission{OK: true}
 	}
+	return p.take(b, units, units)
+}
+
+// take lets units in from a bucket, or says when they may come back. Those of a small size
+// go before those of a large one.
+func (p *Pool) take(b *bucket, units, size float64) core.Admission {
 	f, now := p.fleet.Load(), p.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update(now)
-	b.asked.add(now, units)
-	out := core.Admission{Left: b.left, Asked: b.asked.rate(now) + b.others.Asked, Heard: f.heard, Known: f.known, Age: b.age(now)}
-	chance := b.chance(b.allowed(out.Asked, now.Sub(p.started) < youngFor), units)
+	b.asked.add(now, b.timing.asked, units)
+	out := core.Admission{Left: b.left, Asked: b.asked.rate(now, b.timing.asked) + b.others.Asked, Heard: f.heard, Known: f.known, Age: b.age(now)}
+	chance := b.chance(b.allowed(out.Asked, now.Sub(b.born) < youngFor), size)
 	if chance >= 1 || chance > 0 && p.draw() < chance {
 		out.OK = true
 		b.spend(now, units)
 		return out
 	}
-	b.refused++
-	b.counts.refused.Inc(int64(units))
+	b.refuse(units)
 	out.Retry = p.retry(b, chance)
 	return out
 }
@@ -191,11 +219,11 @@
 // lock.
 func (p *Pool) retry(b *bucket, chance float64) time.Duration {
 	var wait float64
-	switch refill := b.rate * b.share; {
+	switch refill := b.rate.perSecond * b.share; {
 	case chance > 0:
-		wait = horizon.Seconds() / chance
+		wait = b.timing.horizon.Seconds() / chance
 	case refill > 0:
-		wait = horizon.Seconds() - b.left/refill
+		wait = b.timing.horizon.Seconds() - b.left/refill
 	}
 	wait = min(wait, mostRetry.Seconds()) * (1 + retrySpread*(2*p.draw()-1))
 	return max(leastRetry, time.Duration(wait*float64(time.Second)))
@@ -238,7 +266,6 @@
 	f := &fleet{heard, known}
 	p.fleet.Store(f)
 	now := p.clock.Now()
-	young := now.Sub(p.started) < youngFor
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.told = others
@@ -247,7 +274,7 @@
 		if !ok {
 			u.Left = math.NaN()
 		}
-		b.hear(now, u, f.share(), young)
+		b.hear(now, u, f.share())
 	}
 }
 
--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -10,12 +10,24 @@
 	"primroseward/core"
 )
 
-// bucket is one workspace's, as this daemon knows it.
+// rate is what all daemons may let in together.
+type rate struct {
+	name      string
+	perSecond float64 // units
+	depth     float64 // the most that may be left at once, in units
+}
+
+// rateOf is the rate of a workspace's allowance.
+func rateOf(w *core.Workspace, window core.Window) rate {
+	return rate{name: w.Name, perSecond: w.Rate, depth: w.Burst + slackShare*window.Slack}
+}
+
+// bucket is one rate's, as this daemon knows it.
 type bucket struct {
+	timing  timing
+	born    time.Time
 	mu      sync.Mutex
-	name    string
-	rate    float64 // units a second, over all daemons
-	depth   float64 // the most that all daemons' bucket holds
+	rate    rate
 	left    float64 // units that may be let in at once, below 0 after too much was
 	share   float64 // of the bucket that left is of
 	at      time.Time
@@ -28,22 +40,27 @@
 	counts  counts
 }
 
-// counts are a workspace's counters.
+// counts are a bucket's counters; none is counted where they are nil.
 type counts struct{ spent, refused tally.Counter }
 
-// reconfigure takes in that the workspace's allowance may have changed.
-func (b *bucket) reconfigure(now time.Time, w *core.Workspace, window core.Window) {
+// has says whether a share of what may be left at once is.
+func (b *bucket) has(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update(now)
-	b.configure(w, window)
-	b.left = min(b.left, b.depth*b.share)
+	return b.share > 0 && b.left >= share*b.rate.depth*b.share
 }
 
-// configure takes in the workspace's allowance; the caller holds the lock, or has just
-// made the bucket.
-func (b *bucket) configure(w *core.Workspace, window core.Window) {
-	b.name, b.rate, b.depth = w.Name, w.Rate, w.Burst+slackShare*window.Slack
+// reconfigure takes in that the rate may have changed.
+func (b *bucket) reconfigure(now time.Time, r rate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(now)
+	if b.left < 0 && b.rate.perSecond > 0 && r.perSecond < b.rate.perSecond && b.timing.counted {
+		b.left *= r.perSecond / b.rate.perSecond // as many seconds of the new rate, or nothing would be let in for long
+	}
+	b.rate = r
+	b.left = min(b.left, r.depth*b.share)
 }
 
 // update brings the estimate up to now; the caller holds the lock.
@@ -56,7 +73,11 @@
 	}
 	seconds := max(0, now.Sub(b.at).Seconds())
 	b.at = now
-	b.left = min(b.depth*b.share, b.left+(b.rate*b.share-b.others.Spent)*seconds)
+	gain := b.rate.perSecond * b.share
+	if !b.timing.counted {
+		gain -= b.others.Spent
+	}
+	b.left = min(b.rate.depth*b.share, b.left+gain*seconds)
 }
 
 // miss takes in that daemons are out of touch: those in touch have a smaller share of the
@@ -64,17 +85,17 @@
 // told last. The caller holds the lock.
 func (b *bucket) miss(now time.Time, u core.Usage, share float64) {
 	gone := b.share - share
-	each := (b.spent.rate(now) + u.Spent) / share
+	each := (b.spent.rate(now, b.timing.spent) + u.Spent) / share
 	told := max(0, b.others.Spent-u.Spent)
 	b.left -= max(0, each*gone-told) * missTime.Seconds()
 	b.left *= share / b.share
 }
 
 // allowed is the share of what is asked for, in units a second over all daemons in touch,
-// that may be let in now; the caller holds the lock. A workspace that asks for no more than
-// its rate is let in as long as anything is left.
+// that may be let in now; the caller holds the lock. What asks for no more than the rate is
+// let in as long as anything is left.
 func (b *bucket) allowed(asked float64, young bool) float64 {
-	refill, flow := b.rate*b.share, 1.0
+	refill, flow, horizon := b.rate.perSecond*b.share, 1.0, b.timing.horizon
 	if refill <= 0 {
 		return b.left / (asked * horizon.Seconds())
 	}
@@ -87,26 +108,42 @@
 
 // chance is the probability with which a request is let in where a share of what is asked
 // for can be; the caller holds the lock.
-func (b *bucket) chance(share, units float64) float64 {
-	b.size.add(units)
+func (b *bucket) chance(share, size float64) float64 {
+	b.size.add(size)
 	if share >= 1 || share <= 0 {
 		return share
 	}
-	return math.Pow(share, math.Sqrt(units/b.size.mean()))
+	return math.Pow(share, math.Sqrt(size/b.size.mean()))
 }
 
 // spend counts units as let in, or back; the caller holds the lock.
 func (b *bucket) spend(now time.Time, units float64) {
 	b.left -= units
-	b.spent.add(now, units)
-	if units > 0 {
+	b.spent.add(now, b.timing.spent, units)
+	if units > 0 && b.counts.spent != nil {
 		b.counts.spent.Inc(int64(units))
 	}
 }
 
-// hear takes in what the others in touch tell of the workspace, and the share of the bucket
-// that all in touch have. A daemon that has just started takes their word for what is left.
-func (b *bucket) hear(now time.Time, u core.Usage, share float64, young bool) {
+// spendElsewhere takes in what another daemon has let in.
+func (b *bucket) spendElsewhere(now time.Time, units float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(now)
+	b.left -= units
+}
+
+// refuse counts units as refused; the caller holds the lock.
+func (b *bucket) refuse(units float64) {
+	b.refused++
+	if b.counts.refused != nil {
+		b.counts.refused.Inc(int64(units))
+	}
+}
+
+// hear takes in what the others in touch tell of the rate, and the share of the bucket that
+// all in touch have. One that has just been made takes their word for what is left.
+func (b *bucket) hear(now time.Time, u core.Usage, share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update(now)
@@ -117,7 +154,7 @@
 	b.share, b.others, b.heardAt = share, u, now
 	switch {
 	case math.IsNaN(u.Left):
-	case young && first:
+	case first && now.Sub(b.born) < youngFor:
 		b.left = u.Left
 	default:
 		b.left += follow * (u.Left - b.left)
@@ -129,22 +166,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update(now)
-	u := core.Usage{Asked: b.asked.rate(now), Spent: b.spent.rate(now), Left: b.left}
-	return u, u.Asked >= leastTold || u.Spent >= leastTold || b.others.Asked >= leastTold || b.left < b.depth*b.share
+	u := core.Usage{Asked: b.asked.rate(now, b.timing.asked), Spent: b.spent.rate(now, b.timing.spent), Left: b.left}
+	return u, u.Asked >= leastTold || u.Spent >= leastTold || b.others.Asked >= leastTold || b.left < b.rate.depth*b.share
 }
 
-// state tells operators of the bucket.
+// state tells operators of the rate.
 func (b *bucket) state(now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update(now)
 	return State{
-		Name: b.name, Rate: b.rate, Asked: b.asked.rate(now) + b.others.Asked, Spent: b.spent.rate(now) + b.others.Spent,
+		Name: b.rate.name, Rate: b.rate.perSecond, Asked: b.asked.rate(now, b.timing.asked) + b.others.Asked, Spent: b.spent.rate(now, b.timing.spent) + b.others.Spent,
 		Left: b.left, Share: b.share, Refused: b.refused, Age: b.age(now),
 	}
 }
 
-// age is how long ago the others told of the workspace, 0 if they never have.
+// age is how long ago the others told of it, 0 if they never have.
 func (b *bucket) age(now time.Time) time.Duration {
 	if b.heardAt.IsZero() {
 		return 0
@@ -171,20 +208,17 @@
 	return s.squares / s.sum
 }
 
-// meterSpan is the time over which a rate is measured.
-const meterSpan = 300 * time.Millisecond
-
-// meter measures a rate.
+// meter measures a rate over a span.
 type meter struct {
 	value float64 // units a second as of at
 	at    time.Time
 }
 
-func (m *meter) rate(now time.Time) float64 {
-	return m.value * math.Exp(-max(0, now.Sub(m.at).Seconds())/meterSpan.Seconds())
+func (m *meter) rate(now time.Time, span time.Duration) float64 {
+	return m.value * math.Exp(-max(0, now.Sub(m.at).Seconds())/span.Seconds())
 }
 
-func (m *meter) add(now time.Time, units float64) {
-	m.value = max(0, m.rate(now)+units/meterSpan.Seconds())
+func (m *meter) add(now time.Time, span time.Duration, units float64) {
+	m.value = max(0, m.rate(now, span)+units/span.Seconds())
 	m.at = now
 }
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -23,6 +23,7 @@
 	errExhausted = errors.New("exhausted")
 	errFull      = errors.New("full")
 	errDown      = errors.New("down")
+	errLimited   = errors.New("limited")
 )
 
 // reasons tells callers of these.
@@ -31,6 +32,7 @@
 	errExhausted: "no other runner may serve the request",
 	errFull:      "all runners that may serve the request are full",
 	errDown:      "the runners that may serve the request have ended",
+	errLimited:   "the runners that may serve the request take no more for now",
 }
 
 // refuseFor is refuse for one of reasons.
@@ -41,19 +43,21 @@
 // came must not get it. Its error is one of reasons.
 func (j *job) choose(ctx context.Context) (*core.Runner, error) {
 	holders, candidates := j.candidates()
-	i := policy.Choose(candidates, j.ask())
+	i := j.pick(candidates)
 	if j.asksFor(candidates, i) {
 		if r := j.placed(ctx, len(candidates) > 0); r != nil {
 			return r, nil
 		}
 		holders, candidates = j.candidates() // may have come while it waited
-		i = policy.Choose(candidates, j.ask())
+		i = j.pick(candidates)
 	}
 	switch {
 	case len(candidates) == 0 && j.sends > 0:
 		return nil, errExhausted
 	case len(candidates) == 0:
 		return nil, errAbsent
+	case i < 0 && j.limited:
+		return nil, errLimited
 	case i < 0:
 		return nil, errFull
 	case candidates[i].Down && !j.d.loads.Probe(candidates[i].ID):
@@ -100,7 +104,8 @@
 			continue
 		}
 		v := j.d.loads.View(e.ID)
-		if c := (policy.Candidate{Slots: e.Slots, Requests: v.Requests}); !v.Down && !c.Full(ask) {
+		_, limited := j.d.limits.Limit(e.ID)
+		if c := (policy.Candidate{Slots: e.Slots, Requests: v.Requests}); !v.Down && !limited && !c.Full(ask) {
 			return true
 		}
 	}
@@ -158,11 +163,12 @@
 			continue
 		}
 		v := j.d.loads.View(e.ID)
+		limit, limited := j.d.limits.Limit(e.ID)
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
 			ID: e.ID, Slots: e.Slots, Requests: v.Requests, Penalty: v.Penalty,
 			SamePlace: e.Place == j.d.place, Leaving: e.Leaves > 0 && e.Leaves < leaveMargin,
-			Wait: j.d.pace.Wait(now, e.ID), Down: v.Down,
+			Wait: j.d.pace.Wait(now, e.ID), Down: v.Down, Limited: limited && !limit.Spare,
 		})
 	}
 	return holders, out
@@ -187,6 +193,9 @@
 	if j.q.Adapter != "" {
 		j.d.catalog.Learn(id, j.q.Model, j.q.Adapter, true)
 	}
+	if !j.take(id, j.d.limits.Take) {
+		return nil
+	}
 	j.log.Info(logs.ModelPlaced, zap.String("runner", id), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
 		zap.Duration("waited", j.d.clock.Since(began)))
 	return &e.Runner
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -117,7 +117,7 @@
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
 		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: core.NoGuard{},
-		allowance: core.Unbounded{}, limits: allowance.NewRunners(clock, log, tally.NoopScope),
+		allowance: core.Unbounded{}, limits: allowance.NewRunners(clock, log),
 	}
 	for _, o := range opts {
 		o(d)
@@ -149,7 +149,9 @@
 	stage    stage              // how far its answer has come
 	begunAt  time.Time          // when the answer to the latest send began
 	kept     bool               // a repeat of the budget has been taken for the next send
-	retry    time.Duration      // when what is absent may be there; 0: not known
+	retry    time.Duration      // when what is absent may be there, or a limit lets it through; 0: not known
+	limited  bool               // a runner was left out, as it takes no more for now
+	taken    string             // the runner of whose limit the next send has taken; empty: none
 	last     string             // id of the last event passed on
 	drop     context.CancelFunc // ends the connection of the latest send
 	began    func()             // called when the latest send's answer has begun
@@ -180,6 +182,7 @@
 	d.running.Add(1)
 	end := func() {
 		j.giveBack()
+		j.giveLimit()
 		cancel()
 		leave()
 		d.running.Add(-1)
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -97,7 +97,7 @@
 // callers count on the word.
 func (j *job) refuse(code, message string, err error) error {
 	retry := policy.RetryAfter(j.route.Target, j.engine())
-	if j.retry > 0 && (code == errAbsent.Error() || code == errDown.Error()) {
+	if j.retry > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error()) {
 		retry = j.retry
 	}
 	j.log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -34,6 +34,7 @@
 		j.d.budget.First(j.service)
 	}
 	j.sends++
+	j.sent(r.ID)
 	j.sentAt, j.stage = j.d.clock.Now(), stageSent
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
@@ -45,6 +46,9 @@
 	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
 		j.runs++
 	}
+	if errors.Is(err, core.ErrNotSent) {
+		j.d.limits.Give(r.ID)
+	}
 	if err != nil {
 		span.RecordError(err)
 		span.End()
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -67,6 +68,9 @@
 	Penalty   float64 // for lately failed attempts, in parts of its slots
 	// Down: its process has ended, though its entry stands.
 	Down bool
+	// Limited: it has named how much it takes, and is left to requests that no other runner
+	// can serve.
+	Limited bool
 	// Wait is how long a prompt would wait for its turn to be sent there.
 	Wait time.Duration
 }
@@ -100,7 +104,7 @@
 	allDown := AllDown(candidates)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Down && !allDown || c.Full(a) {
+		if c.Down && !allDown || c.Limited || c.Full(a) {
 			continue
 		}
 		cost := c.cost()
@@ -117,6 +121,19 @@
 	return best
 }
 
+// Limited returns the indexes of the limited candidates that have room, the best one first.
+func Limited(candidates []Candidate, a Ask) []int {
+	var out []int
+	for i := range candidates {
+		if c := &candidates[i]; c.Limited && !c.Down && !c.Full(a) {
+			out = append(out, i)
+		}
+	}
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	slices.SortStableFunc(out, func(i, k int) int { return cmp.Compare(candidates[i].cost(), candidates[k].cost()) })
+	return out
+}
+
 // AllDown says whether no candidate's process runs.
 func AllDown(candidates []Candidate) bool {
 	return !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Down })
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -9,6 +9,10 @@
 	// daemons together, another number than before, or none any more: from which daemon that
 	// was heard.
 	RunnerLimit = "runner limit"
+	// RunnerAtLimit: a runner was left out, as it takes no more for now: its limit, from whom
+	// and how long ago that was heard, what is left and asked for, of how many daemons of how
+	// many, and how old their word is.
+	RunnerAtLimit = "runner at its limit"
 	// RunnerLimitUnreadable: what a runner names as its limit is none.
 	RunnerLimitUnreadable = "runner limit unreadable"
 	// RunnerRejected: the runner states that it did not run the request.
--- a/proof/limits_test.go
+++ b/proof/limits_test.go
@@ -1,14 +1,19 @@
 package proof
 
 import (
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	wire "primroseward/platform"
 	"primroseward/standin/runner"
 )
 
@@ -86,3 +91,80 @@
 	assert.Equal(t, len(got), 1, "requests were not served while other runners had room: %v", got)
 	assert.Assert(t, got[http.StatusOK] > 0)
 }
+
+// answer is what a caller gets from a daemon.
+func (d *fleetDaemon) answer(t *testing.T, path string) *http.Response {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+d.caller+path, nil)
+	assert.NilError(t, err)
+	q.Host = "h.example"
+	q.Header.Set(wire.HeaderRequestID, fmt.Sprintf("q%d", fleetSerial.Add(1)))
+	q.Header.Set(wire.HeaderTimeout, "4000")
+	resp, err := http.DefaultClient.Do(q)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	return resp
+}
+
+// Where all runners are limited callers get no answer until their deadline, or none that
+// tells when to come back; what the runners would take stays unused.
+func TestLimitedRunnersAreUsedAndTheRestRefusedAtOnce(t *testing.T) {
+	const rate = 6.0
+	c := startFleet(t, 3)
+	for _, r := range c.runners[2:] {
+		r.SetLimit("6")
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	served, refused := 0, 0
+	for end := began.Add(limitSettle + 2*limitSpan); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		d := c.daemons[rand.IntN(len(c.daemons))]
+		wg.Go(func() {
+			resp := d.answer(t, "/ask/x")
+			mu.Lock()
+			defer mu.Unlock()
+			switch resp.StatusCode {
+			case http.StatusOK:
+				served++
+				assert.Check(t, resp.Header.Get(wire.HeaderLimit) == "6", "the limit is not in the answer as the runner wrote it")
+			case http.StatusServiceUnavailable:
+				refused++
+				after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				assert.Check(t, err == nil && after > 0, "%v", resp.Header)
+			default:
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(began)
+	for _, r := range c.runners[2:] {
+		most := mostWithin(r.Arrived(), began.Add(limitSettle), limitSpan)
+		assert.Assert(t, most <= int(1.5*rate*limitSpan.Seconds()+5), "%s: %d arrivals", r.ID, most)
+	}
+	t.Logf("%d served, %d refused in %v", served, refused, took)
+	assert.Assert(t, refused > 0)
+	assert.Assert(t, float64(served) >= 0.8*2*rate*(took-limitSettle).Seconds(), "%d served", served)
+}
+
+// A runner that names no limit any more is still left out.
+func TestRunnerIsTrustedOnceItNamesNoLimit(t *testing.T) {
+	c := startFleet(t, 3)
+	for _, r := range c.runners[2:] {
+		r.SetLimit("0.5")
+	}
+	c.press(20*time.Millisecond, 4*time.Second)
+	for _, r := range c.runners[2:] {
+		r.SetLimit()
+	}
+	// What is let through now and then tells that the limit has ended.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := c.press(20*time.Millisecond, time.Second); len(got) > 1 || got[http.StatusOK] == 0 {
+			return poll.Continue("%v", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -47,6 +47,7 @@
 	dialect core.Dialect
 	dialer  net.Dialer
 	dialed  func()
+	called  func(id string)
 
 	mu    sync.Mutex
 	pools map[string][]*conn // idle connections, last used last
@@ -58,10 +59,13 @@
 // WithDialed calls fn for each new connection.
 func WithDialed(fn func()) Option { return func(c *Client) { c.dialed = fn } }
 
+// WithCalled calls fn for each order or question that is sent to a runner.
+func WithCalled(fn func(id string)) Option { return func(c *Client) { c.called = fn } }
+
 // New makes a Client.
 func New(clock core.Clock, dialect core.Dialect, opts ...Option) *Client {
 	c := &Client{
-		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {},
+		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {}, called: func(string) {},
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout},
 	}
 	for _, o := range opts {
@@ -285,6 +289,7 @@
 	if instance != "" {
 		c.dialect.WriteInstance(header, instance)
 	}
+	c.called(r.ID)
 	reply, err := c.exchange(ctx, r, "", method, r.Addr.String(), path, header, payload)
 	if err != nil {
 		return 0, nil, err
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -155,7 +155,7 @@
 		}))
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
-	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }))
+	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialed(func() { dials.Inc(1) }), runner.WithCalled(func(id string) { d.limits.Charge(id) }))
 	d.catalog = catalog.New(d.clock, catalog.WithGone(d.gone), catalog.WithRestarted(d.restarted), catalog.WithConfig(d.newConfig))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
@@ -164,13 +164,14 @@
 		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.pause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	d.allowances = allowance.New(d.clock, func() core.Window { return d.bounds.Load().Quota.Bounds() }, allowance.WithScope(d.scope))
-	d.limits = allowance.NewRunners(d.clock, d.log, d.scope)
+	d.limits = allowance.NewRunners(d.clock, d.log, allowance.WithRunnersScope(d.scope), allowance.WithTell(d.tellLimit))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
 	}
 	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.Own, d.heard, peers.WithNews(d.news), peers.WithCount(d.countDatagram),
-		peers.WithUsage(d.allowances.Usage, d.allowances.Heard))
+		peers.WithUsage(d.usage, d.heardUsage))
+	d.peers.Handle(kindLimit, d.handleLimit)
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.Window), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), rival{d}, d.clock, d.log, lease.WithCandidate(d.watches))
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -67,8 +67,8 @@
 	cutAfter int // events after which the next stream is cut; 0: never
 	failing  int // requests to answer 500
 	running  int
-	busy     bool // a model is being loaded
-	ended    bool // by a fatal request
+	busy     bool        // a model is being loaded
+	ended    bool        // by a fatal request
 	limit    []string    // values of the header that names its limit
 	arrived  []time.Time // of requests
 	terms    []Term
