Placement: busy models get copies beside limited runners, adapters go to others first

Copies of a model that is asked for more than the mean do not count on limited runners, and these are given none of them; the model is not absent, so that only what is asked for less gives way. Adapters go to limited runners only where no other one has the model.

--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -86,12 +86,16 @@
 // placeModel answers for a model. Its demand is known already; the next plan
 // sees to it.
 func (h *Holder) placeModel(w dispatch.Want) Placed {
+	out := Placed{Retry: retryModel}
 	for id, one := range h.hosts {
 		if m, ok := one.models[w.Model]; ok && m.phase == present && h.mayServe(one, w) {
-			return Placed{Runner: id}
+			out = Placed{Runner: id}
+			if !one.limited {
+				break
+			}
 		}
 	}
-	return Placed{Retry: retryModel}
+	return out
 }
 
 // mayServe says whether requests for what is wanted may go to a runner.
@@ -114,7 +118,7 @@
 			continue
 		}
 		n := h.loads.View(one.runner.ID).Requests
-		if w.Busy && p == present && n >= one.engine.Slots {
+		if w.Busy && p == present && (one.limited || n >= one.engine.Slots) {
 			continue
 		}
 		if best == nil || n < low {
@@ -184,7 +188,7 @@
 			continue
 		}
 		n := h.loads.View(one.runner.ID).Requests
-		if _, has := one.adapters[adapterKey{w.Model, w.Adapter}]; has || w.Busy && n >= one.engine.Slots {
+		if _, has := one.adapters[adapterKey{w.Model, w.Adapter}]; has || w.Busy && n >= one.engine.Slots || one.limited && h.otherHas(w, one) {
 			continue
 		}
 		if one.adaptersTaken() < one.engine.AdapterSlots && one.freeMB() >= spec.AdapterMB {
@@ -205,6 +209,16 @@
 	return full, victim
 }
 
+// otherHas says whether a runner that is not limited has the model of an adapter.
+func (h *Holder) otherHas(w dispatch.Want, than *host) bool {
+	for _, one := range h.hosts {
+		if m, ok := one.models[w.Model]; one != than && ok && m.phase == present && !one.limited && h.mayServe(one, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // adapterCopies counts the copies of each adapter of a service's models.
 func (h *Holder) adapterCopies(service string) map[adapterKey]int {
 	copies := map[adapterKey]int{}
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -17,6 +17,10 @@
 // Option changes a Holder.
 type Option func(*Holder)
 
+// WithLimited sets what tells whether a runner is limited in the requests a second that it
+// takes.
+func WithLimited(fn func(runner string) bool) Option { return func(h *Holder) { h.limited = fn } }
+
 // WithGuard asks a Guard before models are loaded.
 func WithGuard(g Guard) Option { return func(h *Holder) { h.guard = g } }
 
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -101,6 +101,7 @@
 	tell    func(News)
 	replica *tree.Replica // the operators' settings; nil: none are kept
 	guard   Guard
+	limited func(runner string) bool
 
 	inbox    chan func()
 	term     uint64
@@ -124,7 +125,7 @@
 	h := &Holder{
 		self: self, catalog: c, loads: loads, orders: orders, lease: lease, clock: clock, log: log, count: count, tell: tell,
 		inbox: make(chan func(), inboxSize), hosts: map[string]*host{}, heat: map[dispatch.Want]float64{},
-		waiting: map[dispatch.Want]*waiters{}, guard: core.NoGuard{},
+		waiting: map[dispatch.Want]*waiters{}, guard: core.NoGuard{}, limited: func(string) bool { return false },
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -317,6 +318,7 @@
 			h.hosts[id] = one
 		}
 		one.runner, one.engine = e.Runner, service.Engine
+		one.limited = h.limited(id)
 		if down := h.loads.Down(id); down != one.down {
 			one.down = down
 			h.log.Info(logs.RunnerDown, zap.String("runner", id), zap.Bool("down", down), zap.Int("models", len(one.models)))
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -43,6 +43,7 @@
 	// down: its process has ended, though its entry stands. Its adapters count as gone,
 	// which are loaded elsewhere in 10 ms, and so do its models that no other runner has.
 	down     bool
+	limited  bool // takes fewer requests a second than it is likely to be sent
 	sequence uint64
 	models   map[string]*item
 	adapters map[adapterKey]*item
@@ -235,6 +236,6 @@
 	}
 	return &policy.HostState{
 		ID: h.runner.ID, Place: h.runner.Place, FreeMB: h.freeMB(), Models: models, Promised: h.promised, Local: local,
-		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Down: h.down, Requests: requests,
+		Busy: !h.synced || h.sending || h.busy(), Leaving: h.runner.Draining, Down: h.down, Limited: h.limited, Requests: requests,
 	}
 }
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -19,7 +19,10 @@
 	Leaving  bool
 	// Down: its process has ended, though its entry stands. What it held is lost; an
 	// empty process is likely to take its place soon.
-	Down     bool
+	Down bool
+	// Limited: it takes fewer requests a second than it is likely to be sent. Of the models
+	// that are asked for most its copies do not count, and it is given none of them.
+	Limited  bool
 	Requests int
 	// Allows says whether requests for a model may be served here; nil: all.
 	Allows func(model string) bool
@@ -67,20 +70,22 @@
 // most asked for before others: until it is back each request for it is refused. Then
 // the models whose copies have most to do get more of them. Copies on runners that are
 // down count there: most processes are back within seconds, and more copies elsewhere
-// until then would displace models that are in use.
+// until then would displace models that are in use. A model that only limited runners have
+// counts as without a live copy.
 func Place(engine *core.Engine, hosts []*HostState, heat map[string]float64, opts ...PlaceOption) []Move {
 	heat = expected(engine, heat)
 	p := &placement{engine: engine, heat: heat, copies: map[string]int{}, live: map[string]int{}}
 	for _, o := range opts {
 		o(p)
 	}
+	mean := p.meanHeat()
 	for _, h := range hosts {
 		if h.Leaving {
 			continue
 		}
 		p.hosts = append(p.hosts, h)
 		for m := range h.Models {
-			if !h.allows(m) {
+			if !h.allows(m) || h.Limited && heat[m] > mean {
 				continue
 			}
 			p.copies[m]++
@@ -89,6 +94,13 @@
 			}
 		}
 	}
+	for _, h := range p.hosts {
+		for m := range h.Models {
+			if h.Limited && heat[m] > mean && p.copies[m] == 0 {
+				p.copies[m] = 1 // not absent: it only has to yield to what is asked for less
+			}
+		}
+	}
 	p.target = targets(engine, p.hosts, heat)
 	for _, m := range p.wanted() {
 		p.place(m)
@@ -96,6 +108,15 @@
 	return p.moves
 }
 
+// meanHeat is how much work is asked of a model on average.
+func (p *placement) meanHeat() float64 {
+	sum := 0.0
+	for _, v := range p.heat {
+		sum += v
+	}
+	return sum / float64(max(1, len(p.engine.Models)))
+}
+
 // nextShares are how much of a model's demand is expected of the models that
 // follow it in the service's list: demand moves on along the list within
 // seconds, faster than copies can be loaded from the weight store. Half gets
@@ -242,9 +263,10 @@
 	var victim string
 	bestCost := 0.0
 	places := p.places(model)
+	mean := p.meanHeat()
 	promised := p.live[model] == 0 && p.promised(model)
 	for _, h := range p.hosts {
-		if h.Busy || h.Down || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
+		if h.Busy || h.Down || h.Limited && p.heat[model] > mean || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
 			continue
 		}
 		v := ""
--- a/coordination/policy/place_test.go
+++ b/coordination/policy/place_test.go
@@ -314,3 +314,35 @@
 func (f *fleet) promise(i int, model string) {
 	f.hosts[i].Models, f.hosts[i].Promised, f.hosts[i].Busy = map[string]bool{model: true}, model, true
 }
+
+// A model that only limited runners have is refused for as long as they are limited, while
+// others have second copies of models that are asked for less.
+func TestModelsOfLimitedRunnersGetCopiesElsewhere(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		heat    map[string]float64
+		limited int
+		want    bool // a copy elsewhere
+	}{
+		{"asked for", map[string]float64{"m00": 10, "m01": 1, "m02": 1}, 1, true},
+		{"not asked for", map[string]float64{"m01": 10, "m02": 10}, 1, false},
+		{"two runners are limited", map[string]float64{"m00": 10, "m01": 1, "m02": 1}, 2, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(4, 100, []float64{100, 100, 100})
+			for i, m := range []string{"m00", "m01", "m02", "m01"} {
+				f.hosts[i].FreeMB, f.hosts[i].Models[m] = 0, true
+				f.hosts[i].Limited = i < tt.limited
+			}
+			f.settle(t, tt.heat, 4)
+			copies := 0
+			for _, h := range f.hosts[1:] {
+				if h.Models["m00"] {
+					copies++
+				}
+			}
+			assert.Equal(t, copies > 0, tt.want)
+			assert.Assert(t, f.hosts[0].Models["m00"], "the limited runner goes on with what it holds")
+		})
+	}
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -181,7 +181,7 @@
 		quarantine.WithHeld(func(digest core.Digest) { d.dispatcher.Hold(digest) }), quarantine.WithStore(d.store, d.readsHolds))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
-		placement.NewSpreader(d.peers, d.catalog, d.clock, d.log).Tell, placement.WithGuard(d.quarantine))
+		placement.NewSpreader(d.peers, d.catalog, d.clock, d.log).Tell, placement.WithGuard(d.quarantine), placement.WithLimited(d.isLimited))
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
--- a/services/fleet/limits.go
+++ b/services/fleet/limits.go
@@ -39,3 +39,9 @@
 	d.allowances.Heard(heard, known, others)
 	d.limits.Heard(heard, known, others)
 }
+
+// isLimited says whether a runner names a limit.
+func (d *Daemon) isLimited(runner string) bool {
+	_, ok := d.limits.Limit(runner)
+	return ok
+}
