Owner: the own interface keeps to the limit that an endpoint names

The own interface read no limit either: an endpoint that names 2 a second got what came. Its owner is the only one that sends to it, so that it holds the same bucket by itself; a request that does not get through is refused as limited, and its entry goes to another endpoint, or answers at once with when to come back. The limit goes with the endpoint's process and with its owner.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -23,7 +23,7 @@
 	errExhausted = errors.New("exhausted")
 	errFull      = errors.New("full")
 	errDown      = errors.New("down")
-	errLimited   = errors.New("limited")
+	errLimited   = errors.New(core.CodeLimited)
 )
 
 // reasons tells callers of these.
--- a/coordination/entry/attempts.go
+++ b/coordination/entry/attempts.go
@@ -181,7 +181,7 @@
 		}
 		r.Owner = owned.Name
 		if w.refused[r.Runner] {
-			known = known || w.last != nil && w.last.Code == "overloaded"
+			known = known || w.last != nil && (w.last.Code == core.CodeOverloaded || w.last.Code == core.CodeLimited)
 			continue
 		}
 		known = true
--- a/coordination/owner/admit.go
+++ b/coordination/owner/admit.go
@@ -4,7 +4,10 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"primroseward/core"
+	"primroseward/io/logs"
 	"primroseward/state/tree"
 )
 
@@ -32,9 +35,33 @@
 	left := a.Deadline.Sub(r.mgr.clock.Now())
 	if wait > min(target, left) {
 		retry := max(minRetry, wait-target)
-		return core.NotRun(http.StatusServiceUnavailable, "overloaded", "the queue is longer than the class's target allows", retry)
+		return core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, "the queue is longer than the class's target allows", retry)
 	}
-	return nil
+	return r.takeLimit(a)
+}
+
+// takeLimit lets an attempt through by the limit that the endpoint names.
+func (r *runner) takeLimit(a *Attempt) *core.RequestError {
+	limit, ok := r.mgr.limits.Limit(r.id)
+	if !ok {
+		return nil
+	}
+	got := r.mgr.limits.Take(r.id, a.Class.Rank())
+	if got.OK {
+		a.limited = true
+		return nil
+	}
+	r.mgr.log.Info(logs.RunnerAtLimit, zap.String("runner", r.id), zap.String("request", a.Request.Request), zap.Float64("limit", limit.Rate),
+		zap.Duration("heard", limit.Age), zap.Float64("left", got.Left), zap.Float64("asked", got.Asked), zap.Duration("retry", got.Retry))
+	return core.NotRun(http.StatusServiceUnavailable, core.CodeLimited, "the endpoint takes no more for now", got.Retry)
+}
+
+// refuse ends an attempt that was admitted and is not sent.
+func (r *runner) refuse(a *Attempt, err *core.RequestError) {
+	if a.limited {
+		r.mgr.limits.Give(r.id)
+	}
+	a.refuse(err)
 }
 
 // permit checks what must hold at the moment of sending: the settings in force
--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -57,11 +57,14 @@
 	clock    core.Clock
 	ctx      context.Context
 	cancel   context.CancelFunc
-	began    time.Time // of its slot; set before run starts
-	life     life      // of the endpoint when it was sent; set before run starts
-	readAt   time.Time // last seen with a reader; held by the sweep
-	ended    time.Time // held by the sweep
-	status   int       // of the answer; held by run
+	began    time.Time           // of its slot; set before run starts
+	life     life                // of the endpoint when it was sent; set before run starts
+	answered func(h http.Header) // takes in an answer's headers; set before run starts
+	again    func()              // counts the answer as asked for once more; set before run starts
+	limited  bool                // has been let through by the endpoint's limit; held by the loop
+	readAt   time.Time           // last seen with a reader; held by the sweep
+	ended    time.Time           // held by the sweep
+	status   int                 // of the answer; held by run
 	span     trace.SpanContext
 	unwatch  func() bool // ends the watch for a deadline in the queue
 }
@@ -88,6 +91,7 @@
 		return
 	}
 	a.status = ans.Status
+	a.answered(ans.Header)
 	a.Buffer.SetHead(answer.Head{Status: ans.Status, Header: ans.Header})
 	if err := a.copyAll(ctx, ans); err != nil {
 		a.Buffer.Fail(a.explain(err))
@@ -131,6 +135,7 @@
 	tail := &tailCheck{on: isEvents(ans.Header)}
 	err := a.copyOne(ctx, ans.Body, tail)
 	for try := 0; err != nil && try < resumes && ctx.Err() == nil && a.Model != ""; try++ {
+		a.again()
 		next, resumeErr := a.endpoint.Resume(ctx, a.call(), a.Buffer.Len())
 		if resumeErr != nil {
 			return err
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"primroseward/coordination/allowance"
 	"primroseward/core"
 	"primroseward/state/answer"
 	"primroseward/state/directory"
@@ -58,6 +59,7 @@
 	attempts attempts
 	floors   floors
 	store    weights
+	limits   *allowance.Runners
 
 	mu      sync.Mutex
 	runners map[string]*runner
@@ -112,6 +114,8 @@
 	for _, o := range opts {
 		o(m)
 	}
+	m.limits = allowance.NewRunners(clock, m.log, allowance.WithRunnersScope(m.scope))
+	m.limits.Heard(1, 1, nil) // nobody but the owner sends to a runner
 	m.floors = floors{platform: platform, log: m.log, ready: m.readyRunners}
 	m.store = weights{platform: platform, clock: clock, log: m.log}
 	return m
@@ -218,6 +222,7 @@
 func (m *Manager) runClose(r *runner) {
 	defer m.wg.Done()
 	r.close()
+	m.limits.Forget(r.id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.closing, r)
@@ -273,7 +278,7 @@
 		return a
 	}
 	if !r.post(enqueue{a}) {
-		a.refuse(core.NotRun(http.StatusServiceUnavailable, "overloaded", "too many requests arrive at once", minRetry))
+		a.refuse(core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, "too many requests arrive at once", minRetry))
 	}
 	return a
 }
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -51,7 +51,8 @@
 	ready    map[string]bool // models observed ready
 	leaving  bool            // the endpoint says so itself
 	misses   int
-	seen     bool // observed at least once
+	seen     bool      // observed at least once
+	begun    time.Time // of the endpoint's life that was observed last
 	released bool
 
 	ending sync.RWMutex // guards over
@@ -191,11 +192,11 @@
 		}
 		a := item.Value.(*Attempt)
 		if err := r.permit(a); err != nil {
-			a.refuse(err)
+			r.refuse(a, err)
 			continue
 		}
 		if a.ctx.Err() != nil {
-			a.refuse(gaveUp())
+			r.refuse(a, gaveUp())
 			continue
 		}
 		r.start(a)
@@ -209,6 +210,13 @@
 	a.stall = t.Effective(r.coord(a)).Stall
 	a.began = r.mgr.clock.Now()
 	a.life = r.alive.now()
+	if !a.limited {
+		r.mgr.limits.Charge(r.id) // was admitted before the endpoint named its limit
+	}
+	a.again = func() { r.mgr.limits.Charge(r.id) }
+	a.answered = func(h http.Header) {
+		r.mgr.limits.Answered(r.id, core.ReplyInfo{Stamped: true, Limit: core.ReadRateLimit(h.Values(core.HeaderLimit))})
+	}
 	r.running[a.Attempt] = a
 	r.perModel[a.Model]++
 	r.wg.Add(1)
@@ -245,7 +253,7 @@
 
 func (e giveUp) apply(r *runner) {
 	if r.queue.Remove(e.attempt.Attempt) != nil {
-		e.attempt.refuse(gaveUp())
+		r.refuse(e.attempt, gaveUp())
 	}
 }
 
@@ -260,6 +268,10 @@
 }
 
 func (e observed) apply(r *runner) {
+	if is := r.alive.now(); !is.begun.Equal(r.begun) {
+		r.begun = is.begun
+		r.mgr.limits.Forget(r.id) // was another process's
+	}
 	if e.err != nil {
 		r.misses++
 		if r.misses == missesToLose {
@@ -287,7 +299,7 @@
 // runner; what runs goes on.
 func (r *runner) refuseAll(code, message string) {
 	for _, item := range r.queue.Drain() {
-		item.Value.(*Attempt).refuse(core.NotRun(http.StatusServiceUnavailable, code, message, minRetry))
+		r.refuse(item.Value.(*Attempt), core.NotRun(http.StatusServiceUnavailable, code, message, minRetry))
 	}
 }
 
--- a/core/errors.go
+++ b/core/errors.go
@@ -30,6 +30,13 @@
 	OutcomeMayHaveRun Outcome = "may_have_run"
 )
 
+// CodeOverloaded and CodeLimited are the codes of refusals by runners with too long a queue,
+// and by those that take no more requests for now by the limit that they name.
+const (
+	CodeOverloaded = "overloaded"
+	CodeLimited    = "limited"
+)
+
 // CodeEndpointBroken is the code of an attempt whose endpoint closed the connection, or
 // went silent, before a whole answer.
 const CodeEndpointBroken = "endpoint_broken"
--- a/core/headers.go
+++ b/core/headers.go
@@ -6,6 +6,9 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderPriority is RFC 9218's urgency.
 	HeaderPriority = "Priority"
+	// HeaderLimit is the requests a second that an endpoint takes from all daemons together,
+	// for as long as its answers have it.
+	HeaderLimit = "Server-Limit"
 	// HeaderIdempotencyKey marks resends of the same request by a caller.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderRequest carries a caller's request id both ways.
--- a/proof/limits_test.go
+++ b/proof/limits_test.go
@@ -15,6 +15,7 @@
 
 	wire "primroseward/platform"
 	"primroseward/standin/runner"
+	"primroseward/standin/service"
 )
 
 // limitSpan is the span over which arrivals at a limited runner are counted, limitSettle
@@ -168,3 +169,33 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 }
+
+// An endpoint of the own interface names the requests a second that it takes, and gets all
+// that come.
+func TestOwnerKeepsAnEndpointsLimit(t *testing.T) {
+	const rate = 2.0
+	s := small()
+	s.plain = []string{"p1", "p2"}
+	c := start(t, s)
+	limited := c.services["p1"]
+	limited.SetFaults(service.Faults{Limit: "2"})
+	began := time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	got := map[string]int{}
+	for end := began.Add(limitSettle + limitSpan); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		d := c.daemons[rand.IntN(len(c.daemons))]
+		wg.Go(func() {
+			r, err := d.send(http.MethodPost, "/services/parts/x", "belt")
+			assert.Check(t, err)
+			mu.Lock()
+			defer mu.Unlock()
+			got[fmt.Sprint(r.status, r.code)]++
+		})
+	}
+	wg.Wait()
+	runs := len(limited.Runs())
+	t.Logf("%d runs at the limited endpoint, answers %v", runs, got)
+	assert.Assert(t, float64(runs) <= 1.5*rate*(limitSettle+limitSpan).Seconds()+5, "%d runs", runs)
+	assert.Assert(t, runs > 0 && len(got) == 1, "requests were not served while another endpoint had room: %v", got)
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -23,6 +23,7 @@
 	Cut     int           `json:"cut"`    // requests that run and whose connection is cut
 	Delay   time.Duration `json:"delay"`
 	Leaving bool          `json:"leaving"`
+	Limit   string        `json:"limit"` // named in each answer; empty: none
 }
 
 // Run is one request that has run.
@@ -100,5 +101,8 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
+	if f.Limit != "" {
+		w.Header().Set(core.HeaderLimit, f.Limit)
+	}
 	_, _ = fmt.Fprintf(w, "{\"service\":%q,\"run\":%d,\"method\":%q,\"path\":%q,\"body\":%q}\n", s.name, n, r.Method, r.URL.RequestURI(), body)
 }
