Allowance: rates of the settings tree are shared by use, limits hold less at once

Where daemons tell each other what they let in, a rate that the settings tree allows was still divided evenly: a service whose callers come by one daemon of eight got an eighth of it. It is now held by the same buckets as runners' limits (TestSettingsRateIsSharedByUse: 20 a second at one of eight daemons; the even part is 2.5). The own interface's daemons do not tell each other and keep even parts.

--- a/coordination/allowance/runners.go
+++ b/coordination/allowance/limits.go
@@ -20,7 +20,7 @@
 	leastRate = 0.25
 	// depthTime is the time of a runner's limit that may be sent at once, leastDepth the
 	// least number of requests.
-	depthTime  = time.Second
+	depthTime  = 500 * time.Millisecond
 	leastDepth = 2
 	// spareShare is the part of what may be sent at once that must be left for a request that
 	// another runner could serve.
@@ -41,9 +41,9 @@
 	problemEvery = time.Second
 )
 
-// ofRunners is for a few requests a second: over a shorter time one request looks like a
+// ofLimits is for a few requests a second: over a shorter time one request looks like a
 // crowd.
-var ofRunners = timing{horizon: 500 * time.Millisecond, asked: time.Second, spent: 300 * time.Millisecond, counted: true}
+var ofLimits = timing{horizon: 300 * time.Millisecond, asked: time.Second, spent: 300 * time.Millisecond, counted: true}
 
 // Word is what daemons tell each other of a runner: its limit, or how many requests were
 // sent to it under that.
@@ -54,9 +54,10 @@
 	Sent    float64 `json:"n,omitempty"` // requests since the last word; other than 0: nothing else is told
 }
 
-// Runners holds what all daemons send to a runner to the limit that it names in its answers.
-// Nothing is kept of runners without a limit.
-type Runners struct {
+// Limits holds what all daemons send to a runner to the limit that it names in its answers,
+// and what they let in of a service to the rate that the settings allow. Nothing is kept of
+// runners and services without one.
+type Limits struct {
 	clock core.Clock
 	log   *zap.Logger
 	scope tally.Scope
@@ -94,30 +95,30 @@
 // end is of a limit.
 type end struct{ at, told time.Time }
 
-// RunnersOption changes Runners.
-type RunnersOption func(*Runners)
+// LimitsOption changes Limits.
+type LimitsOption func(*Limits)
 
 // WithTell sets what tells the other daemons of a runner's limit.
-func WithTell(fn func(Word)) RunnersOption { return func(r *Runners) { r.tell = fn } }
+func WithTell(fn func(Word)) LimitsOption { return func(r *Limits) { r.tell = fn } }
 
-// WithRunnersScope counts in a scope.
-func WithRunnersScope(s tally.Scope) RunnersOption { return func(r *Runners) { r.scope = s } }
+// WithLimitsScope counts in a scope.
+func WithLimitsScope(s tally.Scope) LimitsOption { return func(r *Limits) { r.scope = s } }
 
 // WithPool changes the pool of the limits.
-func WithPool(opts ...Option) RunnersOption {
-	return func(r *Runners) {
+func WithPool(opts ...Option) LimitsOption {
+	return func(r *Limits) {
 		for _, o := range opts {
 			o(r.pool)
 		}
 	}
 }
 
-// NewRunners returns Runners that knows no limits. Until Heard is called nothing is sent to
+// NewLimits returns Limits that knows no limits. Until Heard is called nothing is sent to
 // a limited runner.
-func NewRunners(clock core.Clock, log *zap.Logger, opts ...RunnersOption) *Runners {
-	r := &Runners{clock: clock, log: log, scope: tally.NoopScope, tell: func(Word) {}}
+func NewLimits(clock core.Clock, log *zap.Logger, opts ...LimitsOption) *Limits {
+	r := &Limits{clock: clock, log: log, scope: tally.NoopScope, tell: func(Word) {}}
 	r.pool = New(clock, func() core.Window { return core.Window{} })
-	r.pool.timing = ofRunners
+	r.pool.timing = ofLimits
 	for _, o := range opts {
 		o(r)
 	}
@@ -127,11 +128,11 @@
 }
 
 // limitOf returns a runner's limit, nil if it has none.
-func (r *Runners) limitOf(runner string) *limit { return (*r.limits.Load())[runner] }
+func (r *Limits) limitOf(runner string) *limit { return (*r.limits.Load())[runner] }
 
 // Answered takes in what an answer of a runner says of its limit. A rejection that names
 // none may have been written by another instance, or before the request was looked at.
-func (r *Runners) Answered(runner string, info core.ReplyInfo) {
+func (r *Limits) Answered(runner string, info core.ReplyInfo) {
 	if _, ended := (*r.ended.Load())[runner]; !ended && info.Limit == (core.RateLimit{}) && r.limitOf(runner) == nil {
 		return
 	}
@@ -150,7 +151,7 @@
 }
 
 // Told takes in what another daemon has heard from a runner.
-func (r *Runners) Told(from string, w Word) {
+func (r *Limits) Told(from string, w Word) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch l := r.limitOf(w.Runner); {
@@ -167,7 +168,7 @@
 }
 
 // noteProblem counts a limit that can't be read; the caller holds the lock.
-func (r *Runners) noteProblem(runner, problem string) {
+func (r *Limits) noteProblem(runner, problem string) {
 	r.scope.Counter("runner_limits_unreadable").Inc(1)
 	if now := r.clock.Now(); now.Sub(r.problemAt) >= problemEvery {
 		r.problemAt = now
@@ -176,7 +177,7 @@
 }
 
 // set takes in a runner's limit; the caller holds the lock.
-func (r *Runners) set(runner string, perSecond float64, from string) {
+func (r *Limits) set(runner string, perSecond float64, from string) {
 	now, was := r.clock.Now(), r.limitOf(runner)
 	next := &limit{rate: perSecond, began: now, at: now, from: from}
 	former := 0.0
@@ -200,7 +201,7 @@
 
 // spread tells the others of a limit that they do not know, or have not been told of for
 // long; the caller holds the lock.
-func (r *Runners) spread(runner string, l *limit, now time.Time) {
+func (r *Limits) spread(runner string, l *limit, now time.Time) {
 	if l.from != "" {
 		l.told, l.word = now, l.rate
 		return
@@ -217,7 +218,7 @@
 
 // endedLately says whether a limit has ended within endMemory, and forgets those that ended
 // before; the caller holds the lock.
-func (r *Runners) endedLately(runner string) bool {
+func (r *Limits) endedLately(runner string) bool {
 	now := r.clock.Now()
 	lately := maps.Clone(*r.ended.Load())
 	maps.DeleteFunc(lately, func(_ string, e end) bool { return now.Sub(e.at) >= endMemory })
@@ -228,7 +229,7 @@
 
 // tellEnd tells the others of the end of a limit, again with later answers as a message may
 // be lost; the caller holds the lock.
-func (r *Runners) tellEnd(runner string) {
+func (r *Limits) tellEnd(runner string) {
 	now := r.clock.Now()
 	if !r.endedLately(runner) || now.Sub((*r.ended.Load())[runner].told) < tellEvery {
 		return
@@ -240,7 +241,7 @@
 }
 
 // unset takes in that a runner names no limit any more; the caller holds the lock.
-func (r *Runners) unset(runner, from string) {
+func (r *Limits) unset(runner, from string) {
 	was := r.limitOf(runner)
 	if was == nil {
 		return
@@ -256,7 +257,7 @@
 }
 
 // replace puts the limits in force; the caller holds the lock.
-func (r *Runners) replace(limits map[string]*limit) {
+func (r *Limits) replace(limits map[string]*limit) {
 	r.limits.Store(&limits)
 	buckets := make(map[core.Code]*bucket, len(limits))
 	for runner, l := range limits {
@@ -269,7 +270,7 @@
 }
 
 // newBucket returns the empty bucket of a runner that has just named a limit.
-func (r *Runners) newBucket(runner string, now time.Time, perSecond float64) *bucket {
+func (r *Limits) newBucket(runner string, now time.Time, perSecond float64) *bucket {
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	return r.pool.newBucket(core.CodeOf(runner), now, r.pool.fleet.Load().share(), rateOfRunner(runner, perSecond))
@@ -291,7 +292,7 @@
 }
 
 // Limit returns a runner's limit, false if it has none.
-func (r *Runners) Limit(runner string) (Limit, bool) {
+func (r *Limits) Limit(runner string) (Limit, bool) {
 	l := r.limitOf(runner)
 	if l == nil {
 		return Limit{}, false
@@ -320,7 +321,7 @@
 }
 
 // count tells the others of requests that are sent to a runner.
-func (r *Runners) count(runner string, l *limit, n float64, pause time.Duration) {
+func (r *Limits) count(runner string, l *limit, n float64, pause time.Duration) {
 	if n = l.own.count(r.clock.Now(), n, pause); n != 0 && !r.pool.alone {
 		r.tell(Word{Runner: runner, Sent: n})
 	}
@@ -328,14 +329,32 @@
 
 // sparePause is the time between two requests that another runner could serve: those of all
 // daemons in touch together keep within the rate.
-func (r *Runners) sparePause(perSecond float64) time.Duration {
+func (r *Limits) sparePause(perSecond float64) time.Duration {
 	f := r.pool.fleet.Load()
 	return time.Duration((0.5 + rand.Float64()) * float64(max(1, f.heard)) / perSecond * float64(time.Second))
 }
 
+// bySettings is the source of rates that the settings allow, which all daemons know.
+const bySettings = "settings"
+
+// refreshEvery is how often a rate of the settings is taken in again.
+const refreshEvery = limitMemory / 4
+
+// TakeSetting lets a request in by the rate that a node of the settings allows, or says when
+// it may come back.
+func (r *Limits) TakeSetting(node string, perSecond float64) core.Admission {
+	name := bySettings + " " + node
+	if l := r.limitOf(name); l == nil || l.rate != perSecond || r.clock.Since(l.at) >= refreshEvery {
+		r.mu.Lock()
+		r.set(name, perSecond, bySettings)
+		r.mu.Unlock()
+	}
+	return r.Take(name, 0)
+}
+
 // Take lets a request of a rank, 0 the most urgent, through to a runner, or says when it
 // may come back.
-func (r *Runners) Take(runner string, rank int) core.Admission {
+func (r *Limits) Take(runner string, rank int) core.Admission {
 	l := r.limitOf(runner)
 	if l == nil {
 		return core.Admission{OK: true}
@@ -349,7 +368,7 @@
 }
 
 // TakeSpare is Take for a request that another runner could serve.
-func (r *Runners) TakeSpare(runner string, rank int) core.Admission {
+func (r *Limits) TakeSpare(runner string, rank int) core.Admission {
 	l := r.limitOf(runner)
 	if l == nil {
 		return core.Admission{OK: true}
@@ -361,12 +380,12 @@
 }
 
 // Charge counts what arrives at a runner without having been let through.
-func (r *Runners) Charge(runner string) { r.spend(runner, 1) }
+func (r *Limits) Charge(runner string) { r.spend(runner, 1) }
 
 // Give counts back a request that was let through and does not arrive.
-func (r *Runners) Give(runner string) { r.spend(runner, -1) }
+func (r *Limits) Give(runner string) { r.spend(runner, -1) }
 
-func (r *Runners) spend(runner string, n float64) {
+func (r *Limits) spend(runner string, n float64) {
 	l := r.limitOf(runner)
 	if l == nil {
 		return
@@ -378,41 +397,41 @@
 }
 
 // Forget drops what is known of a runner that is gone, or has started again.
-func (r *Runners) Forget(runner string) {
+func (r *Limits) Forget(runner string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unset(runner, "")
 }
 
 // Usage is what this daemon tells the others of limited runners, see Pool.Usage.
-func (r *Runners) Usage() map[core.Code]core.Usage { return r.pool.Usage() }
+func (r *Limits) Usage() map[core.Code]core.Usage { return r.pool.Usage() }
 
 // Heard takes in what the others in touch tell, see Pool.Heard.
-func (r *Runners) Heard(heard, known int, others map[core.Code]core.Usage) {
+func (r *Limits) Heard(heard, known int, others map[core.Code]core.Usage) {
 	r.pool.Heard(heard, known, others)
 	r.flush()
 }
 
 // flush tells the others of all requests that they have not been told of.
-func (r *Runners) flush() {
+func (r *Limits) flush() {
 	for runner, l := range *r.limits.Load() {
 		r.count(runner, l, 0, 0)
 	}
 }
 
-// RunnerState is what a daemon knows of a limited runner.
-type RunnerState struct {
+// LimitState is what a daemon knows of a limited runner.
+type LimitState struct {
 	State
 	Limit
 }
 
 // States tells of all limited runners.
-func (r *Runners) States() []RunnerState {
+func (r *Limits) States() []LimitState {
 	now := r.clock.Now()
-	var out []RunnerState
+	var out []LimitState
 	for runner, l := range *r.limits.Load() {
 		if named, ok := r.Limit(runner); ok {
-			out = append(out, RunnerState{State: l.bucket.state(now), Limit: named})
+			out = append(out, LimitState{State: l.bucket.state(now), Limit: named})
 		}
 	}
 	return out
--- a/coordination/allowance/runners_sim_test.go
+++ b/coordination/allowance/limits_sim_test.go
@@ -28,7 +28,7 @@
 	rate  float64 // that the runner names; below 0: none
 	load  float64 // requests a second that no other runner can serve
 	where func(at time.Duration, n int) int
-	limit []*Runners
+	limit []*Limits
 	sent  []time.Duration // arrivals
 	asked int
 	words []lateWord
@@ -44,7 +44,7 @@
 func newLimitSim(seed int64, daemons int, rate, load float64, opts ...Option) *limitSim {
 	s := &limitSim{sim: newSim(seed, daemons, nil), rate: rate, load: load, opts: opts}
 	s.where = func(_ time.Duration, n int) int { return s.rand.Intn(n) }
-	s.limit = make([]*Runners, daemons)
+	s.limit = make([]*Limits, daemons)
 	for i := range s.nodes {
 		s.startNode(i)
 	}
@@ -54,7 +54,7 @@
 // startNode starts a daemon, which knows nothing.
 func (s *limitSim) startNode(i int) {
 	pool := append([]Option{WithDraw(s.rand.Float64)}, s.opts...)
-	s.limit[i] = NewRunners(s.clock, zap.NewNop(), WithPool(pool...), WithTell(func(w Word) {
+	s.limit[i] = NewLimits(s.clock, zap.NewNop(), WithPool(pool...), WithTell(func(w Word) {
 		s.words = append(s.words, lateWord{s.now() + wordLag, i, w})
 	}))
 	n := s.nodes[i]
--- a/coordination/allowance/runners_test.go
+++ b/coordination/allowance/limits_test.go
@@ -62,9 +62,9 @@
 	})
 }
 
-// One daemon's Runners, which are all that send.
-func alone(clock core.Clock, opts ...RunnersOption) *Runners {
-	r := NewRunners(clock, zap.NewNop(), opts...)
+// alone returns one daemon's Limits, which are all that send.
+func alone(clock core.Clock, opts ...LimitsOption) *Limits {
+	r := NewLimits(clock, zap.NewNop(), opts...)
 	r.Heard(1, 1, nil)
 	return r
 }
@@ -79,24 +79,24 @@
 	const other = "i-2"
 	for _, tt := range []struct {
 		name string
-		do   func(r *Runners)
+		do   func(r *Limits)
 		want float64 // below 0: no limit
 	}{
-		{"named", func(*Runners) {}, 2},
-		{"lower", func(r *Runners) { r.Answered(limited, named(0.5)) }, 0.5},
-		{"higher", func(r *Runners) { r.Answered(limited, named(9)) }, 9},
-		{"none any more", func(r *Runners) { r.Answered(limited, core.ReplyInfo{Stamped: true}) }, -1},
-		{"rejection without one", func(r *Runners) { r.Answered(limited, core.ReplyInfo{NotRun: true}) }, 2},
-		{"rejection with one", func(r *Runners) {
+		{"named", func(*Limits) {}, 2},
+		{"lower", func(r *Limits) { r.Answered(limited, named(0.5)) }, 0.5},
+		{"higher", func(r *Limits) { r.Answered(limited, named(9)) }, 9},
+		{"none any more", func(r *Limits) { r.Answered(limited, core.ReplyInfo{Stamped: true}) }, -1},
+		{"rejection without one", func(r *Limits) { r.Answered(limited, core.ReplyInfo{NotRun: true}) }, 2},
+		{"rejection with one", func(r *Limits) {
 			r.Answered(limited, core.ReplyInfo{NotRun: true, Limit: core.RateLimit{Named: true, Rate: 1}})
 		}, 1},
-		{"answer of another runner", func(r *Runners) { r.Answered(other, core.ReplyInfo{Stamped: true}) }, 2},
-		{"unreadable", func(r *Runners) {
+		{"answer of another runner", func(r *Limits) { r.Answered(other, core.ReplyInfo{Stamped: true}) }, 2},
+		{"unreadable", func(r *Limits) {
 			r.Answered(limited, core.ReplyInfo{Stamped: true, Limit: core.RateLimit{Problem: "empty"}})
 		}, -1},
-		{"another daemon tells a lower one", func(r *Runners) { r.Told("b", Word{Runner: limited, Limited: true, Rate: 1}) }, 1},
-		{"another daemon tells that it has ended", func(r *Runners) { r.Told("b", Word{Runner: limited}) }, -1},
-		{"started again, or its address given away", func(r *Runners) { r.Forget(limited) }, -1},
+		{"another daemon tells a lower one", func(r *Limits) { r.Told("b", Word{Runner: limited, Limited: true, Rate: 1}) }, 1},
+		{"another daemon tells that it has ended", func(r *Limits) { r.Told("b", Word{Runner: limited}) }, -1},
+		{"started again, or its address given away", func(r *Limits) { r.Forget(limited) }, -1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r := alone(clockwork.NewFakeClock())
@@ -198,3 +198,20 @@
 		})
 	}
 }
+
+// A rate of the settings is divided evenly among the daemons, though callers come to few of
+// them.
+func TestSettingsRateIsSharedByUse(t *testing.T) {
+	const rate, daemons = 20.0, 8
+	s := newLimitSim(1, daemons, -1, 0)
+	s.play(settle, nil)
+	let := 0
+	s.play(20*time.Second, func(time.Duration) {
+		for range 2 { // 100 a second, all at one daemon
+			if s.limit[0].TakeSetting("/service/s", rate).OK {
+				let++
+			}
+		}
+	})
+	assert.Assert(t, let >= 300 && let <= 430, "%d in 20 s at 20 a second", let)
+}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -86,7 +86,7 @@
 	// allowance holds workspaces to theirs.
 	allowance core.Allowance
 	// limits are those that runners name in their answers.
-	limits *allowance.Runners
+	limits *allowance.Limits
 	// settings are nil where no tree is kept.
 	settings *settings
 }
@@ -110,14 +110,14 @@
 func WithAllowance(a core.Allowance) Option { return func(d *Dispatcher) { d.allowance = a } }
 
 // WithLimits keeps the limits that runners name in their answers.
-func WithLimits(r *allowance.Runners) Option { return func(d *Dispatcher) { d.limits = r } }
+func WithLimits(r *allowance.Limits) Option { return func(d *Dispatcher) { d.limits = r } }
 
 // New makes a Dispatcher of a daemon in a place.
 func New(place string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		place: place, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
 		pace: policy.NewPace(), daemons: func() int { return 1 }, down: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: core.NoGuard{},
-		allowance: core.Unbounded{}, limits: allowance.NewRunners(clock, log),
+		allowance: core.Unbounded{}, limits: allowance.NewLimits(clock, log),
 	}
 	for _, o := range opts {
 		o(d)
--- a/coordination/limit/limit.go
+++ b/coordination/limit/limit.go
@@ -22,18 +22,35 @@
 
 // Table bounds concurrency and rate per service and model. A limit of the
 // settings is for the whole system; each daemon enforces its share, since
-// callers spread over the daemons.
+// callers spread over the daemons. Where daemons tell each other what they let
+// in, a rate is shared by use.
 type Table struct {
 	clock   core.Clock
 	daemons func() int // that serve callers now
 	mu      sync.Mutex
 	inUse   map[string]int
 	rates   map[string]*rate.Limiter
+	shared  Shared // nil: each daemon has an even part of a rate
 }
 
+// Shared holds all daemons together to a rate that a node of the settings allows.
+type Shared interface {
+	TakeSetting(node string, perSecond float64) core.Admission
+}
+
+// Option changes a Table.
+type Option func(*Table)
+
+// WithShared shares rates with the other daemons.
+func WithShared(s Shared) Option { return func(l *Table) { l.shared = s } }
+
 // New makes a Table of one of as many daemons as daemons says.
-func New(clock core.Clock, daemons func() int) *Table {
-	return &Table{clock: clock, daemons: daemons, inUse: map[string]int{}, rates: map[string]*rate.Limiter{}}
+func New(clock core.Clock, daemons func() int, opts ...Option) *Table {
+	l := &Table{clock: clock, daemons: daemons, inUse: map[string]int{}, rates: map[string]*rate.Limiter{}}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
 }
 
 // Enter counts a request in, or refuses it with a *core.RequestError. The
@@ -67,6 +84,12 @@
 		return nil
 	}
 	name := eff.Origin["rate"]
+	if l.shared != nil {
+		if a := l.shared.TakeSetting(name, eff.Rate); !a.OK {
+			return tooFast(a.Retry)
+		}
+		return nil
+	}
 	limit := rate.Limit(eff.Rate / float64(entries))
 	burst := max(1, int(math.Ceil(float64(limit))))
 	r := l.rates[name]
@@ -82,7 +105,11 @@
 	res := r.ReserveN(now, 1)
 	if wait := res.DelayFrom(now); wait > 0 {
 		res.CancelAt(now)
-		return core.NotRun(http.StatusTooManyRequests, CodeRate, "requests of this service come too fast", wait)
+		return tooFast(wait)
 	}
 	return nil
 }
+
+func tooFast(retry time.Duration) error {
+	return core.NotRun(http.StatusTooManyRequests, CodeRate, "requests of this service come too fast", retry)
+}
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -59,7 +59,7 @@
 	attempts attempts
 	floors   floors
 	store    weights
-	limits   *allowance.Runners
+	limits   *allowance.Limits
 
 	mu      sync.Mutex
 	runners map[string]*runner
@@ -114,7 +114,7 @@
 	for _, o := range opts {
 		o(m)
 	}
-	m.limits = allowance.NewRunners(clock, m.log, allowance.WithRunnersScope(m.scope))
+	m.limits = allowance.NewLimits(clock, m.log, allowance.WithLimitsScope(m.scope))
 	m.limits.Heard(1, 1, nil) // nobody but the owner sends to a runner
 	m.floors = floors{platform: platform, log: m.log, ready: m.readyRunners}
 	m.store = weights{platform: platform, clock: clock, log: m.log}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -110,7 +110,7 @@
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Quarantine
 	allowances *allowance.Pool
-	limits     *allowance.Runners
+	limits     *allowance.Limits
 	front      *front.Front
 	started    time.Time
 	leaving    atomic.Bool
@@ -164,7 +164,7 @@
 		watch.WithActive(d.watches), watch.WithFirst(d.first), watch.WithChanged(d.changed), watch.WithPause(d.pause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	d.allowances = allowance.New(d.clock, func() core.Window { return d.bounds.Load().Quota.Bounds() }, allowance.WithScope(d.scope))
-	d.limits = allowance.NewRunners(d.clock, d.log, allowance.WithRunnersScope(d.scope), allowance.WithTell(d.tellLimit))
+	d.limits = allowance.NewLimits(d.clock, d.log, allowance.WithLimitsScope(d.scope), allowance.WithTell(d.tellLimit))
 	self := peers.Peer{
 		Name: set.Name, Place: set.Place, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
@@ -185,7 +185,7 @@
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.Place, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving)))
+		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.foundDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithKnown(d.knows), front.WithTrusted(d.trusts))
 }
 
