--- a/cmd/primrosectl/main.go
+++ b/cmd/primrosectl/main.go
@@ -46,7 +46,7 @@
 	flaggy.String(&g.token, "", "token", "operators' token; PRIMROSE_TOKEN by default")
 	flaggy.String(&g.by, "", "by", "name that edits are logged under")
 	flaggy.Bool(&g.json, "j", "json", "print JSON")
-	commands := []command{treeCommand(), statusCommand(), runnersCommand(), holdsCommand(), workspacesCommand(), movesCommand(), requestsCommand(), followCommand(), lossesCommand()}
+	commands := []command{treeCommand(), statusCommand(), runnersCommand(), holdsCommand(), workspacesCommand(), limitsCommand(), movesCommand(), requestsCommand(), followCommand(), lossesCommand()}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.Subcommand, 1)
 	}
--- a/proof/limits_test.go
+++ b/proof/limits_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -199,3 +200,19 @@
 	assert.Assert(t, float64(runs) <= 1.5*rate*(limitSettle+limitSpan).Seconds()+5, "%d runs", runs)
 	assert.Assert(t, runs > 0 && len(got) == 1, "requests were not served while another endpoint had room: %v", got)
 }
+
+// Operators can't tell why a runner is left out.
+func TestLimitsAreShownToOperators(t *testing.T) {
+	c := startFleet(t, 2)
+	c.runners[2].SetLimit("6")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c.press(20*time.Millisecond, 200*time.Millisecond)
+		for _, d := range c.daemons {
+			out, code := c.ctl(d, "", "limits")
+			if code != 0 || !strings.Contains(out, "i-app-1") {
+				return poll.Continue("%s: %d %s", d.name, code, out)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -11,6 +11,7 @@
 
 	"primroseward/core"
 	"primroseward/services/holds"
+	"primroseward/services/limits"
 	service "primroseward/services/tree"
 	"primroseward/services/workspaces"
 	"primroseward/state/catalog"
@@ -28,6 +29,7 @@
 	trees := service.New(d.settings, d.store, applier{d.settings}, d.clock, service.WithOffered(d.offers))
 	return &admin.Admin{
 		Trees: trees, Statuses: &statuses{d, trees}, Fleet: runners{d}, Holds: holds.NewTable(d.quarantine, d.clock), Workspaces: d.workspaces,
+		Limits:  func() []limits.Status { return limits.List(d.limits.States()) },
 		Metrics: d.metrics.Handler, Ready: d.Ready, Token: d.set.Token, ReadOnly: d.set.Token == "",
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -91,6 +91,7 @@
 		w.checkAsk(a, runs[a.id], calmFrom)
 	}
 	for _, h := range slices.Concat(w.runners, w.gone) {
+		w.checkLimits(h)
 		for _, v := range h.Violations() {
 			w.note("loaded beyond its bounds: %s", v)
 		}
@@ -128,6 +129,41 @@
 	}
 }
 
+// limitSettle is how long after a runner first named a limit it must be kept, limitSpan over
+// which it is, limitOver and limitSlack by how much more may arrive there.
+const (
+	limitSettle = 3 * time.Second
+	limitSpan   = 4 * time.Second
+	limitOver   = 1.5
+	limitSlack  = 5
+)
+
+// checkLimits checks that a runner that named a limit got no more from all daemons. One that
+// named several at the same time is bound by none of them.
+func (w *World) checkLimits(h *host) {
+	arrived := h.Arrived()
+	for i, l := range h.limits {
+		if slices.ContainsFunc(h.limits, func(o limited) bool { return o != l && o.from.Before(l.to) && l.from.Before(o.to) }) {
+			continue
+		}
+		from, allowed := l.from.Add(w.slow(limitSettle)), int(limitOver*l.rate*limitSpan.Seconds()+limitSlack)
+		first := 0
+		for k, at := range arrived {
+			if at.Before(from) || at.After(l.to) {
+				first = k + 1
+				continue
+			}
+			for at.Sub(arrived[first]) >= limitSpan {
+				first++
+			}
+			if k-first+1 > allowed {
+				w.note("%s got %d requests in %v under its limit %d of %v a second, allowed %d", h.ID, k-first+1, limitSpan, i, l.rate, allowed)
+				break
+			}
+		}
+	}
+}
+
 // checkTerms checks the orders that a runner accepted: an older holder's never come
 // after a newer one's, and two holders leave a pause between theirs. A holder that
 // has just been thawed may not know yet that its time is over.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -224,6 +225,20 @@
 		return name + " " + spoiled
 	}},
 	{"request that ends runners", func(w *World, r *rand.Rand) string { return w.sendFatal(r) }},
+	{"limit", func(w *World, r *rand.Rand) string {
+		h := w.anyRunner(r)
+		if h == nil {
+			return "none"
+		}
+		rate, length := []float64{0.5, 2, 6}[r.IntN(3)], seconds(r, 3, 9)
+		now := time.Now()
+		w.mu.Lock()
+		h.limits = append(h.limits, limited{span{now, now.Add(length)}, rate})
+		w.mu.Unlock()
+		h.SetLimit(strconv.FormatFloat(rate, 'f', -1, 64))
+		w.later(length, func() { h.SetLimit() })
+		return fmt.Sprintf("%s to %v a second for %v", h.ID, rate, length)
+	}},
 }
 
 // spoiledEntries are entries that no runner writes.
--- a/soak/world.go
+++ b/soak/world.go
@@ -85,6 +85,13 @@
 	*runner.Server
 	proxy   *Proxy
 	drained time.Time // when it said that it leaves; zero: it has not
+	limits  []limited
+}
+
+// limited is a time in which a runner names a limit.
+type limited struct {
+	span
+	rate float64 // requests a second
 }
 
 // slow stretches a time for a busy machine.
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -18,6 +18,7 @@
 	"primroseward/core"
 	"primroseward/io/strict"
 	"primroseward/services/holds"
+	"primroseward/services/limits"
 	service "primroseward/services/tree"
 	"primroseward/services/workspaces"
 	"primroseward/state/tree"
@@ -55,10 +56,12 @@
 	Holds    Holds // nil: nothing is held back here
 	// Workspaces tells of the workspaces' allowances; nil: there are none here.
 	Workspaces func() []workspaces.Status
-	Metrics    http.Handler
-	Ready      func() bool
-	Token      string // empty: none is asked for
-	ReadOnly   bool   // edits are refused
+	// Limits tells of the limits that runners name; nil: none are kept here.
+	Limits   func() []limits.Status
+	Metrics  http.Handler
+	Ready    func() bool
+	Token    string // empty: none is asked for
+	ReadOnly bool   // edits are refused
 }
 
 // Problem is the body of an error answer.
@@ -95,6 +98,9 @@
 		if a.Workspaces != nil {
 			r.Get("/workspaces", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, a.Workspaces()) })
 		}
+		if a.Limits != nil {
+			r.Get("/limits", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, a.Limits()) })
+		}
 		if a.Holds != nil {
 			r.Get("/holds", a.holds)
 			r.Delete("/holds/{digest}", a.release)
