--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -151,6 +151,7 @@
 	kept     bool               // a repeat of the budget has been taken for the next send
 	retry    time.Duration      // when what is absent may be there, or a limit lets it through; 0: not known
 	limited  bool               // a runner was left out, as it takes no more for now
+	atLimit  []zap.Field        // of the last such runner
 	taken    string             // the runner of whose limit the next send has taken; empty: none
 	last     string             // id of the last event passed on
 	drop     context.CancelFunc // ends the connection of the latest send
--- a/coordination/dispatch/limits.go
+++ b/coordination/dispatch/limits.go
@@ -52,8 +52,11 @@
 		j.retry = a.Retry
 	}
 	j.limited = true
-	j.log.Debug(logs.RunnerAtLimit, zap.String("runner", runner), zap.Float64("limit", limit.Rate), zap.String("from", limit.From), zap.Duration("heard", limit.Age),
-		zap.Float64("left", a.Left), zap.Float64("asked", a.Asked), zap.Int("daemons", a.Heard), zap.Int("known", a.Known), zap.Duration("age", a.Age))
+	j.atLimit = []zap.Field{
+		zap.String("runner", runner), zap.Float64("limit", limit.Rate), zap.String("from", limit.From), zap.Duration("heard", limit.Age),
+		zap.Float64("left", a.Left), zap.Float64("asked", a.Asked), zap.Int("daemons", a.Heard), zap.Int("known", a.Known), zap.Duration("age", a.Age),
+	}
+	j.log.Debug(logs.RunnerAtLimit, j.atLimit...)
 	return false
 }
 
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -100,7 +100,11 @@
 	if j.retry > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error()) {
 		retry = j.retry
 	}
-	j.log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
+	log := j.log
+	if code == errLimited.Error() {
+		log = log.With(j.atLimit...)
+	}
+	log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
 		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejects), zap.Strings("places", j.eff.Places), zap.Duration("retry", retry), logs.Err(err))
 	if j.runs > 0 {
 		return core.MayHaveRun(code, message)
