Tests: limited runners at the dispatcher and the placement, in virtual time

An adapter that no runner has goes to one without a limit first: it went to the limited one as the least busy without that line.

--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -41,10 +41,11 @@
 
 // fleet answers for all runners as a test tells it to.
 type fleet struct {
-	mu    sync.Mutex
-	next  func(runner string) act
-	runs  []string // runners that ran the request
-	sends []core.Outgoing
+	mu     sync.Mutex
+	next   func(runner string) act
+	runs   []string // runners that ran the request
+	sends  []core.Outgoing
+	limits map[string]core.RateLimit // that runners name
 }
 
 func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
@@ -55,7 +56,7 @@
 	if a != unreachable && a != deserted && a != rejects {
 		f.runs = append(f.runs, r.ID)
 	}
-	info := core.ReplyInfo{Stamped: true}
+	info := core.ReplyInfo{Stamped: true, Limit: f.limits[r.ID]}
 	switch a {
 	case unreachable:
 		return nil, eris.Wrap(core.ErrNotSent, "dial")
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -121,6 +121,30 @@
 	})
 }
 
+// An adapter that no runner has is loaded on the least busy one, which is a limited runner:
+// it takes none of the requests for it.
+func TestAdaptersGoToRunnersWithoutALimitFirst(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		both  bool // runners have the model
+		wants string
+	}{{"both have the model", true, "r1"}, {"only the limited one has it", false, "r0"}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2, 2, trouble{reportIn: 200 * time.Millisecond}, 1)
+				WithLimited(func(runner string) bool { return runner == "r0" })(w.holder)
+				if tt.both {
+					w.everywhere("m0")
+				}
+				w.run(1, func() {
+					time.Sleep(time.Second)
+					assert.Equal(t, w.ask("m0", "a6").Runner, tt.wants)
+				})
+			})
+		})
+	}
+}
+
 // All requests for a model are refused: its only runner has crashed, and the
 // model must be loaded again elsewhere, at once and only once.
 func TestLostModelIsLoadedAgain(t *testing.T) {
--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -70,8 +70,8 @@
 // most asked for before others: until it is back each request for it is refused. Then
 // the models whose copies have most to do get more of them. Copies on runners that are
 // down count there: most processes are back within seconds, and more copies elsewhere
-// until then would displace models that are in use. A model that only limited runners have
-// counts as without a live copy.
+// until then would displace models that are in use. A model that is asked for more than
+// the mean and that only limited runners have counts as without a live copy.
 func Place(engine *core.Engine, hosts []*HostState, heat map[string]float64, opts ...PlaceOption) []Move {
 	heat = expected(engine, heat)
 	p := &placement{engine: engine, heat: heat, copies: map[string]int{}, live: map[string]int{}}
