Placement: the mean that decides on limited runners is taken once a plan

No change for callers. The mean of what is asked of the models was summed up again for each model that lacks a copy, and the comparison stood three times; it has one name now. The sum is the same: the demand does not change within a plan.

--- a/coordination/policy/place.go
+++ b/coordination/policy/place.go
@@ -51,6 +51,7 @@
 	engine *core.Engine
 	hosts  []*HostState
 	heat   map[string]float64
+	mean   float64 // of heat, over all models
 	copies map[string]int
 	live   map[string]int // copies that are or will soon be of use: neither promised nor down
 	target map[string]int
@@ -78,14 +79,14 @@
 	for _, o := range opts {
 		o(p)
 	}
-	mean := p.meanHeat()
+	p.mean = p.meanHeat()
 	for _, h := range hosts {
 		if h.Leaving {
 			continue
 		}
 		p.hosts = append(p.hosts, h)
 		for m := range h.Models {
-			if !h.allows(m) || h.Limited && heat[m] > mean {
+			if !h.allows(m) || h.Limited && p.hot(m) {
 				continue
 			}
 			p.copies[m]++
@@ -96,7 +97,7 @@
 	}
 	for _, h := range p.hosts {
 		for m := range h.Models {
-			if h.Limited && heat[m] > mean && p.copies[m] == 0 {
+			if h.Limited && p.hot(m) && p.copies[m] == 0 {
 				p.copies[m] = 1 // not absent: it only has to yield to what is asked for less
 			}
 		}
@@ -117,6 +118,9 @@
 	return sum / float64(max(1, len(p.engine.Models)))
 }
 
+// hot says whether a model is asked for more than the mean: too much for a limited runner.
+func (p *placement) hot(model string) bool { return p.heat[model] > p.mean }
+
 // nextShares are how much of a model's demand is expected of the models that
 // follow it in the service's list: demand moves on along the list within
 // seconds, faster than copies can be loaded from the weight store. Half gets
@@ -263,10 +267,9 @@
 	var victim string
 	bestCost := 0.0
 	places := p.places(model)
-	mean := p.meanHeat()
 	promised := p.live[model] == 0 && p.promised(model)
 	for _, h := range p.hosts {
-		if h.Busy || h.Down || h.Limited && p.heat[model] > mean || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
+		if h.Busy || h.Down || h.Limited && p.hot(model) || h.Models[model] || p.taken(h.ID) || !h.allows(model) {
 			continue
 		}
 		v := ""
