--- a/core/headers.go
+++ b/core/headers.go
@@ -9,6 +9,8 @@
 	// HeaderLimit is the number of requests per second that an endpoint accepts from all
 	// daemons together. It applies as long as the endpoint's answers carry the header.
 	HeaderLimit = "Server-Limit"
+	// HeaderLeaving is 1 in all answers of an endpoint whose instance is leaving.
+	HeaderLeaving = "Server-Leaving"
 	// HeaderIdempotencyKey marks resends of the same request by a caller.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderRequest carries the caller's request id in requests and answers.
--- a/core/limit.go
+++ b/core/limit.go
@@ -1,17 +1,7 @@
 package core
 
-import (
-	"math"
-	"strconv"
-	"strings"
-)
-
-const (
-	// maxRateLength bounds the text of a limit, in bytes.
-	maxRateLength = 32
-	// maxRate is the highest limit that is accepted, in requests per second.
-	maxRate = 1e6
-)
+// maxRate is the highest limit that is accepted, in requests per second.
+const maxRate = 1e6
 
 // RateLimit is the limit that an answer announces: how many requests per second its
 // endpoint accepts from all daemons together. The zero value means that none is announced.
@@ -27,25 +17,12 @@
 	if len(values) == 0 {
 		return RateLimit{}
 	}
-	if len(values) > 1 {
-		return RateLimit{Problem: "named more than once"}
-	}
-	text := strings.TrimSpace(values[0])
-	if text == "" {
-		return RateLimit{Problem: "empty"}
-	}
-	if len(text) > maxRateLength {
-		return RateLimit{Problem: "too long"}
-	}
-	if strings.Trim(text, "0123456789.") != "" {
-		return RateLimit{Problem: "not a decimal number"}
-	}
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsNaN(rate) {
-		return RateLimit{Problem: "not a decimal number"}
+	rate, problem := readDecimal(values)
+	if problem == "" && rate > maxRate {
+		problem = "too large"
 	}
-	if rate > maxRate {
-		return RateLimit{Problem: "too large"}
+	if problem != "" {
+		return RateLimit{Problem: problem}
 	}
 	return RateLimit{Announced: true, Rate: rate}
 }
--- a/core/request.go
+++ b/core/request.go
@@ -50,6 +50,9 @@
 	Encoded   bool // the body is encoded, although no encoding was requested
 	Load      *Load
 	Limit     RateLimit
+	Leaving   Leaving
+	Rest      Rest   // only with status 503
+	Instance  string // ID of the instance that answered; empty if not stated
 }
 
 // Reply is an endpoint's answer.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -17,6 +17,14 @@
 	RunnerAtLimit = "runner at its limit"
 	// RunnerLimitUnreadable: the limit that a runner announces is not a valid number.
 	RunnerLimitUnreadable = "runner limit unreadable"
+	// RunnerLeaving: a runner has announced in an answer that it is leaving; with the start of its
+	// instance.
+	RunnerLeaving = "runner leaving"
+	// RunnerRests: a runner has rejected a request and asked this daemon to send nothing for a
+	// time; with what is left of it, and since when it has asked for it without a break.
+	RunnerRests = "runner rests"
+	// AnnouncementUnreadable: what a runner announces about leaving or a rest is not valid.
+	AnnouncementUnreadable = "runner announcement unreadable"
 	// RunnerRejected: the runner states that it did not run the request.
 	RunnerRejected = "runner rejected the request"
 	// RunnerUnreachable: no byte of the request could be sent.
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -48,6 +48,8 @@
 	dialer  net.Dialer
 	dialed  func()
 	called  func(id string)
+	// answered is called with the runner, the status and the headers of each answer.
+	answered func(r *core.Runner, status int, info core.ReplyInfo)
 
 	mu    sync.Mutex
 	pools map[string][]*conn // idle connections by runner ID, most recently used last
@@ -62,11 +64,18 @@
 // WithCallCallback calls fn with the runner's ID for each order or report request sent to it.
 func WithCallCallback(fn func(id string)) Option { return func(c *Client) { c.called = fn } }
 
+// WithAnswerCallback calls fn for each answer of a runner, to requests, orders and report
+// requests, before it is returned. An answer of another instance is left out.
+func WithAnswerCallback(fn func(r *core.Runner, status int, info core.ReplyInfo)) Option {
+	return func(c *Client) { c.answered = fn }
+}
+
 // New returns a Client without connections.
 func New(clock core.Clock, dialect core.Dialect, opts ...Option) *Client {
 	c := &Client{
 		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {}, called: func(string) {},
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout},
+		answered: func(*core.Runner, int, core.ReplyInfo) {},
+		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout},
 	}
 	for _, o := range opts {
 		o(c)
@@ -160,6 +169,9 @@
 		discard()
 		return nil, lostError(err)
 	}
+	if fromInstance(r, reply) {
+		c.answered(r, reply.Status, reply.Info)
+	}
 	reuseFor := idleTimeout(reply.Header)
 	closing := reply.closing
 	reply.Body = &body{rc: reply.raw, release: func(complete bool) {
@@ -173,6 +185,15 @@
 	return &reply.Reply, nil
 }
 
+// fromInstance reports whether an answer is from the instance that the request was sent to:
+// the address may have been assigned to another runner, which rejects the request.
+func fromInstance(r *core.Runner, reply *rawReply) bool {
+	if reply.Info.Instance == "" {
+		return reply.Status != http.StatusMisdirectedRequest
+	}
+	return reply.Info.Instance == r.ID
+}
+
 // lostError wraps err as ErrAnswerLost: the request was sent, and its answer is missing or
 // incomplete. It adds ErrClosed if the runner closed the connection.
 func lostError(err error) error {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"primroseward/coordination/allowance"
+	"primroseward/coordination/availability"
 	"primroseward/coordination/dispatch"
 	"primroseward/coordination/lease"
 	"primroseward/coordination/limit"
@@ -115,6 +116,7 @@
 	quarantine *quarantine.Quarantine
 	allowances *allowance.Pool
 	limits     *allowance.Limits
+	available  *availability.Table
 	front      *front.Front
 	started    time.Time
 	leaving    atomic.Bool
@@ -159,7 +161,9 @@
 		}))
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
-	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }))
+	d.available = availability.New(d.clock, d.log, availability.WithScope(d.scope))
+	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
+		runner.WithAnswerCallback(d.available.ObserveAnswer))
 	d.catalog = catalog.New(d.clock, catalog.WithGoneCallback(d.runnerGone), catalog.WithRestartCallback(d.runnerRestarted), catalog.WithConfigCallback(d.newConfig))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
