--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -71,6 +71,9 @@
 	busy       bool        // a model is being loaded
 	exited     bool        // exited because of a fatal request
 	limit      []string    // values of the limit header
+	leaving    []string    // values of the leaving header
+	rejects    bool        // rejects all requests
+	rest       []string    // values of Retry-After in rejections
 	arrived    []time.Time // arrival times of requests
 	terms      []Term
 	violations []string // orders that exceeded the bounds
@@ -105,6 +108,7 @@
 	s.mu.Lock()
 	s.started = s.started.Add(step)
 	s.models, s.sequence, s.draining, s.busy = map[string][]string{}, 0, false, false
+	s.leaving, s.rejects = nil, false
 	s.mu.Unlock()
 	s.Register()
 }
@@ -152,6 +156,28 @@
 	s.limit = values
 }
 
+// SetLeaving sets the values of the leaving header in all further answers, one header line
+// per value; none: no header. The runner's entry does not change.
+func (s *Server) SetLeaving(values ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = values
+}
+
+// Reject makes the runner reject all further requests, with the given values of Retry-After.
+func (s *Server) Reject(rest ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects, s.rest = true, rest
+}
+
+// Accept makes the runner accept requests again.
+func (s *Server) Accept() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects = false
+}
+
 // ArrivalTimes returns the arrival times of all requests, run or not, oldest first.
 func (s *Server) ArrivalTimes() []time.Time {
 	s.mu.Lock()
@@ -159,6 +185,15 @@
 	return append([]time.Time(nil), s.arrived...)
 }
 
+// announce adds the headers that are in all answers.
+func (s *Server) announce(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, value := range s.leaving {
+		h.Add(platform.HeaderLeaving, value)
+	}
+}
+
 // recordArrival records a request's arrival and adds the limit to its answer's header.
 func (s *Server) recordArrival(h http.Header) {
 	s.mu.Lock()
@@ -236,6 +271,7 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.announce(w.Header())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	started := uint64(s.started.UnixMilli())
@@ -243,6 +279,7 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	s.announce(w.Header())
 	var o platform.OrderMessage
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get(platform.HeaderInstance) != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -327,6 +364,7 @@
 		return
 	}
 	s.recordArrival(w.Header())
+	s.announce(w.Header())
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
 	model := r.Header.Get(platform.HeaderModel)
@@ -337,7 +375,12 @@
 		return
 	}
 	s.mu.Lock()
-	if s.Slots > 0 && s.running >= 2*s.Slots {
+	if s.rejects {
+		for _, value := range s.rest {
+			w.Header().Add(platform.HeaderRetry, value)
+		}
+	}
+	if s.rejects || s.Slots > 0 && s.running >= 2*s.Slots {
 		s.mu.Unlock()
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
