Runners that announce in answers that they leave get no new work

What callers saw: nothing at once; requests went on to a runner that would be gone, 58 of 89 later than 2 s after it had said so (the users' record: 2.9 s).

Cause: leaving was read from the runner's entry in the store alone. An answer that announced it was passed on and its header was an input of no decision.

Change: the catalog joins both: a runner accepts new work if neither its entry nor an announcement of its instance says that it leaves. All paths ask that one question: first sends, retries, resumed streams, requests that were paced, placed models, orders, and last of all the check just before a send. A daemon that gets such an answer broadcasts it, twice more in case a datagram is lost. Only a later start ends it: entries that lag, answers without the header and messages about earlier instances do not. What runs there goes on.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -13,6 +13,7 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/state/catalog"
 )
 
 const (
@@ -25,13 +26,26 @@
 	restRetention = time.Minute
 )
 
+// rebroadcasts are the times after which an announcement that a runner is leaving is broadcast
+// again, in case a datagram was lost.
+var rebroadcasts = []time.Duration{200 * time.Millisecond, time.Second}
+
+// Update is a message between daemons: an instance of a runner has announced that it is
+// leaving.
+type Update struct {
+	Runner  string    `json:"r"`
+	Started time.Time `json:"s"` // start of the instance; zero if the platform does not state it
+}
+
 // Table holds the announcements of all runners. It stores nothing for runners that announce
 // nothing.
 type Table struct {
-	clock   core.Clock
-	log     *zap.Logger
-	scope   tally.Scope
-	maxRest func() time.Duration
+	clock     core.Clock
+	catalog   *catalog.Catalog
+	log       *zap.Logger
+	scope     tally.Scope
+	maxRest   func() time.Duration
+	broadcast func(Update)
 
 	rests atomic.Pointer[map[string]*rest]
 
@@ -55,9 +69,15 @@
 // WithMaxRest sets the function that returns the longest rest that is granted to a runner.
 func WithMaxRest(fn func() time.Duration) Option { return func(t *Table) { t.maxRest = fn } }
 
-// New returns a Table without announcements.
-func New(clock core.Clock, log *zap.Logger, opts ...Option) *Table {
-	t := &Table{clock: clock, log: log, scope: tally.NoopScope, maxRest: func() time.Duration { return defaultMaxRest }}
+// WithBroadcast sets the function that broadcasts to the other daemons that a runner is leaving.
+func WithBroadcast(fn func(Update)) Option { return func(t *Table) { t.broadcast = fn } }
+
+// New returns a Table without announcements. It records in the catalog which runners are
+// leaving.
+func New(clock core.Clock, c *catalog.Catalog, log *zap.Logger, opts ...Option) *Table {
+	t := &Table{
+		clock: clock, catalog: c, log: log, scope: tally.NoopScope, maxRest: func() time.Duration { return defaultMaxRest }, broadcast: func(Update) {},
+	}
 	for _, o := range opts {
 		o(t)
 	}
@@ -70,6 +90,9 @@
 	if info.Leaving == (core.Leaving{}) && info.Rest == (core.Rest{}) {
 		return
 	}
+	if info.Leaving.Announced {
+		t.observeLeaving(r)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, problem := range []string{info.Leaving.Problem, info.Rest.Problem} {
@@ -77,14 +100,38 @@
 			t.reportUnreadable(r.ID, problem)
 		}
 	}
-	if info.Leaving.Announced {
-		t.log.Info(logs.RunnerLeaving, zap.String("runner", r.ID), zap.Time("started", r.StartedAt))
-	}
 	if info.Rest.Announced && info.Rest.Duration > 0 {
 		t.setRest(r, info.Rest.Duration)
 	}
 }
 
+// observeLeaving records that a runner has announced to this daemon that it is leaving, and
+// broadcasts it.
+func (t *Table) observeLeaving(r *core.Runner) {
+	u := Update{Runner: r.ID, Started: r.StartedAt}
+	if !t.recordLeaving(u, "") {
+		return
+	}
+	t.broadcast(u)
+	for _, after := range rebroadcasts {
+		t.clock.AfterFunc(after, func() { t.broadcast(u) })
+	}
+}
+
+// ApplyUpdate applies an update that a peer has broadcast.
+func (t *Table) ApplyUpdate(from string, u Update) { t.recordLeaving(u, from) }
+
+// recordLeaving records that a runner is leaving, as the named daemon has learnt, and reports
+// whether this was not known.
+func (t *Table) recordLeaving(u Update, source string) bool {
+	if !t.catalog.RecordLeaving(u.Runner, catalog.Departure{StartedAt: u.Started, At: t.clock.Now(), Source: source}) {
+		return false
+	}
+	t.scope.Counter("runners_announced_leaving").Inc(1)
+	t.log.Info(logs.RunnerLeaving, zap.String("runner", u.Runner), zap.String("from", source), zap.Time("started", u.Started))
+	return true
+}
+
 // reportUnreadable counts an announcement that cannot be parsed, and logs it at most once per
 // problemLogInterval; the caller holds t.mu.
 func (t *Table) reportUnreadable(runner, problem string) {
--- /dev/null
+++ b/coordination/availability/leaving_test.go
@@ -0,0 +1,79 @@
+package availability
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+// daemon is a table with the messages that it has broadcast.
+type daemon struct {
+	*Table
+	sent []Update
+}
+
+func newDaemon(runners ...core.Runner) *daemon {
+	clock := clockwork.NewRealClock()
+	c := catalog.New(clock)
+	for _, r := range runners {
+		c.Put(r, clock.Now())
+	}
+	d := &daemon{}
+	d.Table = New(clock, c, zap.NewNop(), WithBroadcast(func(u Update) { d.sent = append(d.sent, u) }))
+	return d
+}
+
+var leavingInfo = core.ReplyInfo{Leaving: core.Leaving{Announced: true}}
+
+// Guards against daemons that learn that a runner is leaving only from their own requests to
+// it: one answer is broadcast, again in case a datagram is lost, and no more than that.
+func TestOneAnswerIsBroadcastToAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
+		first, second := newDaemon(r), newDaemon(r)
+		for range 100 {
+			first.ObserveAnswer(&r, 200, leavingInfo)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Equal(t, len(first.sent), 1+len(rebroadcasts))
+		second.ApplyUpdate("first", first.sent[0])
+		assert.Equal(t, second.catalog.Runner("r").Departure.Source, "first")
+		second.ObserveAnswer(&r, 200, leavingInfo)
+		assert.Equal(t, len(second.sent), 0, "a known announcement is broadcast")
+	})
+}
+
+// Guards against a runner that is left out because of an earlier instance: by a late answer, a
+// late message, or an answer without the header.
+func TestAnnouncementsOfAnEarlierInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		earlier := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
+		later := earlier
+		later.StartedAt = earlier.StartedAt.Add(time.Second)
+		d := newDaemon(later)
+		d.ObserveAnswer(&earlier, 200, leavingInfo)
+		d.ApplyUpdate("other", Update{Runner: "r", Started: earlier.StartedAt})
+		assert.Assert(t, d.catalog.Runner("r").Usable())
+		d.ObserveAnswer(&later, 200, leavingInfo)
+		d.ObserveAnswer(&later, 200, core.ReplyInfo{})
+		assert.Assert(t, !d.catalog.Runner("r").Usable())
+	})
+}
+
+// Guards against a message that arrives before the entry of the instance that it is about.
+func TestMessageBeforeTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
+		d := newDaemon()
+		d.ApplyUpdate("other", Update{Runner: "r", Started: r.StartedAt})
+		d.catalog.Put(r, time.Now())
+		assert.Assert(t, !d.catalog.Runner("r").Usable())
+	})
+}
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -188,9 +188,15 @@
 	if err != nil {
 		return core.AsRequestError(err).Status, "", err
 	}
+	data, err := readAll(reply)
+	return reply.Status, data, err
+}
+
+// readAll reads an answer to its end and closes it.
+func readAll(reply *core.Reply) (string, error) {
 	defer reply.Body.Close()
 	data, err := io.ReadAll(reply.Body)
-	return reply.Status, string(data), err
+	return string(data), err
 }
 
 func script(list ...act) func(string) act {
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -39,19 +39,28 @@
 // a hold may have been set on the request while it waited, or because of what it did at the
 // previous runner.
 func (j *job) nextRunner(ctx context.Context) (*core.Runner, error) {
-	r, err := j.choose(ctx)
-	if err != nil {
-		return nil, j.refuseFor(err)
+	for {
+		r, err := j.choose(ctx)
+		if err != nil {
+			return nil, j.refuseFor(err)
+		}
+		if ok, err := j.permit(ctx, r); ok || err != nil {
+			return r, err
+		}
 	}
-	return j.permit(ctx, r)
 }
 
-// permit checks whether the request may be sent to a runner now.
-func (j *job) permit(ctx context.Context, r *core.Runner) (*core.Runner, error) {
+// permit reports whether the request may be sent to a runner now. If not, and without an
+// error, the runner has stopped accepting requests since it was chosen.
+func (j *job) permit(ctx context.Context, r *core.Runner) (bool, error) {
 	if retry, ok := j.d.guard.Admit(ctx, j.q.Digest); !ok {
-		return nil, j.refuseHeld(retry)
+		return false, j.refuseHeld(retry)
+	}
+	if err := j.authorize(); err != nil {
+		return false, err
 	}
-	return r, j.authorize()
+	e := j.d.catalog.Runner(r.ID)
+	return e != nil && e.Usable() && e.StartedAt.Equal(r.StartedAt), nil
 }
 
 // refuseHeld refuses a request that is held because an identical one crashed runners. The
@@ -75,7 +84,7 @@
 		return
 	}
 	e := j.d.catalog.Runner(r.ID)
-	if e == nil || e.Draining || !e.StartedAt.Equal(r.StartedAt) {
+	if e == nil || !e.Usable() || !e.StartedAt.Equal(r.StartedAt) {
 		return
 	}
 	j.d.guard.ConnectionLost(core.LostRequest{
--- a/coordination/dispatch/queue_test.go
+++ b/coordination/dispatch/queue_test.go
@@ -42,6 +42,9 @@
 			r.Draining = true
 			c.Put(r, time.Now())
 		}, false},
+		{"announces that it leaves", func(c *catalog.Catalog, e *catalog.Entry) {
+			c.RecordLeaving(e.ID, catalog.Departure{At: time.Now()})
+		}, false},
 		{"is gone", func(c *catalog.Catalog, e *catalog.Entry) {
 			c.Lapse(e.ID, time.Now())
 			c.Sweep(time.Now())
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -171,7 +171,10 @@
 	for {
 		r, err := j.choose(s.ctx)
 		if err == nil {
-			return j.permit(s.ctx, r)
+			if ok, err := j.permit(s.ctx, r); ok || err != nil {
+				return r, err
+			}
+			continue
 		}
 		if s.ctx.Err() != nil || !j.d.clock.Now().Add(pause).Before(until) {
 			return nil, j.refuseFor(err)
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -44,7 +44,7 @@
 	if !errors.Is(err, core.ErrClosed) && !(accepted && errors.Is(err, core.ErrNoListener)) {
 		return
 	}
-	if rs.runner.Draining || h.loads.View(rs.runner.ID).Requests > 0 {
+	if rs.leaving || h.loads.View(rs.runner.ID).Requests > 0 {
 		return
 	}
 	h.guard.ConnectionLost(core.LostLoad(rs.runner.Service, o.Model, rs.runner))
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -325,6 +325,7 @@
 			h.runners[id] = rs
 		}
 		rs.runner, rs.engine = e.Runner, service.Engine
+		rs.leaving = !e.Usable()
 		rs.limited = h.isLimited(id)
 		if down := h.loads.Down(id); down != rs.down {
 			rs.down = down
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -48,7 +48,7 @@
 
 func (h *Holder) transmit(rs *runnerState, o core.RunnerOrder, then func(core.OrderResult)) {
 	term, ok := h.lease.Use()
-	if !ok || term != h.term {
+	if !ok || term != h.term || !h.accepts(rs) {
 		rs.synced = false
 		return
 	}
@@ -60,6 +60,15 @@
 	go h.runOrder(rs, rs.runner, o, then)
 }
 
+// accepts reports whether orders may be sent to a runner now. The runner may have announced
+// that it is leaving since its state was last refreshed.
+func (h *Holder) accepts(rs *runnerState) bool {
+	if e := h.catalog.Runner(rs.runner.ID); e != nil && e.StartedAt.Equal(rs.runner.StartedAt) {
+		rs.leaving = !e.Usable()
+	}
+	return !rs.leaving
+}
+
 func (h *Holder) runOrder(rs *runnerState, r core.Runner, o core.RunnerOrder, then func(core.OrderResult)) {
 	defer h.wg.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -44,6 +44,7 @@
 	// Its adapters count as gone, since loading them elsewhere takes 10 ms, and so do its
 	// models that no other runner has.
 	down        bool
+	leaving     bool // accepts no new work, by its entry or by its answers
 	limited     bool // accepts fewer requests a second than it is likely to be sent
 	sequence    uint64
 	models      map[string]*placedItem
@@ -239,6 +240,6 @@
 	}
 	return &policy.HostState{
 		ID: rs.runner.ID, DataCentre: rs.runner.DataCentre, FreeMB: rs.freeMB(), Models: models, Pending: rs.reservedFor, Local: local,
-		Busy: !rs.synced || rs.orderPending || rs.busy(), Leaving: rs.runner.Draining, Down: rs.down, Limited: rs.limited, Requests: requests,
+		Busy: !rs.synced || rs.orderPending || rs.busy(), Leaving: rs.leaving, Down: rs.down, Limited: rs.limited, Requests: requests,
 	}
 }
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -18,7 +18,7 @@
 	// RunnerLimitUnreadable: the limit that a runner announces is not a valid number.
 	RunnerLimitUnreadable = "runner limit unreadable"
 	// RunnerLeaving: a runner has announced in an answer that it is leaving; with the start of its
-	// instance.
+	// instance and the daemon that received the answer.
 	RunnerLeaving = "runner leaving"
 	// RunnerRests: a runner has rejected a request and asked this daemon to send nothing for a
 	// time; with what is left of it, and since when it has asked for it without a break.
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"primroseward/standin/platform"
 )
 
 // drainTime is how long after its first answer that announces it a leaving runner may still
@@ -39,3 +43,50 @@
 	assert.Equal(t, len(got), 1, "requests were not served while other runners had free slots: %v", got)
 	assert.Assert(t, got[http.StatusOK] > 0)
 }
+
+// TestLeavingIsSharedWithoutTheStore guards against daemons that learn that a runner is leaving
+// only from the store, which is away, or only from their own requests: callers are at one
+// daemon of each data centre first, and at all daemons after drainTime.
+func TestLeavingIsSharedWithoutTheStore(t *testing.T) {
+	c := startFleet(t, 20)
+	c.addRunners("i-app-3", "i-app-4")
+	c.sendAtInterval(10*time.Millisecond, time.Second)
+	c.store.SetFaults(platform.Faults{Down: true})
+	leaving := c.runners[2:4]
+	for _, r := range leaving {
+		r.SetLeaving("1")
+	}
+	began := time.Now()
+	for i := 0; time.Since(began) < drainTime; i++ {
+		status, _, err := c.daemons[i%2].send("/ask/x", "", "")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	from := time.Now()
+	got := c.sendAtInterval(10*time.Millisecond, drainTime)
+	c.store.SetFaults(platform.Faults{})
+	for _, r := range leaving {
+		assert.Equal(t, countAfter(r.ArrivalTimes(), from), 0, r.ID)
+	}
+	assert.Equal(t, len(got), 1, "requests were not served while other runners had free slots: %v", got)
+}
+
+// TestStreamsEndAtALeavingRunner guards against cutting or moving streams that run at a runner
+// when it announces that it is leaving.
+func TestStreamsEndAtALeavingRunner(t *testing.T) {
+	c := startFleet(t, 2)
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			status, body, err := c.daemons[0].send("/gen/x", "", "m1")
+			assert.Check(t, err)
+			assert.Check(t, status == http.StatusOK && strings.Contains(body, "piece 20"), "%d %s", status, body)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	gen := c.runners[0]
+	gen.SetLeaving("1")
+	wg.Wait()
+	runs := len(gen.Runs()) + len(c.runners[1].Runs())
+	assert.Equal(t, runs, 10, "streams were moved")
+}
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -336,3 +336,32 @@
 	assert.ErrorIs(t, err, core.ErrNotSent)
 	assert.Assert(t, !errors.Is(err, core.ErrNoListener))
 }
+
+// Guards against applying what an answer announces to a runner whose address another instance
+// has now.
+func TestAnswersOfOtherInstancesAreNotObserved(t *testing.T) {
+	for _, tt := range []struct {
+		name, status, header string
+		observed             bool
+	}{
+		{"served", "200 OK", "", true},
+		{"rejected", "503 Service Unavailable", "", true},
+		{"misdirected, of an unknown instance", "421 Misdirected Request", "", false},
+		{"misdirected, of another instance", "421 Misdirected Request", "X-Primroseward-Instance-Id: i-2\r\n", false},
+		{"misdirected, of the instance", "421 Misdirected Request", "X-Primroseward-Instance-Id: i-1\r\n", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := serve(t, func(_ int, c net.Conn, r *http.Request) bool {
+				fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\nServer-Leaving: 1\r\n%sContent-Length: 0\r\n\r\n", tt.status, idHeader, r.Header.Get(idHeader), tt.header)
+				return true
+			})
+			observed := false
+			c := New(clockwork.NewRealClock(), platform.Dialect{}, WithAnswerCallback(func(r *core.Runner, _ int, info core.ReplyInfo) {
+				observed = r.ID == "i-1" && info.Leaving.Announced
+			}))
+			_, err := get(c, s, request("a", ""))
+			assert.NilError(t, err)
+			assert.Equal(t, observed, tt.observed)
+		})
+	}
+}
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -127,7 +127,7 @@
 
 func (r runners) status(e *catalog.Entry, holder string) service.RunnerStatus {
 	requests := r.d.loads.View(e.ID).Requests
-	out := service.RunnerStatus{Runner: e.ID, DataCentre: e.DataCentre, Owner: holder, Slots: e.Slots, Running: requests, Leaving: e.Draining}
+	out := service.RunnerStatus{Runner: e.ID, DataCentre: e.DataCentre, Owner: holder, Slots: e.Slots, Running: requests, Leaving: !e.Usable()}
 	config := r.d.catalog.Config()
 	if config == nil || config.Services[e.Service] == nil || config.Services[e.Service].Engine == nil {
 		return out
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -161,10 +161,10 @@
 		}))
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
-	d.available = availability.New(d.clock, d.log, availability.WithScope(d.scope))
+	d.catalog = catalog.New(d.clock, catalog.WithGoneCallback(d.runnerGone), catalog.WithRestartCallback(d.runnerRestarted), catalog.WithConfigCallback(d.newConfig))
+	d.available = availability.New(d.clock, d.catalog, d.log, availability.WithScope(d.scope), availability.WithBroadcast(d.broadcastLeaving))
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
 		runner.WithAnswerCallback(d.available.ObserveAnswer))
-	d.catalog = catalog.New(d.clock, catalog.WithGoneCallback(d.runnerGone), catalog.WithRestartCallback(d.runnerRestarted), catalog.WithConfigCallback(d.newConfig))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
@@ -180,6 +180,7 @@
 	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.LocalRequests, d.peerUpdate, peers.WithSummaries(d.groupSummary), peers.WithDatagramCounter(d.countDatagram),
 		peers.WithUsage(d.localUsage, d.peerUsage))
 	d.peers.Handle(kindLimit, d.handleLimit)
+	d.peers.Handle(kindLeaving, d.handleLeaving)
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.RetryWindow), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), currentHolder{d}, d.clock, d.log, lease.WithCandidate(d.shouldWatch))
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -21,6 +21,8 @@
 	// received after that one, first at earlierAt.
 	earlier   *core.Runner
 	earlierAt time.Time
+	// Departure is the runner's announcement that it is leaving; nil if there is none.
+	Departure *Departure
 
 	updates map[holdingKey]holdingUpdate
 }
@@ -39,8 +41,21 @@
 // description, which lists models and arrives about once a second.
 const modelUpdateTTL = 4 * time.Second
 
-// Usable reports whether the runner may get new work.
-func (e *Entry) Usable() bool { return !e.Draining }
+// Departure is the announcement in a runner's answer that the instance is leaving. The runner's
+// entry in the store may not state it yet.
+type Departure struct {
+	StartedAt time.Time // start of the instance
+	At        time.Time // when this daemon learnt of it
+	Source    string    // daemon that received the answer; empty: this one
+}
+
+// departureRetention is how long a departure is kept after the runner's entry is gone: the
+// entry of a runner that still serves may reappear.
+const departureRetention = 10 * time.Minute
+
+// Usable reports whether the runner may get new work: neither its entry nor its answers state
+// that it is leaving.
+func (e *Entry) Usable() bool { return !e.Draining && e.Departure == nil }
 
 // Catalog holds the newest configuration and all runners. Readers get immutable
 // snapshots.
@@ -53,12 +68,15 @@
 	// lists and all are snapshots for readers. They are rebuilt on the first read after a
 	// change, so that the cost of a change to one runner does not depend on the number of
 	// runners.
-	lists     map[string][]*Entry
-	all       map[string]*Entry
-	onGone    func(core.Runner)
-	onRestart func(core.Runner)
-	onConfig  func(*core.Config)
-	clock     core.Clock
+	lists map[string][]*Entry
+	all   map[string]*Entry
+	// departures are kept by runner id apart from the entries, which are replaced with each
+	// description.
+	departures map[string]Departure
+	onGone     func(core.Runner)
+	onRestart  func(core.Runner)
+	onConfig   func(*core.Config)
+	clock      core.Clock
 }
 
 // Option configures a Catalog.
@@ -77,7 +95,7 @@
 // New returns an empty catalog.
 func New(clock core.Clock, opts ...Option) *Catalog {
 	c := &Catalog{
-		clock: clock, entries: map[string]*Entry{}, services: map[string]map[string]*Entry{}, lists: map[string][]*Entry{}, onGone: func(core.Runner) {}, onRestart: func(core.Runner) {}, onConfig: func(*core.Config) {},
+		clock: clock, entries: map[string]*Entry{}, services: map[string]map[string]*Entry{}, lists: map[string][]*Entry{}, departures: map[string]Departure{}, onGone: func(core.Runner) {}, onRestart: func(core.Runner) {}, onConfig: func(*core.Config) {},
 	}
 	for _, o := range opts {
 		o(c)
@@ -175,10 +193,48 @@
 		e.updates = old.updates
 	}
 	e.apply(now)
+	e.Departure = c.departureOf(&r)
 	c.set(e)
 	return restarted
 }
 
+// departureOf returns the departure that applies to an instance of a runner, or nil. Only a
+// later start of the runner ends it: an entry is written about once a second and may be late.
+// The caller holds the lock.
+func (c *Catalog) departureOf(r *core.Runner) *Departure {
+	d, ok := c.departures[r.ID]
+	if !ok || r.StartedAt.After(d.StartedAt) {
+		return nil
+	}
+	return &d
+}
+
+// RecordLeaving records that an instance of a runner has announced that it is leaving, and
+// reports whether this was not known. An announcement of a former instance is ignored.
+func (c *Catalog) RecordLeaving(id string, d Departure) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entries[id]
+	if known, ok := c.departures[id]; ok && !d.StartedAt.After(known.StartedAt) || e != nil && e.StartedAt.After(d.StartedAt) {
+		return false
+	}
+	c.departures[id] = d
+	if e != nil {
+		next := *e
+		next.Departure = &d
+		c.set(&next)
+	}
+	return true
+}
+
+// forgetDepartures drops the old departures of runners that have no entry. The caller holds
+// the lock.
+func (c *Catalog) forgetDepartures(now time.Time) {
+	maps.DeleteFunc(c.departures, func(id string, d Departure) bool {
+		return c.entries[id] == nil && now.Sub(d.At) >= departureRetention
+	})
+}
+
 // putEarlier records a description with an earlier start time than the one in effect. The
 // caller holds the lock.
 func (c *Catalog) putEarlier(old *Entry, r core.Runner, now time.Time) {
@@ -220,6 +276,7 @@
 			c.drop(id)
 		}
 	}
+	c.forgetDepartures(now)
 	c.mu.Unlock()
 	for _, r := range gone {
 		c.onGone(r)
