A runner that asks for a rest gets no requests until it is over

Cause: the Retry-After of a runner's 503 was read by nobody. A rejected request went on to the next runner, and since the runner that had rejected it had nothing in progress, it looked the least loaded for the next request.

Change: one table says whether this daemon may send to a runner now, and why not: leaving, resting, down, limited. All paths ask it: choice, the check after a wait, the last check before a send, resumed streams, placed models, orders and report requests. A rest ends with its time, and then one request finds out whether the runner accepts requests; the others wait for its answer for a moment or go elsewhere. A later, shorter request does not shorten a rest; limits.rest bounds it. A new start ends it. Where all rest the caller is refused at once, not run, with a time to come back not before the first rest ends, more urgent ones first. A rejection with a rest no longer counts towards the three after which a request is refused, as that runner gets no further one. The holder of orders takes a resting runner for busy and limited, and evicts nothing for it.

In virtual time one, three and four of four runners: one send a rest each, nobody refused while one accepts.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -1,9 +1,10 @@
-// Package availability records what runners announce in their answers about whether they
-// accept requests.
+// Package availability decides whether this daemon may send to a runner: from the runner's entry,
+// from what its answers announce to this daemon and to others, and from refused connections.
 package availability
 
 import (
-	"maps"
+	"cmp"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"primroseward/coordination/allowance"
+	"primroseward/coordination/load"
 	"primroseward/core"
 	"primroseward/io/logs"
 	"primroseward/state/catalog"
@@ -20,10 +23,8 @@
 	// problemLogInterval is the least time between two log entries about unreadable
 	// announcements.
 	problemLogInterval = time.Second
-	// defaultMaxRest is the longest rest that is granted to a runner.
-	defaultMaxRest = time.Minute
-	// restRetention is how long a rest that is over is kept if no request follows it.
-	restRetention = time.Minute
+	// DefaultMaxRest is the longest rest that is granted to a runner.
+	DefaultMaxRest = time.Minute
 )
 
 // rebroadcasts are the times after which an announcement that a runner is leaving is broadcast
@@ -42,6 +43,8 @@
 type Table struct {
 	clock     core.Clock
 	catalog   *catalog.Catalog
+	loads     *load.Table
+	limits    *allowance.Limits
 	log       *zap.Logger
 	scope     tally.Scope
 	maxRest   func() time.Duration
@@ -53,13 +56,6 @@
 	problemLoggedAt time.Time
 }
 
-// rest is a time during which a runner has asked this daemon to send nothing.
-type rest struct {
-	startedAt time.Time // start of the runner's instance
-	since     time.Time
-	until     time.Time
-}
-
 // Option configures a Table.
 type Option func(*Table)
 
@@ -74,9 +70,10 @@
 
 // New returns a Table without announcements. It records in the catalog which runners are
 // leaving.
-func New(clock core.Clock, c *catalog.Catalog, log *zap.Logger, opts ...Option) *Table {
+func New(clock core.Clock, c *catalog.Catalog, loads *load.Table, limits *allowance.Limits, log *zap.Logger, opts ...Option) *Table {
 	t := &Table{
-		clock: clock, catalog: c, log: log, scope: tally.NoopScope, maxRest: func() time.Duration { return defaultMaxRest }, broadcast: func(Update) {},
+		clock: clock, catalog: c, loads: loads, limits: limits, log: log, scope: tally.NoopScope,
+		maxRest: func() time.Duration { return DefaultMaxRest }, broadcast: func(Update) {},
 	}
 	for _, o := range opts {
 		o(t)
@@ -85,6 +82,47 @@
 	return t
 }
 
+// State is whether this daemon may send requests to a runner now, and why not.
+type State struct {
+	Load    load.View
+	Leaving bool // by its entry or by an announcement
+	// Departure is the announcement that it is leaving; nil if there is none.
+	Departure *catalog.Departure
+	Rest      Rest
+	Resting   bool // it has asked for a rest, or a request finds out whether the rest is over
+	Limit     allowance.Limit
+	Limited   bool
+}
+
+// State returns the state of a runner.
+func (t *Table) State(e *catalog.Entry) State {
+	s := State{Load: t.loads.View(e.ID), Leaving: !e.Usable(), Departure: e.Departure}
+	s.Rest, s.Resting = t.Resting(e.ID)
+	s.Limit, s.Limited = t.limits.Limit(e.ID)
+	return s
+}
+
+// Accepts reports whether the runner accepts requests, up to its limit.
+func (s State) Accepts() bool { return !s.Leaving && !s.Resting && !s.Load.Down }
+
+// Describe returns why a runner gets no requests, who received the announcement and how old it
+// is, or an empty text.
+func (s State) Describe(now time.Time) string {
+	switch {
+	case s.Departure != nil:
+		return fmt.Sprintf("leaving, heard by %s %s ago", cmp.Or(s.Departure.Source, "this daemon"), now.Sub(s.Departure.At).Round(time.Millisecond))
+	case s.Leaving:
+		return "leaving, by its entry"
+	case s.Resting && s.Rest.Probing:
+		return "resting, a request finds out whether it still does"
+	case s.Resting:
+		return fmt.Sprintf("resting, %s left, asked %s ago", s.Rest.Until.Sub(now).Round(time.Millisecond), now.Sub(s.Rest.AskedAt).Round(time.Millisecond))
+	case s.Load.Down:
+		return "down"
+	}
+	return ""
+}
+
 // ObserveAnswer records what an answer of a runner's instance announces.
 func (t *Table) ObserveAnswer(r *core.Runner, _ int, info core.ReplyInfo) {
 	if info.Leaving == (core.Leaving{}) && info.Rest == (core.Rest{}) {
@@ -141,21 +179,3 @@
 		t.log.Warn(logs.AnnouncementUnreadable, zap.String("runner", runner), zap.String("problem", problem))
 	}
 }
-
-// setRest stores a rest that ends at the latest time that the runner has asked for; the
-// caller holds t.mu.
-func (t *Table) setRest(r *core.Runner, asked time.Duration) {
-	now := t.clock.Now()
-	next := &rest{startedAt: r.StartedAt, since: now, until: now.Add(min(asked, t.maxRest()))}
-	if old := (*t.rests.Load())[r.ID]; old != nil && old.startedAt.Equal(r.StartedAt) && now.Before(old.until) {
-		next.since = old.since
-		if old.until.After(next.until) {
-			next.until = old.until
-		}
-	}
-	t.log.Info(logs.RunnerRests, zap.String("runner", r.ID), zap.Duration("asked", asked), zap.Duration("left", next.until.Sub(now)), zap.Duration("since", now.Sub(next.since)))
-	rests := maps.Clone(*t.rests.Load())
-	rests[r.ID] = next
-	maps.DeleteFunc(rests, func(_ string, old *rest) bool { return now.Sub(old.until) >= restRetention })
-	t.rests.Store(&rests)
-}
--- a/coordination/availability/leaving_test.go
+++ b/coordination/availability/leaving_test.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"primroseward/coordination/allowance"
+	"primroseward/coordination/load"
 	"primroseward/core"
 	"primroseward/state/catalog"
 )
@@ -26,7 +28,7 @@
 		c.Put(r, clock.Now())
 	}
 	d := &daemon{}
-	d.Table = New(clock, c, zap.NewNop(), WithBroadcast(func(u Update) { d.sent = append(d.sent, u) }))
+	d.Table = New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(func(u Update) { d.sent = append(d.sent, u) }))
 	return d
 }
 
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"primroseward/coordination/availability"
 	"primroseward/coordination/policy"
 	"primroseward/core"
 	"primroseward/io/logs"
@@ -24,6 +25,7 @@
 	errFull      = errors.New("full")
 	errDown      = errors.New("down")
 	errLimited   = errors.New(core.CodeLimited)
+	errResting   = errors.New("resting")
 )
 
 // messages are the texts sent to callers for each reason.
@@ -33,6 +35,7 @@
 	errFull:      "all runners that may serve the request are full",
 	errDown:      "the runners that may serve the request have ended",
 	errLimited:   "the runners that may serve the request take no more for now",
+	errResting:   "the runners that may serve the request have asked for a rest",
 }
 
 // refuseFor refuses the request for one of the reasons in messages.
@@ -53,11 +56,17 @@
 	}
 	switch {
 	case len(candidates) == 0 && j.sends > 0:
+		if j.noteRest() {
+			return nil, errResting
+		}
 		return nil, errExhausted
 	case len(candidates) == 0:
 		return nil, errAbsent
 	case i < 0 && j.atLimit:
 		return nil, errLimited
+	case i < 0 && policy.OnlyResting(candidates):
+		j.noteRest()
+		return nil, errResting
 	case i < 0:
 		return nil, errFull
 	case candidates[i].Down && !j.d.loads.Probe(candidates[i].ID):
@@ -68,15 +77,15 @@
 	limit, limited := j.d.limits.Limit(c.ID)
 	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.Stringer("digest", j.q.Digest), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
 		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SameDataCentre), zap.Duration("wait", wait),
-		zap.Bool("limited", limited), zap.Float64("limit", limit.Rate), zap.String("limitfrom", limit.From), zap.Duration("limitage", limit.Age))
+		zap.Bool("limited", limited), zap.Float64("limit", limit.Rate), zap.String("limitfrom", limit.From), zap.Duration("limitage", limit.Age), zap.Strings("omitted", j.omitted))
 	if wait == 0 {
 		return &holders[i].Runner, nil
 	}
 	core.Sleep(ctx, j.d.clock, wait)
-	if e := j.d.catalog.Runner(c.ID); e != nil && j.mayServe(e) && (c.Down || !j.d.loads.Down(c.ID)) {
+	if e := j.d.catalog.Runner(c.ID); e != nil && j.suits(e) && j.stillAccepts(e, c.Down) {
 		return &e.Runner, nil
 	}
-	return j.choose(ctx) // it has exited or begun to leave, or the settings have changed
+	return j.choose(ctx) // it no longer accepts requests, or the settings have changed
 }
 
 // needsPlacement reports whether to ask the holder of orders for the request's model or
@@ -101,12 +110,11 @@
 func (j *job) capacityElsewhere() bool {
 	req := j.requirements()
 	for _, e := range j.d.catalog.Runners(j.service) {
-		if !j.hasModel(e) || e.HoldsAdapter(j.q.Model, j.q.Adapter) {
+		if j.tried[e.ID] || !j.hasModel(e) || e.HoldsAdapter(j.q.Model, j.q.Adapter) {
 			continue
 		}
-		v := j.d.loads.View(e.ID)
-		_, limited := j.d.limits.Limit(e.ID)
-		if c := (policy.Candidate{Slots: e.Slots, Requests: v.Requests}); !v.Down && !limited && !c.Full(req) {
+		s := j.d.available.State(e)
+		if c := (policy.Candidate{Slots: e.Slots, Requests: s.Load.Requests}); s.Accepts() && !s.Limited && !c.Full(req) {
 			return true
 		}
 	}
@@ -123,14 +131,24 @@
 	return j.d.pacer.Reserve(j.d.clock.Now(), j.service, runner, j.q.InputTokens, j.d.daemons(), j.route.Target)
 }
 
-// mayServe reports whether the request may go to a runner now.
-func (j *job) mayServe(e *catalog.Entry) bool {
+// suits reports whether the request may go to a runner if that accepts requests.
+func (j *job) suits(e *catalog.Entry) bool { return !j.tried[e.ID] && j.canServe(e) }
+
+// canServe is like suits but ignores whether the request has been sent to the runner before.
+func (j *job) canServe(e *catalog.Entry) bool {
 	return j.hasModel(e) && (j.q.Adapter == "" || e.HoldsAdapter(j.q.Model, j.q.Adapter))
 }
 
-// hasModel is like mayServe but ignores the request's adapter.
+// hasModel is like canServe but ignores the request's adapter.
 func (j *job) hasModel(e *catalog.Entry) bool {
-	return e.Usable() && !j.tried[e.ID] && j.allows(e.DataCentre) && (j.q.Model == "" || e.Holds(j.q.Model))
+	return j.allows(e.DataCentre) && (j.q.Model == "" || e.Holds(j.q.Model))
+}
+
+// stillAccepts reports whether a runner that was chosen before a wait accepts requests now.
+// wasDown is set if it was chosen because all were down.
+func (j *job) stillAccepts(e *catalog.Entry, wasDown bool) bool {
+	s := j.d.available.State(e)
+	return s.Accepts() || wasDown && !s.Leaving && !s.Resting
 }
 
 // requirements returns what the request needs of its runner.
@@ -155,22 +173,61 @@
 // in there.
 func (j *job) spec() *core.Service { return j.d.catalog.Config().Services[j.service] }
 
+// maxOmitted bounds the runners that are logged as left out of a choice.
+const maxOmitted = 8
+
+// omit records for the log that a runner accepts no requests.
+func (j *job) omit(e *catalog.Entry, s availability.State, now time.Time) {
+	if why := s.Describe(now); why != "" && len(j.omitted) < maxOmitted {
+		j.omitted = append(j.omitted, e.ID+": "+why)
+	}
+}
+
+// noteRest finds the first rest to end among the runners that could serve the request, those
+// that it has been sent to too, and sets when the caller should return. It returns false if
+// none is resting.
+func (j *job) noteRest() bool {
+	now, first := j.d.clock.Now(), time.Time{}
+	for _, e := range j.d.catalog.Runners(j.service) {
+		if !j.canServe(e) {
+			continue
+		}
+		s := j.d.available.State(e)
+		j.probeAwaited = j.probeAwaited || s.Resting && s.Rest.Probing
+		if s.Resting && !s.Leaving && (first.IsZero() || s.Rest.Until.Before(first)) {
+			first = s.Rest.Until
+		}
+	}
+	if first.IsZero() {
+		return false
+	}
+	j.restUntil = first
+	j.retryAfter = policy.RetryAfterRest(first.Sub(now), j.rank())
+	return true
+}
+
 // candidates returns the runners that can serve the request now.
 func (j *job) candidates() ([]*catalog.Entry, []policy.Candidate) {
 	var holders []*catalog.Entry
 	var out []policy.Candidate
 	now := j.d.clock.Now()
+	j.omitted, j.probeAwaited = nil, false
 	for _, e := range j.d.catalog.Runners(j.service) {
-		if !j.mayServe(e) {
+		if !j.suits(e) {
+			continue
+		}
+		s := j.d.available.State(e)
+		if !s.Accepts() {
+			j.omit(e, s, now)
+		}
+		if s.Leaving {
 			continue
 		}
-		v := j.d.loads.View(e.ID)
-		limit, limited := j.d.limits.Limit(e.ID)
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
-			ID: e.ID, Slots: e.Slots, Requests: v.Requests, Penalty: v.Penalty,
+			ID: e.ID, Slots: e.Slots, Requests: s.Load.Requests, Penalty: s.Load.Penalty,
 			SameDataCentre: e.DataCentre == j.d.dataCentre, Leaving: e.LeavesIn > 0 && e.LeavesIn < leaveMargin,
-			Wait: j.d.pacer.Wait(now, e.ID), Down: v.Down, Limited: limited && !limit.Spare,
+			Wait: j.d.pacer.Wait(now, e.ID), Down: s.Load.Down, Limited: s.Limited && !s.Limit.Spare, Resting: s.Resting,
 		})
 	}
 	return holders, out
@@ -189,7 +246,7 @@
 		return nil
 	}
 	e := j.d.catalog.Runner(id)
-	if e == nil || !e.Usable() || j.tried[id] || !j.allows(e.DataCentre) || j.d.loads.Down(id) {
+	if e == nil || j.tried[id] || !j.allows(e.DataCentre) || !j.d.available.State(e).Accepts() {
 		return nil
 	}
 	if j.q.Adapter != "" {
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"primroseward/coordination/allowance"
+	"primroseward/coordination/availability"
 	"primroseward/coordination/load"
 	"primroseward/coordination/policy"
 	"primroseward/core"
@@ -90,6 +91,8 @@
 	allowance core.Allowance
 	// limits are the request limits that runners announce in their answers.
 	limits *allowance.Limits
+	// available decides which runners accept requests.
+	available *availability.Table
 	// settings is nil if there is no settings tree.
 	settings *settings
 }
@@ -115,6 +118,11 @@
 // WithLimits sets the record of the limits that runners announce in their answers.
 func WithLimits(r *allowance.Limits) Option { return func(d *Dispatcher) { d.limits = r } }
 
+// WithAvailability sets the table of the runners that accept requests.
+func WithAvailability(t *availability.Table) Option {
+	return func(d *Dispatcher) { d.available = t }
+}
+
 // New returns the Dispatcher of a daemon in a data centre.
 func New(dataCentre string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -125,6 +133,9 @@
 	for _, o := range opts {
 		o(d)
 	}
+	if d.available == nil {
+		d.available = availability.New(clock, c, loads, d.limits, log)
+	}
 	return d
 }
 
@@ -156,6 +167,10 @@
 	atLimit            bool               // a runner was skipped because its limit is used up
 	limitFields        []zap.Field        // log fields on the last such runner
 	limitTakenFrom     string             // runner whose limit the next send has been taken from, or empty
+	probes             string             // runner whose rest the next send probes, or empty
+	omitted            []string           // runners that would suit but accept no requests, and why
+	restUntil          time.Time          // end of the first rest among the runners that could serve the request
+	probeAwaited       bool               // a runner was skipped because a request probes its rest
 	lastEvent          string             // id of the last event passed on
 	cancelSend         context.CancelFunc // closes the connection of the latest send
 	answerBegan        func()             // called when the answer to the latest send has begun
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -46,12 +46,19 @@
 	runs    []string // runners that ran the request
 	sends   []core.Outgoing
 	limits  map[string]core.RateLimit // limits that the runners announce
+	rests   map[string]time.Duration  // rests that the runners ask for; they reject all requests
+	observe func(r *core.Runner, status int, info core.ReplyInfo)
 }
 
 func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sends = append(f.sends, o)
+	if asked, ok := f.rests[r.ID]; ok {
+		info := core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}}
+		f.observe(r, http.StatusServiceUnavailable, info)
+		return answer(http.StatusServiceUnavailable, info, "", nil), nil
+	}
 	a := f.nextAct(r.ID)
 	if a != unreachable && a != noListener && a != rejects {
 		f.runs = append(f.runs, r.ID)
@@ -166,7 +173,9 @@
 		c.Put(core.Runner{ID: fmt.Sprint("r", i), Service: "s", Slots: 4, Holdings: []core.Holding{{Model: "m"}}}, clock.Now())
 	}
 	budget := policy.NewBudget(clock, 10*time.Second, func() float64 { return 0.2 }, func() float64 { return 100 })
-	return New("p", c, load.New(clock), f, noPlacer{}, budget, NewDemand(), clock, zap.NewNop())
+	d := New("p", c, load.New(clock), f, noPlacer{}, budget, NewDemand(), clock, zap.NewNop())
+	f.observe = d.available.ObserveAnswer
+	return d
 }
 
 func route(kind core.RequestKind, resumable bool, attempts int) *core.Route {
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -17,6 +17,13 @@
 // would count as a cause and never complete.
 const harmlessAfter = 2 * time.Second
 
+// maxProbeWait is how long a request waits for the answer to another one that finds out
+// whether the rest of the only runners that can serve it is over.
+const (
+	maxProbeWait      = 150 * time.Millisecond
+	probePollInterval = 10 * time.Millisecond
+)
+
 // admit refuses a request that may not be served now, and counts it in otherwise. The
 // workspace's allowance is checked last, so that requests refused for other reasons use
 // none of it.
@@ -39,8 +46,13 @@
 // a hold may have been set on the request while it waited, or because of what it did at the
 // previous runner.
 func (j *job) nextRunner(ctx context.Context) (*core.Runner, error) {
-	for {
+	for waited := time.Duration(0); ; {
 		r, err := j.choose(ctx)
+		if err == errResting && j.probeAwaited && waited < maxProbeWait {
+			waited += probePollInterval
+			core.Sleep(ctx, j.d.clock, probePollInterval)
+			continue
+		}
 		if err != nil {
 			return nil, j.refuseFor(err)
 		}
@@ -60,7 +72,14 @@
 		return false, err
 	}
 	e := j.d.catalog.Runner(r.ID)
-	return e != nil && e.Usable() && e.StartedAt.Equal(r.StartedAt), nil
+	if e == nil || !e.Usable() || !e.StartedAt.Equal(r.StartedAt) {
+		return false, nil
+	}
+	ok, probe := j.d.available.Admit(r.ID)
+	if probe {
+		j.probes = r.ID
+	}
+	return ok, nil
 }
 
 // refuseHeld refuses a request that is held because an identical one crashed runners. The
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -68,8 +68,10 @@
 
 // handleRejection decides what follows a runner's statement that it did not run the request.
 func (j *job) handleRejection(r *core.Runner, reply *core.Reply) error {
-	j.rejections++
-	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejections))
+	if reply.Info.Rest.Duration == 0 { // after a rest it gets no further request that it could reject
+		j.rejections++
+	}
+	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejections), zap.Duration("rest", reply.Info.Rest.Duration))
 	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
 		j.d.catalog.RecordHolding(r.ID, j.q.Model, j.q.Adapter, false)
 	}
@@ -97,7 +99,7 @@
 // callers rely on it.
 func (j *job) refuse(code, message string, err error) error {
 	retry := policy.RetryAfter(j.route.Target, j.engine())
-	if j.retryAfter > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error()) {
+	if j.retryAfter > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error() || code == errResting.Error()) {
 		retry = j.retryAfter
 	}
 	log := j.log
@@ -105,7 +107,7 @@
 		log = log.With(j.limitFields...)
 	}
 	log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
-		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejections), zap.Strings("places", j.effective.DataCentres), zap.Duration("retry", retry), logs.Err(err))
+		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejections), zap.Strings("places", j.effective.DataCentres), zap.Duration("retry", retry), zap.Strings("omitted", j.omitted), logs.Err(err))
 	if j.runs > 0 {
 		return core.MayHaveRun(code, message)
 	}
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
@@ -17,7 +18,13 @@
 
 // send sends the request to a runner and counts it as in progress there until the answer's
 // body is closed.
-func (j *job) send(ctx context.Context, r *core.Runner) (*core.Reply, error) {
+func (j *job) send(ctx context.Context, r *core.Runner) (reply *core.Reply, err error) {
+	if j.probes != "" {
+		defer func() {
+			j.d.available.EndProbe(j.probes, err == nil && reply.Status != http.StatusMisdirectedRequest)
+			j.probes = ""
+		}()
+	}
 	left := j.deadline.Sub(j.d.clock.Now())
 	if left <= 0 {
 		return nil, eris.Wrap(core.ErrNotSent, "deadline exceeded")
@@ -42,7 +49,7 @@
 	ctx, j.cancelSend = context.WithCancel(ctx)
 	done := j.d.byRunner.add(r.ID, j.cancelSend)
 	j.answerBegan = j.d.unanswered.add(j.q.Digest, j.cancelSend)
-	reply, err := j.sendWithStallCheck(ctx, r, out)
+	reply, err = j.sendWithStallCheck(ctx, r, out)
 	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
 		j.runs++
 	}
--- a/coordination/placement/fatal.go
+++ b/coordination/placement/fatal.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"primroseward/coordination/availability"
 	"primroseward/core"
 )
 
@@ -17,9 +18,8 @@
 // Option configures a Holder.
 type Option func(*Holder)
 
-// WithLimited sets the function that reports whether a runner limits the requests per
-// second that it accepts.
-func WithLimited(fn func(runner string) bool) Option { return func(h *Holder) { h.isLimited = fn } }
+// WithAvailability sets the table of the runners that accept requests.
+func WithAvailability(t *availability.Table) Option { return func(h *Holder) { h.available = t } }
 
 // WithGuard sets the Guard that is consulted before a model is loaded.
 func WithGuard(g Guard) Option { return func(h *Holder) { h.guard = g } }
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -10,6 +10,8 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"primroseward/coordination/allowance"
+	"primroseward/coordination/availability"
 	"primroseward/coordination/dispatch"
 	"primroseward/coordination/load"
 	"primroseward/coordination/policy"
@@ -105,7 +107,7 @@
 	broadcast    func(HoldingUpdate)
 	settings     *tree.Replica // the operators' settings tree; nil if there is none
 	guard        Guard
-	isLimited    func(runner string) bool
+	available    *availability.Table
 
 	inbox         chan func()
 	term          uint64
@@ -129,11 +131,14 @@
 	h := &Holder{
 		self: self, catalog: c, loads: loads, runnerClient: client, lease: lease, clock: clock, log: log, count: count, broadcast: broadcast,
 		inbox: make(chan func(), inboxSize), runners: map[string]*runnerState{}, demand: map[dispatch.PlacementKey]float64{},
-		waiting: map[dispatch.PlacementKey]*waiters{}, guard: core.NoGuard{}, isLimited: func(string) bool { return false },
+		waiting: map[dispatch.PlacementKey]*waiters{}, guard: core.NoGuard{},
 	}
 	for _, opt := range opts {
 		opt(h)
 	}
+	if h.available == nil {
+		h.available = availability.New(clock, c, loads, allowance.NewLimits(clock, log), log)
+	}
 	return h
 }
 
@@ -325,9 +330,9 @@
 			h.runners[id] = rs
 		}
 		rs.runner, rs.engine = e.Runner, service.Engine
-		rs.leaving = !e.Usable()
-		rs.limited = h.isLimited(id)
-		if down := h.loads.Down(id); down != rs.down {
+		s := h.available.State(e)
+		rs.leaving, rs.resting, rs.limited = s.Leaving, s.Resting, s.Limited
+		if down := s.Load.Down; down != rs.down {
 			rs.down = down
 			h.log.Info(logs.RunnerDown, zap.String("runner", id), zap.Bool("down", down), zap.Int("models", len(rs.models)))
 		}
@@ -336,11 +341,11 @@
 	}
 }
 
-// requestReport requests a runner's state unless it is down. If the runner is executing
+// requestReport requests a runner's state unless it is down or resting. If the runner is executing
 // an order that this holder did not send, its memory use is unknown and the report is
 // requested again later.
 func (h *Holder) requestReport(rs *runnerState) {
-	if rs.synced || rs.reportPending || rs.orderPending || rs.down || h.clock.Now().Before(rs.reportAfter) {
+	if rs.synced || rs.reportPending || rs.orderPending || rs.down || rs.resting || h.clock.Now().Before(rs.reportAfter) {
 		return
 	}
 	rs.reportPending = true
--- a/coordination/placement/holder_test.go
+++ b/coordination/placement/holder_test.go
@@ -17,6 +17,8 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"primroseward/coordination/allowance"
+	"primroseward/coordination/availability"
 	"primroseward/coordination/dispatch"
 	"primroseward/coordination/load"
 	"primroseward/core"
@@ -132,7 +134,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fx := newFixture(t, 2, 2, faults{reportDelay: 200 * time.Millisecond}, 1)
-				WithLimited(func(runner string) bool { return runner == "r0" })(fx.holder)
+				limits := allowance.NewLimits(fx.holder.clock, zap.NewNop())
+				limits.ObserveAnswer("r0", core.ReplyInfo{Limit: core.RateLimit{Announced: true, Rate: 4}})
+				WithAvailability(availability.New(fx.holder.clock, fx.catalog, fx.holder.loads, limits, zap.NewNop()))(fx.holder)
 				if tt.both {
 					fx.addModelToAll("m0")
 				}
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -72,7 +72,7 @@
 		return p
 	}
 	for _, rs := range h.runners {
-		if rs.runner.Service == service && !rs.synced {
+		if rs.runner.Service == service && !rs.synced && !rs.resting {
 			return map[string]float64{}
 		}
 	}
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -61,12 +61,13 @@
 }
 
 // accepts reports whether orders may be sent to a runner now. The runner may have announced
-// that it is leaving since its state was last refreshed.
+// that it is leaving, or have asked for a rest, since its state was last refreshed.
 func (h *Holder) accepts(rs *runnerState) bool {
 	if e := h.catalog.Runner(rs.runner.ID); e != nil && e.StartedAt.Equal(rs.runner.StartedAt) {
-		rs.leaving = !e.Usable()
+		s := h.available.State(e)
+		rs.leaving, rs.resting = s.Leaving, s.Resting
 	}
-	return !rs.leaving
+	return !rs.leaving && !rs.resting
 }
 
 func (h *Holder) runOrder(rs *runnerState, r core.Runner, o core.RunnerOrder, then func(core.OrderResult)) {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -162,7 +162,9 @@
 	d.loads = load.New(d.clock)
 	dials := d.scope.Counter("runner_dials")
 	d.catalog = catalog.New(d.clock, catalog.WithGoneCallback(d.runnerGone), catalog.WithRestartCallback(d.runnerRestarted), catalog.WithConfigCallback(d.newConfig))
-	d.available = availability.New(d.clock, d.catalog, d.log, availability.WithScope(d.scope), availability.WithBroadcast(d.broadcastLeaving))
+	d.limits = allowance.NewLimits(d.clock, d.log, allowance.WithLimitsScope(d.scope), allowance.WithBroadcast(d.broadcastLimit))
+	d.available = availability.New(d.clock, d.catalog, d.loads, d.limits, d.log, availability.WithScope(d.scope), availability.WithBroadcast(d.broadcastLeaving),
+		availability.WithMaxRest(func() time.Duration { return time.Duration(set.Limits.MaxRest) }))
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
 		runner.WithAnswerCallback(d.available.ObserveAnswer))
 	d.watcher = watch.New(d.store, watch.Reader{
@@ -172,7 +174,6 @@
 		watch.WithWatchCondition(d.shouldWatch), watch.WithReadStoreCondition(d.shouldReadStore), watch.WithChanged(d.storeChanged), watch.WithFollowPause(d.followPause),
 		watch.WithUnreadable(func() { d.scope.Counter("runner_entries_unreadable").Inc(1) }))
 	d.allowances = allowance.New(d.clock, func() core.AllowanceWindow { return d.current.Load().Quota.Bounds() }, allowance.WithScope(d.scope))
-	d.limits = allowance.NewLimits(d.clock, d.log, allowance.WithLimitsScope(d.scope), allowance.WithBroadcast(d.broadcastLimit))
 	self := peers.Peer{
 		Name: set.Name, DataCentre: set.DataCentre, Caller: set.CallerAddr, Peer: set.PeerAddr,
 		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
@@ -190,11 +191,11 @@
 		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
-		placement.NewBroadcaster(d.peers, d.catalog, d.clock, d.log).Broadcast, placement.WithGuard(d.quarantine), placement.WithLimited(d.isLimited))
+		placement.NewBroadcaster(d.peers, d.catalog, d.clock, d.log).Broadcast, placement.WithGuard(d.quarantine), placement.WithAvailability(d.available))
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.DataCentre, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
+		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed))
 }
 
@@ -213,6 +214,7 @@
 	d.runners.CloseIdle(r.ID)
 	d.loads.Forget(r.ID)
 	d.limits.Forget(r.ID)
+	d.available.Forget(r.ID)
 	d.dispatcher.Forget(r.ID)
 }
 
@@ -224,6 +226,7 @@
 	d.runners.CloseIdle(former.ID)
 	d.loads.Restarted(former.ID)
 	d.limits.Forget(former.ID)
+	d.available.Forget(former.ID)
 	d.dispatcher.Restarted(former.ID)
 }
 
--- a/services/fleet/limits.go
+++ b/services/fleet/limits.go
@@ -43,9 +43,3 @@
 	d.allowances.UpdatePeers(reachable, known, others)
 	d.limits.UpdatePeers(reachable, known, others)
 }
-
-// isLimited reports whether a runner declares a limit.
-func (d *Daemon) isLimited(runner string) bool {
-	_, ok := d.limits.Limit(runner)
-	return ok
-}
