A runner that fails or rejects at once is no longer taken for idle

What callers saw: one of four runners rejects every request at once, without a time or with one that cannot be read: 72 and 55 of 500 requests refused while three are idle. One of four answers 500 at once to requests that are not repeatable: 162 of 500 get its 500.

Cause: choice compares requests in progress, and a runner that answers at once has none. A failed attempt adds to a runner's penalty, but only failures that are retried did: rejections and failures that are passed on to the caller did not.

Change: both count as failed attempts, apart from 421 (the runner lacks the model) and rejections that ask for a rest, which is kept instead.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -280,9 +280,11 @@
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, err)
 	}
+	if reply.Status >= http.StatusInternalServerError {
+		j.markFailed(r) // a runner that fails at once would look idle
+	}
 	if reply.Status >= http.StatusInternalServerError && j.takeRetry() {
 		_ = reply.Body.Close()
-		j.markFailed(r)
 		j.log.Info(logs.RunnerFailed, zap.String("runner", r.ID), zap.Int("status", reply.Status))
 		return nil, nil
 	}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -71,6 +71,9 @@
 	if reply.Info.Rest.Duration == 0 { // after a rest it gets no further request that it could reject
 		j.rejections++
 	}
+	if reply.Status != http.StatusMisdirectedRequest && reply.Info.Rest.Duration == 0 {
+		j.markFailed(r) // a runner that rejects at once would look idle
+	}
 	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejections), zap.Duration("rest", reply.Info.Rest.Duration))
 	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
 		j.d.catalog.RecordHolding(r.ID, j.q.Model, j.q.Adapter, false)
--- a/proof/limits_test.go
+++ b/proof/limits_test.go
@@ -43,9 +43,15 @@
 	return peak
 }
 
-// sendAtInterval sends a request to a random daemon every interval for a duration, and
-// returns the number of answers by status.
+// sendAtInterval sends a repeatable request to a random daemon every interval for a duration,
+// and returns the number of answers by status.
 func (c *fleetCluster) sendAtInterval(interval, duration time.Duration) map[int]int {
+	c.t.Helper()
+	return c.sendPathAtInterval("/ask/x", interval, duration)
+}
+
+// sendPathAtInterval is sendAtInterval for a path.
+func (c *fleetCluster) sendPathAtInterval(path string, interval, duration time.Duration) map[int]int {
 	c.t.Helper()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -55,7 +61,7 @@
 	for end := time.Now().Add(duration); time.Now().Before(end); <-tick.C {
 		d := c.daemons[rand.IntN(len(c.daemons))]
 		wg.Go(func() {
-			status, _, err := d.send("/ask/x", "", "")
+			status, _, err := d.send(path, "", "")
 			assert.Check(c.t, err)
 			mu.Lock()
 			defer mu.Unlock()
--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"primroseward/standin/runner"
 )
 
 const (
@@ -64,3 +66,33 @@
 	}
 	return n
 }
+
+// TestFailingRunnersDrawNoMoreThanTheirShare guards against a runner that fails at once, has
+// therefore no requests in progress, looks idle and draws ever more requests.
+func TestFailingRunnersDrawNoMoreThanTheirShare(t *testing.T) {
+	const runners, duration = 4, 5 * time.Second
+	for _, tt := range []struct {
+		name, path string
+		fail       func(r *runner.Server)
+		served     float64 // least share of the requests, 0 if failures are passed on
+	}{
+		{"rejects", "/ask/x", func(r *runner.Server) { r.Reject() }, 0.98},
+		{"rejects with an unreadable time", "/ask/x", func(r *runner.Server) { r.Reject("soon") }, 0.98},
+		{"fails requests that are not repeatable", "/order/x", func(r *runner.Server) { r.FailNext(1 << 30) }, 0},
+		{"fails repeatable requests", "/ask/x", func(r *runner.Server) { r.FailNext(1 << 30) }, 0.98},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := startFleet(t, 1)
+			c.addRunners("i-app-3", "i-app-4")
+			c.sendPathAtInterval(tt.path, 10*time.Millisecond, time.Second)
+			failing := c.runners[2]
+			tt.fail(failing)
+			began := time.Now()
+			got := c.sendPathAtInterval(tt.path, 10*time.Millisecond, duration)
+			drawn := float64(countAfter(failing.ArrivalTimes(), began)) / float64(total(got))
+			t.Logf("drew %.2f of the requests; answers: %v", drawn, got)
+			assert.Assert(t, drawn <= 1.0/runners, "%.2f of the requests", drawn)
+			assert.Assert(t, float64(got[http.StatusOK]) >= tt.served*float64(total(got)), "answers: %v", got)
+		})
+	}
+}
