Native interface: endpoints' rests and departures are kept

What callers saw: of two endpoints one answers 503 with a Retry-After of 3 s: 134 arrivals there, 64 in one rest, and 134 of 267 repeatable requests got its 503 while the other was idle. One that announces in its answers that it leaves, while its state does not say so, got 135.

The owner read of an answer its limit alone, and of leaving the endpoint's state alone.

Change: the owner passes each answer to the same table as the platform's dispatcher. While an endpoint rests nothing starts there, what waits is refused at once as not run so that its entry goes elsewhere, and the owner's report says how long it takes, so that entries choose others first; then one request finds out. A repeatable request that was rejected with a rest is retried elsewhere within the budget, others get the endpoint's answer as it came.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -102,6 +102,9 @@
 	return s
 }
 
+// Leaving reports whether an instance of a runner has announced that it is leaving.
+func (t *Table) Leaving(r *core.Runner) bool { return t.catalog.DepartureOf(r) != nil }
+
 // Accepts reports whether the runner accepts requests, up to its limit.
 func (s State) Accepts() bool { return !s.Leaving && !s.Resting && !s.Load.Down }
 
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -25,7 +25,7 @@
 	errFull      = errors.New("full")
 	errDown      = errors.New("down")
 	errLimited   = errors.New(core.CodeLimited)
-	errResting   = errors.New("resting")
+	errResting   = errors.New(core.CodeResting)
 )
 
 // messages are the texts sent to callers for each reason.
--- a/coordination/entry/relay.go
+++ b/coordination/entry/relay.go
@@ -25,6 +25,7 @@
 	out           *answer.Buffer
 	runner        directory.Report
 	receivedBytes int64 // body bytes received, over all attempts
+	status        int   // of the latest answer
 	eventStream   bool
 	head          *answer.Head // withheld together with pending
 	pending       []byte       // body bytes withheld
@@ -62,7 +63,7 @@
 	}
 	h.Header.Set(core.HeaderRunner, r.runner.Runner)
 	h.Header.Set(core.HeaderDataCentre, r.runner.DataCentre)
-	r.head = &h
+	r.head, r.status = &h, h.Status
 	r.eventStream = h.Status == http.StatusOK && strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream")
 	if r.eventStream {
 		h.Header.Del("Content-Length")
--- a/coordination/owner/admit.go
+++ b/coordination/owner/admit.go
@@ -11,6 +11,9 @@
 	"primroseward/state/tree"
 )
 
+// messageResting is the text of refusals because of an endpoint's rest.
+const messageResting = "the endpoint has asked for a rest"
+
 // targetLatency returns the target time to first byte of the attempt's class by the
 // settings in force, or 0 while there are none.
 func (r *runner) targetLatency(a *Attempt) time.Duration {
@@ -34,9 +37,12 @@
 	if err := r.checkSendable(a); err != nil {
 		return err
 	}
-	wait := r.expectedWait(a.Class)
 	target := r.targetLatency(a)
 	left := a.Deadline.Sub(r.mgr.clock.Now())
+	if rest := r.restLeft(); rest > min(target, left) {
+		return core.NotRun(http.StatusServiceUnavailable, core.CodeResting, messageResting, rest)
+	}
+	wait := r.expectedWait(a.Class)
 	if wait > min(target, left) {
 		retry := max(minRetryAfter, wait-target)
 		return core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, "the queue is longer than the class's target allows", retry)
@@ -96,11 +102,12 @@
 	return nil
 }
 
-// isLeaving reports whether the endpoint accepts no new requests: it says so itself, it is
-// drained or marked as leaving, or the settings no longer list it.
+// isLeaving reports whether the endpoint accepts no new requests: its state or its answers say
+// so, it is drained or marked as leaving, or the settings no longer list it.
 func (r *runner) isLeaving() bool {
 	_, listed := r.mgr.spec(r.id)
-	return r.leaving || r.spec.Drain || !listed || r.mgr.replica.Leaving(r.id)
+	of := r.instances.current().runner(r.id)
+	return r.leaving || r.mgr.available.Leaving(&of) || r.spec.Drain || !listed || r.mgr.replica.Leaving(r.id)
 }
 
 // serves reports whether a model is ready and not about to be evicted.
@@ -110,13 +117,13 @@
 
 // expectedWait returns the expected time until a new request of a class starts.
 func (r *runner) expectedWait(c core.Class) time.Duration {
-	slots := max(1, r.spec.Slots)
+	slots, rest := max(1, r.spec.Slots), r.restLeft()
 	if len(r.running) < slots && r.queue.Len() == 0 {
-		return 0
+		return rest
 	}
 	ahead := r.queue.Ahead(c)
 	if len(r.running) >= slots {
 		ahead += r.cost
 	}
-	return ahead / time.Duration(slots)
+	return rest + ahead/time.Duration(slots)
 }
--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -53,19 +53,22 @@
 	Request
 	Buffer *answer.Buffer
 
-	endpoint          core.Endpoint
-	stall             time.Duration
-	clock             core.Clock
-	ctx               context.Context
-	cancel            context.CancelFunc
-	startedAt         time.Time           // when it took its slot; set before run starts
-	instance          instance            // of the endpoint at the time of sending; set before run starts
-	onHeader          func(h http.Header) // called with the answer's headers; set before run starts
-	onResume          func()              // charges a resumption to the endpoint's limit; set before run starts
-	tookToken         bool                // holds a token of the endpoint's limit; used only by the runner's loop
-	lastReadAt        time.Time           // when the sweep last saw a reader; used only by the sweep
-	endedAt           time.Time           // when the sweep first saw the end; used only by the sweep
-	status            int                 // of the answer; used only by run
+	endpoint  core.Endpoint
+	stall     time.Duration
+	clock     core.Clock
+	ctx       context.Context
+	cancel    context.CancelFunc
+	startedAt time.Time // when it took its slot; set before run starts
+	instance  instance  // of the endpoint at the time of sending; set before run starts
+	// onAnswer is called with the answer's status and headers, and may replace the answer by an
+	// error; set before run starts.
+	onAnswer          func(status int, h http.Header) *core.RequestError
+	probe             bool      // finds out whether the endpoint's rest is over; set before run starts, then used only by run
+	onResume          func()    // charges a resumption to the endpoint's limit; set before run starts
+	tookToken         bool      // holds a token of the endpoint's limit; used only by the runner's loop
+	lastReadAt        time.Time // when the sweep last saw a reader; used only by the sweep
+	endedAt           time.Time // when the sweep first saw the end; used only by the sweep
+	status            int       // of the answer; used only by run
 	span              trace.SpanContext
 	stopDeadlineWatch func() bool // unregisters the callback for a deadline that passes in the queue
 }
@@ -92,7 +95,11 @@
 		return
 	}
 	a.status = ans.Status
-	a.onHeader(ans.Header)
+	if err := a.onAnswer(ans.Status, ans.Header); err != nil {
+		_ = ans.Body.Close()
+		a.Buffer.Fail(err)
+		return
+	}
 	a.Buffer.SetHead(answer.Head{Status: ans.Status, Header: ans.Header})
 	if err := a.copyAnswer(ctx, ans); err != nil {
 		a.Buffer.Fail(a.classifyCopyError(err))
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -13,8 +13,11 @@
 	"go.uber.org/zap"
 
 	"primroseward/coordination/allowance"
+	"primroseward/coordination/availability"
+	"primroseward/coordination/load"
 	"primroseward/core"
 	"primroseward/state/answer"
+	"primroseward/state/catalog"
 	"primroseward/state/directory"
 	"primroseward/state/ledger"
 	"primroseward/state/tree"
@@ -60,6 +63,9 @@
 	floors   floors
 	weights  weightStore
 	limits   *allowance.Limits
+	// available keeps what endpoints announce of leaving and of rests.
+	available *availability.Table
+	maxRest   time.Duration
 
 	mu      sync.Mutex
 	runners map[string]*runner
@@ -85,6 +91,9 @@
 // a negative age means never.
 func WithSettingsAge(fn func() time.Duration) Option { return func(m *Manager) { m.settingsAge = fn } }
 
+// WithMaxRest sets the longest rest that is granted to an endpoint.
+func WithMaxRest(d time.Duration) Option { return func(m *Manager) { m.maxRest = d } }
+
 // WithGuard sets the quarantine guard, which receives the outcome of attempts and loads at
 // their endpoints.
 func WithGuard(g core.Guard) Option { return func(m *Manager) { m.guard = g } }
@@ -112,12 +121,15 @@
 		attempts:    attempts{byID: map[string]*Attempt{}},
 		runners:     map[string]*runner{},
 		closing:     map[*runner]struct{}{},
+		maxRest:     availability.DefaultMaxRest,
 	}
 	for _, o := range opts {
 		o(m)
 	}
 	m.limits = allowance.NewLimits(clock, m.log, allowance.WithLimitsScope(m.scope))
 	m.limits.UpdatePeers(1, 1, nil) // only the owner sends to a runner, so it has the whole limit
+	m.available = availability.New(clock, catalog.New(clock), load.New(clock), m.limits, m.log, availability.WithScope(m.scope),
+		availability.WithMaxRest(func() time.Duration { return m.maxRest }))
 	m.floors = floors{platform: platform, log: m.log, ready: m.readyRunners}
 	m.weights = weightStore{platform: platform, clock: clock, log: m.log}
 	return m
@@ -226,6 +238,7 @@
 	defer m.wg.Done()
 	r.close()
 	m.limits.Forget(r.id)
+	m.available.Forget(r.id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.closing, r)
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -154,7 +154,7 @@
 		case e := <-r.inbox:
 			e.apply(r)
 		default:
-			r.refuseQueued("runner_released", "this daemon no longer owns the runner")
+			r.refuseQueued("runner_released", "this daemon no longer owns the runner", minRetryAfter)
 			return
 		}
 	}
@@ -188,24 +188,35 @@
 
 // startWaiting starts queued requests while there are free slots.
 func (r *runner) startWaiting() {
-	for len(r.running) < max(1, r.spec.Slots) {
-		item := r.queue.Pop(r.mgr.clock.Now())
-		if item == nil {
+	for len(r.running) < max(1, r.spec.Slots) && r.queue.Len() > 0 {
+		ok, probe := r.mgr.available.Admit(r.id)
+		if !ok {
 			return
 		}
-		a := item.Value.(*Attempt)
-		if err := r.checkSendable(a); err != nil {
-			r.refuse(a, err)
-			continue
+		a := r.queue.Pop(r.mgr.clock.Now()).Value.(*Attempt)
+		a.probe = probe
+		err := r.checkSendable(a)
+		if err == nil && a.ctx.Err() != nil {
+			err = errNotSentInTime()
 		}
-		if a.ctx.Err() != nil {
-			r.refuse(a, errNotSentInTime())
+		if err != nil {
+			r.endProbe(a, false)
+			r.refuse(a, err)
 			continue
 		}
 		r.start(a)
 	}
 }
 
+// endProbe ends the attempt as the one that finds out whether the endpoint's rest is over, if
+// it is that.
+func (r *runner) endProbe(a *Attempt, answered bool) {
+	if a.probe {
+		a.probe = false
+		r.mgr.available.EndProbe(r.id, answered)
+	}
+}
+
 func (r *runner) start(a *Attempt) {
 	a.stopDeadlineWatch()
 	t := r.mgr.replica.Tree()
@@ -217,18 +228,67 @@
 		r.mgr.limits.Charge(r.id) // admitted before the endpoint published its limit
 	}
 	a.onResume = func() { r.mgr.limits.Charge(r.id) }
-	a.onHeader = func(h http.Header) {
-		r.mgr.limits.ObserveAnswer(r.id, core.ReplyInfo{Stamped: true, Limit: core.ReadRateLimit(h.Values(core.HeaderLimit))})
-	}
+	a.onAnswer = func(status int, h http.Header) *core.RequestError { return r.observeAnswer(a, status, h) }
 	r.running[a.AttemptID] = a
 	r.perModel[a.Model]++
 	r.wg.Add(1)
 	go a.run(r.mgr.guard, r.attemptEnded)
 }
 
+// observeAnswer applies what an answer announces of its endpoint. It returns the error of an
+// attempt that may be made at another endpoint instead. It is called from the attempt's own
+// goroutine.
+func (r *runner) observeAnswer(a *Attempt, status int, h http.Header) *core.RequestError {
+	if r.instances.current().startedAt.After(a.instance.startedAt) {
+		return nil // a late answer of a former instance
+	}
+	info := core.ReplyInfo{Stamped: true, Limit: core.ReadRateLimit(h.Values(core.HeaderLimit)), Leaving: core.ReadLeaving(h.Values(core.HeaderLeaving))}
+	if status == http.StatusServiceUnavailable {
+		info.Rest = core.ReadRest(h.Values(core.HeaderRetryAfter))
+	}
+	of := a.instance.runner(r.id)
+	r.mgr.limits.ObserveAnswer(r.id, info)
+	r.mgr.available.ObserveAnswer(&of, status, info)
+	probed := a.probe
+	r.endProbe(a, true)
+	if probed || info.Leaving.Announced || info.Rest.Announced {
+		r.send(announcement{})
+	}
+	if !info.Rest.Announced || !a.Repeatable {
+		return nil
+	}
+	err := core.MayHaveRun(core.CodeResting, "the endpoint has rejected the request and asked for a rest")
+	err.Retry = info.Rest.Duration
+	return err
+}
+
+// announcement makes the loop apply what an answer has announced: requests that wait for an
+// endpoint that is leaving or resting are refused, so that their entries choose another one.
+type announcement struct{}
+
+func (announcement) apply(r *runner) {
+	if r.isLeaving() {
+		r.refuseQueued("runner_leaving", "the endpoint accepts no new requests", minRetryAfter)
+	}
+	if left := r.restLeft(); left > 0 {
+		r.refuseQueued(core.CodeResting, messageResting, left)
+	}
+	r.startWaiting()
+}
+
+// restLeft returns the time until the endpoint may get requests again, 0 if it may now.
+func (r *runner) restLeft() time.Duration {
+	rest, resting := r.mgr.available.Resting(r.id)
+	if !resting {
+		return 0
+	}
+	return rest.Until.Sub(r.mgr.clock.Now())
+}
+
 // attemptEnded is called from the attempt's own goroutine.
 func (r *runner) attemptEnded(a *Attempt) {
 	defer r.wg.Done()
+	r.endProbe(a, false)
 	r.send(freeSlot{attempt: a, took: r.mgr.clock.Since(a.startedAt)})
 }
 
@@ -273,13 +333,14 @@
 func (e observation) apply(r *runner) {
 	if current := r.instances.current(); !current.startedAt.Equal(r.observedStart) {
 		r.observedStart = current.startedAt
-		r.mgr.limits.Forget(r.id) // the limit was that of another instance
+		r.mgr.limits.Forget(r.id) // the limit was that of another instance, as was the rest
+		r.mgr.available.Forget(r.id)
 	}
 	if e.err != nil {
 		r.misses++
 		if r.misses == unreachableAfter {
 			r.mgr.log.Warn("endpoint does not answer", zap.String("runner", r.id), zap.Error(e.err))
-			r.refuseQueued("runner_unreachable", "the endpoint does not answer")
+			r.refuseQueued("runner_unreachable", "the endpoint does not answer", minRetryAfter)
 		}
 		return
 	}
@@ -293,16 +354,16 @@
 		}
 	}
 	if r.isLeaving() {
-		r.refuseQueued("runner_leaving", "the endpoint accepts no new requests")
+		r.refuseQueued("runner_leaving", "the endpoint accepts no new requests", minRetryAfter)
 	}
 	r.startWaiting()
 }
 
 // refuseQueued refuses all queued requests, so that their entries choose another runner.
 // Running requests continue.
-func (r *runner) refuseQueued(code, message string) {
+func (r *runner) refuseQueued(code, message string, retry time.Duration) {
 	for _, item := range r.queue.Drain() {
-		r.refuse(item.Value.(*Attempt), core.NotRun(http.StatusServiceUnavailable, code, message, minRetryAfter))
+		r.refuse(item.Value.(*Attempt), core.NotRun(http.StatusServiceUnavailable, code, message, retry))
 	}
 }
 
@@ -312,7 +373,7 @@
 
 func (releaseOwnership) apply(r *runner) {
 	r.released = true
-	r.refuseQueued("runner_released", "this daemon no longer owns the runner")
+	r.refuseQueued("runner_released", "this daemon no longer owns the runner", minRetryAfter)
 }
 
 // countModel counts the running requests of a model. An eviction is ordered only when
@@ -388,7 +449,7 @@
 	defer r.mu.Unlock()
 	rep := r.report
 	previous := r.lastReport
-	due := rep.At.Sub(previous.At) >= unchangedReportInterval || rep.Running != previous.Running || rep.Queued != previous.Queued ||
+	due := rep.At.Sub(previous.At) >= unchangedReportInterval || (rep.Wait > 0) != (previous.Wait > 0) || rep.Running != previous.Running || rep.Queued != previous.Queued ||
 		rep.Leaving != previous.Leaving || !slices.Equal(rep.Models, previous.Models)
 	if due {
 		r.lastReport = rep
--- a/core/headers.go
+++ b/core/headers.go
@@ -11,6 +11,9 @@
 	HeaderLimit = "Server-Limit"
 	// HeaderLeaving is 1 in all answers of an endpoint whose instance is leaving.
 	HeaderLeaving = "Server-Leaving"
+	// HeaderRetryAfter is the time in seconds, fractions allowed, for which an endpoint that
+	// answers with status 503 asks for no requests.
+	HeaderRetryAfter = "Retry-After"
 	// HeaderIdempotencyKey marks resends of the same request by a caller.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderRequest carries the caller's request id in requests and answers.
--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -1,13 +1,16 @@
 package proof
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"primroseward/standin/runner"
+	"primroseward/standin/service"
 )
 
 const (
@@ -96,3 +99,44 @@
 		})
 	}
 }
+
+// TestOwnerKeepsWhatAnEndpointAnnounces guards against an endpoint of the native interface that
+// asks for a rest, or announces that it is leaving, and still gets requests.
+func TestOwnerKeepsWhatAnEndpointAnnounces(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		faults service.Faults
+		most   int // requests that may arrive at the endpoint
+	}{
+		{"rest", service.Faults{Rest: restText}, 2 * maxInRest},
+		{"leaving", service.Faults{Departing: true}, maxInRest},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := defaultSpec()
+			s.plainEndpoints = []string{"p1", "p2"}
+			c := startCluster(t, s)
+			p1 := c.services["p1"]
+			p1.SetFaults(tt.faults)
+			began := time.Now()
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			got := map[int]int{}
+			for time.Since(began) < 2*restTime-restSettleTime {
+				d := c.daemons[rand.IntN(len(c.daemons))]
+				wg.Go(func() {
+					r, err := d.send(http.MethodGet, "/services/parts/x", "")
+					assert.Check(t, err)
+					mu.Lock()
+					defer mu.Unlock()
+					got[r.status]++
+				})
+				time.Sleep(20 * time.Millisecond)
+			}
+			wg.Wait()
+			arrived := p1.ArrivalTimes()
+			t.Logf("%d arrivals, at most %d in a rest; answers: %v", len(arrived), mostInRest(arrived), got)
+			assert.Assert(t, len(arrived) > 0 && len(arrived) <= tt.most, "%d arrivals", len(arrived))
+			assert.Assert(t, float64(got[http.StatusOK]) >= 0.98*float64(total(got)), "answers: %v", got)
+		})
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"primroseward/core"
 	"primroseward/platform"
 )
 
@@ -377,7 +378,7 @@
 	s.mu.Lock()
 	if s.rejects {
 		for _, value := range s.rest {
-			w.Header().Add(platform.HeaderRetry, value)
+			w.Header().Add(core.HeaderRetryAfter, value)
 		}
 	}
 	if s.rejects || s.Slots > 0 && s.running >= 2*s.Slots {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -24,6 +24,11 @@
 	Delay      time.Duration `json:"delay"`  // before each answer
 	Leaving    bool          `json:"leaving"`
 	Limit      string        `json:"limit"` // limit sent in each answer; empty: none
+	// Departing announces in each answer that the service is leaving; its state does not.
+	Departing bool `json:"departing"`
+	// Rest is the time that the service asks for as it rejects all requests, in seconds;
+	// empty: it accepts them.
+	Rest string `json:"rest"`
 }
 
 // Run is one request that has run.
@@ -41,6 +46,8 @@
 	mu     sync.Mutex
 	faults Faults
 	runs   []Run
+	// arrived are the arrival times of requests, run or rejected.
+	arrived []time.Time
 }
 
 // New returns a service that includes name in its answers.
@@ -69,6 +76,13 @@
 	return slices.Clone(s.runs)
 }
 
+// ArrivalTimes returns the arrival times of all requests, run or not, oldest first.
+func (s *Server) ArrivalTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrived)
+}
+
 func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,6 +99,14 @@
 		return
 	}
 	s.mu.Lock()
+	s.arrived = append(s.arrived, time.Now())
+	if rest := s.faults.Rest; rest != "" {
+		s.mu.Unlock()
+		w.Header().Set(core.HeaderRetryAfter, rest)
+		w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.runs = append(s.runs, Run{Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Key: r.Header.Get(core.HeaderIdempotencyKey)})
 	n := len(s.runs)
 	f := s.faults
@@ -101,6 +123,9 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
+	if f.Departing {
+		w.Header().Set(core.HeaderLeaving, "1")
+	}
 	if f.Limit != "" {
 		w.Header().Set(core.HeaderLimit, f.Limit)
 	}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -209,6 +209,14 @@
 	return &d
 }
 
+// DepartureOf returns the departure that applies to an instance of a runner, which need not
+// have an entry, or nil.
+func (c *Catalog) DepartureOf(r *core.Runner) *Departure {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.departureOf(r)
+}
+
 // RecordLeaving records that an instance of a runner has announced that it is leaving, and
 // reports whether this was not known. An announcement of a former instance is ignored.
 func (c *Catalog) RecordLeaving(id string, d Departure) bool {
