--- a/coordination/policy/choose_test.go
+++ b/coordination/policy/choose_test.go
@@ -143,3 +143,39 @@
 		Choose(candidates, Requirements{Engine: true, QueueLimit: 0.25})
 	}
 }
+
+// Guards against sending to runners that rest, and against refusing because of a rest while a
+// runner that accepts requests is only full or at its limit.
+func TestRestingCandidates(t *testing.T) {
+	free, resting := Candidate{ID: "free", Slots: 4}, Candidate{ID: "resting", Slots: 4, Resting: true}
+	full, down := Candidate{ID: "full", Slots: 1, Requests: 100}, Candidate{ID: "down", Slots: 4, Down: true}
+	for _, tt := range []struct {
+		name       string
+		candidates []Candidate
+		chosen     int
+		only       bool
+	}{
+		{"one accepts", []Candidate{resting, free}, 1, false},
+		{"all rest", []Candidate{resting, resting}, -1, true},
+		{"the other is full", []Candidate{resting, full}, -1, false},
+		{"the other is down", []Candidate{resting, down}, -1, true},
+		{"none", nil, -1, false},
+	} {
+		assert.Equal(t, Choose(tt.candidates, Requirements{}), tt.chosen, tt.name)
+		assert.Equal(t, OnlyResting(tt.candidates), tt.only, tt.name)
+	}
+	limited := resting
+	limited.Limited = true
+	assert.Equal(t, len(RankLimited([]Candidate{limited}, Requirements{})), 0)
+}
+
+// Guards against callers that return before a rest is over, all at once, or less urgent ones
+// before more urgent ones.
+func TestRetryAfterRest(t *testing.T) {
+	for rank := range maxRestRank {
+		for range 100 {
+			got := RetryAfterRest(time.Second, rank)
+			assert.Assert(t, got >= time.Second+restMargin+time.Duration(rank)*restSpread && got < time.Second+restMargin+time.Duration(rank+1)*restSpread, "%v", got)
+		}
+	}
+}
