primrosectl runners: why a runner gets no requests

Cause: an operator could not see that a runner was left out because of what its answers announce.

Change: the state of a runner names the reason, the daemon that heard it and how long ago, as the daemon queried sees it. TestAnnouncementsAreShownToOperators.

--- a/cmd/primrosectl/runners.go
+++ b/cmd/primrosectl/runners.go
@@ -55,6 +55,8 @@
 		switch {
 		case r.Unreachable:
 			state = "unreachable"
+		case r.Detail != "":
+			state = r.Detail
 		case r.Leaving:
 			state = "leaving"
 		}
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -90,3 +90,17 @@
 	runs := len(gen.Runs()) + len(c.runners[1].Runs())
 	assert.Equal(t, runs, 10, "streams were moved")
 }
+
+// TestAnnouncementsAreShownToOperators guards against announcements that operators cannot see:
+// they could not find out why a runner gets no requests.
+func TestAnnouncementsAreShownToOperators(t *testing.T) {
+	c := startFleet(t, 1)
+	c.runners[2].SetLeaving("1")
+	c.runners[3].Reject("30")
+	c.sendAtInterval(5*time.Millisecond, time.Second)
+	out, code := c.primrosectl(c.daemons[0], "", "runners")
+	assert.Equal(t, code, 0, out)
+	for _, want := range []string{"leaving, heard by this daemon", "resting, "} {
+		assert.Assert(t, strings.Contains(out, want), "%q is missing in\n%s", want, out)
+	}
+}
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -126,8 +126,10 @@
 }
 
 func (r runners) status(e *catalog.Entry, holder string) service.RunnerStatus {
-	requests := r.d.loads.View(e.ID).Requests
-	out := service.RunnerStatus{Runner: e.ID, DataCentre: e.DataCentre, Owner: holder, Slots: e.Slots, Running: requests, Leaving: !e.Usable()}
+	s := r.d.available.State(e)
+	out := service.RunnerStatus{
+		Runner: e.ID, DataCentre: e.DataCentre, Owner: holder, Slots: e.Slots, Running: s.Load.Requests, Leaving: s.Leaving, Detail: s.Describe(r.d.clock.Now()),
+	}
 	config := r.d.catalog.Config()
 	if config == nil || config.Services[e.Service] == nil || config.Services[e.Service].Engine == nil {
 		return out
--- a/services/tree/fleet.go
+++ b/services/tree/fleet.go
@@ -28,6 +28,7 @@
 	Queued      int           `json:"queued"`
 	Slots       int           `json:"slots"`
 	Leaving     bool          `json:"leaving,omitempty"`
+	Detail      string        `json:"detail,omitempty"` // why the daemon queried sends it no requests, from whom it knows and since when
 	Unreachable bool          `json:"unreachable,omitempty"`
 	Models      []ModelStatus `json:"models,omitempty"`
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -54,6 +54,13 @@
 	At     time.Time
 }
 
+// Arrival is a request that has arrived, whether it runs or not.
+type Arrival struct {
+	ID   string
+	At   time.Time
+	Rest time.Duration // for which the runner asked as it rejected the request; 0: none
+}
+
 // Server is the stand-in.
 type Server struct {
 	Spec
@@ -66,16 +73,16 @@
 	models     map[string][]string // adapters by loaded model
 	sequence   uint64              // number of orders carried out
 	draining   bool
-	cutAfter   int         // events after which the next stream is cut; 0: never
-	failures   int         // next requests to answer with status 500
-	running    int         // requests
-	busy       bool        // a model is being loaded
-	exited     bool        // exited because of a fatal request
-	limit      []string    // values of the limit header
-	leaving    []string    // values of the leaving header
-	rejects    bool        // rejects all requests
-	rest       []string    // values of Retry-After in rejections
-	arrived    []time.Time // arrival times of requests
+	cutAfter   int       // events after which the next stream is cut; 0: never
+	failures   int       // next requests to answer with status 500
+	running    int       // requests
+	busy       bool      // a model is being loaded
+	exited     bool      // exited because of a fatal request
+	limit      []string  // values of the limit header
+	leaving    []string  // values of the leaving header
+	rejects    bool      // rejects all requests
+	rest       []string  // values of Retry-After in rejections
+	arrived    []Arrival // requests, run or not
 	terms      []Term
 	violations []string // orders that exceeded the bounds
 }
@@ -183,7 +190,18 @@
 func (s *Server) ArrivalTimes() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrived...)
+	var out []time.Time
+	for _, a := range s.arrived {
+		out = append(out, a.At)
+	}
+	return out
+}
+
+// Arrivals returns all requests that have arrived, oldest first.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrived)
 }
 
 // announce adds the headers that are in all answers.
@@ -196,10 +214,14 @@
 }
 
 // recordArrival records a request's arrival and adds the limit to its answer's header.
-func (s *Server) recordArrival(h http.Header) {
+func (s *Server) recordArrival(id string, h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrived = append(s.arrived, time.Now())
+	a := Arrival{ID: id, At: time.Now()}
+	if s.rejects && len(s.rest) == 1 {
+		a.Rest = core.ReadRest(s.rest).Duration
+	}
+	s.arrived = append(s.arrived, a)
 	for _, value := range s.limit {
 		h.Add(platform.HeaderLimit, value)
 	}
@@ -364,9 +386,9 @@
 	if err != nil {
 		return
 	}
-	s.recordArrival(w.Header())
-	s.announce(w.Header())
 	id := r.Header.Get(platform.HeaderRequestID)
+	s.recordArrival(id, w.Header())
+	s.announce(w.Header())
 	w.Header().Set(platform.HeaderRequestID, id)
 	model := r.Header.Get(platform.HeaderModel)
 	name, adapter, _ := strings.Cut(model, "/")
