--- a/soak/faults.go
+++ b/soak/faults.go
@@ -240,6 +240,35 @@
 		w.schedule(length, func() { h.SetLimit() })
 		return fmt.Sprintf("%s announces %v requests per second for %v", h.ID, rate, length)
 	}},
+	{"runner announces that it leaves", func(w *World, r *rand.Rand) string {
+		h := w.anyRunner(r)
+		if h == nil {
+			return "none"
+		}
+		w.replaceRunner(h, r)
+		w.mu.Lock()
+		h.leavingAt = time.Now()
+		w.mu.Unlock()
+		h.SetLeaving("1")
+		entryLate := randomSeconds(r, 1, 7) // its entry says so later
+		w.schedule(entryLate, h.Drain)
+		w.schedule(7*time.Second, func() {
+			h.Kill()
+			h.proxy.Close()
+			w.store.Remove(wire.KindRunners, h.ID)
+		})
+		return fmt.Sprintf("%s, its entry %v later", h.ID, entryLate)
+	}},
+	{"runner rests", func(w *World, r *rand.Rand) string {
+		h := w.anyRunner(r)
+		if h == nil {
+			return "none"
+		}
+		rest, length := []string{"0.7", "1", "3"}[r.IntN(3)], randomSeconds(r, 0.2, 5)
+		h.Reject(rest)
+		w.schedule(length, h.Accept)
+		return fmt.Sprintf("%s asks for %s s for %v", h.ID, rest, length)
+	}},
 }
 
 // invalidEntries are entries of the store that no runner writes.
--- a/soak/world.go
+++ b/soak/world.go
@@ -87,6 +87,7 @@
 	proxy     *Proxy
 	drainedAt time.Time // when it announced that it leaves; zero: it has not
 	limits    []limitPeriod
+	leavingAt time.Time // when its answers began to announce that it leaves; zero: they do not
 }
 
 // limitPeriod is a time in which a runner announces a limit.
