Answers of runners are read in one place, to orders and reports too

Change: the client of runners passes each answer to one method of the dispatcher, which applies its load, limit, departure and rest. A 503 that asks for a rest adds no penalty, whether it states that it did not run the request or not.

Result: TestAnswersToOrdersAndReportsAreObserved, and two more proofs with real daemons: where all rest callers are refused within half a second and sent back after the rest, and in the second after it each runner has its share again; answers reach the caller with their announcement.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -139,6 +139,16 @@
 	return d
 }
 
+// ObserveAnswer applies what an answer of a runner states of it: its load, its limit, that it is
+// leaving or wants a rest. It is called for each answer, whatever was sent.
+func (d *Dispatcher) ObserveAnswer(r *core.Runner, status int, info core.ReplyInfo) {
+	d.available.ObserveAnswer(r, status, info)
+	d.limits.ObserveAnswer(r.ID, info)
+	if info.Load != nil {
+		d.loads.SetReportedLoad(r.ID, *info.Load)
+	}
+}
+
 // Running returns the number of requests in progress.
 func (d *Dispatcher) Running() int { return int(d.running.Load()) }
 
@@ -280,7 +290,7 @@
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, err)
 	}
-	if reply.Status >= http.StatusInternalServerError {
+	if reply.Status >= http.StatusInternalServerError && reply.Info.Rest.Duration == 0 {
 		j.markFailed(r) // a runner that fails at once would look idle
 	}
 	if reply.Status >= http.StatusInternalServerError && j.takeRetry() {
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -51,13 +51,19 @@
 }
 
 func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+	reply, err := f.send(ctx, r, o)
+	if err == nil {
+		f.observe(r, reply.Status, reply.Info)
+	}
+	return reply, err
+}
+
+func (f *fleet) send(ctx context.Context, r *core.Runner, o core.Outgoing) (*core.Reply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sends = append(f.sends, o)
 	if asked, ok := f.rests[r.ID]; ok {
-		info := core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}}
-		f.observe(r, http.StatusServiceUnavailable, info)
-		return answer(http.StatusServiceUnavailable, info, "", nil), nil
+		return answer(http.StatusServiceUnavailable, core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}}, "", nil), nil
 	}
 	a := f.nextAct(r.ID)
 	if a != unreachable && a != noListener && a != rejects {
@@ -174,7 +180,7 @@
 	}
 	budget := policy.NewBudget(clock, 10*time.Second, func() float64 { return 0.2 }, func() float64 { return 100 })
 	d := New("p", c, load.New(clock), f, noPlacer{}, budget, NewDemand(), clock, zap.NewNop())
-	f.observe = d.available.ObserveAnswer
+	f.observe = d.ObserveAnswer
 	return d
 }
 
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -66,10 +66,6 @@
 		return nil, err
 	}
 	j.stage, j.answeredAt = stageHead, j.d.clock.Now()
-	j.d.limits.ObserveAnswer(r.ID, reply.Info)
-	if reply.Info.Load != nil {
-		j.d.loads.SetReportedLoad(r.ID, *reply.Info.Load)
-	}
 	cancelSend, answerBegan := j.cancelSend, j.answerBegan
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() {
 		span.End()
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	wire "primroseward/platform"
 	"primroseward/standin/platform"
 )
 
@@ -104,3 +105,15 @@
 		assert.Assert(t, strings.Contains(out, want), "%q is missing in\n%s", want, out)
 	}
 }
+
+// TestAnnouncementsArePassedOn guards against answers that reach callers without the runner's
+// announcement.
+func TestAnnouncementsArePassedOn(t *testing.T) {
+	c := startFleet(t, 1)
+	for _, r := range c.runners[2:] {
+		r.SetLeaving("1")
+	}
+	resp := c.daemons[0].post(t, "/ask/x")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, resp.Header.Get(wire.HeaderLeaving), "1")
+}
--- a/proof/rest_test.go
+++ b/proof/rest_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -61,6 +62,53 @@
 	assert.Assert(t, float64(got[http.StatusOK]) >= 0.98*float64(total(got)), "answers: %v", got)
 }
 
+// TestRestingRunnersServeAgainAfterTheirRest guards against callers that wait for their refusal or
+// are sent back before the rest ends while all runners rest, and against a runner that is left
+// out after its rest.
+func TestRestingRunnersServeAgainAfterTheirRest(t *testing.T) {
+	const slowest = 500 * time.Millisecond
+	c := startFleet(t, 2)
+	for _, r := range c.runners[2:] {
+		r.Reject(restText)
+	}
+	c.sendAtInterval(10*time.Millisecond, 300*time.Millisecond) // each daemon has been asked by each runner
+	resting, firstRest := time.Now(), time.Now()
+	for _, r := range c.runners[2:] {
+		if arrived := r.ArrivalTimes(); len(arrived) > 0 && arrived[0].Before(firstRest) {
+			firstRest = arrived[0]
+		}
+	}
+	refused := 0
+	for time.Since(resting) < restTime/2 {
+		for _, d := range c.daemons {
+			began := time.Now()
+			resp := d.post(t, "/order/x")
+			if resp.StatusCode != http.StatusServiceUnavailable {
+				continue
+			}
+			refused++
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(began) < slowest, "refused after %v", time.Since(began))
+			back := time.Now().Add(time.Duration(after * float64(time.Second)))
+			assert.Assert(t, !back.Before(firstRest.Add(restTime)), "sent back %v after the beginning of the first rest", back.Sub(firstRest))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, refused > 0)
+	for _, r := range c.runners[2:] {
+		r.Accept()
+	}
+	time.Sleep(time.Until(resting.Add(restTime + restSettleTime)))
+	back := time.Now()
+	got := c.sendAtInterval(10*time.Millisecond, time.Second)
+	assert.Assert(t, float64(got[http.StatusOK]) >= 0.98*float64(total(got)), "answers: %v", got)
+	for _, r := range c.runners[2:] {
+		n := countAfter(r.ArrivalTimes(), back)
+		assert.Assert(t, n >= total(got)/4, "%s got %d of %d requests in the second after its rest", r.ID, n, total(got))
+	}
+}
+
 // total returns the number of answers.
 func total(byStatus map[int]int) int {
 	n := 0
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -365,3 +365,22 @@
 		})
 	}
 }
+
+// Guards against what runners announce being read from answers to requests only.
+func TestAnswersToOrdersAndReportsAreObserved(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nServer-Limit: 4\r\nContent-Length: 2\r\n\r\n{}")
+		return true
+	})
+	observed := 0
+	c := New(clockwork.NewRealClock(), platform.Dialect{}, WithAnswerCallback(func(_ *core.Runner, _ int, info core.ReplyInfo) {
+		if info.Leaving.Announced && info.Limit.Announced {
+			observed++
+		}
+	}))
+	_, err := c.Order(context.Background(), &s.runner, core.RunnerOrder{Load: true, Model: "m"})
+	assert.NilError(t, err)
+	_, err = c.Report(context.Background(), &s.runner)
+	assert.NilError(t, err)
+	assert.Equal(t, observed, 2)
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -166,7 +166,7 @@
 	d.available = availability.New(d.clock, d.catalog, d.loads, d.limits, d.log, availability.WithScope(d.scope), availability.WithBroadcast(d.broadcastLeaving),
 		availability.WithMaxRest(func() time.Duration { return time.Duration(set.Limits.MaxRest) }))
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
-		runner.WithAnswerCallback(d.available.ObserveAnswer))
+		runner.WithAnswerCallback(func(r *core.Runner, status int, info core.ReplyInfo) { d.dispatcher.ObserveAnswer(r, status, info) }))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
