A send is withdrawn if its runner leaves or rests during the dial

Cause: the last check of whether a runner accepts requests came before the dial of a connection, which may take half a second; a request could arrive that long after a rest or departure had begun.

Change: the client of runners asks once more when it has a connection, and keeps that for another request; the request goes to another runner and counts as not sent.

Result: TestSendIsWithdrawn and the case "announced during the dial" of TestNoPathLeadsToALeavingRunner, in which the request reached the runner before.

--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -48,9 +48,16 @@
 	limits  map[string]core.RateLimit // limits that the runners announce
 	rests   map[string]time.Duration  // rests that the runners ask for; they reject all requests
 	observe func(r *core.Runner, status int, info core.ReplyInfo)
+	dial    func(runner string) // called before each send; nil: nothing
 }
 
 func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+	if f.dial != nil {
+		f.dial(r.ID)
+	}
+	if o.Accepts != nil && !o.Accepts() {
+		return nil, fmt.Errorf("%w: %w", core.ErrNotSent, core.ErrWithdrawn)
+	}
 	reply, err := f.send(ctx, r, o)
 	if err == nil {
 		f.observe(r, reply.Status, reply.Info)
--- a/coordination/dispatch/leaving_test.go
+++ b/coordination/dispatch/leaving_test.go
@@ -54,6 +54,11 @@
 			func(d *Dispatcher) { d.guard = leavingGuard{permit: func() { leave(d, "r0") }} }, http.StatusOK,
 			[]string{"r1"},
 		},
+		{
+			"announced during the dial", route(core.KindSafe, false, 2), nil, "m",
+			func(d *Dispatcher) { d.sender.(*fleet).dial = func(string) { leave(d, "r0") } }, http.StatusOK,
+			[]string{"r1"},
+		},
 		{"retry", route(core.KindSafe, false, 2), []act{losesAnswer}, "m", func(d *Dispatcher) { leave(d, "r0") }, http.StatusBadGateway, []string{"r1"}},
 		{"resumed stream", route(core.KindStream, true, 2), []act{breaksOff}, "m", func(d *Dispatcher) { leave(d, "r0") }, http.StatusOK, []string{"r1"}},
 		{
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -17,6 +17,10 @@
 	if ctx.Err() != nil {
 		return j.contextError(ctx, err)
 	}
+	if errors.Is(err, core.ErrWithdrawn) {
+		j.log.Info(logs.SendWithdrawn, zap.String("runner", r.ID))
+		return nil
+	}
 	j.markFailed(r)
 	j.reportClosed(r, err)
 	if errors.Is(err, core.ErrNotSent) {
--- a/core/request.go
+++ b/core/request.go
@@ -40,6 +40,9 @@
 	Priority  int    // 0 is the most urgent; below 0: not sent
 	Workspace string // of the caller; empty: none
 	LastEvent string // resume after this event
+	// Accepts reports whether the request may still be sent. It is called just before the
+	// request is written, as dialing a connection takes a while; nil: it may.
+	Accepts func() bool
 }
 
 // ReplyInfo holds what the headers of an endpoint's answer state.
@@ -92,6 +95,8 @@
 var (
 	// ErrNotSent: no byte of the request was sent, so it cannot have run.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrWithdrawn: Outgoing.Accepts returned false. It is returned together with ErrNotSent.
+	ErrWithdrawn = errors.New("the runner no longer accepts requests")
 	// ErrNoListener: the runner's VM is reachable, but no process listens at the
 	// runner's address. protocol/runner returns it together with ErrNotSent.
 	ErrNoListener = errors.New("nothing listens at the runner's address")
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -30,6 +30,9 @@
 	AnnouncementUnreadable = "runner announcement unreadable"
 	// RunnerRejected: the runner states that it did not run the request.
 	RunnerRejected = "runner rejected the request"
+	// SendWithdrawn: a runner stopped accepting requests while a connection to it was dialed; the
+	// request goes to another one.
+	SendWithdrawn = "send withdrawn"
 	// RunnerUnreachable: no byte of the request could be sent.
 	RunnerUnreachable = "runner unreachable"
 	// RunnerFailed: the runner answered 5xx to a repeatable request, which is retried.
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -143,10 +143,10 @@
 func (c *Client) Send(ctx context.Context, r *core.Runner, q *core.Request, o core.Outgoing) (*core.Reply, error) {
 	header := q.Header.Clone()
 	c.dialect.WriteOutgoing(header, o)
-	return c.exchange(ctx, r, q.ID, q.Method, q.Host, q.Target, header, q.Body)
+	return c.exchange(ctx, r, q.ID, q.Method, q.Host, q.Target, header, q.Body, o.Accepts)
 }
 
-func (c *Client) exchange(ctx context.Context, r *core.Runner, id, method, host, target string, header http.Header, payload []byte) (*core.Reply, error) {
+func (c *Client) exchange(ctx context.Context, r *core.Runner, id, method, host, target string, header http.Header, payload []byte, accepts func() bool) (*core.Reply, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, eris.Wrapf(core.ErrNotSent, "%v", err)
 	}
@@ -154,6 +154,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if accepts != nil && !accepts() {
+		c.put(r.ID, cn, defaultIdleTimeout*idleTimeoutPercent/100)
+		return nil, fmt.Errorf("%w: %w", core.ErrNotSent, core.ErrWithdrawn)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	discard := func() {
 		stop()
@@ -318,7 +322,7 @@
 		c.dialect.WriteInstance(header, instance)
 	}
 	c.called(r.ID)
-	reply, err := c.exchange(ctx, r, "", method, r.Addr.String(), path, header, payload)
+	reply, err := c.exchange(ctx, r, "", method, r.Addr.String(), path, header, payload, nil)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -384,3 +384,29 @@
 	assert.NilError(t, err)
 	assert.Equal(t, observed, 2)
 }
+
+// Guards against sending to a runner that has stopped accepting requests while the connection
+// was dialed.
+func TestSendIsWithdrawn(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, r *http.Request) bool {
+		reply(c, r.Header.Get(idHeader), "ok")
+		return true
+	})
+	c := client()
+	for _, accepts := range []bool{false, true, false} {
+		before := s.requests()
+		answer, err := c.Send(context.Background(), &s.runner, request("a", ""), core.Outgoing{Timeout: time.Second, Instance: "i-1", Priority: -1, Accepts: func() bool { return accepts }})
+		if accepts {
+			assert.NilError(t, err)
+			_, err = io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, answer.Body.Close())
+			assert.Equal(t, s.requests(), before+1)
+			continue
+		}
+		assert.ErrorIs(t, err, core.ErrNotSent)
+		assert.ErrorIs(t, err, core.ErrWithdrawn)
+		assert.Equal(t, s.requests(), before)
+	}
+	assert.Equal(t, s.conns, 1, "a connection that carried nothing is not reused")
+}
