--- a/coordination/availability/fleet_test.go
+++ b/coordination/availability/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,12 +29,18 @@
 	for _, daemons := range []int{6, 20, 300} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex // guards rnd
 				rnd := rand.New(rand.NewPCG(1, uint64(daemons)))
 				r := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
 				clock := clockwork.NewRealClock()
 				all := make([]*Table, daemons)
+				lost := func() bool {
+					mu.Lock()
+					defer mu.Unlock()
+					return rnd.Float64() < loss
+				}
 				deliver := func(to int, u Update) {
-					if rnd.Float64() >= loss {
+					if !lost() {
 						time.AfterFunc(hop, func() { all[to].ApplyUpdate("d", u) })
 					}
 				}
@@ -42,7 +49,7 @@
 					c.Put(r, clock.Now())
 					all[i] = New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(func(u Update) {
 						for group := 0; group < daemons; group += groupSize {
-							if rnd.Float64() < loss {
+							if lost() {
 								continue // the message to the hub
 							}
 							for to := group; to < min(daemons, group+groupSize); to++ {
--- a/coordination/availability/leaving_test.go
+++ b/coordination/availability/leaving_test.go
@@ -1,6 +1,7 @@
 package availability
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,9 +19,16 @@
 // daemon is a table with the messages that it has broadcast.
 type daemon struct {
 	*Table
+	mu   sync.Mutex
 	sent []Update
 }
 
+func (d *daemon) broadcast(u Update) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sent = append(d.sent, u)
+}
+
 func newDaemon(runners ...core.Runner) *daemon {
 	clock := clockwork.NewRealClock()
 	c := catalog.New(clock)
@@ -28,7 +36,7 @@
 		c.Put(r, clock.Now())
 	}
 	d := &daemon{}
-	d.Table = New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(func(u Update) { d.sent = append(d.sent, u) }))
+	d.Table = New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(d.broadcast))
 	return d
 }
 
