--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # New seeds; a failure prints its seed and is kept under testdata/rapid.
 fuzz:
-	PRIMROSE_FUZZ=1 go test -count=1 ./state/... ./coordination/... ./proof -rapid.checks=5000 -run "Memory|Replica|Effective|Checked|Order|Tables|Plan"
+	PRIMROSE_FUZZ=1 go test -count=1 ./state/... ./coordination/... ./proof -rapid.checks=5000 -run "Memory|Replica|Effective|Checked|Order|Tables|Plan|Departure|Announcements"
 	PRIMROSE_FUZZ=1 go test -count=1 ./proof -run Life -rapid.checks=20
 
 # Random faults against real daemons, seeds of their own; about two minutes.
--- a/coordination/availability/leaving_test.go
+++ b/coordination/availability/leaving_test.go
@@ -1,6 +1,7 @@
 package availability
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,12 @@
 	d.sent = append(d.sent, u)
 }
 
+func (d *daemon) broadcasts() []Update {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.sent)
+}
+
 func newDaemon(runners ...core.Runner) *daemon {
 	clock := clockwork.NewRealClock()
 	c := catalog.New(clock)
@@ -52,11 +59,12 @@
 			first.ObserveAnswer(&r, 200, leavingInfo)
 			time.Sleep(50 * time.Millisecond)
 		}
-		assert.Equal(t, len(first.sent), 1+len(rebroadcasts))
-		second.ApplyUpdate("first", first.sent[0])
+		sent := first.broadcasts()
+		assert.Equal(t, len(sent), 1+len(rebroadcasts))
+		second.ApplyUpdate("first", sent[0])
 		assert.Equal(t, second.catalog.Runner("r").Departure.Source, "first")
 		second.ObserveAnswer(&r, 200, leavingInfo)
-		assert.Equal(t, len(second.sent), 0, "a known announcement is broadcast")
+		assert.Equal(t, len(second.broadcasts()), 0, "a known announcement is broadcast")
 	})
 }
 
--- a/coordination/availability/rest_test.go
+++ b/coordination/availability/rest_test.go
@@ -12,9 +12,12 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/standin/fuzz"
 	"primroseward/state/catalog"
 )
 
+func TestMain(m *testing.M) { fuzz.Main(m, 500, 40) }
+
 // askRest passes a rejection that asks for a rest.
 func (d *daemon) askRest(r core.Runner, asked time.Duration) {
 	d.ObserveAnswer(&r, 503, core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}})
@@ -154,7 +157,7 @@
 				case 7:
 					d.limits.ObserveAnswer("r", core.ReplyInfo{Limit: core.RateLimit{Announced: true, Rate: 1}})
 				case 8:
-					r.StartedAt, r.Draining = time.Now().Add(time.Nanosecond), false
+					r.StartedAt, r.Draining = r.StartedAt.Add(time.Minute), false
 					d.catalog.Put(r, time.Now())
 					d.Forget("r")
 					leaving, draining, restUntil = false, false, time.Time{}
--- a/state/catalog/departure_test.go
+++ b/state/catalog/departure_test.go
@@ -9,8 +9,11 @@
 	"pgregory.net/rapid"
 
 	"primroseward/core"
+	"primroseward/standin/fuzz"
 )
 
+func TestMain(m *testing.M) { fuzz.Main(m, 500, 60) }
+
 // Guards against a runner that gets requests again after it has announced that it is leaving,
 // because of an entry written before, an entry that was lost, or a late message. Only a later
 // start of the runner ends its departure.
