Dispatcher: what decides on availability in a file of its own

Cause: read back as a newcomer: choose.go had two jobs, the status of an answer was passed on to nobody, and the last checks before a send asked in two ways.

Change: available.go; one check for an instance that has gone, has started again, leaves or rests; the log names runners left out only where there are any.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -47,7 +47,7 @@
 	limits    *allowance.Limits
 	log       *zap.Logger
 	scope     tally.Scope
-	maxRest   func() time.Duration
+	maxRest   time.Duration
 	broadcast func(Update)
 
 	rests atomic.Pointer[map[string]*rest]
@@ -62,8 +62,8 @@
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(t *Table) { t.scope = s } }
 
-// WithMaxRest sets the function that returns the longest rest that is granted to a runner.
-func WithMaxRest(fn func() time.Duration) Option { return func(t *Table) { t.maxRest = fn } }
+// WithMaxRest sets the longest rest that is granted to a runner.
+func WithMaxRest(d time.Duration) Option { return func(t *Table) { t.maxRest = d } }
 
 // WithBroadcast sets the function that broadcasts to the other daemons that a runner is leaving.
 func WithBroadcast(fn func(Update)) Option { return func(t *Table) { t.broadcast = fn } }
@@ -73,7 +73,7 @@
 func New(clock core.Clock, c *catalog.Catalog, loads *load.Table, limits *allowance.Limits, log *zap.Logger, opts ...Option) *Table {
 	t := &Table{
 		clock: clock, catalog: c, loads: loads, limits: limits, log: log, scope: tally.NoopScope,
-		maxRest: func() time.Duration { return DefaultMaxRest }, broadcast: func(Update) {},
+		maxRest: DefaultMaxRest, broadcast: func(Update) {},
 	}
 	for _, o := range opts {
 		o(t)
@@ -127,7 +127,7 @@
 }
 
 // ObserveAnswer records what an answer of a runner's instance announces.
-func (t *Table) ObserveAnswer(r *core.Runner, _ int, info core.ReplyInfo) {
+func (t *Table) ObserveAnswer(r *core.Runner, info core.ReplyInfo) {
 	if info.Leaving == (core.Leaving{}) && info.Rest == (core.Rest{}) {
 		return
 	}
--- a/coordination/availability/fleet_test.go
+++ b/coordination/availability/fleet_test.go
@@ -59,7 +59,7 @@
 					}))
 				}
 				began := time.Now()
-				all[0].ObserveAnswer(&r, 200, leavingInfo)
+				all[0].ObserveAnswer(&r, leavingInfo)
 				for i, d := range all {
 					for !d.Leaving(&r) {
 						assert.Assert(t, time.Since(began) < drainTime, "daemon %d does not know it", i)
--- a/coordination/availability/leaving_test.go
+++ b/coordination/availability/leaving_test.go
@@ -56,14 +56,14 @@
 		r := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
 		first, second := newDaemon(r), newDaemon(r)
 		for range 100 {
-			first.ObserveAnswer(&r, 200, leavingInfo)
+			first.ObserveAnswer(&r, leavingInfo)
 			time.Sleep(50 * time.Millisecond)
 		}
 		sent := first.broadcasts()
 		assert.Equal(t, len(sent), 1+len(rebroadcasts))
 		second.ApplyUpdate("first", sent[0])
 		assert.Equal(t, second.catalog.Runner("r").Departure.Source, "first")
-		second.ObserveAnswer(&r, 200, leavingInfo)
+		second.ObserveAnswer(&r, leavingInfo)
 		assert.Equal(t, len(second.broadcasts()), 0, "a known announcement is broadcast")
 	})
 }
@@ -76,11 +76,11 @@
 		later := earlier
 		later.StartedAt = earlier.StartedAt.Add(time.Second)
 		d := newDaemon(later)
-		d.ObserveAnswer(&earlier, 200, leavingInfo)
+		d.ObserveAnswer(&earlier, leavingInfo)
 		d.ApplyUpdate("other", Update{Runner: "r", Started: earlier.StartedAt})
 		assert.Assert(t, d.catalog.Runner("r").Usable())
-		d.ObserveAnswer(&later, 200, leavingInfo)
-		d.ObserveAnswer(&later, 200, core.ReplyInfo{})
+		d.ObserveAnswer(&later, leavingInfo)
+		d.ObserveAnswer(&later, core.ReplyInfo{})
 		assert.Assert(t, !d.catalog.Runner("r").Usable())
 	})
 }
--- a/coordination/availability/rest.go
+++ b/coordination/availability/rest.go
@@ -106,7 +106,7 @@
 		return
 	}
 	now := t.clock.Now()
-	next := &rest{startedAt: r.StartedAt, since: now, askedAt: now, until: now.Add(min(asked, t.maxRest()))}
+	next := &rest{startedAt: r.StartedAt, since: now, askedAt: now, until: now.Add(min(asked, t.maxRest))}
 	if old := (*t.rests.Load())[r.ID]; old != nil && old.startedAt.Equal(r.StartedAt) {
 		next.since = old.since
 		if old.until.After(next.until) {
--- a/coordination/availability/rest_test.go
+++ b/coordination/availability/rest_test.go
@@ -20,7 +20,7 @@
 
 // askRest passes a rejection that asks for a rest.
 func (d *daemon) askRest(r core.Runner, asked time.Duration) {
-	d.ObserveAnswer(&r, 503, core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}})
+	d.ObserveAnswer(&r, core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}})
 }
 
 // Guards against a rest that ends too early or never: it lasts until the latest time that the
@@ -130,13 +130,13 @@
 			for i, step := range steps {
 				switch step {
 				case 0:
-					d.ObserveAnswer(&r, 200, leavingInfo)
+					d.ObserveAnswer(&r, leavingInfo)
 					leaving = true
 				case 1:
 					d.ApplyUpdate("other", Update{Runner: "r", Started: r.StartedAt})
 					leaving = true
 				case 2:
-					d.ObserveAnswer(&r, 200, core.ReplyInfo{Stamped: true})
+					d.ObserveAnswer(&r, core.ReplyInfo{Stamped: true})
 				case 3:
 					draining = !draining
 					r.Draining = draining
@@ -153,7 +153,7 @@
 				case 6:
 					former := r
 					former.StartedAt = r.StartedAt.Add(-time.Millisecond)
-					d.ObserveAnswer(&former, 503, core.ReplyInfo{Leaving: core.Leaving{Announced: true}, Rest: core.Rest{Announced: true, Duration: time.Minute}})
+					d.ObserveAnswer(&former, core.ReplyInfo{Leaving: core.Leaving{Announced: true}, Rest: core.Rest{Announced: true, Duration: time.Minute}})
 				case 7:
 					d.limits.ObserveAnswer("r", core.ReplyInfo{Limit: core.RateLimit{Announced: true, Rate: 1}})
 				case 8:
@@ -181,7 +181,7 @@
 		seen, lines := observer.New(zap.InfoLevel)
 		d.log = zap.New(seen)
 		for range 1000 {
-			d.ObserveAnswer(&r, 503, core.ReplyInfo{Leaving: core.ReadLeaving([]string{"yes"}), Rest: core.ReadRest([]string{"soon"})})
+			d.ObserveAnswer(&r, core.ReplyInfo{Leaving: core.ReadLeaving([]string{"yes"}), Rest: core.ReadRest([]string{"soon"})})
 		}
 		assert.Equal(t, lines.FilterMessage(logs.AnnouncementUnreadable).Len(), 1)
 		assert.Assert(t, d.State(d.catalog.Runner("r")).Accepts())
@@ -218,7 +218,7 @@
 	b.Run("answer", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			d.ObserveAnswer(&r, 200, core.ReplyInfo{Stamped: true})
+			d.ObserveAnswer(&r, core.ReplyInfo{Stamped: true})
 		}
 	})
 }
--- /dev/null
+++ b/coordination/dispatch/available.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/availability"
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/catalog"
+)
+
+const (
+	// maxProbeWait is how long a request waits for the answer to another one that finds out
+	// whether the rest of the only runners that can serve it is over. It looks again every
+	// probePollInterval.
+	maxProbeWait      = 150 * time.Millisecond
+	probePollInterval = 10 * time.Millisecond
+	// maxOmitted bounds the runners that are logged as left out of a choice.
+	maxOmitted = 8
+)
+
+// stillAccepts reports whether a runner that was chosen before a wait accepts requests now.
+// wasDown is set if it was chosen because all were down.
+func (j *job) stillAccepts(e *catalog.Entry, wasDown bool) bool {
+	s := j.d.available.State(e)
+	return s.Accepts() || wasDown && !s.Leaving && !s.Resting
+}
+
+// accepts reports whether an instance of a runner still accepts a request. If probe is set, its
+// rest does not count, as the request finds out whether that is over.
+func (d *Dispatcher) accepts(r *core.Runner, probe bool) bool {
+	e := d.catalog.Runner(r.ID)
+	if e == nil || !e.StartedAt.Equal(r.StartedAt) {
+		return false
+	}
+	s := d.available.State(e)
+	return !s.Leaving && (probe || !s.Resting)
+}
+
+// omit records for the log that a runner accepts no requests.
+func (j *job) omit(e *catalog.Entry, s availability.State, now time.Time) {
+	if why := s.Describe(now); why != "" && len(j.omitted) < maxOmitted {
+		j.omitted = append(j.omitted, e.ID+": "+why)
+	}
+}
+
+// noteRest finds the first rest to end among the runners that could serve the request, those
+// that it has been sent to too, and sets when the caller should return. It returns false if
+// none is resting.
+func (j *job) noteRest() bool {
+	now, first := j.d.clock.Now(), time.Time{}
+	for _, e := range j.d.catalog.Runners(j.service) {
+		if !j.canServe(e) {
+			continue
+		}
+		s := j.d.available.State(e)
+		j.probeAwaited = j.probeAwaited || s.Resting && s.Rest.Probing
+		if s.Resting && !s.Leaving && (first.IsZero() || s.Rest.Until.Before(first)) {
+			first = s.Rest.Until
+		}
+	}
+	if first.IsZero() {
+		return false
+	}
+	j.restUntil = first
+	j.retryAfter = policy.RetryAfterRest(first.Sub(now), j.rank())
+	return true
+}
+
+// omittedField returns the log field on the runners that were left out of the latest choice.
+func (j *job) omittedField() zap.Field {
+	if len(j.omitted) == 0 {
+		return zap.Skip()
+	}
+	return zap.Strings("omitted", j.omitted)
+}
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"primroseward/coordination/availability"
 	"primroseward/coordination/policy"
 	"primroseward/core"
 	"primroseward/io/logs"
@@ -77,7 +76,7 @@
 	limit, limited := j.d.limits.Limit(c.ID)
 	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.Stringer("digest", j.q.Digest), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
 		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SameDataCentre), zap.Duration("wait", wait),
-		zap.Bool("limited", limited), zap.Float64("limit", limit.Rate), zap.String("limitfrom", limit.From), zap.Duration("limitage", limit.Age), zap.Strings("omitted", j.omitted))
+		zap.Bool("limited", limited), zap.Float64("limit", limit.Rate), zap.String("limitfrom", limit.From), zap.Duration("limitage", limit.Age), j.omittedField())
 	if wait == 0 {
 		return &holders[i].Runner, nil
 	}
@@ -144,13 +143,6 @@
 	return j.allows(e.DataCentre) && (j.q.Model == "" || e.Holds(j.q.Model))
 }
 
-// stillAccepts reports whether a runner that was chosen before a wait accepts requests now.
-// wasDown is set if it was chosen because all were down.
-func (j *job) stillAccepts(e *catalog.Entry, wasDown bool) bool {
-	s := j.d.available.State(e)
-	return s.Accepts() || wasDown && !s.Leaving && !s.Resting
-}
-
 // requirements returns what the request needs of its runner.
 func (j *job) requirements() policy.Requirements {
 	spec := j.spec()
@@ -173,39 +165,6 @@
 // in there.
 func (j *job) spec() *core.Service { return j.d.catalog.Config().Services[j.service] }
 
-// maxOmitted bounds the runners that are logged as left out of a choice.
-const maxOmitted = 8
-
-// omit records for the log that a runner accepts no requests.
-func (j *job) omit(e *catalog.Entry, s availability.State, now time.Time) {
-	if why := s.Describe(now); why != "" && len(j.omitted) < maxOmitted {
-		j.omitted = append(j.omitted, e.ID+": "+why)
-	}
-}
-
-// noteRest finds the first rest to end among the runners that could serve the request, those
-// that it has been sent to too, and sets when the caller should return. It returns false if
-// none is resting.
-func (j *job) noteRest() bool {
-	now, first := j.d.clock.Now(), time.Time{}
-	for _, e := range j.d.catalog.Runners(j.service) {
-		if !j.canServe(e) {
-			continue
-		}
-		s := j.d.available.State(e)
-		j.probeAwaited = j.probeAwaited || s.Resting && s.Rest.Probing
-		if s.Resting && !s.Leaving && (first.IsZero() || s.Rest.Until.Before(first)) {
-			first = s.Rest.Until
-		}
-	}
-	if first.IsZero() {
-		return false
-	}
-	j.restUntil = first
-	j.retryAfter = policy.RetryAfterRest(first.Sub(now), j.rank())
-	return true
-}
-
 // candidates returns the runners that can serve the request now.
 func (j *job) candidates() ([]*catalog.Entry, []policy.Candidate) {
 	var holders []*catalog.Entry
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -141,8 +141,8 @@
 
 // ObserveAnswer applies what an answer of a runner states of it: its load, its limit, that it is
 // leaving or wants a rest. It is called for each answer, whatever was sent.
-func (d *Dispatcher) ObserveAnswer(r *core.Runner, status int, info core.ReplyInfo) {
-	d.available.ObserveAnswer(r, status, info)
+func (d *Dispatcher) ObserveAnswer(r *core.Runner, info core.ReplyInfo) {
+	d.available.ObserveAnswer(r, info)
 	d.limits.ObserveAnswer(r.ID, info)
 	if info.Load != nil {
 		d.loads.SetReportedLoad(r.ID, *info.Load)
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -47,7 +47,7 @@
 	sends   []core.Outgoing
 	limits  map[string]core.RateLimit // limits that the runners announce
 	rests   map[string]time.Duration  // rests that the runners ask for; they reject all requests
-	observe func(r *core.Runner, status int, info core.ReplyInfo)
+	observe func(r *core.Runner, info core.ReplyInfo)
 	dial    func(runner string) // called before each send; nil: nothing
 }
 
@@ -60,7 +60,7 @@
 	}
 	reply, err := f.send(ctx, r, o)
 	if err == nil {
-		f.observe(r, reply.Status, reply.Info)
+		f.observe(r, reply.Info)
 	}
 	return reply, err
 }
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -17,13 +17,6 @@
 // would count as a cause and never complete.
 const harmlessAfter = 2 * time.Second
 
-// maxProbeWait is how long a request waits for the answer to another one that finds out
-// whether the rest of the only runners that can serve it is over.
-const (
-	maxProbeWait      = 150 * time.Millisecond
-	probePollInterval = 10 * time.Millisecond
-)
-
 // admit refuses a request that may not be served now, and counts it in otherwise. The
 // workspace's allowance is checked last, so that requests refused for other reasons use
 // none of it.
@@ -71,8 +64,7 @@
 	if err := j.authorize(); err != nil {
 		return false, err
 	}
-	e := j.d.catalog.Runner(r.ID)
-	if e == nil || !e.Usable() || !e.StartedAt.Equal(r.StartedAt) {
+	if !j.d.accepts(r, true) {
 		return false, nil
 	}
 	ok, probe := j.d.available.Admit(r.ID)
--- a/coordination/dispatch/rest_test.go
+++ b/coordination/dispatch/rest_test.go
@@ -132,7 +132,7 @@
 			d := newPacedDispatcher(f, 2)
 			for _, id := range []string{"r0", "r1"} {
 				time.AfterFunc(5*time.Millisecond, func() {
-					d.available.ObserveAnswer(&d.catalog.Runner(id).Runner, http.StatusServiceUnavailable, asked)
+					d.available.ObserveAnswer(&d.catalog.Runner(id).Runner, asked)
 				})
 			}
 			_, _, err := callWith(d, route(core.KindStream, false, 1), 1000)
@@ -145,7 +145,7 @@
 			f := &fleet{nextAct: script()}
 			d := newDispatcher(f, 2)
 			d.guard = leavingGuard{permit: func() {
-				d.available.ObserveAnswer(&d.catalog.Runner("r0").Runner, http.StatusServiceUnavailable, asked)
+				d.available.ObserveAnswer(&d.catalog.Runner("r0").Runner, asked)
 			}}
 			_, _, err := call(d, route(core.KindSafe, false, 1))
 			assert.NilError(t, err)
@@ -171,7 +171,7 @@
 					return serves
 				}}
 				d := newDispatcher(f, 2)
-				d.available.ObserveAnswer(&d.catalog.Runner("r1").Runner, http.StatusServiceUnavailable, core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: tt.rest}})
+				d.available.ObserveAnswer(&d.catalog.Runner("r1").Runner, core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: tt.rest}})
 				r := route(core.KindStream, true, 2)
 				r.Timeout = 5 * time.Second
 				began := time.Now()
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -78,17 +78,6 @@
 	return reply, nil
 }
 
-// accepts reports whether an instance of a runner still accepts a request that has been
-// admitted. probe is set if the request finds out whether the runner's rest is over.
-func (d *Dispatcher) accepts(r *core.Runner, probe bool) bool {
-	e := d.catalog.Runner(r.ID)
-	if e == nil || !e.StartedAt.Equal(r.StartedAt) {
-		return true // the runner itself rejects what is meant for another instance
-	}
-	s := d.available.State(e)
-	return !s.Leaving && (probe || !s.Resting)
-}
-
 // repeatable reports whether the request may be sent again after it may have run.
 func (j *job) repeatable() bool { return j.route.Repeatable() && j.effective.Repeatable }
 
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -129,7 +129,7 @@
 	m.limits = allowance.NewLimits(clock, m.log, allowance.WithLimitsScope(m.scope))
 	m.limits.UpdatePeers(1, 1, nil) // only the owner sends to a runner, so it has the whole limit
 	m.available = availability.New(clock, catalog.New(clock), load.New(clock), m.limits, m.log, availability.WithScope(m.scope),
-		availability.WithMaxRest(func() time.Duration { return m.maxRest }))
+		availability.WithMaxRest(m.maxRest))
 	m.floors = floors{platform: platform, log: m.log, ready: m.readyRunners}
 	m.weights = weightStore{platform: platform, clock: clock, log: m.log}
 	return m
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -248,7 +248,7 @@
 	}
 	of := a.instance.runner(r.id)
 	r.mgr.limits.ObserveAnswer(r.id, info)
-	r.mgr.available.ObserveAnswer(&of, status, info)
+	r.mgr.available.ObserveAnswer(&of, info)
 	probed := a.probe
 	r.endProbe(a, true)
 	if probed || info.Leaving.Announced || info.Rest.Announced {
--- a/coordination/placement/leaving_test.go
+++ b/coordination/placement/leaving_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -71,7 +70,7 @@
 		fx.run(1, func() {
 			time.Sleep(settleTime + 2*time.Second)
 			r := fx.catalog.Runner("r1").Runner
-			fx.holder.available.ObserveAnswer(&r, http.StatusServiceUnavailable, core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: rest}})
+			fx.holder.available.ObserveAnswer(&r, core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: rest}})
 			fx.holder.postBlocking(func() { fx.holder.runners["r1"].synced = false })
 			before := counter.orders.Load() + counter.reports.Load()
 			for began := time.Now(); time.Since(began) < rest-100*time.Millisecond; time.Sleep(100 * time.Millisecond) {
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -48,8 +48,8 @@
 	dialer  net.Dialer
 	dialed  func()
 	called  func(id string)
-	// answered is called with the runner, the status and the headers of each answer.
-	answered func(r *core.Runner, status int, info core.ReplyInfo)
+	// answered is called with what the headers of each answer state of its runner.
+	answered func(r *core.Runner, info core.ReplyInfo)
 
 	mu    sync.Mutex
 	pools map[string][]*conn // idle connections by runner ID, most recently used last
@@ -66,7 +66,7 @@
 
 // WithAnswerCallback calls fn for each answer of a runner, to requests, orders and report
 // requests, before it is returned. An answer of another instance is left out.
-func WithAnswerCallback(fn func(r *core.Runner, status int, info core.ReplyInfo)) Option {
+func WithAnswerCallback(fn func(r *core.Runner, info core.ReplyInfo)) Option {
 	return func(c *Client) { c.answered = fn }
 }
 
@@ -74,7 +74,7 @@
 func New(clock core.Clock, dialect core.Dialect, opts ...Option) *Client {
 	c := &Client{
 		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {}, called: func(string) {},
-		answered: func(*core.Runner, int, core.ReplyInfo) {},
+		answered: func(*core.Runner, core.ReplyInfo) {},
 		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout},
 	}
 	for _, o := range opts {
@@ -174,7 +174,7 @@
 		return nil, lostError(err)
 	}
 	if fromInstance(r, reply) {
-		c.answered(r, reply.Status, reply.Info)
+		c.answered(r, reply.Info)
 	}
 	reuseFor := idleTimeout(reply.Header)
 	closing := reply.closing
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -356,7 +356,7 @@
 				return true
 			})
 			observed := false
-			c := New(clockwork.NewRealClock(), platform.Dialect{}, WithAnswerCallback(func(r *core.Runner, _ int, info core.ReplyInfo) {
+			c := New(clockwork.NewRealClock(), platform.Dialect{}, WithAnswerCallback(func(r *core.Runner, info core.ReplyInfo) {
 				observed = r.ID == "i-1" && info.Leaving.Announced
 			}))
 			_, err := get(c, s, request("a", ""))
@@ -373,7 +373,7 @@
 		return true
 	})
 	observed := 0
-	c := New(clockwork.NewRealClock(), platform.Dialect{}, WithAnswerCallback(func(_ *core.Runner, _ int, info core.ReplyInfo) {
+	c := New(clockwork.NewRealClock(), platform.Dialect{}, WithAnswerCallback(func(_ *core.Runner, info core.ReplyInfo) {
 		if info.Leaving.Announced && info.Limit.Announced {
 			observed++
 		}
