--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -23,8 +23,8 @@
 	// problemLogInterval is the least time between two log entries about unreadable
 	// announcements.
 	problemLogInterval = time.Second
-	// DefaultMaxRest is the longest rest that is granted to a runner.
-	DefaultMaxRest = time.Minute
+	// DefaultMaxBackoff is the longest backoff that is granted to a runner.
+	DefaultMaxBackoff = time.Minute
 )
 
 // rebroadcasts are the times after which an announcement that a runner is leaving is broadcast
@@ -41,16 +41,16 @@
 // Table holds the announcements of all runners. It stores nothing for runners that announce
 // nothing.
 type Table struct {
-	clock     core.Clock
-	catalog   *catalog.Catalog
-	loads     *load.Table
-	limits    *allowance.Limits
-	log       *zap.Logger
-	scope     tally.Scope
-	maxRest   time.Duration
-	broadcast func(Update)
+	clock      core.Clock
+	catalog    *catalog.Catalog
+	loads      *load.Table
+	limits     *allowance.Limits
+	log        *zap.Logger
+	scope      tally.Scope
+	maxBackoff time.Duration
+	broadcast  func(Update)
 
-	rests atomic.Pointer[map[string]*rest]
+	backoffs atomic.Pointer[map[string]*backoff]
 
 	mu              sync.Mutex // guards changes
 	problemLoggedAt time.Time
@@ -62,8 +62,8 @@
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(t *Table) { t.scope = s } }
 
-// WithMaxRest sets the longest rest that is granted to a runner.
-func WithMaxRest(d time.Duration) Option { return func(t *Table) { t.maxRest = d } }
+// WithMaxBackoff sets the longest backoff that is granted to a runner.
+func WithMaxBackoff(d time.Duration) Option { return func(t *Table) { t.maxBackoff = d } }
 
 // WithBroadcast sets the function that broadcasts to the other daemons that a runner is leaving.
 func WithBroadcast(fn func(Update)) Option { return func(t *Table) { t.broadcast = fn } }
@@ -73,12 +73,12 @@
 func New(clock core.Clock, c *catalog.Catalog, loads *load.Table, limits *allowance.Limits, log *zap.Logger, opts ...Option) *Table {
 	t := &Table{
 		clock: clock, catalog: c, loads: loads, limits: limits, log: log, scope: tally.NoopScope,
-		maxRest: DefaultMaxRest, broadcast: func(Update) {},
+		maxBackoff: DefaultMaxBackoff, broadcast: func(Update) {},
 	}
 	for _, o := range opts {
 		o(t)
 	}
-	t.rests.Store(&map[string]*rest{})
+	t.backoffs.Store(&map[string]*backoff{})
 	return t
 }
 
@@ -88,8 +88,8 @@
 	Leaving bool // by its entry or by an announcement
 	// Departure is the announcement that it is leaving; nil if there is none.
 	Departure *catalog.Departure
-	Rest      Rest
-	Resting   bool // it has asked for a rest, or a request finds out whether the rest is over
+	Backoff   Backoff
+	BackedOff bool // it has asked for a backoff, or a request finds out whether the backoff is over
 	Limit     allowance.Limit
 	Limited   bool
 }
@@ -97,7 +97,7 @@
 // State returns the state of a runner.
 func (t *Table) State(e *catalog.Entry) State {
 	s := State{Load: t.loads.View(e.ID), Leaving: !e.Usable(), Departure: e.Departure}
-	s.Rest, s.Resting = t.Resting(e.ID)
+	s.Backoff, s.BackedOff = t.Backoff(e.ID)
 	s.Limit, s.Limited = t.limits.Limit(e.ID)
 	return s
 }
@@ -106,7 +106,7 @@
 func (t *Table) Leaving(r *core.Runner) bool { return t.catalog.DepartureOf(r) != nil }
 
 // Accepts reports whether the runner accepts requests, up to its limit.
-func (s State) Accepts() bool { return !s.Leaving && !s.Resting && !s.Load.Down }
+func (s State) Accepts() bool { return !s.Leaving && !s.BackedOff && !s.Load.Down }
 
 // Describe returns why a runner gets no requests, who received the announcement and how old it
 // is, or an empty text.
@@ -116,10 +116,10 @@
 		return fmt.Sprintf("leaving, heard by %s %s ago", cmp.Or(s.Departure.Source, "this daemon"), now.Sub(s.Departure.At).Round(time.Millisecond))
 	case s.Leaving:
 		return "leaving, by its entry"
-	case s.Resting && s.Rest.Probing:
-		return "resting, a request finds out whether it still does"
-	case s.Resting:
-		return fmt.Sprintf("resting, %s left, asked %s ago", s.Rest.Until.Sub(now).Round(time.Millisecond), now.Sub(s.Rest.AskedAt).Round(time.Millisecond))
+	case s.BackedOff && s.Backoff.Probing:
+		return "backed off, a request finds out whether it accepts requests"
+	case s.BackedOff:
+		return fmt.Sprintf("backed off, %s left, asked %s ago", s.Backoff.Until.Sub(now).Round(time.Millisecond), now.Sub(s.Backoff.AskedAt).Round(time.Millisecond))
 	case s.Load.Down:
 		return "down"
 	}
@@ -128,7 +128,7 @@
 
 // ObserveAnswer records what an answer of a runner's instance announces.
 func (t *Table) ObserveAnswer(r *core.Runner, info core.ReplyInfo) {
-	if info.Leaving == (core.Leaving{}) && info.Rest == (core.Rest{}) {
+	if info.Leaving == (core.Leaving{}) && info.Backoff == (core.Backoff{}) {
 		return
 	}
 	if info.Leaving.Announced {
@@ -136,13 +136,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, problem := range []string{info.Leaving.Problem, info.Rest.Problem} {
+	for _, problem := range []string{info.Leaving.Problem, info.Backoff.Problem} {
 		if problem != "" {
 			t.reportUnreadable(r.ID, problem)
 		}
 	}
-	if info.Rest.Announced && info.Rest.Duration > 0 {
-		t.setRest(r, info.Rest.Duration)
+	if info.Backoff.Announced && info.Backoff.Duration > 0 {
+		t.setBackoff(r, info.Backoff.Duration)
 	}
 }
 
--- a/coordination/availability/rest_test.go
+++ b/coordination/availability/backoff_test.go
@@ -18,36 +18,36 @@
 
 func TestMain(m *testing.M) { fuzz.Main(m, 500, 40) }
 
-// askRest passes a rejection that asks for a rest.
-func (d *daemon) askRest(r core.Runner, asked time.Duration) {
-	d.ObserveAnswer(&r, core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}})
+// askBackoff passes a rejection that asks for a backoff.
+func (d *daemon) askBackoff(r core.Runner, asked time.Duration) {
+	d.ObserveAnswer(&r, core.ReplyInfo{NotRun: true, Backoff: core.Backoff{Announced: true, Duration: asked}})
 }
 
-// Guards against a rest that ends too early or never: it lasts until the latest time that the
-// runner has asked for, or DefaultMaxRest, and until a request after it is answered.
-func TestEndOfARest(t *testing.T) {
+// Guards against a backoff that ends too early or never: it lasts until the latest time that the
+// runner has asked for, or DefaultMaxBackoff, and until a request after it is answered.
+func TestEndOfABackoff(t *testing.T) {
 	const step = 100 * time.Millisecond
 	for _, tt := range []struct {
 		name string
 		asks func(d *daemon, r core.Runner)
-		ends time.Duration // since the start; 0: no rest
+		ends time.Duration // since the start; 0: no backoff
 	}{
-		{"asked once", func(d *daemon, r core.Runner) { d.askRest(r, 3*time.Second) }, 3 * time.Second},
-		{"a fraction of a second", func(d *daemon, r core.Runner) { d.askRest(r, 300*time.Millisecond) }, 300 * time.Millisecond},
-		{"no time", func(d *daemon, r core.Runner) { d.askRest(r, 0) }, 0},
+		{"asked once", func(d *daemon, r core.Runner) { d.askBackoff(r, 3*time.Second) }, 3 * time.Second},
+		{"a fraction of a second", func(d *daemon, r core.Runner) { d.askBackoff(r, 300*time.Millisecond) }, 300 * time.Millisecond},
+		{"no time", func(d *daemon, r core.Runner) { d.askBackoff(r, 0) }, 0},
 		{"asked again", func(d *daemon, r core.Runner) {
-			d.askRest(r, 3*time.Second)
+			d.askBackoff(r, 3*time.Second)
 			time.Sleep(step)
-			d.askRest(r, 3*time.Second)
+			d.askBackoff(r, 3*time.Second)
 		}, 3*time.Second + step},
-		{"lengthened", func(d *daemon, r core.Runner) { d.askRest(r, time.Second); d.askRest(r, 3*time.Second) }, 3 * time.Second},
-		{"shortened", func(d *daemon, r core.Runner) { d.askRest(r, 3*time.Second); d.askRest(r, time.Second) }, 3 * time.Second},
-		{"too long", func(d *daemon, r core.Runner) { d.askRest(r, time.Hour) }, DefaultMaxRest},
+		{"lengthened", func(d *daemon, r core.Runner) { d.askBackoff(r, time.Second); d.askBackoff(r, 3*time.Second) }, 3 * time.Second},
+		{"shortened", func(d *daemon, r core.Runner) { d.askBackoff(r, 3*time.Second); d.askBackoff(r, time.Second) }, 3 * time.Second},
+		{"too long", func(d *daemon, r core.Runner) { d.askBackoff(r, time.Hour) }, DefaultMaxBackoff},
 		{"asked by a former instance", func(d *daemon, r core.Runner) {
 			r.StartedAt = r.StartedAt.Add(-time.Second)
-			d.askRest(r, 3*time.Second)
+			d.askBackoff(r, 3*time.Second)
 		}, 0},
-		{"gone", func(d *daemon, r core.Runner) { d.askRest(r, 3*time.Second); d.Forget(r.ID) }, 0},
+		{"gone", func(d *daemon, r core.Runner) { d.askBackoff(r, 3*time.Second); d.Forget(r.ID) }, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -56,13 +56,13 @@
 				began := time.Now()
 				tt.asks(d, r)
 				for time.Since(began) < tt.ends {
-					_, resting := d.Resting("r")
+					_, backedOff := d.Backoff("r")
 					ok, _ := d.Admit("r")
-					assert.Assert(t, resting && !ok, "after %v", time.Since(began))
+					assert.Assert(t, backedOff && !ok, "after %v", time.Since(began))
 					time.Sleep(step)
 				}
-				_, resting := d.Resting("r")
-				assert.Assert(t, !resting)
+				_, backedOff := d.Backoff("r")
+				assert.Assert(t, !backedOff)
 				ok, probe := d.Admit("r")
 				assert.Assert(t, ok)
 				assert.Equal(t, probe, tt.ends > 0)
@@ -71,9 +71,9 @@
 	}
 }
 
-// Guards against many requests at once after a rest, and against waiting forever for the
+// Guards against many requests at once after a backoff, and against waiting forever for the
 // answer to the first.
-func TestFirstRequestAfterARest(t *testing.T) {
+func TestFirstRequestAfterABackoff(t *testing.T) {
 	r := core.Runner{ID: "r", Service: "s"}
 	for _, tt := range []struct {
 		name    string
@@ -84,14 +84,14 @@
 		{"no answer yet", func(*daemon) {}, false, false},
 		{"served", func(d *daemon) { d.EndProbe("r", true) }, true, false},
 		{"answer lost", func(d *daemon) { d.EndProbe("r", false) }, true, true},
-		{"asks for another rest", func(d *daemon) { d.askRest(r, time.Second); d.EndProbe("r", true) }, false, false},
+		{"asks for another backoff", func(d *daemon) { d.askBackoff(r, time.Second); d.EndProbe("r", true) }, false, false},
 		{"no answer for long", func(*daemon) { time.Sleep(probeTimeout) }, true, true},
 		{"started again", func(d *daemon) { d.Forget("r"); d.EndProbe("r", false) }, true, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDaemon(r)
-				d.askRest(r, time.Second)
+				d.askBackoff(r, time.Second)
 				time.Sleep(time.Second)
 				ok, probe := d.Admit("r")
 				assert.Assert(t, ok && probe)
@@ -104,14 +104,14 @@
 	}
 }
 
-// Guards against state that is kept for runners whose rest no request has followed.
-func TestRestsAreForgotten(t *testing.T) {
+// Guards against state that is kept for runners whose backoff no request has followed.
+func TestBackoffsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDaemon()
-		d.askRest(core.Runner{ID: "r"}, time.Second)
-		time.Sleep(time.Second + restRetention)
-		d.askRest(core.Runner{ID: "other"}, time.Second)
-		assert.Equal(t, len(*d.rests.Load()), 1)
+		d.askBackoff(core.Runner{ID: "r"}, time.Second)
+		time.Sleep(time.Second + backoffRetention)
+		d.askBackoff(core.Runner{ID: "other"}, time.Second)
+		assert.Equal(t, len(*d.backoffs.Load()), 1)
 	})
 }
 
@@ -125,7 +125,7 @@
 		synctest.Test(t, func(*testing.T) {
 			r := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
 			d := newDaemon(r)
-			var restUntil time.Time
+			var backoffUntil time.Time
 			leaving, draining := false, false
 			for i, step := range steps {
 				switch step {
@@ -142,28 +142,28 @@
 					r.Draining = draining
 					d.catalog.Put(r, time.Now())
 				case 4:
-					d.askRest(r, time.Second)
-					restUntil = time.Now().Add(time.Second)
+					d.askBackoff(r, time.Second)
+					backoffUntil = time.Now().Add(time.Second)
 				case 5:
-					if ok, probe := d.Admit("r"); ok && time.Now().Before(restUntil) {
-						violation = "a request is admitted during a rest"
+					if ok, probe := d.Admit("r"); ok && time.Now().Before(backoffUntil) {
+						violation = "a request is admitted during a backoff"
 					} else if probe {
 						d.EndProbe("r", true)
 					}
 				case 6:
 					former := r
 					former.StartedAt = r.StartedAt.Add(-time.Millisecond)
-					d.ObserveAnswer(&former, core.ReplyInfo{Leaving: core.Leaving{Announced: true}, Rest: core.Rest{Announced: true, Duration: time.Minute}})
+					d.ObserveAnswer(&former, core.ReplyInfo{Leaving: core.Leaving{Announced: true}, Backoff: core.Backoff{Announced: true, Duration: time.Minute}})
 				case 7:
 					d.limits.ObserveAnswer("r", core.ReplyInfo{Limit: core.RateLimit{Announced: true, Rate: 1}})
 				case 8:
 					r.StartedAt, r.Draining = r.StartedAt.Add(time.Minute), false
 					d.catalog.Put(r, time.Now())
 					d.Forget("r")
-					leaving, draining, restUntil = false, false, time.Time{}
+					leaving, draining, backoffUntil = false, false, time.Time{}
 				}
 				s := d.State(d.catalog.Runner("r"))
-				if s.Leaving != (leaving || draining) || !s.Resting && time.Now().Before(restUntil) {
+				if s.Leaving != (leaving || draining) || !s.BackedOff && time.Now().Before(backoffUntil) {
 					violation = s.Describe(time.Now())
 				}
 				time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
@@ -181,7 +181,7 @@
 		seen, lines := observer.New(zap.InfoLevel)
 		d.log = zap.New(seen)
 		for range 1000 {
-			d.ObserveAnswer(&r, core.ReplyInfo{Leaving: core.ReadLeaving([]string{"yes"}), Rest: core.ReadRest([]string{"soon"})})
+			d.ObserveAnswer(&r, core.ReplyInfo{Leaving: core.ReadLeaving([]string{"yes"}), Backoff: core.ReadBackoff([]string{"soon"})})
 		}
 		assert.Equal(t, lines.FilterMessage(logs.AnnouncementUnreadable).Len(), 1)
 		assert.Assert(t, d.State(d.catalog.Runner("r")).Accepts())
@@ -199,7 +199,7 @@
 		{State{Leaving: true}, "leaving, by its entry"},
 		{State{Leaving: true, Departure: &catalog.Departure{At: now.Add(-time.Second), Source: "vm-2"}}, "leaving, heard by vm-2 1s ago"},
 		{State{Leaving: true, Departure: &catalog.Departure{At: now}}, "leaving, heard by this daemon 0s ago"},
-		{State{Resting: true, Rest: Rest{Until: now.Add(2 * time.Second), AskedAt: now.Add(-time.Second)}}, "resting, 2s left, asked 1s ago"},
+		{State{BackedOff: true, Backoff: Backoff{Until: now.Add(2 * time.Second), AskedAt: now.Add(-time.Second)}}, "backed off, 2s left, asked 1s ago"},
 	} {
 		assert.Equal(t, tt.state.Describe(now), tt.want)
 	}
--- a/coordination/dispatch/available.go
+++ b/coordination/dispatch/available.go
@@ -25,18 +25,18 @@
 // wasDown is set if it was chosen because all were down.
 func (j *job) stillAccepts(e *catalog.Entry, wasDown bool) bool {
 	s := j.d.available.State(e)
-	return s.Accepts() || wasDown && !s.Leaving && !s.Resting
+	return s.Accepts() || wasDown && !s.Leaving && !s.BackedOff
 }
 
 // accepts reports whether an instance of a runner still accepts a request. If probe is set, its
-// rest does not count, as the request finds out whether that is over.
+// backoff does not count, as the request finds out whether that is over.
 func (d *Dispatcher) accepts(r *core.Runner, probe bool) bool {
 	e := d.catalog.Runner(r.ID)
 	if e == nil || !e.StartedAt.Equal(r.StartedAt) {
 		return false
 	}
 	s := d.available.State(e)
-	return !s.Leaving && (probe || !s.Resting)
+	return !s.Leaving && (probe || !s.BackedOff)
 }
 
 // omit records for the log that a runner accepts no requests.
@@ -46,26 +46,26 @@
 	}
 }
 
-// noteRest finds the first rest to end among the runners that could serve the request, those
+// noteBackoff finds the first backoff to end among the runners that could serve the request, those
 // that it has been sent to too, and sets when the caller should return. It returns false if
-// none is resting.
-func (j *job) noteRest() bool {
+// none is backed off.
+func (j *job) noteBackoff() bool {
 	now, first := j.d.clock.Now(), time.Time{}
 	for _, e := range j.d.catalog.Runners(j.service) {
 		if !j.canServe(e) {
 			continue
 		}
 		s := j.d.available.State(e)
-		j.probeAwaited = j.probeAwaited || s.Resting && s.Rest.Probing
-		if s.Resting && !s.Leaving && (first.IsZero() || s.Rest.Until.Before(first)) {
-			first = s.Rest.Until
+		j.probeAwaited = j.probeAwaited || s.BackedOff && s.Backoff.Probing
+		if s.BackedOff && !s.Leaving && (first.IsZero() || s.Backoff.Until.Before(first)) {
+			first = s.Backoff.Until
 		}
 	}
 	if first.IsZero() {
 		return false
 	}
-	j.restUntil = first
-	j.retryAfter = policy.RetryAfterRest(first.Sub(now), j.rank())
+	j.backoffUntil = first
+	j.retryAfter = policy.RetryAfterBackoff(first.Sub(now), j.rank())
 	return true
 }
 
--- a/coordination/dispatch/rest_test.go
+++ b/coordination/dispatch/backoff_test.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		out.refused++
-		assert.Equal(t, re.Code, errResting.Error())
+		assert.Equal(t, re.Code, errBackoff.Error())
 		assert.Equal(t, re.Outcome, core.OutcomeNotRun)
 		assert.Assert(t, time.Since(began) == 0, "refused after %v", time.Since(began))
 		out.earliestRetry = min(out.earliestRetry, re.Retry)
@@ -50,14 +50,14 @@
 	return out
 }
 
-// Guards against sending to a runner during the rest that it has asked for, against refusing
-// requests that other runners can serve, and against leaving a runner out after its rest.
-func TestRestsAreKept(t *testing.T) {
+// Guards against sending to a runner during the backoff that it has asked for, against refusing
+// requests that other runners can serve, and against leaving a runner out after its backoff.
+func TestBackoffsAreKept(t *testing.T) {
 	const interval = 10 * time.Millisecond
 	for _, tt := range []struct {
-		name             string
-		resting, runners int
-		rest             time.Duration
+		name               string
+		backedOff, runners int
+		backoff            time.Duration
 	}{
 		{"one of four", 1, 4, 3 * time.Second},
 		{"three of four", 3, 4, 3 * time.Second},
@@ -67,31 +67,31 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fleet{nextAct: script(), rests: map[string]time.Duration{}}
+				f := &fleet{nextAct: script(), backoffs: map[string]time.Duration{}}
 				d := newDispatcher(f, tt.runners)
-				for i := range tt.resting {
-					f.rests[fmt.Sprint("r", i)] = tt.rest
+				for i := range tt.backedOff {
+					f.backoffs[fmt.Sprint("r", i)] = tt.backoff
 				}
-				rests := 4
-				got := sendEvery(t, d, f, interval, time.Duration(rests)*tt.rest)
-				for i := range tt.resting {
+				backoffs := 4
+				got := sendEvery(t, d, f, interval, time.Duration(backoffs)*tt.backoff)
+				for i := range tt.backedOff {
 					sends := got.sends[fmt.Sprint("r", i)]
-					assert.Assert(t, len(sends) > 0 && len(sends) <= rests, "%d sends in %d rests", len(sends), rests)
+					assert.Assert(t, len(sends) > 0 && len(sends) <= backoffs, "%d sends in %d backoffs", len(sends), backoffs)
 					for k := 1; k < len(sends); k++ {
-						assert.Assert(t, sends[k].Sub(sends[k-1]) >= tt.rest, "%v apart", sends[k].Sub(sends[k-1]))
+						assert.Assert(t, sends[k].Sub(sends[k-1]) >= tt.backoff, "%v apart", sends[k].Sub(sends[k-1]))
 					}
 				}
-				if tt.resting < tt.runners {
+				if tt.backedOff < tt.runners {
 					assert.Equal(t, got.refused, 0)
 					return
 				}
 				assert.Equal(t, got.served, 0)
 				assert.Assert(t, got.earliestRetry >= interval, "%v", got.earliestRetry)
-				clear(f.rests)
-				time.Sleep(tt.rest)
+				clear(f.backoffs)
+				time.Sleep(tt.backoff)
 				got = sendEvery(t, d, f, interval, time.Second)
-				assert.Equal(t, got.refused, 0, "refused after the end of the rest")
-				for i := range tt.resting {
+				assert.Equal(t, got.refused, 0, "refused after the end of the backoff")
+				for i := range tt.backedOff {
 					assert.Assert(t, len(got.sends[fmt.Sprint("r", i)]) > 0, "r%d gets no requests", i)
 				}
 			})
@@ -99,11 +99,11 @@
 	}
 }
 
-// Guards against callers that are sent back before a rest ends, and against less urgent ones
+// Guards against callers that are sent back before a backoff ends, and against less urgent ones
 // that return before more urgent ones.
-func TestRefusalsDuringARest(t *testing.T) {
+func TestRefusalsDuringABackoff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{nextAct: script(), rests: map[string]time.Duration{"r0": 3 * time.Second, "r1": 2 * time.Second}}
+		f := &fleet{nextAct: script(), backoffs: map[string]time.Duration{"r0": 3 * time.Second, "r1": 2 * time.Second}}
 		d := newDispatcher(f, 2)
 		var retries [2][]time.Duration
 		for range 100 {
@@ -123,9 +123,9 @@
 }
 
 // Guards against requests that were delayed, or were about to be sent, when their runner asked
-// for a rest.
-func TestRestBeginsWhileARequestWaits(t *testing.T) {
-	asked := core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: time.Second}}
+// for a backoff.
+func TestBackoffBeginsWhileARequestWaits(t *testing.T) {
+	asked := core.ReplyInfo{Backoff: core.Backoff{Announced: true, Duration: time.Second}}
 	t.Run("delayed by pacing", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := &fleet{nextAct: script()}
@@ -136,7 +136,7 @@
 				})
 			}
 			_, _, err := callWith(d, route(core.KindStream, false, 1), 1000)
-			assert.Equal(t, core.AsRequestError(err).Code, errResting.Error())
+			assert.Equal(t, core.AsRequestError(err).Code, errBackoff.Error())
 			assert.Equal(t, len(f.sends), 0)
 		})
 	})
@@ -154,12 +154,12 @@
 	})
 }
 
-// Guards against a broken stream whose caller waits for a rest that ends too late, and against
-// one that is given up although the rest ends in time.
-func TestBrokenStreamAndRest(t *testing.T) {
+// Guards against a broken stream whose caller waits for a backoff that ends too late, and against
+// one that is given up although the backoff ends in time.
+func TestBrokenStreamAndBackoff(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
-		rest    time.Duration
+		backoff time.Duration
 		resumed bool
 	}{{"ends too late", 10 * time.Second, false}, {"ends in time", time.Second, true}} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -171,7 +171,7 @@
 					return serves
 				}}
 				d := newDispatcher(f, 2)
-				d.available.ObserveAnswer(&d.catalog.Runner("r1").Runner, core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: tt.rest}})
+				d.available.ObserveAnswer(&d.catalog.Runner("r1").Runner, core.ReplyInfo{Backoff: core.Backoff{Announced: true, Duration: tt.backoff}})
 				r := route(core.KindStream, true, 2)
 				r.Timeout = 5 * time.Second
 				began := time.Now()
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -24,7 +24,7 @@
 	errFull      = errors.New("full")
 	errDown      = errors.New("down")
 	errLimited   = errors.New(core.CodeLimited)
-	errResting   = errors.New(core.CodeResting)
+	errBackoff   = errors.New(core.CodeBackoff)
 )
 
 // messages are the texts sent to callers for each reason.
@@ -34,7 +34,7 @@
 	errFull:      "all runners that may serve the request are full",
 	errDown:      "the runners that may serve the request have ended",
 	errLimited:   "the runners that may serve the request take no more for now",
-	errResting:   "the runners that may serve the request have asked for a rest",
+	errBackoff:   "the runners that may serve the request have asked for a backoff",
 }
 
 // refuseFor refuses the request for one of the reasons in messages.
@@ -55,17 +55,17 @@
 	}
 	switch {
 	case len(candidates) == 0 && j.sends > 0:
-		if j.noteRest() {
-			return nil, errResting
+		if j.noteBackoff() {
+			return nil, errBackoff
 		}
 		return nil, errExhausted
 	case len(candidates) == 0:
 		return nil, errAbsent
 	case i < 0 && j.atLimit:
 		return nil, errLimited
-	case i < 0 && policy.OnlyResting(candidates):
-		j.noteRest()
-		return nil, errResting
+	case i < 0 && policy.OnlyBackedOff(candidates):
+		j.noteBackoff()
+		return nil, errBackoff
 	case i < 0:
 		return nil, errFull
 	case candidates[i].Down && !j.d.loads.Probe(candidates[i].ID):
@@ -186,7 +186,7 @@
 		out = append(out, policy.Candidate{
 			ID: e.ID, Slots: e.Slots, Requests: s.Load.Requests, Penalty: s.Load.Penalty,
 			SameDataCentre: e.DataCentre == j.d.dataCentre, Leaving: e.LeavesIn > 0 && e.LeavesIn < leaveMargin,
-			Wait: j.d.pacer.Wait(now, e.ID), Down: s.Load.Down, Limited: s.Limited && !s.Limit.Spare, Resting: s.Resting,
+			Wait: j.d.pacer.Wait(now, e.ID), Down: s.Load.Down, Limited: s.Limited && !s.Limit.Spare, BackedOff: s.BackedOff,
 		})
 	}
 	return holders, out
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -140,7 +140,7 @@
 }
 
 // ObserveAnswer applies what an answer of a runner states of it: its load, its limit, that it is
-// leaving or wants a rest. It is called for each answer, whatever was sent.
+// leaving or wants a backoff. It is called for each answer, whatever was sent.
 func (d *Dispatcher) ObserveAnswer(r *core.Runner, info core.ReplyInfo) {
 	d.available.ObserveAnswer(r, info)
 	d.limits.ObserveAnswer(r.ID, info)
@@ -177,10 +177,10 @@
 	atLimit            bool               // a runner was skipped because its limit is used up
 	limitFields        []zap.Field        // log fields on the last such runner
 	limitTakenFrom     string             // runner whose limit the next send has been taken from, or empty
-	probes             string             // runner whose rest the next send probes, or empty
+	probes             string             // runner whose backoff the next send probes, or empty
 	omitted            []string           // runners that would suit but accept no requests, and why
-	restUntil          time.Time          // end of the first rest among the runners that could serve the request
-	probeAwaited       bool               // a runner was skipped because a request probes its rest
+	backoffUntil       time.Time          // end of the first backoff among the runners that could serve the request
+	probeAwaited       bool               // a runner was skipped because a request probes its backoff
 	lastEvent          string             // id of the last event passed on
 	cancelSend         context.CancelFunc // closes the connection of the latest send
 	answerBegan        func()             // called when the answer to the latest send has begun
@@ -290,7 +290,7 @@
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, err)
 	}
-	if reply.Status >= http.StatusInternalServerError && reply.Info.Rest.Duration == 0 {
+	if reply.Status >= http.StatusInternalServerError && reply.Info.Backoff.Duration == 0 {
 		j.markFailed(r) // a runner that fails at once would look idle
 	}
 	if reply.Status >= http.StatusInternalServerError && j.takeRetry() {
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -41,14 +41,14 @@
 
 // fleet answers for all runners as scripted by a test.
 type fleet struct {
-	mu      sync.Mutex
-	nextAct func(runner string) act
-	runs    []string // runners that ran the request
-	sends   []core.Outgoing
-	limits  map[string]core.RateLimit // limits that the runners announce
-	rests   map[string]time.Duration  // rests that the runners ask for; they reject all requests
-	observe func(r *core.Runner, info core.ReplyInfo)
-	dial    func(runner string) // called before each send; nil: nothing
+	mu       sync.Mutex
+	nextAct  func(runner string) act
+	runs     []string // runners that ran the request
+	sends    []core.Outgoing
+	limits   map[string]core.RateLimit // limits that the runners announce
+	backoffs map[string]time.Duration  // backoffs that the runners ask for; they reject all requests
+	observe  func(r *core.Runner, info core.ReplyInfo)
+	dial     func(runner string) // called before each send; nil: nothing
 }
 
 func (f *fleet) Send(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
@@ -69,8 +69,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sends = append(f.sends, o)
-	if asked, ok := f.rests[r.ID]; ok {
-		return answer(http.StatusServiceUnavailable, core.ReplyInfo{NotRun: true, Rest: core.Rest{Announced: true, Duration: asked}}, "", nil), nil
+	if asked, ok := f.backoffs[r.ID]; ok {
+		return answer(http.StatusServiceUnavailable, core.ReplyInfo{NotRun: true, Backoff: core.Backoff{Announced: true, Duration: asked}}, "", nil), nil
 	}
 	a := f.nextAct(r.ID)
 	if a != unreachable && a != noListener && a != rejects {
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -41,7 +41,7 @@
 func (j *job) nextRunner(ctx context.Context) (*core.Runner, error) {
 	for waited := time.Duration(0); ; {
 		r, err := j.choose(ctx)
-		if err == errResting && j.probeAwaited && waited < maxProbeWait {
+		if err == errBackoff && j.probeAwaited && waited < maxProbeWait {
 			waited += probePollInterval
 			core.Sleep(ctx, j.d.clock, probePollInterval)
 			continue
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -72,13 +72,13 @@
 
 // handleRejection decides what follows a runner's statement that it did not run the request.
 func (j *job) handleRejection(r *core.Runner, reply *core.Reply) error {
-	if reply.Info.Rest.Duration == 0 { // after a rest it gets no further request that it could reject
+	if reply.Info.Backoff.Duration == 0 { // after a backoff it gets no further request that it could reject
 		j.rejections++
 	}
-	if reply.Status != http.StatusMisdirectedRequest && reply.Info.Rest.Duration == 0 {
+	if reply.Status != http.StatusMisdirectedRequest && reply.Info.Backoff.Duration == 0 {
 		j.markFailed(r) // a runner that rejects at once would look idle
 	}
-	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejections), zap.Duration("rest", reply.Info.Rest.Duration))
+	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejections), zap.Duration("backoff", reply.Info.Backoff.Duration))
 	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
 		j.d.catalog.RecordHolding(r.ID, j.q.Model, j.q.Adapter, false)
 	}
@@ -106,7 +106,7 @@
 // callers rely on it.
 func (j *job) refuse(code, message string, err error) error {
 	retry := policy.RetryAfter(j.route.Target, j.engine())
-	if j.retryAfter > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error() || code == errResting.Error()) {
+	if j.retryAfter > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error() || code == errBackoff.Error()) {
 		retry = j.retryAfter
 	}
 	log := j.log
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -176,7 +176,7 @@
 			}
 			continue
 		}
-		if s.ctx.Err() != nil || !j.d.clock.Now().Add(pause).Before(until) || err == errResting && !j.restUntil.Before(until) {
+		if s.ctx.Err() != nil || !j.d.clock.Now().Add(pause).Before(until) || err == errBackoff && !j.backoffUntil.Before(until) {
 			return nil, j.refuseFor(err)
 		}
 		core.Sleep(s.ctx, j.d.clock, pause)
--- a/coordination/entry/attempts.go
+++ b/coordination/entry/attempts.go
@@ -176,7 +176,7 @@
 
 // candidates returns the runners in allowed data centres that the next attempt
 // may use. known is false if there are none and no excluded runner may still be
-// overloaded, at its limit or resting. Excluded runners then become eligible again, since
+// overloaded, at its limit or backed off. Excluded runners then become eligible again, since
 // refusals for other reasons are likely to be out of date.
 func (x *execution) candidates(ctx context.Context) ([]route.Candidate, bool) {
 	t := x.e.replica.Tree()
@@ -193,7 +193,7 @@
 		}
 		r.Owner = m.Name
 		if x.excluded[r.Runner] {
-			known = known || x.lastErr != nil && (x.lastErr.Code == core.CodeOverloaded || x.lastErr.Code == core.CodeLimited || x.lastErr.Code == core.CodeResting)
+			known = known || x.lastErr != nil && (x.lastErr.Code == core.CodeOverloaded || x.lastErr.Code == core.CodeLimited || x.lastErr.Code == core.CodeBackoff)
 			continue
 		}
 		known = true
--- a/coordination/owner/admit.go
+++ b/coordination/owner/admit.go
@@ -11,8 +11,8 @@
 	"primroseward/state/tree"
 )
 
-// messageResting is the text of refusals because of an endpoint's rest.
-const messageResting = "the endpoint has asked for a rest"
+// messageBackoff is the text of refusals because of an endpoint's backoff.
+const messageBackoff = "the endpoint has asked for a backoff"
 
 // targetLatency returns the target time to first byte of the attempt's class by the
 // settings in force, or 0 while there are none.
@@ -39,8 +39,8 @@
 	}
 	target := r.targetLatency(a)
 	left := a.Deadline.Sub(r.mgr.clock.Now())
-	if rest := r.restLeft(); rest > min(target, left) {
-		return core.NotRun(http.StatusServiceUnavailable, core.CodeResting, messageResting, rest)
+	if backoff := r.backoffLeft(); backoff > min(target, left) {
+		return core.NotRun(http.StatusServiceUnavailable, core.CodeBackoff, messageBackoff, backoff)
 	}
 	wait := r.expectedWait(a.Class)
 	if wait > min(target, left) {
@@ -117,13 +117,13 @@
 
 // expectedWait returns the expected time until a new request of a class starts.
 func (r *runner) expectedWait(c core.Class) time.Duration {
-	slots, rest := max(1, r.spec.Slots), r.restLeft()
+	slots, backoff := max(1, r.spec.Slots), r.backoffLeft()
 	if len(r.running) < slots && r.queue.Len() == 0 {
-		return rest
+		return backoff
 	}
 	ahead := r.queue.Ahead(c)
 	if len(r.running) >= slots {
 		ahead += r.cost
 	}
-	return rest + ahead/time.Duration(slots)
+	return backoff + ahead/time.Duration(slots)
 }
--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -63,7 +63,7 @@
 	// onAnswer is called with the answer's status and headers, and may replace the answer by an
 	// error; set before run starts.
 	onAnswer          func(status int, h http.Header) *core.RequestError
-	probe             bool      // finds out whether the endpoint's rest is over; set before run starts, then used only by run
+	probe             bool      // finds out whether the endpoint's backoff is over; set before run starts, then used only by run
 	onResume          func()    // charges a resumption to the endpoint's limit; set before run starts
 	tookToken         bool      // holds a token of the endpoint's limit; used only by the runner's loop
 	lastReadAt        time.Time // when the sweep last saw a reader; used only by the sweep
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -63,9 +63,9 @@
 	floors   floors
 	weights  weightStore
 	limits   *allowance.Limits
-	// available keeps what endpoints announce of leaving and of rests.
-	available *availability.Table
-	maxRest   time.Duration
+	// available keeps what endpoints announce of leaving and of backoffs.
+	available  *availability.Table
+	maxBackoff time.Duration
 
 	mu      sync.Mutex
 	runners map[string]*runner
@@ -91,8 +91,8 @@
 // a negative age means never.
 func WithSettingsAge(fn func() time.Duration) Option { return func(m *Manager) { m.settingsAge = fn } }
 
-// WithMaxRest sets the longest rest that is granted to an endpoint.
-func WithMaxRest(d time.Duration) Option { return func(m *Manager) { m.maxRest = d } }
+// WithMaxBackoff sets the longest backoff that is granted to an endpoint.
+func WithMaxBackoff(d time.Duration) Option { return func(m *Manager) { m.maxBackoff = d } }
 
 // WithGuard sets the quarantine guard, which receives the outcome of attempts and loads at
 // their endpoints.
@@ -121,7 +121,7 @@
 		attempts:    attempts{byID: map[string]*Attempt{}},
 		runners:     map[string]*runner{},
 		closing:     map[*runner]struct{}{},
-		maxRest:     availability.DefaultMaxRest,
+		maxBackoff:  availability.DefaultMaxBackoff,
 	}
 	for _, o := range opts {
 		o(m)
@@ -129,7 +129,7 @@
 	m.limits = allowance.NewLimits(clock, m.log, allowance.WithLimitsScope(m.scope))
 	m.limits.UpdatePeers(1, 1, nil) // only the owner sends to a runner, so it has the whole limit
 	m.available = availability.New(clock, catalog.New(clock), load.New(clock), m.limits, m.log, availability.WithScope(m.scope),
-		availability.WithMaxRest(m.maxRest))
+		availability.WithMaxBackoff(m.maxBackoff))
 	m.floors = floors{platform: platform, log: m.log, ready: m.readyRunners}
 	m.weights = weightStore{platform: platform, clock: clock, log: m.log}
 	return m
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// endProbe ends the attempt as the one that finds out whether the endpoint's rest is over, if
+// endProbe ends the attempt as the one that finds out whether the endpoint's backoff is over, if
 // it is that.
 func (r *runner) endProbe(a *Attempt, answered bool) {
 	if a.probe {
@@ -244,45 +244,45 @@
 	}
 	info := core.ReplyInfo{Stamped: true, Limit: core.ReadRateLimit(h.Values(core.HeaderLimit)), Leaving: core.ReadLeaving(h.Values(core.HeaderLeaving))}
 	if status == http.StatusServiceUnavailable {
-		info.Rest = core.ReadRest(h.Values(core.HeaderRetryAfter))
+		info.Backoff = core.ReadBackoff(h.Values(core.HeaderRetryAfter))
 	}
 	of := a.instance.runner(r.id)
 	r.mgr.limits.ObserveAnswer(r.id, info)
 	r.mgr.available.ObserveAnswer(&of, info)
 	probed := a.probe
 	r.endProbe(a, true)
-	if probed || info.Leaving.Announced || info.Rest.Announced {
+	if probed || info.Leaving.Announced || info.Backoff.Announced {
 		r.send(announcement{})
 	}
-	if !info.Rest.Announced || !a.Repeatable {
+	if !info.Backoff.Announced || !a.Repeatable {
 		return nil
 	}
-	err := core.MayHaveRun(core.CodeResting, "the endpoint has rejected the request and asked for a rest")
-	err.Retry = info.Rest.Duration
+	err := core.MayHaveRun(core.CodeBackoff, "the endpoint has rejected the request and asked for a backoff")
+	err.Retry = info.Backoff.Duration
 	return err
 }
 
 // announcement makes the loop apply what an answer has announced: requests that wait for an
-// endpoint that is leaving or resting are refused, so that their entries choose another one.
+// endpoint that is leaving or backed off are refused, so that their entries choose another one.
 type announcement struct{}
 
 func (announcement) apply(r *runner) {
 	if r.isLeaving() {
 		r.refuseQueued("runner_leaving", "the endpoint accepts no new requests", minRetryAfter)
 	}
-	if left := r.restLeft(); left > 0 {
-		r.refuseQueued(core.CodeResting, messageResting, left)
+	if left := r.backoffLeft(); left > 0 {
+		r.refuseQueued(core.CodeBackoff, messageBackoff, left)
 	}
 	r.startWaiting()
 }
 
-// restLeft returns the time until the endpoint may get requests again, 0 if it may now.
-func (r *runner) restLeft() time.Duration {
-	rest, resting := r.mgr.available.Resting(r.id)
-	if !resting {
+// backoffLeft returns the time until the endpoint may get requests again, 0 if it may now.
+func (r *runner) backoffLeft() time.Duration {
+	backoff, backedOff := r.mgr.available.Backoff(r.id)
+	if !backedOff {
 		return 0
 	}
-	return rest.Until.Sub(r.mgr.clock.Now())
+	return backoff.Until.Sub(r.mgr.clock.Now())
 }
 
 // attemptEnded is called from the attempt's own goroutine.
@@ -333,7 +333,7 @@
 func (e observation) apply(r *runner) {
 	if current := r.instances.current(); !current.startedAt.Equal(r.observedStart) {
 		r.observedStart = current.startedAt
-		r.mgr.limits.Forget(r.id) // the limit was that of another instance, as was the rest
+		r.mgr.limits.Forget(r.id) // the limit was that of another instance, as was the backoff
 		r.mgr.available.Forget(r.id)
 	}
 	if e.err != nil {
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -105,7 +105,7 @@
 }
 
 func (rs *runnerState) usable(service string) bool {
-	return rs.runner.Service == service && !rs.leaving && !rs.resting && !rs.down
+	return rs.runner.Service == service && !rs.leaving && !rs.backedOff && !rs.down
 }
 
 // runnerWithAdapter returns the least busy runner that has an adapter in a phase. If w.Busy
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -331,7 +331,7 @@
 		}
 		rs.runner, rs.engine = e.Runner, service.Engine
 		s := h.available.State(e)
-		rs.leaving, rs.resting, rs.limited = s.Leaving, s.Resting, s.Limited
+		rs.leaving, rs.backedOff, rs.limited = s.Leaving, s.BackedOff, s.Limited
 		if down := s.Load.Down; down != rs.down {
 			rs.down = down
 			h.log.Info(logs.RunnerDown, zap.String("runner", id), zap.Bool("down", down), zap.Int("models", len(rs.models)))
@@ -341,11 +341,11 @@
 	}
 }
 
-// requestReport requests a runner's state unless it is down or resting. If the runner is executing
+// requestReport requests a runner's state unless it is down or backed off. If the runner is executing
 // an order that this holder did not send, its memory use is unknown and the report is
 // requested again later.
 func (h *Holder) requestReport(rs *runnerState) {
-	if rs.synced || rs.reportPending || rs.orderPending || rs.down || rs.resting || h.clock.Now().Before(rs.reportAfter) {
+	if rs.synced || rs.reportPending || rs.orderPending || rs.down || rs.backedOff || h.clock.Now().Before(rs.reportAfter) {
 		return
 	}
 	rs.reportPending = true
--- a/coordination/placement/leaving_test.go
+++ b/coordination/placement/leaving_test.go
@@ -59,10 +59,10 @@
 	})
 }
 
-// Guards against orders and report requests to a runner during the rest that it has asked for,
-// and against evicting its models because of the rest.
-func TestRestingRunnerGetsNoOrders(t *testing.T) {
-	const rest = 3 * time.Second
+// Guards against orders and report requests to a runner during the backoff that it has asked for,
+// and against evicting its models because of the backoff.
+func TestBackedOffRunnerGetsNoOrders(t *testing.T) {
+	const backoff = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(t, 2, 2, faults{reportDelay: 200 * time.Millisecond}, 1)
 		counter := &orderCounter{fakeRunners: fx.engines, runner: "r1"}
@@ -70,16 +70,16 @@
 		fx.run(1, func() {
 			time.Sleep(settleTime + 2*time.Second)
 			r := fx.catalog.Runner("r1").Runner
-			fx.holder.available.ObserveAnswer(&r, core.ReplyInfo{Rest: core.Rest{Announced: true, Duration: rest}})
+			fx.holder.available.ObserveAnswer(&r, core.ReplyInfo{Backoff: core.Backoff{Announced: true, Duration: backoff}})
 			fx.holder.postBlocking(func() { fx.holder.runners["r1"].synced = false })
 			before := counter.orders.Load() + counter.reports.Load()
-			for began := time.Now(); time.Since(began) < rest-100*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+			for began := time.Now(); time.Since(began) < backoff-100*time.Millisecond; time.Sleep(100 * time.Millisecond) {
 				fx.place("m1", "a6")
 			}
 			assert.Equal(t, counter.orders.Load()+counter.reports.Load(), before)
 			assert.Assert(t, fx.engines["r1"].hasModel("m1"), "its model has been evicted")
 			time.Sleep(time.Second)
-			assert.Assert(t, counter.orders.Load()+counter.reports.Load() > before, "it is left out after its rest")
+			assert.Assert(t, counter.orders.Load()+counter.reports.Load() > before, "it is left out after its backoff")
 		})
 	})
 }
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -72,7 +72,7 @@
 		return p
 	}
 	for _, rs := range h.runners {
-		if rs.runner.Service == service && !rs.synced && !rs.resting {
+		if rs.runner.Service == service && !rs.synced && !rs.backedOff {
 			return map[string]float64{}
 		}
 	}
--- a/coordination/placement/send.go
+++ b/coordination/placement/send.go
@@ -61,13 +61,13 @@
 }
 
 // accepts reports whether orders may be sent to a runner now. The runner may have announced
-// that it is leaving, or have asked for a rest, since its state was last refreshed.
+// that it is leaving, or have asked for a backoff, since its state was last refreshed.
 func (h *Holder) accepts(rs *runnerState) bool {
 	if e := h.catalog.Runner(rs.runner.ID); e != nil && e.StartedAt.Equal(rs.runner.StartedAt) {
 		s := h.available.State(e)
-		rs.leaving, rs.resting = s.Leaving, s.Resting
+		rs.leaving, rs.backedOff = s.Leaving, s.BackedOff
 	}
-	return !rs.leaving && !rs.resting
+	return !rs.leaving && !rs.backedOff
 }
 
 func (h *Holder) runOrder(rs *runnerState, r core.Runner, o core.RunnerOrder, then func(core.OrderResult)) {
--- a/coordination/placement/state.go
+++ b/coordination/placement/state.go
@@ -45,7 +45,7 @@
 	// models that no other runner has.
 	down        bool
 	leaving     bool // accepts no new work, by its entry or by its answers
-	resting     bool // has asked this daemon for no requests for a time
+	backedOff   bool // has asked this daemon for no requests for a time
 	limited     bool // accepts fewer requests a second than it is likely to be sent
 	sequence    uint64
 	models      map[string]*placedItem
@@ -241,6 +241,6 @@
 	}
 	return &policy.HostState{
 		ID: rs.runner.ID, DataCentre: rs.runner.DataCentre, FreeMB: rs.freeMB(), Models: models, Pending: rs.reservedFor, Local: local,
-		Busy: !rs.synced || rs.orderPending || rs.busy() || rs.resting, Leaving: rs.leaving, Down: rs.down, Limited: rs.limited || rs.resting, Requests: requests,
+		Busy: !rs.synced || rs.orderPending || rs.busy() || rs.backedOff, Leaving: rs.leaving, Down: rs.down, Limited: rs.limited || rs.backedOff, Requests: requests,
 	}
 }
--- a/coordination/policy/choose.go
+++ b/coordination/policy/choose.go
@@ -71,8 +71,8 @@
 	Penalty        float64 // for recent failed attempts, as a fraction of its slots
 	// Down is set if the runner's process has exited although its entry still exists.
 	Down bool
-	// Resting is set if the runner has asked for no requests for a time.
-	Resting bool
+	// BackedOff is set if the runner has asked for no requests for a time.
+	BackedOff bool
 	// Limited is set if the runner has announced a request limit. Such runners are reserved
 	// for requests that no other runner can serve.
 	Limited bool
@@ -102,7 +102,7 @@
 }
 
 // Choose returns the index of the cheapest candidate with capacity, or -1. It skips limited and
-// resting candidates. Candidates that are down are only chosen if all are, as they may have started
+// backed off candidates. Candidates that are down are only chosen if all are, as they may have started
 // again. Among candidates of equal cost it picks one at random, so that daemons with the
 // same data do not all choose the same runner.
 func Choose(candidates []Candidate, req Requirements) int {
@@ -110,7 +110,7 @@
 	allDown := AllDown(candidates)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Down && !allDown || c.Limited || c.Resting || c.Full(req) {
+		if c.Down && !allDown || c.Limited || c.BackedOff || c.Full(req) {
 			continue
 		}
 		cost := c.cost()
@@ -131,7 +131,7 @@
 func RankLimited(candidates []Candidate, req Requirements) []int {
 	var out []int
 	for i := range candidates {
-		if c := &candidates[i]; c.Limited && !c.Resting && !c.Down && !c.Full(req) {
+		if c := &candidates[i]; c.Limited && !c.BackedOff && !c.Down && !c.Full(req) {
 			out = append(out, i)
 		}
 	}
@@ -145,9 +145,9 @@
 	return !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Down })
 }
 
-// OnlyResting reports whether all candidates that are up are resting, and at least one is.
-func OnlyResting(candidates []Candidate) bool {
-	return !AllDown(candidates) && !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Down && !c.Resting })
+// OnlyBackedOff reports whether all candidates that are up are backed off, and at least one is.
+func OnlyBackedOff(candidates []Candidate) bool {
+	return !AllDown(candidates) && !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Down && !c.BackedOff })
 }
 
 // Bounds of Retry-After for plain services and for engines.
@@ -162,12 +162,12 @@
 	// replicas are loaded. Most callers retry once; with a delay of half a target they
 	// found the same runners still full.
 	retryTargets = 4
-	// restSpread is the time over which callers of one rank return after a runner's rest, those
-	// of the next rank after them. restMargin is the time before it in which the first request
-	// finds out whether the rest is over.
-	restSpread  = 200 * time.Millisecond
-	restMargin  = 50 * time.Millisecond
-	maxRestRank = 5
+	// backoffSpread is the time over which callers of one rank return after a runner's backoff, those
+	// of the next rank after them. backoffMargin is the time before it in which the first request
+	// finds out whether the backoff is over.
+	backoffSpread  = 200 * time.Millisecond
+	backoffMargin  = 50 * time.Millisecond
+	maxBackoffRank = 5
 	// retryJitter is the fraction of the delay that is randomised, so that callers
 	// refused at the same time do not retry at the same time.
 	retryJitter = 0.3
@@ -184,9 +184,9 @@
 	return wait - time.Duration(retryJitter*rand.Float64()*float64(wait))
 }
 
-// RetryAfterRest returns the delay for a caller refused because the runners are resting, the
+// RetryAfterBackoff returns the delay for a caller refused because the runners are backed off, the
 // first of them for a time left. Rank 0 is the most urgent.
-func RetryAfterRest(left time.Duration, rank int) time.Duration {
-	turn := float64(min(rank, maxRestRank)) + rand.Float64()
-	return max(0, left) + restMargin + time.Duration(turn*float64(restSpread))
+func RetryAfterBackoff(left time.Duration, rank int) time.Duration {
+	turn := float64(min(rank, maxBackoffRank)) + rand.Float64()
+	return max(0, left) + backoffMargin + time.Duration(turn*float64(backoffSpread))
 }
--- a/coordination/policy/choose_test.go
+++ b/coordination/policy/choose_test.go
@@ -144,10 +144,10 @@
 	}
 }
 
-// Guards against sending to runners that rest, and against refusing because of a rest while a
+// Guards against sending to runners that are backed off, and against refusing because of a backoff while a
 // runner that accepts requests is only full or at its limit.
-func TestRestingCandidates(t *testing.T) {
-	free, resting := Candidate{ID: "free", Slots: 4}, Candidate{ID: "resting", Slots: 4, Resting: true}
+func TestBackedOffCandidates(t *testing.T) {
+	free, backedOff := Candidate{ID: "free", Slots: 4}, Candidate{ID: "backedOff", Slots: 4, BackedOff: true}
 	full, down := Candidate{ID: "full", Slots: 1, Requests: 100}, Candidate{ID: "down", Slots: 4, Down: true}
 	for _, tt := range []struct {
 		name       string
@@ -155,27 +155,27 @@
 		chosen     int
 		only       bool
 	}{
-		{"one accepts", []Candidate{resting, free}, 1, false},
-		{"all rest", []Candidate{resting, resting}, -1, true},
-		{"the other is full", []Candidate{resting, full}, -1, false},
-		{"the other is down", []Candidate{resting, down}, -1, true},
+		{"one accepts", []Candidate{backedOff, free}, 1, false},
+		{"all are backed off", []Candidate{backedOff, backedOff}, -1, true},
+		{"the other is full", []Candidate{backedOff, full}, -1, false},
+		{"the other is down", []Candidate{backedOff, down}, -1, true},
 		{"none", nil, -1, false},
 	} {
 		assert.Equal(t, Choose(tt.candidates, Requirements{}), tt.chosen, tt.name)
-		assert.Equal(t, OnlyResting(tt.candidates), tt.only, tt.name)
+		assert.Equal(t, OnlyBackedOff(tt.candidates), tt.only, tt.name)
 	}
-	limited := resting
+	limited := backedOff
 	limited.Limited = true
 	assert.Equal(t, len(RankLimited([]Candidate{limited}, Requirements{})), 0)
 }
 
-// Guards against callers that return before a rest is over, all at once, or less urgent ones
+// Guards against callers that return before a backoff is over, all at once, or less urgent ones
 // before more urgent ones.
-func TestRetryAfterRest(t *testing.T) {
-	for rank := range maxRestRank {
+func TestRetryAfterBackoff(t *testing.T) {
+	for rank := range maxBackoffRank {
 		for range 100 {
-			got := RetryAfterRest(time.Second, rank)
-			assert.Assert(t, got >= time.Second+restMargin+time.Duration(rank)*restSpread && got < time.Second+restMargin+time.Duration(rank+1)*restSpread, "%v", got)
+			got := RetryAfterBackoff(time.Second, rank)
+			assert.Assert(t, got >= time.Second+backoffMargin+time.Duration(rank)*backoffSpread && got < time.Second+backoffMargin+time.Duration(rank+1)*backoffSpread, "%v", got)
 		}
 	}
 }
--- a/core/announcement.go
+++ b/core/announcement.go
@@ -10,9 +10,9 @@
 const (
 	// maxDecimalLength bounds the text of a decimal number in a header, in bytes.
 	maxDecimalLength = 32
-	// maxRestSeconds bounds a rest, in seconds, so that it fits a time.Duration. Longer ones
+	// maxBackoffSeconds bounds a backoff, in seconds, so that it fits a time.Duration. Longer ones
 	// are read as this long.
-	maxRestSeconds = 1e6
+	maxBackoffSeconds = 1e6
 )
 
 // Values of the header by which an endpoint announces that it is leaving.
@@ -45,25 +45,25 @@
 	return Leaving{Announced: leaving}
 }
 
-// Rest is the time for which an endpoint that rejects a request asks its caller to send
+// Backoff is the time for which an endpoint that rejects a request asks its caller to send
 // nothing. The zero value means that it asks for none.
-type Rest struct {
+type Backoff struct {
 	Announced bool
 	Duration  time.Duration // 0: requests may be sent again at once
 	Problem   string        // why the header can't be read; it then counts as absent
 }
 
-// ReadRest parses the values of the Retry-After header of an endpoint's rejection, which
+// ReadBackoff parses the values of the Retry-After header of an endpoint's rejection, which
 // should be a single decimal number of seconds.
-func ReadRest(values []string) Rest {
+func ReadBackoff(values []string) Backoff {
 	if len(values) == 0 {
-		return Rest{}
+		return Backoff{}
 	}
 	seconds, problem := readDecimal(values)
 	if problem != "" {
-		return Rest{Problem: problem}
+		return Backoff{Problem: problem}
 	}
-	return Rest{Announced: true, Duration: time.Duration(min(seconds, maxRestSeconds) * float64(time.Second))}
+	return Backoff{Announced: true, Duration: time.Duration(min(seconds, maxBackoffSeconds) * float64(time.Second))}
 }
 
 // readDecimal parses the values of a header that should be a single decimal number, 0 or
--- a/core/announcement_test.go
+++ b/core/announcement_test.go
@@ -30,36 +30,36 @@
 }
 
 // Guards against unreadable times that would leave a runner unused, or send to it at once.
-func TestReadRest(t *testing.T) {
+func TestReadBackoff(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
 		values []string
-		want   Rest
+		want   Backoff
 	}{
-		{"absent", nil, Rest{}},
-		{"whole", []string{"3"}, Rest{Announced: true, Duration: 3 * time.Second}},
-		{"fraction", []string{" 0.25 "}, Rest{Announced: true, Duration: 250 * time.Millisecond}},
-		{"zero", []string{"0"}, Rest{Announced: true}},
-		{"very long", []string{"1000000000"}, Rest{Announced: true, Duration: maxRestSeconds * time.Second}},
-		{"exponent", []string{"1e9"}, Rest{Problem: "not a decimal number"}},
-		{"empty", []string{""}, Rest{Problem: "empty"}},
-		{"negative", []string{"-1"}, Rest{Problem: "not a decimal number"}},
-		{"not a number", []string{"NaN"}, Rest{Problem: "not a decimal number"}},
-		{"date", []string{"Thu, 03 Dec 2026 16:00:00 GMT"}, Rest{Problem: "not a decimal number"}},
-		{"two values", []string{"1", "2"}, Rest{Problem: "named more than once"}},
-		{"long", []string{strings.Repeat("1", 10<<10)}, Rest{Problem: "too long"}},
+		{"absent", nil, Backoff{}},
+		{"whole", []string{"3"}, Backoff{Announced: true, Duration: 3 * time.Second}},
+		{"fraction", []string{" 0.25 "}, Backoff{Announced: true, Duration: 250 * time.Millisecond}},
+		{"zero", []string{"0"}, Backoff{Announced: true}},
+		{"very long", []string{"1000000000"}, Backoff{Announced: true, Duration: maxBackoffSeconds * time.Second}},
+		{"exponent", []string{"1e9"}, Backoff{Problem: "not a decimal number"}},
+		{"empty", []string{""}, Backoff{Problem: "empty"}},
+		{"negative", []string{"-1"}, Backoff{Problem: "not a decimal number"}},
+		{"not a number", []string{"NaN"}, Backoff{Problem: "not a decimal number"}},
+		{"date", []string{"Thu, 03 Dec 2026 16:00:00 GMT"}, Backoff{Problem: "not a decimal number"}},
+		{"two values", []string{"1", "2"}, Backoff{Problem: "named more than once"}},
+		{"long", []string{strings.Repeat("1", 10<<10)}, Backoff{Problem: "too long"}},
 	} {
-		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, ReadRest(tt.values), tt.want) })
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, ReadBackoff(tt.values), tt.want) })
 	}
 }
 
-func FuzzReadRest(f *testing.F) {
+func FuzzReadBackoff(f *testing.F) {
 	for _, s := range []string{"", "3", "0.5", "-1", "1e9", "Inf"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		got := ReadRest([]string{text})
+		got := ReadBackoff([]string{text})
 		assert.Assert(t, got.Announced != (got.Problem != ""))
-		assert.Assert(t, got.Duration >= 0 && got.Duration <= maxRestSeconds*time.Second)
+		assert.Assert(t, got.Duration >= 0 && got.Duration <= maxBackoffSeconds*time.Second)
 	})
 }
--- a/core/errors.go
+++ b/core/errors.go
@@ -30,12 +30,12 @@
 )
 
 // CodeOverloaded is the code of refusals because the runners' queues are too long,
-// CodeLimited because the limits that the runners announce are used up for now, CodeResting
+// CodeLimited because the limits that the runners announce are used up for now, CodeBackoff
 // because the runners have asked for no requests for a time.
 const (
 	CodeOverloaded = "overloaded"
 	CodeLimited    = "limited"
-	CodeResting    = "resting"
+	CodeBackoff    = "backoff"
 )
 
 // CodeEndpointBroken is the code of an attempt whose endpoint closed the connection, or
--- a/core/request.go
+++ b/core/request.go
@@ -54,8 +54,8 @@
 	Load      *Load
 	Limit     RateLimit
 	Leaving   Leaving
-	Rest      Rest   // only with status 503
-	Instance  string // ID of the instance that answered; empty if not stated
+	Backoff   Backoff // only with status 503
+	Instance  string  // ID of the instance that answered; empty if not stated
 }
 
 // Reply is an endpoint's answer.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -20,13 +20,13 @@
 	// RunnerLeaving: a runner has announced in an answer that it is leaving; with the start of its
 	// instance and the daemon that received the answer.
 	RunnerLeaving = "runner leaving"
-	// RunnerRests: a runner has rejected a request and asked this daemon to send nothing for a
+	// RunnerBackoff: a runner has rejected a request and asked this daemon to send nothing for a
 	// time; with what is left of it, and since when it has asked for it without a break.
-	RunnerRests = "runner rests"
-	// RunnerRestEnded: a runner has answered the first request after its rest; with the time since
+	RunnerBackoff = "runner backoff"
+	// RunnerBackoffEnded: a runner has answered the first request after its backoff; with the time since
 	// it first asked for it.
-	RunnerRestEnded = "runner no longer rests"
-	// AnnouncementUnreadable: what a runner announces about leaving or a rest is not valid.
+	RunnerBackoffEnded = "runner backoff ended"
+	// AnnouncementUnreadable: what a runner announces about leaving or a backoff is not valid.
 	AnnouncementUnreadable = "runner announcement unreadable"
 	// RunnerRejected: the runner states that it did not run the request.
 	RunnerRejected = "runner rejected the request"
--- a/proof/rest_test.go
+++ b/proof/backoff_test.go
@@ -15,22 +15,22 @@
 )
 
 const (
-	// restTime is the rest that runners ask for, restText its value of Retry-After.
-	restTime = 3 * time.Second
-	restText = "3"
-	// restSettleTime is how long after a rejection requests that were on their way may arrive.
-	restSettleTime = 500 * time.Millisecond
-	// maxInRest is how many requests of one daemon may arrive in a rest.
-	maxInRest = 2
+	// backoffTime is the backoff that runners ask for, backoffText its value of Retry-After.
+	backoffTime = 3 * time.Second
+	backoffText = "3"
+	// backoffSettleTime is how long after a rejection requests that were on their way may arrive.
+	backoffSettleTime = 500 * time.Millisecond
+	// maxInBackoff is how many requests of one daemon may arrive in a backoff.
+	maxInBackoff = 2
 )
 
-// mostInRest returns the largest number of times within a rest that began at one of them.
-func mostInRest(times []time.Time) int {
+// mostInBackoff returns the largest number of times within a backoff that began at one of them.
+func mostInBackoff(times []time.Time) int {
 	peak := 0
 	for i, began := range times {
 		n := 0
 		for _, at := range times[i:] {
-			if after := at.Sub(began); after > restSettleTime && after < restTime {
+			if after := at.Sub(began); after > backoffSettleTime && after < backoffTime {
 				n++
 			}
 		}
@@ -39,47 +39,47 @@
 	return peak
 }
 
-// TestRestingRunnerGetsNoRequests guards against sending to a runner that has rejected a
-// request and asked for a rest, and against refusing requests that other runners can serve:
+// TestBackedOffRunnerGetsNoRequests guards against sending to a runner that has rejected a
+// request and asked for a backoff, and against refusing requests that other runners can serve:
 // a runner that rejects at once has no requests in progress and looks idle.
-func TestRestingRunnerGetsNoRequests(t *testing.T) {
+func TestBackedOffRunnerGetsNoRequests(t *testing.T) {
 	c := startFleet(t, 1)
 	c.addRunners("i-app-3", "i-app-4")
 	c.sendAtInterval(10*time.Millisecond, time.Second)
-	resting := c.runners[2]
-	resting.Reject(restText)
+	backedOff := c.runners[2]
+	backedOff.Reject(backoffText)
 	began := time.Now()
-	got := c.sendAtInterval(10*time.Millisecond, 2*restTime)
+	got := c.sendAtInterval(10*time.Millisecond, 2*backoffTime)
 	var arrived []time.Time
-	for _, at := range resting.ArrivalTimes() {
+	for _, at := range backedOff.ArrivalTimes() {
 		if !at.Before(began) {
 			arrived = append(arrived, at)
 		}
 	}
-	most := mostInRest(arrived)
-	t.Logf("%d arrivals, at most %d in a rest where %d are allowed; answers: %v", len(arrived), most, maxInRest, got)
-	assert.Assert(t, most <= maxInRest, "%d arrivals in a rest", most)
+	most := mostInBackoff(arrived)
+	t.Logf("%d arrivals, at most %d in a backoff where %d are allowed; answers: %v", len(arrived), most, maxInBackoff, got)
+	assert.Assert(t, most <= maxInBackoff, "%d arrivals in a backoff", most)
 	assert.Assert(t, float64(got[http.StatusOK]) >= 0.98*float64(total(got)), "answers: %v", got)
 }
 
-// TestRestingRunnersServeAgainAfterTheirRest guards against callers that wait for their refusal or
-// are sent back before the rest ends while all runners rest, and against a runner that is left
-// out after its rest.
-func TestRestingRunnersServeAgainAfterTheirRest(t *testing.T) {
+// TestBackedOffRunnersServeAgainAfterTheirBackoff guards against callers that wait for their refusal or
+// are sent back before the backoff ends while all runners are backed off, and against a runner that is left
+// out after its backoff.
+func TestBackedOffRunnersServeAgainAfterTheirBackoff(t *testing.T) {
 	const slowest = 500 * time.Millisecond
 	c := startFleet(t, 2)
 	for _, r := range c.runners[2:] {
-		r.Reject(restText)
+		r.Reject(backoffText)
 	}
 	c.sendAtInterval(10*time.Millisecond, 300*time.Millisecond) // each daemon has been asked by each runner
-	resting, firstRest := time.Now(), time.Now()
+	backedOff, firstBackoff := time.Now(), time.Now()
 	for _, r := range c.runners[2:] {
-		if arrived := r.ArrivalTimes(); len(arrived) > 0 && arrived[0].Before(firstRest) {
-			firstRest = arrived[0]
+		if arrived := r.ArrivalTimes(); len(arrived) > 0 && arrived[0].Before(firstBackoff) {
+			firstBackoff = arrived[0]
 		}
 	}
 	refused := 0
-	for time.Since(resting) < restTime/2 {
+	for time.Since(backedOff) < backoffTime/2 {
 		for _, d := range c.daemons {
 			began := time.Now()
 			resp := d.post(t, "/order/x")
@@ -91,7 +91,7 @@
 			assert.NilError(t, err)
 			assert.Assert(t, time.Since(began) < slowest, "refused after %v", time.Since(began))
 			back := time.Now().Add(time.Duration(after * float64(time.Second)))
-			assert.Assert(t, !back.Before(firstRest.Add(restTime)), "sent back %v after the beginning of the first rest", back.Sub(firstRest))
+			assert.Assert(t, !back.Before(firstBackoff.Add(backoffTime)), "sent back %v after the beginning of the first backoff", back.Sub(firstBackoff))
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -99,13 +99,13 @@
 	for _, r := range c.runners[2:] {
 		r.Accept()
 	}
-	time.Sleep(time.Until(resting.Add(restTime + restSettleTime)))
+	time.Sleep(time.Until(backedOff.Add(backoffTime + backoffSettleTime)))
 	back := time.Now()
 	got := c.sendAtInterval(10*time.Millisecond, time.Second)
 	assert.Assert(t, float64(got[http.StatusOK]) >= 0.98*float64(total(got)), "answers: %v", got)
 	for _, r := range c.runners[2:] {
 		n := countAfter(r.ArrivalTimes(), back)
-		assert.Assert(t, n >= total(got)/4, "%s got %d of %d requests in the second after its rest", r.ID, n, total(got))
+		assert.Assert(t, n >= total(got)/4, "%s got %d of %d requests in the second after its backoff", r.ID, n, total(got))
 	}
 }
 
@@ -149,15 +149,15 @@
 }
 
 // TestOwnerKeepsWhatAnEndpointAnnounces guards against an endpoint of the native interface that
-// asks for a rest, or announces that it is leaving, and still gets requests.
+// asks for a backoff, or announces that it is leaving, and still gets requests.
 func TestOwnerKeepsWhatAnEndpointAnnounces(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
 		faults service.Faults
 		most   int // requests that may arrive at the endpoint
 	}{
-		{"rest", service.Faults{Rest: restText}, 2 * maxInRest},
-		{"leaving", service.Faults{Departing: true}, maxInRest},
+		{"backoff", service.Faults{Backoff: backoffText}, 2 * maxInBackoff},
+		{"leaving", service.Faults{Departing: true}, maxInBackoff},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := defaultSpec()
@@ -169,7 +169,7 @@
 			var mu sync.Mutex
 			var wg sync.WaitGroup
 			got := map[int]int{}
-			for time.Since(began) < 2*restTime-restSettleTime {
+			for time.Since(began) < 2*backoffTime-backoffSettleTime {
 				d := c.daemons[rand.IntN(len(c.daemons))]
 				wg.Go(func() {
 					r, err := d.send(http.MethodGet, "/services/parts/x", "")
@@ -182,7 +182,7 @@
 			}
 			wg.Wait()
 			arrived := p1.ArrivalTimes()
-			t.Logf("%d arrivals, at most %d in a rest; answers: %v", len(arrived), mostInRest(arrived), got)
+			t.Logf("%d arrivals, at most %d in a backoff; answers: %v", len(arrived), mostInBackoff(arrived), got)
 			assert.Assert(t, len(arrived) > 0 && len(arrived) <= tt.most, "%d arrivals", len(arrived))
 			assert.Assert(t, float64(got[http.StatusOK]) >= 0.98*float64(total(got)), "answers: %v", got)
 		})
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -101,7 +101,7 @@
 	c.sendAtInterval(5*time.Millisecond, time.Second)
 	out, code := c.primrosectl(c.daemons[0], "", "runners")
 	assert.Equal(t, code, 0, out)
-	for _, want := range []string{"leaving, heard by this daemon", "resting, "} {
+	for _, want := range []string{"leaving, heard by this daemon", "backed off, "} {
 		assert.Assert(t, strings.Contains(out, want), "%q is missing in\n%s", want, out)
 	}
 }
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -120,7 +120,7 @@
 	dir := directory.New(d.clock)
 	d.network = newNetwork(d.table, d.pool.Dial, d.clock, d.log)
 	d.quarantine = quarantine.New(d.network, prober{d}, d.clock, d.log, quarantine.WithScope(scope), quarantine.WithStore(client, d.shouldReadHolds))
-	d.owner = owner.New(d.replica, d.table, client, d.connect, d.clock, owner.WithLogger(d.log), owner.WithScope(scope.SubScope("owner")), owner.WithMaxRest(time.Duration(set.Limits.MaxRest)),
+	d.owner = owner.New(d.replica, d.table, client, d.connect, d.clock, owner.WithLogger(d.log), owner.WithScope(scope.SubScope("owner")), owner.WithMaxBackoff(time.Duration(set.Limits.MaxBackoff)),
 		owner.WithSettingsAge(d.spread.SinceConfirmed), owner.WithDirectory(d.report, d.find), owner.WithGuard(d.quarantine))
 	d.claims = claim.New(client, d.table, d.clock, d.log)
 	d.entry = entry.New(d.replica, d.table, d.pool.Dial, d.owner, dir, d.claims, d.clock, entry.WithLogger(d.log),
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -164,7 +164,7 @@
 	d.catalog = catalog.New(d.clock, catalog.WithGoneCallback(d.runnerGone), catalog.WithRestartCallback(d.runnerRestarted), catalog.WithConfigCallback(d.newConfig))
 	d.limits = allowance.NewLimits(d.clock, d.log, allowance.WithLimitsScope(d.scope), allowance.WithBroadcast(d.broadcastLimit))
 	d.available = availability.New(d.clock, d.catalog, d.loads, d.limits, d.log, availability.WithScope(d.scope), availability.WithBroadcast(d.broadcastLeaving),
-		availability.WithMaxRest(time.Duration(set.Limits.MaxRest)))
+		availability.WithMaxBackoff(time.Duration(set.Limits.MaxBackoff)))
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
 		runner.WithAnswerCallback(func(r *core.Runner, info core.ReplyInfo) { d.dispatcher.ObserveAnswer(r, info) }))
 	d.watcher = watch.New(d.store, watch.Reader{
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -104,7 +104,7 @@
 	Body         core.Bytes    `json:"body"`     // size of the request body
 	BodyTimeout  core.Duration `json:"sender"`   // longest time in which a request body must arrive
 	PlatformRate float64       `json:"platform"` // calls of the platform per second
-	MaxRest      core.Duration `json:"rest"`     // longest time without requests that an endpoint may ask for; 0 means none
+	MaxBackoff   core.Duration `json:"backoff"`  // longest time without requests that an endpoint may ask for; 0 means none
 	Cores        float64       `json:"cores"`    // processor cores that the daemon may use; 0 means unknown
 }
 
@@ -125,7 +125,7 @@
 		Log:    Log{Level: "info"},
 		Trace:  Trace{Share: 1},
 		Held:   HeldAnswers{Bytes: 64e6, TTL: core.Duration(5 * time.Minute)},
-		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxRest: core.Duration(time.Minute)},
+		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxBackoff: core.Duration(time.Minute)},
 	}
 }
 
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -28,7 +28,7 @@
 		want []string
 	}{
 		{`{"nam":"x","held":{"life":5}}`, []string{"held.life: want a string, got the number 5", "nam: unknown field"}},
-		{`{"limits":{"rest":"-1s"}}`, []string{`limits.rest: want a duration of zero or more, got "-1s"`}},
+		{`{"limits":{"backoff":"-1s"}}`, []string{`limits.backoff: want a duration of zero or more, got "-1s"`}},
 		{
 			`{"place":"a","caller":"localhost:1","peer":"127.0.0.1:1","admin":"10.0.0.1:1","platform":"127.0.0.1:1","seeds":["x"],"log":{"level":"loud"},"trace":{"share":2},"limits":{"header":"1B"}}`,
 			[]string{
--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -6,10 +6,10 @@
 	// drainTime is how long after a daemon has passed on an answer that announces that its
 	// runner is leaving requests of that daemon may still arrive there.
 	drainTime = 2 * time.Second
-	// restSettleTime is how long after a rejection requests of the same daemon that were on
-	// their way may arrive, maxInRest how many may arrive from then on until the rest is over.
-	restSettleTime = 500 * time.Millisecond
-	maxInRest      = 2
+	// backoffSettleTime is how long after a rejection requests of the same daemon that were on
+	// their way may arrive, maxInBackoff how many may arrive from then on until the backoff is over.
+	backoffSettleTime = 500 * time.Millisecond
+	maxInBackoff      = 2
 )
 
 // process identifies a process of a daemon: a later one knows nothing of what was announced
@@ -58,24 +58,24 @@
 	}
 }
 
-// checkRests checks that no more than maxInRest requests of a daemon arrive at a runner during a
-// rest that it has asked that daemon for.
-func (w *World) checkRests(h *proxiedRunner) {
+// checkBackoffs checks that no more than maxInBackoff requests of a daemon arrive at a runner during a
+// backoff that it has asked that daemon for.
+func (w *World) checkBackoffs(h *proxiedRunner) {
 	byID, arrived := w.requestsByID(), h.Arrivals()
 	for i, rejected := range arrived {
 		req := byID[rejected.ID]
-		if req == nil || rejected.Rest == 0 {
+		if req == nil || rejected.Backoff == 0 {
 			continue
 		}
-		from, to, n := rejected.At.Add(w.scale(restSettleTime)), rejected.At.Add(rejected.Rest), 0
+		from, to, n := rejected.At.Add(w.scale(backoffSettleTime)), rejected.At.Add(rejected.Backoff), 0
 		for _, a := range arrived[i:] {
 			other := byID[a.ID]
 			if other != nil && other.daemon == req.daemon && other.processStart.Equal(req.processStart) && a.At.After(from) && a.At.Before(to) {
 				n++
 			}
 		}
-		if n > maxInRest && !req.daemon.impairedDuring(rejected.At, to) {
-			w.reportViolation("%s: %s received %d requests of %s in a rest of %v", rejected.ID, h.ID, n, req.daemon.name, rejected.Rest)
+		if n > maxInBackoff && !req.daemon.impairedDuring(rejected.At, to) {
+			w.reportViolation("%s: %s received %d requests of %s in a backoff of %v", rejected.ID, h.ID, n, req.daemon.name, rejected.Backoff)
 			return
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -94,7 +94,7 @@
 	for _, h := range slices.Concat(w.runners, w.removedRunners) {
 		w.checkLimits(h)
 		w.checkLeaving(h)
-		w.checkRests(h)
+		w.checkBackoffs(h)
 		for _, v := range h.Violations() {
 			w.reportViolation("a runner was loaded beyond its bounds: %s", v)
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -259,15 +259,15 @@
 		})
 		return fmt.Sprintf("%s, its entry %v later", h.ID, entryLate)
 	}},
-	{"runner rests", func(w *World, r *rand.Rand) string {
+	{"runner asks for backoff", func(w *World, r *rand.Rand) string {
 		h := w.anyRunner(r)
 		if h == nil {
 			return "none"
 		}
-		rest, length := []string{"0.7", "1", "3"}[r.IntN(3)], randomSeconds(r, 0.2, 5)
-		h.Reject(rest)
+		backoff, length := []string{"0.7", "1", "3"}[r.IntN(3)], randomSeconds(r, 0.2, 5)
+		h.Reject(backoff)
 		w.schedule(length, h.Accept)
-		return fmt.Sprintf("%s asks for %s s for %v", h.ID, rest, length)
+		return fmt.Sprintf("%s asks for %s s for %v", h.ID, backoff, length)
 	}},
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -56,9 +56,9 @@
 
 // Arrival is a request that has arrived, whether it runs or not.
 type Arrival struct {
-	ID   string
-	At   time.Time
-	Rest time.Duration // for which the runner asked as it rejected the request; 0: none
+	ID      string
+	At      time.Time
+	Backoff time.Duration // for which the runner asked as it rejected the request; 0: none
 }
 
 // Server is the stand-in.
@@ -81,7 +81,7 @@
 	limit      []string  // values of the limit header
 	leaving    []string  // values of the leaving header
 	rejects    bool      // rejects all requests
-	rest       []string  // values of Retry-After in rejections
+	backoff    []string  // values of Retry-After in rejections
 	arrived    []Arrival // requests, run or not
 	terms      []Term
 	violations []string // orders that exceeded the bounds
@@ -173,10 +173,10 @@
 }
 
 // Reject makes the runner reject all further requests, with the given values of Retry-After.
-func (s *Server) Reject(rest ...string) {
+func (s *Server) Reject(backoff ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejects, s.rest = true, rest
+	s.rejects, s.backoff = true, backoff
 }
 
 // Accept makes the runner accept requests again.
@@ -218,8 +218,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := Arrival{ID: id, At: time.Now()}
-	if s.rejects && len(s.rest) == 1 {
-		a.Rest = core.ReadRest(s.rest).Duration
+	if s.rejects && len(s.backoff) == 1 {
+		a.Backoff = core.ReadBackoff(s.backoff).Duration
 	}
 	s.arrived = append(s.arrived, a)
 	for _, value := range s.limit {
@@ -399,7 +399,7 @@
 	}
 	s.mu.Lock()
 	if s.rejects {
-		for _, value := range s.rest {
+		for _, value := range s.backoff {
 			w.Header().Add(core.HeaderRetryAfter, value)
 		}
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -26,9 +26,9 @@
 	Limit      string        `json:"limit"` // limit sent in each answer; empty: none
 	// Departing announces in each answer that the service is leaving; its state does not.
 	Departing bool `json:"departing"`
-	// Rest is the time that the service asks for as it rejects all requests, in seconds;
+	// Backoff is the time that the service asks for as it rejects all requests, in seconds;
 	// empty: it accepts them.
-	Rest string `json:"rest"`
+	Backoff string `json:"backoff"`
 }
 
 // Run is one request that has run.
@@ -100,9 +100,9 @@
 	}
 	s.mu.Lock()
 	s.arrived = append(s.arrived, time.Now())
-	if rest := s.faults.Rest; rest != "" {
+	if backoff := s.faults.Backoff; backoff != "" {
 		s.mu.Unlock()
-		w.Header().Set(core.HeaderRetryAfter, rest)
+		w.Header().Set(core.HeaderRetryAfter, backoff)
 		w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
