Daemon: one handler for what peers announce of runners

Cause: the handlers of limits and of departures were the same twenty lines. Change: one generic handler, both kinds of messages in one file.

--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -180,8 +180,8 @@
 	}
 	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.LocalRequests, d.peerUpdate, peers.WithSummaries(d.groupSummary), peers.WithDatagramCounter(d.countDatagram),
 		peers.WithUsage(d.localUsage, d.peerUsage))
-	d.peers.Handle(kindLimit, d.handleLimit)
-	d.peers.Handle(kindLeaving, d.handleLeaving)
+	d.peers.Handle(kindLimit, handleUpdate(d, d.limits.ApplyUpdate))
+	d.peers.Handle(kindLeaving, handleUpdate(d, d.available.ApplyUpdate))
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.RetryWindow), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), currentHolder{d}, d.clock, d.log, lease.WithCandidate(d.shouldWatch))
--- /dev/null
+++ b/services/fleet/updates.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/allowance"
+	"primroseward/coordination/availability"
+	"primroseward/coordination/peers"
+	"primroseward/io/logs"
+)
+
+// Kinds of the messages about what runners announce in their answers: limits, and that they are
+// leaving.
+const (
+	kindLimit   = "limit"
+	kindLeaving = "leaving"
+)
+
+// broadcastLimit sends a runner's limit to all daemons.
+func (d *Daemon) broadcastLimit(u allowance.LimitUpdate) { d.peers.Broadcast(kindLimit, u) }
+
+// broadcastLeaving sends all daemons that a runner is leaving.
+func (d *Daemon) broadcastLeaving(u availability.Update) { d.peers.Broadcast(kindLeaving, u) }
+
+// handleUpdate returns the handler of messages that apply takes, with the name of the daemon that
+// has sent them.
+func handleUpdate[U any](d *Daemon, apply func(from string, u U)) peers.Handler {
+	return func(from peers.Peer, body json.RawMessage, _ func(any)) {
+		var u U
+		if err := json.Unmarshal(body, &u); err != nil {
+			d.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+			return
+		}
+		apply(from.Name, u)
+	}
+}
