Dispatcher: less work and state for what decides on availability

The two last checks before each send computed the whole state of the runner, with the lock of the loads, though they use two parts of it; the texts of runners left out were formatted at each look, though only a log line shows them; the runner of a probe was kept beside the runner of the send, which it is; a condition stood twice; a field was read by nobody; three comments still said rest.

Change: the checks ask the entry and the backoff alone, texts are formatted with their line, the probe is a flag. No decision changes.

--- a/coordination/availability/backoff.go
+++ b/coordination/availability/backoff.go
@@ -30,7 +30,6 @@
 
 // Backoff is a runner's backoff, as it concerns this daemon.
 type Backoff struct {
-	Since   time.Time // when the runner first asked for it
 	AskedAt time.Time // when the runner last asked for it
 	Until   time.Time // earliest time for the next request
 	Probing bool      // its time is over, and a request finds out whether the runner accepts requests
@@ -43,7 +42,7 @@
 		return Backoff{}, false
 	}
 	now := t.clock.Now()
-	out := Backoff{Since: r.since, AskedAt: r.askedAt, Until: r.until}
+	out := Backoff{AskedAt: r.askedAt, Until: r.until}
 	if !now.Before(r.until) {
 		out.Until, out.Probing = r.probedAt.Add(probeTimeout), true
 	}
@@ -90,7 +89,7 @@
 	t.store(runner, &next)
 }
 
-// Forget drops the rest of a runner that is gone or has started again.
+// Forget drops the backoff of a runner that is gone or has started again.
 func (t *Table) Forget(runner string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,7 +116,7 @@
 	t.store(r.ID, next)
 }
 
-// store replaces the rest of a runner; nil removes it. The caller holds t.mu.
+// store replaces the backoff of a runner; nil removes it. The caller holds t.mu.
 func (t *Table) store(runner string, r *backoff) {
 	now := t.clock.Now()
 	backoffs := maps.Clone(*t.backoffs.Load())
--- a/coordination/dispatch/available.go
+++ b/coordination/dispatch/available.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxProbeWait is how long a request waits for the answer to another one that finds out
-	// whether the rest of the only runners that can serve it is over. It looks again every
+	// whether the backoff of the only runners that can serve it is over. It looks again every
 	// probePollInterval.
 	maxProbeWait      = 150 * time.Millisecond
 	probePollInterval = 10 * time.Millisecond
@@ -25,24 +25,30 @@
 // wasDown is set if it was chosen because all were down.
 func (j *job) stillAccepts(e *catalog.Entry, wasDown bool) bool {
 	s := j.d.available.State(e)
-	return s.Accepts() || wasDown && !s.Leaving && !s.BackedOff
+	return !s.Leaving && !s.BackedOff && (wasDown || !s.Load.Down)
 }
 
 // accepts reports whether an instance of a runner still accepts a request. If probe is set, its
 // backoff does not count, as the request finds out whether that is over.
 func (d *Dispatcher) accepts(r *core.Runner, probe bool) bool {
 	e := d.catalog.Runner(r.ID)
-	if e == nil || !e.StartedAt.Equal(r.StartedAt) {
+	if e == nil || !e.StartedAt.Equal(r.StartedAt) || !e.Usable() {
 		return false
 	}
-	s := d.available.State(e)
-	return !s.Leaving && (probe || !s.BackedOff)
+	_, backedOff := d.available.Backoff(r.ID)
+	return probe || !backedOff
+}
+
+// omittedRunner is a runner that would suit but accepts no requests.
+type omittedRunner struct {
+	id    string
+	state availability.State
 }
 
 // omit records for the log that a runner accepts no requests.
-func (j *job) omit(e *catalog.Entry, s availability.State, now time.Time) {
-	if why := s.Describe(now); why != "" && len(j.omitted) < maxOmitted {
-		j.omitted = append(j.omitted, e.ID+": "+why)
+func (j *job) omit(e *catalog.Entry, s availability.State) {
+	if len(j.omitted) < maxOmitted {
+		j.omitted = append(j.omitted, omittedRunner{e.ID, s})
 	}
 }
 
@@ -52,13 +58,13 @@
 func (j *job) noteBackoff() bool {
 	now, first := j.d.clock.Now(), time.Time{}
 	for _, e := range j.d.catalog.Runners(j.service) {
-		if !j.canServe(e) {
+		b, backedOff := j.d.available.Backoff(e.ID)
+		if !backedOff || !j.canServe(e) {
 			continue
 		}
-		s := j.d.available.State(e)
-		j.probeAwaited = j.probeAwaited || s.BackedOff && s.Backoff.Probing
-		if s.BackedOff && !s.Leaving && (first.IsZero() || s.Backoff.Until.Before(first)) {
-			first = s.Backoff.Until
+		j.probeAwaited = j.probeAwaited || b.Probing
+		if e.Usable() && (first.IsZero() || b.Until.Before(first)) {
+			first = b.Until
 		}
 	}
 	if first.IsZero() {
@@ -74,5 +80,9 @@
 	if len(j.omitted) == 0 {
 		return zap.Skip()
 	}
-	return zap.Strings("omitted", j.omitted)
+	now, texts := j.d.clock.Now(), make([]string, len(j.omitted))
+	for i, o := range j.omitted {
+		texts[i] = o.id + ": " + o.state.Describe(now)
+	}
+	return zap.Strings("omitted", texts)
 }
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -177,7 +177,7 @@
 		}
 		s := j.d.available.State(e)
 		if !s.Accepts() {
-			j.omit(e, s, now)
+			j.omit(e, s)
 		}
 		if s.Leaving {
 			continue
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -177,8 +177,8 @@
 	atLimit            bool               // a runner was skipped because its limit is used up
 	limitFields        []zap.Field        // log fields on the last such runner
 	limitTakenFrom     string             // runner whose limit the next send has been taken from, or empty
-	probes             string             // runner whose backoff the next send probes, or empty
-	omitted            []string           // runners that would suit but accept no requests, and why
+	probe              bool               // the next send finds out whether its runner's backoff is over
+	omitted            []omittedRunner    // runners left out of the latest choice
 	backoffUntil       time.Time          // end of the first backoff among the runners that could serve the request
 	probeAwaited       bool               // a runner was skipped because a request probes its backoff
 	lastEvent          string             // id of the last event passed on
@@ -290,13 +290,15 @@
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, err)
 	}
-	if reply.Status >= http.StatusInternalServerError && reply.Info.Backoff.Duration == 0 {
-		j.markFailed(r) // a runner that fails at once would look idle
-	}
-	if reply.Status >= http.StatusInternalServerError && j.takeRetry() {
-		_ = reply.Body.Close()
-		j.log.Info(logs.RunnerFailed, zap.String("runner", r.ID), zap.Int("status", reply.Status))
-		return nil, nil
+	if reply.Status >= http.StatusInternalServerError {
+		if reply.Info.Backoff.Duration == 0 {
+			j.markFailed(r) // a runner that fails at once would look idle
+		}
+		if j.takeRetry() {
+			_ = reply.Body.Close()
+			j.log.Info(logs.RunnerFailed, zap.String("runner", r.ID), zap.Int("status", reply.Status))
+			return nil, nil
+		}
 	}
 	if j.route.Kind == core.KindStream && reply.Status < http.StatusMultipleChoices {
 		return j.stream(ctx, r, reply)
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -67,10 +67,8 @@
 	if !j.d.accepts(r, true) {
 		return false, nil
 	}
-	ok, probe := j.d.available.Admit(r.ID)
-	if probe {
-		j.probes = r.ID
-	}
+	var ok bool
+	ok, j.probe = j.d.available.Admit(r.ID)
 	return ok, nil
 }
 
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -74,9 +74,9 @@
 func (j *job) handleRejection(r *core.Runner, reply *core.Reply) error {
 	if reply.Info.Backoff.Duration == 0 { // after a backoff it gets no further request that it could reject
 		j.rejections++
-	}
-	if reply.Status != http.StatusMisdirectedRequest && reply.Info.Backoff.Duration == 0 {
-		j.markFailed(r) // a runner that rejects at once would look idle
+		if reply.Status != http.StatusMisdirectedRequest {
+			j.markFailed(r) // a runner that rejects at once would look idle
+		}
 	}
 	j.log.Info(logs.RunnerRejected, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.Int("rejections", j.rejections), zap.Duration("backoff", reply.Info.Backoff.Duration))
 	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -19,18 +19,18 @@
 // send sends the request to a runner and counts it as in progress there until the answer's
 // body is closed.
 func (j *job) send(ctx context.Context, r *core.Runner) (reply *core.Reply, err error) {
-	if j.probes != "" {
+	probe := j.probe
+	if probe {
+		j.probe = false
 		defer func() {
-			j.d.available.EndProbe(j.probes, err == nil && reply.Status != http.StatusMisdirectedRequest)
-			j.probes = ""
+			j.d.available.EndProbe(r.ID, err == nil && reply.Status != http.StatusMisdirectedRequest)
 		}()
 	}
 	left := j.deadline.Sub(j.d.clock.Now())
 	if left <= 0 {
 		return nil, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
-	probes := j.probes == r.ID
-	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool { return j.d.accepts(r, probes) }}
+	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool { return j.d.accepts(r, probe) }}
 	if j.q.Model != "" {
 		out.Priority = j.rank()
 	}
