--- a/coordination/availability/fleet_test.go
+++ b/coordination/availability/fleet_test.go
@@ -8,14 +8,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"primroseward/coordination/allowance"
-	"primroseward/coordination/load"
 	"primroseward/core"
-	"primroseward/state/catalog"
 )
 
 // Guards against daemons of a large fleet that go on sending to a leaving runner because the
@@ -32,7 +27,6 @@
 				var mu sync.Mutex // guards rnd
 				rnd := rand.New(rand.NewPCG(1, uint64(daemons)))
 				r := core.Runner{ID: "r", Service: "s", StartedAt: time.Now()}
-				clock := clockwork.NewRealClock()
 				all := make([]*Table, daemons)
 				lost := func() bool {
 					mu.Lock()
@@ -45,9 +39,7 @@
 					}
 				}
 				for i := range all {
-					c := catalog.New(clock)
-					c.Put(r, clock.Now())
-					all[i] = New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(func(u Update) {
+					all[i] = newTable(func(u Update) {
 						for group := 0; group < daemons; group += groupSize {
 							if lost() {
 								continue // the message to the hub
@@ -56,7 +48,7 @@
 								deliver(to, u)
 							}
 						}
-					}))
+					}, r)
 				}
 				began := time.Now()
 				all[0].ObserveAnswer(&r, leavingInfo)
--- a/coordination/availability/leaving_test.go
+++ b/coordination/availability/leaving_test.go
@@ -37,14 +37,19 @@
 }
 
 func newDaemon(runners ...core.Runner) *daemon {
+	d := &daemon{}
+	d.Table = newTable(d.broadcast, runners...)
+	return d
+}
+
+// newTable returns a table whose catalog has the runners.
+func newTable(broadcast func(Update), runners ...core.Runner) *Table {
 	clock := clockwork.NewRealClock()
 	c := catalog.New(clock)
 	for _, r := range runners {
 		c.Put(r, clock.Now())
 	}
-	d := &daemon{}
-	d.Table = New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(d.broadcast))
-	return d
+	return New(clock, c, load.New(clock), allowance.NewLimits(clock, zap.NewNop()), zap.NewNop(), WithBroadcast(broadcast))
 }
 
 var leavingInfo = core.ReplyInfo{Leaving: core.Leaving{Announced: true}}
--- a/coordination/owner/admit.go
+++ b/coordination/owner/admit.go
@@ -11,9 +11,6 @@
 	"primroseward/state/tree"
 )
 
-// messageBackoff is the text of refusals because of an endpoint's backoff.
-const messageBackoff = "the endpoint has asked for a backoff"
-
 // targetLatency returns the target time to first byte of the attempt's class by the
 // settings in force, or 0 while there are none.
 func (r *runner) targetLatency(a *Attempt) time.Duration {
--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -31,11 +31,11 @@
 // checkLeaving checks that a daemon sends no requests to a runner later than drainTime after it
 // has passed on an answer that announces that the runner is leaving. A daemon that was frozen
 // since then is left out.
-func (w *World) checkLeaving(h *proxiedRunner) {
+func (w *World) checkLeaving(h *proxiedRunner, byID map[string]*request) {
 	if h.leavingAt.IsZero() {
 		return
 	}
-	byID, told := w.requestsByID(), map[process]time.Time{}
+	told := map[process]time.Time{}
 	for _, r := range h.Runs() {
 		req := byID[r.ID]
 		if req == nil || r.At.Before(h.leavingAt) || !req.complete {
@@ -60,8 +60,8 @@
 
 // checkBackoffs checks that no more than maxInBackoff requests of a daemon arrive at a runner during a
 // backoff that it has asked that daemon for.
-func (w *World) checkBackoffs(h *proxiedRunner) {
-	byID, arrived := w.requestsByID(), h.Arrivals()
+func (w *World) checkBackoffs(h *proxiedRunner, byID map[string]*request) {
+	arrived := h.Arrivals()
 	for i, rejected := range arrived {
 		req := byID[rejected.ID]
 		if req == nil || rejected.Backoff == 0 {
--- a/soak/check.go
+++ b/soak/check.go
@@ -91,10 +91,11 @@
 	for _, req := range w.requests {
 		w.checkRequest(req, runs[req.id], calmFrom)
 	}
+	byID := w.requestsByID()
 	for _, h := range slices.Concat(w.runners, w.removedRunners) {
 		w.checkLimits(h)
-		w.checkLeaving(h)
-		w.checkBackoffs(h)
+		w.checkLeaving(h, byID)
+		w.checkBackoffs(h, byID)
 		for _, v := range h.Violations() {
 			w.reportViolation("a runner was loaded beyond its bounds: %s", v)
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -183,11 +183,7 @@
 		h.drainedAt = time.Now()
 		w.mu.Unlock()
 		h.Drain()
-		w.schedule(4*time.Second, func() {
-			h.Kill()
-			h.proxy.Close()
-			w.store.Remove(wire.KindRunners, h.ID)
-		})
+		w.endRunner(h, 4*time.Second)
 		return h.ID
 	}},
 	{"configuration", func(w *World, _ *rand.Rand) string {
@@ -252,11 +248,7 @@
 		h.SetLeaving("1")
 		entryLate := randomSeconds(r, 1, 7) // its entry says so later
 		w.schedule(entryLate, h.Drain)
-		w.schedule(7*time.Second, func() {
-			h.Kill()
-			h.proxy.Close()
-			w.store.Remove(wire.KindRunners, h.ID)
-		})
+		w.endRunner(h, 7*time.Second)
 		return fmt.Sprintf("%s, its entry %v later", h.ID, entryLate)
 	}},
 	{"runner asks for backoff", func(w *World, r *rand.Rand) string {
@@ -312,6 +304,15 @@
 	return fmt.Sprintf("%s for %v", how, length)
 }
 
+// endRunner ends a runner that leaves, and its entry, after a delay.
+func (w *World) endRunner(h *proxiedRunner, after time.Duration) {
+	w.schedule(after, func() {
+		h.Kill()
+		h.proxy.Close()
+		w.store.Remove(wire.KindRunners, h.ID)
+	})
+}
+
 // replaceRunner removes a runner from the list and starts a new one in its stead, with no
 // runs and at most model m1 loaded.
 func (w *World) replaceRunner(h *proxiedRunner, r *rand.Rand) {
