Soak and proofs: a race-built daemon exits without its extra second

Cause, first of two: tests run daemons built with the race detector, whose runtime sleeps a second before a process exits. The daemon plans with a margin of 0.4 s for closing, so each stop that uses its whole grace overran in tests. Change: the harness and the proofs start daemons with atexit_sleep_ms=0; no bound changes.

--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -41,6 +41,11 @@
 	if err := build.Run(); err != nil {
 		panic(err)
 	}
+	// A program built with the race detector otherwise sleeps for a second before it exits,
+	// which is no part of a daemon's grace time.
+	if err := os.Setenv("GORACE", "atexit_sleep_ms=0"); err != nil {
+		panic(err)
+	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -12,6 +12,10 @@
 	"primroseward/bench/fleet"
 )
 
+// noExitPause disables the second that a program built with the race detector sleeps before it
+// exits, which is no part of a daemon's grace time.
+const noExitPause = "GORACE=atexit_sleep_ms=0"
+
 // daemon is one VM with its primrosed process, which is replaced by a new one after it has
 // exited. Callers and the daemon's connections to the store each have a proxy.
 type daemon struct {
@@ -64,6 +68,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(d.w.opts.Binary, "--config", d.configFile)
+	cmd.Env = append(os.Environ(), noExitPause)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
