A stop that was paused keeps to its grace time

Cause: the 2.5 s for open connections were slept after the release of the lease, whose bound of 0.3 s a pause stretches, and not counted from the signal as the constant says. A kept log: leaving 57.92, release given up 01.10 at the end of the pause, stopped 03.61, took 5.69 s of 6, nothing left for requests. Ruled out: SIGHUP (its channel is buffered and read by nobody by then), the waits of the holder, the quarantine and the watchers (all bounded below 1 s; between "leaving" and the release nothing else was waited for). Change: the drain ends 2.5 s after the signal, and at least 0.2 s after it is reached, for connections that arrived during the pause.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -186,6 +186,31 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// Guards against a daemon that is killed at the end of its grace time because it began to count
+// the time for open connections only after a pause of the process.
+func TestFleetStopsInItsGraceAfterAPause(t *testing.T) {
+	c := startFleet(t, 1)
+	d := c.daemons[0]
+	c.store.SetFaults(platform.Faults{Delay: int(gracePeriod.Milliseconds())}) // the release of the lease takes its full time
+	stopped := time.Now()
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		data, err := os.ReadFile(d.log)
+		if err != nil || !bytes.Contains(data, []byte(`"`+logs.Leaving+`"`)) {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(gracePeriod), poll.WithDelay(5*time.Millisecond))
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(gracePeriod / 2)
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGCONT))
+	kill := time.AfterFunc(gracePeriod-time.Since(stopped), func() { _ = d.cmd.Process.Kill() })
+	defer kill.Stop()
+	state, err := d.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), "%v", state)
+}
+
 // TestFleetReloads guards against a daemon that exits on SIGHUP after its settings file has
 // changed. It must read the file again, keep the settings in force if the file has faults,
 // and go on serving.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -86,6 +86,9 @@
 	// accepted. Callers that queried the directory just before the signal use the address
 	// until its time to live has passed.
 	listenerDrain = 2500 * time.Millisecond
+	// backlogDrain is how long new connections are accepted even if listenerDrain has passed,
+	// for those that arrived while the process was paused.
+	backlogDrain = 200 * time.Millisecond
 	// closeMargin is the part of the grace time that is reserved for closing.
 	closeMargin = 400 * time.Millisecond
 	// budgetPercent is the percentage of the shared retry budget that is used. Daemons
@@ -379,7 +382,8 @@
 // Stop shuts the daemon down without interrupting requests. It first announces the shutdown
 // to other daemons and to callers, and accepts new connections until callers have queried
 // the directory again. Then it closes idle connections, as a request that arrives on one at
-// the very end would be interrupted. Requests in progress may complete within the grace time.
+// the very end would be interrupted. Requests in progress may complete within the grace time,
+// which continues to run while the process is paused or the store does not answer.
 func (d *Daemon) Stop(ctx context.Context) {
 	start := d.clock.Now()
 	d.log.Info(logs.Leaving, zap.Int("running", d.dispatcher.Running()))
@@ -393,8 +397,8 @@
 		d.log.Info(logs.StillRegistered, logs.Err(err))
 	}
 	cancel()
-	core.Sleep(ctx, d.clock, listenerDrain)
-	left := start.Add(time.Duration(d.current.Load().Grace) - closeMargin).Sub(d.clock.Now())
+	core.Sleep(ctx, d.clock, max(backlogDrain, listenerDrain-d.clock.Since(start)))
+	left := time.Duration(d.current.Load().Grace) - closeMargin - d.clock.Since(start)
 	drain, cancel := context.WithTimeout(ctx, left)
 	if err := d.servers[0].Shutdown(drain); err != nil {
 		d.log.Warn(logs.RequestsCancelled, zap.Int("running", d.dispatcher.Running()), logs.Err(err))
