Soak: the logs of a failed seed stay, those of one that never got ready too

Cause: the logs went with the test's folder, and what was printed was the last 20,000 bytes, so the moment of a stop or a start that failed was gone; both findings of the soak stood untraced for that (the stop took three sightings). Change: TestSeeds keeps the folder of a failed run and prints the end of each log also when the daemons never became ready.

--- a/soak/check.go
+++ b/soak/check.go
@@ -221,7 +221,7 @@
 
 // report returns the result of the run.
 func (w *World) report(calmFrom, calmTo time.Time) *Report {
-	r := &Report{Seed: w.opts.Seed, Violations: w.violations, Events: w.events, Requests: len(w.requests), Logs: w.logFiles()}
+	r := &Report{Seed: w.opts.Seed, Violations: w.violations, Events: w.events, Requests: len(w.requests)}
 	for _, req := range w.requests {
 		switch {
 		case req.status == http.StatusOK && req.complete:
--- a/soak/run.go
+++ b/soak/run.go
@@ -41,7 +41,6 @@
 	Lost         int // requests without a complete answer
 	CalmRequests int // requests of the calm phase, as countServed counts them
 	CalmServed   int // those of them that were served
-	Logs         []string
 }
 
 // errNotReady is returned for a run whose daemons do not become ready.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,7 +34,8 @@
 	for _, kept := range keptSeeds {
 		t.Run(kept.cause, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(Options{Binary: binary, Seed: kept.seed, FaultKinds: kept.kinds, Daemons: 3, Callers: 6, FaultDuration: 5 * time.Second, Scale: 2, Dir: t.TempDir()})
+			dir := logDir(t)
+			r, err := Run(Options{Binary: binary, Seed: kept.seed, FaultKinds: kept.kinds, Daemons: 3, Callers: 6, FaultDuration: 5 * time.Second, Scale: 2, Dir: dir})
 			assert.NilError(t, err)
 			t.Logf("%d requests: %d served, %d refused, %d lost; calm phase: %d of %d served", r.Requests, r.Served, r.Refused, r.Lost, r.CalmServed, r.CalmRequests)
 			for _, line := range r.Violations {
@@ -46,13 +47,29 @@
 			for _, line := range r.Events {
 				t.Log(line)
 			}
-			for _, path := range r.Logs {
-				t.Logf("%s:\n%s", path, tail(path))
-			}
 		})
 	}
 }
 
+// logDir returns a directory for the settings files and logs of a run. If the run fails, it
+// stays, and the end of each log is printed.
+func logDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if !t.Failed() {
+			assert.Check(t, os.RemoveAll(dir))
+			return
+		}
+		logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+		assert.Check(t, err)
+		for _, path := range logs {
+			t.Logf("%s:\n%s", path, tail(path))
+		}
+	})
+	return dir
+}
+
 // tail returns the end of a daemon's log.
 func tail(path string) string {
 	const maxBytes = 20000
