--- a/coordination/allowance/limits.go
+++ b/coordination/allowance/limits.go
@@ -40,8 +40,6 @@
 	sentInterval = 50 * time.Millisecond
 	// limitTTL is how long a limit is kept without an update.
 	limitTTL = time.Minute
-	// problemLogInterval is the least time between two log entries about unreadable limits.
-	problemLogInterval = time.Second
 )
 
 // limitTiming is for runners with a few requests per second. Over a shorter averaging time a
@@ -70,8 +68,8 @@
 	limits      atomic.Pointer[map[string]*limit]
 	endedLimits atomic.Pointer[map[string]limitEnd] // limits that ended within endRetention
 
-	mu              sync.Mutex // guards changes to the limits
-	problemLoggedAt time.Time  // when an unreadable limit was last logged
+	mu         sync.Mutex    // guards changes to the limits
+	problemLog logs.Throttle // of unreadable limits
 }
 
 // limit is a runner's limit as last declared.
@@ -171,12 +169,11 @@
 	}
 }
 
-// reportUnreadable counts a limit that cannot be parsed, and logs it at most once per
-// problemLogInterval; the caller holds r.mu.
+// reportUnreadable counts a limit that cannot be parsed, and logs it from time to time; the
+// caller holds r.mu.
 func (r *Limits) reportUnreadable(runner, problem string) {
 	r.scope.Counter("runner_limits_unreadable").Inc(1)
-	if now := r.clock.Now(); now.Sub(r.problemLoggedAt) >= problemLogInterval {
-		r.problemLoggedAt = now
+	if r.problemLog.Allow(r.clock.Now()) {
 		r.log.Warn(logs.RunnerLimitUnreadable, zap.String("runner", runner), zap.String("problem", problem))
 	}
 }
--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -19,14 +19,6 @@
 	"primroseward/state/catalog"
 )
 
-const (
-	// problemLogInterval is the least time between two log entries about unreadable
-	// announcements.
-	problemLogInterval = time.Second
-	// DefaultMaxBackoff is the longest backoff that is granted to a runner.
-	DefaultMaxBackoff = time.Minute
-)
-
 // rebroadcasts are the times after which an announcement that a runner is leaving is broadcast
 // again, in case a datagram was lost.
 var rebroadcasts = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, time.Second, 1500 * time.Millisecond}
@@ -52,8 +44,8 @@
 
 	backoffs atomic.Pointer[map[string]*backoff]
 
-	mu              sync.Mutex // guards changes
-	problemLoggedAt time.Time
+	mu         sync.Mutex    // guards changes
+	problemLog logs.Throttle // of unreadable announcements
 }
 
 // Option configures a Table.
@@ -73,7 +65,7 @@
 func New(clock core.Clock, c *catalog.Catalog, loads *load.Table, limits *allowance.Limits, log *zap.Logger, opts ...Option) *Table {
 	t := &Table{
 		clock: clock, catalog: c, loads: loads, limits: limits, log: log, scope: tally.NoopScope,
-		maxBackoff: DefaultMaxBackoff, broadcast: func(Update) {},
+		maxBackoff: core.DefaultMaxBackoff, broadcast: func(Update) {},
 	}
 	for _, o := range opts {
 		o(t)
@@ -106,7 +98,10 @@
 func (t *Table) Leaving(r *core.Runner) bool { return t.catalog.DepartureOf(r) != nil }
 
 // Accepts reports whether the runner accepts requests, up to its limit.
-func (s State) Accepts() bool { return !s.Leaving && !s.BackedOff && !s.Load.Down }
+func (s State) Accepts() bool { return s.AcceptsIfUp() && !s.Load.Down }
+
+// AcceptsIfUp is like Accepts but ignores whether the runner is down.
+func (s State) AcceptsIfUp() bool { return !s.Leaving && !s.BackedOff }
 
 // Describe returns why a runner gets no requests, who received the announcement and how old it
 // is, or an empty text.
@@ -173,12 +168,11 @@
 	return true
 }
 
-// reportUnreadable counts an announcement that cannot be parsed, and logs it at most once per
-// problemLogInterval; the caller holds t.mu.
+// reportUnreadable counts an announcement that cannot be parsed, and logs it from time to time;
+// the caller holds t.mu.
 func (t *Table) reportUnreadable(runner, problem string) {
 	t.scope.Counter("runner_announcements_unreadable").Inc(1)
-	if now := t.clock.Now(); now.Sub(t.problemLoggedAt) >= problemLogInterval {
-		t.problemLoggedAt = now
+	if t.problemLog.Allow(t.clock.Now()) {
 		t.log.Warn(logs.AnnouncementUnreadable, zap.String("runner", runner), zap.String("problem", problem))
 	}
 }
--- a/coordination/availability/backoff_test.go
+++ b/coordination/availability/backoff_test.go
@@ -24,7 +24,7 @@
 }
 
 // Guards against a backoff that ends too early or never: it lasts until the latest time that the
-// runner has asked for, or DefaultMaxBackoff, and until a request after it is answered.
+// runner has asked for, or core.DefaultMaxBackoff, and until a request after it is answered.
 func TestEndOfABackoff(t *testing.T) {
 	const step = 100 * time.Millisecond
 	for _, tt := range []struct {
@@ -42,7 +42,7 @@
 		}, 3*time.Second + step},
 		{"lengthened", func(d *daemon, r core.Runner) { d.askBackoff(r, time.Second); d.askBackoff(r, 3*time.Second) }, 3 * time.Second},
 		{"shortened", func(d *daemon, r core.Runner) { d.askBackoff(r, 3*time.Second); d.askBackoff(r, time.Second) }, 3 * time.Second},
-		{"too long", func(d *daemon, r core.Runner) { d.askBackoff(r, time.Hour) }, DefaultMaxBackoff},
+		{"too long", func(d *daemon, r core.Runner) { d.askBackoff(r, time.Hour) }, core.DefaultMaxBackoff},
 		{"asked by a former instance", func(d *daemon, r core.Runner) {
 			r.StartedAt = r.StartedAt.Add(-time.Second)
 			d.askBackoff(r, 3*time.Second)
--- a/coordination/dispatch/available.go
+++ b/coordination/dispatch/available.go
@@ -25,7 +25,7 @@
 // wasDown is set if it was chosen because all were down.
 func (j *job) stillAccepts(e *catalog.Entry, wasDown bool) bool {
 	s := j.d.available.State(e)
-	return !s.Leaving && !s.BackedOff && (wasDown || !s.Load.Down)
+	return s.AcceptsIfUp() && (wasDown || !s.Load.Down)
 }
 
 // accepts reports whether an instance of a runner still accepts a request. If probe is set, its
--- a/coordination/owner/admit.go
+++ b/coordination/owner/admit.go
@@ -88,7 +88,7 @@
 		return core.NotRun(http.StatusServiceUnavailable, "settings_not_fresh", "settings have not been confirmed recently", minRetryAfter)
 	}
 	if r.isLeaving() {
-		return core.NotRun(http.StatusServiceUnavailable, "runner_leaving", "the endpoint accepts no new requests", minRetryAfter)
+		return core.NotRun(http.StatusServiceUnavailable, codeLeaving, messageLeaving, minRetryAfter)
 	}
 	if r.misses >= unreachableAfter {
 		return core.NotRun(http.StatusServiceUnavailable, "runner_unreachable", "the endpoint does not answer", minRetryAfter)
--- a/coordination/owner/announcement.go
+++ b/coordination/owner/announcement.go
@@ -7,8 +7,13 @@
 	"primroseward/core"
 )
 
-// messageBackoff is the text of refusals because of an endpoint's backoff.
-const messageBackoff = "the endpoint has asked for a backoff"
+// codeLeaving and messageLeaving are the code and the text of refusals because an endpoint is
+// leaving, messageBackoff is the text of those because of its backoff.
+const (
+	codeLeaving    = "runner_leaving"
+	messageLeaving = "the endpoint accepts no new requests"
+	messageBackoff = "the endpoint has asked for a backoff"
+)
 
 // observeAnswer applies what an answer announces of its endpoint. It returns the error of an
 // attempt that may be made at another endpoint instead. It is called from the attempt's own
@@ -42,15 +47,20 @@
 type announcement struct{}
 
 func (announcement) apply(r *runner) {
-	if r.isLeaving() {
-		r.refuseQueued("runner_leaving", "the endpoint accepts no new requests", minRetryAfter)
-	}
+	r.refuseQueuedIfLeaving()
 	if left := r.backoffLeft(); left > 0 {
 		r.refuseQueued(core.CodeBackoff, messageBackoff, left)
 	}
 	r.startWaiting()
 }
 
+// refuseQueuedIfLeaving refuses all queued requests if the endpoint accepts no new ones.
+func (r *runner) refuseQueuedIfLeaving() {
+	if r.isLeaving() {
+		r.refuseQueued(codeLeaving, messageLeaving, minRetryAfter)
+	}
+}
+
 // backoffLeft returns the time until the endpoint may get requests again, 0 if it may now.
 func (r *runner) backoffLeft() time.Duration {
 	backoff, backedOff := r.mgr.available.Backoff(r.id)
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -294,9 +294,7 @@
 			r.ready[res.Model] = true
 		}
 	}
-	if r.isLeaving() {
-		r.refuseQueued("runner_leaving", "the endpoint accepts no new requests", minRetryAfter)
-	}
+	r.refuseQueuedIfLeaving()
 	r.startWaiting()
 }
 
--- a/core/announcement.go
+++ b/core/announcement.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// DefaultMaxBackoff is the longest backoff that is granted to an endpoint, unless the settings
+// name another.
+const DefaultMaxBackoff = time.Minute
+
 const (
 	// maxDecimalLength bounds the text of a decimal number in a header, in bytes.
 	maxDecimalLength = 32
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -125,7 +125,7 @@
 		Log:    Log{Level: "info"},
 		Trace:  Trace{Share: 1},
 		Held:   HeldAnswers{Bytes: 64e6, TTL: core.Duration(5 * time.Minute)},
-		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxBackoff: core.Duration(time.Minute)},
+		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxBackoff: core.Duration(core.DefaultMaxBackoff)},
 	}
 }
 
--- a/standin/runner/announcement.go
+++ b/standin/runner/announcement.go
@@ -48,10 +48,8 @@
 
 // ArrivalTimes returns the arrival times of all requests, run or not, oldest first.
 func (s *Server) ArrivalTimes() []time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var out []time.Time
-	for _, a := range s.arrived {
+	for _, a := range s.Arrivals() {
 		out = append(out, a.At)
 	}
 	return out
