Logs: how an answer was framed, and what was left behind its last whole event

The logs of the incident do not tell a connection that ends inside an event from a reset that is lost, or from a proper end inside an event. `stream ended` and `answer ended` say now how the end of the answer was marked (length, chunks, end of the connection), how much of it was read, how much followed the last whole event, and which error ended it; `answer lost` says the framing. No decision is changed.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -179,6 +179,7 @@
 	paced              bool               // its send has been paced, at most once per request
 	sentAt             time.Time          // of the latest send
 	stage              stage              // progress of the answer to the latest send
+	framing            core.Framing       // of the latest answer
 	answeredAt         time.Time          // when the answer to the latest send began
 	retryReserved      bool               // a retry has been taken from the budget for the next send
 	retryAfter         time.Duration      // until a missing model may be loaded or a limit allows the request; 0 if not known
@@ -365,7 +366,7 @@
 		j.loadsOf(r).RecordSuccess(r.ID)
 		j.d.guard.Served(j.q.Digest)
 	}
-	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", reply.Status),
+	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.String("framing", string(j.framing)), zap.Int("bytes", len(data)),
 		zap.Duration("took", j.d.clock.Since(j.q.Arrived)), zap.Duration("target", j.route.Target))
 	reply.Body = newBufferedBody(data)
 	return reply, nil
--- a/coordination/dispatch/events.go
+++ b/coordination/dispatch/events.go
@@ -15,6 +15,9 @@
 	buf    []byte
 	lastID string // id of the last complete event returned
 	err    error
+	// bytes counts what was read, leftover what followed the last complete event.
+	bytes    int64
+	leftover int
 }
 
 // next returns the complete events that have arrived, at least one. At the end of the
@@ -25,6 +28,7 @@
 		n, err := e.in.Read(chunk[:])
 		e.buf = append(e.buf, chunk[:n]...)
 		e.err = err
+		e.bytes += int64(n)
 		if end := wholeEvents(e.buf); end > 0 {
 			out := e.buf[:end:end]
 			e.buf = append([]byte(nil), e.buf[end:]...)
@@ -35,6 +39,7 @@
 			e.err = io.ErrShortBuffer
 		}
 	}
+	e.leftover = len(e.buf)
 	if e.err == io.EOF {
 		rest := e.buf
 		e.buf = nil
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -138,7 +138,7 @@
 	j.releaseCounts()
 	j.forwards++
 	j.tried[to.ID] = true
-	j.sentAt, j.stage = j.d.clock.Now(), stageSent
+	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
 	j.granted = max(1, j.maxRuns()-j.runs-1)
 	out := core.Outgoing{Timeout: left, Priority: -1, LastEvent: j.lastEvent, Forward: &core.Forward{
 		From: j.d.self, Runs: j.runs, Attempts: j.granted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller,
@@ -152,7 +152,7 @@
 		endLoad()
 		return nil, err
 	}
-	j.stage, j.answeredAt = stageHead, j.d.clock.Now()
+	j.stage, j.framing, j.answeredAt = stageHead, reply.Framing, j.d.clock.Now()
 	runs := max(1, reply.Info.Runs-j.runs)
 	j.runs, j.granted = j.runs+runs, max(0, j.granted-runs)
 	cancel := j.cancelSend
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -74,7 +74,7 @@
 func (j *job) lostFields(r *core.Runner) []zap.Field {
 	return []zap.Field{
 		zap.String("runner", r.ID), zap.Stringer("digest", j.q.Digest), zap.Stringer("caller", j.q.Caller),
-		zap.String("stage", string(j.stage)), zap.Duration("since", j.d.clock.Since(j.sentAt)),
+		zap.String("stage", string(j.stage)), zap.String("framing", string(j.framing)), zap.Duration("since", j.d.clock.Since(j.sentAt)),
 	}
 }
 
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -53,7 +53,7 @@
 	}
 	j.sends++
 	j.chargeLimit(r.ID)
-	j.sentAt, j.stage = j.d.clock.Now(), stageSent
+	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
 	endLoad := j.d.loads.Begin(r.ID)
@@ -76,7 +76,7 @@
 		endLoad()
 		return nil, err
 	}
-	j.stage, j.answeredAt = stageHead, j.d.clock.Now()
+	j.stage, j.framing, j.answeredAt = stageHead, reply.Framing, j.d.clock.Now()
 	cancelSend, answerBegan := j.cancelSend, j.answerBegan
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() {
 		span.End()
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -198,6 +198,7 @@
 		s.j.d.metrics.streamCut()
 	}
 	s.j.log.Info(logs.StreamEnded, zap.String("runner", s.runner.ID), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
-		zap.Duration("target", s.j.route.Target), zap.Duration("gap", s.maxGap), zap.Duration("maxgap", s.j.route.MaxGap), zap.Int("reads", s.reads), zap.Bool("whole", s.err == io.EOF), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
+		zap.Duration("target", s.j.route.Target), zap.Duration("gap", s.maxGap), zap.Duration("maxgap", s.j.route.MaxGap), zap.Int("reads", s.reads), zap.Bool("whole", s.err == io.EOF),
+		zap.String("framing", string(s.j.framing)), zap.Int64("bytes", s.in.bytes), zap.Int("leftover", s.in.leftover), logs.Err(s.err), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
 	return s.body.Close()
 }
--- a/core/request.go
+++ b/core/request.go
@@ -62,11 +62,22 @@
 	Runs      int     // sends that may have run, as another daemon states in its answer to a forwarded request
 }
 
+// Framing is how the end of an answer's body is marked on the wire.
+type Framing string
+
+// Framings.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	FramingClose   Framing = "close" // the body ends with its connection
+)
+
 // Reply is an endpoint's answer.
 type Reply struct {
-	Status int
-	Header http.Header
-	Info   ReplyInfo
+	Status  int
+	Header  http.Header
+	Info    ReplyInfo
+	Framing Framing
 	// Body ends with io.EOF only if the answer is complete. Closing it earlier
 	// closes the connection, and the endpoint then stops working on the request.
 	Body io.ReadCloser
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -94,9 +94,11 @@
 	// StreamResumed: a broken stream is resumed at another runner after an event.
 	StreamResumed = "stream resumed"
 	// StreamEnded: a stream has ended: the time to its first event, its longest pause, and whether
-	// it is complete.
+	// it is complete; how the end of its last run's answer was marked, the bytes read of that
+	// answer, those that followed its last complete event, and the error that ended it.
 	StreamEnded = "stream ended"
-	// AnswerEnded: the answer to a plain request has arrived: its status, and how long it took.
+	// AnswerEnded: the answer to a plain request has arrived: its status, how its end was marked, its
+	// size, and how long it took.
 	AnswerEnded = "answer ended"
 	// Refused: the caller gets an answer stating that the request has not run and when to retry.
 	Refused = "refused"
