--- /dev/null
+++ b/proof/broken_test.go
@@ -0,0 +1,204 @@
+package proof
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	wire "primroseward/platform"
+	"primroseward/standin/runner"
+)
+
+const (
+	// largeAnswer is more bytes than a daemon holds in memory of one answer.
+	largeAnswer = 42 << 20
+	// rawTimeout bounds one answer to a raw caller.
+	rawTimeout = 20 * time.Second
+)
+
+// rawAnswer is an answer as its bytes show it.
+type rawAnswer struct {
+	status   int
+	header   string
+	body     string
+	complete bool // its framing says so
+}
+
+// sendRaw sends a request and reads all bytes that come back until the connection ends. version is
+// the minor version of HTTP.
+func (d *fleetDaemon) sendRaw(t *testing.T, version int, path, model string) rawAnswer {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.callerAddr)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(rawTimeout)))
+	text := fmt.Sprintf("POST %s HTTP/1.%d\r\nHost: h.example\r\nConnection: close\r\n%s: q%d\r\n%s: 15000\r\nContent-Length: 0\r\n", path, version, wire.HeaderRequestID, requestSerial.Add(1), wire.HeaderTimeout)
+	if model != "" {
+		text += wire.HeaderModel + ": " + model + "\r\n"
+	}
+	_, err = io.WriteString(conn, text+"\r\n")
+	assert.NilError(t, err)
+	data, err := io.ReadAll(conn)
+	var timeout net.Error
+	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "%s: no end after %v", path, rawTimeout)
+	return parseRaw(t, string(data), err == nil)
+}
+
+// parseRaw reads the bytes of an answer. closed reports whether the connection ended without a reset.
+func parseRaw(t *testing.T, data string, closed bool) rawAnswer {
+	t.Helper()
+	head, body, found := strings.Cut(data, "\r\n\r\n")
+	if !found {
+		return rawAnswer{header: head}
+	}
+	a := rawAnswer{header: strings.ToLower(head), body: body, complete: closed}
+	status, err := strconv.Atoi(strings.Fields(head)[1])
+	assert.NilError(t, err, "%q", head)
+	a.status = status
+	if _, length, ok := strings.Cut(a.header, "\r\ncontent-length:"); ok {
+		length, _, _ = strings.Cut(length, "\r\n")
+		want, err := strconv.Atoi(strings.TrimSpace(length))
+		assert.NilError(t, err, "%q", head)
+		a.complete = len(body) == want
+	}
+	if strings.Contains(a.header, "\r\ntransfer-encoding: chunked") {
+		a.body, a.complete = joinChunks(body)
+	}
+	return a
+}
+
+// joinChunks returns the body that was sent in chunks, and whether it has its last chunk.
+func joinChunks(data string) (string, bool) {
+	var body strings.Builder
+	for {
+		size, rest, ok := strings.Cut(data, "\r\n")
+		n, err := strconv.ParseInt(size, 16, 64)
+		if !ok || err != nil || int64(len(rest)) < n+2 {
+			return body.String(), false
+		}
+		if n == 0 {
+			return body.String(), true
+		}
+		body.WriteString(rest[:n])
+		data = rest[n+2:]
+	}
+}
+
+// brokenStreams are ways in which a stream ends, with the text of its events.
+func brokenStreams() []struct {
+	name  string
+	raw   runner.Raw
+	whole bool
+} {
+	const events = 20
+	whole := fullStream(events)
+	crlf := strings.ReplaceAll(whole, "\n", "\r\n")
+	three := len(fullStream(3))
+	return []struct {
+		name  string
+		raw   runner.Raw
+		whole bool
+	}{
+		{"whole, ends with its connection", runner.Raw{Framing: core.FramingClose, Body: whole}, true},
+		{"whole, CRLF, ends with its connection", runner.Raw{Framing: core.FramingClose, Body: crlf}, true},
+		{"whole, HTTP/1.0", runner.Raw{Old: true, Framing: core.FramingClose, Body: whole}, true},
+		{"whole, in chunks", runner.Raw{Framing: core.FramingChunked, Body: whole}, true},
+		{"whole, with a length", runner.Raw{Framing: core.FramingLength, Body: whole}, true},
+		{"closed inside an event", runner.Raw{Framing: core.FramingClose, Body: whole[:three+9]}, false},
+		{"closed after a line", runner.Raw{Framing: core.FramingClose, Body: whole[:three+6]}, false},
+		{"closed before the last line end", runner.Raw{Framing: core.FramingClose, Body: whole[:len(whole)-1]}, false},
+		{"closed in the first event", runner.Raw{Framing: core.FramingClose, Body: whole[:5]}, false},
+		{"closed after the head", runner.Raw{Framing: core.FramingClose}, false},
+		{"closed inside an event, CRLF", runner.Raw{Framing: core.FramingClose, Body: crlf[:len(crlf)-2]}, false},
+		{"closed inside an event, HTTP/1.0", runner.Raw{Old: true, Framing: core.FramingClose, Body: whole[:three+9]}, false},
+		{"last chunk inside an event", runner.Raw{Framing: core.FramingChunked, Body: whole[:three+9]}, false},
+		{"length ends inside an event", runner.Raw{Framing: core.FramingLength, Body: whole[:three+9]}, false},
+		{"without its last chunk", runner.Raw{Framing: core.FramingChunked, Body: whole[:three], Cut: true}, false},
+		{"reset between events", runner.Raw{Framing: core.FramingClose, Body: whole[:three], Reset: true}, false},
+	}
+}
+
+// TestStreamsThatBreakOffNeverLookComplete guards against a stream that its runner broke off and that
+// reaches the caller as complete, because any end of the runner's connection or of its chunks counted
+// as the end of the stream, or because the caller's framing hides the break.
+func TestStreamsThatBreakOffNeverLookComplete(t *testing.T) {
+	for _, version := range []int{1, 0} {
+		c := startFleet(t, 1)
+		for i, tt := range brokenStreams() {
+			for _, r := range c.runners {
+				r.SetRaw(func(r *http.Request) *runner.Raw {
+					if r.Header.Get(wire.HeaderLastEvent) != "" || strings.HasPrefix(r.URL.Path, "/gen/") && !tt.whole && runsOfRequest(c, r) > 1 {
+						return nil
+					}
+					return &tt.raw
+				})
+			}
+			for _, route := range []string{"gen", "live"} {
+				name := fmt.Sprintf("HTTP/1.%d, %s, %s", version, route, tt.name)
+				a := c.daemons[0].sendRaw(t, version, fmt.Sprintf("/%s/%d-%d", route, version, i), "m1")
+				body := strings.ReplaceAll(a.body, "\r\n", "\n")
+				if tt.whole || route == "gen" { // the latter is resumed or sent elsewhere
+					assert.Check(t, a.status == http.StatusOK && a.complete && body == fullStream(20), "%s: %d, complete %v, %q", name, a.status, a.complete, a.body)
+					continue
+				}
+				assert.Check(t, a.status == http.StatusBadGateway || !a.complete, "%s: %d, complete %v, %q", name, a.status, a.complete, a.body)
+				assert.Check(t, a.status != http.StatusOK || strings.HasPrefix(fullStream(20), body) && strings.HasSuffix(body, "\n\n"), "%s: %q", name, a.body)
+			}
+		}
+	}
+}
+
+// runsOfRequest returns how many runs of a request have begun.
+func runsOfRequest(c *fleetCluster, r *http.Request) int {
+	n := 0
+	for _, one := range c.runners {
+		for _, run := range one.Runs() {
+			if run.ID == r.Header.Get(wire.HeaderRequestID) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestLargeAnswersAreWhole guards against an answer larger than a daemon holds in memory that reaches
+// the caller short and as complete, because the rest was dropped.
+func TestLargeAnswersAreWhole(t *testing.T) {
+	c := startFleet(t, 1)
+	large := strings.Repeat("0123456789abcdef", largeAnswer/16)
+	for i, tt := range []struct {
+		name  string
+		raw   runner.Raw
+		whole bool
+	}{
+		{"small, ends with its connection", runner.Raw{Framing: core.FramingClose, Body: large[:6000]}, true},
+		{"ends with its connection", runner.Raw{Framing: core.FramingClose, Body: large}, true},
+		{"in chunks", runner.Raw{Framing: core.FramingChunked, Body: large}, true},
+		{"with a length", runner.Raw{Framing: core.FramingLength, Body: large}, true},
+		{"without its last chunk", runner.Raw{Framing: core.FramingChunked, Body: large, Cut: true}, false},
+		{"shorter than its length", runner.Raw{Framing: core.FramingLength, Body: large, Cut: true}, false},
+		{"reset", runner.Raw{Framing: core.FramingClose, Body: large, Reset: true}, false},
+		{"small and reset", runner.Raw{Framing: core.FramingClose, Body: large[:6000], Reset: true}, false},
+	} {
+		for _, r := range c.runners {
+			r.SetRaw(func(*http.Request) *runner.Raw { return &tt.raw })
+		}
+		for _, version := range []int{1, 0} {
+			a := c.daemons[0].sendRaw(t, version, fmt.Sprintf("/order/%d-%d", version, i), "")
+			if tt.whole {
+				assert.Check(t, a.status == http.StatusOK && a.complete && a.body == tt.raw.Body, "%s, HTTP/1.%d: %d, complete %v, %d bytes", tt.name, version, a.status, a.complete, len(a.body))
+				continue
+			}
+			assert.Check(t, a.status == http.StatusBadGateway || !a.complete, "%s, HTTP/1.%d: %d, complete %v, %d bytes", tt.name, version, a.status, a.complete, len(a.body))
+		}
+	}
+}
--- a/proof/fleet_cluster_test.go
+++ b/proof/fleet_cluster_test.go
@@ -117,6 +117,7 @@
 		"version": version,
 		"routes": []any{
 			route("gen", prefix, "streaming", "gen", 2, true),
+			route("live", "/live/", "streaming", "gen", 2, false),
 			route("order", "/order/", "unsafe", "app", 2, false),
 			route("ask", "/ask/", "safe", "app", 2, false),
 		},
--- /dev/null
+++ b/standin/runner/raw.go
@@ -0,0 +1,100 @@
+package runner
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"primroseward/core"
+)
+
+// rawChunk is the size of the chunks of a raw answer in bytes, resetDelay the time that its last
+// bytes get to arrive before the connection is reset.
+const (
+	rawChunk   = 16 << 10
+	resetDelay = 20 * time.Millisecond
+)
+
+// Raw is an answer that the runner writes byte by byte, and with which its connection ends.
+type Raw struct {
+	Old     bool         // as HTTP/1.0
+	Framing core.Framing // how the end of the body is marked
+	Body    string
+	Cut     bool // the connection ends before the end that the framing promises
+	Reset   bool // the connection is reset
+}
+
+// SetRaw makes the runner answer the requests that it has begun to run with what fn returns; nil:
+// as usual.
+func (s *Server) SetRaw(fn func(r *http.Request) *Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw = fn
+}
+
+// rawAnswer returns the raw answer to a request, or nil.
+func (s *Server) rawAnswer(r *http.Request) *Raw {
+	s.mu.Lock()
+	fn := s.raw
+	s.mu.Unlock()
+	if fn == nil {
+		return nil
+	}
+	return fn(r)
+}
+
+// write writes the answer on the connection of a request and ends it. Errors mean that the caller
+// has disconnected.
+func (a *Raw) write(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	var head strings.Builder
+	version := 1
+	if a.Old {
+		version = 0
+	}
+	fmt.Fprintf(&head, "HTTP/1.%d 200 OK\r\n", version)
+	_ = w.Header().Write(&head) // writing to a strings.Builder does not fail
+	body := []byte(a.Body)
+	switch a.Framing {
+	case core.FramingLength:
+		announced := len(body)
+		if a.Cut {
+			announced++
+		}
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", announced)
+	case core.FramingChunked:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+		body = a.chunks()
+	}
+	head.WriteString("\r\n")
+	if _, err := conn.Write([]byte(head.String())); err != nil {
+		return
+	}
+	if _, err := conn.Write(body); err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && a.Reset {
+		time.Sleep(resetDelay)
+		_ = tcp.SetLinger(0) // Close resets the connection
+	}
+}
+
+// chunks returns the body in chunks, with the last chunk unless the answer is cut.
+func (a *Raw) chunks() []byte {
+	var out []byte
+	for rest := a.Body; rest != ""; {
+		n := min(rawChunk, len(rest))
+		out = fmt.Appendf(out, "%x\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	if !a.Cut {
+		out = append(out, "0\r\n\r\n"...)
+	}
+	return out
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -67,7 +67,8 @@
 	models     map[string][]string // adapters by loaded model
 	sequence   uint64              // number of orders carried out
 	draining   bool
-	cutAfter   int       // events after which the next stream is cut; 0: never
+	cutAfter   int // events after which the next stream is cut; 0: never
+	raw        func(r *http.Request) *Raw
 	failures   int       // next requests to answer with status 500
 	running    int       // requests
 	busy       bool      // a model is being loaded
@@ -366,6 +367,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if raw := s.rawAnswer(r); raw != nil {
+		raw.write(w)
+		return
+	}
 	if s.Events > 0 {
 		s.stream(w, r, cut)
 		return
