Streams that end inside an event are broken, not complete

Cause: the reader of events took any proper end of the body as the end of the stream and passed on the piece behind the last whole event with it. An answer without length or chunks ends properly with its connection, also when its runner breaks it off.

An end inside an event, or of the connection before the first event, is a lost answer like any other: resumed after the last whole event, sent elsewhere before the first one, or shown as broken; the piece is dropped, the runner's failure and the question whether it has exited follow from the same place. Before the first event nothing is passed on, no comment either. The length of a stream's first run is not passed on. An answer on a streaming route whose content type is not that of events is passed on as a plain one.

New: a counter of broken answers by framing and cause; `stream resumed` and `stream ended` say bytes, events and what was dropped.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -180,6 +181,7 @@
 	sentAt             time.Time          // of the latest send
 	stage              stage              // progress of the answer to the latest send
 	framing            core.Framing       // of the latest answer
+	committed          bool               // the caller has received a part of an answer that no other run continues
 	answeredAt         time.Time          // when the answer to the latest send began
 	retryReserved      bool               // a retry has been taken from the budget for the next send
 	retryAfter         time.Duration      // until a missing model may be loaded or a limit allows the request; 0 if not known
@@ -339,12 +341,19 @@
 			return nil, nil
 		}
 	}
-	if j.route.Kind == core.KindStream && reply.Status < http.StatusMultipleChoices {
+	if j.route.Kind == core.KindStream && reply.Status < http.StatusMultipleChoices && hasEvents(reply) {
 		return j.stream(ctx, r, reply)
 	}
 	return j.bufferAnswer(ctx, r, reply)
 }
 
+// hasEvents reports whether an answer is a series of events. One that does not state its content type
+// counts as such.
+func hasEvents(reply *core.Reply) bool {
+	contentType := reply.Header.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(strings.ToLower(contentType), "text/event-stream")
+}
+
 // checkStamp rejects successful answers that are not signed by the runner, or that are encoded.
 func checkStamp(reply *core.Reply) error {
 	if reply.Status < http.StatusMultipleChoices && (!reply.Info.Stamped || reply.Info.Encoded) {
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -35,7 +35,11 @@
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		r := rapid.SampledFrom(routes).Draw(rt, "route")
-		script := rapid.SliceOfN(rapid.IntRange(0, int(numActs)-1), 8, 8).Draw(rt, "acts")
+		acts := numActs
+		if r.Kind != core.KindStream {
+			acts = numPlainActs
+		}
+		script := rapid.SliceOfN(rapid.IntRange(0, int(acts)-1), 8, 8).Draw(rt, "acts")
 		runners := rapid.IntRange(0, 5).Draw(rt, "runners")
 		var (
 			f            *fleet
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -34,7 +34,13 @@
 	stalls      // stalls a stream after some events
 	pauses      // pauses a stream for longer than the limit on silence
 	noListener  // is unreachable because nothing listens on its address
+	// Only for streams: the runner closes the connection with which its answer ends inside an event,
+	// sends the last chunk there, or closes the connection before the first event.
+	closesInside
+	endsInside
+	closesEmpty
 	numActs
+	numPlainActs = closesInside
 )
 
 const eventCount = 6
@@ -103,6 +109,14 @@
 		after := strings.TrimPrefix(eventText(o.LastEvent, eventCount), before)
 		body := io.MultiReader(strings.NewReader(before), &delayedReader{ctx: ctx, text: after})
 		return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: info, Body: io.NopCloser(body)}, nil
+	case closesInside, endsInside:
+		reply := answer(http.StatusOK, info, eventText(o.LastEvent, 3)+"id: 4\nda", nil)
+		reply.Framing = map[act]core.Framing{closesInside: core.FramingClose, endsInside: core.FramingChunked}[a]
+		return reply, nil
+	case closesEmpty:
+		reply := answer(http.StatusOK, info, ": ping\n", nil)
+		reply.Framing = core.FramingClose
+		return reply, nil
 	case breaksOff:
 		return answer(http.StatusOK, info, eventText(o.LastEvent, 3)+"id: 4\nda", io.ErrUnexpectedEOF), nil
 	default:
@@ -231,3 +245,10 @@
 		return a
 	}
 }
+
+// senderFunc is a Sender that calls a function.
+type senderFunc func(ctx context.Context, r *core.Runner, q *core.Request, o core.Outgoing) (*core.Reply, error)
+
+func (f senderFunc) Send(ctx context.Context, r *core.Runner, q *core.Request, o core.Outgoing) (*core.Reply, error) {
+	return f(ctx, r, q, o)
+}
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -98,11 +98,11 @@
 	return j.stage == stageEvents && j.d.clock.Since(j.answeredAt) >= harmlessAfter
 }
 
-// reportClosed reports to the guard that the runner has closed the connection. It leaves out
-// runners that had announced that they leave, as the platform took those away. A runner
+// reportClosed reports to the guard that the runner has closed the connection, or has ended its
+// answer inside an event, as a process that exits may do. It leaves out runners that had announced that they leave, as the platform took those away. A runner
 // whose entry is missing may only have lost it to an outage of the store, and counts.
 func (j *job) reportClosed(r *core.Runner, err error) {
-	if !errors.Is(err, core.ErrClosed) || j.harmless() {
+	if !errors.Is(err, core.ErrClosed) && !errors.Is(err, errInsideEvent) || j.harmless() {
 		return
 	}
 	e := j.d.catalog.Runner(r.ID)
--- a/coordination/dispatch/metrics.go
+++ b/coordination/dispatch/metrics.go
@@ -93,3 +93,28 @@
 
 // streamCut counts a stream that broke off after its answer had begun.
 func (m *metrics) streamCut() { m.outcomes[outcomeCut].Inc(1) }
+
+// Causes of broken answers, as labels of metrics.
+const (
+	causeInsideEvent = "inside_event" // the body ended there
+	causeNoEvent     = "no_event"     // the connection ended before the first event
+	causeClosed      = "closed"       // the runner closed or reset the connection
+	causeOther       = "other"
+)
+
+// broken counts an answer that a runner broke off, by how its end was to be marked and by the cause.
+func (m *metrics) broken(framing core.Framing, err error) {
+	cause := causeOther
+	switch {
+	case errors.Is(err, errInsideEvent):
+		cause = causeInsideEvent
+	case errors.Is(err, errNoEvent):
+		cause = causeNoEvent
+	case errors.Is(err, core.ErrClosed):
+		cause = causeClosed
+	}
+	if framing == "" {
+		framing = "none" // no answer has begun
+	}
+	m.scope.Tagged(map[string]string{"framing": string(framing), "cause": cause}).Counter("answers_broken").Inc(1)
+}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -26,6 +27,9 @@
 	}
 	j.markFailed(r)
 	j.reportClosed(r, err)
+	if !errors.Is(err, core.ErrNotSent) {
+		j.d.metrics.broken(j.framing, err)
+	}
 	if errors.Is(err, core.ErrNotSent) {
 		newlyDown := j.recordUnreachable(r, err)
 		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), zap.Bool("news", newlyDown), logs.Err(err))
@@ -47,6 +51,15 @@
 	return core.MayHaveRun("answer_lost", err.Error())
 }
 
+// endedEarly returns the error for an answer whose body ended where its content shows that it is not
+// complete.
+func (j *job) endedEarly(cause error) error {
+	if j.framing == core.FramingClose {
+		return fmt.Errorf("%w: %w: %w", core.ErrAnswerLost, core.ErrClosed, cause)
+	}
+	return fmt.Errorf("%w: %w", core.ErrAnswerLost, cause)
+}
+
 // recordUnreachable records that no connection to a runner could be made, and reports whether it
 // newly counts as down.
 func (j *job) recordUnreachable(r *core.Runner, err error) bool {
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -101,7 +101,7 @@
 
 // attemptsLeft reports whether the route allows one more run in addition to the pending ones.
 func (j *job) attemptsLeft(pending int) bool {
-	return j.repeatable() && j.runs+pending < j.maxRuns()
+	return j.repeatable() && !j.committed && j.runs+pending < j.maxRuns()
 }
 
 // maxRuns returns how many sends may run: as many as the route allows, or as another daemon that
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -57,12 +58,14 @@
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
 	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, lastID: j.lastEvent}}
 	watch := j.watchForStall(r, max(minStall, stallTargets*j.route.Target), 0)
-	first, err := s.in.next()
+	first, err := s.nextEvents()
 	watch.stop()
 	if err != nil && err != io.EOF {
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, eris.Wrap(err, "before the first event"))
 	}
+	j.committed = s.in.partial
+	reply.Header.Del("Content-Length") // of this run alone; the stream may be resumed
 	s.ready, s.err = first, err
 	j.answerBegan()
 	if j.engine() && !isDaemon(r) {
@@ -101,8 +104,9 @@
 // next waits for the next events.
 func (s *stream) next() ([]byte, error) {
 	watch := s.j.watchForStall(s.runner, max(minStall, stallGaps*s.j.route.MaxGap), 0)
-	defer watch.stop()
-	ready, err := s.in.next()
+	ready, err := s.nextEvents()
+	watch.stop()
+	s.j.committed = s.in.partial
 	if err == nil || err == io.EOF {
 		s.recordEvent()
 	}
@@ -113,6 +117,18 @@
 	return ready, err
 }
 
+// nextEvents reads the next events of the run. Its error is io.EOF only if the answer is complete.
+func (s *stream) nextEvents() ([]byte, error) {
+	ready, err := s.in.next()
+	if err == io.EOF && s.in.events == 0 && s.j.framing == core.FramingClose {
+		ready, err = nil, errNoEvent
+	}
+	if errors.Is(err, errInsideEvent) || errors.Is(err, errNoEvent) {
+		err = s.j.endedEarly(err)
+	}
+	return ready, err
+}
+
 // reportHarmless informs the guard, once per runner, that the request is harmless there.
 func (s *stream) reportHarmless() {
 	if s.harmless || !s.j.harmless() {
@@ -142,7 +158,8 @@
 		}
 		reply, err := j.send(s.ctx, r)
 		if err == nil && reply.Status == http.StatusOK && checkStamp(reply) == nil {
-			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("after", j.lastEvent))
+			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID),
+				zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
 			s.runner, s.body, s.in = r, reply.Body, &eventReader{in: reply.Body, lastID: j.lastEvent}
 			s.harmless = false
 			return nil
@@ -197,8 +214,12 @@
 	if s.err != io.EOF && s.ctx.Err() == nil {
 		s.j.d.metrics.streamCut()
 	}
+	err := s.err
+	if err == io.EOF {
+		err = nil
+	}
 	s.j.log.Info(logs.StreamEnded, zap.String("runner", s.runner.ID), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
 		zap.Duration("target", s.j.route.Target), zap.Duration("gap", s.maxGap), zap.Duration("maxgap", s.j.route.MaxGap), zap.Int("reads", s.reads), zap.Bool("whole", s.err == io.EOF),
-		zap.String("framing", string(s.j.framing)), zap.Int64("bytes", s.in.bytes), zap.Int("leftover", s.in.leftover), logs.Err(s.err), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
+		zap.String("framing", string(s.j.framing)), zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover), logs.Err(err), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
 	return s.body.Close()
 }
--- a/coordination/dispatch/stream_test.go
+++ b/coordination/dispatch/stream_test.go
@@ -1,10 +1,9 @@
 package dispatch
 
 import (
-	"fmt"
+	"context"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,41 +154,99 @@
 	assert.Assert(t, err != nil)
 }
 
-func TestWholeEvents(t *testing.T) {
-	cases := []struct {
-		text string
-		want int
+// TestStreamThatEndsInsideAnEvent guards against a stream whose runner closed the connection, or sent its
+// last chunk, inside an event or before the first one, and that is neither resumed nor shown as broken.
+func TestStreamThatEndsInsideAnEvent(t *testing.T) {
+	resumable, other := route(core.KindStream, true, 2), route(core.KindStream, false, 2)
+	for _, tt := range []struct {
+		name   string
+		route  *core.Route
+		acts   []act
+		status int
+		body   string
+		broken bool
+		last   string // Last-Event-Id of the last send
 	}{
-		{"", 0},
-		{"id: 1\n", 0},
-		{"\n", 0},
-		{"id: 1\ndata: x\n\n", 15},
-		{"id: 1\ndata: x\n\nid: 2\nda", 15},
-		{"id: 1\r\ndata: x\r\n\r\nid", 18},
-		{"a\n\nb\n\nc", 6},
-	}
-	for _, one := range cases {
-		assert.Equal(t, wholeEvents([]byte(one.text)), one.want, "%q", one.text)
+		{"closed, resumed", resumable, []act{closesInside}, http.StatusOK, eventText("", eventCount), false, "3"},
+		{"last chunk, resumed", resumable, []act{endsInside}, http.StatusOK, eventText("", eventCount), false, "3"},
+		{"closed before the first event, sent elsewhere", resumable, []act{closesEmpty}, http.StatusOK, eventText("", eventCount), false, ""},
+		{"closed, may not be resumed", other, []act{closesInside}, http.StatusOK, eventText("", 3), true, ""},
+		{"last chunk, may not be resumed", other, []act{endsInside}, http.StatusOK, eventText("", 3), true, ""},
+		{"closed before the first event", other, []act{closesEmpty}, http.StatusBadGateway, "", true, ""},
+		{"closed twice", resumable, []act{closesInside, closesInside}, http.StatusOK, eventText("", 3), true, "3"},
+		{"closed after it was resumed, without an event", resumable, []act{closesInside, closesEmpty}, http.StatusOK, eventText("", 3), true, "3"},
+	} {
+		f := &fleet{nextAct: script(tt.acts...)}
+		d := newDispatcher(f, 3)
+		g := &guard{admits: 10}
+		WithGuard(g)(d)
+		status, body, err := call(d, tt.route)
+		assert.Equal(t, status, tt.status, tt.name)
+		assert.Equal(t, body, tt.body, tt.name)
+		assert.Equal(t, err != nil, tt.broken, "%s: %v", tt.name, err)
+		assert.Equal(t, f.sends[len(f.sends)-1].LastEvent, tt.last, tt.name)
+		assert.Equal(t, len(g.closed), len(tt.acts), tt.name)
+		assert.Equal(t, g.worked > 0, !tt.broken, tt.name)
 	}
 }
 
-// oneByteReader returns one byte per read.
-type oneByteReader struct{ io.Reader }
-
-func (s oneByteReader) Read(p []byte) (int, error) { return s.Reader.Read(p[:min(1, len(p))]) }
-
-func TestEventsSplitAcrossReads(t *testing.T) {
-	text := eventText("", eventCount)
-	in := &eventReader{in: oneByteReader{strings.NewReader(text)}}
-	var got []byte
-	for {
-		part, err := in.next()
-		got = append(got, part...)
-		if err == io.EOF {
-			break
+// TestStreamWithoutEvents guards against an answer without events that is retried although its length or
+// its last chunk shows that it is complete, at first or after it was resumed.
+func TestStreamWithoutEvents(t *testing.T) {
+	for _, framing := range []core.Framing{core.FramingLength, core.FramingChunked} {
+		for _, last := range []string{"", "6"} {
+			f := &fleet{nextAct: script(serves, serves)}
+			d := newDispatcher(f, 2)
+			d.sender = senderFunc(func(_ context.Context, _ *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+				f.sends = append(f.sends, o)
+				reply := answer(http.StatusOK, core.ReplyInfo{Stamped: true}, "", nil)
+				reply.Framing = framing
+				if len(f.sends) == 1 && last != "" {
+					return answer(http.StatusOK, core.ReplyInfo{Stamped: true}, eventText("", 6)+"d", io.ErrUnexpectedEOF), nil
+				}
+				return reply, nil
+			})
+			status, body, err := call(d, route(core.KindStream, true, 3))
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			want := 1
+			if last != "" {
+				want = 2
+				assert.Equal(t, body, eventText("", 6))
+			}
+			assert.Equal(t, len(f.sends), want)
 		}
-		assert.NilError(t, err)
 	}
-	assert.Equal(t, string(got), text)
-	assert.Equal(t, in.lastID, fmt.Sprint(eventCount))
+}
+
+// TestLengthOfAStreamIsNotPassedOn guards against a resumed stream that is cut at the length of its first
+// run.
+func TestLengthOfAStreamIsNotPassedOn(t *testing.T) {
+	d := newDispatcher(&fleet{nextAct: script()}, 2)
+	d.sender = senderFunc(func(context.Context, *core.Runner, *core.Request, core.Outgoing) (*core.Reply, error) {
+		reply := answer(http.StatusOK, core.ReplyInfo{Stamped: true}, eventText("", 1), nil)
+		reply.Header.Set("Content-Length", "99")
+		return reply, nil
+	})
+	q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: time.Second}
+	reply, err := d.Do(t.Context(), route(core.KindStream, true, 2), q)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Header.Get("Content-Length"), "")
+	_, err = readAll(reply)
+	assert.NilError(t, err)
+}
+
+// TestPlainAnswerOnAStreamRoute guards against an answer that is no stream by its content type, and that
+// counts as a broken one.
+func TestPlainAnswerOnAStreamRoute(t *testing.T) {
+	d := newDispatcher(&fleet{nextAct: script()}, 2)
+	d.sender = senderFunc(func(context.Context, *core.Runner, *core.Request, core.Outgoing) (*core.Reply, error) {
+		reply := answer(http.StatusOK, core.ReplyInfo{Stamped: true}, `{"choices":[]}`, nil)
+		reply.Header.Set("Content-Type", "application/json")
+		return reply, nil
+	})
+	status, body, err := call(d, route(core.KindStream, true, 2))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, `{"choices":[]}`)
 }
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -91,11 +91,12 @@
 	TrialStarted = "trial of a request held back"
 	// TrialRefused: the permission for a trial could not be obtained.
 	TrialRefused = "no leave for a trial"
-	// StreamResumed: a broken stream is resumed at another runner after an event.
+	// StreamResumed: a broken stream is resumed at another runner after an event; with the runner that
+	// broke it off, the bytes and events read there, and the bytes of an event that were dropped.
 	StreamResumed = "stream resumed"
 	// StreamEnded: a stream has ended: the time to its first event, its longest pause, and whether
-	// it is complete; how the end of its last run's answer was marked, the bytes read of that
-	// answer, those that followed its last complete event, and the error that ended it.
+	// it is complete; how the end of its last run's answer was marked, the bytes and events read of
+	// that answer, the bytes of an event that were dropped, and the error that ended it.
 	StreamEnded = "stream ended"
 	// AnswerEnded: the answer to a plain request has arrived: its status, how its end was marked, its
 	// size, and how long it took.
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -326,7 +326,7 @@
 	switch {
 	case len(resp.TransferEncoding) > 0:
 		return core.FramingChunked
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return core.FramingLength
 	}
 	return core.FramingClose
