Connections of HTTP/1.0 callers are reset unless the answer is complete

What callers saw: an answer that the daemon broke off ended with the end of its connection, which is the end of a complete answer for a caller that speaks HTTP/1.0: no length, no chunks. Cause: the server closes the connection as usual when a handler gives up, and so does the kernel when the process is killed.

The connection of such a caller lingers for no time from the head of an answer until its end is known, so every other end of it, that of the process too, is a reset. Front and native interface share it; the latter also no longer lets the server complete an answer that could not be written to its end.

--- /dev/null
+++ b/io/tcp/reset.go
@@ -0,0 +1,27 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// WithConn is for http.Server.ConnContext, so that ResetUntilComplete finds the connection of a request.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ResetUntilComplete makes the connection of an HTTP/1.0 request end with a reset until the returned
+// function is called, also if the process is killed. The end of such a connection is that of the
+// answer, which would look complete.
+func ResetUntilComplete(r *http.Request) (complete func()) {
+	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	if !ok || r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	_ = conn.SetLinger(0) // fails only if the connection has ended
+	return func() { _ = conn.SetLinger(-1) }
+}
--- a/proof/broken_test.go
+++ b/proof/broken_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -202,3 +203,49 @@
 		}
 	}
 }
+
+// TestAnswersOfEndingDaemonsNeverLookComplete guards against a stream that the daemon breaks off, because
+// it is killed or stopped or the time limit passes, and that looks complete to its caller; directly and
+// behind a daemon that forwards the request.
+func TestAnswersOfEndingDaemonsNeverLookComplete(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		forward bool
+		end     func(t *testing.T, c *fleetCluster, gen *runner.Server)
+	}{
+		{"killed", false, func(_ *testing.T, c *fleetCluster, _ *runner.Server) { c.daemons[0].kill() }},
+		{"stopped", false, func(t *testing.T, c *fleetCluster, _ *runner.Server) {
+			assert.NilError(t, c.daemons[0].cmd.Process.Signal(syscall.SIGTERM))
+		}},
+		{"reloaded", false, func(t *testing.T, c *fleetCluster, _ *runner.Server) {
+			assert.NilError(t, c.daemons[0].cmd.Process.Signal(syscall.SIGHUP))
+		}},
+		{"its time is up", false, func(*testing.T, *fleetCluster, *runner.Server) {}},
+		{"forwarded, this daemon is killed", true, func(_ *testing.T, c *fleetCluster, _ *runner.Server) { c.daemons[0].kill() }},
+		{"forwarded, the other daemon is killed", true, func(_ *testing.T, c *fleetCluster, _ *runner.Server) { c.daemons[1].kill() }},
+		{"forwarded, the runner closes", true, func(_ *testing.T, _ *fleetCluster, gen *runner.Server) { gen.Kill() }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var c *fleetCluster
+			if tt.forward {
+				c = startForwardingFleet(t, 2).fleetCluster
+			} else {
+				c = startFleet(t, 1, func(c *fleetCluster) { c.events = 4 * longEvents })
+			}
+			gen := c.runners[len(c.runners)-1]
+			answers := make(chan rawAnswer, 2)
+			for version := range 2 {
+				go func() { answers <- c.daemons[0].sendRaw(t, version, "/live/x", "m1") }()
+			}
+			time.Sleep(longRun / 5)
+			assert.Equal(t, c.runsOf("gen"), 2)
+			tt.end(t, c, gen)
+			for range 2 {
+				a := <-answers
+				assert.Check(t, a.status == http.StatusOK && !a.complete, "%d, complete %v: %q", a.status, a.complete, a.body)
+				assert.Check(t, a.body != "")
+			}
+		})
+	}
+}
--- a/proof/fleet_cluster_test.go
+++ b/proof/fleet_cluster_test.go
@@ -35,6 +35,7 @@
 	runners []*runner.Server
 	daemons []*fleetDaemon
 	paths   *paths.Network // between daemons and runners; nil: direct connections
+	events  int            // in a stream
 }
 
 // fleetDaemon is one primrosed process that serves through the platform.
@@ -50,7 +51,7 @@
 // the daemons are ready.
 func startFleet(t *testing.T, n int, opts ...func(*fleetCluster)) *fleetCluster {
 	t.Helper()
-	c := &fleetCluster{t: t, store: platform.New()}
+	c := &fleetCluster{t: t, store: platform.New(), events: 20}
 	for _, o := range opts {
 		o(c)
 	}
@@ -62,8 +63,8 @@
 	c.addr = srv.Listener.Addr().String()
 	c.put(wire.KindConfig, wire.NameConfig, fleetConfig(1, "/gen/"))
 	for _, spec := range []runner.Spec{
-		{ID: "i-gen-1", Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: 20, Interval: 20 * time.Millisecond},
-		{ID: "i-gen-2", Service: "gen", DataCentre: "south", Slots: 8, Models: []string{"m1", "m2"}, Events: 20, Interval: 20 * time.Millisecond},
+		{ID: "i-gen-1", Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: c.events, Interval: 20 * time.Millisecond},
+		{ID: "i-gen-2", Service: "gen", DataCentre: "south", Slots: 8, Models: []string{"m1", "m2"}, Events: c.events, Interval: 20 * time.Millisecond},
 		{ID: "i-app-1", Service: "app", DataCentre: "north", Slots: 8, Interval: 5 * time.Millisecond},
 		{ID: "i-app-2", Service: "app", DataCentre: "south", Slots: 8, Interval: 5 * time.Millisecond},
 	} {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -22,6 +22,7 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/io/tcp"
 	"primroseward/state/catalog"
 )
 
@@ -99,6 +100,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
+		ConnContext:       tcp.WithConn,
 		ErrorLog:          zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
@@ -128,7 +130,7 @@
 		return
 	}
 	defer reply.Body.Close()
-	f.writeReply(w, reply)
+	f.writeReply(w, r, reply)
 }
 
 // read reads a request and finds its route. A request that it refuses has not been sent to
@@ -257,7 +259,7 @@
 
 // writeReply copies an answer to the caller as it arrives. If the body ends early, the
 // connection with the caller is aborted, so that the answer does not look complete.
-func (f *Front) writeReply(w http.ResponseWriter, reply *core.Reply) {
+func (f *Front) writeReply(w http.ResponseWriter, r *http.Request, reply *core.Reply) {
 	header := w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
@@ -271,6 +273,7 @@
 	if f.leaving.Load() {
 		header.Set("Connection", "close")
 	}
+	complete := tcp.ResetUntilComplete(r)
 	w.WriteHeader(reply.Status)
 	control := http.NewResponseController(w)
 	var buf [copyBuffer]byte
@@ -282,6 +285,7 @@
 			}
 		}
 		if err == io.EOF {
+			complete()
 			return
 		}
 		if err != nil {
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -280,3 +281,31 @@
 		assert.Equal(t, resp.Header.Get("Retry-After") != "", !confirmed)
 	}
 }
+
+// TestBrokenAnswersAtOldCallers guards against an answer that breaks off and looks complete to a caller
+// that speaks HTTP/1.0, as the end of the connection is the end of the answer there.
+func TestBrokenAnswersAtOldCallers(t *testing.T) {
+	for _, tt := range []struct {
+		version string
+		broken  bool
+	}{{"1.0", false}, {"1.0", true}, {"1.1", false}, {"1.1", true}} {
+		d := &dispatcher{answer: func(context.Context) (*core.Reply, error) {
+			if tt.broken {
+				return reply(200, io.MultiReader(strings.NewReader("data: x\n\n"), iotest.ErrReader(core.ErrAnswerLost)))
+			}
+			return reply(200, strings.NewReader("data: x\n\n"))
+		}}
+		_, srv := setUp(t, 1, d)
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET /a/x HTTP/"+tt.version+"\r\nHost: h.example\r\nConnection: close\r\nX-Primroseward-Request-Id: q1\r\n\r\n")
+		assert.NilError(t, err)
+		data, err := io.ReadAll(conn)
+		_ = conn.Close()
+		complete := err == nil
+		if tt.version == "1.1" {
+			complete = complete && strings.HasSuffix(string(data), "0\r\n\r\n") || strings.Contains(string(data), "Content-Length: 9")
+		}
+		assert.Equal(t, complete, !tt.broken, "HTTP/%s: %v, %q", tt.version, err, data)
+	}
+}
--- a/transport/routers/reply.go
+++ b/transport/routers/reply.go
@@ -3,7 +3,6 @@
 package routers
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"math"
@@ -12,6 +11,7 @@
 	"time"
 
 	"primroseward/core"
+	"primroseward/io/tcp"
 	"primroseward/state/answer"
 )
 
@@ -76,7 +76,8 @@
 // writeAnswer copies an answer to the caller, starting at an offset. If the answer breaks off,
 // the connection is aborted, so that the caller's client sees an error instead of an answer
 // that looks complete.
-func writeAnswer(ctx context.Context, w http.ResponseWriter, buf *answer.Buffer, offset int64) error {
+func writeAnswer(w http.ResponseWriter, r *http.Request, buf *answer.Buffer, offset int64) error {
+	ctx := r.Context()
 	detach := buf.Attach()
 	defer detach()
 	head, err := buf.Head(ctx)
@@ -91,6 +92,7 @@
 	if offset > 0 {
 		w.Header().Del("Content-Length")
 	}
+	markComplete := tcp.ResetUntilComplete(r)
 	w.WriteHeader(head.Status)
 	control := http.NewResponseController(w)
 	_ = control.Flush()
@@ -102,6 +104,7 @@
 		case err != nil:
 			abort(w, control, head, err)
 		case complete:
+			markComplete()
 			return nil
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/transport/routers/routers.go
+++ b/transport/routers/routers.go
@@ -22,6 +22,7 @@
 
 	"primroseward/coordination/entry"
 	"primroseward/core"
+	"primroseward/io/tcp"
 	"primroseward/state/answer"
 	"primroseward/state/tree"
 )
@@ -60,6 +61,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnContext:       tcp.WithConn,
 		ErrorLog:          zap.NewStdLog(a.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
@@ -196,8 +198,9 @@
 		writeError(w, err)
 		return
 	}
-	if writeAnswer(r.Context(), w, buf, 0) != nil {
+	if writeAnswer(w, r, buf, 0) != nil {
 		a.entry.CallerDisconnected(q)
+		panic(http.ErrAbortHandler) // otherwise the server would complete the answer
 	}
 }
 
@@ -382,7 +385,9 @@
 	case err != nil:
 		writeError(w, err)
 	default:
-		_ = writeAnswer(r.Context(), w, buf, offset)
+		if writeAnswer(w, r, buf, offset) != nil {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
