Answers longer than what is held in memory are passed on, not cut

What callers saw: of a plain answer of 42 MB the first 32 MiB, with 200 and framed as complete. Cause: the answer was read through a limit whose end looks like the end of the answer.

Of a plain answer up to 8 MiB are held, of all together 32 MiB besides 64 KiB each; a longer one is passed on from there as it arrives. If it breaks off then it is not requested again, and the caller's connection is aborted. Parts of large events draw on the same budget. 200 answers of 42 MB at once that nobody reads hold no more than that (TestLongAnswersAreBoundedInMemory; before, up to 6.4 GB).

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -27,8 +27,6 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is buffered before it is passed on.
-	maxAnswerBytes = 32 << 20
 	// maxRejections bounds how many runners may reject a request that has not run,
 	// because each of these arrivals is charged to the retry budget.
 	maxRejections = 3
@@ -86,6 +84,7 @@
 	log        *zap.Logger
 	metrics    *metrics
 	running    atomic.Int64
+	buffers    bufferBudget
 	byRunner   inFlight[string]      // sends in progress, by runner
 	unanswered inFlight[core.Digest] // sends whose answer has not begun, by request digest
 	guard      core.Guard
@@ -362,21 +361,34 @@
 	return nil
 }
 
-// bufferAnswer reads an answer to its end before any of it is passed on, so that a
-// truncated answer does not look complete.
+// bufferAnswer reads an answer to its end before any of it is passed on, so that one that breaks off
+// can be requested again. Of a long answer only the beginning is held.
 func (j *job) bufferAnswer(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
-	data, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	held := &answerBuffer{budget: &j.d.buffers}
+	err := held.fill(reply.Body)
+	if err == nil {
+		j.committed = true
+		j.log.Info(logs.AnswerPassedOn, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.String("framing", string(j.framing)), zap.Int("held", held.size))
+		reply.Body = &longAnswer{ctx: ctx, j: j, runner: r, held: held, body: reply.Body, status: reply.Status, bytes: held.size}
+		return reply, nil
+	}
 	_ = reply.Body.Close()
-	if err != nil {
+	if err != io.EOF {
+		_ = held.Close()
 		return nil, j.handleError(ctx, r, eris.Wrap(err, "answer"))
 	}
+	j.answerEnded(r, reply.Status, held.size)
+	reply.Body = held
+	return reply, nil
+}
+
+// answerEnded records the complete answer to a plain request.
+func (j *job) answerEnded(r *core.Runner, status, size int) {
 	j.loadsOf(r).Answered(r.ID)
-	if reply.Status < http.StatusInternalServerError {
+	if status < http.StatusInternalServerError {
 		j.loadsOf(r).RecordSuccess(r.ID)
 		j.d.guard.Served(j.q.Digest)
 	}
-	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.String("framing", string(j.framing)), zap.Int("bytes", len(data)),
+	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", status), zap.String("framing", string(j.framing)), zap.Int("bytes", size),
 		zap.Duration("took", j.d.clock.Since(j.q.Arrived)), zap.Duration("target", j.route.Target))
-	reply.Body = newBufferedBody(data)
-	return reply, nil
 }
--- a/coordination/dispatch/events.go
+++ b/coordination/dispatch/events.go
@@ -12,6 +12,8 @@
 	maxEvent = 1 << 20
 	// eventChunk is the size of a read in bytes.
 	eventChunk = 8 << 10
+	// minReserved is the smallest part taken from the budget for an event, in bytes.
+	minReserved = 64 << 10
 )
 
 var (
@@ -35,6 +37,7 @@
 // and empty lines between two events are no part of either.
 type eventReader struct {
 	in     io.Reader
+	budget *bufferBudget
 	lastID string // id of the last complete event returned
 	events int    // complete events returned
 	// partial is whether a part of an event has been returned without its end.
@@ -46,6 +49,7 @@
 
 	chunk    []byte
 	buf      []byte // read, and not returned yet
+	reserved int    // of the budget for buf
 	line     int    // start of the last line in buf
 	scanned  int    // start of that part of buf in which no end of a line was looked for yet
 	afterCR  bool   // the line before ended with CR; an LF that follows belongs to that end
@@ -71,7 +75,7 @@
 		if whole := e.scan(); whole > 0 && (e.events > 0 || e.complete > 0 || e.partial) {
 			return e.take(whole), nil
 		}
-		if len(e.buf) >= maxEvent {
+		if !e.mayHold(len(e.buf) + eventChunk) {
 			return e.takePart(), nil
 		}
 	}
@@ -85,6 +89,25 @@
 	return nil, e.err
 }
 
+// mayHold reports whether n bytes may be held of one event.
+func (e *eventReader) mayHold(n int) bool {
+	more := n - freeBuffered - e.reserved
+	if more <= 0 {
+		return true
+	}
+	if n > maxEvent || !e.budget.take(max(more, minReserved)) {
+		return false
+	}
+	e.reserved += max(more, minReserved)
+	return true
+}
+
+// close drops what is held.
+func (e *eventReader) close() {
+	e.budget.release(e.reserved)
+	e.buf, e.reserved = nil, 0
+}
+
 // take returns and removes the first n bytes of the buffer, which end outside an event.
 func (e *eventReader) take(n int) []byte {
 	out := e.buf[:n:n]
@@ -92,9 +115,18 @@
 	e.line, e.scanned = max(0, e.line-n), max(0, e.scanned-n)
 	e.events, e.complete = e.events+e.complete, 0
 	e.partial = false
+	e.shrink()
 	return out
 }
 
+// shrink returns to the budget what the buffer no longer needs.
+func (e *eventReader) shrink() {
+	if e.reserved > 0 && len(e.buf) <= freeBuffered {
+		e.budget.release(e.reserved)
+		e.reserved = 0
+	}
+}
+
 // takePart returns and removes the whole buffer, which ends inside an event or a long comment.
 func (e *eventReader) takePart() []byte {
 	if rest := e.buf[e.line:]; len(rest) > 0 {
@@ -104,6 +136,7 @@
 	out := e.buf
 	e.buf, e.line, e.scanned = nil, 0, 0
 	e.partial = true
+	e.shrink()
 	return out
 }
 
--- a/coordination/dispatch/metrics.go
+++ b/coordination/dispatch/metrics.go
@@ -25,7 +25,7 @@
 	outcomeTimeout = "timeout"
 	outcomeFailed  = "failed" // a failure of the runner itself, passed on
 	outcomeGone    = "gone"   // the caller has disconnected
-	outcomeCut     = "cut"    // a stream that broke off, counted in addition to served
+	outcomeCut     = "cut"    // broke off after a part was passed on, counted in addition to served
 )
 
 // metrics counts requests.
@@ -91,8 +91,8 @@
 	m.scope.Tagged(map[string]string{"outcome": outcomeOf(reply, err)}).Counter("requests_helped").Inc(1)
 }
 
-// streamCut counts a stream that broke off after its answer had begun.
-func (m *metrics) streamCut() { m.outcomes[outcomeCut].Inc(1) }
+// cut counts an answer that broke off after a part of it had been passed on.
+func (m *metrics) cut() { m.outcomes[outcomeCut].Inc(1) }
 
 // Causes of broken answers, as labels of metrics.
 const (
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,13 +14,6 @@
 	"primroseward/io/logs"
 )
 
-// bufferedBody is the body of an answer held in memory.
-type bufferedBody struct{ *bytes.Reader }
-
-func newBufferedBody(data []byte) io.ReadCloser { return bufferedBody{bytes.NewReader(data)} }
-
-func (bufferedBody) Close() error { return nil }
-
 // stream is a stream of events. If it breaks off at its runner, it is resumed at another one
 // if the route allows that.
 type stream struct {
@@ -56,11 +48,12 @@
 // stream waits for the first event. If the answer breaks off before it, the request can
 // still be retried at another runner or be refused.
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
-	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, lastID: j.lastEvent}}
+	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, budget: &j.d.buffers, lastID: j.lastEvent}}
 	watch := j.watchForStall(r, max(minStall, stallTargets*j.route.Target), 0)
 	first, err := s.nextEvents()
 	watch.stop()
 	if err != nil && err != io.EOF {
+		s.in.close()
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, eris.Wrap(err, "before the first event"))
 	}
@@ -144,6 +137,7 @@
 // loaded.
 func (s *stream) resume(cause error) error {
 	_ = s.body.Close()
+	s.in.close()
 	j := s.j
 	j.lastEvent = s.in.lastID
 	if err := j.handleError(s.ctx, s.runner, eris.Wrap(cause, "stream")); err != nil {
@@ -160,7 +154,7 @@
 		if err == nil && reply.Status == http.StatusOK && checkStamp(reply) == nil {
 			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID),
 				zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
-			s.runner, s.body, s.in = r, reply.Body, &eventReader{in: reply.Body, lastID: j.lastEvent}
+			s.runner, s.body, s.in = r, reply.Body, &eventReader{in: reply.Body, budget: &j.d.buffers, lastID: j.lastEvent}
 			s.harmless = false
 			return nil
 		}
@@ -212,8 +206,9 @@
 // Close ends the stream. A runner still working on it stops.
 func (s *stream) Close() error {
 	if s.err != io.EOF && s.ctx.Err() == nil {
-		s.j.d.metrics.streamCut()
+		s.j.d.metrics.cut()
 	}
+	s.in.close()
 	err := s.err
 	if err == io.EOF {
 		err = nil
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -101,6 +101,10 @@
 	// AnswerEnded: the answer to a plain request has arrived: its status, how its end was marked, its
 	// size, and how long it took.
 	AnswerEnded = "answer ended"
+	// AnswerPassedOn: an answer is too long to be held in memory to its end and is passed on from
+	// here as it arrives; with what is held of it, in bytes. If it breaks off then, the caller's
+	// connection is aborted.
+	AnswerPassedOn = "long answer passed on"
 	// Refused: the caller gets an answer stating that the request has not run and when to retry.
 	Refused = "refused"
 	// RefusedBySettings: the settings tree does not allow the request now; with the node that
