Answers that end with their connection: the runner's exit is not their end

What callers would see: a stream without length and chunks, complete by its framing, of which the last events are missing, as the runner's process was killed between two events; the request counts as served, so one that ends its runners would not be held back. Cause: the exit of a process closes its connections, which is how such answers end.

Before such an answer counts as complete a connection to its runner is opened, which the next request uses. If it is refused, and another daemon does not reach the runner either, the answer is lost: resumed, retried or shown as broken, and reported to the quarantine. Not asked for runners that are leaving, as they may exit after their last answer, nor while this daemon's path is lost.

TestAnswerOfARunnerThatExits, TestRunnersThatExitBetweenEvents, TestExitedNeedsProof, TestConnectFindsAnExitedRunner; the second fails without the question.

--- a/coordination/dispatch/buffer.go
+++ b/coordination/dispatch/buffer.go
@@ -141,6 +141,9 @@
 	}
 	n, err := l.body.Read(p)
 	l.bytes += n
+	if err == io.EOF {
+		err = l.j.confirmEnd(l.ctx, l.runner)
+	}
 	switch err {
 	case nil:
 	case io.EOF:
--- a/coordination/dispatch/buffer_test.go
+++ b/coordination/dispatch/buffer_test.go
@@ -55,8 +55,8 @@
 		{"as much as is held", maxBuffered - maxBlock, io.EOF, http.StatusOK, maxBuffered - maxBlock, false, 1},
 		{"more than is held", maxBuffered + 1, io.EOF, http.StatusOK, maxBuffered + 1, false, 1},
 		{"much more", 42 << 20, io.EOF, http.StatusOK, 42 << 20, false, 1},
-		{"broken while it is held", maxBuffered / 2, errExited, http.StatusBadGateway, 0, true, 2},
-		{"broken after it is held", maxBuffered + 1, errExited, http.StatusOK, maxBuffered + 1, true, 1},
+		{"broken while it is held", maxBuffered / 2, errCrashed, http.StatusBadGateway, 0, true, 2},
+		{"broken after it is held", maxBuffered + 1, errCrashed, http.StatusOK, maxBuffered + 1, true, 1},
 	} {
 		d := newLongDispatcher(tt.size, tt.end)
 		g := &guard{admits: 10}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -68,6 +68,12 @@
 	Place(ctx context.Context, w PlacementKey) (runner string, retry time.Duration, err error)
 }
 
+// ExitDetector finds out whether the process of a runner has exited.
+type ExitDetector interface {
+	// Exited returns false if it is not known.
+	Exited(ctx context.Context, r *core.Runner) bool
+}
+
 // Dispatcher serves requests.
 type Dispatcher struct {
 	dataCentre string
@@ -88,6 +94,7 @@
 	byRunner   inFlight[string]      // sends in progress, by runner
 	unanswered inFlight[core.Digest] // sends whose answer has not begun, by request digest
 	guard      core.Guard
+	exits      ExitDetector // nil: the end of a connection is the end of the answer
 	// allowance enforces the allowances of workspaces.
 	allowance core.Allowance
 	// limits are the request limits that runners announce in their answers.
@@ -118,6 +125,9 @@
 // WithGuard sets the guard that is consulted before each send.
 func WithGuard(g core.Guard) Option { return func(d *Dispatcher) { d.guard = g } }
 
+// WithExits sets what tells the end of an answer from the exit of its runner, if both look alike.
+func WithExits(e ExitDetector) Option { return func(d *Dispatcher) { d.exits = e } }
+
 // WithAllowance enforces the allowances of workspaces.
 func WithAllowance(a core.Allowance) Option { return func(d *Dispatcher) { d.allowance = a } }
 
@@ -366,6 +376,9 @@
 func (j *job) bufferAnswer(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
 	held := &answerBuffer{budget: &j.d.buffers}
 	err := held.fill(reply.Body)
+	if err == io.EOF {
+		err = j.confirmEnd(ctx, r)
+	}
 	if err == nil {
 		j.committed = true
 		j.log.Info(logs.AnswerPassedOn, zap.String("runner", r.ID), zap.Int("status", reply.Status), zap.String("framing", string(j.framing)), zap.Int("held", held.size))
--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -54,8 +54,8 @@
 	g.worked++
 }
 
-// errExited is the error of a runner that exits with all of its connections.
-var errExited = fmt.Errorf("%w: %w", core.ErrAnswerLost, core.ErrClosed)
+// errCrashed is the error of a runner that exits with all of its connections.
+var errCrashed = fmt.Errorf("%w: %w", core.ErrAnswerLost, core.ErrClosed)
 
 // crashing is a Sender whose runners exit before an answer, or after some events of it.
 type crashing struct {
@@ -69,9 +69,9 @@
 		c.beforeExit()
 	}
 	if c.events == 0 && !c.head {
-		return nil, errExited
+		return nil, errCrashed
 	}
-	return answer(http.StatusOK, core.ReplyInfo{Stamped: true}, eventText(o.LastEvent, c.events), errExited), nil
+	return answer(http.StatusOK, core.ReplyInfo{Stamped: true}, eventText(o.LastEvent, c.events), errCrashed), nil
 }
 
 // callGuarded serves one request and returns the error that its caller receives.
--- a/coordination/dispatch/metrics.go
+++ b/coordination/dispatch/metrics.go
@@ -98,6 +98,7 @@
 const (
 	causeInsideEvent = "inside_event" // the body ended there
 	causeNoEvent     = "no_event"     // the connection ended before the first event
+	causeExited      = "exited"       // the runner exited; the body ended with its connection
 	causeClosed      = "closed"       // the runner closed or reset the connection
 	causeOther       = "other"
 )
@@ -110,6 +111,8 @@
 		cause = causeInsideEvent
 	case errors.Is(err, errNoEvent):
 		cause = causeNoEvent
+	case errors.Is(err, errExited):
+		cause = causeExited
 	case errors.Is(err, core.ErrClosed):
 		cause = causeClosed
 	}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -60,6 +61,19 @@
 	return fmt.Errorf("%w: %w", core.ErrAnswerLost, cause)
 }
 
+// errExited: the answer ended with its connection, and the runner's process has exited.
+var errExited = errors.New("the runner has exited")
+
+// confirmEnd returns io.EOF for an answer whose body has ended, unless it may be the exit of the
+// runner's process that ended it: that closes the connection too, with which such an answer ends. A
+// runner that is leaving may exit after its last answer.
+func (j *job) confirmEnd(ctx context.Context, r *core.Runner) error {
+	if j.framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || j.d.pathLost() || !j.d.accepts(r, true) || !j.d.exits.Exited(ctx, r) {
+		return io.EOF
+	}
+	return j.endedEarly(errExited)
+}
+
 // recordUnreachable records that no connection to a runner could be made, and reports whether it
 // newly counts as down.
 func (j *job) recordUnreachable(r *core.Runner, err error) bool {
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -116,6 +116,11 @@
 	if err == io.EOF && s.in.events == 0 && s.j.framing == core.FramingClose {
 		ready, err = nil, errNoEvent
 	}
+	if err == io.EOF {
+		if err = s.j.confirmEnd(s.ctx, s.runner); err != io.EOF {
+			return nil, err
+		}
+	}
 	if errors.Is(err, errInsideEvent) || errors.Is(err, errNoEvent) {
 		err = s.j.endedEarly(err)
 	}
--- a/coordination/quarantine/confirm.go
+++ b/coordination/quarantine/confirm.go
@@ -20,6 +20,9 @@
 	confirmTimeout   = 250 * time.Millisecond
 	confirmResend    = 80 * time.Millisecond
 	peerProbeTimeout = 150 * time.Millisecond
+	// connectTimeout bounds the attempt to connect to a runner whose answer has ended with its
+	// connection. The end of the answer is held back meanwhile.
+	connectTimeout = 150 * time.Millisecond
 )
 
 // errPath is the reason why a runner that refuses this daemon's connections counts as running.
@@ -32,6 +35,17 @@
 	Addr    netip.AddrPort `json:"addr"`
 }
 
+// Exited reports whether a runner's process has exited: nothing listens at its address, and no other
+// daemon reaches it.
+func (q *Quarantine) Exited(ctx context.Context, r *core.Runner) bool {
+	if q.connector == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return errors.Is(q.connector.Connect(ctx, r), core.ErrNoListener) && !q.answersPeer(r)
+}
+
 // answersPeer asks another daemon whether a runner that refuses this daemon's connections answers
 // there: a daemon that has lost its path to the runners takes all of them for exited. Without a
 // reply the runner counts as exited.
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -59,15 +59,22 @@
 	Report(ctx context.Context, r *core.Runner) (*core.Report, error)
 }
 
+// Connector opens connections to runners.
+type Connector interface {
+	// Connect fails with ErrNoListener if nothing listens at the runner's address.
+	Connect(ctx context.Context, r *core.Runner) error
+}
+
 // Quarantine is one daemon's part of the quarantine. It implements core.Guard.
 type Quarantine struct {
-	net    Network
-	prober Prober
-	clock  core.Clock
-	log    *zap.Logger
-	scope  tally.Scope
-	onHold func(core.Digest)
-	keeper *keeper
+	net       Network
+	prober    Prober
+	connector Connector
+	clock     core.Clock
+	log       *zap.Logger
+	scope     tally.Scope
+	onHold    func(core.Digest)
+	keeper    *keeper
 
 	table       *hold.Table
 	recent      *recent
@@ -102,6 +109,9 @@
 	return func(q *Quarantine) { q.keeper = newKeeper(q, store, reads) }
 }
 
+// WithConnector lets the Quarantine find out at once whether a runner has exited.
+func WithConnector(c Connector) Option { return func(q *Quarantine) { q.connector = c } }
+
 // New returns a Quarantine and registers its message handlers.
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -369,3 +369,36 @@
 		})
 	}
 }
+
+// connectorFunc is a Connector that calls a function.
+type connectorFunc func(ctx context.Context) error
+
+func (f connectorFunc) Connect(ctx context.Context, _ *core.Runner) error { return f(ctx) }
+
+// TestExitedNeedsProof guards against a runner that counts as exited, and whose whole answers count as
+// broken, because this daemon alone does not reach it.
+func TestExitedNeedsProof(t *testing.T) {
+	refused := func(context.Context) error { return core.ErrNoListener }
+	for _, tt := range []struct {
+		name    string
+		daemons int
+		connect func(ctx context.Context) error
+		other   error // what the other daemon gets
+		want    bool
+	}{
+		{"it accepts connections", 2, func(context.Context) error { return nil }, nil, false},
+		{"refused everywhere", 2, refused, core.ErrNoListener, true},
+		{"refused, and there is no other daemon", 1, refused, nil, true},
+		{"refused here only", 2, refused, nil, false},
+		{"refused, and another instance answers elsewhere", 2, refused, core.ErrReplaced, true},
+		{"no answer", 2, func(ctx context.Context) error {
+			<-ctx.Done()
+			return core.ErrNotSent
+		}, core.ErrNoListener, false},
+	} {
+		r := &runners{probeErrs: map[string]error{"r1": tt.other}}
+		list := newNetwork().fleet(t, tt.daemons, r, WithConnector(connectorFunc(tt.connect)))
+		got := list[0].Exited(t.Context(), &core.Runner{ID: "r1"})
+		assert.Equal(t, got, tt.want, tt.name)
+	}
+}
--- a/proof/broken_test.go
+++ b/proof/broken_test.go
@@ -249,3 +249,22 @@
 		})
 	}
 }
+
+// TestRunnersThatExitBetweenEvents guards against a stream without length and chunks that counts as
+// complete because its runner's process exited between two events, which closes the connection too.
+func TestRunnersThatExitBetweenEvents(t *testing.T) {
+	c := startFleet(t, 2)
+	exits := func(r *http.Request) *runner.Raw {
+		if r.Header.Get(wire.HeaderLastEvent) != "" {
+			return nil
+		}
+		return &runner.Raw{Framing: core.FramingClose, Body: fullStream(3), Exit: true}
+	}
+	for _, r := range c.runners[:2] {
+		r.SetRaw(exits)
+	}
+	a := c.daemons[0].sendRaw(t, 1, "/gen/x", "m1")
+	assert.Assert(t, a.status == http.StatusOK && a.complete && a.body == fullStream(20), "%d, complete %v: %q", a.status, a.complete, a.body)
+	a = c.daemons[0].sendRaw(t, 1, "/live/x", "m1")
+	assert.Assert(t, a.status == http.StatusOK && !a.complete && a.body == fullStream(3), "%d, complete %v: %q", a.status, a.complete, a.body)
+}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -36,6 +36,10 @@
 	// may answer before it has read the body.
 	maxInlineRequest = 16 << 10
 	maxCallAnswer    = 4 << 20 // limit in bytes of the answer to a report request or an order
+	// connectSettle is how long a new connection must stay open to count as such, connectAttempts
+	// how often it is tried.
+	connectSettle   = 5 * time.Millisecond
+	connectAttempts = 2
 	// maxForeignAnswers is how many answers to other requests are skipped on a connection
 	// before it is closed.
 	maxForeignAnswers = 2
@@ -374,6 +378,25 @@
 	return err
 }
 
+// Connect opens a connection to a runner, for a later request. Its error is ErrNotSent, with
+// ErrNoListener if the runner's host refused the connection.
+func (c *Client) Connect(ctx context.Context, r *core.Runner) error {
+	for range connectAttempts {
+		cn, err := c.get(ctx, r, true)
+		if err != nil {
+			return err
+		}
+		// The listener of a process that exits may accept a connection that it then resets.
+		core.Sleep(ctx, c.clock, connectSettle)
+		if cn.reusable() {
+			c.put(r.ID, cn, defaultIdleTimeout*idleTimeoutPercent/100)
+			return nil
+		}
+		_ = cn.Close()
+	}
+	return eris.Wrap(core.ErrNotSent, "the runner closed the connection at once")
+}
+
 // Report fetches a runner's loaded models and its state. It fails with ErrReplaced if
 // another instance answers.
 func (c *Client) Report(ctx context.Context, r *core.Runner) (*core.Report, error) {
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -410,3 +410,34 @@
 	}
 	assert.Equal(t, s.conns, 1, "a connection that carried nothing is not reused")
 }
+
+// TestConnectFindsAnExitedRunner guards against an exited runner that counts as running, because its
+// listener still accepted a connection while the process ended, and against a connection that is not
+// used by the next request.
+func TestConnectFindsAnExitedRunner(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", idHeader, r.Header.Get(idHeader))
+		return true
+	})
+	c := New(clockwork.NewRealClock(), platform.Dialect{})
+	assert.NilError(t, c.Connect(t.Context(), &s.runner))
+	reply, err := c.Send(t.Context(), &s.runner, &core.Request{ID: "q1", Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{idHeader: {"q1"}}}, core.Outgoing{})
+	assert.NilError(t, err)
+	_ = reply.Body.Close()
+	s.mu.Lock()
+	assert.Equal(t, s.conns, 1)
+	s.mu.Unlock()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() {
+		conn, err := ln.Accept()
+		_ = ln.Close()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}()
+	exited := core.Runner{ID: "i-2", Addr: netip.MustParseAddrPort(ln.Addr().String())}
+	assert.ErrorIs(t, c.Connect(t.Context(), &exited), core.ErrNoListener)
+	assert.ErrorIs(t, c.Connect(t.Context(), &exited), core.ErrNoListener)
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -199,14 +199,14 @@
 	d.peers.SetState(d.state)
 	d.peers.Handle(kindYield, d.handleYield)
 	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
-		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds))
+		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds), quarantine.WithConnector(d.runners))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
 		placement.NewBroadcaster(d.peers, d.catalog, d.clock, d.log).Broadcast, placement.WithGuard(d.quarantine), placement.WithAvailability(d.available))
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.DataCentre, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
+		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithExits(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	dispatch.WithHelpers(set.Name, forward.New(d.peers, platform.Dialect{}, d.clock), d.reach.Lost)(d.dispatcher)
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed))
 }
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -24,6 +24,7 @@
 	Body    string
 	Cut     bool // the connection ends before the end that the framing promises
 	Reset   bool // the connection is reset
+	Exit    bool // the runner's listener ends before the connection, as in the exit of a process
 }
 
 // SetRaw makes the runner answer the requests that it has begun to run with what fn returns; nil:
@@ -45,9 +46,9 @@
 	return fn(r)
 }
 
-// write writes the answer on the connection of a request and ends it. Errors mean that the caller
+// write writes a raw answer on the connection of a request and ends it. Errors mean that the caller
 // has disconnected.
-func (a *Raw) write(w http.ResponseWriter) {
+func (s *Server) write(a *Raw, w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -79,6 +80,9 @@
 	if _, err := conn.Write(body); err != nil {
 		return
 	}
+	if a.Exit {
+		_ = s.srv.Listener.Close()
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok && a.Reset {
 		time.Sleep(resetDelay)
 		_ = tcp.SetLinger(0) // Close resets the connection
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -368,7 +368,7 @@
 		return
 	}
 	if raw := s.rawAnswer(r); raw != nil {
-		raw.write(w)
+		s.write(raw, w)
 		return
 	}
 	if s.Events > 0 {
