Native interface: a stream ends behind its end marker, however it is framed

What callers saw: a stream without length or chunks was refused with `answer_without_end`, though its end marker shows its end; one that ended in the event of that marker, or had the marker's text in another event, counted as complete. Cause: the framing was asked before the content, and the marker was looked for in the last bytes, not at the start of a line with the end of its event. Evidence: TestStreamWithoutItsEndIsNotComplete and TestStreamThatEndsWithItsConnection, which failed. A plain answer without length or chunks is refused as before: it may be kept for a later repeat, and nothing but its runner's word would say that it is whole.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -359,8 +358,7 @@
 // hasEvents reports whether an answer is a series of events. One that does not state its content type
 // counts as such.
 func hasEvents(reply *core.Reply) bool {
-	contentType := reply.Header.Get("Content-Type")
-	return contentType == "" || strings.HasPrefix(strings.ToLower(contentType), "text/event-stream")
+	return reply.Header.Get("Content-Type") == "" || core.IsEventStream(reply.Header)
 }
 
 // checkStamp rejects successful answers that are not signed by the runner, or that are encoded.
--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -141,7 +141,7 @@
 // engine may still hold the stream, so the answer is resumed at the same offset over a new
 // connection; the caller sees neither a gap nor a repetition.
 func (a *Attempt) copyAnswer(ctx context.Context, ans *core.Answer) error {
-	tail := &tailCheck{enabled: isEventStream(ans.Header)}
+	tail := &tailCheck{enabled: core.IsEventStream(ans.Header)}
 	err := a.copyBody(ctx, ans.Body, tail)
 	for resumes := 0; err != nil && resumes < maxResumes && ctx.Err() == nil && a.Model != ""; resumes++ {
 		a.onResume()
@@ -179,10 +179,6 @@
 	}
 }
 
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 // tailCheck keeps the last bytes of an event stream to check that it ends with its end
 // marker.
 type tailCheck struct {
@@ -202,8 +198,17 @@
 	}
 }
 
+// complete reports whether the stream has ended behind its end marker, outside an event.
 func (t *tailCheck) complete() bool {
-	return !t.enabled || bytes.HasSuffix(bytes.TrimRight(t.tail, "\r\n"), doneMarker)
+	if !t.enabled {
+		return true
+	}
+	at := bytes.LastIndex(t.tail, doneMarker)
+	if at < 0 || at > 0 && t.tail[at-1] != '\n' && t.tail[at-1] != '\r' {
+		return false
+	}
+	ends := strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(string(t.tail[at+len(doneMarker):]))
+	return len(ends) > 1 && strings.Trim(ends, "\n") == ""
 }
 
 // classifyCopyError maps an error of copyAnswer to the error that the caller receives:
--- a/coordination/owner/attempt_test.go
+++ b/coordination/owner/attempt_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"primroseward/core"
 	"primroseward/state/answer"
 )
 
@@ -65,3 +71,55 @@
 	_, found := m.get("a")
 	assert.Assert(t, !found)
 }
+
+// scriptedEndpoint answers with a stream, and knows no stream to resume.
+type scriptedEndpoint struct {
+	core.Endpoint
+	text string
+	end  error
+}
+
+func (e scriptedEndpoint) Do(context.Context, core.Call) (*core.Answer, error) {
+	body := io.MultiReader(strings.NewReader(e.text), iotest.ErrReader(e.end))
+	return &core.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(body)}, nil
+}
+
+func (e scriptedEndpoint) Resume(context.Context, core.Call, int64) (*core.Answer, error) {
+	return nil, core.ErrNotFound
+}
+
+func (e scriptedEndpoint) Cancel(context.Context, string) error { return nil }
+
+// TestStreamWithoutItsEndIsNotComplete guards against a stream that breaks off and is kept as complete for
+// a later repeat.
+func TestStreamWithoutItsEndIsNotComplete(t *testing.T) {
+	const event = "data: {}\n\n"
+	for _, tt := range []struct {
+		name, text string
+		end        error
+		want       bool
+	}{
+		{"whole", event + "data: [DONE]\n\n", io.EOF, true},
+		{"whole, CRLF", "data: {}\r\n\r\ndata: [DONE]\r\n\r\n", io.EOF, true},
+		{"the marker alone", "data: [DONE]\n\n", io.EOF, true},
+		{"no marker", event, io.EOF, false},
+		{"nothing", "", io.EOF, false},
+		{"inside an event", event + "data: {", io.EOF, false},
+		{"inside the marker's event", event + "data: [DONE]\n", io.EOF, false},
+		{"before the marker's line end", event + "data: [DONE]", io.EOF, false},
+		{"the marker in a text", event + "data: x data: [DONE]\n\n", io.EOF, false},
+		{"something behind the marker", "data: [DONE]\n\ndata: {", io.EOF, false},
+		{"reset behind an event", event, io.ErrUnexpectedEOF, false},
+	} {
+		a, ctx := newRunningAttempt(false)
+		a.endpoint = scriptedEndpoint{text: tt.text, end: tt.end}
+		a.onAnswer = func(int, http.Header) *core.RequestError { return nil }
+		a.onResume = func() {}
+		a.Model, a.clock, a.Deadline = "m", clockwork.NewRealClock(), time.Now().Add(time.Minute)
+		a.run(core.NoGuard{}, func(*Attempt) {})
+		done, failure := a.Buffer.Done()
+		assert.Assert(t, done, tt.name)
+		assert.Equal(t, failure == nil, tt.want, "%s: %v", tt.name, failure)
+		assert.Assert(t, ctx.Err() != nil, tt.name)
+	}
+}
--- a/core/request.go
+++ b/core/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -72,6 +73,11 @@
 	FramingClose   Framing = "close" // the body ends with its connection
 )
 
+// IsEventStream reports whether the headers of an answer state that it is a series of events.
+func IsEventStream(h http.Header) bool {
+	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
+}
+
 // Reply is an endpoint's answer.
 type Reply struct {
 	Status  int
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -171,13 +171,14 @@
 }
 
 // verify refuses answers that may belong to another request, and answers whose body is
-// ended only by closing the connection, since a truncated body would look complete.
+// ended only by closing the connection, since a truncated body would look complete. A stream of
+// events has an end marker of its own.
 func (c *Client) verify(call core.Call, resp *http.Response) error {
 	id := resp.Header.Get(core.HeaderRequestID)
 	if id != call.Attempt && (id != "" || c.echo) {
 		return core.MayHaveRun("crossed_answer", fmt.Sprintf("answer carries id %q", id))
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(call.Method, resp.StatusCode) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !core.IsEventStream(resp.Header) && hasBody(call.Method, resp.StatusCode) {
 		return core.MayHaveRun("answer_without_end", "the answer has neither a length nor chunked encoding")
 	}
 	return nil
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -170,3 +170,24 @@
 	_, err = doWith(c, core.Call{Method: http.MethodPost, Path: "/none"})
 	assert.Equal(t, core.AsRequestError(err).Code, "crossed_answer")
 }
+
+// TestStreamThatEndsWithItsConnection guards against a stream without length and chunks that is refused
+// although its end marker shows where it ends; a plain answer shows no end of its own.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, tt := range []struct {
+		contentType string
+		accepted    bool
+	}{{"text/event-stream", true}, {"text/event-stream; charset=utf-8", true}, {"application/json", false}} {
+		s := serveRaw(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: "+tt.contentType+"\r\n\r\ndata: [DONE]\n\n")
+			return false
+		})
+		got, err := do(t, s, core.Call{Method: http.MethodPost, Path: "/"})
+		if tt.accepted {
+			assert.NilError(t, err, tt.contentType)
+			assert.Equal(t, got, "data: [DONE]\n\n")
+			continue
+		}
+		assert.Equal(t, core.AsRequestError(err).Code, "answer_without_end", tt.contentType)
+	}
+}
