Soak: runners that answer without length and break off, as a fault of its own

A runner answers without length and chunks for a while, and breaks every third answer off: inside an event by the end of the connection, by a reset or by a last chunk. The check is the callers' own, on the bytes that they read.

The soak's proxies and the stand-in for paths passed a reset on as a proper end of the connection, which such an answer would take for its end; they reset now.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -263,6 +263,7 @@
 	}},
 	{"paths to the runners", func(w *World, r *rand.Rand) string { return w.partition(r) }},
 	{"brittle runners", func(w *World, r *rand.Rand) string { return w.makeBrittle(r) }},
+	{"broken answers", func(w *World, r *rand.Rand) string { return w.breakAnswers(r) }},
 }
 
 // invalidEntries are entries of the store that no runner writes.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -152,9 +153,14 @@
 				return
 			}
 		}
-		if err != nil {
+		switch err {
+		case nil:
+			continue
+		case io.EOF:
 			_ = to.CloseWrite()
-			return
+		default:
+			l.reset() // a reset must not arrive as a proper end
 		}
+		return
 	}
 }
--- a/standin/paths/paths.go
+++ b/standin/paths/paths.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -187,12 +188,16 @@
 				return
 			}
 		}
-		if err != nil {
-			if !lost {
-				_ = to.CloseWrite()
-			}
-			return
+		switch {
+		case err == nil:
+			continue
+		case lost:
+		case err == io.EOF:
+			_ = to.CloseWrite()
+		default:
+			l.reset() // a reset must not arrive as a proper end
 		}
+		return
 	}
 }
 
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -28,7 +28,7 @@
 }
 
 // SetRaw makes the runner answer the requests that it has begun to run with what fn returns; nil:
-// as usual.
+// as usual. fn may be called by several requests at once.
 func (s *Server) SetRaw(fn func(r *http.Request) *Raw) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,10 +74,8 @@
 		body = a.chunks()
 	}
 	head.WriteString("\r\n")
-	if _, err := conn.Write([]byte(head.String())); err != nil {
-		return
-	}
-	if _, err := conn.Write(body); err != nil {
+	// In one piece, so that a path that drops data does not let the head through alone.
+	if _, err := conn.Write(append([]byte(head.String()), body...)); err != nil {
 		return
 	}
 	if a.Exit {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -367,6 +368,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	if raw := s.rawAnswer(r); raw != nil {
 		s.write(raw, w)
 		return
