--- a/proof/broken_test.go
+++ b/proof/broken_test.go
@@ -268,3 +268,21 @@
 	a = c.daemons[0].sendRaw(t, 1, "/live/x", "m1")
 	assert.Assert(t, a.status == http.StatusOK && !a.complete && a.body == fullStream(3), "%d, complete %v: %q", a.status, a.complete, a.body)
 }
+
+// TestBrokenStreamsThroughAForwardingDaemon guards against a stream that its runner broke off and that
+// looks complete behind a daemon that forwarded the request, and against a whole one that looks broken.
+func TestBrokenStreamsThroughAForwardingDaemon(t *testing.T) {
+	c := startForwardingFleet(t, 2)
+	for i, tt := range brokenStreams() {
+		c.gen.SetRaw(func(*http.Request) *runner.Raw { return &tt.raw })
+		for version := range 2 {
+			a := c.daemons[0].sendRaw(t, version, fmt.Sprintf("/live/%d-%d", version, i), "m1")
+			body := strings.ReplaceAll(a.body, "\r\n", "\n")
+			if tt.whole {
+				assert.Check(t, a.status == http.StatusOK && a.complete && body == fullStream(20), "HTTP/1.%d, %s: %d, complete %v, %q", version, tt.name, a.status, a.complete, a.body)
+				continue
+			}
+			assert.Check(t, a.status == http.StatusBadGateway || !a.complete, "HTTP/1.%d, %s: %d, complete %v, %q", version, tt.name, a.status, a.complete, a.body)
+		}
+	}
+}
--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"primroseward/core"
 	"primroseward/io/logs"
 	wire "primroseward/platform"
 	"primroseward/standin/platform"
@@ -237,6 +238,13 @@
 	return s
 }
 
+// crashWith returns a spec whose runners answer a fatal request with some text when they exit, and end
+// the answer with its connection.
+func crashWith(s runner.Spec, text string) runner.Spec {
+	s.FatalAnswer = &runner.Raw{Framing: core.FramingClose, Body: text, Exit: true}
+	return s
+}
+
 // TestRequestThatCrashesRunnersIsStopped guards against one request taking down all runners of
 // a service. Each runner that begins to run it exits, and all other requests on that runner
 // fail. Its caller sends it again under new ids, to any daemon. Daemons used to treat each
@@ -257,6 +265,8 @@
 	}{
 		{"stream", modelRunner, []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1"}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
 		{"stream, late crash", crashLate(modelRunner), []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1"}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"stream, closed inside an event", crashWith(modelRunner, fullStream(2)+"id: 3\nda"), []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1"}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
+		{"stream, closed between events", crashWith(modelRunner, fullStream(2)), []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1"}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
 		{"many caller addresses", modelRunner, []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1", sourceAddresses: 200}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
 		{"two requests", modelRunner, []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1"}, {path: "/gen/y", body: fatalBody + "2", model: "m2"}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
 		{"adapter", modelRunner, []callerRequest{{path: "/gen/x", body: fatalBody, model: "m1/a1"}}, callerRequest{path: "/gen/x", body: "harmless", model: "m1"}},
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -40,6 +40,9 @@
 	Fatal      func(body string) bool
 	FatalAfter time.Duration
 	Exited     func()
+	// FatalAnswer is what the runner answers to a fatal request when it exits; nil: nothing, or the
+	// head of a stream.
+	FatalAnswer *Raw
 	// AdvertisedAddr returns the address to register for the runner's listen address; nil: the
 	// listen address itself.
 	AdvertisedAddr func(addr string) string
@@ -386,13 +389,16 @@
 // crash makes the runner exit after FatalAfter, with all its connections; the head of a
 // stream has been sent by then. If the caller disconnects first, the runner does not exit.
 func (s *Server) crash(w http.ResponseWriter, r *http.Request) {
-	if s.Events > 0 {
+	if s.Events > 0 && s.FatalAnswer == nil {
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush() // fails if the caller has disconnected
 	}
 	select {
 	case <-r.Context().Done():
 	case <-time.After(s.FatalAfter):
+		if s.FatalAnswer != nil {
+			s.write(s.FatalAnswer, w)
+		}
 		s.exit()
 	}
 	panic(http.ErrAbortHandler)
