--- a/proof/broken_test.go
+++ b/proof/broken_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"primroseward/core"
 	wire "primroseward/platform"
+	"primroseward/standin/fuzz"
 	"primroseward/standin/runner"
 )
 
@@ -286,3 +288,60 @@
 		}
 	}
 }
+
+// endsInsideEvent is a plain reading of a stream of events: whether its text ends inside one, and how many
+// events are complete.
+func endsInsideEvent(text string) (inside bool, events int) {
+	text = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\r", "\n")
+	for line := range strings.Lines(text) {
+		switch {
+		case line == "\n" && inside:
+			inside, events = false, events+1
+		case line != "\n" && line[0] != ':':
+			inside = true
+		}
+	}
+	return inside, events
+}
+
+// TestAnyCutWithAnyFraming guards against a cut point, a framing, a line end or a version of HTTP with
+// which a broken stream looks complete, or a whole one broken.
+func TestAnyCutWithAnyFraming(t *testing.T) {
+	fuzz.FixSeeds(1, 200, 30)
+	c := startFleet(t, 1)
+	serial := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		serial++
+		events := ""
+		for i := range rapid.IntRange(0, 4).Draw(rt, "events") {
+			events += rapid.SampledFrom([]string{"", "", ": comment\n", "\n"}).Draw(rt, "between") + fmt.Sprintf("id: %d\ndata: piece\n\n", i+1)
+		}
+		text := strings.ReplaceAll(events, "\n", rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(rt, "line end"))
+		raw := runner.Raw{
+			Old:     rapid.Bool().Draw(rt, "HTTP/1.0 at the runner"),
+			Framing: rapid.SampledFrom([]core.Framing{core.FramingClose, core.FramingLength, core.FramingChunked}).Draw(rt, "framing"),
+			Body:    text[:rapid.IntRange(0, len(text)).Draw(rt, "cut")],
+		}
+		if raw.Framing == core.FramingClose {
+			raw.Reset = rapid.Bool().Draw(rt, "reset")
+		} else {
+			raw.Cut = rapid.Bool().Draw(rt, "framing cut")
+		}
+		if raw.Framing == core.FramingChunked {
+			raw.Old = false // HTTP/1.0 has no chunks
+		}
+		for _, r := range c.runners {
+			r.SetRaw(func(*http.Request) *runner.Raw { return &raw })
+		}
+		inside, complete := endsInsideEvent(raw.Body)
+		whole := !inside && !raw.Reset && !raw.Cut && (complete > 0 || raw.Framing != core.FramingClose)
+		version := rapid.IntRange(0, 1).Draw(rt, "HTTP version")
+		a := c.daemons[0].sendRaw(t, version, fmt.Sprintf("/live/%d", serial), "m1")
+		if whole {
+			assert.Assert(rt, a.status == http.StatusOK && a.complete && a.body == raw.Body, "%d, complete %v, %q of %q", a.status, a.complete, a.body, raw.Body)
+			return
+		}
+		assert.Assert(rt, a.status == http.StatusBadGateway || a.status == http.StatusOK && !a.complete, "%d, complete %v, %q of %q", a.status, a.complete, a.body, raw.Body)
+		assert.Assert(rt, a.status != http.StatusOK || strings.HasPrefix(raw.Body, a.body), "%q of %q", a.body, raw.Body)
+	})
+}
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -60,6 +60,9 @@
 		version = 0
 	}
 	fmt.Fprintf(&head, "HTTP/1.%d 200 OK\r\n", version)
+	if a.Framing != core.FramingClose {
+		head.WriteString("Connection: close\r\n") // otherwise the next request may be sent on it
+	}
 	_ = w.Header().Write(&head) // writing to a strings.Builder does not fail
 	body := []byte(a.Body)
 	switch a.Framing {
