--- a/coordination/dispatch/events.go
+++ b/coordination/dispatch/events.go
@@ -23,7 +23,7 @@
 	errNoEvent = errors.New("the connection ended before the first event")
 )
 
-// byteOrderMark may precede the first line of a stream.
+// A byte order mark may precede the first line of a stream.
 var (
 	byteOrderMark = []byte("\xef\xbb\xbf")
 	markedComment = []byte("\xef\xbb\xbf:")
@@ -38,6 +38,7 @@
 type eventReader struct {
 	in     io.Reader
 	budget *bufferBudget
+	onRead func() // called after each read that returned something; nil: nothing
 	lastID string // id of the last complete event returned
 	events int    // complete events returned
 	// partial is whether a part of an event has been returned without its end.
@@ -72,6 +73,9 @@
 		e.buf = append(e.buf, e.chunk[:n]...)
 		e.bytes += int64(n)
 		e.err = err
+		if n > 0 && e.onRead != nil {
+			e.onRead()
+		}
 		if whole := e.scan(); whole > 0 && (e.events > 0 || e.complete > 0 || e.partial) {
 			return e.take(whole), nil
 		}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -42,13 +42,19 @@
 	s.lastAt = now
 	s.reads++
 	s.j.stage = stageEvents
-	s.j.loadsOf(s.runner).RecordActivity(s.runner.ID)
+}
+
+// newEventReader returns a reader of the events of a runner's answer. Whatever the runner sends shows
+// that it works on the request, also a comment that is held back.
+func (j *job) newEventReader(r *core.Runner, body io.Reader) *eventReader {
+	loads := j.loadsOf(r)
+	return &eventReader{in: body, budget: &j.d.buffers, lastID: j.lastEvent, onRead: func() { loads.RecordActivity(r.ID) }}
 }
 
 // stream waits for the first event. If the answer breaks off before it, the request can
 // still be retried at another runner or be refused.
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
-	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: &eventReader{in: reply.Body, budget: &j.d.buffers, lastID: j.lastEvent}}
+	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: j.newEventReader(r, reply.Body)}
 	watch := j.watchForStall(r, max(minStall, stallTargets*j.route.Target), 0)
 	first, err := s.nextEvents()
 	watch.stop()
@@ -159,7 +165,7 @@
 		if err == nil && reply.Status == http.StatusOK && checkStamp(reply) == nil {
 			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID),
 				zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
-			s.runner, s.body, s.in = r, reply.Body, &eventReader{in: reply.Body, budget: &j.d.buffers, lastID: j.lastEvent}
+			s.runner, s.body, s.in = r, reply.Body, j.newEventReader(r, reply.Body)
 			s.harmless = false
 			return nil
 		}
--- a/coordination/dispatch/stream_test.go
+++ b/coordination/dispatch/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -250,3 +251,44 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, `{"choices":[]}`)
 }
+
+// tickingReader returns a comment at each interval, then the rest of the text.
+type tickingReader struct {
+	ctx  context.Context
+	left int
+	rest *strings.Reader
+}
+
+func (t *tickingReader) Read(p []byte) (int, error) {
+	if t.left == 0 {
+		return t.rest.Read(p)
+	}
+	t.left--
+	select {
+	case <-time.After(minStall / 2):
+		return copy(p, ": ping\n"), nil
+	case <-t.ctx.Done():
+		return 0, t.ctx.Err()
+	}
+}
+
+// TestCommentsShowThatARunnerWorks guards against a stream that is given up as silent while its runner
+// sends comments, which are held back before the first event.
+func TestCommentsShowThatARunnerWorks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{nextAct: script()}
+		d := newDispatcher(f, 3)
+		sends := 0
+		d.sender = senderFunc(func(ctx context.Context, _ *core.Runner, _ *core.Request, _ core.Outgoing) (*core.Reply, error) {
+			sends++
+			body := &tickingReader{ctx, 4, strings.NewReader(eventText("", eventCount))}
+			return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: core.ReplyInfo{Stamped: true}, Body: io.NopCloser(body)}, nil
+		})
+		r := route(core.KindStream, true, 3)
+		r.Timeout = time.Minute
+		_, body, err := call(d, r)
+		assert.NilError(t, err)
+		assert.Equal(t, sends, 1)
+		assert.Equal(t, body, strings.Repeat(": ping\n", 4)+eventText("", eventCount))
+	})
+}
