--- a/proof/broken_test.go
+++ b/proof/broken_test.go
@@ -96,21 +96,20 @@
 	}
 }
 
-// brokenStreams are ways in which a stream ends, with the text of its events.
-func brokenStreams() []struct {
+// streamEnd is a way in which a runner ends a stream.
+type streamEnd struct {
 	name  string
 	raw   runner.Raw
 	whole bool
-} {
+}
+
+// streamEnds are ways in which a stream of 20 events ends, or breaks off.
+func streamEnds() []streamEnd {
 	const events = 20
 	whole := fullStream(events)
 	crlf := strings.ReplaceAll(whole, "\n", "\r\n")
 	three := len(fullStream(3))
-	return []struct {
-		name  string
-		raw   runner.Raw
-		whole bool
-	}{
+	return []streamEnd{
 		{"whole, ends with its connection", runner.Raw{Framing: core.FramingClose, Body: whole}, true},
 		{"whole, CRLF, ends with its connection", runner.Raw{Framing: core.FramingClose, Body: crlf}, true},
 		{"whole, HTTP/1.0", runner.Raw{Old: true, Framing: core.FramingClose, Body: whole}, true},
@@ -136,7 +135,7 @@
 func TestStreamsThatBreakOffNeverLookComplete(t *testing.T) {
 	for _, version := range []int{1, 0} {
 		c := startFleet(t, 1)
-		for i, tt := range brokenStreams() {
+		for i, tt := range streamEnds() {
 			for _, r := range c.runners {
 				r.SetRaw(func(r *http.Request) *runner.Raw {
 					if r.Header.Get(wire.HeaderLastEvent) != "" || strings.HasPrefix(r.URL.Path, "/gen/") && !tt.whole && runsOfRequest(c, r) > 1 {
@@ -275,7 +274,7 @@
 // looks complete behind a daemon that forwarded the request, and against a whole one that looks broken.
 func TestBrokenStreamsThroughAForwardingDaemon(t *testing.T) {
 	c := startForwardingFleet(t, 2)
-	for i, tt := range brokenStreams() {
+	for i, tt := range streamEnds() {
 		c.gen.SetRaw(func(*http.Request) *runner.Raw { return &tt.raw })
 		for version := range 2 {
 			a := c.daemons[0].sendRaw(t, version, fmt.Sprintf("/live/%d-%d", version, i), "m1")
