Read back: one reading of an answer's framing, one of its content type

Cause: the framing of an answer was read in two places, by length and transfer encoding, in protocol/runner and again in protocol/endpoint with a list of bodiless answers of its own; the content type of streams in three, one of which (the relay) still read it apart from the owner, which compares without regard to case.

Change: core.FramingOf and core.IsEventStream serve them; the list of bodiless answers is gone, as net/http marks them itself. A relay now takes a content type in capitals for a stream as the owner does; nothing else behaves differently.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -124,7 +124,7 @@
 // WithGuard sets the guard that is consulted before each send.
 func WithGuard(g core.Guard) Option { return func(d *Dispatcher) { d.guard = g } }
 
-// WithExits sets what tells the end of an answer from the exit of its runner, if both look alike.
+// WithExits sets how the end of an answer is distinguished from the exit of its runner.
 func WithExits(e ExitDetector) Option { return func(d *Dispatcher) { d.exits = e } }
 
 // WithAllowance enforces the allowances of workspaces.
--- a/coordination/entry/relay.go
+++ b/coordination/entry/relay.go
@@ -64,7 +64,7 @@
 	h.Header.Set(core.HeaderRunner, r.runner.Runner)
 	h.Header.Set(core.HeaderDataCentre, r.runner.DataCentre)
 	r.head, r.status = &h, h.Status
-	r.eventStream = h.Status == http.StatusOK && strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream")
+	r.eventStream = h.Status == http.StatusOK && core.IsEventStream(h.Header)
 	if r.eventStream {
 		h.Header.Del("Content-Length")
 		r.out.SetHead(h)
--- a/core/request.go
+++ b/core/request.go
@@ -73,6 +73,17 @@
 	FramingClose   Framing = "close" // the body ends with its connection
 )
 
+// FramingOf returns how the end of an answer's body is marked.
+func FramingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return FramingLength
+	}
+	return FramingClose
+}
+
 // IsEventStream reports whether the headers of an answer state that it is a series of events.
 func IsEventStream(h http.Header) bool {
 	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -178,16 +178,12 @@
 	if id != call.Attempt && (id != "" || c.echo) {
 		return core.MayHaveRun("crossed_answer", fmt.Sprintf("answer carries id %q", id))
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !core.IsEventStream(resp.Header) && hasBody(call.Method, resp.StatusCode) {
+	if core.FramingOf(resp) == core.FramingClose && !core.IsEventStream(resp.Header) {
 		return core.MayHaveRun("answer_without_end", "the answer has neither a length nor chunked encoding")
 	}
 	return nil
 }
 
-func hasBody(method string, status int) bool {
-	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // Cancel makes the endpoint stop an attempt.
 func (c *Client) Cancel(ctx context.Context, attempt string) error {
 	_, err := c.callNative(ctx, http.MethodDelete, PathStreams+url.PathEscape(attempt), nil)
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -191,3 +191,17 @@
 		assert.Equal(t, core.AsRequestError(err).Code, "answer_without_end", tt.contentType)
 	}
 }
+
+// TestAnswersWithoutBodyNeedNoEnd guards against an answer that has no body by its method or status and is
+// refused because it has neither a length nor chunks.
+func TestAnswersWithoutBodyNeedNoEnd(t *testing.T) {
+	for _, tt := range []struct{ method, status string }{{http.MethodHead, "200 OK"}, {http.MethodGet, "204 No Content"}, {http.MethodGet, "304 Not Modified"}} {
+		s := serveRaw(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+tt.status+"\r\n\r\n")
+			return false
+		})
+		got, err := do(t, s, core.Call{Method: tt.method, Path: "/"})
+		assert.NilError(t, err, "%s %s", tt.method, tt.status)
+		assert.Equal(t, got, "")
+	}
+}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -305,7 +305,7 @@
 		}
 		info := c.dialect.ReadReply(resp.StatusCode, resp.Header)
 		if id == "" || info.RequestID == id {
-			framing := framingOf(resp)
+			framing := core.FramingOf(resp)
 			return &rawReply{
 				Reply:   core.Reply{Status: resp.StatusCode, Header: resp.Header, Info: info, Framing: framing},
 				raw:     resp.Body,
@@ -325,17 +325,6 @@
 	}
 }
 
-// framingOf returns how the end of an answer's body is marked.
-func framingOf(resp *http.Response) core.Framing {
-	switch {
-	case len(resp.TransferEncoding) > 0:
-		return core.FramingChunked
-	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
-		return core.FramingLength
-	}
-	return core.FramingClose
-}
-
 // call sends a report request, a check or an order, which carry no request ID, and reads the
 // complete answer.
 func (c *Client) call(ctx context.Context, r *core.Runner, method, path string, payload []byte, fresh bool) (int, []byte, error) {
