Logs: the software version of runners, and the stream that a request takes up

Cause: the logs of the incident do not say which version a runner has, whether a request takes a stream up and which. Change: the version of a runner's entry and the header Resumes are read and logged; no decision uses them.

--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -163,7 +163,7 @@
 		}
 		reply, err := j.send(s.ctx, r)
 		if err == nil && reply.Status == http.StatusOK && checkStamp(reply) == nil {
-			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID),
+			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("version", r.Version), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID), zap.String("brokenversion", s.runner.Version),
 				zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
 			s.runner, s.body, s.in = r, reply.Body, j.newEventReader(r, reply.Body)
 			s.harmless = false
@@ -224,7 +224,7 @@
 	if err == io.EOF {
 		err = nil
 	}
-	s.j.log.Info(logs.StreamEnded, zap.String("runner", s.runner.ID), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
+	s.j.log.Info(logs.StreamEnded, zap.String("runner", s.runner.ID), zap.String("version", s.runner.Version), zap.String("resumes", s.j.q.Resumes), zap.Duration("first", s.firstAt.Sub(s.j.q.Arrived)),
 		zap.Duration("target", s.j.route.Target), zap.Duration("gap", s.maxGap), zap.Duration("maxgap", s.j.route.MaxGap), zap.Int("reads", s.reads), zap.Bool("whole", s.err == io.EOF),
 		zap.String("framing", string(s.j.framing)), zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover), logs.Err(err), zap.Duration("took", s.lastAt.Sub(s.j.q.Arrived)))
 	return s.body.Close()
--- a/coordination/watch/apply.go
+++ b/coordination/watch/apply.go
@@ -100,7 +100,7 @@
 	old := w.catalog.Runner(r.ID)
 	w.catalog.Put(*r, w.clock.Now())
 	if old == nil || old.Draining != r.Draining {
-		w.log.Info(logs.RunnerChanged, zap.String("runner", r.ID), zap.String("service", r.Service), zap.Stringer("addr", r.Addr),
+		w.log.Info(logs.RunnerChanged, zap.String("runner", r.ID), zap.String("service", r.Service), zap.String("version", r.Version), zap.Stringer("addr", r.Addr),
 			zap.String("place", r.DataCentre), zap.Bool("draining", r.Draining), zap.Duration("leaves", r.LeavesIn))
 	}
 }
--- a/core/headers.go
+++ b/core/headers.go
@@ -17,6 +17,9 @@
 	// HeaderRetryAfter is the time in seconds, fractions allowed, for which an endpoint that
 	// answers with status 503 asks for no requests.
 	HeaderRetryAfter = "Retry-After"
+	// HeaderResumes names the attempt that brought the first event of a stream, in a caller's request
+	// that takes the stream up after its last event.
+	HeaderResumes = "Resumes"
 	// HeaderIdempotencyKey marks resends of the same request by a caller.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderRequest carries the caller's request id in requests and answers.
--- a/core/runner.go
+++ b/core/runner.go
@@ -20,6 +20,7 @@
 	ID         string
 	StartedAt  time.Time // start of the instance; zero if not given
 	Service    string
+	Version    string // of its software; empty if not given
 	Addr       netip.AddrPort
 	DataCentre string
 	Slots      int
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -3,8 +3,9 @@
 // Names of the log events, which are the messages of the lines. Each comment states when
 // the event is logged. docs/OPERATIONS.md shows how to read the events together.
 const (
-	// RunnerChosen: a request is sent to a runner: to which one, out of how many, the runner's
-	// assumed load, the limit that it announces, the digest of the request, and how long the
+	// RunnerChosen: a request is sent to a runner: to which one, of which software version, out of
+	// how many, the event after which the stream goes on and the attempt that the caller says has
+	// brought its first event, the runner's assumed load, the limit that it announces, the digest of the request, and how long the
 	// request is delayed to pace the prompts at the runner.
 	RunnerChosen = "runner chosen"
 	// RunnerLimit: the limit that a runner announces in its answers, in requests per second from
@@ -91,8 +92,8 @@
 	TrialStarted = "trial of a request held back"
 	// TrialRefused: the permission for a trial could not be obtained.
 	TrialRefused = "no leave for a trial"
-	// StreamResumed: a broken stream is resumed at another runner after an event; with the runner that
-	// broke it off, the bytes and events read there, and the bytes of an event that were dropped.
+	// StreamResumed: a broken stream is resumed at another runner after an event; with the software
+	// version of both, the runner that broke it off, the bytes and events read there, and the bytes of an event that were dropped.
 	StreamResumed = "stream resumed"
 	// StreamEnded: a stream has ended: the time to its first event, its longest pause, and whether
 	// it is complete; how the end of its last run's answer was marked, the bytes and events read of
