--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -25,6 +25,7 @@
 type Spec struct {
 	ID         string
 	Service    string
+	Version    string // of its software
 	DataCentre string
 	Slots      int           // twice as many requests run at the same time; 0: any number
 	Models     []string      // loaded at the start
@@ -220,7 +221,7 @@
 		address = s.AdvertisedAddr(address)
 	}
 	entry := platform.RunnerMessage{
-		StartedAt: &started, Service: s.Service, Address: address, Zone: s.DataCentre, Slots: s.Slots,
+		StartedAt: &started, Service: s.Service, Version: s.Version, Address: address, Zone: s.DataCentre, Slots: s.Slots,
 		State: platform.StateReady, Sequence: s.sequence, Models: s.loadedModels(),
 	}
 	if s.draining {
