Streams go on only at the software version that began them

What callers saw: a stream that was taken up, or resumed within one answer, went on at any runner with its model.

Cause: the version of a runner's entry was an input of no decision, and no daemon knew anything of a stream that another one began. Class: something of a service is taken for any other of it.

Change: package origin. A daemon records service and version of each stream before its first event is passed on. While several versions serve, the records go to three other daemons, found by hashing the stream's key; a daemon at which a caller takes the stream up asks these, in a small fleet all. While one version serves nothing is sent: the store lists each version before the first stream begins at it, and a daemon without a record reads that list; if it names one version, that one began the stream. Otherwise the stream is refused at once, not run. Runners of other versions are no candidates then, for placement neither; forwarded requests and their answers state the origin.

Tests: race-built coordination, transport, platform, core, state, services; proofs of forwarding, leaving, streams, paths.

--- a/coordination/dispatch/capacity_test.go
+++ b/coordination/dispatch/capacity_test.go
@@ -37,11 +37,11 @@
 		runs    []string
 	}{
 		{"has capacity", "a1", func(*Dispatcher, func(string)) {}, nil, []string{"r0"}},
-		{"is full", "a1", func(_ *Dispatcher, fill func(string)) { fill("r0") }, []PlacementKey{{"s", "m", "a1", true}}, []string{"r1"}},
-		{"is down", "a1", func(d *Dispatcher, _ func(string)) { d.loads.ConnectionRefused("r0") }, []PlacementKey{{"s", "m", "a1", true}}, []string{"r1"}},
+		{"is full", "a1", func(_ *Dispatcher, fill func(string)) { fill("r0") }, []PlacementKey{{Service: "s", Model: "m", Adapter: "a1", Busy: true}}, []string{"r1"}},
+		{"is down", "a1", func(d *Dispatcher, _ func(string)) { d.loads.ConnectionRefused("r0") }, []PlacementKey{{Service: "s", Model: "m", Adapter: "a1", Busy: true}}, []string{"r1"}},
 		{"all are full", "a1", func(_ *Dispatcher, fill func(string)) { fill("r0"); fill("r1") }, nil, nil},
 		{"the other is down", "a1", func(d *Dispatcher, fill func(string)) { fill("r0"); d.loads.ConnectionRefused("r1") }, nil, nil},
-		{"no runner has it", "a2", func(*Dispatcher, func(string)) {}, []PlacementKey{{"s", "m", "a2", false}}, []string{"r1"}},
+		{"no runner has it", "a2", func(*Dispatcher, func(string)) {}, []PlacementKey{{Service: "s", Model: "m", Adapter: "a2"}}, []string{"r1"}},
 		{"no adapter", "", func(_ *Dispatcher, fill func(string)) { fill("r0"); fill("r1") }, nil, nil},
 	}
 	for _, one := range cases {
--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -34,6 +34,9 @@
 	errPath        = errors.New(core.CodePath)
 )
 
+// finalReasons are those for which a stream that waits for a runner is given up at once.
+var finalReasons = []error{errUnreachable, errPath, errVersionGone}
+
 // messages are the texts sent to callers for each reason.
 var messages = map[error]string{
 	errAbsent:    "no runner has the model",
@@ -45,6 +48,7 @@
 
 	errUnreachable: "no runner could be reached",
 	errPath:        "this daemon has lost its path to the runners",
+	errVersionGone: "no runner of the version that began the stream is left",
 }
 
 // refuseFor refuses the request for one of the reasons in messages.
@@ -87,6 +91,9 @@
 // Its error is a key of messages.
 func (j *job) chooseRunner(ctx context.Context) (*core.Runner, error) {
 	holders, candidates := j.candidates()
+	if len(j.unadmitted) > 0 && j.admitVersions(ctx, len(candidates) == 0) {
+		holders, candidates = j.candidates()
+	}
 	i := j.pickCandidate(candidates)
 	if j.needsPlacement(candidates, i) {
 		if r := j.requestPlacement(ctx, len(candidates) > 0); r != nil {
@@ -96,6 +103,8 @@
 		i = j.pickCandidate(candidates)
 	}
 	switch {
+	case len(candidates) == 0 && j.origin != nil && !j.versionServes(""):
+		return nil, errVersionGone
 	case len(candidates) == 0 && j.sends > 0:
 		if j.noteBackoff() {
 			return nil, errBackoff
@@ -184,7 +193,7 @@
 
 // hasModel is like canServe but ignores the request's adapter.
 func (j *job) hasModel(e *catalog.Entry) bool {
-	return j.allows(e.DataCentre) && (j.q.Model == "" || e.Holds(j.q.Model))
+	return j.fitsOrigin(e) && j.allows(e.DataCentre) && (j.q.Model == "" || e.Holds(j.q.Model))
 }
 
 // requirements returns what the request needs of its runner.
@@ -216,6 +225,7 @@
 	now := j.d.clock.Now()
 	j.omitted, j.probeAwaited = nil, false
 	j.brittleRoom, j.brittleOwners = 0, nil
+	j.unadmitted = nil
 	for _, e := range j.d.catalog.Runners(j.service) {
 		if !j.suits(e) {
 			continue
@@ -227,6 +237,10 @@
 		if s.Leaving {
 			continue
 		}
+		if !j.mayBegin(e) {
+			j.addUnadmitted(e)
+			continue
+		}
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
 			ID: e.ID, Slots: e.Slots, Requests: s.Load.Requests, Penalty: s.Load.Penalty,
@@ -248,16 +262,26 @@
 func (j *job) requestPlacement(ctx context.Context, busy bool) *core.Runner {
 	j.placementRequested = true
 	began := j.d.clock.Now()
-	id, retry, err := j.d.placer.Place(ctx, PlacementKey{Service: j.service, Model: j.q.Model, Adapter: j.q.Adapter, Busy: busy})
+	key := PlacementKey{Service: j.service, Model: j.q.Model, Adapter: j.q.Adapter, Busy: busy}
+	if j.origin != nil {
+		key.Version = j.origin.Version
+	}
+	id, retry, err := j.d.placer.Place(ctx, key)
 	if err != nil {
 		j.retryAfter = retry
 		j.log.Info(logs.ModelNotPlaced, zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter), logs.Err(err))
 		return nil
 	}
 	e := j.d.catalog.Runner(id)
-	if e == nil || j.tried[id] || !j.allows(e.DataCentre) || !j.d.available.State(e).Accepts() {
+	if e == nil || j.tried[id] || !j.fitsOrigin(e) || !j.allows(e.DataCentre) || !j.d.available.State(e).Accepts() {
 		return nil
 	}
+	if !j.mayBegin(e) {
+		j.unadmitted = nil
+		if j.addUnadmitted(e); !j.admitVersions(ctx, true) {
+			return nil
+		}
+	}
 	if j.q.Adapter != "" {
 		j.d.catalog.RecordHolding(id, j.q.Model, j.q.Adapter, true)
 	}
--- a/coordination/dispatch/demand.go
+++ b/coordination/dispatch/demand.go
@@ -11,6 +11,8 @@
 	Service string `json:"service"`
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
+	// Version is the software version that the runner must have; empty: any.
+	Version string `json:"version,omitempty"`
 	// Busy is set if the runners that have the adapter are full and another one is needed.
 	Busy bool `json:"busy,omitempty"`
 }
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"primroseward/coordination/allowance"
 	"primroseward/coordination/availability"
 	"primroseward/coordination/load"
+	"primroseward/coordination/origin"
 	"primroseward/coordination/policy"
 	"primroseward/core"
 	"primroseward/io/logs"
@@ -105,6 +106,7 @@
 	helpers  Helpers
 	pathLost func() bool
 	self     string
+	origins  core.Origins
 	// settings is nil if there is no settings tree.
 	settings *settings
 }
@@ -148,6 +150,9 @@
 	for _, o := range opts {
 		o(d)
 	}
+	if d.origins == nil {
+		d.origins = origin.New(c.Versions, clock, log)
+	}
 	if d.available == nil {
 		d.available = availability.New(clock, c, loads, d.limits, log)
 	}
@@ -208,6 +213,9 @@
 	countedElsewhere   bool               // allowance and limits are counted by the daemon that sends the request
 	leaveLimits        func()             // counts the request out of the limits of the settings
 	lastEvent          string             // id of the last event passed on
+	origin             *core.Origin       // where the stream began; nil: it has not begun, or it is not known
+	unadmitted         []core.Origin      // left out of the latest choice, as no stream may begin there yet
+	endStream          func()             // called when the stream has ended
 	cancelSend         context.CancelFunc // closes the connection of the latest send
 	answerBegan        func()             // called when the answer to the latest send has begun
 	log                *zap.Logger
@@ -222,12 +230,16 @@
 	}
 	j := &job{
 		d: d, q: q, route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent,
-		log: d.log.With(zap.String("request", q.ID), zap.String("route", route.Name)), leaveLimits: func() {}, releaseRoom: func() {},
+		log: d.log.With(zap.String("request", q.ID), zap.String("route", route.Name)), leaveLimits: func() {}, releaseRoom: func() {}, endStream: func() {},
 	}
 	if q.Forward != nil {
 		j.runs = q.Forward.Runs
 		j.log.Info(logs.ForwardReceived, zap.String("from", q.Forward.From), zap.Int("runs", q.Forward.Runs), zap.Int("attempts", q.Forward.Attempts), zap.Duration("left", limit))
 	}
+	if err := j.findOrigin(ctx); err != nil {
+		d.requestDone(j, nil, err)
+		return nil, err
+	}
 	j.countedElsewhere = d.pathLost() && j.hasHelper() // it is forwarded without an attempt of this daemon's own
 	if err := j.admit(); err != nil {
 		d.requestDone(j, nil, err)
@@ -244,6 +256,7 @@
 		j.refundLimit()
 		cancel()
 		j.leaveLimits()
+		j.endStream()
 		d.running.Add(-1)
 	}
 	if !j.countedElsewhere {
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -141,7 +141,7 @@
 	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
 	j.granted = max(1, j.maxRuns()-j.runs-1)
 	out := core.Outgoing{Timeout: left, Priority: -1, LastEvent: j.lastEvent, Forward: &core.Forward{
-		From: j.d.self, Runs: j.runs, Attempts: j.granted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller,
+		From: j.d.self, Runs: j.runs, Attempts: j.granted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller, Origin: j.origin,
 	}}
 	endLoad := j.d.helpers.Loads().Begin(to.ID)
 	ctx, j.cancelSend = context.WithCancel(ctx)
--- a/coordination/dispatch/forward_test.go
+++ b/coordination/dispatch/forward_test.go
@@ -38,7 +38,7 @@
 func (o *otherDaemons) Send(_ context.Context, _ *core.Runner, _ *core.Request, out core.Outgoing) (*core.Reply, error) {
 	o.sent = append(o.sent, out)
 	if len(o.answers) == 0 {
-		return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1}, eventText(out.LastEvent, eventCount), nil), nil
+		return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1, Origin: &core.Origin{Service: "s"}}, eventText(out.LastEvent, eventCount), nil), nil
 	}
 	next := o.answers[0]
 	o.answers = o.answers[1:]
@@ -61,7 +61,7 @@
 	}
 	mayHaveRun := refuses(&core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusBadGateway, Code: "answer_lost", Runs: 1})
 	breaksOff := func() (*core.Reply, error) {
-		return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1}, eventText("", 3)+"id: 4\nda", core.ErrAnswerLost), nil
+		return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1, Origin: &core.Origin{Service: "s"}}, eventText("", 3)+"id: 4\nda", core.ErrAnswerLost), nil
 	}
 	for _, tt := range []struct {
 		name    string
--- a/coordination/dispatch/metrics.go
+++ b/coordination/dispatch/metrics.go
@@ -91,6 +91,11 @@
 	m.scope.Tagged(map[string]string{"outcome": outcomeOf(reply, err)}).Counter("requests_helped").Inc(1)
 }
 
+// takenUp counts a request that takes a stream up after an event.
+func (m *metrics) takenUp(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("streams_taken_up").Inc(1)
+}
+
 // cut counts an answer that broke off after a part of it had been passed on.
 func (m *metrics) cut() { m.outcomes[outcomeCut].Inc(1) }
 
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -151,6 +151,10 @@
 	if j.retryAfter > 0 && (code == errAbsent.Error() || code == errDown.Error() || code == errLimited.Error() || code == errBackoff.Error() || code == core.CodePath) {
 		retry = j.retryAfter
 	}
+	if code == errVersionGone.Error() {
+		retry = 0
+		j.d.metrics.takenUp(takenUpGone)
+	}
 	log := j.log
 	if code == errLimited.Error() {
 		log = log.With(j.limitFields...)
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,13 @@
 		_ = reply.Body.Close()
 		return nil, j.handleError(ctx, r, eris.Wrap(err, "before the first event"))
 	}
+	if s.in.events > 0 || s.in.partial {
+		if err := j.begin(r, reply); err != nil {
+			s.in.close()
+			_ = reply.Body.Close()
+			return nil, j.handleError(ctx, r, err)
+		}
+	}
 	j.committed = s.in.partial
 	reply.Header.Del("Content-Length") // of this run alone; the stream may be resumed
 	s.ready, s.err = first, err
@@ -154,6 +162,9 @@
 	if err := j.handleError(s.ctx, s.runner, eris.Wrap(cause, "stream")); err != nil {
 		return err
 	}
+	if err := j.learnOrigin(s.ctx); err != nil {
+		return err
+	}
 	j.resumed, j.placementRequested = true, false
 	until, rejections := s.lastAt.Add(j.eventWait()), 0
 	for {
@@ -162,6 +173,11 @@
 			return err
 		}
 		reply, err := j.send(s.ctx, r)
+		if err == nil && !reply.Info.NotRun {
+			if _, err = j.checkOrigin(r, reply); err != nil {
+				_ = reply.Body.Close()
+			}
+		}
 		if err == nil && reply.Status == http.StatusOK && checkStamp(reply) == nil {
 			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("version", r.Version), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID), zap.String("brokenversion", s.runner.Version),
 				zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
@@ -200,7 +216,10 @@
 			}
 			continue
 		}
-		if s.ctx.Err() != nil || err == errUnreachable || err == errPath || !j.d.clock.Now().Add(pause).Before(until) || err == errBackoff && !j.backoffUntil.Before(until) {
+		if !j.versionServes(s.runner.ID) {
+			err = errVersionGone // its caller may take it up at once, at the same runner too
+		}
+		if s.ctx.Err() != nil || slices.Contains(finalReasons, err) || !j.d.clock.Now().Add(pause).Before(until) || err == errBackoff && !j.backoffUntil.Before(until) {
 			return nil, j.refuseFor(err)
 		}
 		core.Sleep(s.ctx, j.d.clock, pause)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -141,5 +141,6 @@
 	info := d.Dialect.ReadReply(status, h)
 	info.RequestID, info.Instance = h.Get(core.HeaderRequest), ""
 	info.Runs, _ = strconv.Atoi(h.Get(core.HeaderRuns)) // absent: 0
+	info.Origin = core.ReadOrigin(h)
 	return info
 }
--- /dev/null
+++ b/coordination/origin/origin.go
@@ -0,0 +1,270 @@
+// Package origin knows at which software versions streams began, so that a stream goes on only at
+// the version that began it. Each daemon records the streams that begin here, and while runners of
+// several versions serve it sends the records to a few other daemons, found by hashing the stream's
+// key. A daemon at which a caller takes a stream up asks these. While one version serves nothing is
+// sent: the store lists each version before the first stream begins at it, and a daemon that has no
+// record reads that list.
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"primroseward/coordination/peers"
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+const (
+	// askTimeout bounds the question to other daemons, askResend is when it is sent again in case a
+	// datagram was lost.
+	askTimeout = 200 * time.Millisecond
+	askResend  = 50 * time.Millisecond
+	// readTimeout bounds a read of the store.
+	readTimeout = 500 * time.Millisecond
+	// sweepInterval is how often expired records are dropped, and streams in progress are looked
+	// through for those that no other daemon knows yet.
+	sweepInterval = 500 * time.Millisecond
+)
+
+// Network is the messages between daemons. *peers.Peers implements it.
+type Network interface {
+	Handle(kind string, h peers.Handler)
+	Alive() []peers.Peer
+	Large() bool
+	Request(ctx context.Context, to peers.Peer, kind string, request, out any, resend time.Duration) error
+	Send(to peers.Peer, kind string, message any)
+}
+
+// Tracker is one daemon's part of the knowledge of where streams began. It implements core.Origins.
+type Tracker struct {
+	net      Network
+	registry *Registry
+	versions func(service string) int
+	clock    core.Clock
+	log      *zap.Logger
+	scope    tally.Scope
+
+	table   *Table
+	sender  *sender
+	reader  *reader
+	mu      sync.Mutex
+	nextID  uint64
+	running map[uint64]*running // streams that have begun here and not ended
+
+	wg   sync.WaitGroup
+	stop context.CancelFunc
+}
+
+// running is a stream in progress.
+type running struct {
+	copyOf
+	sent bool // to other daemons
+}
+
+var _ core.Origins = (*Tracker)(nil)
+
+// Option configures a Tracker.
+type Option func(*Tracker)
+
+// WithScope sets the scope of the metrics.
+func WithScope(s tally.Scope) Option { return func(t *Tracker) { t.scope = s } }
+
+// WithNetwork shares the records with the other daemons.
+func WithNetwork(net Network) Option { return func(t *Tracker) { t.net = net } }
+
+// WithRegistry sets where versions are admitted. Without it all are.
+func WithRegistry(r *Registry) Option { return func(t *Tracker) { t.registry = r } }
+
+// New returns a Tracker and registers its message handlers. versions returns how many software versions
+// the runners of a service have that this daemon knows.
+func New(versions func(service string) int, clock core.Clock, log *zap.Logger, opts ...Option) *Tracker {
+	t := &Tracker{versions: versions, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), running: map[uint64]*running{}}
+	for _, o := range opts {
+		o(t)
+	}
+	t.reader = newReader(t.registry, clock)
+	if t.net != nil {
+		t.sender = newSender(t.net, clock, log)
+		t.net.Handle(kindRecords, t.handleRecords)
+		t.net.Handle(kindAsk, t.handleAsk)
+		t.net.Handle(kindAdmitted, t.handleAdmitted)
+	}
+	return t
+}
+
+// Start starts to send records.
+func (t *Tracker) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.stop = cancel
+	t.wg.Add(1)
+	go t.run(ctx)
+	if t.sender != nil {
+		t.wg.Add(1)
+		go t.sender.run(ctx, &t.wg)
+	}
+}
+
+// Stop stops the Tracker and waits for its goroutines.
+func (t *Tracker) Stop() {
+	t.stop()
+	t.wg.Wait()
+}
+
+func (t *Tracker) run(ctx context.Context) {
+	defer t.wg.Done()
+	tick := t.clock.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+			t.table.Sweep()
+			t.sendRunning()
+			t.scope.Gauge("stream_records").Update(float64(t.table.Len()))
+		}
+	}
+}
+
+// several reports whether streams of a service may have begun at different versions, as far as this
+// daemon knows.
+func (t *Tracker) several(service string) bool {
+	return t.versions(service) > 1 || t.registry != nil && t.registry.Several(service)
+}
+
+// sendRunning sends the records of streams that began while one version served, once there are
+// several.
+func (t *Tracker) sendRunning() {
+	if t.sender == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	several := map[string]bool{}
+	for _, r := range t.running {
+		if r.sent {
+			continue
+		}
+		known, ok := several[r.origin.Service]
+		if !ok {
+			known = t.several(r.origin.Service)
+			several[r.origin.Service] = known
+		}
+		if known {
+			r.sent = true
+			t.sender.add(r.copyOf)
+		}
+	}
+}
+
+// Admitted implements core.Origins.
+func (t *Tracker) Admitted(o core.Origin) bool { return t.registry == nil || t.registry.Admitted(o) }
+
+// Admit implements core.Origins. If this daemon does not reach the store, another one that knows the
+// version as admitted suffices.
+func (t *Tracker) Admit(ctx context.Context, o core.Origin) bool {
+	if t.registry == nil || t.registry.Admit(ctx, o) {
+		return true
+	}
+	if t.net == nil {
+		return false
+	}
+	known, _ := ask(ctx, t.net, t.targets(nil), kindAdmitted, o, func(_ string, got bool) bool { return got })
+	if known {
+		t.registry.Learn(o)
+	}
+	return known
+}
+
+func (t *Tracker) handleAdmitted(from peers.Peer, body json.RawMessage, answer func(any)) {
+	var o core.Origin
+	if err := json.Unmarshal(body, &o); err != nil {
+		t.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+		return
+	}
+	answer(t.registry != nil && t.registry.Admitted(o))
+}
+
+// Begin implements core.Origins.
+func (t *Tracker) Begin(k core.StreamKey, workspace *core.Workspace, o core.Origin) (done func()) {
+	r := &running{copyOf: copyOf{key: k, origin: o}}
+	if workspace != nil {
+		r.owner = workspace.Code
+	}
+	t.table.Put(k, r.owner, o)
+	if t.sender == nil {
+		return func() {}
+	}
+	if t.several(o.Service) {
+		r.sent = true
+		t.sender.add(r.copyOf)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextID++
+	id := t.nextID
+	t.running[id] = r
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.running, id)
+	}
+}
+
+// Find implements core.Origins.
+func (t *Tracker) Find(ctx context.Context, k *core.StreamKey, service string) (core.Origin, error) {
+	began := t.clock.Now()
+	if k != nil {
+		if r, ok := t.table.Get(*k); ok {
+			t.log.Debug(logs.OriginFound, zap.Stringer("stream", k), zap.String("from", "own"), zap.String("version", r.Origin.Version), zap.Duration("age", r.Age))
+			return r.Origin, nil
+		}
+	}
+	several := t.several(service)
+	soleErr := core.ErrOriginUnknown
+	if !several {
+		o, err := t.reader.sole(ctx, service)
+		if err == nil {
+			t.log.Debug(logs.OriginFound, zap.Stringer("stream", k), zap.String("from", "store"), zap.String("version", o.Version), zap.Duration("took", t.clock.Since(began)))
+			return o, nil
+		}
+		soleErr = err
+	}
+	askErr := core.ErrOriginUnknown
+	if k != nil && t.net != nil {
+		var got found
+		var source string
+		known, silent := ask(ctx, t.net, t.targets(k), kindAsk, *k, func(from string, f found) bool {
+			got, source = f, from
+			return f.Known
+		})
+		if known {
+			t.log.Info(logs.OriginFound, zap.Stringer("stream", k), zap.String("from", source), zap.String("version", got.Origin.Version), zap.Duration("age", time.Duration(got.Age)), zap.Duration("took", t.clock.Since(began)))
+			t.table.Put(*k, got.Owner, got.Origin)
+			return got.Origin, nil
+		}
+		if silent > 0 {
+			askErr = core.ErrOriginUnanswered
+		}
+	}
+	if several {
+		o, err := t.reader.sole(ctx, service)
+		if err == nil {
+			return o, nil
+		}
+		soleErr = err
+	}
+	t.log.Info(logs.OriginUnknown, zap.Stringer("stream", k), zap.String("service", service), zap.Bool("several", several), zap.Duration("took", t.clock.Since(began)),
+		zap.NamedError("daemons", askErr), zap.NamedError("store", soleErr))
+	if errors.Is(soleErr, core.ErrOriginUnanswered) {
+		return core.Origin{}, soleErr
+	}
+	return core.Origin{}, askErr
+}
--- a/coordination/placement/adapters.go
+++ b/coordination/placement/adapters.go
@@ -101,7 +101,12 @@
 
 // mayServe reports whether requests for a model or adapter may be sent to a runner.
 func (h *Holder) mayServe(rs *runnerState, w dispatch.PlacementKey) bool {
-	return rs.usable(w.Service) && h.allowed(w.Service, w.Model, rs.runner.DataCentre)
+	return rs.usable(w.Service) && rs.hasVersion(w) && h.allowed(w.Service, w.Model, rs.runner.DataCentre)
+}
+
+// hasVersion reports whether a runner has the software version that a request needs.
+func (rs *runnerState) hasVersion(w dispatch.PlacementKey) bool {
+	return w.Version == "" || rs.runner.Version == w.Version
 }
 
 func (rs *runnerState) usable(service string) bool {
@@ -156,13 +161,19 @@
 	}
 }
 
-// answerWaiters answers the requests that wait for an adapter. If a runner has been found,
-// this includes those that wait with the opposite value of Busy.
+// answerWaiters answers the requests that wait for an adapter. If a runner has been found, this
+// includes those that wait with the opposite value of Busy, as a runner that has just loaded the
+// adapter has capacity for both, and those for which the runner's version is as good.
 func (h *Holder) answerWaiters(w dispatch.PlacementKey, p PlaceResult) {
 	h.answerEach(w, p)
-	if p.Runner != "" {
-		w.Busy = !w.Busy // a runner that has just loaded the adapter has capacity for both
-		h.answerEach(w, p)
+	rs := h.runners[p.Runner]
+	if rs == nil {
+		return
+	}
+	for other := range h.waiting {
+		if other.Service == w.Service && other.Model == w.Model && other.Adapter == w.Adapter && rs.hasVersion(other) {
+			h.answerEach(other, p)
+		}
 	}
 }
 
--- a/core/forward.go
+++ b/core/forward.go
@@ -19,6 +19,7 @@
 	HasKey   bool       // the caller has shown a key
 	Key      KeyID      // of the caller
 	Caller   netip.Addr // address of the caller
+	Origin   *Origin    // where the stream began that the request continues; nil: not known, or a new stream
 }
 
 // forwardHeaders are the headers of a forwarded request that are not passed on to runners.
@@ -29,6 +30,7 @@
 	for _, name := range forwardHeaders {
 		h.Del(name)
 	}
+	WriteOrigin(h, f.Origin)
 	h.Set(HeaderFrom, f.From)
 	h.Set(HeaderRuns, strconv.Itoa(f.Runs))
 	h.Set(HeaderAttempts, strconv.Itoa(f.Attempts))
@@ -65,6 +67,7 @@
 			return nil, eris.Wrapf(ErrInvalid, "%s: %v", HeaderCaller, err)
 		}
 	}
+	f.Origin = ReadOrigin(h)
 	for _, name := range forwardHeaders {
 		h.Del(name)
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -62,6 +62,7 @@
 	Backoff   Backoff // only with status 503
 	Instance  string  // ID of the instance that answered; empty if not stated
 	Runs      int     // sends that may have run, as another daemon states in its answer to a forwarded request
+	Origin    *Origin // of the stream; from another daemon as that one states it, nil: it does not
 }
 
 // Framing is how the end of an answer's body is marked on the wire.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -95,6 +95,16 @@
 	// StreamResumed: a broken stream is resumed at another runner after an event; with the software
 	// version of both, the runner that broke it off, the bytes and events read there, and the bytes of an event that were dropped.
 	StreamResumed = "stream resumed"
+	// VersionAdmitted: the store lists a software version of a service from now on, at which streams may
+	// begin.
+	VersionAdmitted = "version admitted"
+	// VersionNotAdmitted: the store could not be read or written; no streams begin at the version yet.
+	VersionNotAdmitted = "version not admitted"
+	// OriginFound: a caller takes a stream up, and it is known at which version it began: from this
+	// daemon's own record, another daemon's, or the store, which lists one version only.
+	OriginFound = "origin of a stream found"
+	// OriginUnknown: a caller takes a stream up, and it is not known at which version it began.
+	OriginUnknown = "origin of a stream not known"
 	// StreamEnded: a stream has ended: the time to its first event, its longest pause, and whether
 	// it is complete; how the end of its last run's answer was marked, the bytes and events read of
 	// that answer, the bytes of an event that were dropped, and the error that ended it.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"primroseward/coordination/lease"
 	"primroseward/coordination/limit"
 	"primroseward/coordination/load"
+	"primroseward/coordination/origin"
 	"primroseward/coordination/peers"
 	"primroseward/coordination/placement"
 	"primroseward/coordination/policy"
@@ -122,6 +123,7 @@
 	placer     *placement.Client
 	dispatcher *dispatch.Dispatcher
 	quarantine *quarantine.Quarantine
+	origins    *origin.Tracker
 	allowances *allowance.Pool
 	limits     *allowance.Limits
 	available  *availability.Table
@@ -200,13 +202,14 @@
 	d.peers.Handle(kindYield, d.handleYield)
 	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
 		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds), quarantine.WithConnector(d.runners))
+	d.origins = origin.New(d.catalog.Versions, d.clock, d.log, origin.WithScope(d.scope), origin.WithNetwork(d.peers), origin.WithRegistry(origin.NewRegistry(d.store, d.clock, d.log)))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
 		placement.NewBroadcaster(d.peers, d.catalog, d.clock, d.log).Broadcast, placement.WithGuard(d.quarantine), placement.WithAvailability(d.available))
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.DataCentre, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithExits(d.quarantine), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
+		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithExits(d.quarantine), dispatch.WithOrigins(d.origins), dispatch.WithAllowance(d.allowances), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	dispatch.WithHelpers(set.Name, forward.New(d.peers, platform.Dialect{}, d.clock), d.reach.Lost)(d.dispatcher)
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed))
 }
@@ -343,6 +346,7 @@
 	d.holder.Start()
 	d.placer.Start()
 	d.quarantine.Start()
+	d.origins.Start()
 	d.log.Info(logs.Started, zap.String("place", d.set.DataCentre), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
@@ -427,6 +431,7 @@
 	d.placer.Stop()
 	d.reach.Stop()
 	d.quarantine.Stop()
+	d.origins.Stop()
 	d.watcher.Stop()
 	for _, s := range d.servers {
 		_ = s.Close()
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -142,6 +142,15 @@
 	return list
 }
 
+// Versions returns how many software versions the runners of a service have.
+func (c *Catalog) Versions(service string) int {
+	seen := map[string]bool{}
+	for _, e := range c.Runners(service) {
+		seen[e.Version] = true
+	}
+	return len(seen)
+}
+
 // All returns all runners by id.
 func (c *Catalog) All() map[string]*Entry {
 	c.mu.RLock()
--- a/transport/front/forwarded.go
+++ b/transport/front/forwarded.go
@@ -37,14 +37,15 @@
 
 // setRefusal sets the headers of a refusal.
 func (w *forwardedWriter) setRefusal(e *core.RequestError) {
-	w.setAnswer(e.Runs)
+	w.setAnswer(e.Runs, nil)
 	w.Header().Set(core.HeaderCode, e.Code)
 	w.Header().Set(core.HeaderOutcome, string(e.Outcome))
 }
 
-// setAnswer sets the headers of any answer: to which request it is, and how many sends of that may
-// have run.
-func (w *forwardedWriter) setAnswer(runs int) {
+// setAnswer sets the headers of any answer: to which request it is, how many sends of that may have run,
+// and where its stream began.
+func (w *forwardedWriter) setAnswer(runs int, o *core.Origin) {
+	core.WriteOrigin(w.Header(), o)
 	w.Header().Set(core.HeaderRequest, w.id)
 	w.Header().Set(core.HeaderRuns, strconv.Itoa(runs))
 	w.Header().Del(core.HeaderCode)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -265,7 +265,7 @@
 		header[name] = values
 	}
 	if to, ok := w.(*forwardedWriter); ok {
-		to.setAnswer(reply.Info.Runs)
+		to.setAnswer(reply.Info.Runs, reply.Info.Origin)
 	}
 	for _, name := range hopHeaders {
 		header.Del(name)
