--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -46,7 +46,8 @@
 type Tracker struct {
 	net      Network
 	registry *Registry
-	versions func(service string) int
+	versions func(service string) []string
+	retires  func() bool
 	clock    core.Clock
 	log      *zap.Logger
 	scope    tally.Scope
@@ -82,10 +83,14 @@
 // WithRegistry sets where versions are admitted. Without it all are.
 func WithRegistry(r *Registry) Option { return func(t *Tracker) { t.registry = r } }
 
-// New returns a Tracker and registers its message handlers. versions returns how many software versions
+// WithRetirement sets the function that reports whether this daemon is the one that removes versions
+// from the store's lists. Without it none are removed.
+func WithRetirement(fn func() bool) Option { return func(t *Tracker) { t.retires = fn } }
+
+// New returns a Tracker and registers its message handlers. versions returns the software versions that
 // the runners of a service have that this daemon knows.
-func New(versions func(service string) int, clock core.Clock, log *zap.Logger, opts ...Option) *Tracker {
-	t := &Tracker{versions: versions, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), running: map[uint64]*running{}}
+func New(versions func(service string) []string, clock core.Clock, log *zap.Logger, opts ...Option) *Tracker {
+	t := &Tracker{versions: versions, retires: func() bool { return false }, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), running: map[uint64]*running{}}
 	for _, o := range opts {
 		o(t)
 	}
@@ -128,6 +133,7 @@
 		case <-tick.Chan():
 			t.table.Sweep()
 			t.sendRunning()
+			t.maintainLists(ctx)
 			t.scope.Gauge("stream_records").Update(float64(t.table.Len()))
 		}
 	}
@@ -136,7 +142,25 @@
 // several reports whether streams of a service may have begun at different versions, as far as this
 // daemon knows.
 func (t *Tracker) several(service string) bool {
-	return t.versions(service) > 1 || t.registry != nil && t.registry.Several(service)
+	return len(t.versions(service)) > 1 || t.registry != nil && t.registry.Several(service)
+}
+
+// maintainLists keeps the store's lists, and what is known of them here, up to date with the runners.
+func (t *Tracker) maintainLists(ctx context.Context) {
+	if t.registry == nil {
+		return
+	}
+	for _, service := range t.registry.services() {
+		retired, stale := t.registry.observe(service, t.versions(service))
+		if t.retires() {
+			for _, o := range retired {
+				t.registry.retire(ctx, o)
+			}
+		}
+		if stale {
+			t.registry.refresh(ctx, service)
+		}
+	}
 }
 
 // sendRunning sends the records of streams that began while one version served, once there are
--- a/coordination/origin/registry.go
+++ b/coordination/origin/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,14 @@
 	admitTimeout = time.Second
 	// admitPause is how long after a failed admission the next one may begin.
 	admitPause = 300 * time.Millisecond
+	// forgetAfter is how long after it saw the last runner of a version a daemon has that version
+	// admitted anew before the next stream begins at it.
+	forgetAfter = time.Minute
+	// retireAfter is how long a version must have had no runner before it is marked as retiring, and
+	// then again before it is removed. Both are far longer than forgetAfter and than any stream.
+	retireAfter = 10 * time.Minute
+	// refreshInterval is how often a list that names more versions than have runners is read again.
+	refreshInterval = time.Minute
 	// admitTries bounds the attempts to admit a version while other daemons change the same object.
 	admitTries = 4
 )
@@ -30,6 +39,9 @@
 // admitted is the object of a service.
 type admitted struct {
 	Names []string `json:"names"`
+	// Retiring is a version that has had no runner for a time. It is removed after as long again, unless
+	// a daemon that sees a runner of it clears the mark first.
+	Retiring string `json:"retiring,omitempty"`
 }
 
 // Registry holds the versions at which streams may begin, by service. A version is written to the store
@@ -39,17 +51,28 @@
 	store core.Platform
 	log   *zap.Logger
 	mu    sync.Mutex
-	known map[string][]string // versions that the store is known to list, by service
+	known map[string][]string // versions at which streams may begin, by service
+	lists map[string]*serviceList
 	// admitting holds the admissions in progress.
 	admitting map[core.Origin]chan struct{}
 	failedAt  map[core.Origin]time.Time
 	clock     core.Clock
 }
 
+// serviceList is what a daemon knows of the store's list of a service.
+type serviceList struct {
+	names  []string             // as last read or written
+	readAt time.Time            // when
+	absent map[string]time.Time // versions without a runner here, since when
+	marked uint64               // version of the object in which this daemon has marked retiring, 0: none
+	mark   string               // the version marked
+	markAt time.Time
+}
+
 // NewRegistry returns a Registry in a store.
 func NewRegistry(store core.Platform, clock core.Clock, log *zap.Logger) *Registry {
 	return &Registry{
-		store: store, clock: clock, log: log, known: map[string][]string{}, admitting: map[core.Origin]chan struct{}{}, failedAt: map[core.Origin]time.Time{},
+		store: store, clock: clock, log: log, known: map[string][]string{}, lists: map[string]*serviceList{}, admitting: map[core.Origin]chan struct{}{}, failedAt: map[core.Origin]time.Time{},
 	}
 }
 
@@ -64,20 +87,50 @@
 func (r *Registry) Several(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.known[service]) > 1
+	l := r.lists[service]
+	return l != nil && len(l.names) > 1
 }
 
-// Learn records that the store lists a version, as another daemon states.
-func (r *Registry) Learn(o core.Origin) { r.learn(o.Service, []string{o.Version}) }
-
-func (r *Registry) learn(service string, names []string) {
+// Learn records that streams may begin at a version, as another daemon states.
+func (r *Registry) Learn(o core.Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, name := range names {
-		if !slices.Contains(r.known[service], name) {
-			r.known[service] = append(r.known[service], name)
-		}
+	r.allow(o)
+	if l := r.list(o.Service); !slices.Contains(l.names, o.Version) {
+		l.names = append(l.names, o.Version)
+	}
+}
+
+// allow records that streams may begin at a version. The caller holds the lock.
+func (r *Registry) allow(o core.Origin) {
+	if !slices.Contains(r.known[o.Service], o.Version) {
+		r.known[o.Service] = append(r.known[o.Service], o.Version)
+	}
+}
+
+// list returns what is known of a service's list. The caller holds the lock.
+func (r *Registry) list(service string) *serviceList {
+	l := r.lists[service]
+	if l == nil {
+		l = &serviceList{absent: map[string]time.Time{}}
+		r.lists[service] = l
 	}
+	return l
+}
+
+// listed records a service's list as read or written.
+func (r *Registry) listed(service string, names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.list(service)
+	l.names, l.readAt = names, r.clock.Now()
+}
+
+// services returns the services of which a list is known.
+func (r *Registry) services() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.lists))
 }
 
 // Admit has a version listed, and reports whether it is. Calls for the same version share their
@@ -132,11 +185,16 @@
 		if err != nil && !missing {
 			return err
 		}
-		if slices.Contains(list.Names, o.Version) {
-			r.learn(o.Service, list.Names)
+		if slices.Contains(list.Names, o.Version) && list.Retiring != o.Version {
+			r.admitted(o, list.Names)
 			return nil
 		}
-		list.Names = append(list.Names, o.Version)
+		if list.Retiring == o.Version {
+			list.Retiring = ""
+		}
+		if !slices.Contains(list.Names, o.Version) {
+			list.Names = append(list.Names, o.Version)
+		}
 		if object.Body, err = json.Marshal(list); err != nil {
 			return eris.Wrap(err, "versions")
 		}
@@ -147,7 +205,7 @@
 			_, err = r.store.Update(ctx, object)
 		}
 		if err == nil || errors.Is(err, core.ErrOverwritten) {
-			r.learn(o.Service, list.Names)
+			r.admitted(o, list.Names)
 			r.log.Info(logs.VersionAdmitted, zap.String("service", o.Service), zap.Strings("versions", list.Names))
 			return nil
 		}
@@ -158,6 +216,14 @@
 	return err
 }
 
+// admitted records that streams may begin at a version, and the list that says so.
+func (r *Registry) admitted(o core.Origin, names []string) {
+	r.listed(o.Service, names)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.allow(o)
+}
+
 // read returns the object of a service and its content.
 func (r *Registry) read(ctx context.Context, service string) (core.Object, admitted, error) {
 	object, err := r.store.Get(ctx, kindVersions, service)
@@ -181,7 +247,7 @@
 	case err != nil:
 		return core.Origin{}, eris.Wrap(core.ErrOriginUnanswered, err.Error())
 	}
-	r.learn(service, list.Names)
+	r.listed(service, list.Names)
 	if len(list.Names) != 1 {
 		return core.Origin{}, core.ErrOriginUnknown
 	}
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -100,6 +100,11 @@
 	VersionAdmitted = "version admitted"
 	// VersionNotAdmitted: the store could not be read or written; no streams begin at the version yet.
 	VersionNotAdmitted = "version not admitted"
+	// VersionRetired: a software version has had no runner for long: it is marked in the store's list, or
+	// removed from it.
+	VersionRetired = "version retired"
+	// VersionNotRetired: the store's list of versions could not be read or written.
+	VersionNotRetired = "version not retired"
 	// OriginFound: a caller takes a stream up, and it is known at which version it began: from this
 	// daemon's own record, another daemon's, or the store, which lists one version only.
 	OriginFound = "origin of a stream found"
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -202,7 +202,8 @@
 	d.peers.Handle(kindYield, d.handleYield)
 	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
 		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds), quarantine.WithConnector(d.runners))
-	d.origins = origin.New(d.catalog.Versions, d.clock, d.log, origin.WithScope(d.scope), origin.WithNetwork(d.peers), origin.WithRegistry(origin.NewRegistry(d.store, d.clock, d.log)))
+	d.origins = origin.New(d.catalog.Versions, d.clock, d.log, origin.WithScope(d.scope), origin.WithNetwork(d.peers), origin.WithRegistry(origin.NewRegistry(d.store, d.clock, d.log)),
+		origin.WithRetirement(func() bool { _, ok := d.lease.Term(); return ok }))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
 		func(name string) { d.scope.Counter("placement_" + name).Inc(1) },
 		placement.NewBroadcaster(d.peers, d.catalog, d.clock, d.log).Broadcast, placement.WithGuard(d.quarantine), placement.WithAvailability(d.available))
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -142,13 +142,15 @@
 	return list
 }
 
-// Versions returns how many software versions the runners of a service have.
-func (c *Catalog) Versions(service string) int {
-	seen := map[string]bool{}
+// Versions returns the software versions that the runners of a service have.
+func (c *Catalog) Versions(service string) []string {
+	var out []string
 	for _, e := range c.Runners(service) {
-		seen[e.Version] = true
+		if !slices.Contains(out, e.Version) {
+			out = append(out, e.Version)
+		}
 	}
-	return len(seen)
+	return out
 }
 
 // All returns all runners by id.
