--- a/cmd/primrosectl/runners.go
+++ b/cmd/primrosectl/runners.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -61,11 +62,11 @@
 			state = "leaving"
 		}
 		rows = append(rows, []string{
-			r.Runner, r.DataCentre, r.Owner, state, formatGB(r.Capacity), formatGB(r.Committed), formatGB(r.Reserved), formatGB(r.Quarantined), formatGB(r.Free),
+			r.Runner, r.DataCentre, r.Owner, cmp.Or(r.Version, "-"), state, formatGB(r.Capacity), formatGB(r.Committed), formatGB(r.Reserved), formatGB(r.Quarantined), formatGB(r.Free),
 			fmt.Sprintf("%d+%d/%d", r.Running, r.Queued, r.Slots), strings.Join(models, " "),
 		})
 	}
-	table("RUNNER\tPLACE\tOWNER\tSTATE\tMEMORY\tCOMMITTED\tRESERVED\tQUARANTINED\tFREE\tWORK\tMODELS", rows)
+	table("RUNNER\tPLACE\tOWNER\tVERSION\tSTATE\tMEMORY\tCOMMITTED\tRESERVED\tQUARANTINED\tFREE\tWORK\tMODELS", rows)
 }
 
 func formatGB(n int64) string { return strconv.FormatFloat(float64(n)/1e9, 'f', 1, 64) + "GB" }
--- a/services/fleet/admin.go
+++ b/services/fleet/admin.go
@@ -131,7 +131,7 @@
 func (r runners) status(e *catalog.Entry, holder string) service.RunnerStatus {
 	s := r.d.available.State(e)
 	out := service.RunnerStatus{
-		Runner: e.ID, DataCentre: e.DataCentre, Owner: holder, Slots: e.Slots, Running: s.Load.Requests, Leaving: s.Leaving, Detail: s.Describe(r.d.clock.Now()),
+		Runner: e.ID, DataCentre: e.DataCentre, Owner: holder, Version: e.Version, Slots: e.Slots, Running: s.Load.Requests, Leaving: s.Leaving, Detail: s.Describe(r.d.clock.Now()),
 	}
 	config := r.d.catalog.Config()
 	if config == nil || config.Services[e.Service] == nil || config.Services[e.Service].Engine == nil {
