Native interface: a stream is continued only by the software version that began it

What callers saw: when an endpoint ends inside a chat stream, another one continues the text; nothing compared their software. Change: endpoints may state the version of their software in a header Server-Version. What an endpoint of another version, or of none, sends in continuation is dropped, its run is cancelled, and the request tries another endpoint or ends as broken. Result: TestContinuedStreamKeepsItsVersion failed before (an event of the other version was passed on), and passes. The choice of the endpoint does not know versions yet: a run at another version is wasted.

--- a/coordination/entry/attempts.go
+++ b/coordination/entry/attempts.go
@@ -223,6 +223,9 @@
 	if err == nil {
 		err = x.relay.finish(ctx)
 	}
+	if errors.Is(err, errOtherVersion) {
+		err = core.MayHaveRun("other_version", err.Error())
+	}
 	switch {
 	case err != nil:
 	case x.relay.status >= http.StatusInternalServerError:
@@ -280,9 +283,13 @@
 }
 
 // abandon handles an error while the answer of a local attempt is read. If the
-// request has ended, it cancels the attempt; only an attempt that had not been
+// request has ended, or the answer can't be used, it cancels the attempt; only an attempt that had not been
 // sent counts as not run.
 func (x *execution) abandon(ctx context.Context, attempt string, err error) error {
+	if errors.Is(err, errOtherVersion) {
+		x.e.owner.Cancel(attempt)
+		return err
+	}
 	if ctx.Err() == nil {
 		return err
 	}
@@ -322,6 +329,10 @@
 	} else {
 		err = peer.FromConnectError(err)
 	}
+	if errors.Is(err, errOtherVersion) {
+		_ = x.cancelRemote(m, req.AttemptID, sentAt, nil) // its outcome is that of the stream
+		return err
+	}
 	if peer.IsDialError(err) && x.relay.received() == startOffset {
 		return core.NotRun(http.StatusServiceUnavailable, "owner_unreachable", "cannot connect to the runner's owner", time.Second)
 	}
--- a/coordination/entry/relay.go
+++ b/coordination/entry/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 
@@ -12,6 +13,10 @@
 	"primroseward/state/directory"
 )
 
+// errOtherVersion: the runner that was to continue a stream has another software version than the one
+// that began it; what two versions write does not fit together.
+var errOtherVersion = errors.New("another software version than the one that began the stream")
+
 // maxWithheld is how many bytes of an answer that is not an event stream are
 // withheld until it is complete. Until then a failed attempt can be replaced
 // without the caller noticing.
@@ -31,6 +36,7 @@
 	pending       []byte       // body bytes withheld
 	forwarded     bool         // whether anything was forwarded to the caller
 	continuing    bool         // whether this attempt continues an earlier attempt's stream
+	version       string       // of the software of the runner that brought the first event
 }
 
 func newRelay(a *Request, out *answer.Buffer) *relay {
@@ -73,6 +79,9 @@
 
 // Append receives body data of an attempt's answer.
 func (r *relay) Append(ctx context.Context, data []byte) error {
+	if r.continuing && r.head != nil && r.head.Header.Get(core.HeaderVersion) != r.version {
+		return errOtherVersion
+	}
 	r.receivedBytes += int64(len(data))
 	r.pending = append(r.pending, data...)
 	if r.eventStream {
@@ -97,6 +106,9 @@
 	if r.continuing {
 		whole = dropEmptyEvents(whole)
 	}
+	if !r.forwarded && r.head != nil {
+		r.version = r.head.Header.Get(core.HeaderVersion)
+	}
 	r.forwarded = true
 	return r.out.Append(ctx, whole)
 }
--- a/coordination/entry/relay_test.go
+++ b/coordination/entry/relay_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"primroseward/core"
 	"primroseward/state/answer"
 	"primroseward/state/directory"
 )
@@ -144,3 +145,46 @@
 		assert.Assert(t, strings.HasSuffix(string(got), doneEvent), tt.name)
 	}
 }
+
+// TestContinuedStreamKeepsItsVersion guards against a stream that another runner continues although its
+// software has another version than the one that began the stream.
+func TestContinuedStreamKeepsItsVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		first, second string // versions that the runners state; empty: none
+		continues     bool
+	}{
+		{"the same version", "v1", "v1", true},
+		{"another version", "v1", "v2", false},
+		{"a version that is not stated", "v1", "", false},
+		{"a version, and none before", "", "v2", false},
+		{"none is stated", "", "", true},
+	} {
+		out := answer.NewBuffer()
+		r := newRelay(&Request{Model: "m", Path: pathChat, Body: []byte(`{"model":"m","messages":[]}`), Repeatable: true}, out)
+		headOf := func(version string) answer.Head {
+			h := eventHead()
+			if version != "" {
+				h.Header.Set(core.HeaderVersion, version)
+			}
+			return h
+		}
+		r.beginAttempt(directory.Report{Runner: "r1"})
+		r.SetHead(headOf(tt.first))
+		assert.NilError(t, r.Append(t.Context(), []byte(sse("one ", ""))), tt.name)
+		r.beginAttempt(directory.Report{Runner: "r2"})
+		r.SetHead(headOf(tt.second))
+		err := r.Append(t.Context(), []byte(sse("two", "stop")))
+		assert.Equal(t, err == nil, tt.continues, "%s: %v", tt.name, err)
+		data, _, err := out.Next(t.Context(), 0)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Contains(string(data), "two"), tt.continues, tt.name)
+		// The run of a first attempt that brought no event binds nobody.
+		r = newRelay(&Request{Model: "m", Path: pathChat, Repeatable: true}, answer.NewBuffer())
+		r.beginAttempt(directory.Report{Runner: "r1"})
+		r.SetHead(headOf(tt.first))
+		r.beginAttempt(directory.Report{Runner: "r2"})
+		r.SetHead(headOf(tt.second))
+		assert.NilError(t, r.Append(t.Context(), []byte(sse("two", "stop"))), tt.name)
+	}
+}
--- a/core/headers.go
+++ b/core/headers.go
@@ -17,6 +17,8 @@
 	// HeaderRetryAfter is the time in seconds, fractions allowed, for which an endpoint that
 	// answers with status 503 asks for no requests.
 	HeaderRetryAfter = "Retry-After"
+	// HeaderVersion is the version of an endpoint's software, in its answers.
+	HeaderVersion = "Server-Version"
 	// HeaderResumes names the attempt that brought the first event of a stream, in a caller's request
 	// that takes the stream up after its last event.
 	HeaderResumes = "Resumes"
