--- a/services/tree/fleet.go
+++ b/services/tree/fleet.go
@@ -20,7 +20,7 @@
 	DataCentre  string        `json:"place"`
 	Owner       string        `json:"owner"`
 	Version     string        `json:"version,omitempty"` // of its software
-	Capacity    int64         `json:"capacity"` // bytes of memory for models; the next four are in bytes too
+	Capacity    int64         `json:"capacity"`          // bytes of memory for models; the next four are in bytes too
 	Committed   int64         `json:"committed"`
 	Reserved    int64         `json:"reserved"`    // part of Committed for loads in progress
 	Quarantined int64         `json:"quarantined"` // part of Committed kept until no late order can arrive
