--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -1,9 +1,9 @@
 // Package origin knows at which software versions streams began, so that a stream goes on only at
 // the version that began it. Each daemon records the streams that begin here, and while runners of
-// several versions serve it sends the records to a few other daemons, found by hashing the stream's
-// key. A daemon at which a caller takes a stream up asks these. While one version serves nothing is
-// sent: the store lists each version before the first stream begins at it, and a daemon that has no
-// record reads that list.
+// several versions serve it sends the records to the other daemons, in a large fleet to a few of them
+// that are found by hashing the stream's key. A daemon at which a caller takes a stream up asks these.
+// While one version serves nothing is sent: the store lists each version before the first stream begins
+// at it, and a daemon that has no record reads that list.
 package origin
 
 import (
--- a/coordination/origin/send.go
+++ b/coordination/origin/send.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// copies is how many other daemons get a record.
-	copies = 3
-	// askedBeyond is how many more daemons are asked for a record than get it: those found by
-	// hashing may have ended since, and others then take their place.
+	// copies is how many other daemons of a large fleet get a record. In a small fleet all do.
+	copies = 2
+	// askedBeyond is how many more daemons of a large fleet are asked for a record than get it: those
+	// found by hashing may have ended since, and others then take their place.
 	askedBeyond = 2
 	// sendDelay is how long records wait for others to the same daemon.
 	sendDelay = 20 * time.Millisecond
@@ -109,7 +109,7 @@
 	targets := map[string]peers.Peer{}
 	batches := map[string][]copyOf{}
 	for _, c := range queue {
-		for _, to := range s.holders(c.key, copies) {
+		for _, to := range s.recipients(c.key) {
 			targets[to.Name] = to
 			batches[to.Name] = append(batches[to.Name], c)
 		}
@@ -123,6 +123,14 @@
 	}
 }
 
+// recipients returns the daemons that get a record.
+func (s *sender) recipients(k core.StreamKey) []peers.Peer {
+	if !s.net.Large() {
+		return s.others()
+	}
+	return s.holders(k, copies)
+}
+
 // pack groups records by their origin and workspace.
 func pack(list []copyOf) []records {
 	type group struct {
