Soak: runners of several software versions, callers that take streams up elsewhere

Cause: no runner of the soak had a version, its events did not name one, and no caller came back for the rest of a stream, so nothing could find streams of two versions. Change: events name the version of their runner; a fault replaces runners by ones of another version, back as well; callers take broken and abandoned streams up through the directory, and all attempts together are checked with none of the product's code.

--- a/soak/broken.go
+++ b/soak/broken.go
@@ -43,7 +43,7 @@
 	}
 	last, _ := strconv.Atoi(q.Header.Get(wire.HeaderLastEvent)) // absent: 0
 	for i := last + 1; i <= eventsPerStream; i++ {
-		a.Body += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		a.Body += runner.EventText(i, h.Version)
 	}
 	if n%3 == 0 && a.Body != "" {
 		end := (n / 3) % len(a.Body)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"primroseward/core"
 	wire "primroseward/platform"
 )
 
@@ -21,12 +22,17 @@
 	lateWait = 6 * time.Second
 	// abandonPercent is the percentage of streams that callers abandon in the middle.
 	abandonPercent = 5
+	// abandonAfter is how many bytes of a stream these callers read.
+	abandonAfter = 60
 )
 
 // request is one request of a caller and its result.
 type request struct {
 	id, kind, target, body string
-	hot                    bool // sent for the hot workspace
+	model                  string
+	first                  *request // the attempt that began the stream that this one takes up; nil: a new request
+	lastEvent              int      // after which this one takes it up
+	hot                    bool     // sent for the hot workspace
 	daemon                 *daemon
 	processStart           time.Time // start of the daemon's process, as of sending
 	sent, ended            time.Time
@@ -128,21 +134,28 @@
 // be used any more.
 func (c *caller) sendNext(d *daemon, conn net.Conn, in *bufio.Reader) bool {
 	req := c.newRequest(d)
-	model := ""
 	if req.kind == "gen" {
-		model = c.pickModel()
+		req.model = c.pickModel()
 		req.abandoned = c.rng.IntN(100) < abandonPercent
 	}
-	return c.w.send(req, model, conn, in)
+	ok := c.w.send(req, conn, in)
+	if !ok && req.kind == "gen" {
+		_ = conn.Close()
+		c.takeUp(req)
+	}
+	return ok
 }
 
 // send sends a request, reads its answer and checks it. It returns false if the connection
 // cannot be used any more.
-func (w *World) send(req *request, model string, conn net.Conn, in *bufio.Reader) bool {
+func (w *World) send(req *request, conn net.Conn, in *bufio.Reader) bool {
 	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: %s %s\r\nContent-Length: %d\r\n",
 		req.target, wire.HeaderRequestID, req.id, wire.HeaderTimeout, timeout.Milliseconds(), wire.HeaderKey, wire.KeyScheme, req.key(), len(req.body))
 	if req.kind == "gen" {
-		header += wire.HeaderModel + ": " + model + "\r\n"
+		header += wire.HeaderModel + ": " + req.model + "\r\n"
+	}
+	if req.first != nil {
+		header += fmt.Sprintf("%s: %s\r\n%s: %d\r\n", core.HeaderResumes, req.first.id, wire.HeaderLastEvent, req.lastEvent)
 	}
 	req.sent = time.Now()
 	w.mu.Lock()
@@ -168,7 +181,9 @@
 	}
 	req.status, req.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
 	if req.abandoned && req.status == http.StatusOK {
-		_, err = io.CopyN(io.Discard, resp.Body, 60)
+		var part strings.Builder
+		_, err = io.CopyN(&part, resp.Body, abandonAfter)
+		req.answer = part.String()
 		return err
 	}
 	req.abandoned = false
@@ -180,29 +195,18 @@
 	return err
 }
 
-// completeStream returns the answer that every complete stream must have.
-func completeStream() string {
-	var b strings.Builder
-	for i := 1; i <= eventsPerStream; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return b.String()
-}
-
-var wantStream = completeStream()
-
 // checkAnswer checks what is visible in the answer alone.
 func (w *World) checkAnswer(req *request) {
 	switch {
 	case req.status == 0 || req.abandoned:
-	case req.status == http.StatusOK && req.complete && req.kind == "gen" && req.answer != wantStream:
+	case req.status == http.StatusOK && req.complete && req.kind == "gen" && !isWholeStream(req):
 		w.reportViolation("%s: a stream ended normally with wrong content: %.200q", req.id, req.answer)
 	case req.status == http.StatusOK && req.complete && req.kind != "gen" && !strings.HasSuffix(req.answer, " "+req.target+" "+req.body):
 		w.reportViolation("%s: the answer belongs to another request: %.200q", req.id, req.answer)
 	case req.status == http.StatusNotFound:
 		w.reportViolation("%s: 404 on a route that is in every configuration: %.200s", req.id, req.answer)
 	case req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests:
-		if s, err := strconv.ParseFloat(req.retryAfter, 64); err != nil || s <= 0 {
+		if s, err := strconv.ParseFloat(req.retryAfter, 64); (err != nil || s <= 0) && !neverServed(req) {
 			w.reportViolation("%s: refused without a valid Retry-After: %.200s", req.id, req.answer)
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -109,6 +109,7 @@
 		}
 	}
 	w.checkFatal()
+	w.checkVersions()
 	w.checkWorkspaces(runs)
 	good, all := w.countServed(calmFrom, calmTo)
 	if all == 0 || (all-good)*100 > maxFailedPercent*all {
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -75,7 +75,8 @@
 		return
 	}
 	defer conn.Close()
-	w.send(req, "m1", conn, bufio.NewReader(conn))
+	req.model = "m1"
+	w.send(req, conn, bufio.NewReader(conn))
 }
 
 // checkFatal checks that fatal requests were stopped, and that no others are on hold.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -264,6 +264,7 @@
 	{"paths to the runners", func(w *World, r *rand.Rand) string { return w.partition(r) }},
 	{"brittle runners", func(w *World, r *rand.Rand) string { return w.makeBrittle(r) }},
 	{"broken answers", func(w *World, r *rand.Rand) string { return w.breakAnswers(r) }},
+	{"software version", func(w *World, r *rand.Rand) string { return w.changeVersion(r) }},
 }
 
 // invalidEntries are entries of the store that no runner writes.
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -419,6 +419,15 @@
 	s.Exited()
 }
 
+// EventText returns an event of a stream: its number and the software version of the runner that
+// generated it.
+func EventText(number int, version string) string {
+	if version != "" {
+		version = " " + version
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", number, number, version)
+}
+
 // stream sends the events after the one in the Last-Event-Id header. If cut is positive, it
 // closes the connection in the middle of the event after number cut.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, cut int) {
@@ -431,7 +440,7 @@
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = io.WriteString(w, EventText(i, s.Version)) // the flush shows whether the caller has disconnected
 		if rc.Flush() != nil {
 			return
 		}
