--- a/cmd/primrose-soak/main.go
+++ b/cmd/primrose-soak/main.go
@@ -82,7 +82,7 @@
 		fmt.Printf("seed %d: %v\n", seed, err)
 		return
 	}
-	fmt.Printf("seed %d: %d asked, %d served, %d refused, %d lost; calm: %d of %d\n", seed, r.Requests, r.Served, r.Refused, r.Lost, r.CalmServed, r.CalmRequests)
+	fmt.Printf("seed %d: %d asked, %d served, %d refused, %d lost; %d of %d streams taken up went on; calm: %d of %d\n", seed, r.Requests, r.Served, r.Refused, r.Lost, r.WentOn, r.TakenUp, r.CalmServed, r.CalmRequests)
 	if len(r.Violations) == 0 {
 		_ = os.RemoveAll(o.Dir) // a failure only leaves logs behind
 		return
--- a/soak/check.go
+++ b/soak/check.go
@@ -224,6 +224,12 @@
 func (w *World) report(calmFrom, calmTo time.Time) *Report {
 	r := &Report{Seed: w.opts.Seed, Violations: w.violations, Events: w.events, Requests: len(w.requests)}
 	for _, req := range w.requests {
+		if req.first != nil {
+			r.TakenUp++
+			if req.status == http.StatusOK && (req.complete || strings.Contains(req.answer, "\n\n")) {
+				r.WentOn++
+			}
+		}
 		switch {
 		case req.status == http.StatusOK && req.complete:
 			r.Served++
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,6 +39,8 @@
 	Served       int
 	Refused      int
 	Lost         int // requests without a complete answer
+	TakenUp      int // requests of callers that take a stream up
+	WentOn       int // those of them that brought an event, or the stream's end
 	CalmRequests int // requests of the calm phase, as countServed counts them
 	CalmServed   int // those of them that were served
 }
