Logs: from a request's id to the version that began its stream; a runner replaced under its id gets nothing

Cause: the lines on a stream's origin did not name the request, and refusals not the version that bound them; a runner whose entry names another version by the time its connection stands would have got a request meant for the former one. Result: TestRunnerReplacedUnderItsID, two cases; the first ran before, it is withdrawn now.

--- a/coordination/dispatch/available.go
+++ b/coordination/dispatch/available.go
@@ -32,7 +32,7 @@
 // backoff does not count, as the request finds out whether that is over.
 func (d *Dispatcher) accepts(r *core.Runner, probe bool) bool {
 	e := d.catalog.Runner(r.ID)
-	if e == nil || !e.StartedAt.Equal(r.StartedAt) || !e.Usable() {
+	if e == nil || !e.StartedAt.Equal(r.StartedAt) || e.Version != r.Version || !e.Usable() {
 		return false
 	}
 	_, backedOff := d.available.Backoff(r.ID)
--- a/coordination/dispatch/origin.go
+++ b/coordination/dispatch/origin.go
@@ -67,14 +67,17 @@
 		k := j.streamKey()
 		key = &k
 	}
+	began := j.d.clock.Now()
 	o, err := j.d.origins.Find(ctx, key, j.service)
+	j.log.Info(logs.OriginSought, zap.String("resumes", j.q.Resumes), zap.String("after", j.q.LastEvent), zap.String("service", o.Service), zap.String("version", o.Version),
+		zap.String("source", o.Source), zap.Duration("age", o.Age), zap.Duration("took", j.d.clock.Since(began)), logs.Err(err))
 	switch {
 	case errors.Is(err, core.ErrOriginUnanswered):
 		return j.refuseTakeUp(takenUpUnanswered, codeOriginUnknown, "it could not be found out which version began the stream", originRetry)
 	case err != nil:
 		return j.refuseTakeUp(takenUpUnknown, codeOriginUnknown, "it is not known which version began the stream", 0)
 	}
-	return j.bind(o)
+	return j.bind(o.Origin)
 }
 
 // bind makes the request go to runners of an origin only.
@@ -187,6 +190,15 @@
 	if err != nil {
 		return err
 	}
-	j.service, j.origin = o.Service, &o
+	j.service, j.origin = o.Service, &o.Origin
 	return nil
 }
+
+// beganField returns a log field with the version that began the request's stream; without one any version
+// can serve it.
+func (j *job) beganField() zap.Field {
+	if j.origin == nil {
+		return zap.Skip()
+	}
+	return zap.String("began", j.origin.Version)
+}
--- a/coordination/dispatch/origin_test.go
+++ b/coordination/dispatch/origin_test.go
@@ -42,13 +42,13 @@
 	return func() { o.ended++ }
 }
 
-func (o *origins) Find(_ context.Context, k *core.StreamKey, _ string) (core.Origin, error) {
+func (o *origins) Find(_ context.Context, k *core.StreamKey, _ string) (core.FoundOrigin, error) {
 	if k != nil {
 		if at, ok := o.known[*k]; ok {
-			return at, nil
+			return core.FoundOrigin{Origin: at, Source: core.OriginOwn}, nil
 		}
 	}
-	return core.Origin{}, o.findErr
+	return core.FoundOrigin{}, o.findErr
 }
 
 // TestStreamsThatCallersTakeUp guards against a stream that goes on at another version or another service,
@@ -176,16 +176,35 @@
 // TestRunnerReplacedUnderItsID guards against a stream whose runner was replaced by one of another version
 // after it was chosen, so that the first event is taken for one of the former version.
 func TestRunnerReplacedUnderItsID(t *testing.T) {
-	f := &fleet{nextAct: script()}
-	d := newDispatcher(f, 1)
-	setVersions(d, "v1")
-	o := &origins{findErr: core.ErrOriginUnknown, known: map[core.StreamKey]core.Origin{core.StreamKeyOf(nil, "q0"): {Service: "s", Version: "v1"}}}
-	WithOrigins(o)(d)
-	f.dial = func(string) { setVersions(d, "v2") }
-	q := &core.Request{ID: "q1", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: time.Second, LastEvent: "2", Resumes: "q0"}
-	_, err := d.Do(t.Context(), route(core.KindStream, true, 2), q)
-	assert.Equal(t, core.AsRequestError(err).Outcome, core.OutcomeMayHaveRun)
-	assert.Equal(t, len(o.began), 0)
+	for _, tt := range []struct {
+		name    string
+		replace func(f *fleet, d *Dispatcher)
+		outcome core.Outcome
+		runs    int
+	}{
+		{"while the connection is made", func(f *fleet, d *Dispatcher) {
+			f.dial = func(string) { setVersions(d, "v2") }
+		}, core.OutcomeNotRun, 0},
+		{"while it runs", func(f *fleet, d *Dispatcher) {
+			f.nextAct = func(string) act {
+				setVersions(d, "v2")
+				return serves
+			}
+		}, core.OutcomeMayHaveRun, 1},
+	} {
+		f := &fleet{nextAct: script()}
+		d := newDispatcher(f, 1)
+		setVersions(d, "v1")
+		o := &origins{findErr: core.ErrOriginUnknown, known: map[core.StreamKey]core.Origin{core.StreamKeyOf(nil, "q0"): {Service: "s", Version: "v1"}}}
+		WithOrigins(o)(d)
+		tt.replace(f, d)
+		q := &core.Request{ID: "q1", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: time.Second, LastEvent: "2", Resumes: "q0"}
+		_, err := d.Do(t.Context(), route(core.KindStream, true, 2), q)
+		assert.Assert(t, err != nil, tt.name)
+		assert.Equal(t, core.AsRequestError(err).Outcome, tt.outcome, tt.name)
+		assert.Equal(t, len(f.runs), tt.runs, tt.name)
+		assert.Equal(t, len(o.began), 0, tt.name)
+	}
 }
 
 // TestForwardedStreamsKeepTheirOrigin guards against a stream that another daemon began and that goes on at
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -160,7 +160,7 @@
 		log = log.With(j.limitFields...)
 	}
 	log.Warn(logs.Refused, zap.String("code", code), zap.String("service", j.service), zap.String("model", j.q.Model),
-		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejections), zap.Strings("places", j.effective.DataCentres), zap.Duration("retry", retry), j.omittedField(), logs.Err(err))
+		zap.String("adapter", j.q.Adapter), zap.Int("runs", j.runs), zap.Int("rejections", j.rejections), zap.Strings("places", j.effective.DataCentres), zap.Duration("retry", retry), j.beganField(), j.omittedField(), logs.Err(err))
 	if j.runs > 0 {
 		return core.MayHaveRun(code, message)
 	}
--- a/coordination/origin/fake_test.go
+++ b/coordination/origin/fake_test.go
@@ -164,7 +164,8 @@
 // find asks for a stream.
 func (n *node) find(id string) (core.Origin, error) {
 	k := core.StreamKeyOf(nil, id)
-	return n.tracker.Find(context.Background(), &k, service)
+	o, err := n.tracker.Find(context.Background(), &k, service)
+	return o.Origin, err
 }
 
 // service is the service of all streams in these tests.
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -243,52 +243,51 @@
 }
 
 // Find implements core.Origins.
-func (t *Tracker) Find(ctx context.Context, k *core.StreamKey, service string) (core.Origin, error) {
-	began := t.clock.Now()
+func (t *Tracker) Find(ctx context.Context, k *core.StreamKey, service string) (core.FoundOrigin, error) {
 	if k != nil {
 		if r, ok := t.table.Get(*k); ok {
-			t.log.Debug(logs.OriginFound, zap.Stringer("stream", k), zap.String("from", "own"), zap.String("version", r.Origin.Version), zap.Duration("age", r.Age))
-			return r.Origin, nil
+			return core.FoundOrigin{Origin: r.Origin, Source: core.OriginOwn, Age: r.Age}, nil
 		}
 	}
-	several := t.several(service)
-	soleErr := core.ErrOriginUnknown
-	if !several {
-		o, err := t.reader.sole(ctx, service)
-		if err == nil {
-			t.log.Debug(logs.OriginFound, zap.Stringer("stream", k), zap.String("from", "store"), zap.String("version", o.Version), zap.Duration("took", t.clock.Since(began)))
-			return o, nil
+	if !t.several(service) {
+		if found, err := t.findSole(ctx, service); err == nil {
+			return found, nil
 		}
-		soleErr = err
 	}
-	askErr := core.ErrOriginUnknown
-	if k != nil && t.net != nil {
-		var got found
-		var source string
-		known, silent := ask(ctx, t.net, t.targets(k), kindAsk, *k, func(from string, f found) bool {
-			got, source = f, from
-			return f.Known
-		})
-		if known {
-			t.log.Info(logs.OriginFound, zap.Stringer("stream", k), zap.String("from", source), zap.String("version", got.Origin.Version), zap.Duration("age", time.Duration(got.Age)), zap.Duration("took", t.clock.Since(began)))
-			t.table.Put(*k, got.Owner, got.Origin)
-			return got.Origin, nil
-		}
-		if silent > 0 {
-			askErr = core.ErrOriginUnanswered
-		}
+	found, err := t.findElsewhere(ctx, k)
+	if err == nil || !t.several(service) {
+		return found, err
 	}
-	if several {
-		o, err := t.reader.sole(ctx, service)
-		if err == nil {
-			return o, nil
-		}
-		soleErr = err
+	sole, soleErr := t.findSole(ctx, service)
+	if soleErr == nil || errors.Is(soleErr, core.ErrOriginUnanswered) {
+		return sole, soleErr
+	}
+	return core.FoundOrigin{}, err
+}
+
+// findSole reads from the store whether all streams of a service have begun at one version.
+func (t *Tracker) findSole(ctx context.Context, service string) (core.FoundOrigin, error) {
+	o, err := t.reader.sole(ctx, service)
+	return core.FoundOrigin{Origin: o, Source: core.OriginStore}, err
+}
+
+// findElsewhere asks other daemons where a stream began.
+func (t *Tracker) findElsewhere(ctx context.Context, k *core.StreamKey) (core.FoundOrigin, error) {
+	if k == nil || t.net == nil {
+		return core.FoundOrigin{}, core.ErrOriginUnknown
 	}
-	t.log.Info(logs.OriginUnknown, zap.Stringer("stream", k), zap.String("service", service), zap.Bool("several", several), zap.Duration("took", t.clock.Since(began)),
-		zap.NamedError("daemons", askErr), zap.NamedError("store", soleErr))
-	if errors.Is(soleErr, core.ErrOriginUnanswered) {
-		return core.Origin{}, soleErr
+	var got found
+	var source string
+	known, silent := ask(ctx, t.net, t.targets(k), kindAsk, *k, func(from string, f found) bool {
+		got, source = f, from
+		return f.Known
+	})
+	switch {
+	case known:
+		t.table.Put(*k, got.Owner, got.Origin)
+		return core.FoundOrigin{Origin: got.Origin, Source: source, Age: time.Duration(got.Age)}, nil
+	case silent > 0:
+		return core.FoundOrigin{}, core.ErrOriginUnanswered
 	}
-	return core.Origin{}, askErr
+	return core.FoundOrigin{}, core.ErrOriginUnknown
 }
--- a/core/origin.go
+++ b/core/origin.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -72,9 +73,22 @@
 	Begin(k StreamKey, workspace *Workspace, o Origin) (done func())
 	// Find returns where a stream began. k is nil if the caller does not name the stream; service
 	// is that of the request.
-	Find(ctx context.Context, k *StreamKey, service string) (Origin, error)
+	Find(ctx context.Context, k *StreamKey, service string) (FoundOrigin, error)
 }
 
+// FoundOrigin is the origin of a stream, and how it is known.
+type FoundOrigin struct {
+	Origin
+	Source string        // OriginOwn, OriginStore or the name of another daemon
+	Age    time.Duration // of the record; 0 from the store
+}
+
+// Sources of an origin besides other daemons.
+const (
+	OriginOwn   = "own record"
+	OriginStore = "store"
+)
+
 // Headers in which a daemon states the origin of a stream, in a forwarded request and in the answer
 // to it.
 const (
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -105,11 +105,9 @@
 	VersionRetired = "version retired"
 	// VersionNotRetired: the store's list of versions could not be read or written.
 	VersionNotRetired = "version not retired"
-	// OriginFound: a caller takes a stream up, and it is known at which version it began: from this
-	// daemon's own record, another daemon's, or the store, which lists one version only.
-	OriginFound = "origin of a stream found"
-	// OriginUnknown: a caller takes a stream up, and it is not known at which version it began.
-	OriginUnknown = "origin of a stream not known"
+	// OriginSought: a caller takes a stream up after an event: the attempt that it says has begun it,
+	// the service and version that did, how that is known and how old the record is, or why it is not.
+	OriginSought = "origin of a stream"
 	// StreamEnded: a stream has ended: the time to its first event, its longest pause, and whether
 	// it is complete; how the end of its last run's answer was marked, the bytes and events read of
 	// that answer, the bytes of an event that were dropped, and the error that ended it.
