--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -129,6 +129,39 @@
 	}
 }
 
+// TestStreamsAreFoundInFleetsOfAnySize guards against records that are not where they are looked for, as
+// daemons have ended since or the fleet is large.
+func TestStreamsAreFoundInFleetsOfAnySize(t *testing.T) {
+	const streams = 100
+	for _, daemons := range []int{2, 8, 70, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(clockwork.NewRealClock(), daemons)
+			w.large = daemons > 16
+			defer w.stop()
+			for _, n := range w.nodes {
+				n.show([]string{"v1", "v2"})
+			}
+			for i := range streams {
+				assert.Assert(t, w.nodes[0].begin(fmt.Sprint("q", i), at("v1")))
+				assert.Assert(t, w.nodes[0].begin(fmt.Sprint("r", i), at("v2")))
+			}
+			time.Sleep(sendDelay + time.Millisecond)
+			w.kill(0)
+			began := time.Now()
+			for i := range streams {
+				n := w.nodes[1+i%(daemons-1)]
+				o, err := n.find(fmt.Sprint("q", i))
+				assert.NilError(t, err, "%d daemons", daemons)
+				assert.Equal(t, o, at("v1"))
+				o, err = n.find(fmt.Sprint("r", i))
+				assert.NilError(t, err, "%d daemons", daemons)
+				assert.Equal(t, o, at("v2"))
+			}
+			assert.Assert(t, time.Since(began) < askTimeout, "%v", time.Since(began))
+		})
+	}
+}
+
 // TestIDsUsedTwice guards against a stream that goes on at the version of another one, because a caller has
 // used its id for both.
 func TestIDsUsedTwice(t *testing.T) {
