Origins: while the store does not answer, callers are told to come back, and other daemons are asked for admissions

Cause: found in review. With one version, a stream whose daemon had ended was refused for good while the store did not answer, though a moment later it names the version. A store that hangs used up the time in which another daemon could have said that a version is listed, and each request then asked all daemons anew. A stream that waits for a runner is not given up for its version while the path is lost.

--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -216,7 +216,7 @@
 			}
 			continue
 		}
-		if !j.versionServes(s.runner.ID) {
+		if !j.d.pathLost() && !j.versionServes(s.runner.ID) {
 			err = errVersionGone // its caller may take it up at once, at the same runner too
 		}
 		if s.ctx.Err() != nil || slices.Contains(finalReasons, err) || !j.d.clock.Now().Add(pause).Before(until) || err == errBackoff && !j.backoffUntil.Before(until) {
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -26,6 +26,11 @@
 	// datagram was lost.
 	askTimeout = 200 * time.Millisecond
 	askResend  = 50 * time.Millisecond
+	// storeWait is how long an admission waits for the store before other daemons are asked. The call of
+	// the store goes on.
+	storeWait = 150 * time.Millisecond
+	// admitPause is how long after a failed admission the next one may begin.
+	admitPause = 300 * time.Millisecond
 	// readTimeout bounds a read of the store.
 	readTimeout = 500 * time.Millisecond
 	// sweepInterval is how often expired records are dropped, and streams in progress are looked
@@ -57,7 +62,8 @@
 	reader  *reader
 	mu      sync.Mutex
 	nextID  uint64
-	running map[uint64]*running // streams that have begun here and not ended
+	running map[uint64]*running       // streams that have begun here and not ended
+	failed  map[core.Origin]time.Time // when a version could not be admitted
 
 	wg   sync.WaitGroup
 	stop context.CancelFunc
@@ -90,7 +96,7 @@
 // New returns a Tracker and registers its message handlers. versions returns the software versions that
 // the runners of a service have that this daemon knows.
 func New(versions func(service string) []string, clock core.Clock, log *zap.Logger, opts ...Option) *Tracker {
-	t := &Tracker{versions: versions, retires: func() bool { return false }, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), running: map[uint64]*running{}}
+	t := &Tracker{versions: versions, retires: func() bool { return false }, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), running: map[uint64]*running{}, failed: map[core.Origin]time.Time{}}
 	for _, o := range opts {
 		o(t)
 	}
@@ -194,7 +200,15 @@
 // Admit implements core.Origins. If this daemon does not reach the store, another one that knows the
 // version as admitted suffices.
 func (t *Tracker) Admit(ctx context.Context, o core.Origin) bool {
-	if t.registry == nil || t.registry.Admit(ctx, o) {
+	if t.registry == nil || t.registry.Admitted(o) {
+		return true
+	}
+	if t.failedLately(o) {
+		return false
+	}
+	storeCtx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	if t.registry.Admit(storeCtx, o) {
 		return true
 	}
 	if t.net == nil {
@@ -203,8 +217,24 @@
 	known, _ := ask(ctx, t.net, t.targets(nil), kindAdmitted, o, func(_ string, got bool) bool { return got })
 	if known {
 		t.registry.Learn(o)
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failed[o] = t.clock.Now()
+	return false
+}
+
+// failedLately reports whether a version could not be admitted less than admitPause ago.
+func (t *Tracker) failedLately(o core.Origin) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.failed[o]
+	if ok && t.clock.Since(at) < admitPause {
+		return true
 	}
-	return known
+	delete(t.failed, o)
+	return false
 }
 
 func (t *Tracker) handleAdmitted(from peers.Peer, body json.RawMessage, answer func(any)) {
@@ -249,30 +279,30 @@
 			return core.FoundOrigin{Origin: r.Origin, Source: core.OriginOwn, Age: r.Age}, nil
 		}
 	}
-	if !t.several(service) {
-		if found, err := t.findSole(ctx, service); err == nil {
-			return found, nil
-		}
+	// The likelier source goes first.
+	first, second := t.findSole, t.findElsewhere
+	if t.several(service) {
+		first, second = second, first
 	}
-	found, err := t.findElsewhere(ctx, k)
-	if err == nil || !t.several(service) {
-		return found, err
+	found, err := first(ctx, k, service)
+	if err == nil {
+		return found, nil
 	}
-	sole, soleErr := t.findSole(ctx, service)
-	if soleErr == nil || errors.Is(soleErr, core.ErrOriginUnanswered) {
-		return sole, soleErr
+	found, secondErr := second(ctx, k, service)
+	if secondErr == nil || errors.Is(secondErr, core.ErrOriginUnanswered) {
+		return found, secondErr
 	}
 	return core.FoundOrigin{}, err
 }
 
 // findSole reads from the store whether all streams of a service have begun at one version.
-func (t *Tracker) findSole(ctx context.Context, service string) (core.FoundOrigin, error) {
+func (t *Tracker) findSole(ctx context.Context, _ *core.StreamKey, service string) (core.FoundOrigin, error) {
 	o, err := t.reader.sole(ctx, service)
 	return core.FoundOrigin{Origin: o, Source: core.OriginStore}, err
 }
 
 // findElsewhere asks other daemons where a stream began.
-func (t *Tracker) findElsewhere(ctx context.Context, k *core.StreamKey) (core.FoundOrigin, error) {
+func (t *Tracker) findElsewhere(ctx context.Context, k *core.StreamKey, _ string) (core.FoundOrigin, error) {
 	if k == nil || t.net == nil {
 		return core.FoundOrigin{}, core.ErrOriginUnknown
 	}
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -162,6 +162,31 @@
 	}
 }
 
+// TestStoreOutage guards against a stream that is given up for good while the store may soon name its version,
+// and against a daemon cut off from the store that lets no stream begin although others know the version.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(clockwork.NewRealClock(), 3)
+		defer w.stop()
+		for _, n := range w.nodes {
+			n.show([]string{"v1"})
+		}
+		assert.Assert(t, w.nodes[0].begin("q", at("v1")) && w.nodes[2].begin("p", at("v1")))
+		w.kill(0)
+		w.nodes[1].client.SetDisconnected(true)
+		_, err := w.nodes[1].find("q")
+		assert.Assert(t, errors.Is(err, core.ErrOriginUnanswered), "%v", err)
+		assert.Assert(t, w.nodes[1].begin("r", at("v1")))
+		assert.Assert(t, !w.nodes[1].begin("s", at("v2")))
+		w.nodes[1].client.SetDisconnected(false)
+		o, err := w.nodes[1].find("q")
+		assert.NilError(t, err)
+		assert.Equal(t, o, at("v1"))
+		time.Sleep(admitPause)
+		assert.Assert(t, w.nodes[1].begin("s", at("v2")))
+	})
+}
+
 // TestIDsUsedTwice guards against a stream that goes on at the version of another one, because a caller has
 // used its id for both.
 func TestIDsUsedTwice(t *testing.T) {
--- a/coordination/origin/registry.go
+++ b/coordination/origin/registry.go
@@ -22,8 +22,6 @@
 	kindVersions = "admissions"
 	// admitTimeout bounds the admission of a version: some calls of the store.
 	admitTimeout = time.Second
-	// admitPause is how long after a failed admission the next one may begin.
-	admitPause = 300 * time.Millisecond
 	// forgetAfter is how long after it saw the last runner of a version a daemon has that version
 	// admitted anew before the next stream begins at it.
 	forgetAfter = time.Minute
@@ -55,7 +53,6 @@
 	lists map[string]*serviceList
 	// admitting holds the admissions in progress.
 	admitting map[core.Origin]chan struct{}
-	failedAt  map[core.Origin]time.Time
 	clock     core.Clock
 }
 
@@ -72,7 +69,7 @@
 // NewRegistry returns a Registry in a store.
 func NewRegistry(store core.Platform, clock core.Clock, log *zap.Logger) *Registry {
 	return &Registry{
-		store: store, clock: clock, log: log, known: map[string][]string{}, lists: map[string]*serviceList{}, admitting: map[core.Origin]chan struct{}{}, failedAt: map[core.Origin]time.Time{},
+		store: store, clock: clock, log: log, known: map[string][]string{}, lists: map[string]*serviceList{}, admitting: map[core.Origin]chan struct{}{},
 	}
 }
 
@@ -141,10 +138,6 @@
 	}
 	r.mu.Lock()
 	done, ok := r.admitting[o]
-	if at, failed := r.failedAt[o]; !ok && failed && r.clock.Since(at) < admitPause {
-		r.mu.Unlock()
-		return false
-	}
 	if !ok {
 		done = make(chan struct{})
 		r.admitting[o] = done
@@ -167,10 +160,6 @@
 	}
 	r.mu.Lock()
 	delete(r.admitting, o)
-	delete(r.failedAt, o)
-	if err != nil {
-		r.failedAt[o] = r.clock.Now()
-	}
 	r.mu.Unlock()
 	close(done)
 }
