Read back: one decoding of messages in origins, one retirement of runners in the soak

Change: Tracker.decode, World.retireRunner, a neutral name; behaviour as before. Result: lint; race-built tests of origin, dispatch, core pass.

--- a/coordination/origin/bench_test.go
+++ b/coordination/origin/bench_test.go
@@ -52,7 +52,7 @@
 				for b.Loop() {
 					k := core.StreamKeyOf(nil, fmt.Sprint(rng.Uint64()))
 					holders := s.holders(k, n)
-					data, err := json.Marshal(pack([]copyOf{{key: k, origin: core.Origin{Service: "officina-llm", Version: "v1.1"}}}))
+					data, err := json.Marshal(pack([]copyOf{{key: k, origin: core.Origin{Service: "model-runner", Version: "v1.1"}}}))
 					if err != nil {
 						b.Fatal(err)
 					}
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -18,7 +18,6 @@
 
 	"primroseward/coordination/peers"
 	"primroseward/core"
-	"primroseward/io/logs"
 )
 
 const (
@@ -239,8 +238,7 @@
 
 func (t *Tracker) handleAdmitted(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var o core.Origin
-	if err := json.Unmarshal(body, &o); err != nil {
-		t.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+	if !t.decode(from, body, &o) {
 		return
 	}
 	answer(t.registry != nil && t.registry.Admitted(o))
--- a/coordination/origin/send.go
+++ b/coordination/origin/send.go
@@ -242,10 +242,18 @@
 	return false, silent
 }
 
+// decode decodes a message, and logs an error.
+func (t *Tracker) decode(from peers.Peer, body json.RawMessage, out any) bool {
+	if err := json.Unmarshal(body, out); err != nil {
+		t.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+		return false
+	}
+	return true
+}
+
 func (t *Tracker) handleRecords(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var list []records
-	if err := json.Unmarshal(body, &list); err != nil {
-		t.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+	if !t.decode(from, body, &list) {
 		return
 	}
 	for _, r := range list {
@@ -257,8 +265,7 @@
 
 func (t *Tracker) handleAsk(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var k core.StreamKey
-	if err := json.Unmarshal(body, &k); err != nil {
-		t.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+	if !t.decode(from, body, &k) {
 		return
 	}
 	r, ok := t.table.Get(k)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -178,12 +178,7 @@
 		if h == nil {
 			return "none"
 		}
-		w.replaceRunner(h, r)
-		w.mu.Lock()
-		h.drainedAt = time.Now()
-		w.mu.Unlock()
-		h.Drain()
-		w.endRunner(h, 4*time.Second)
+		w.retireRunner(h, r)
 		return h.ID
 	}},
 	{"configuration", func(w *World, _ *rand.Rand) string {
@@ -308,6 +303,16 @@
 	return fmt.Sprintf("%s for %v", how, length)
 }
 
+// retireRunner replaces a runner, which announces that it leaves and ends later.
+func (w *World) retireRunner(h *proxiedRunner, r *rand.Rand) {
+	w.replaceRunner(h, r)
+	w.mu.Lock()
+	h.drainedAt = time.Now()
+	w.mu.Unlock()
+	h.Drain()
+	w.endRunner(h, 4*time.Second)
+}
+
 // endRunner ends a runner that leaves, and its entry, after a delay.
 func (w *World) endRunner(h *proxiedRunner, after time.Duration) {
 	w.schedule(after, func() {
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -33,12 +33,7 @@
 	if h == nil || h.Service != "gen" {
 		return text
 	}
-	w.replaceRunner(h, r)
-	w.mu.Lock()
-	h.drainedAt = time.Now()
-	w.mu.Unlock()
-	h.Drain()
-	w.endRunner(h, 4*time.Second)
+	w.retireRunner(h, r)
 	return text + ", in place of " + h.ID
 }
 
