Peers: one ranking of daemons by rendezvous hashing

Cause: the change had written again what the quarantine does to find its counters: rank daemons by a hash of a key and their names. Change: peers.Rank serves both; the quarantine's hash and so its counters stay the same, the holders of records are ranked by name in place of its code. Result: lint; race-built tests of origin, quarantine, peers, dispatch and fleet pass.

--- a/coordination/origin/send.go
+++ b/coordination/origin/send.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"primroseward/coordination/peers"
@@ -162,40 +161,10 @@
 	return s.listed
 }
 
-// holders returns the n other daemons that rank highest for a key, by rendezvous hashing. Daemons that
-// are leaving hold no records.
+// holders returns the n other daemons that rank highest for a key. Daemons that are leaving hold no
+// records.
 func (s *sender) holders(k core.StreamKey, n int) []peers.Peer {
-	type ranked struct {
-		peer  peers.Peer
-		score uint64
-	}
-	best := make([]ranked, 0, n+1)
-	var data [len(k) + 4]byte
-	copy(data[:], k[:])
-	for _, p := range s.others() {
-		if p.Leaving {
-			continue
-		}
-		code := core.CodeOf(p.Name)
-		data[len(k)], data[len(k)+1], data[len(k)+2], data[len(k)+3] = byte(code), byte(code>>8), byte(code>>16), byte(code>>24)
-		score := xxhash.Sum64(data[:])
-		at := len(best)
-		for at > 0 && best[at-1].score < score {
-			at--
-		}
-		if at >= n {
-			continue
-		}
-		best = append(best, ranked{})
-		copy(best[at+1:], best[at:])
-		best[at] = ranked{p, score}
-		best = best[:min(len(best), n)]
-	}
-	out := make([]peers.Peer, 0, len(best))
-	for _, b := range best {
-		out = append(out, b.peer)
-	}
-	return out
+	return peers.Rank(s.others(), k[:], n)
 }
 
 // targets returns the daemons to ask for a key: in a small fleet all, which also finds a daemon that
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -11,14 +11,11 @@
 package quarantine
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -257,25 +254,10 @@
 // live daemons choose the same counters. A daemon that is leaving is no counter; if all are
 // leaving, this one is the only counter.
 func countersOf(d core.Digest, all []peers.Peer) []peers.Peer {
-	type ranked struct {
-		peers.Peer
-		rank uint64
+	if out := peers.Rank(all, d[:], counterCount); len(out) > 0 {
+		return out
 	}
-	list := make([]ranked, 0, len(all))
-	for _, p := range all {
-		if !p.Leaving {
-			list = append(list, ranked{p, xxhash.Sum64String(string(d[:]) + p.Name)})
-		}
-	}
-	if len(list) == 0 {
-		return all[:1]
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	out := make([]peers.Peer, 0, counterCount)
-	for _, one := range list[:min(counterCount, len(list))] {
-		out = append(out, one.Peer)
-	}
-	return out
+	return all[:1]
 }
 
 // decode decodes a message, and logs one that is malformed.
