Reach: a daemon that has lost its path to single runners leaves those out alone

Cause: a path was judged for all runners together, by checks that a plain service without a health path does not have. A daemon that heard any runner went on sending to those that it did not reach, and its hung requests counted as load there at all others.

Change: a runner that leaves two requests unanswered for 0.7 s, while it answers later ones of another daemon, which is asked, and does not answer a check, counts as down for this daemon alone until a check or a request is answered. Requests there that may run again are sent elsewhere or forwarded, and are no longer reported as load. Daemons that refused a forwarded request for the same runners are chosen last.

TestLossOfThePathToSomeRunners was wrong: its stand-in answered checks of the runners that hang.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -78,7 +78,7 @@
 			return r, nil
 		}
 	}
-	if err == errDown && !j.exitConfirmed() || err == errExhausted && j.failedDials+j.closed > 0 {
+	if err == errDown && !j.exitConfirmed() || err == errExhausted && j.failedDials+j.closed+j.unanswered > 0 {
 		if r := j.chooseHelper(err.Error()); r != nil {
 			return r, nil
 		}
@@ -120,7 +120,7 @@
 	case i < 0:
 		return nil, errFull
 	case candidates[i].Reported:
-		j.d.loads.Verify(candidates[i].ID)
+		j.verify(candidates[i].ID)
 	case candidates[i].Down && !j.d.loads.Probe(candidates[i].ID):
 		return nil, errDown
 	}
@@ -140,6 +140,15 @@
 	return j.chooseRunner(ctx) // it no longer accepts requests, or the settings have changed
 }
 
+// verify records that the request finds out whether a runner is down. If the runner has not answered
+// this daemon, a retry is taken from the budget, so that the request can be sent elsewhere.
+func (j *job) verify(runner string) {
+	if j.d.loads.IsUnanswering(runner) && !j.retryReserved {
+		j.retryReserved = j.attemptsLeft(1) && j.d.budget.TakeRetry(j.service)
+	}
+	j.d.loads.Verify(runner)
+}
+
 // needsPlacement reports whether to ask the holder of orders for the request's model or
 // adapter: if no runner that is up has it, or if all runners with the adapter are full or
 // down and another replica of its model has capacity. This is done once per request, and once
@@ -241,11 +250,12 @@
 			j.addUnadmitted(e)
 			continue
 		}
+		verify := s.Load.Down && s.Load.MayVerify(j.attemptsLeft(1) && j.d.budget.Left(j.service))
 		holders = append(holders, e)
 		out = append(out, policy.Candidate{
 			ID: e.ID, Slots: e.Slots, Requests: s.Load.Requests, Penalty: s.Load.Penalty,
 			SameDataCentre: e.DataCentre == j.d.dataCentre, Leaving: e.LeavesIn > 0 && e.LeavesIn < leaveMargin,
-			Wait: j.d.pacer.Wait(now, e.ID), Down: s.Load.Down && !(s.Load.Reported && s.Load.VerifyDue), Reported: s.Load.Reported, Limited: s.Limited && !s.Limit.Spare, BackedOff: s.BackedOff,
+			Wait: j.d.pacer.Wait(now, e.ID), Down: s.Load.Down && !verify, Reported: s.Load.Reported || verify, Limited: s.Limited && !s.Limit.Spare, BackedOff: s.BackedOff,
 			NoRoom: s.Brittle && s.Room.Left() <= 0,
 		})
 		if s.Brittle {
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -186,6 +186,7 @@
 	rejections         int
 	failedDials        int
 	closed             int // connections that a runner closed before the answer was complete
+	unanswered         int // sends to runners that do not answer this daemon
 	sends              int
 	units              float64            // taken from the workspace's allowance by each run
 	placementRequested bool               // the holder of orders has been asked to load the model or adapter
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -26,8 +26,10 @@
 	Sender
 	// Choose returns a daemon that has a path to the runners, as a runner without a service, or
 	// nil if there is none. exclude lists daemons that must not be chosen. Daemons that report one
-	// of the given runners as down are chosen only if there is no other.
+	// of the given runners as down, or are known not to reach it, are chosen only if there is no other.
 	Choose(exclude map[string]bool, runners []core.Code) *core.Runner
+	// RecordUnreached records that a daemon does not reach the given runners either.
+	RecordUnreached(daemon string, runners []core.Code)
 	// Names returns the names of the daemons.
 	Names() []string
 	// Loads returns the load of the daemons by forwarded requests.
@@ -87,10 +89,11 @@
 }
 
 // exitConfirmed reports whether daemons that this one has forwarded requests to have lately found the
-// same runners down. Until then the cause may be this daemon's path to them.
+// same runners down. Until then the cause may be this daemon's path to them; of those that do not answer
+// this daemon alone it is known to be.
 func (j *job) exitConfirmed() bool {
 	for _, o := range j.omitted {
-		if o.state.Load.Down && !j.d.loads.ExitConfirmed(o.id) {
+		if o.state.Load.Unanswering || o.state.Load.Down && !j.d.loads.ExitConfirmed(o.id) {
 			return false
 		}
 	}
@@ -202,6 +205,9 @@
 		}
 		return e
 	}
+	if e.Code == errDown.Error() || e.Code == errExhausted.Error() || e.Code == codeUnreachable {
+		j.d.helpers.RecordUnreached(to.ID, j.omittedDown())
+	}
 	switch e.Code {
 	case core.CodePath, codeUnreachable, errDown.Error(), errExhausted.Error(), core.CodeNoConfig, core.CodeNoSettings:
 		if j.hasHelper() {
--- a/coordination/dispatch/forward_model_test.go
+++ b/coordination/dispatch/forward_model_test.go
@@ -69,6 +69,8 @@
 	loads *load.Table
 }
 
+func (h *hopsFrom) RecordUnreached(string, []core.Code) {}
+
 func (h *hopsFrom) Loads() *load.Table { return h.loads }
 
 func (h *hopsFrom) Names() []string {
--- a/coordination/dispatch/forward_test.go
+++ b/coordination/dispatch/forward_test.go
@@ -26,6 +26,8 @@
 func (o *otherDaemons) Names() []string    { return []string{"vm-2", "vm-3"} }
 func (o *otherDaemons) Loads() *load.Table { return o.loads }
 
+func (o *otherDaemons) RecordUnreached(string, []core.Code) {}
+
 func (o *otherDaemons) Choose(exclude map[string]bool, _ []core.Code) *core.Runner {
 	for _, name := range o.Names() {
 		if !exclude[name] {
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -28,6 +28,9 @@
 	}
 	j.markFailed(r)
 	j.reportClosed(r, err)
+	if j.d.loads.IsUnanswering(r.ID) {
+		j.unanswered++
+	}
 	if !errors.Is(err, core.ErrNotSent) {
 		j.d.metrics.broken(j.framing, err)
 	}
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -56,7 +56,7 @@
 	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
-	endLoad := j.d.loads.Begin(r.ID)
+	sent := j.d.loads.BeginSend(r.ID)
 	ctx, j.cancelSend = context.WithCancel(ctx)
 	done := j.d.byRunner.add(r.ID, j.cancelSend)
 	j.answerBegan = j.d.unanswered.add(j.q.Digest, j.cancelSend)
@@ -73,9 +73,10 @@
 		done()
 		j.answerBegan()
 		j.cancelSend()
-		endLoad()
+		sent.End()
 		return nil, err
 	}
+	sent.Answered()
 	j.stage, j.framing, j.answeredAt = stageHead, reply.Framing, j.d.clock.Now()
 	cancelSend, answerBegan := j.cancelSend, j.answerBegan
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() {
@@ -83,7 +84,7 @@
 		done()
 		answerBegan()
 		cancelSend()
-		endLoad()
+		sent.End()
 		releaseRoom()
 	}}
 	return reply, nil
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -43,11 +43,13 @@
 }
 
 // lostPathInterval is how often a request that waits for its answer looks whether this daemon has
-// lost its path to the runners. If so it is sent elsewhere once its runner has sent nothing for
-// lostPathSilence.
+// lost its path to the runners, or to its runner. If so it is sent elsewhere once its runner has sent
+// nothing for lostPathSilence, or for unansweringSilence: one that is sent to find out whether the
+// runner answers again needs time for an answer.
 const (
-	lostPathInterval = 300 * time.Millisecond
-	lostPathSilence  = 200 * time.Millisecond
+	lostPathInterval   = 300 * time.Millisecond
+	lostPathSilence    = 200 * time.Millisecond
+	unansweringSilence = 700 * time.Millisecond
 )
 
 // stallLimit returns after which silence of the runner the request is sent elsewhere. Only streams
@@ -56,6 +58,8 @@
 	switch {
 	case !isDaemon(s.runner) && s.job.d.pathLost():
 		return lostPathSilence
+	case !isDaemon(s.runner) && s.job.d.loads.IsUnanswering(s.runner.ID):
+		return unansweringSilence
 	case s.job.route.Kind == core.KindStream:
 		return s.limit
 	}
@@ -89,7 +93,7 @@
 		s.timer = clock.AfterFunc(min(limit-idle, lostPathInterval), s.check)
 		return
 	}
-	if !s.job.reserveResume(s.pending) {
+	if !s.job.reserveResume(s.runner, s.pending) {
 		// A slow answer is better than one that breaks off.
 		s.timer = clock.AfterFunc(s.limit/2, s.check)
 		return
@@ -98,18 +102,19 @@
 	s.cancelSend()
 }
 
-// reserveResume reports whether the stream can be resumed elsewhere now, and takes a retry from
-// the budget for it. It reads and writes the job without a lock of its own: the job waits for
+// reserveResume reports whether the request can be sent elsewhere than to its silent runner now, and
+// takes a retry from the budget for it. It reads and writes the job without a lock of its own: the job waits for
 // its runner meanwhile, which the lock of the stallWatch ensures.
-func (j *job) reserveResume(pending int) bool {
+func (j *job) reserveResume(silent *core.Runner, pending int) bool {
 	if !j.attemptsLeft(pending) {
 		return false
 	}
-	helped := j.d.pathLost() && j.hasHelper()
-	if _, candidates := j.candidates(); !helped && policy.Choose(candidates, j.requirements()) < 0 {
+	_, candidates := j.candidates()
+	forward := j.d.pathLost() || policy.AllDown(candidates) && j.d.loads.IsUnanswering(silent.ID)
+	if policy.Choose(candidates, j.requirements()) < 0 && !(forward && j.hasHelper()) {
 		return false
 	}
-	j.retryReserved = j.d.budget.TakeRetry(j.service)
+	j.retryReserved = j.retryReserved || j.d.budget.TakeRetry(j.service)
 	return j.retryReserved
 }
 
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -7,9 +7,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +33,8 @@
 	// maxForwarded bounds the forwarded requests in progress at one daemon, as a multiple of
 	// nominalSlots.
 	maxForwarded = 8
+	// unreachedTTL is how long it counts that another daemon does not reach a runner.
+	unreachedTTL = 5 * time.Second
 )
 
 // Forwarder sends requests to other daemons. It implements dispatch.Helpers.
@@ -39,11 +43,21 @@
 	alive func() []peers.Peer // this daemon first
 	loads *load.Table         // of the other daemons, as if they were runners
 	conns *runner.Client
+	clock core.Clock
+
+	mu        sync.Mutex
+	unreached map[unreachedKey]time.Time // when it was learnt
+}
+
+// unreachedKey is a daemon that does not reach a runner.
+type unreachedKey struct {
+	daemon string
+	runner core.Code
 }
 
 // New returns a Forwarder. dialect is that of the callers' requests.
 func New(p *peers.Peers, dialect core.Dialect, clock core.Clock) *Forwarder {
-	return &Forwarder{self: p.Self, alive: p.Alive, loads: load.New(clock), conns: runner.New(clock, hopDialect{dialect})}
+	return &Forwarder{self: p.Self, alive: p.Alive, loads: load.New(clock), conns: runner.New(clock, hopDialect{dialect}), clock: clock, unreached: map[unreachedKey]time.Time{}}
 }
 
 // Loads returns the load of the other daemons by the requests that this one has forwarded.
@@ -58,15 +72,35 @@
 	return out
 }
 
+// RecordUnreached records that another daemon does not reach the given runners either.
+func (f *Forwarder) RecordUnreached(daemon string, runners []core.Code) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	maps.DeleteFunc(f.unreached, func(_ unreachedKey, at time.Time) bool { return now.Sub(at) >= unreachedTTL })
+	for _, c := range runners {
+		f.unreached[unreachedKey{daemon, c}] = now
+	}
+}
+
+// reaches reports whether a daemon may reach all of the given runners, as far as is known.
+func (f *Forwarder) reaches(p *peers.Peer, runners []core.Code) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	return !slices.ContainsFunc(runners, func(c core.Code) bool {
+		at, ok := f.unreached[unreachedKey{p.Name, c}]
+		return ok && now.Sub(at) < unreachedTTL || slices.Contains(p.RefusingRunners, c)
+	})
+}
+
 // Choose returns the daemon to forward a request to, as a runner without a service, or nil if
 // there is none. exclude lists daemons by name that must not get it. Daemons that report one of the
-// given runners as down are chosen only if there is no other; in a large fleet it is not known
-// which ones do.
+// given runners as down, or have refused a request because they do not reach it, are chosen only if
+// there is no other; in a large fleet the reports are not known.
 func (f *Forwarder) Choose(exclude map[string]bool, runners []core.Code) *core.Runner {
 	list := slices.DeleteFunc(f.alive()[1:], func(p peers.Peer) bool { return !p.Ready || p.Leaving || p.PathLost || exclude[p.Name] })
-	reaching := slices.DeleteFunc(slices.Clone(list), func(p peers.Peer) bool {
-		return slices.ContainsFunc(runners, func(c core.Code) bool { return slices.Contains(p.RefusingRunners, c) })
-	})
+	reaching := slices.DeleteFunc(slices.Clone(list), func(p peers.Peer) bool { return !f.reaches(&p, runners) })
 	if len(reaching) > 0 {
 		list = reaching
 	}
--- a/coordination/load/down.go
+++ b/coordination/load/down.go
@@ -45,6 +45,7 @@
 	Reporter    string        // daemon whose report that it is down is the latest; empty: none lately
 	ReportedAgo time.Duration // since that report
 	HeardAgo    time.Duration // since this daemon last received anything from it; below 0: it has not
+	Unanswering time.Duration // since it was found to answer other daemons but not this one; below 0: it was not
 }
 
 // String returns the evidence for logs.
@@ -56,6 +57,9 @@
 	if e.Reporter != "" {
 		parts = append(parts, fmt.Sprintf("reported by %s %s ago", e.Reporter, e.ReportedAgo.Round(time.Millisecond)))
 	}
+	if e.Unanswering >= 0 {
+		parts = append(parts, fmt.Sprintf("does not answer this daemon for %s", e.Unanswering.Round(time.Millisecond)))
+	}
 	if e.HeardAgo >= 0 {
 		parts = append(parts, fmt.Sprintf("last heard %s ago", e.HeardAgo.Round(time.Millisecond)))
 	}
@@ -66,13 +70,16 @@
 func (t *Table) Evidence(runner string) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, out := t.clock.Now(), Evidence{RefusedAgo: -1, HeardAgo: -1}
+	now, out := t.clock.Now(), Evidence{RefusedAgo: -1, HeardAgo: -1, Unanswering: -1}
 	if at, ok := t.down[runner]; ok && now.Sub(at) < downTTL {
 		out.RefusedAgo = now.Sub(at)
 	}
 	if r, ok := t.peerDown[core.CodeOf(runner)]; ok && now.Sub(r.at) < peerDownTTL {
 		out.Reporter, out.ReportedAgo = r.reporter, now.Sub(r.at)
 	}
+	if u := t.unanswering[runner]; u != nil {
+		out.Unanswering = now.Sub(u.since)
+	}
 	if at, ok := t.lastReceived[runner]; ok {
 		out.HeardAgo = now.Sub(at)
 	}
@@ -84,6 +91,7 @@
 	delete(t.down, runner)
 	delete(t.probedAt, runner)
 	delete(t.confirmedAt, runner)
+	delete(t.unanswering, runner)
 	delete(t.paths.failedAt, runner)
 	delete(t.peerDown, core.CodeOf(runner))
 }
@@ -113,6 +121,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	if t.unanswering[runner] != nil {
+		return false // Verify decides when it is tried
+	}
 	if at, ok := t.probedAt[runner]; ok && now.Sub(at) < probeInterval {
 		return false
 	}
@@ -135,12 +146,16 @@
 	return ok && t.clock.Since(at) < confirmTTL
 }
 
-// Verify is like Probe for a runner that counts as down by the reports of peers only. It may well
-// be up: a daemon that has lost its path to the runners takes all of them for down.
+// Verify is like Probe for a runner that counts as down by the reports of peers only, or because it
+// does not answer this daemon. It may well be up: a daemon that has lost its path to the runners takes
+// all of them for down.
 func (t *Table) Verify(runner string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	if u := t.unanswering[runner]; u != nil && !t.reportedDown(runner, now) {
+		return u.try(now)
+	}
 	if !t.verifyDue(runner, now) {
 		return false
 	}
@@ -155,7 +170,7 @@
 }
 
 // Down reports whether a runner recently refused a connection, of this daemon or of another
-// one. The runner's entry remains for some seconds after its exit; relying on the entry would
+// one, or does not answer this one. The runner's entry remains for some seconds after its exit; relying on the entry would
 // leave the runner's models unreachable for that long.
 func (t *Table) Down(runner string) bool {
 	t.mu.Lock()
@@ -165,7 +180,7 @@
 
 // isDown is Down at a given time; the caller holds t.mu.
 func (t *Table) isDown(runner string, now time.Time) bool {
-	return t.refused(runner, now) || t.reportedDown(runner, now)
+	return t.refused(runner, now) || t.reportedDown(runner, now) || t.unanswering[runner] != nil
 }
 
 // refused reports whether a runner recently refused a connection of this daemon or did not answer
--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -42,6 +42,9 @@
 	probedAt     map[string]time.Time     // when a runner that was down was last probed
 	verifiedAt   map[string]time.Time     // when a request last went to a runner that peers report as down
 	confirmedAt  map[string]time.Time     // when other daemons last found a runner down that is down here
+	waiting      map[string][]*Send       // requests of this daemon without an answer, oldest first
+	answered     map[string]time.Time     // when the latest answered request of this daemon was sent
+	unanswering  map[string]*unanswering  // runners that answer other daemons but not this one
 	paths        pathEvidence
 }
 
@@ -63,13 +66,16 @@
 
 // New returns an empty Table.
 func New(clock core.Clock) *Table {
-	return &Table{clock: clock, local: map[string]*int{}, failures: map[string]failure{}, peers: map[string]peerCounts{}, reported: map[string]reportedLoad{}, lastReceived: map[string]time.Time{}, down: map[string]time.Time{}, peerDown: map[core.Code]downReport{}, probedAt: map[string]time.Time{}, verifiedAt: map[string]time.Time{}, confirmedAt: map[string]time.Time{}, paths: newPathEvidence()}
+	return &Table{clock: clock, local: map[string]*int{}, failures: map[string]failure{}, peers: map[string]peerCounts{}, reported: map[string]reportedLoad{}, lastReceived: map[string]time.Time{}, down: map[string]time.Time{}, peerDown: map[core.Code]downReport{}, probedAt: map[string]time.Time{}, verifiedAt: map[string]time.Time{}, confirmedAt: map[string]time.Time{}, waiting: map[string][]*Send{}, answered: map[string]time.Time{}, unanswering: map[string]*unanswering{}, paths: newPathEvidence()}
 }
 
-// Begin counts a request sent to a runner, until end is called. Each instance of the runner
-// has its own count, so that the end of a request to a former instance does not lower the
-// count of the current one.
-func (t *Table) Begin(runner string) (end func()) {
+// Begin is BeginSend where only the end of the request is recorded.
+func (t *Table) Begin(runner string) (end func()) { return t.BeginSend(runner).End }
+
+// BeginSend counts a request sent to a runner, until its end. Each instance of the runner has its own
+// count, so that the end of a request to a former instance does not lower the count of the current
+// one.
+func (t *Table) BeginSend(runner string) *Send {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := t.local[runner]
@@ -78,15 +84,10 @@
 		t.local[runner] = n
 	}
 	*n++
-	t.paths.begin(t.clock.Now())
-	return sync.OnceFunc(func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.paths.end()
-		if *n--; *n == 0 && t.local[runner] == n {
-			delete(t.local, runner)
-		}
-	})
+	s := &Send{table: t, runner: runner, at: t.clock.Now(), count: n, waiting: true}
+	t.waiting[runner] = append(t.waiting[runner], s)
+	t.paths.begin(s.at)
+	return s
 }
 
 // localRequests returns this daemon's requests in progress at a runner; the caller holds t.mu.
@@ -104,6 +105,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.local, runner)
+	for _, s := range t.waiting[runner] {
+		s.waiting = false
+	}
+	delete(t.waiting, runner)
 	for _, p := range t.peers {
 		delete(p.counts, core.CodeOf(runner))
 	}
@@ -140,6 +145,7 @@
 	delete(t.failures, runner)
 	delete(t.lastReceived, runner)
 	delete(t.verifiedAt, runner)
+	delete(t.answered, runner)
 	t.clearDown(runner)
 }
 
@@ -175,13 +181,16 @@
 	return f.value / float64(int(1)<<halvings)
 }
 
-// LocalRequests returns this daemon's requests in progress by runner.
+// LocalRequests returns this daemon's requests in progress by runner, without those at runners that do
+// not answer this daemon: they have not arrived there, or their answers are lost.
 func (t *Table) LocalRequests() map[core.Code]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(map[core.Code]int, len(t.local))
 	for id, n := range t.local {
-		out[core.CodeOf(id)] += *n
+		if t.unanswering[id] == nil {
+			out[core.CodeOf(id)] += *n
+		}
 	}
 	return out
 }
@@ -199,9 +208,24 @@
 	Requests int     // in progress, from all daemons
 	Penalty  float64 // for recent failed attempts, as a part of the runner's slots
 	Down     bool    // has recently refused a connection, see Table.Down
-	// Reported is set if only reports of peers say that it is down, VerifyDue if a request may be
-	// sent to such a runner to find out.
-	Reported, VerifyDue bool
+	// Reported is set if only reports of peers say that it is down, Unanswering if it only does not
+	// answer requests of this daemon.
+	Reported, Unanswering bool
+	// VerifyDue is set if a request may be sent to such a runner to find out, UnsafeDue if also one
+	// that must not be sent again.
+	VerifyDue, UnsafeDue bool
+}
+
+// MayVerify reports whether a request may be sent to a runner that counts as down, to find out whether
+// it is. repeatable tells whether it may be sent elsewhere if it is not answered.
+func (v View) MayVerify(repeatable bool) bool {
+	switch {
+	case v.Reported:
+		return v.VerifyDue
+	case v.Unanswering:
+		return v.VerifyDue && repeatable || v.UnsafeDue
+	}
+	return false
 }
 
 // View returns the known load of a runner. Its requests are the higher of two estimates: the
@@ -221,9 +245,15 @@
 	if s, ok := t.reported[runner]; ok && now.Sub(s.at) < reportedLoadTTL {
 		sum = max(sum, s.load.Running+s.load.Waiting+t.localRequests(runner)-s.local)
 	}
-	refused, reported := t.refused(runner, now), t.reportedDown(runner, now)
-	return View{
-		Requests: sum, Penalty: t.failures[runner].remaining(now), Down: refused || reported,
-		Reported: reported && !refused, VerifyDue: t.verifyDue(runner, now),
+	v := View{Requests: sum, Penalty: t.failures[runner].remaining(now)}
+	switch u := t.unanswering[runner]; {
+	case t.refused(runner, now):
+		v.Down = true
+	case t.reportedDown(runner, now):
+		v.Down, v.Reported, v.VerifyDue = true, true, t.verifyDue(runner, now)
+	case u != nil:
+		v.Down, v.Unanswering = true, true
+		v.VerifyDue, v.UnsafeDue = now.Sub(u.triedAt) >= u.interval, now.Sub(u.triedAt) >= unsafeTrialInterval
 	}
+	return v
 }
--- a/coordination/load/paths.go
+++ b/coordination/load/paths.go
@@ -171,5 +171,6 @@
 	clear(t.paths.failedAt)
 	clear(t.down)
 	clear(t.failures)
+	clear(t.unanswering)
 	t.paths.heardAt = t.clock.Now()
 }
--- /dev/null
+++ b/coordination/load/unanswered_test.go
@@ -0,0 +1,98 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+)
+
+// Guards against a runner that is taken for unanswering because one request is slow, or because an earlier
+// one is while later ones are answered.
+func TestUnanswered(t *testing.T) {
+	const wait, shorter = 700 * time.Millisecond, 400 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		do   func(l *Table, clock *clockwork.FakeClock)
+		want int
+	}{
+		{"one request", func(l *Table, clock *clockwork.FakeClock) { l.BeginSend("r"); clock.Advance(wait) }, 0},
+		{"two requests", func(l *Table, clock *clockwork.FakeClock) { l.BeginSend("r"); l.BeginSend("r"); clock.Advance(wait) }, 2},
+		{"not long enough", func(l *Table, clock *clockwork.FakeClock) {
+			l.BeginSend("r")
+			clock.Advance(time.Millisecond)
+			l.BeginSend("r")
+			clock.Advance(wait - time.Millisecond)
+		}, 0},
+		{"a later one is answered", func(l *Table, clock *clockwork.FakeClock) {
+			l.BeginSend("r")
+			l.BeginSend("r")
+			clock.Advance(time.Millisecond)
+			l.BeginSend("r").Answered()
+			clock.Advance(wait)
+		}, 0},
+		{"an earlier one is answered", func(l *Table, clock *clockwork.FakeClock) {
+			first := l.BeginSend("r")
+			clock.Advance(time.Millisecond)
+			l.BeginSend("r")
+			l.BeginSend("r")
+			clock.Advance(wait)
+			first.Answered()
+		}, 2},
+		{"they have ended", func(l *Table, clock *clockwork.FakeClock) {
+			a, b := l.BeginSend("r"), l.BeginSend("r")
+			clock.Advance(wait)
+			a.End()
+			b.End()
+		}, 0},
+		{"another runner does not answer", func(l *Table, clock *clockwork.FakeClock) {
+			l.SetUnanswering("other")
+			l.BeginSend("r")
+			clock.Advance(shorter)
+		}, 1},
+		{"it is known", func(l *Table, clock *clockwork.FakeClock) {
+			l.SetUnanswering("r")
+			l.BeginSend("r")
+			clock.Advance(wait)
+		}, 0},
+	} {
+		clock := clockwork.NewFakeClock()
+		l := New(clock)
+		tt.do(l, clock)
+		got := 0
+		for _, u := range l.Unanswered(wait, shorter) {
+			got += u.Requests
+		}
+		assert.Equal(t, got, tt.want, tt.name)
+	}
+}
+
+// Guards against requests at an unanswering runner that other daemons count as its load, against more
+// than a few requests that find out whether it answers, and against one that goes on counting as down
+// after an answer.
+func TestUnansweringRunner(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := New(clock)
+	l.BeginSend("r")
+	assert.Equal(t, l.LocalRequests()[core.CodeOf("r")], 1)
+	l.SetUnanswering("r")
+	assert.Equal(t, len(l.LocalRequests()), 0)
+	assert.Equal(t, len(l.LocalDown()), 0, "other daemons reach it")
+	tried := 0
+	for range 100 {
+		clock.Advance(100 * time.Millisecond)
+		v := l.View("r")
+		assert.Assert(t, v.Down && !v.MayVerify(false))
+		if v.MayVerify(true) && l.Verify("r") {
+			tried++
+		}
+	}
+	assert.Equal(t, tried, 3, "after 1, 3 and 7 s")
+	clock.Advance(unsafeTrialInterval)
+	assert.Assert(t, l.View("r").MayVerify(false))
+	l.BeginSend("r").Answered()
+	assert.Assert(t, !l.Down("r"))
+}
--- a/coordination/placement/holder.go
+++ b/coordination/placement/holder.go
@@ -333,7 +333,8 @@
 		s := h.available.State(e)
 		rs.leaving, rs.backedOff, rs.limited = s.Leaving, s.BackedOff, s.Limited
 		// What only peers report is verified: one that has lost its path takes all runners for down.
-		down := s.Load.Down && !s.Load.Reported
+		// One that does not answer this daemon alone goes on serving the others.
+		down := s.Load.Down && !s.Load.Reported && !s.Load.Unanswering
 		if s.Load.Reported && h.loads.Verify(id) {
 			h.verify(rs)
 		}
--- a/coordination/policy/budget.go
+++ b/coordination/policy/budget.go
@@ -61,6 +61,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, now := b.current(service)
+	if !b.left(r, now) {
+		return false
+	}
+	r.retries[now]++
+	return true
+}
+
+// Left reports whether a retry is left in the budget.
+func (b *Budget) Left(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.current(service))
+}
+
+// left is Left for callers that hold the lock, with the result of current.
+func (b *Budget) left(r *sendCounts, now int) bool {
 	firstSends, retries := 0, 0
 	for i := range r.interval {
 		if r.interval[now]-r.interval[i] < windowIntervals {
@@ -68,9 +84,5 @@
 			retries += r.retries[i]
 		}
 	}
-	if float64(retries+1) > b.ratio()*float64(firstSends)+b.slack() {
-		return false
-	}
-	r.retries[now]++
-	return true
+	return float64(retries+1) <= b.ratio()*float64(firstSends)+b.slack()
 }
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -1,6 +1,7 @@
-// Package reach finds out whether this daemon has lost its own path to the runners. A refused or
-// silent connection says as much of the path as of the runner: only where some runners still
-// answer is it the runner that is gone.
+// Package reach finds out whether this daemon has lost its own path to the runners, or to single ones.
+// A refused or silent connection says as much of the path as of the runner: only where some runners
+// still answer is it the runner that is gone, and only where a runner answers other daemons is it the
+// path to it.
 package reach
 
 import (
@@ -62,6 +63,10 @@
 	scope    tally.Scope
 	onChange func(lost bool)
 
+	witnesses  Witnesses            // nil: none
+	inquiredAt map[string]time.Time // within verdictInterval, by runner; used by the loop only
+	inquiries  chan struct{}        // those in progress
+
 	lost   atomic.Bool
 	since  atomic.Int64 // Unix nanoseconds of the last change
 	failed chan struct{}
@@ -86,6 +91,7 @@
 	m := &Monitor{
 		loads: loads, checker: checker, targets: targets, clock: clock, log: log, scope: tally.NoopScope,
 		onChange: func(bool) {}, failed: make(chan struct{}, 1),
+		inquiredAt: map[string]time.Time{}, inquiries: make(chan struct{}, maxInquiries),
 	}
 	for _, o := range opts {
 		o(m)
@@ -140,6 +146,7 @@
 		case <-m.failed:
 		case <-tick.Chan():
 		}
+		m.lookAtUnanswered(ctx)
 		if now := m.clock.Now(); !now.Before(next) {
 			next = now.Add(m.look(ctx))
 		}
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -27,13 +27,14 @@
 	mu      sync.Mutex
 	hangs   bool
 	refuses func(runner string) bool
+	hung    func(runner string) bool // it answers neither checks nor requests
 	checks  int
 }
 
 func (n *network) Check(ctx context.Context, r *core.Runner, _ string) error {
 	n.mu.Lock()
 	n.checks++
-	hangs, refuses := n.hangs, n.refuses(r.ID)
+	hangs, refuses := n.hangs || n.hung != nil && n.hung(r.ID), n.refuses(r.ID)
 	n.mu.Unlock()
 	switch {
 	case hangs:
@@ -148,28 +149,72 @@
 	})
 }
 
+// witness is another daemon that some runners answer. It waits for the others.
+type witness func(runner string) bool
+
+func (w witness) AnsweredWithin(_ context.Context, runner string, _ time.Duration) Account {
+	if w(runner) {
+		return Account{Answers: "vm-2"}
+	}
+	return Account{Waits: true}
+}
+
 // Guards against a daemon that goes on sending requests to runners that it does not reach, as it reaches
-// others.
+// others, and against one that takes runners for unreachable that are slow or have stopped.
 func TestLossOfThePathToSomeRunners(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const within = 3 * time.Second
-		clock := clockwork.NewRealClock()
-		n := &network{loads: load.New(clock), n: 8, refuses: none}
-		m := New(n.loads, n, n.targets, clock, zap.NewNop())
-		m.Start()
-		defer m.Stop()
-		for i := range int(within / (10 * time.Millisecond)) {
-			runner := fmt.Sprint("r", i%8)
-			if runner < "r4" {
-				n.loads.Begin(runner) // it never ends
-			} else {
-				n.request(runner)
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		assert.Assert(t, !m.Lost(), "the other runners answer")
-		for _, runner := range []string{"r0", "r1", "r2", "r3"} {
-			assert.Assert(t, n.loads.Down(runner), "%s has sent nothing for %v", runner, within)
-		}
-	})
+	const within = 3 * time.Second
+	some := func(runner string) bool { return runner < "r4" }
+	for _, tt := range []struct {
+		name      string
+		hung      func(runner string) bool // requests to it hang
+		checkable bool                     // runners may be checked
+		answers   func(runner string) bool // it answers checks
+		elsewhere func(runner string) bool // it answers another daemon
+		lost      bool
+	}{
+		{"checks hang too", some, true, func(r string) bool { return !some(r) }, all, true},
+		{"no checks", some, false, none, all, true},
+		{"slow: checks are answered", some, true, all, all, false},
+		{"stopped: no daemon is answered", some, true, func(r string) bool { return !some(r) }, func(r string) bool { return !some(r) }, false},
+		{"slow for all, no checks", some, false, none, none, false},
+		{"nothing hangs", none, true, all, all, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := clockwork.NewRealClock()
+				n := &network{loads: load.New(clock), n: 8, refuses: none, hung: func(r string) bool { return !tt.answers(r) }}
+				targets := n.targets
+				if !tt.checkable {
+					targets = func() []Target { return nil }
+				}
+				m := New(n.loads, n, targets, clock, zap.NewNop(), WithWitnesses(witness(tt.elsewhere)))
+				m.Start()
+				defer m.Stop()
+				for i := range int(within / (10 * time.Millisecond)) {
+					runner := fmt.Sprint("r", i%8)
+					if tt.hung(runner) {
+						n.loads.Begin(runner) // it never ends
+					} else {
+						sent := n.loads.BeginSend(runner)
+						n.loads.RecordActivity(runner)
+						sent.Answered()
+						sent.End()
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				assert.Assert(t, !m.Lost(), "the other runners answer")
+				for i := range 8 {
+					runner := fmt.Sprint("r", i)
+					assert.Equal(t, n.loads.Down(runner), tt.lost && tt.hung(runner), "%s, after %v", runner, within)
+				}
+				if tt.lost && tt.checkable {
+					n.mu.Lock()
+					n.hung = none
+					n.mu.Unlock()
+					time.Sleep(verdictInterval + 2*pollInterval)
+					assert.Assert(t, !n.loads.Down("r0"), "it is used again once it answers a check")
+				}
+			})
+		})
+	}
 }
--- /dev/null
+++ b/coordination/reach/unanswered.go
@@ -0,0 +1,129 @@
+package reach
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/load"
+	"primroseward/io/logs"
+)
+
+const (
+	// maxAnswerWait is for how long requests may wait for a runner until it is found out whether it
+	// answers other daemons. Callers wait for two seconds.
+	maxAnswerWait = 700 * time.Millisecond
+	// shortAnswerWait applies once the path to a runner is known to be lost: others are often lost with
+	// it.
+	shortAnswerWait = 400 * time.Millisecond
+	// overtakenMargin is by how much later than these requests another daemon must have sent one that
+	// is answered, as the question takes some time too.
+	overtakenMargin = 100 * time.Millisecond
+	// witnessTimeout is the longest wait for what other daemons know.
+	witnessTimeout = 200 * time.Millisecond
+	// verdictInterval is the least time between two inquiries about a runner, or two checks of one that
+	// does not answer. Of all runners, inquiries at most are made at the same time.
+	verdictInterval = 500 * time.Millisecond
+	maxInquiries    = 8
+)
+
+// Account is what other daemons know of a runner.
+type Account struct {
+	Answers string // daemon that it has answered; empty: none is known
+	Waits   bool   // another daemon waits for an answer too
+}
+
+// Witnesses are the other daemons, which may reach a runner that this one does not.
+type Witnesses interface {
+	// AnsweredWithin returns whether a runner has begun to answer a request of another daemon that was sent
+	// within the given time.
+	AnsweredWithin(ctx context.Context, runner string, d time.Duration) Account
+}
+
+// WithWitnesses sets the other daemons. Without them the loss of the path to single runners is not
+// noticed.
+func WithWitnesses(w Witnesses) Option { return func(m *Monitor) { m.witnesses = w } }
+
+// lookAtUnanswered starts inquiries about runners that leave requests unanswered, and checks whether those
+// that are known not to answer do so again.
+func (m *Monitor) lookAtUnanswered(ctx context.Context) {
+	if m.witnesses == nil || m.lost.Load() {
+		return
+	}
+	for _, u := range m.loads.Unanswered(maxAnswerWait, shortAnswerWait) {
+		m.beginInquiry(u.Runner, func() { m.inquire(ctx, u) })
+	}
+	for _, runner := range m.loads.Unanswering() {
+		m.beginInquiry(runner, func() { m.recheck(ctx, runner) })
+	}
+}
+
+// beginInquiry runs an inquiry about a runner in a goroutine of its own, unless there are too many or the
+// latest one about it is too recent.
+func (m *Monitor) beginInquiry(runner string, inquiry func()) {
+	now := m.clock.Now()
+	for id, at := range m.inquiredAt {
+		if now.Sub(at) >= verdictInterval {
+			delete(m.inquiredAt, id)
+		}
+	}
+	if _, ok := m.inquiredAt[runner]; ok {
+		return
+	}
+	select {
+	case m.inquiries <- struct{}{}:
+	default:
+		return
+	}
+	m.inquiredAt[runner] = now
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		inquiry()
+		<-m.inquiries
+	}()
+}
+
+// inquire finds out whether a runner that leaves requests of this daemon unanswered answers other daemons
+// meanwhile. If so, and if it does not answer a check either, this daemon has lost its path to it. A
+// runner that is slow, or has stopped, answers nobody's later requests. Where no other daemon has sent it
+// any, it counts as lost with others to which the path is lost.
+func (m *Monitor) inquire(ctx context.Context, u load.Unanswered) {
+	asking, cancel := context.WithTimeout(ctx, witnessTimeout)
+	account := m.witnesses.AnsweredWithin(asking, u.Runner, u.Wait-overtakenMargin)
+	cancel()
+	if account.Answers == "" && (account.Waits || len(m.loads.Unanswering()) == 0) {
+		return
+	}
+	checkable, answered := m.checkOne(ctx, u.Runner)
+	if ctx.Err() != nil {
+		return
+	}
+	if !answered {
+		m.loads.SetUnanswering(u.Runner)
+		m.scope.Counter("runner_paths_lost").Inc(1)
+	}
+	m.log.Warn(logs.RunnerUnanswering, zap.String("runner", u.Runner), zap.Int("requests", u.Requests), zap.Duration("wait", u.Wait),
+		zap.String("answers", account.Answers), zap.Bool("checked", checkable), zap.Bool("answered", answered))
+}
+
+// recheck checks whether a runner that did not answer this daemon does so again. Where no check is
+// possible, requests find it out.
+func (m *Monitor) recheck(ctx context.Context, runner string) {
+	if _, answered := m.checkOne(ctx, runner); answered && m.loads.ClearUnanswering(runner) {
+		m.log.Info(logs.RunnerAnswersAgain, zap.String("runner", runner))
+	}
+}
+
+// checkOne checks a runner on a new connection, if it may be checked.
+func (m *Monitor) checkOne(ctx context.Context, runner string) (checkable, answered bool) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	for _, one := range m.targets() {
+		if one.Runner.ID == runner {
+			return true, m.checker.Check(ctx, &one.Runner, one.Path) == nil
+		}
+	}
+	return false, false
+}
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -39,6 +39,12 @@
 	PathLost = "path lost"
 	// PathRegained: the path is back; with the time since it was lost.
 	PathRegained = "path regained"
+	// RunnerUnanswering: a runner leaves requests of this daemon unanswered while it answers the named
+	// one; with their number, for how long they have waited, and whether it was checked and answered
+	// that. If it did not, it gets no requests of this daemon.
+	RunnerUnanswering = "runner does not answer"
+	// RunnerAnswersAgain: such a runner has answered a check.
+	RunnerAnswersAgain = "runner answers again"
 	// RequestForwarded: a request is passed on to another daemon, as this one does not reach the
 	// runners; with the reason.
 	RequestForwarded = "request forwarded"
--- a/proof/fleet_cluster_test.go
+++ b/proof/fleet_cluster_test.go
@@ -36,6 +36,8 @@
 	daemons []*fleetDaemon
 	paths   *paths.Network // between daemons and runners; nil: direct connections
 	events  int            // in a stream
+
+	plainOnly bool // callers send no requests for models
 }
 
 // fleetDaemon is one primrosed process that serves through the platform.
--- a/proof/paths_test.go
+++ b/proof/paths_test.go
@@ -32,6 +32,9 @@
 	minOtherShare = 0.98
 )
 
+// plainRunners are the runners of the service that has no check.
+var plainRunners = []string{"i-app-1", "i-app-2", "i-app-3", "i-app-4"}
+
 // shares counts the first attempts at a group of daemons.
 type shares struct{ sent, served int }
 
@@ -51,10 +54,10 @@
 			continue
 		}
 		path, model := "/ask/x", ""
-		switch rand.IntN(6) {
-		case 0:
+		switch kind := rand.IntN(6); {
+		case kind == 0 && !c.plainOnly:
 			path, model = "/gen/x", "m1"
-		case 1, 2:
+		case kind <= 2:
 			path = "/order/x"
 		}
 		wg.Go(func() {
@@ -77,6 +80,15 @@
 	return cutOnes, others
 }
 
+// killRunners kills runners. Their entries remain until they expire.
+func (c *fleetCluster) killRunners(ids ...string) {
+	for _, r := range c.runners {
+		if slices.Contains(ids, r.ID) {
+			r.Kill()
+		}
+	}
+}
+
 // partition sets what happens to the connections of daemons to the given runners, or to all.
 func (c *fleetCluster) partition(daemons []int, mode paths.Mode, runners ...string) {
 	var targets []string
@@ -101,20 +113,29 @@
 		mode    paths.Mode
 		runners []string // that they do not reach; nil: all
 		killed  int      // daemon that is killed when the partition begins; 0: none
+		plain   bool     // there are no runners of models, the others have no check
 	}{
-		{"two of six hang", 6, []int{0, 1}, paths.Hang, nil, 0},
-		{"two of six are reset", 6, []int{0, 1}, paths.Reset, nil, 0},
-		{"new connections of two of six are reset", 6, []int{0, 1}, paths.RefuseNew, nil, 0},
-		{"answers to two of six are lost", 6, []int{0, 1}, paths.HangToDaemon, nil, 0},
-		{"five of six hang", 6, []int{0, 1, 2, 3, 4}, paths.Hang, nil, 0},
-		{"five of six are reset", 6, []int{0, 1, 2, 3, 4}, paths.Reset, nil, 0},
-		{"requests of a data centre are lost", 6, []int{0, 2, 4}, paths.HangToRunner, nil, 0},
-		{"seven of twelve hang, another one is killed", 12, []int{0, 1, 2, 3, 4, 5, 6}, paths.Hang, nil, 11},
-		{"two of six reach one of four runners", 6, []int{0, 1}, paths.Reset, []string{"i-gen-1", "i-app-1", "i-app-2", "i-app-3"}, 0},
+		{"two of six hang", 6, []int{0, 1}, paths.Hang, nil, 0, false},
+		{"two of six are reset", 6, []int{0, 1}, paths.Reset, nil, 0, false},
+		{"new connections of two of six are reset", 6, []int{0, 1}, paths.RefuseNew, nil, 0, false},
+		{"answers to two of six are lost", 6, []int{0, 1}, paths.HangToDaemon, nil, 0, false},
+		{"five of six hang", 6, []int{0, 1, 2, 3, 4}, paths.Hang, nil, 0, false},
+		{"five of six are reset", 6, []int{0, 1, 2, 3, 4}, paths.Reset, nil, 0, false},
+		{"requests of a data centre are lost", 6, []int{0, 2, 4}, paths.HangToRunner, nil, 0, false},
+		{"seven of twelve hang, another one is killed", 12, []int{0, 1, 2, 3, 4, 5, 6}, paths.Hang, nil, 11, false},
+		{"two of six reach one of four runners", 6, []int{0, 1}, paths.Reset, []string{"i-gen-1", "i-app-1", "i-app-2", "i-app-3"}, 0, false},
+		{"two of six hang at one of two services", 6, []int{0, 1}, paths.Hang, plainRunners, 0, false},
+		{"five of six hang at one of two services", 6, []int{0, 1, 2, 3, 4}, paths.Hang, plainRunners, 0, false},
+		{"answers of one of two services to two of six are lost", 6, []int{0, 1}, paths.HangToDaemon, plainRunners, 0, false},
+		{"two of six hang, no runner has a check", 6, []int{0, 1}, paths.Hang, nil, 0, true},
+		{"five of six hang, no runner has a check", 6, []int{0, 1, 2, 3, 4}, paths.Hang, nil, 0, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := startFleet(t, tt.daemons, withPaths)
 			c.addRunners("i-app-3", "i-app-4")
+			if c.plainOnly = tt.plain; tt.plain {
+				c.killRunners("i-gen-1", "i-gen-2")
+			}
 			c.sendByGroup(tt.cut, time.Second)
 			c.partition(tt.cut, tt.mode, tt.runners...)
 			if tt.killed > 0 {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -178,7 +178,7 @@
 		availability.WithMaxBackoff(time.Duration(set.Limits.MaxBackoff)), availability.WithBrittleBroadcast(d.broadcastBrittle), availability.WithMembers(set.Name, d.senders))
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
 		runner.WithAnswerCallback(func(r *core.Runner, info core.ReplyInfo) { d.dispatcher.ObserveAnswer(r, info) }))
-	d.reach = reach.New(d.loads, d.runners, d.checkTargets, d.clock, d.log, reach.WithScope(d.scope), reach.WithOnChange(d.pathChanged))
+	d.reach = reach.New(d.loads, d.runners, d.checkTargets, d.clock, d.log, reach.WithScope(d.scope), reach.WithOnChange(d.pathChanged), reach.WithWitnesses(witnesses{d}))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
@@ -194,6 +194,7 @@
 		peers.WithUsage(d.localUsage, d.peerUsage))
 	d.peers.Handle(kindLimit, handleUpdate(d, d.limits.ApplyUpdate))
 	d.peers.Handle(kindBrittle, handleUpdate(d, d.available.ApplyBrittle))
+	d.peers.Handle(kindAnswered, d.handleAnswered)
 	d.peers.Handle(kindLeaving, handleUpdate(d, d.available.ApplyUpdate))
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.RetryWindow), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
--- a/soak/paths.go
+++ b/soak/paths.go
@@ -13,9 +13,11 @@
 // brittleNotice is how long before their room shrinks runners announce that they are brittle.
 const brittleNotice = 3 * time.Second
 
-// partition cuts some daemons, or all, off from the runners for a while, in a way drawn at random.
+// partition cuts some daemons, or all, off from all runners or some for a while, in a way drawn at
+// random.
 func (w *World) partition(r *rand.Rand) string {
 	n, length := 1+r.IntN(len(w.daemons)), randomSeconds(r, 0.5, 5)
+	targets := w.partitionTargets(r)
 	mode := []paths.Mode{paths.Hang, paths.HangToRunner, paths.HangToDaemon, paths.Reset, paths.RefuseNew}[r.IntN(5)]
 	w.markAllImpaired(length)
 	names := []string{}
@@ -23,10 +25,28 @@
 		d := w.daemons[i]
 		names = append(names, d.name)
 		pid := d.pid()
-		w.paths.Partition(pid, mode)
-		w.schedule(length, func() { w.paths.Partition(pid, paths.Open) })
+		w.paths.Partition(pid, mode, targets...)
+		w.schedule(length, func() { w.paths.Partition(pid, paths.Open, targets...) })
 	}
-	return fmt.Sprintf("%v, mode %d, for %v", names, mode, length)
+	if len(targets) == 0 {
+		return fmt.Sprintf("%v, mode %d, for %v", names, mode, length)
+	}
+	return fmt.Sprintf("%v, mode %d, for %v, at %d runners", names, mode, length, len(targets))
+}
+
+// partitionTargets draws the addresses of runners behind a partition; none stands for all runners.
+func (w *World) partitionTargets(r *rand.Rand) []string {
+	if r.IntN(2) == 0 {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	some := 1 + r.IntN(max(1, len(w.runners)))
+	for _, i := range r.Perm(len(w.runners))[:min(some, len(w.runners))] {
+		out = append(out, w.runners[i].proxy.Addr())
+	}
+	return out
 }
 
 // closeProxies closes the proxies of a runner that has ended, so that its address refuses connections.
