Reach: losses of a path count until it has held

Cause: after the second loss the path was used again after 0.8 s of successful checks, which fits into the second for which it is back, depending on their moment; and losses were forgotten after 10 s, also if the path had been lost all that time. Requests that hung on the lost path also counted against single runners once it was back.

Change: losses count until the path has held for 10 s; after the second one it must hold for 1.6 s. A regained path drops the requests without an answer as evidence.

--- a/coordination/load/paths.go
+++ b/coordination/load/paths.go
@@ -164,7 +164,8 @@
 	return out
 }
 
-// PathRegained drops the evidence of failed attempts: they were due to this daemon's own path.
+// PathRegained drops the evidence of failed attempts, and of requests without an answer: they were due
+// to this daemon's own path.
 func (t *Table) PathRegained() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -172,5 +173,11 @@
 	clear(t.down)
 	clear(t.failures)
 	clear(t.unanswering)
+	for _, list := range t.waiting {
+		for _, s := range list {
+			s.waiting = false
+		}
+	}
+	clear(t.waiting)
 	t.paths.heardAt = t.clock.Now()
 }
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -35,11 +35,10 @@
 	// which a runner has answered: runners that reset connections cause doubt all the time.
 	checkInterval    = 200 * time.Millisecond
 	answeredInterval = 500 * time.Millisecond
-	// A path that comes and goes must hold for longer each time: for holdFactor times as many
-	// rounds of checks after each further loss within lossMemory, up to maxRounds.
-	lossMemory = 10 * time.Second
-	holdFactor = 4
-	maxRounds  = 8
+	// A path that comes and goes must hold for longer: for maxRounds rounds of checks instead of one,
+	// unless it has held for settledTime since it was last regained.
+	settledTime = 10 * time.Second
+	maxRounds   = 8
 )
 
 // Checker checks whether anything answers at a runner's address.
@@ -70,8 +69,8 @@
 	lost   atomic.Bool
 	since  atomic.Int64 // Unix nanoseconds of the last change
 	failed chan struct{}
-	losses []time.Time // within lossMemory
-	rounds int         // successful rounds of checks in a row
+	losses int // since the path last held for settledTime
+	rounds int // successful rounds of checks in a row
 
 	wg   sync.WaitGroup
 	stop context.CancelFunc
@@ -215,11 +214,10 @@
 // requiredRounds returns how many rounds of checks in a row must succeed for the path to count as
 // back.
 func (m *Monitor) requiredRounds() int {
-	n := 1
-	for range len(m.losses) - 1 {
-		n = min(maxRounds, n*holdFactor)
+	if m.losses > 1 {
+		return maxRounds
 	}
-	return n
+	return 1
 }
 
 // set records a change and logs what it is based on.
@@ -232,14 +230,14 @@
 	event, gauge := logs.PathRegained, 0.0
 	if lost {
 		event, gauge = logs.PathLost, 1
-		for len(m.losses) > 0 && now.Sub(m.losses[0]) >= lossMemory {
-			m.losses = m.losses[1:]
+		if lasted >= settledTime {
+			m.losses = 0
 		}
-		m.losses = append(m.losses, now)
+		m.losses++
 	}
 	m.scope.Gauge("path_lost").Update(gauge)
 	m.log.Warn(event, zap.Int("failing", s.Failing), zap.Int("heard", s.Heard), zap.Duration("silence", s.Silence),
-		zap.Int("checked", checked), zap.Int("losses", len(m.losses)), zap.Duration("since", lasted))
+		zap.Int("checked", checked), zap.Int("losses", m.losses), zap.Duration("since", lasted))
 	m.onChange(lost)
 }
 
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -126,27 +126,31 @@
 	}
 }
 
-// Guards against using a path that comes and goes each second as soon as it is back each time.
+// Guards against using a path that comes and goes as soon as it is back each time, whatever the moment
+// of its checks.
 func TestPathThatComesAndGoes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
-		n := &network{loads: load.New(clock), n: 8, refuses: none}
-		changes := 0
-		m := New(n.loads, n, n.targets, clock, zap.NewNop(), WithOnChange(func(bool) { changes++ }))
-		m.Start()
-		defer m.Stop()
-		for second := range 12 {
-			n.set(false, none)
-			if second%2 == 0 {
-				n.set(false, all)
-			}
-			for i := range 100 {
-				n.request(fmt.Sprint("r", i%8))
-				time.Sleep(10 * time.Millisecond)
+	for shift := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			clock := clockwork.NewRealClock()
+			n := &network{loads: load.New(clock), n: 8, refuses: none}
+			changes := 0
+			m := New(n.loads, n, n.targets, clock, zap.NewNop(), WithOnChange(func(bool) { changes++ }))
+			m.Start()
+			defer m.Stop()
+			time.Sleep(time.Duration(shift) * checkInterval / 10)
+			for second := range 24 {
+				n.set(false, none)
+				if second%2 == 0 {
+					n.set(false, all)
+				}
+				for i := range 100 {
+					n.request(fmt.Sprint("r", i%8))
+					time.Sleep(10 * time.Millisecond)
+				}
 			}
-		}
-		assert.Assert(t, changes <= 9, "%d changes in six losses", changes)
-	})
+			assert.Assert(t, changes <= 3, "%d changes in twelve losses", changes)
+		})
+	}
 }
 
 // witness is another daemon that some runners answer. It waits for the others.
