Fleet: a daemon that starts asks another one which runners are leaving

Cause: such an announcement is broadcast for 1.5 s. A daemon that starts later does not receive it, the store may still list the runner as ready, and other daemons forward requests to it.

Result: TestStartedDaemonKnowsLeavingRunners fails without the change and passes with it. Limits and brittleness are broadcast again while they last, so they are not concerned.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,6 +175,16 @@
 // ApplyUpdate applies an update that a peer has broadcast.
 func (t *Table) ApplyUpdate(from string, u Update) { t.recordLeaving(u, from) }
 
+// Updates returns what this daemon knows of leaving runners, for a daemon that has just started.
+func (t *Table) Updates() []Update {
+	var out []Update
+	for id, d := range t.catalog.Departures() {
+		out = append(out, Update{Runner: id, Started: d.StartedAt})
+	}
+	slices.SortFunc(out, func(a, b Update) int { return strings.Compare(a.Runner, b.Runner) })
+	return out
+}
+
 // recordLeaving records that a runner is leaving, as the named daemon has learnt, and reports
 // whether this was not known.
 func (t *Table) recordLeaving(u Update, source string) bool {
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -28,6 +28,10 @@
 	// RunnerBackoff: a runner has rejected a request and asked this daemon to send nothing for a
 	// time; with what is left of it, and since when it has asked for it without a break.
 	RunnerBackoff = "runner backoff"
+	// DeparturesLearnt: another daemon has sent this one, which has just started, which runners are
+	// leaving. DeparturesUnknown: it has not.
+	DeparturesLearnt  = "departures learnt"
+	DeparturesUnknown = "departures unknown"
 	// RunnerBackoffEnded: a runner has answered the first request after its backoff; with the time since
 	// it first asked for it.
 	RunnerBackoffEnded = "runner backoff ended"
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -72,6 +73,28 @@
 	assert.Equal(t, len(got), 1, "requests were not served while other runners had free slots: %v", got)
 }
 
+// TestStartedDaemonKnowsLeavingRunners guards against a daemon that has just started and sends to a runner
+// whose announcement was broadcast before, while the store still lists it as ready.
+func TestStartedDaemonKnowsLeavingRunners(t *testing.T) {
+	c := startFleet(t, 3)
+	c.addRunners("i-app-3", "i-app-4")
+	leaving := c.runners[2]
+	leaving.SetLeaving("1")
+	c.sendAtInterval(10*time.Millisecond, drainTime)
+	for i := range 3 {
+		from := time.Now()
+		c.startDaemon(fmt.Sprint("vm-new-", i), "north")
+		d := c.daemons[len(c.daemons)-1]
+		c.awaitReadyStatus(d, http.StatusOK)
+		for range 40 {
+			status, _, err := d.send("/ask/x", "", "")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+		}
+		assert.Equal(t, countAfter(leaving.ArrivalTimes(), from), 0, d.name)
+	}
+}
+
 // TestStreamsEndAtALeavingRunner guards against cutting or moving streams that run at a runner
 // when it announces that it is leaving.
 func TestStreamsEndAtALeavingRunner(t *testing.T) {
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -37,6 +37,7 @@
 // snapshotHandler serves snapshots to daemons that do not read the store themselves.
 func (d *Daemon) snapshotHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathDepartures, d.handleDepartures)
 	mux.HandleFunc("GET "+pathSnapshot+"{kind}", func(w http.ResponseWriter, r *http.Request) {
 		after := uint64(0)
 		if text := r.URL.Query().Get(queryAfter); text != "" {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -131,7 +131,11 @@
 	front      *front.Front
 	started    time.Time
 	leaving    atomic.Bool
-	current    atomic.Pointer[setting.Fleet] // the settings as last loaded
+	// departuresKnown is set once another daemon has sent what it knows of leaving runners, or none can.
+	departuresKnown atomic.Bool
+	stopStarting    context.CancelFunc
+
+	current atomic.Pointer[setting.Fleet] // the settings as last loaded
 
 	client    *http.Client // for requests to other daemons
 	snapshots snapshotCache
@@ -289,9 +293,12 @@
 	}
 }
 
-// stateKnown reports whether the configuration, the runners and the operators' settings are
+// stateKnown reports whether everything is known that callers are served by.
+func (d *Daemon) stateKnown() bool { return d.storeKnown() && d.departuresKnown.Load() }
+
+// storeKnown reports whether the configuration, the runners and the operators' settings are
 // known.
-func (d *Daemon) stateKnown() bool {
+func (d *Daemon) storeKnown() bool {
 	return d.catalog.Config() != nil && d.watcher.RunnersListed() && d.settings.Tree() != nil
 }
 
@@ -349,6 +356,10 @@
 	d.placer.Start()
 	d.quarantine.Start()
 	d.origins.Start()
+	starting, cancel := context.WithCancel(context.Background())
+	d.stopStarting = cancel
+	d.wg.Add(1)
+	go d.runDepartures(starting)
 	d.log.Info(logs.Started, zap.String("place", d.set.DataCentre), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
@@ -430,6 +441,7 @@
 	}
 	cancel()
 	d.log.Info(logs.Stopped, zap.Duration("took", d.clock.Since(start)))
+	d.stopStarting()
 	d.placer.Stop()
 	d.reach.Stop()
 	d.quarantine.Stop()
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -246,6 +246,13 @@
 	return true
 }
 
+// Departures returns the known departures by runner id.
+func (c *Catalog) Departures() map[string]Departure {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return maps.Clone(c.departures)
+}
+
 // forgetDepartures drops the old departures of runners that have no entry. The caller holds
 // the lock.
 func (c *Catalog) forgetDepartures(now time.Time) {
