Origins: two functions for two ways to admit versions, one reading of hashes

Cause: admitVersions did one of two things by a boolean; StreamKey and Digest had the same code to read their text form.

Change: startAdmission and awaitAdmission; unmarshalHash. Behaviour as before.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -91,7 +91,10 @@
 // Its error is a key of messages.
 func (j *job) chooseRunner(ctx context.Context) (*core.Runner, error) {
 	holders, candidates := j.candidates()
-	if len(j.unadmitted) > 0 && j.admitVersions(ctx, len(candidates) == 0) {
+	switch {
+	case len(candidates) > 0:
+		j.startAdmission()
+	case len(j.unadmitted) > 0 && j.awaitAdmission(ctx):
 		holders, candidates = j.candidates()
 	}
 	i := j.pickCandidate(candidates)
@@ -288,7 +291,7 @@
 	}
 	if !j.mayBegin(e) {
 		j.unadmitted = nil
-		if j.addUnadmitted(e); !j.admitVersions(ctx, true) {
+		if j.addUnadmitted(e); !j.awaitAdmission(ctx) {
 			return nil
 		}
 	}
--- a/coordination/dispatch/origin.go
+++ b/coordination/dispatch/origin.go
@@ -118,15 +118,16 @@
 	}
 }
 
-// admitVersions has the versions admitted that were left out of the latest choice. If wait is set it
-// waits, and reports whether one is admitted now.
-func (j *job) admitVersions(ctx context.Context, wait bool) bool {
-	if !wait {
-		for _, o := range j.unadmitted {
-			go j.d.runAdmit(o)
-		}
-		return false
+// startAdmission has the versions admitted that were left out of the latest choice, without waiting.
+func (j *job) startAdmission() {
+	for _, o := range j.unadmitted {
+		go j.d.runAdmit(o)
 	}
+}
+
+// awaitAdmission has the versions admitted that were left out of the latest choice, and reports whether one
+// is admitted now.
+func (j *job) awaitAdmission(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, admitWait)
 	defer cancel()
 	admitted := false
--- a/core/digest.go
+++ b/core/digest.go
@@ -45,12 +45,15 @@
 func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
 // UnmarshalText reads what MarshalText writes. Its error is ErrInvalid.
-func (d *Digest) UnmarshalText(text []byte) error {
-	if hex.DecodedLen(len(text)) != digestSize {
-		return eris.Wrapf(ErrInvalid, "digest: want %d hexadecimal digits, got %q", 2*digestSize, text)
+func (d *Digest) UnmarshalText(text []byte) error { return unmarshalHash(d[:], text, "digest") }
+
+// unmarshalHash reads a hash in hexadecimal. name is used in the error, which is ErrInvalid.
+func unmarshalHash(out, text []byte, name string) error {
+	if len(text) != hex.EncodedLen(len(out)) {
+		return eris.Wrapf(ErrInvalid, "%s: want %d hexadecimal digits, got %q", name, hex.EncodedLen(len(out)), text)
 	}
-	if _, err := hex.Decode(d[:], text); err != nil {
-		return eris.Wrapf(ErrInvalid, "digest: %v", err)
+	if _, err := hex.Decode(out, text); err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: %v", name, err)
 	}
 	return nil
 }
--- a/core/origin.go
+++ b/core/origin.go
@@ -44,15 +44,7 @@
 func (k StreamKey) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
 // UnmarshalText reads what MarshalText writes. Its error is ErrInvalid.
-func (k *StreamKey) UnmarshalText(text []byte) error {
-	if len(text) != hex.EncodedLen(streamKeySize) {
-		return eris.Wrapf(ErrInvalid, "stream key: want %d hexadecimal digits, got %q", 2*streamKeySize, text)
-	}
-	if _, err := hex.Decode(k[:], text); err != nil {
-		return eris.Wrapf(ErrInvalid, "stream key: %v", err)
-	}
-	return nil
-}
+func (k *StreamKey) UnmarshalText(text []byte) error { return unmarshalHash(k[:], text, "stream key") }
 
 // Errors of Origins.Find.
 var (
