Paths stand-in: new connections wait for their process only during a partition

Cause: the stand-in finds the process of each new connection in the tables of all child processes before it forwards anything.

Change: while no process is partitioned the connection is forwarded at once and its process found beside it.

--- a/standin/paths/paths.go
+++ b/standin/paths/paths.go
@@ -104,6 +104,10 @@
 		targets = []string{""}
 	}
 	for _, target := range targets {
+		if mode == Open {
+			delete(n.modes, pathKey{pid, target})
+			continue
+		}
 		n.modes[pathKey{pid, target}] = mode
 	}
 	for l := range n.links {
@@ -142,10 +146,8 @@
 
 // forward connects a daemon with a runner and copies both directions until both end.
 func (n *Network) forward(caller *net.TCPConn, target string) {
-	l := &link{pid: n.ownerOf(caller), target: target, caller: caller}
-	n.mu.Lock()
-	mode := n.modeOf(l)
-	n.mu.Unlock()
+	l := &link{target: target, caller: caller}
+	mode := n.findOwner(l)
 	server, err := net.Dial("tcp", target)
 	if err == nil {
 		l.server = server.(*net.TCPConn)
@@ -168,6 +170,33 @@
 	_ = l.server.Close()
 }
 
+// findOwner finds the process of a connection and returns what happens to the connection. A look-up takes
+// some tenths of a second beside other work, so the connection waits for it only while any process is
+// partitioned.
+func (n *Network) findOwner(l *link) Mode {
+	n.mu.Lock()
+	wait := len(n.modes) > 0
+	n.mu.Unlock()
+	if !wait {
+		go n.setOwner(l)
+		return Open
+	}
+	return n.setOwner(l)
+}
+
+// setOwner finds the process of a connection, and resets the connection if the process is partitioned so.
+func (n *Network) setOwner(l *link) Mode {
+	pid := n.ownerOf(l.caller)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l.pid = pid
+	mode := n.modeOf(l)
+	if mode == Reset && n.links[l] {
+		l.reset()
+	}
+	return mode
+}
+
 // copyDirection forwards one direction of a connection. What is discarded once is missing for
 // good, so that the connection forwards nothing after it either, until it is closed.
 func (n *Network) copyDirection(l *link, from, to *net.TCPConn, oneWay Mode) {
