Fleet: a daemon that is paused while it starts becomes ready

Cause: a starting daemon looked for another one's departures for three seconds by the clock.

Change: looks are counted, so that a pause does not use them up, and the end of them always makes the daemon ready. The reader is a type of its own.

--- a/services/fleet/departures.go
+++ b/services/fleet/departures.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,14 +19,14 @@
 const (
 	// pathDepartures is the path under which a daemon serves what it knows of leaving runners.
 	pathDepartures = "/departures"
-	// departuresTimeout bounds one request for it, departuresWait how long a starting daemon tries to
-	// get an answer before it serves without.
+	// departuresTimeout bounds one request for it.
 	departuresTimeout = 300 * time.Millisecond
-	departuresWait    = 900 * time.Millisecond
-	// departuresPoll is how often it looks for a daemon that can answer. Daemons that become ready
-	// within departuresLate are asked too.
-	departuresPoll = 20 * time.Millisecond
-	departuresLate = 3 * time.Second
+	// departuresPoll is how often a starting daemon looks for another one that can answer. After
+	// departuresWait such looks it serves without, after departuresLooks it looks no more. Looks are
+	// counted, as a process may be paused while it starts.
+	departuresPoll  = 20 * time.Millisecond
+	departuresWait  = 45
+	departuresLooks = 150
 )
 
 // handleDepartures serves what this daemon knows of leaving runners.
@@ -35,32 +36,45 @@
 	}
 }
 
-// runDepartures learns from another daemon which runners have announced that they are leaving. That is
-// broadcast only once, and the store may list them as ready. Until then this daemon is not ready, if
-// another one is.
-func (d *Daemon) runDepartures(ctx context.Context) {
-	defer d.wg.Done()
-	began := d.clock.Now()
-	for d.clock.Since(began) < departuresLate {
-		p, ok := d.selectPeer()
+// departureReader learns from another daemon, when this one starts, which runners have announced that
+// they are leaving. That is broadcast only once, and the store may list them as ready.
+type departureReader struct {
+	clock      core.Clock
+	log        *zap.Logger
+	choose     func() (peers.Peer, bool) // returns a daemon to ask
+	fetch      func(ctx context.Context, p peers.Peer) (int, error)
+	storeKnown func() bool
+	known      atomic.Bool // another daemon has sent what it knows, or none can
+}
+
+// run asks other daemons until one answers. Until then this daemon is not ready, if another one is.
+func (r *departureReader) run(ctx context.Context) {
+	defer r.known.Store(true)
+	began := r.clock.Now()
+	for look := range departuresLooks {
+		p, ok := r.choose()
 		if ok {
-			n, err := d.fetchDepartures(ctx, p)
+			n, err := r.fetch(ctx, p)
 			if err == nil {
-				d.log.Info(logs.DeparturesLearnt, zap.String("other", p.Name), zap.Int("departures", n), zap.Duration("after", d.clock.Since(began)))
-				d.departuresKnown.Store(true)
+				r.log.Info(logs.DeparturesLearnt, zap.String("other", p.Name), zap.Int("departures", n), zap.Duration("after", r.clock.Since(began)))
 				return
 			}
-			d.log.Info(logs.DeparturesUnknown, zap.String("other", p.Name), logs.Err(err))
+			r.log.Info(logs.DeparturesUnknown, zap.String("other", p.Name), logs.Err(err))
 		}
-		if !ok && d.storeKnown() || d.clock.Since(began) >= departuresWait {
-			d.departuresKnown.Store(true)
+		if !ok && r.storeKnown() || look >= departuresWait {
+			r.known.Store(true)
 		}
-		if core.Sleep(ctx, d.clock, departuresPoll); ctx.Err() != nil {
+		if core.Sleep(ctx, r.clock, departuresPoll); ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+func (d *Daemon) runDepartures(ctx context.Context) {
+	defer d.wg.Done()
+	d.departures.run(ctx)
+}
+
 // fetchDepartures applies what another daemon knows of leaving runners and returns their number.
 func (d *Daemon) fetchDepartures(ctx context.Context, p peers.Peer) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, departuresTimeout)
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -131,9 +131,9 @@
 	front      *front.Front
 	started    time.Time
 	leaving    atomic.Bool
-	// departuresKnown is set once another daemon has sent what it knows of leaving runners, or none can.
-	departuresKnown atomic.Bool
-	stopStarting    context.CancelFunc
+	departures *departureReader
+	// stopStarting ends what only a starting daemon does.
+	stopStarting context.CancelFunc
 
 	current atomic.Pointer[setting.Fleet] // the settings as last loaded
 
@@ -203,6 +203,7 @@
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.RetryWindow), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), currentHolder{d}, d.clock, d.log, lease.WithCandidate(d.mayHoldLease), lease.WithResign(d.shouldResignLease))
+	d.departures = &departureReader{clock: d.clock, log: d.log, choose: d.selectPeer, fetch: d.fetchDepartures, storeKnown: d.storeKnown}
 	d.peers.SetState(d.state)
 	d.peers.Handle(kindYield, d.handleYield)
 	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
@@ -294,7 +295,7 @@
 }
 
 // stateKnown reports whether everything is known that callers are served by.
-func (d *Daemon) stateKnown() bool { return d.storeKnown() && d.departuresKnown.Load() }
+func (d *Daemon) stateKnown() bool { return d.storeKnown() && d.departures.known.Load() }
 
 // storeKnown reports whether the configuration, the runners and the operators' settings are
 // known.
