Reach: peers instead of witnesses

Cause: names that are not the field's (witnesses, account, verdict) for what other daemons know of a runner.

Change: reach.Peers and reach.PeerView, answeredPeers in services/fleet, inquiryInterval; two comments. Behaviour as before.

--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -103,8 +103,8 @@
 }
 
 // reserveResume reports whether the request can be sent elsewhere than to its silent runner now, and
-// takes a retry from the budget for it. It reads and writes the job without a lock of its own: the job waits for
-// its runner meanwhile, which the lock of the stallWatch ensures.
+// takes a retry from the budget for it. It reads and writes the job without a lock of its own: the job
+// waits for its runner meanwhile, which the lock of the stallWatch ensures.
 func (j *job) reserveResume(silent *core.Runner, pending int) bool {
 	if !j.attemptsLeft(pending) {
 		return false
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -62,8 +62,8 @@
 	scope    tally.Scope
 	onChange func(lost bool)
 
-	witnesses  Witnesses            // nil: none
-	inquiredAt map[string]time.Time // within verdictInterval, by runner; used by the loop only
+	peers      Peers                // nil: none
+	inquiredAt map[string]time.Time // within inquiryInterval, by runner; used by the loop only
 	inquiries  chan struct{}        // those in progress
 
 	lost   atomic.Bool
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -153,14 +153,14 @@
 	}
 }
 
-// witness is another daemon that some runners answer. It waits for the others.
-type witness func(runner string) bool
+// fakePeer is another daemon that some runners answer. It waits for the others.
+type fakePeer func(runner string) bool
 
-func (w witness) AnsweredWithin(_ context.Context, runner string, _ time.Duration) Account {
-	if w(runner) {
-		return Account{Answers: "vm-2"}
+func (p fakePeer) AnsweredWithin(_ context.Context, runner string, _ time.Duration) PeerView {
+	if p(runner) {
+		return PeerView{Answers: "vm-2"}
 	}
-	return Account{Waits: true}
+	return PeerView{Waits: true}
 }
 
 // Guards against a daemon that goes on sending requests to runners that it does not reach, as it reaches
@@ -191,7 +191,7 @@
 				if !tt.checkable {
 					targets = func() []Target { return nil }
 				}
-				m := New(n.loads, n, targets, clock, zap.NewNop(), WithWitnesses(witness(tt.elsewhere)))
+				m := New(n.loads, n, targets, clock, zap.NewNop(), WithPeers(fakePeer(tt.elsewhere)))
 				m.Start()
 				defer m.Stop()
 				for i := range int(within / (10 * time.Millisecond)) {
@@ -215,7 +215,7 @@
 					n.mu.Lock()
 					n.hung = none
 					n.mu.Unlock()
-					time.Sleep(verdictInterval + 2*pollInterval)
+					time.Sleep(inquiryInterval + 2*pollInterval)
 					assert.Assert(t, !n.loads.Down("r0"), "it is used again once it answers a check")
 				}
 			})
--- a/coordination/reach/unanswered.go
+++ b/coordination/reach/unanswered.go
@@ -20,35 +20,35 @@
 	// overtakenMargin is by how much later than these requests another daemon must have sent one that
 	// is answered, as the question takes some time too.
 	overtakenMargin = 100 * time.Millisecond
-	// witnessTimeout is the longest wait for what other daemons know.
-	witnessTimeout = 200 * time.Millisecond
-	// verdictInterval is the least time between two inquiries about a runner, or two checks of one that
-	// does not answer. Of all runners, inquiries at most are made at the same time.
-	verdictInterval = 500 * time.Millisecond
+	// peersTimeout is the longest wait for what other daemons know.
+	peersTimeout = 200 * time.Millisecond
+	// inquiryInterval is the least time between two inquiries about a runner, or two checks of one that
+	// does not answer. At most maxInquiries run at the same time.
+	inquiryInterval = 500 * time.Millisecond
 	maxInquiries    = 8
 )
 
-// Account is what other daemons know of a runner.
-type Account struct {
+// PeerView is what other daemons know of a runner.
+type PeerView struct {
 	Answers string // daemon that it has answered; empty: none is known
 	Waits   bool   // another daemon waits for an answer too
 }
 
-// Witnesses are the other daemons, which may reach a runner that this one does not.
-type Witnesses interface {
-	// AnsweredWithin returns whether a runner has begun to answer a request of another daemon that was sent
-	// within the given time.
-	AnsweredWithin(ctx context.Context, runner string, d time.Duration) Account
+// Peers are the other daemons, which may reach a runner that this one does not.
+type Peers interface {
+	// AnsweredWithin returns whether a runner has begun to answer a request of another daemon that was
+	// sent within the given time.
+	AnsweredWithin(ctx context.Context, runner string, d time.Duration) PeerView
 }
 
-// WithWitnesses sets the other daemons. Without them the loss of the path to single runners is not
+// WithPeers sets the other daemons. Without them the loss of the path to single runners is not
 // noticed.
-func WithWitnesses(w Witnesses) Option { return func(m *Monitor) { m.witnesses = w } }
+func WithPeers(p Peers) Option { return func(m *Monitor) { m.peers = p } }
 
 // lookAtUnanswered starts inquiries about runners that leave requests unanswered, and checks whether those
 // that are known not to answer do so again.
 func (m *Monitor) lookAtUnanswered(ctx context.Context) {
-	if m.witnesses == nil || m.lost.Load() {
+	if m.peers == nil || m.lost.Load() {
 		return
 	}
 	for _, u := range m.loads.Unanswered(maxAnswerWait, shortAnswerWait) {
@@ -64,7 +64,7 @@
 func (m *Monitor) beginInquiry(runner string, inquiry func()) {
 	now := m.clock.Now()
 	for id, at := range m.inquiredAt {
-		if now.Sub(at) >= verdictInterval {
+		if now.Sub(at) >= inquiryInterval {
 			delete(m.inquiredAt, id)
 		}
 	}
@@ -90,10 +90,10 @@
 // runner that is slow, or has stopped, answers nobody's later requests. Where no other daemon has sent it
 // any, it counts as lost with others to which the path is lost.
 func (m *Monitor) inquire(ctx context.Context, u load.Unanswered) {
-	asking, cancel := context.WithTimeout(ctx, witnessTimeout)
-	account := m.witnesses.AnsweredWithin(asking, u.Runner, u.Wait-overtakenMargin)
+	asking, cancel := context.WithTimeout(ctx, peersTimeout)
+	view := m.peers.AnsweredWithin(asking, u.Runner, u.Wait-overtakenMargin)
 	cancel()
-	if account.Answers == "" && (account.Waits || len(m.loads.Unanswering()) == 0) {
+	if view.Answers == "" && (view.Waits || len(m.loads.Unanswering()) == 0) {
 		return
 	}
 	checkable, answered := m.checkOne(ctx, u.Runner)
@@ -105,7 +105,7 @@
 		m.scope.Counter("runner_paths_lost").Inc(1)
 	}
 	m.log.Warn(logs.RunnerUnanswering, zap.String("runner", u.Runner), zap.Int("requests", u.Requests), zap.Duration("wait", u.Wait),
-		zap.String("answers", account.Answers), zap.Bool("checked", checkable), zap.Bool("answered", answered))
+		zap.String("answers", view.Answers), zap.Bool("checked", checkable), zap.Bool("answered", answered))
 }
 
 // recheck checks whether a runner that did not answer this daemon does so again. Where no check is
--- a/services/fleet/witnesses.go
+++ b/services/fleet/answered.go
@@ -15,9 +15,9 @@
 
 const (
 	kindAnswered = "answered"
-	// maxWitnesses is how many daemons are asked whether a runner answers them, in a large fleet; in a
+	// maxAskedPeers is how many daemons are asked whether a runner answers them, in a large fleet; in a
 	// small one all are.
-	maxWitnesses = 3
+	maxAskedPeers = 3
 	// answeredResend is the time after which a question is sent again, a round trip between data
 	// centres.
 	answeredResend = 100 * time.Millisecond
@@ -45,22 +45,22 @@
 	reply(answeredReply{Answered: answered, Waits: waits})
 }
 
-// witnesses are the other daemons. It implements reach.Witnesses.
-type witnesses struct{ d *Daemon }
+// answeredPeers are the other daemons that runners answer. It implements reach.Peers.
+type answeredPeers struct{ d *Daemon }
 
-// AnsweredWithin implements reach.Witnesses.
-func (w witnesses) AnsweredWithin(ctx context.Context, runner string, within time.Duration) reach.Account {
+// AnsweredWithin implements reach.Peers.
+func (a answeredPeers) AnsweredWithin(ctx context.Context, runner string, within time.Duration) reach.PeerView {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	asked := w.choose()
-	accounts := make(chan reach.Account, len(asked))
+	asked := a.choose()
+	views := make(chan reach.PeerView, len(asked))
 	for _, p := range asked {
-		w.d.wg.Add(1)
-		go w.runRequest(ctx, p, answeredRequest{Runner: runner, Within: within}, accounts)
+		a.d.wg.Add(1)
+		go a.runRequest(ctx, p, answeredRequest{Runner: runner, Within: within}, views)
 	}
-	var all reach.Account
+	var all reach.PeerView
 	for range asked {
-		one := <-accounts
+		one := <-views
 		if one.Answers != "" {
 			return one
 		}
@@ -70,31 +70,31 @@
 }
 
 // runRequest asks one daemon. One that does not reply knows nothing.
-func (w witnesses) runRequest(ctx context.Context, p peers.Peer, req answeredRequest, accounts chan<- reach.Account) {
-	defer w.d.wg.Done()
+func (a answeredPeers) runRequest(ctx context.Context, p peers.Peer, req answeredRequest, views chan<- reach.PeerView) {
+	defer a.d.wg.Done()
 	var reply answeredReply
-	if err := w.d.peers.Request(ctx, p, kindAnswered, req, &reply, answeredResend); err != nil {
-		accounts <- reach.Account{}
+	if err := a.d.peers.Request(ctx, p, kindAnswered, req, &reply, answeredResend); err != nil {
+		views <- reach.PeerView{}
 		return
 	}
-	one := reach.Account{Waits: reply.Waits}
+	one := reach.PeerView{Waits: reply.Waits}
 	if reply.Answered {
 		one.Answers = p.Name
 	}
-	accounts <- one
+	views <- one
 }
 
 // choose returns the daemons to ask.
-func (w witnesses) choose() []peers.Peer {
+func (a answeredPeers) choose() []peers.Peer {
 	var out []peers.Peer
-	for _, p := range w.d.peers.Alive()[1:] {
+	for _, p := range a.d.peers.Alive()[1:] {
 		if p.Ready && !p.PathLost {
 			out = append(out, p)
 		}
 	}
 	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
-	if w.d.peers.Large() {
-		out = out[:min(len(out), maxWitnesses)]
+	if a.d.peers.Large() {
+		out = out[:min(len(out), maxAskedPeers)]
 	}
 	return out
 }
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -182,7 +182,7 @@
 		availability.WithMaxBackoff(time.Duration(set.Limits.MaxBackoff)), availability.WithBrittleBroadcast(d.broadcastBrittle), availability.WithMembers(set.Name, d.senders))
 	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
 		runner.WithAnswerCallback(func(r *core.Runner, info core.ReplyInfo) { d.dispatcher.ObserveAnswer(r, info) }))
-	d.reach = reach.New(d.loads, d.runners, d.checkTargets, d.clock, d.log, reach.WithScope(d.scope), reach.WithOnChange(d.pathChanged), reach.WithWitnesses(witnesses{d}))
+	d.reach = reach.New(d.loads, d.runners, d.checkTargets, d.clock, d.log, reach.WithScope(d.scope), reach.WithOnChange(d.pathChanged), reach.WithPeers(answeredPeers{d}))
 	d.watcher = watch.New(d.store, watch.Reader{
 		ConfigKind: platform.KindConfig, ConfigName: platform.NameConfig, RunnerKind: platform.KindRunners,
 		Config: platform.ReadConfig, Runner: platform.ReadRunner,
