Messages between daemons: one request to many, one decoding, one GET; state that is derived

A send carried a flag that its list knows, and streams whose records were sent stayed in the list of streams in progress.

Change: peers.RequestAll, peers.Decode, Daemon.get; Send without the flag; the Tracker holds unsent records only. Behaviour as before.

Result: lint; race-built tests of load, reach, origin, peers, quarantine, placement, dispatch and fleet pass.

--- a/coordination/load/load.go
+++ b/coordination/load/load.go
@@ -84,7 +84,7 @@
 		t.local[runner] = n
 	}
 	*n++
-	s := &Send{table: t, runner: runner, at: t.clock.Now(), count: n, waiting: true}
+	s := &Send{table: t, runner: runner, at: t.clock.Now(), count: n}
 	t.waiting[runner] = append(t.waiting[runner], s)
 	t.paths.begin(s.at)
 	return s
@@ -105,9 +105,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.local, runner)
-	for _, s := range t.waiting[runner] {
-		s.waiting = false
-	}
 	delete(t.waiting, runner)
 	for _, p := range t.peers {
 		delete(p.counts, core.CodeOf(runner))
--- a/coordination/load/paths.go
+++ b/coordination/load/paths.go
@@ -173,11 +173,6 @@
 	clear(t.down)
 	clear(t.failures)
 	clear(t.unanswering)
-	for _, list := range t.waiting {
-		for _, s := range list {
-			s.waiting = false
-		}
-	}
 	clear(t.waiting)
 	t.paths.heardAt = t.clock.Now()
 }
--- a/coordination/load/unanswered.go
+++ b/coordination/load/unanswered.go
@@ -21,41 +21,40 @@
 
 // Send is a request to a runner, from its send to the end of the answer.
 type Send struct {
-	table   *Table
-	runner  string
-	at      time.Time
-	count   *int // requests in progress at the runner
-	waiting bool // its answer has not begun
-	end     sync.Once
+	table  *Table
+	runner string
+	at     time.Time
+	count  *int // requests in progress at the runner
+	end    sync.Once
 }
 
 // Answered records that the answer has begun.
 func (s *Send) Answered() {
 	s.table.mu.Lock()
 	defer s.table.mu.Unlock()
-	if !s.waiting {
+	if !s.stopWaiting() {
 		return
 	}
-	s.stopWaiting()
 	if s.at.After(s.table.answered[s.runner]) {
 		s.table.answered[s.runner] = s.at
 	}
 	delete(s.table.unanswering, s.runner)
 }
 
-// stopWaiting removes the request from those without an answer; the caller holds the table's lock.
-func (s *Send) stopWaiting() {
-	if !s.waiting {
-		return
-	}
-	s.waiting = false
+// stopWaiting removes the request from those without an answer, and reports whether it was one; the
+// caller holds the table's lock.
+func (s *Send) stopWaiting() bool {
 	list := s.table.waiting[s.runner]
-	if i := slices.Index(list, s); i >= 0 {
-		list = slices.Delete(list, i, i+1)
+	i := slices.Index(list, s)
+	if i < 0 {
+		return false
 	}
-	if s.table.waiting[s.runner] = list; len(list) == 0 {
+	if list = slices.Delete(list, i, i+1); len(list) == 0 {
 		delete(s.table.waiting, s.runner)
+		return true
 	}
+	s.table.waiting[s.runner] = list
+	return true
 }
 
 // End records that the request has ended, answered or not. Further calls do nothing.
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -42,7 +42,7 @@
 	Handle(kind string, h peers.Handler)
 	Alive() []peers.Peer
 	Large() bool
-	Request(ctx context.Context, to peers.Peer, kind string, request, out any, resend time.Duration) error
+	peers.Requester
 	Send(to peers.Peer, kind string, message any)
 }
 
@@ -56,24 +56,18 @@
 	log      *zap.Logger
 	scope    tally.Scope
 
-	table   *Table
-	sender  *sender
-	reader  *reader
-	mu      sync.Mutex
-	nextID  uint64
-	running map[uint64]*running       // streams that have begun here and not ended
-	failed  map[core.Origin]time.Time // when a version could not be admitted
+	table  *Table
+	sender *sender
+	reader *reader
+	mu     sync.Mutex
+	nextID uint64
+	unsent map[uint64]copyOf         // records of streams in progress that other daemons do not have
+	failed map[core.Origin]time.Time // when a version could not be admitted
 
 	wg   sync.WaitGroup
 	stop context.CancelFunc
 }
 
-// running is a stream in progress.
-type running struct {
-	copyOf
-	sent bool // to other daemons
-}
-
 var _ core.Origins = (*Tracker)(nil)
 
 // Option configures a Tracker.
@@ -95,7 +89,7 @@
 // New returns a Tracker and registers its message handlers. versions returns the software versions that
 // the runners of a service have that this daemon knows.
 func New(versions func(service string) []string, clock core.Clock, log *zap.Logger, opts ...Option) *Tracker {
-	t := &Tracker{versions: versions, retires: func() bool { return false }, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), running: map[uint64]*running{}, failed: map[core.Origin]time.Time{}}
+	t := &Tracker{versions: versions, retires: func() bool { return false }, clock: clock, log: log, scope: tally.NoopScope, table: NewTable(clock), unsent: map[uint64]copyOf{}, failed: map[core.Origin]time.Time{}}
 	for _, o := range opts {
 		o(t)
 	}
@@ -137,7 +131,7 @@
 			return
 		case <-tick.Chan():
 			t.table.Sweep()
-			t.sendRunning()
+			t.sendUnsent()
 			t.maintainLists(ctx)
 			t.scope.Gauge("stream_records").Update(float64(t.table.Len()))
 		}
@@ -168,27 +162,24 @@
 	}
 }
 
-// sendRunning sends the records of streams that began while one version served, once there are
+// sendUnsent sends the records of streams that began while one version served, once there are
 // several.
-func (t *Tracker) sendRunning() {
+func (t *Tracker) sendUnsent() {
 	if t.sender == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	several := map[string]bool{}
-	for _, r := range t.running {
-		if r.sent {
-			continue
-		}
+	for id, r := range t.unsent {
 		known, ok := several[r.origin.Service]
 		if !ok {
 			known = t.several(r.origin.Service)
 			several[r.origin.Service] = known
 		}
 		if known {
-			r.sent = true
-			t.sender.add(r.copyOf)
+			delete(t.unsent, id)
+			t.sender.add(r)
 		}
 	}
 }
@@ -238,7 +229,7 @@
 
 func (t *Tracker) handleAdmitted(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var o core.Origin
-	if !t.decode(from, body, &o) {
+	if !peers.Decode(t.log, from, body, &o) {
 		return
 	}
 	answer(t.registry != nil && t.registry.Admitted(o))
@@ -246,7 +237,7 @@
 
 // Begin implements core.Origins.
 func (t *Tracker) Begin(k core.StreamKey, workspace *core.Workspace, o core.Origin) (done func()) {
-	r := &running{copyOf: copyOf{key: k, origin: o}}
+	r := copyOf{key: k, origin: o}
 	if workspace != nil {
 		r.owner = workspace.Code
 	}
@@ -255,18 +246,18 @@
 		return func() {}
 	}
 	if t.several(o.Service) {
-		r.sent = true
-		t.sender.add(r.copyOf)
+		t.sender.add(r)
+		return func() {}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.nextID++
 	id := t.nextID
-	t.running[id] = r
+	t.unsent[id] = r
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.running, id)
+		delete(t.unsent, id)
 	}
 }
 
--- a/coordination/origin/send.go
+++ b/coordination/origin/send.go
@@ -10,7 +10,6 @@
 
 	"primroseward/coordination/peers"
 	"primroseward/core"
-	"primroseward/io/logs"
 )
 
 const (
@@ -180,49 +179,16 @@
 	return t.sender.holders(*k, copies+askedBeyond)
 }
 
-// ask sends a question to daemons at once and returns when accept has returned true for an answer, or
-// all have answered. silent is the number of daemons that have not answered in time.
+// ask sends a question to daemons at once, as peers.RequestAll does, and waits for askTimeout at most.
 func ask[A any](ctx context.Context, net Network, to []peers.Peer, kind string, question any, accept func(from string, answer A) bool) (known bool, silent int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	type result struct {
-		from   string
-		answer A
-		err    error
-	}
-	results := make(chan result, len(to))
-	for _, p := range to {
-		go func() {
-			r := result{from: p.Name}
-			r.err = net.Request(ctx, p, kind, question, &r.answer, askResend)
-			results <- r
-		}()
-	}
-	for range to {
-		r := <-results
-		if r.err != nil {
-			silent++
-			continue
-		}
-		if accept(r.from, r.answer) {
-			return true, silent
-		}
-	}
-	return false, silent
-}
-
-// decode decodes a message, and logs an error.
-func (t *Tracker) decode(from peers.Peer, body json.RawMessage, out any) bool {
-	if err := json.Unmarshal(body, out); err != nil {
-		t.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
-		return false
-	}
-	return true
+	return peers.RequestAll(ctx, net, to, kind, question, askResend, accept)
 }
 
 func (t *Tracker) handleRecords(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var list []records
-	if !t.decode(from, body, &list) {
+	if !peers.Decode(t.log, from, body, &list) {
 		return
 	}
 	for _, r := range list {
@@ -234,7 +200,7 @@
 
 func (t *Tracker) handleAsk(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var k core.StreamKey
-	if !t.decode(from, body, &k) {
+	if !peers.Decode(t.log, from, body, &k) {
 		return
 	}
 	r, ok := t.table.Get(k)
--- a/coordination/peers/request.go
+++ b/coordination/peers/request.go
@@ -112,6 +112,51 @@
 	}
 }
 
+// Requester sends requests to other daemons. *Peers implements it.
+type Requester interface {
+	Request(ctx context.Context, to Peer, kind string, request, out any, resend time.Duration) error
+}
+
+// RequestAll sends a request to several daemons at once. It returns when accept has returned true for a
+// reply, or all have replied or failed to. silent is the number of those that have not replied.
+func RequestAll[R any](ctx context.Context, net Requester, to []Peer, kind string, request any, resend time.Duration, accept func(from string, reply R) bool) (accepted bool, silent int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		from  string
+		reply R
+		err   error
+	}
+	results := make(chan result, len(to))
+	for _, p := range to {
+		go func() {
+			r := result{from: p.Name}
+			r.err = net.Request(ctx, p, kind, request, &r.reply, resend)
+			results <- r
+		}()
+	}
+	for range to {
+		r := <-results
+		if r.err != nil {
+			silent++
+			continue
+		}
+		if accept(r.from, r.reply) {
+			return true, silent
+		}
+	}
+	return false, silent
+}
+
+// Decode decodes a message of another daemon, and logs one that is malformed.
+func Decode(log *zap.Logger, from Peer, body json.RawMessage, out any) bool {
+	if err := json.Unmarshal(body, out); err != nil {
+		log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+		return false
+	}
+	return true
+}
+
 // Broadcast sends a message that expects no reply to all reachable peers; it may be lost.
 // In a large fleet the hubs forward it: if the holder of the lease of orders sent each
 // adapter to 294 daemons itself, it would have no time for its other work.
--- a/coordination/placement/client.go
+++ b/coordination/placement/client.go
@@ -81,8 +81,7 @@
 
 func (c *Client) handleDemand(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var list []demandEntry
-	if err := json.Unmarshal(body, &list); err != nil {
-		c.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+	if !peers.Decode(c.log, from, body, &list) {
 		return
 	}
 	counts := make(map[dispatch.PlacementKey]float64, len(list))
--- a/coordination/placement/updates.go
+++ b/coordination/placement/updates.go
@@ -9,7 +9,6 @@
 
 	"primroseward/coordination/peers"
 	"primroseward/core"
-	"primroseward/io/logs"
 )
 
 const (
@@ -51,8 +50,7 @@
 	b := &Broadcaster{peers: p, recorder: recorder, clock: clock}
 	p.Handle(kindUpdate, func(from peers.Peer, body json.RawMessage, _ func(any)) {
 		var list []HoldingUpdate
-		if err := json.Unmarshal(body, &list); err != nil {
-			log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+		if !peers.Decode(log, from, body, &list) {
 			return
 		}
 		for _, u := range list {
--- a/coordination/quarantine/compare.go
+++ b/coordination/quarantine/compare.go
@@ -64,7 +64,7 @@
 
 func (q *Quarantine) handleHolds(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var list []json.RawMessage
-	if !q.decode(from, body, &list) {
+	if !peers.Decode(q.log, from, body, &list) {
 		return
 	}
 	for _, data := range list {
@@ -130,7 +130,7 @@
 // checksum differs.
 func (q *Quarantine) handleSum(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var theirs uint64
-	if !q.decode(from, body, &theirs) {
+	if !peers.Decode(q.log, from, body, &theirs) {
 		return
 	}
 	mine := q.table.Sum()
--- a/coordination/quarantine/confirm.go
+++ b/coordination/quarantine/confirm.go
@@ -79,7 +79,7 @@
 
 func (q *Quarantine) handleConfirm(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var c confirmation
-	if !q.decode(from, body, &c) {
+	if !peers.Decode(q.log, from, body, &c) {
 		return
 	}
 	q.mu.Lock()
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -40,7 +40,7 @@
 
 func (q *Quarantine) handleExit(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var report exitReport
-	if !q.decode(from, body, &report) {
+	if !peers.Decode(q.log, from, body, &report) {
 		return
 	}
 	answer(true)
@@ -110,14 +110,14 @@
 
 func (q *Quarantine) handleSeen(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var s seen
-	if q.decode(from, body, &s) && q.recent.servedWithin(s.Digest, s.Within) {
+	if peers.Decode(q.log, from, body, &s) && q.recent.servedWithin(s.Digest, s.Within) {
 		q.net.Send(from, kindWorked, s.Digest)
 	}
 }
 
 func (q *Quarantine) handleWorked(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var d core.Digest
-	if !q.decode(from, body, &d) {
+	if !peers.Decode(q.log, from, body, &d) {
 		return
 	}
 	q.mu.Lock()
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -259,12 +258,3 @@
 	}
 	return all[:1]
 }
-
-// decode decodes a message, and logs one that is malformed.
-func (q *Quarantine) decode(from peers.Peer, body json.RawMessage, out any) bool {
-	if err := json.Unmarshal(body, out); err != nil {
-		q.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
-		return false
-	}
-	return true
-}
--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -42,7 +42,7 @@
 
 func (q *Quarantine) handleTrial(from peers.Peer, body json.RawMessage, answer func(any)) {
 	var d core.Digest
-	if !q.decode(from, body, &d) {
+	if !peers.Decode(q.log, from, body, &d) {
 		return
 	}
 	answer(q.grantTrial(d))
--- a/services/fleet/answered.go
+++ b/services/fleet/answered.go
@@ -6,11 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
-
 	"primroseward/coordination/peers"
 	"primroseward/coordination/reach"
-	"primroseward/io/logs"
 )
 
 const (
@@ -37,8 +34,7 @@
 
 func (d *Daemon) handleAnswered(from peers.Peer, body json.RawMessage, reply func(any)) {
 	var req answeredRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		d.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+	if !peers.Decode(d.log, from, body, &req) {
 		return
 	}
 	answered, waits := d.loads.AnsweredWithin(req.Runner, req.Within)
@@ -48,42 +44,19 @@
 // answeredPeers are the other daemons that runners answer. It implements reach.Peers.
 type answeredPeers struct{ d *Daemon }
 
-// AnsweredWithin implements reach.Peers.
+// AnsweredWithin implements reach.Peers. A daemon that does not reply knows nothing.
 func (a answeredPeers) AnsweredWithin(ctx context.Context, runner string, within time.Duration) reach.PeerView {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	asked := a.choose()
-	views := make(chan reach.PeerView, len(asked))
-	for _, p := range asked {
-		a.d.wg.Add(1)
-		go a.runRequest(ctx, p, answeredRequest{Runner: runner, Within: within}, views)
-	}
 	var all reach.PeerView
-	for range asked {
-		one := <-views
-		if one.Answers != "" {
-			return one
+	peers.RequestAll(ctx, a.d.peers, a.choose(), kindAnswered, answeredRequest{Runner: runner, Within: within}, answeredResend, func(from string, r answeredReply) bool {
+		all.Waits = all.Waits || r.Waits
+		if r.Answered {
+			all.Answers = from
 		}
-		all.Waits = all.Waits || one.Waits
-	}
+		return r.Answered
+	})
 	return all
 }
 
-// runRequest asks one daemon. One that does not reply knows nothing.
-func (a answeredPeers) runRequest(ctx context.Context, p peers.Peer, req answeredRequest, views chan<- reach.PeerView) {
-	defer a.d.wg.Done()
-	var reply answeredReply
-	if err := a.d.peers.Request(ctx, p, kindAnswered, req, &reply, answeredResend); err != nil {
-		views <- reach.PeerView{}
-		return
-	}
-	one := reach.PeerView{Waits: reply.Waits}
-	if reply.Answered {
-		one.Answers = p.Name
-	}
-	views <- one
-}
-
 // choose returns the daemons to ask.
 func (a answeredPeers) choose() []peers.Peer {
 	var out []peers.Peer
--- a/services/fleet/copy.go
+++ b/services/fleet/copy.go
@@ -116,26 +116,34 @@
 func (d *Daemon) snapshotOf(ctx context.Context, p peers.Peer, kind string, after uint64) (watch.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	query := url.Values{queryAfter: {strconv.FormatUint(after, 10)}}
-	target := url.URL{Scheme: "http", Host: p.Peer.String(), Path: pathSnapshot + kind, RawQuery: query.Encode()}
+	var s watch.Snapshot
+	err := d.get(ctx, p, pathSnapshot+kind, url.Values{queryAfter: {strconv.FormatUint(after, 10)}}, func(resp *http.Response) (err error) {
+		s, err = readSnapshot(resp)
+		return err
+	})
+	if err != nil {
+		return watch.Snapshot{}, eris.Wrapf(core.ErrUnavailable, "snapshot of %s: %v", p.Name, err)
+	}
+	d.log.Info(logs.SnapshotUsed, zap.String("other", p.Name), zap.String("kind", kind), zap.Uint64("version", s.Version), zap.Uint64("after", s.After), zap.Int("objects", len(s.Objects)))
+	return s, nil
+}
+
+// get requests a path of another daemon and has read read the answer.
+func (d *Daemon) get(ctx context.Context, p peers.Peer, path string, query url.Values, read func(*http.Response) error) error {
+	target := url.URL{Scheme: "http", Host: p.Peer.String(), Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return watch.Snapshot{}, eris.Wrap(err, "copy")
+		return err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return watch.Snapshot{}, eris.Wrapf(core.ErrUnavailable, "snapshot of %s: %v", p.Name, err)
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return watch.Snapshot{}, eris.Wrapf(core.ErrUnavailable, "snapshot of %s: status %d", p.Name, resp.StatusCode)
+		return eris.Errorf("status %d", resp.StatusCode)
 	}
-	s, err := readSnapshot(resp)
-	if err != nil {
-		return watch.Snapshot{}, eris.Wrapf(core.ErrUnavailable, "snapshot of %s: %v", p.Name, err)
-	}
-	d.log.Info(logs.SnapshotUsed, zap.String("other", p.Name), zap.String("kind", kind), zap.Uint64("version", s.Version), zap.Uint64("after", s.After), zap.Int("objects", len(s.Objects)))
-	return s, nil
+	return read(resp)
 }
 
 func readSnapshot(resp *http.Response) (watch.Snapshot, error) {
--- a/services/fleet/departures.go
+++ b/services/fleet/departures.go
@@ -79,20 +79,11 @@
 func (d *Daemon) fetchDepartures(ctx context.Context, p peers.Peer) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, departuresTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Peer.String()+pathDepartures, nil)
-	if err != nil {
-		return 0, eris.Wrap(err, "departures")
-	}
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return 0, eris.Wrap(err, "departures")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, eris.Errorf("departures: status %d", resp.StatusCode)
-	}
 	var list []availability.Update
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxSnapshot)).Decode(&list); err != nil {
+	err := d.get(ctx, p, pathDepartures, nil, func(resp *http.Response) error {
+		return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxSnapshot)).Decode(&list)
+	})
+	if err != nil {
 		return 0, eris.Wrap(err, "departures")
 	}
 	for _, u := range list {
--- a/services/fleet/updates.go
+++ b/services/fleet/updates.go
@@ -3,12 +3,9 @@
 import (
 	"encoding/json"
 
-	"go.uber.org/zap"
-
 	"primroseward/coordination/allowance"
 	"primroseward/coordination/availability"
 	"primroseward/coordination/peers"
-	"primroseward/io/logs"
 )
 
 // Kinds of the messages about what runners announce in their answers: limits, that they are leaving,
@@ -44,10 +41,8 @@
 func handleUpdate[U any](d *Daemon, apply func(from string, u U)) peers.Handler {
 	return func(from peers.Peer, body json.RawMessage, _ func(any)) {
 		var u U
-		if err := json.Unmarshal(body, &u); err != nil {
-			d.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
-			return
+		if peers.Decode(d.log, from, body, &u) {
+			apply(from.Name, u)
 		}
-		apply(from.Name, u)
 	}
 }
--- a/services/fleet/yield.go
+++ b/services/fleet/yield.go
@@ -32,8 +32,7 @@
 
 func (d *Daemon) handleYield(from peers.Peer, body json.RawMessage, reply func(any)) {
 	var req yieldRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		d.log.Warn(logs.MessageUnreadable, zap.String("other", from.Name), logs.Err(err))
+	if !peers.Decode(d.log, from, body, &req) {
 		return
 	}
 	idle, ok := d.lease.Yield(req.Term)
