--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -294,40 +294,6 @@
 	}
 }
 
-// stateKnown reports whether everything is known that callers are served by.
-func (d *Daemon) stateKnown() bool { return d.storeKnown() && d.departures.known.Load() }
-
-// storeKnown reports whether the configuration, the runners and the operators' settings are
-// known.
-func (d *Daemon) storeKnown() bool {
-	return d.catalog.Config() != nil && d.watcher.RunnersListed() && d.settings.Tree() != nil
-}
-
-// keysConfirmed reports whether the known callers' keys may be used now. The configuration
-// comes from the store in the same way as the operators' settings, so the age of the settings
-// applies to it as well.
-func (d *Daemon) keysConfirmed() bool {
-	keys := d.current.Load().Keys
-	if !keys.FailClosed {
-		return true
-	}
-	age := d.watcher.SettingsAge()
-	return age >= 0 && age <= time.Duration(keys.MaxUnconfirmed)
-}
-
-// state returns the state that is sent to the other daemons.
-func (d *Daemon) state() peers.State {
-	term, fresh := d.lease.Claim()
-	s := peers.State{
-		Ready: d.stateKnown(), Failing: d.watcher.Failing(), Term: term, LeaseRenewed: fresh,
-		LastChanges: d.watcher.Changes(), Confirmed: d.watcher.SettingsAge(), PathLost: d.reach.Lost(),
-	}
-	if !s.PathLost {
-		s.RefusingRunners = d.loads.LocalDown() // without a path this daemon knows nothing of the runners
-	}
-	return s
-}
-
 // newConfig applies the workspaces of a configuration, and sends the daemon's state to the
 // others at once: daemons that have just started wait for the snapshot of a daemon that has
 // a configuration.
@@ -339,14 +305,6 @@
 	d.peers.SendState(true)
 }
 
-// Ready reports whether the daemon can serve callers.
-func (d *Daemon) Ready() bool {
-	return d.stateKnown() && !d.leaving.Load()
-}
-
-// serving returns the number of daemons that share the callers.
-func (d *Daemon) serving() int { return d.peers.Count() }
-
 // Start starts the components. The listeners have been open since New.
 func (d *Daemon) Start() {
 	d.peers.Start()
@@ -364,31 +322,6 @@
 	d.log.Info(logs.Started, zap.String("place", d.set.DataCentre), zap.Stringer("caller", d.set.CallerAddr), zap.String("version", core.Version))
 }
 
-// peerUpdate applies the state that another daemon sends, or the loads of the other daemons
-// of the data centre.
-func (d *Daemon) peerUpdate(from peers.Peer, counts map[core.Code]int) {
-	if counts != nil {
-		d.loads.SetPeerRequests(from.Name, counts)
-	}
-	if from.Name == load.DataCentrePeers {
-		return
-	}
-	d.loads.SetPeerDown(from.Name, from.RefusingRunners)
-	d.watcher.Hint(from.Name, from.DataCentre == d.set.DataCentre, from.LastChanges)
-	d.watcher.Confirm(from.LastChanges.Settings, from.Confirmed)
-}
-
-// groupSummary applies the summary that a hub sends of its group.
-func (d *Daemon) groupSummary(s peers.Summary) {
-	d.loads.SetPeerDown("a hub of "+s.DataCentre, s.RefusingRunners)
-	for _, c := range s.Changes {
-		if c.Source != d.set.Name {
-			d.watcher.Hint(c.Source, s.DataCentre == d.set.DataCentre, c.Changes)
-		}
-	}
-	d.watcher.Confirm(s.Settings, s.Confirmed)
-}
-
 // countDatagram counts the datagrams that this daemon sends, by kind and by whether the
 // receiver is in the same data centre.
 func (d *Daemon) countDatagram(kind string, near bool, bytes int) {
--- a/standin/paths/paths.go
+++ b/standin/paths/paths.go
@@ -170,9 +170,8 @@
 	_ = l.server.Close()
 }
 
-// findOwner finds the process of a connection and returns what happens to the connection. A look-up takes
-// some tenths of a second beside other work, so the connection waits for it only while any process is
-// partitioned.
+// findOwner finds the process of a connection and returns what happens to the connection. It waits for the
+// slow look-up only while any process is partitioned.
 func (n *Network) findOwner(l *link) Mode {
 	n.mu.Lock()
 	wait := len(n.modes) > 0
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -419,39 +419,6 @@
 	s.Exited()
 }
 
-// EventText returns an event of a stream: its number and the software version of the runner that
-// generated it.
-func EventText(number int, version string) string {
-	if version != "" {
-		version = " " + version
-	}
-	return fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", number, number, version)
-}
-
-// stream sends the events after the one in the Last-Event-Id header. If cut is positive, it
-// closes the connection in the middle of the event after number cut.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, cut int) {
-	from, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
-	w.Header().Set("Content-Type", "text/event-stream")
-	rc := http.NewResponseController(w)
-	for i := from + 1; i <= s.Events; i++ {
-		if cut > 0 && i > cut {
-			fmt.Fprintf(w, "id: %d\nda", i)
-			_ = rc.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = io.WriteString(w, EventText(i, s.Version)) // the flush shows whether the caller has disconnected
-		if rc.Flush() != nil {
-			return
-		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(s.Interval):
-		}
-	}
-}
-
 // Addr returns the address that the runner listens on.
 func (s *Server) Addr() net.Addr { return s.srv.Listener.Addr() }
 
