--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -66,26 +66,27 @@
 	handler http.Handler
 	store   func(kind, name string, spec any)
 
-	mu         sync.Mutex
-	started    time.Time // start time of the present instance
-	runs       []Run
-	models     map[string][]string // adapters by loaded model
-	sequence   uint64              // number of orders carried out
-	draining   bool
-	cutAfter   int // events after which the next stream is cut; 0: never
-	raw        func(r *http.Request) *Raw
-	failures   int       // next requests to answer with status 500
-	running    int       // requests
-	busy       bool      // a model is being loaded
-	exited     bool      // exited because of a fatal request
-	limit      []string  // values of the limit header
-	leaving    []string  // values of the leaving header
-	rejects    bool      // rejects all requests
-	backoff    []string  // values of Retry-After in rejections
-	arrived    []Arrival // requests, run or not
-	brittle    brittleState
-	terms      []Term
-	violations []string // orders that exceeded the bounds
+	mu          sync.Mutex
+	started     time.Time // start time of the present instance
+	runs        []Run
+	models      map[string][]string // adapters by loaded model
+	sequence    uint64              // number of orders carried out
+	draining    bool
+	cutAfter    int // events after which the next stream is cut; 0: never
+	raw         func(r *http.Request) *Raw
+	failures    int       // next requests to answer with status 500
+	running     int       // requests
+	busy        bool      // a model is being loaded
+	exited      bool      // exited because of a fatal request
+	limit       []string  // values of the limit header
+	leaving     []string  // values of the leaving header
+	rejects     bool      // rejects all requests
+	backoff     []string  // values of Retry-After in rejections
+	arrived     []Arrival // requests, run or not
+	brittle     brittleState
+	silentUntil time.Time
+	terms       []Term
+	violations  []string // orders that exceeded the bounds
 }
 
 // Term is the holder and fencing number of an order, and when it arrived.
@@ -102,11 +103,11 @@
 		s.models[m] = nil
 	}
 	mux := http.NewServeMux()
-	s.handler = mux
+	s.handler = s.runAfterSilence(mux)
 	mux.HandleFunc("GET "+platform.PathReport, s.report)
 	mux.HandleFunc("POST "+platform.PathOrder, s.order)
 	mux.HandleFunc("/", s.request)
-	s.srv = httptest.NewServer(mux)
+	s.srv = httptest.NewServer(s.handler)
 	s.Register()
 	return s
 }
@@ -382,6 +383,7 @@
 		return
 	}
 	s.work(r.Context())
+	s.awaitSilence()
 	text := s.ID + " " + r.RequestURI + " " + string(body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
--- a/standin/runner/stream.go
+++ b/standin/runner/stream.go
@@ -26,6 +26,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	for i := from + 1; i <= s.Events; i++ {
+		s.awaitSilence()
 		if cut > 0 && i > cut {
 			fmt.Fprintf(w, "id: %d\nda", i)
 			_ = rc.Flush()
