Logs: an answer that is cut at its caller, a handler that panics, what a silent runner was left for

Cause: no line said that a caller's connection was aborted before its answer was complete, with what had been sent and beside which configuration; a panic named no request; 'runner sends nothing' did not say for how long, and whether the path counted as lost. So the hypotheses on silent runners could be told apart by piecing several lines together at best.

Change: 'answer cut', 'handler panicked'; more fields of 'runner sends nothing'.

--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -89,7 +89,8 @@
 	if lastSign.Before(s.began) {
 		lastSign = s.began
 	}
-	if idle, limit := clock.Since(lastSign), s.stallLimit(); idle < limit {
+	idle, limit := clock.Since(lastSign), s.stallLimit()
+	if idle < limit {
 		s.timer = clock.AfterFunc(min(limit-idle, lostPathInterval), s.check)
 		return
 	}
@@ -98,7 +99,8 @@
 		s.timer = clock.AfterFunc(s.limit/2, s.check)
 		return
 	}
-	s.job.log.Info(logs.RunnerStalled, zap.String("runner", s.runner.ID), zap.Duration("limit", s.limit))
+	s.job.log.Info(logs.RunnerStalled, zap.String("runner", s.runner.ID), zap.Duration("idle", idle), zap.Duration("limit", limit), zap.String("stage", string(s.job.stage)),
+		zap.Bool("pathlost", s.job.d.pathLost()), zap.Int("runs", s.job.runs))
 	s.cancelSend()
 }
 
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -72,7 +72,8 @@
 	AnswerRetried = "answer lost, trying another runner"
 	// AnswerLost: no complete answer arrived; the caller gets 502 or a truncated stream.
 	AnswerLost = "answer lost"
-	// RunnerStalled: a runner has sent nothing for too long; the stream is resumed at another one.
+	// RunnerStalled: a runner has sent nothing for too long; the stream is resumed at another one. With the
+	// length of the silence and its limit, how far the answer has come, and whether the path is lost.
 	RunnerStalled = "runner sends nothing"
 	// RunnerExited: connections of requests at a runner were closed, and its process is found to
 	// have exited; with the number of these requests at this daemon.
@@ -129,6 +130,11 @@
 	// here as it arrives; with what is held of it, in bytes. If it breaks off then, the caller's
 	// connection is aborted.
 	AnswerPassedOn = "long answer passed on"
+	// AnswerCut: the connection of a caller is aborted before its answer is complete; with the bytes sent,
+	// the version of the configuration, and the cause.
+	AnswerCut = "answer cut"
+	// HandlerPanicked: a defect ended the work on a request; with the stack.
+	HandlerPanicked = "handler panicked"
 	// Refused: the caller gets an answer stating that the request has not run and when to retry.
 	Refused = "refused"
 	// RefusedBySettings: the settings tree does not allow the request now; with the node that
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -120,6 +120,7 @@
 		return
 	}
 	q.Arrived = arrived
+	defer f.logPanic(q)
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := otel.Tracer(tracer).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request", q.ID), attribute.String("route", route.Name)))
@@ -130,7 +131,7 @@
 		return
 	}
 	defer reply.Body.Close()
-	f.writeReply(w, r, reply)
+	f.writeReply(w, r, q, reply)
 }
 
 // read reads a request and finds its route. A request that it refuses has not been sent to
@@ -259,7 +260,7 @@
 
 // writeReply copies an answer to the caller as it arrives. If the body ends early, the
 // connection with the caller is aborted, so that the answer does not look complete.
-func (f *Front) writeReply(w http.ResponseWriter, r *http.Request, reply *core.Reply) {
+func (f *Front) writeReply(w http.ResponseWriter, r *http.Request, q *core.Request, reply *core.Reply) {
 	header := w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
@@ -277,18 +278,23 @@
 	w.WriteHeader(reply.Status)
 	control := http.NewResponseController(w)
 	var buf [copyBuffer]byte
+	sent := 0
 	for {
 		n, err := reply.Body.Read(buf[:])
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				panic(http.ErrAbortHandler)
 			}
+			sent += n
 		}
 		if err == io.EOF {
 			complete()
 			return
 		}
 		if err != nil {
+			if r.Context().Err() == nil {
+				f.logCut(q, reply.Status, sent, err)
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if err := control.Flush(); err != nil {
@@ -297,6 +303,28 @@
 	}
 }
 
+// logPanic logs a panic of the handler with the request that it worked on, and passes it on.
+func (f *Front) logPanic(q *core.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		f.log.Error(logs.HandlerPanicked, zap.String("request", q.ID), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+	panic(cause)
+}
+
+// logCut logs that the connection of a caller that waits for the rest of an answer is aborted.
+func (f *Front) logCut(q *core.Request, status, sent int, cause error) {
+	version := uint64(0)
+	if config := f.catalog.Config(); config != nil {
+		version = config.Version
+	}
+	f.log.Warn(logs.AnswerCut, zap.String("request", q.ID), zap.Bool("forwarded", q.Forward != nil), zap.Int("status", status), zap.Int("bytes", sent),
+		zap.Uint64("config", version), zap.Duration("took", f.clock.Since(q.Arrived)), zap.Duration("limit", q.Timeout), logs.Err(cause))
+}
+
 // writeError answers with an error that the system itself has generated.
 func writeError(w http.ResponseWriter, e *core.RequestError) {
 	header := w.Header()
