Failing tests: answers that are cut because their runner is silent for a second

Cause: not mended here. A run at a silent runner is ended as soon as another runner or daemon may have room. If nothing takes the request after all, the caller's connection is closed, although the runner would have gone on.

--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -33,6 +33,7 @@
 	unsigned    // answers with success but without its signature
 	stalls      // stalls a stream after some events
 	pauses      // pauses a stream for longer than the limit on silence
+	pausesFirst // is as long silent before it answers
 	noListener  // is unreachable because nothing listens on its address
 	// Only for streams: the runner closes the connection with which its answer ends inside an event,
 	// sends the last chunk there, or closes the connection before the first event.
@@ -95,6 +96,15 @@
 		<-ctx.Done()
 		f.mu.Lock()
 		return nil, eris.Wrap(core.ErrAnswerLost, "closed")
+	case pausesFirst:
+		f.mu.Unlock()
+		defer f.mu.Lock()
+		select {
+		case <-ctx.Done():
+			return nil, eris.Wrap(core.ErrAnswerLost, "closed")
+		case <-time.After(longPause):
+		}
+		return answer(http.StatusOK, info, eventText(o.LastEvent, eventCount), nil), nil
 	case rejects:
 		info.NotRun = true
 		return answer(http.StatusServiceUnavailable, info, "", nil), nil
