A silent runner is left only for one that has accepted the request

What callers saw: a stream whose connection closed without an end, though its runner was sound and silent for a second only (LOST); or 502 where the answer would have come.

Cause: a run was ended as soon as its runner had been silent for 0.9 s (0.2 s without a path) and another one seemed to have room. If nothing took the request after all (rejected, full by then, failed, lost, no retry left, refused by another daemon), there was nothing to go back to. Class: a run is given up before what replaces it is certain.

Change: the request is sent elsewhere beside the silent run, which is closed once the other runner or daemon has accepted it. If none does, the run stays and the attempt is repeated at growing intervals, each paid from the retry budget. If the runner fails meanwhile, the attempt elsewhere is waited for; if it goes on, a run that has begun elsewhere within 50 ms is used, so that no two runs of a stream go on side by side.

Why it works: at any time at least one run of the request is open that nobody has given up. Runners that are silent for good are left as soon as before: the time to the second send is the same.

--- a/coordination/dispatch/buffer.go
+++ b/coordination/dispatch/buffer.go
@@ -142,7 +142,7 @@
 	n, err := l.body.Read(p)
 	l.bytes += n
 	if err == io.EOF {
-		err = l.j.confirmEnd(l.ctx, l.runner)
+		err = l.j.confirmEnd(l.ctx, l.runner, l.j.framing)
 	}
 	switch err {
 	case nil:
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -173,8 +173,20 @@
 // Running returns the number of requests in progress.
 func (d *Dispatcher) Running() int { return int(d.running.Load()) }
 
+// latestSend is the state of the latest send of a request.
+type latestSend struct {
+	sentAt      time.Time
+	stage       stage              // progress of the answer
+	framing     core.Framing       // of the answer
+	answeredAt  time.Time          // when the answer began
+	granted     int                // sends that the daemon that the request was forwarded to may still make
+	cancelSend  context.CancelFunc // closes the connection
+	answerBegan func()             // called when the answer has begun
+}
+
 // job is the state of one request in progress.
 type job struct {
+	latestSend
 	d                  *Dispatcher
 	q                  *core.Request
 	route              *core.Route
@@ -188,37 +200,30 @@
 	closed             int // connections that a runner closed before the answer was complete
 	unanswered         int // sends to runners that do not answer this daemon
 	sends              int
-	units              float64            // taken from the workspace's allowance by each run
-	placementRequested bool               // the holder of orders has been asked to load the model or adapter
-	resumed            bool               // its stream has broken after the first event
-	paced              bool               // its send has been paced, at most once per request
-	sentAt             time.Time          // of the latest send
-	stage              stage              // progress of the answer to the latest send
-	framing            core.Framing       // of the latest answer
-	committed          bool               // the caller has received a part of an answer that no other run continues
-	answeredAt         time.Time          // when the answer to the latest send began
-	retryReserved      bool               // a retry has been taken from the budget for the next send
-	retryAfter         time.Duration      // until a missing model may be loaded or a limit allows the request; 0 if not known
-	atLimit            bool               // a runner was skipped because its limit is used up
-	limitFields        []zap.Field        // log fields on the last such runner
-	limitTakenFrom     string             // runner whose limit the next send has been taken from, or empty
-	probe              bool               // the next send finds out whether its runner's backoff is over
-	brittleRoom        int                // of this daemon at the brittle runners of the latest choice
-	brittleOwners      []string           // daemons that have room at these
-	releaseRoom        func()             // of the next send at a brittle runner
-	omitted            []omittedRunner    // runners left out of the latest choice
-	backoffUntil       time.Time          // end of the first backoff among the runners that could serve the request
-	probeAwaited       bool               // a runner was skipped because a request probes its backoff
-	forwards           int                // daemons that the request has been forwarded to
-	granted            int                // sends that the daemon that it was forwarded to may still make
-	countedElsewhere   bool               // allowance and limits are counted by the daemon that sends the request
-	leaveLimits        func()             // counts the request out of the limits of the settings
-	lastEvent          string             // id of the last event passed on
-	origin             *core.Origin       // where the stream began; nil: it has not begun, or it is not known
-	unadmitted         []core.Origin      // left out of the latest choice, as no stream may begin there yet
-	endStream          func()             // called when the stream has ended
-	cancelSend         context.CancelFunc // closes the connection of the latest send
-	answerBegan        func()             // called when the answer to the latest send has begun
+	units              float64         // taken from the workspace's allowance by each run
+	placementRequested bool            // the holder of orders has been asked to load the model or adapter
+	resumed            bool            // its stream has broken after the first event
+	paced              bool            // its send has been paced, at most once per request
+	committed          bool            // the caller has received a part of an answer that no other run continues
+	retryReserved      bool            // a retry has been taken from the budget for the next send
+	retryAfter         time.Duration   // until a missing model may be loaded or a limit allows the request; 0 if not known
+	atLimit            bool            // a runner was skipped because its limit is used up
+	limitFields        []zap.Field     // log fields on the last such runner
+	limitTakenFrom     string          // runner whose limit the next send has been taken from, or empty
+	probe              bool            // the next send finds out whether its runner's backoff is over
+	brittleRoom        int             // of this daemon at the brittle runners of the latest choice
+	brittleOwners      []string        // daemons that have room at these
+	releaseRoom        func()          // of the next send at a brittle runner
+	omitted            []omittedRunner // runners left out of the latest choice
+	backoffUntil       time.Time       // end of the first backoff among the runners that could serve the request
+	probeAwaited       bool            // a runner was skipped because a request probes its backoff
+	forwards           int             // daemons that the request has been forwarded to
+	countedElsewhere   bool            // allowance and limits are counted by the daemon that sends the request
+	leaveLimits        func()          // counts the request out of the limits of the settings
+	lastEvent          string          // id of the last event passed on
+	origin             *core.Origin    // where the stream began; nil: it has not begun, or it is not known
+	unadmitted         []core.Origin   // left out of the latest choice, as no stream may begin there yet
+	endStream          func()          // called when the stream has ended
 	log                *zap.Logger
 }
 
@@ -341,7 +346,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := j.send(ctx, r)
+	reply, r, err := j.send(ctx, r)
 	if err != nil {
 		return nil, j.handleError(ctx, r, err)
 	}
@@ -389,7 +394,7 @@
 	held := &answerBuffer{budget: &j.d.buffers}
 	err := held.fill(reply.Body)
 	if err == io.EOF {
-		err = j.confirmEnd(ctx, r)
+		err = j.confirmEnd(ctx, r, j.framing)
 	}
 	if err == nil {
 		j.committed = true
--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -166,11 +167,12 @@
 	return n, e.err
 }
 
-// delayedReader returns its text after a pause longer than the limit on silence.
+// delayedReader returns its text after a pause, which is longer than the limit on silence by default.
 type delayedReader struct {
-	ctx  context.Context
-	text string
-	done *strings.Reader
+	ctx   context.Context
+	text  string
+	pause time.Duration // 0: longPause
+	done  *strings.Reader
 }
 
 const longPause = minStall + 500*time.Millisecond
@@ -178,7 +180,7 @@
 func (l *delayedReader) Read(p []byte) (int, error) {
 	if l.done == nil {
 		select {
-		case <-time.After(longPause):
+		case <-time.After(cmp.Or(l.pause, longPause)):
 		case <-l.ctx.Done():
 			return 0, l.ctx.Err()
 		}
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -133,10 +133,10 @@
 
 // forward sends the request to another daemon, which may send it to runners as often as is left
 // but one time, so that it can be sent once more if that daemon fails.
-func (j *job) forward(ctx context.Context, to *core.Runner) (*core.Reply, error) {
+func (j *job) forward(ctx context.Context, to *core.Runner) (*core.Reply, *core.Runner, error) {
 	left := j.deadline.Sub(j.d.clock.Now())
 	if left <= 0 {
-		return nil, eris.Wrap(core.ErrNotSent, "deadline exceeded")
+		return nil, to, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
 	j.releaseCounts()
 	j.forwards++
@@ -147,23 +147,29 @@
 		From: j.d.self, Runs: j.runs, Attempts: j.granted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller, Origin: j.origin,
 	}}
 	endLoad := j.d.helpers.Loads().Begin(to.ID)
-	ctx, j.cancelSend = context.WithCancel(ctx)
+	sending, cancel := context.WithCancel(ctx)
+	j.cancelSend = cancel
 	j.answerBegan = func() {}
-	reply, err := j.sendWithStallCheck(ctx, to, out)
-	if err != nil {
-		j.cancelSend()
+	reply, next, err := j.sendWithStallCheck(ctx, sending, to, out)
+	if next != nil || err != nil {
+		cancel()
 		endLoad()
-		return nil, err
+	}
+	if next != nil {
+		j.d.helpers.Loads().RecordFailure(to.ID)
+		return next.reply, next.runner, nil
+	}
+	if err != nil {
+		return nil, to, err
 	}
 	j.stage, j.framing, j.answeredAt = stageHead, reply.Framing, j.d.clock.Now()
 	runs := max(1, reply.Info.Runs-j.runs)
 	j.runs, j.granted = j.runs+runs, max(0, j.granted-runs)
-	cancel := j.cancelSend
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() {
 		cancel()
 		endLoad()
 	}}
-	return reply, nil
+	return reply, to, nil
 }
 
 // handleForwardError is handleError for a request that was forwarded to another daemon.
@@ -172,6 +178,20 @@
 	if errors.As(err, &refusal) {
 		return j.handleForwardRefusal(to, refusal)
 	}
+	j.recordForwardError(to, err)
+	if errors.Is(err, core.ErrNotSent) || j.takeRetry() {
+		return nil
+	}
+	return core.MayHaveRun("answer_lost", err.Error())
+}
+
+// recordForwardError is recordError for a request that was forwarded to another daemon.
+func (j *job) recordForwardError(to *core.Runner, err error) {
+	var refusal *core.RequestError
+	if errors.As(err, &refusal) {
+		j.recordForwardRefusal(to, refusal)
+		return
+	}
 	loads := j.d.helpers.Loads()
 	loads.RecordFailure(to.ID)
 	if errors.Is(err, core.ErrNotSent) {
@@ -180,34 +200,23 @@
 		}
 		j.d.metrics.forwarded(forwardUnreachable)
 		j.log.Info(logs.ForwardFailed, zap.String("to", to.ID), zap.Bool("sent", false), logs.Err(err))
-		return nil
+		return
 	}
 	j.runs, j.granted = j.runs+j.granted, 0 // the daemon may have used them all
 	j.d.metrics.forwarded(forwardLost)
 	j.log.Warn(logs.ForwardFailed, zap.String("to", to.ID), zap.Bool("sent", true), zap.Int("runs", j.runs), logs.Err(err))
-	if j.takeRetry() {
-		return nil
-	}
-	return core.MayHaveRun("answer_lost", err.Error())
 }
 
 // handleForwardRefusal decides what follows the refusal of another daemon. If that one reaches no
 // runner either, another one is asked.
 func (j *job) handleForwardRefusal(to *core.Runner, e *core.RequestError) error {
-	j.granted = 0
-	j.d.metrics.forwarded(forwardRefused)
-	j.log.Info(logs.ForwardRefused, zap.String("to", to.ID), zap.String("code", e.Code), zap.String("outcome", string(e.Outcome)), zap.Int("runs", e.Runs), zap.Duration("retry", e.Retry))
-	j.runs = max(j.runs, e.Runs)
+	j.recordForwardRefusal(to, e)
 	if e.Outcome != core.OutcomeNotRun {
-		j.runs = max(1, j.runs)
 		if j.takeRetry() {
 			return nil
 		}
 		return e
 	}
-	if e.Code == errDown.Error() || e.Code == errExhausted.Error() || e.Code == codeUnreachable {
-		j.d.helpers.RecordUnreached(to.ID, j.omittedDown())
-	}
 	switch e.Code {
 	case core.CodePath, codeUnreachable, errDown.Error(), errExhausted.Error(), core.CodeNoConfig, core.CodeNoSettings:
 		if j.hasHelper() {
@@ -222,3 +231,18 @@
 	}
 	return e
 }
+
+// recordForwardRefusal records the refusal of another daemon.
+func (j *job) recordForwardRefusal(to *core.Runner, e *core.RequestError) {
+	j.granted = 0
+	j.d.metrics.forwarded(forwardRefused)
+	j.log.Info(logs.ForwardRefused, zap.String("to", to.ID), zap.String("code", e.Code), zap.String("outcome", string(e.Outcome)), zap.Int("runs", e.Runs), zap.Duration("retry", e.Retry))
+	j.runs = max(j.runs, e.Runs)
+	if e.Outcome != core.OutcomeNotRun {
+		j.runs = max(1, j.runs)
+		return
+	}
+	if e.Code == errDown.Error() || e.Code == errExhausted.Error() || e.Code == codeUnreachable {
+		j.d.helpers.RecordUnreached(to.ID, j.omittedDown())
+	}
+}
--- a/coordination/dispatch/metrics.go
+++ b/coordination/dispatch/metrics.go
@@ -43,6 +43,18 @@
 	return m
 }
 
+// Outcomes of requests that were sent elsewhere beside a silent runner, as labels of metrics.
+const (
+	hedgeAccepted = "accepted"
+	hedgeFailed   = "failed"
+	hedgeUnneeded = "unneeded" // the silent runner has gone on first
+)
+
+// hedged counts a request that was sent elsewhere beside a silent runner.
+func (m *metrics) hedged(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("hedges").Inc(1)
+}
+
 // requestDone counts the end of a request, or a stream's first event.
 func (m *metrics) requestDone(took time.Duration, reply *core.Reply, err error) {
 	m.latency.RecordDuration(took)
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -14,6 +14,9 @@
 	"primroseward/io/logs"
 )
 
+// errRejected: a runner has stated that it did not run the request.
+var errRejected = errors.New("rejected")
+
 // handleError decides what follows a send that got no complete answer.
 func (j *job) handleError(ctx context.Context, r *core.Runner, err error) error {
 	if ctx.Err() != nil {
@@ -22,18 +25,33 @@
 	if isDaemon(r) {
 		return j.handleForwardError(r, err)
 	}
+	j.recordError(r, err)
+	if errors.Is(err, core.ErrNotSent) {
+		return nil
+	}
+	if j.takeRetry() {
+		j.log.Info(logs.AnswerRetried, append(j.lostFields(r), logs.Err(err))...)
+		return nil
+	}
+	j.log.Warn(logs.AnswerLost, append(j.lostFields(r), zap.Int("runs", j.runs), logs.Err(err))...)
+	return core.MayHaveRun("answer_lost", err.Error())
+}
+
+// recordError records what a send that got no complete answer says of its runner or daemon.
+func (j *job) recordError(r *core.Runner, err error) {
+	if isDaemon(r) {
+		j.recordForwardError(r, err)
+		return
+	}
 	if errors.Is(err, core.ErrWithdrawn) {
 		j.log.Info(logs.SendWithdrawn, zap.String("runner", r.ID))
-		return nil
+		return
 	}
 	j.markFailed(r)
 	j.reportClosed(r, err)
 	if j.d.loads.IsUnanswering(r.ID) {
 		j.unanswered++
 	}
-	if !errors.Is(err, core.ErrNotSent) {
-		j.d.metrics.broken(j.framing, err)
-	}
 	if errors.Is(err, core.ErrNotSent) {
 		newlyDown := j.recordUnreachable(r, err)
 		j.log.Info(logs.RunnerUnreachable, zap.String("runner", r.ID), zap.Bool("news", newlyDown), logs.Err(err))
@@ -41,24 +59,19 @@
 			j.d.onDown()
 		}
 		j.failedDials++
-		return nil
+		return
 	}
+	j.d.metrics.broken(j.framing, err)
 	if errors.Is(err, core.ErrClosed) {
 		j.closed++
 		j.d.loads.RecordPathFailure(r.ID)
 	}
-	if j.takeRetry() {
-		j.log.Info(logs.AnswerRetried, append(j.lostFields(r), logs.Err(err))...)
-		return nil
-	}
-	j.log.Warn(logs.AnswerLost, append(j.lostFields(r), zap.Int("runs", j.runs), logs.Err(err))...)
-	return core.MayHaveRun("answer_lost", err.Error())
 }
 
 // endedEarly returns the error for an answer whose body ended where its content shows that it is not
 // complete.
-func (j *job) endedEarly(cause error) error {
-	if j.framing == core.FramingClose {
+func endedEarly(framing core.Framing, cause error) error {
+	if framing == core.FramingClose {
 		return fmt.Errorf("%w: %w: %w", core.ErrAnswerLost, core.ErrClosed, cause)
 	}
 	return fmt.Errorf("%w: %w", core.ErrAnswerLost, cause)
@@ -70,11 +83,11 @@
 // confirmEnd returns io.EOF for an answer whose body has ended, unless it may be the exit of the
 // runner's process that ended it: that closes the connection too, with which such an answer ends. A
 // runner that is leaving may exit after its last answer.
-func (j *job) confirmEnd(ctx context.Context, r *core.Runner) error {
-	if j.framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || j.d.pathLost() || !j.d.accepts(r, true) || !j.d.exits.Exited(ctx, r) {
+func (j *job) confirmEnd(ctx context.Context, r *core.Runner, framing core.Framing) error {
+	if framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || j.d.pathLost() || !j.d.accepts(r, true) || !j.d.exits.Exited(ctx, r) {
 		return io.EOF
 	}
-	return j.endedEarly(errExited)
+	return endedEarly(framing, errExited)
 }
 
 // recordUnreachable records that no connection to a runner could be made, and reports whether it
@@ -117,6 +130,15 @@
 
 // handleRejection decides what follows a runner's statement that it did not run the request.
 func (j *job) handleRejection(r *core.Runner, reply *core.Reply) error {
+	j.recordRejection(r, reply)
+	if j.rejections >= maxRejections || !j.d.budget.TakeRetry(j.service) {
+		return j.refuse(errRejected.Error(), "the runners that may serve the request have no room", nil)
+	}
+	return nil
+}
+
+// recordRejection records a runner's statement that it did not run the request.
+func (j *job) recordRejection(r *core.Runner, reply *core.Reply) {
 	if reply.Info.Backoff.Duration == 0 { // after a backoff it gets no further request that it could reject
 		j.rejections++
 		if reply.Status != http.StatusMisdirectedRequest {
@@ -127,10 +149,6 @@
 	if reply.Status == http.StatusMisdirectedRequest && j.q.Adapter != "" {
 		j.d.catalog.RecordHolding(r.ID, j.q.Model, j.q.Adapter, false)
 	}
-	if j.rejections >= maxRejections || !j.d.budget.TakeRetry(j.service) {
-		return j.refuse("rejected", "the runners that may serve the request have no room", nil)
-	}
-	return nil
 }
 
 // contextError returns the error for a request whose caller has disconnected or whose deadline
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -17,28 +17,23 @@
 const tracer = "primroseward"
 
 // send sends the request to a runner, or forwards it to a daemon, and counts it as in progress
-// there until the answer's body is closed.
-func (j *job) send(ctx context.Context, r *core.Runner) (reply *core.Reply, err error) {
+// there until the answer's body is closed. It returns the runner that has answered, which is another one
+// if this one was silent for long.
+func (j *job) send(ctx context.Context, r *core.Runner) (*core.Reply, *core.Runner, error) {
 	if isDaemon(r) {
 		return j.forward(ctx, r)
 	}
-	releaseRoom := j.releaseRoom
-	j.releaseRoom = func() {}
-	defer func() {
-		if err != nil {
-			releaseRoom()
-		}
-	}()
-	probe := j.probe
+	releaseRoom, probe := j.releaseRoom, j.probe
+	j.releaseRoom, j.probe = func() {}, false
+	endProbe := func(bool) {}
 	if probe {
-		j.probe = false
-		defer func() {
-			j.d.available.EndProbe(r.ID, err == nil && reply.Status != http.StatusMisdirectedRequest)
-		}()
+		endProbe = func(answered bool) { j.d.available.EndProbe(r.ID, answered) }
 	}
 	left := j.deadline.Sub(j.d.clock.Now())
 	if left <= 0 {
-		return nil, eris.Wrap(core.ErrNotSent, "deadline exceeded")
+		releaseRoom()
+		endProbe(false)
+		return nil, r, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
 	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool { return j.d.accepts(r, probe) }}
 	if j.q.Model != "" {
@@ -57,10 +52,26 @@
 	j.tried[r.ID] = true
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithAttributes(attribute.String("runner", r.ID), attribute.Int("number", j.sends)))
 	sent := j.d.loads.BeginSend(r.ID)
-	ctx, j.cancelSend = context.WithCancel(ctx)
-	done := j.d.byRunner.add(r.ID, j.cancelSend)
-	j.answerBegan = j.d.unanswered.add(j.q.Digest, j.cancelSend)
-	reply, err = j.sendWithStallCheck(ctx, r, out)
+	sending, cancelSend := context.WithCancel(ctx)
+	done := j.d.byRunner.add(r.ID, cancelSend)
+	answerBegan := j.d.unanswered.add(j.q.Digest, cancelSend)
+	j.cancelSend, j.answerBegan = cancelSend, answerBegan
+	end := func() {
+		span.End()
+		done()
+		answerBegan()
+		cancelSend()
+		sent.End()
+		releaseRoom()
+	}
+	reply, next, err := j.sendWithStallCheck(ctx, sending, r, out)
+	if next != nil {
+		endProbe(false)
+		j.markFailed(r)
+		end()
+		return next.reply, next.runner, nil
+	}
+	endProbe(err == nil && reply.Status != http.StatusMisdirectedRequest)
 	if err == nil && !reply.Info.NotRun || err != nil && !errors.Is(err, core.ErrNotSent) {
 		j.runs++
 	}
@@ -69,25 +80,13 @@
 	}
 	if err != nil {
 		span.RecordError(err)
-		span.End()
-		done()
-		j.answerBegan()
-		j.cancelSend()
-		sent.End()
-		return nil, err
+		end()
+		return nil, r, err
 	}
 	sent.Answered()
 	j.stage, j.framing, j.answeredAt = stageHead, reply.Framing, j.d.clock.Now()
-	cancelSend, answerBegan := j.cancelSend, j.answerBegan
-	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() {
-		span.End()
-		done()
-		answerBegan()
-		cancelSend()
-		sent.End()
-		releaseRoom()
-	}}
-	return reply, nil
+	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: end}
+	return reply, r, nil
 }
 
 // repeatable reports whether the request may be sent again after it may have run.
--- a/coordination/dispatch/silence_test.go
+++ b/coordination/dispatch/silence_test.go
@@ -1,10 +1,17 @@
 package dispatch
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
 	"primroseward/coordination/load"
@@ -63,3 +70,61 @@
 		})
 	}
 }
+
+// TestSilentRunnerGoesOnAsAnotherIsAsked guards against two runs of one stream side by side, and against
+// events that are missing or come twice, where a silent runner goes on while the request is on its way to
+// another one.
+func TestSilentRunnerGoesOnAsAnotherIsAsked(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		goOn  time.Duration // from the send to the other one
+		head  time.Duration // of the other one's answer, from the same moment
+		other bool          // that one's answer is used
+	}{
+		{"the other accepts first", 20 * time.Millisecond, 5 * time.Millisecond, true},
+		{"the runner goes on first, the other accepts at once", 5 * time.Millisecond, 20 * time.Millisecond, true},
+		{"both at once", 10 * time.Millisecond, 10 * time.Millisecond, true},
+		{"the other queues the request", 5 * time.Millisecond, 200 * time.Millisecond, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var runs []string
+				var mu sync.Mutex
+				open, accepted := 0, false
+				send := func(ctx context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					runs = append(runs, r.ID)
+					open++
+					context.AfterFunc(ctx, func() {
+						mu.Lock()
+						defer mu.Unlock()
+						open--
+					})
+					head, body := eventText("", 2), strings.TrimPrefix(eventText("", eventCount), eventText("", 2))
+					pause := minStall + tt.goOn
+					if len(runs) > 1 {
+						head, body, pause = "", eventText(o.LastEvent, eventCount), time.Nanosecond
+						mu.Unlock()
+						core.Sleep(ctx, clockwork.NewRealClock(), tt.head)
+						mu.Lock()
+						if ctx.Err() != nil {
+							return nil, eris.Wrap(core.ErrAnswerLost, "closed")
+						}
+						accepted = true
+					}
+					return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: core.ReplyInfo{Stamped: true}, Body: io.NopCloser(io.MultiReader(strings.NewReader(head), &delayedReader{ctx: ctx, text: body, pause: pause}))}, nil
+				}
+				d := newDispatcher(&fleet{}, 2)
+				d.sender = senderFunc(send)
+				_, body, err := call(d, route(core.KindStream, true, 2))
+				assert.NilError(t, err)
+				assert.Equal(t, body, eventText("", eventCount))
+				assert.Equal(t, len(runs), 2)
+				synctest.Wait()
+				assert.Equal(t, accepted, tt.other)
+				assert.Equal(t, open, 0)
+			})
+		})
+	}
+}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -21,6 +21,7 @@
 	ctx      context.Context
 	j        *job
 	runner   *core.Runner
+	framing  core.Framing
 	body     io.ReadCloser
 	in       *eventReader
 	ready    []byte
@@ -55,10 +56,20 @@
 // stream waits for the first event. If the answer breaks off before it, the request can
 // still be retried at another runner or be refused.
 func (j *job) stream(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
-	s := &stream{ctx: ctx, j: j, runner: r, body: reply.Body, in: j.newEventReader(r, reply.Body)}
-	watch := j.watchForStall(r, max(minStall, stallTargets*j.route.Target), 0)
-	first, err := s.nextEvents()
-	watch.stop()
+	s := &stream{ctx: ctx, j: j}
+	s.readFrom(r, reply)
+	first, err := []byte(nil), error(nil)
+	for {
+		watch := j.watchForStall(ctx, s.runner, max(minStall, stallTargets*j.route.Target), 0)
+		first, err = s.nextEvents()
+		next := watch.stop(err)
+		if next == nil {
+			break
+		}
+		reply = next.reply
+		s.replaceBy(next)
+	}
+	r = s.runner
 	if err != nil && err != io.EOF {
 		s.in.close()
 		_ = reply.Body.Close()
@@ -84,6 +95,34 @@
 	return reply, nil
 }
 
+// readFrom makes the stream go on with an answer.
+func (s *stream) readFrom(r *core.Runner, reply *core.Reply) {
+	s.runner, s.body, s.framing, s.in = r, reply.Body, reply.Framing, s.j.newEventReader(r, reply.Body)
+	s.harmless = false
+}
+
+// replaceBy makes the stream go on with the answer that takes the place of a silent runner's. What that one
+// has sent in the last moment is dropped, as the other one sends it too.
+func (s *stream) replaceBy(next *replacement) {
+	_ = s.body.Close()
+	s.in.close()
+	if isDaemon(s.runner) {
+		s.j.d.helpers.Loads().RecordFailure(s.runner.ID)
+	} else {
+		s.j.markFailed(s.runner)
+	}
+	if s.reads > 0 {
+		s.logResumed(next.runner)
+	}
+	s.readFrom(next.runner, next.reply)
+}
+
+// logResumed logs that the stream goes on at another runner.
+func (s *stream) logResumed(to *core.Runner) {
+	s.j.log.Info(logs.StreamResumed, zap.String("runner", to.ID), zap.String("version", to.Version), zap.String("after", s.j.lastEvent), zap.String("broken", s.runner.ID), zap.String("brokenversion", s.runner.Version),
+		zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
+}
+
 // Read returns events as they arrive. It returns io.EOF only at the stream's proper
 // end.
 func (s *stream) Read(p []byte) (int, error) {
@@ -110,33 +149,39 @@
 
 // next waits for the next events.
 func (s *stream) next() ([]byte, error) {
-	watch := s.j.watchForStall(s.runner, max(minStall, stallGaps*s.j.route.MaxGap), 0)
-	ready, err := s.nextEvents()
-	watch.stop()
-	s.j.committed = s.in.partial
-	if err == nil || err == io.EOF {
-		s.recordEvent()
-	}
-	if err == nil {
-		s.reportHarmless()
-		s.j.answerBegan()
+	s.j.lastEvent = s.in.lastID
+	for {
+		watch := s.j.watchForStall(s.ctx, s.runner, max(minStall, stallGaps*s.j.route.MaxGap), 0)
+		ready, err := s.nextEvents()
+		if next := watch.stop(err); next != nil {
+			s.replaceBy(next)
+			continue
+		}
+		s.j.committed = s.in.partial
+		if err == nil || err == io.EOF {
+			s.recordEvent()
+		}
+		if err == nil {
+			s.reportHarmless()
+			s.j.answerBegan()
+		}
+		return ready, err
 	}
-	return ready, err
 }
 
 // nextEvents reads the next events of the run. Its error is io.EOF only if the answer is complete.
 func (s *stream) nextEvents() ([]byte, error) {
 	ready, err := s.in.next()
-	if err == io.EOF && s.in.events == 0 && s.j.framing == core.FramingClose {
+	if err == io.EOF && s.in.events == 0 && s.framing == core.FramingClose {
 		ready, err = nil, errNoEvent
 	}
 	if err == io.EOF {
-		if err = s.j.confirmEnd(s.ctx, s.runner); err != io.EOF {
+		if err = s.j.confirmEnd(s.ctx, s.runner, s.framing); err != io.EOF {
 			return nil, err
 		}
 	}
 	if errors.Is(err, errInsideEvent) || errors.Is(err, errNoEvent) {
-		err = s.j.endedEarly(err)
+		err = endedEarly(s.framing, err)
 	}
 	return ready, err
 }
@@ -172,17 +217,15 @@
 		if err != nil {
 			return err
 		}
-		reply, err := j.send(s.ctx, r)
+		reply, r, err := j.send(s.ctx, r)
 		if err == nil && !reply.Info.NotRun {
 			if _, err = j.checkOrigin(r, reply); err != nil {
 				_ = reply.Body.Close()
 			}
 		}
 		if err == nil && reply.Status == http.StatusOK && checkStamp(reply) == nil {
-			j.log.Info(logs.StreamResumed, zap.String("runner", r.ID), zap.String("version", r.Version), zap.String("after", j.lastEvent), zap.String("broken", s.runner.ID), zap.String("brokenversion", s.runner.Version),
-				zap.Int64("bytes", s.in.bytes), zap.Int("events", s.in.events), zap.Int("leftover", s.in.leftover))
-			s.runner, s.body, s.in = r, reply.Body, j.newEventReader(r, reply.Body)
-			s.harmless = false
+			s.logResumed(r)
+			s.readFrom(r, reply)
 			return nil
 		}
 		switch {
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -72,9 +72,14 @@
 	AnswerRetried = "answer lost, trying another runner"
 	// AnswerLost: no complete answer arrived; the caller gets 502 or a truncated stream.
 	AnswerLost = "answer lost"
-	// RunnerStalled: a runner has sent nothing for too long; the stream is resumed at another one. With the
+	// RunnerStalled: a runner has sent nothing for too long; the request is sent elsewhere as well. With the
 	// length of the silence and its limit, how far the answer has come, and whether the path is lost.
 	RunnerStalled = "runner sends nothing"
+	// RunnerReplaced: the request was accepted elsewhere, and the connection to the silent runner is closed.
+	RunnerReplaced = "silent runner replaced"
+	// RunnerKept: the request was not accepted elsewhere, or its silent runner has gone on first; it stays
+	// there. With the attempts elsewhere that failed before, and the cause.
+	RunnerKept = "silent runner kept"
 	// RunnerExited: connections of requests at a runner were closed, and its process is found to
 	// have exited; with the number of these requests at this daemon.
 	RunnerExited = "runner ended under requests"
