A broken stream waits for another daemon as it does for a runner

What callers saw: a stream whose runner had broken off was cut at once where this daemon had no path to the runners and the daemon that it asked had no room in that moment.

Cause: refusals of another daemon ended the wait for the next event, which rejections of runners and full runners do not. A refusal of a request that had run before read as if it had run there too, and took a retry.

Change: while its caller waits, a broken stream asks again after growing pauses; a refusal counts as a run only if the other daemon says so.

--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -210,8 +210,9 @@
 // handleForwardRefusal decides what follows the refusal of another daemon. If that one reaches no
 // runner either, another one is asked.
 func (j *job) handleForwardRefusal(to *core.Runner, e *core.RequestError) error {
+	runs := j.runs
 	j.recordForwardRefusal(to, e)
-	if e.Outcome != core.OutcomeNotRun {
+	if e.Outcome != core.OutcomeNotRun && (e.Runs == 0 || e.Runs > runs) { // it may have run there
 		if j.takeRetry() {
 			return nil
 		}
--- a/coordination/dispatch/silence_test.go
+++ b/coordination/dispatch/silence_test.go
@@ -128,3 +128,49 @@
 		})
 	}
 }
+
+// TestBrokenStreamWaitsForAnotherDaemon guards against a broken stream that is cut because another daemon has
+// no room for it at first, while its caller still waits.
+func TestBrokenStreamWaitsForAnotherDaemon(t *testing.T) {
+	const soon = 500 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		code  string
+		runs  int           // of the request that the other daemon states
+		until time.Duration // for which it refuses
+		whole bool
+	}{
+		{"full", "full", 1, soon, true},
+		{"at its limit", core.CodeLimited, 1, soon, true},
+		{"no path either", core.CodePath, 1, soon, true},
+		{"full for longer than the caller waits", "full", 1, time.Minute, false},
+		{"it has run there", "answer_lost", 2, soon, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{nextAct: script(breaksOff)}
+				d := newDispatcher(f, 1)
+				began, asked := time.Now(), false
+				o := &otherDaemons{loads: load.New(d.clock)}
+				refusal := func() (*core.Reply, error) {
+					asked = true
+					if time.Since(began) >= tt.until {
+						return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 2, Origin: &core.Origin{Service: "s"}}, eventText("3", eventCount), nil), nil
+					}
+					return nil, &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusBadGateway, Code: tt.code, Runs: tt.runs}
+				}
+				for range 100 {
+					o.answers = append(o.answers, refusal)
+				}
+				WithHelpers("vm-1", o, func() bool { return len(f.runs) > 0 })(d)
+				_, body, err := call(d, route(core.KindStream, true, 2))
+				assert.Equal(t, err == nil, tt.whole, "%v", err)
+				assert.Assert(t, asked)
+				if tt.whole {
+					assert.Equal(t, body, eventText("", eventCount))
+				}
+				assert.Assert(t, time.Since(began) < minEventWait, "%v", time.Since(began))
+			})
+		})
+	}
+}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -211,12 +211,13 @@
 		return err
 	}
 	j.resumed, j.placementRequested = true, false
-	until, rejections := s.lastAt.Add(j.eventWait()), 0
+	until, rejections, refusals := s.lastAt.Add(j.eventWait()), 0, 0
 	for {
 		r, err := s.chooseUntil(until, resumeInterval<<rejections)
 		if err != nil {
 			return err
 		}
+		runs := j.runs
 		reply, r, err := j.send(s.ctx, r)
 		if err == nil && !reply.Info.NotRun {
 			if _, err = j.checkOrigin(r, reply); err != nil {
@@ -241,10 +242,27 @@
 			_ = reply.Body.Close()
 			err = j.handleError(s.ctx, r, eris.Wrapf(core.ErrAnswerLost, "status %d", reply.Status))
 		}
-		if err != nil {
+		if err == nil {
+			continue
+		}
+		// Another daemon that has no room at first, and has not run the request, may have some soon.
+		if !isDaemon(r) || j.runs > runs || !s.pause(until, resumeInterval<<refusals) {
 			return err
 		}
+		refusals++
+	}
+}
+
+// pause waits before the stream looks for a runner again. It returns false if the caller does not wait
+// that long.
+func (s *stream) pause(until time.Time, d time.Duration) bool {
+	if s.ctx.Err() != nil || !s.j.d.clock.Now().Add(d).Before(until) {
+		return false
 	}
+	core.Sleep(s.ctx, s.j.d.clock, d)
+	// Runners and daemons without capacity before may have some now.
+	s.j.tried, s.j.forwards = map[string]bool{s.runner.ID: true}, 0
+	return true
 }
 
 // chooseUntil is like nextRunner for a stream whose caller waits for an event until a given
@@ -262,12 +280,9 @@
 		if !j.d.pathLost() && !j.versionServes(s.runner.ID) {
 			err = errVersionGone // its caller may take it up at once, at the same runner too
 		}
-		if s.ctx.Err() != nil || slices.Contains(finalReasons, err) || !j.d.clock.Now().Add(pause).Before(until) || err == errBackoff && !j.backoffUntil.Before(until) {
+		if slices.Contains(finalReasons, err) || err == errBackoff && !j.backoffUntil.Before(until) || !s.pause(until, pause) {
 			return nil, j.refuseFor(err)
 		}
-		core.Sleep(s.ctx, j.d.clock, pause)
-		// Runners without capacity before may have some now.
-		j.tried = map[string]bool{s.runner.ID: true}
 	}
 }
 
