--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -50,7 +50,10 @@
 	eventWaitMargin  = 200 * time.Millisecond
 	// resumeInterval is how often a broken stream looks for a runner. The interval
 	// doubles after each rejection; resumeRejections bounds the rejections.
-	resumeInterval   = 50 * time.Millisecond
+	resumeInterval = 50 * time.Millisecond
+	// forwardInterval is the time until it asks another daemon again, which also doubles: no more than
+	// maxForwards may be asked.
+	forwardInterval  = 300 * time.Millisecond
 	resumeRejections = 8
 	// statusClientGone appears only in logs and metrics, as the caller gets no answer.
 	statusClientGone = 499
--- a/coordination/dispatch/silence_test.go
+++ b/coordination/dispatch/silence_test.go
@@ -142,7 +142,7 @@
 	}{
 		{"full", "full", 1, soon, true},
 		{"at its limit", core.CodeLimited, 1, soon, true},
-		{"no path either", core.CodePath, 1, soon, true},
+		{"no path either, so that the next one is asked at once", core.CodePath, 1, soon / 2, true},
 		{"full for longer than the caller waits", "full", 1, time.Minute, false},
 		{"it has run there", "answer_lost", 2, soon, false},
 	} {
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -246,7 +246,7 @@
 			continue
 		}
 		// Another daemon that has no room at first, and has not run the request, may have some soon.
-		if !isDaemon(r) || j.runs > runs || !s.pause(until, resumeInterval<<refusals) {
+		if !isDaemon(r) || j.runs > runs || !s.pause(until, forwardInterval<<refusals) {
 			return err
 		}
 		refusals++
@@ -261,7 +261,7 @@
 	}
 	core.Sleep(s.ctx, s.j.d.clock, d)
 	// Runners and daemons without capacity before may have some now.
-	s.j.tried, s.j.forwards = map[string]bool{s.runner.ID: true}, 0
+	s.j.tried = map[string]bool{s.runner.ID: true}
 	return true
 }
 
