Front: a defect is answered with 500, and each end of a connection without a whole answer is logged and counted

Cause: a panic of the handler before it had written a head was passed on to the HTTP server, which closed the caller's connection without an answer. A caller that disconnects left no line, and cut answers no counter.

Change: a panic while the request is read or dispatched is logged and answered with 500, code internal, outcome may_have_run, and the connection lives on; after the head it is aborted as before. Counters answers_cut{cause} and handlers_panicked{cut}; log line "caller disconnected"; "answer cut" has the cause's code.

--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -131,8 +131,11 @@
 	// connection is aborted.
 	AnswerPassedOn = "long answer passed on"
 	// AnswerCut: the connection of a caller is aborted before its answer is complete; with the bytes sent,
-	// the version of the configuration, and the cause.
+	// the version of the configuration, the code of the cause and its error.
 	AnswerCut = "answer cut"
+	// CallerDisconnected: the connection of a caller has ended before its answer was complete, by its own
+	// doing or, if this daemon is leaving, at the end of the grace time; with the bytes sent.
+	CallerDisconnected = "caller disconnected"
 	// HandlerPanicked: a defect ended the work on a request; with the stack.
 	HandlerPanicked = "handler panicked"
 	// Refused: the caller gets an answer stating that the request has not run and when to retry.
@@ -279,3 +282,7 @@
 	// full queue.
 	LinesDropped = "log lines left out"
 )
+
+// CauseCallerGone is the cause of an answer that is cut as its caller has disconnected, as a label of
+// metrics. The other causes are the codes of errors.
+const CauseCallerGone = "caller_gone"
--- /dev/null
+++ b/transport/front/ends_test.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+)
+
+// counted returns the value of a counter with one label.
+func counted(s tally.TestScope, name, label string) int64 {
+	for _, c := range s.Snapshot().Counters() {
+		for _, v := range c.Tags() {
+			if c.Name() == name && (v == label) {
+				return c.Value()
+			}
+		}
+	}
+	return 0
+}
+
+// TestHandlerThatPanicsAnswers guards against a connection that is closed without an answer as a defect
+// ends the work on a request: the caller would not know whether it has run.
+func TestHandlerThatPanicsAnswers(t *testing.T) {
+	panics := true
+	d := &dispatcher{answer: func(context.Context) (*core.Reply, error) {
+		if panics {
+			panic("a defect")
+		}
+		return reply(200, strings.NewReader("ok"))
+	}}
+	f, srv := setUp(t, 1, d)
+	scope := tally.NewTestScope("", nil)
+	WithScope(scope)(f)
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for _, panics = range []bool{true, false, true} {
+		_, err = io.WriteString(c, strings.ReplaceAll(post("/a/x", "abc"), "\n", "\r\n"))
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		if !panics {
+			assert.Equal(t, resp.StatusCode, 200)
+			continue
+		}
+		assert.Equal(t, resp.StatusCode, 500)
+		assert.Assert(t, !resp.Close)
+		var got struct{ Code, Outcome string }
+		assert.NilError(t, json.Unmarshal(body, &got))
+		assert.Equal(t, got.Code, "internal")
+		assert.Equal(t, got.Outcome, string(core.OutcomeMayHaveRun))
+	}
+	assert.Equal(t, lines.FilterMessage(logs.HandlerPanicked).Len(), 2)
+	assert.Equal(t, counted(scope, "handlers_panicked", "no"), int64(2))
+}
+
+// panicReader panics in place of the end of an answer.
+type panicReader struct{}
+
+func (panicReader) Read([]byte) (int, error) { panic("a defect") }
+
+// TestEndsOfAnswersAreCounted guards against a connection that ends without a whole answer and leaves no
+// log line and no counter that name the cause.
+func TestEndsOfAnswersAreCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		end   io.Reader
+		event string
+		label string
+	}{
+		{"the answer is lost", iotest.ErrReader(core.MayHaveRun("answer_lost", "reset")), logs.AnswerCut, "answer_lost"},
+		{"its deadline", iotest.ErrReader(core.MayHaveRun("timeout", "the deadline")), logs.AnswerCut, "timeout"},
+		{"another error", iotest.ErrReader(io.ErrUnexpectedEOF), logs.AnswerCut, "internal"},
+		{"a defect", panicReader{}, logs.HandlerPanicked, "yes"},
+	} {
+		d := &dispatcher{answer: func(context.Context) (*core.Reply, error) {
+			return reply(200, io.MultiReader(strings.NewReader("half"), tt.end))
+		}}
+		f, srv := setUp(t, 1, d)
+		scope := tally.NewTestScope("", nil)
+		WithScope(scope)(f)
+		_, body, err := send(t, srv, post("/a/x", ""))
+		assert.Equal(t, body, "half", tt.name)
+		assert.Assert(t, err != nil, tt.name)
+		counter := "answers_cut"
+		if tt.event == logs.HandlerPanicked {
+			counter = "handlers_panicked"
+		}
+		assert.Equal(t, lines.FilterMessage(tt.event).Len(), 1, tt.name)
+		assert.Equal(t, counted(scope, counter, tt.label), int64(1), tt.name)
+	}
+}
+
+// TestCallersThatLeaveAreCounted guards against callers whose connections end before their answer, by
+// their own doing or that of the network, without a line that tells them from answers that are cut.
+func TestCallersThatLeaveAreCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		answer func(ctx context.Context) (*core.Reply, error)
+	}{
+		{"before the answer", func(ctx context.Context) (*core.Reply, error) {
+			<-ctx.Done()
+			return nil, core.MayHaveRun("caller_gone", "")
+		}},
+		{"in its middle", func(ctx context.Context) (*core.Reply, error) {
+			return reply(200, io.MultiReader(strings.NewReader("half"), untilDone{ctx}))
+		}},
+	} {
+		f, srv := setUp(t, 1, &dispatcher{answer: tt.answer})
+		scope := tally.NewTestScope("", nil)
+		WithScope(scope)(f)
+		c, err := net.Dial("tcp", srv.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, strings.ReplaceAll(post("/a/x", ""), "\n", "\r\n"))
+		assert.NilError(t, err)
+		_ = c.Close()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if lines.FilterMessage(logs.CallerDisconnected).Len() == 1 && counted(scope, "answers_cut", "caller_gone") == 1 {
+				return poll.Success()
+			}
+			return poll.Continue("%s: no line and counter yet", tt.name)
+		}, poll.WithDelay(5*time.Millisecond))
+		assert.Equal(t, lines.FilterMessage(logs.AnswerCut).Len(), 0, tt.name)
+	}
+}
+
+// untilDone reads nothing until a context ends.
+type untilDone struct{ ctx context.Context }
+
+func (u untilDone) Read([]byte) (int, error) {
+	<-u.ctx.Done()
+	return 0, u.ctx.Err()
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -120,23 +120,48 @@
 		return
 	}
 	q.Arrived = arrived
-	defer f.logPanic(q)
+	defer f.passPanic(q)
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := otel.Tracer(tracer).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request", q.ID), attribute.String("route", route.Name)))
 	defer span.End()
-	reply, err := f.dispatcher.Do(ctx, route, q)
-	if err != nil {
-		writeError(w, core.AsRequestError(err))
+	reply, refusal := f.do(ctx, route, q)
+	if refusal != nil {
+		if r.Context().Err() != nil {
+			f.logDisconnected(q, refusal.Status, 0, r.Context().Err())
+		}
+		writeError(w, refusal)
 		return
 	}
 	defer reply.Body.Close()
 	f.writeReply(w, r, q, reply)
 }
 
+// do has a request served.
+func (f *Front) do(ctx context.Context, route *core.Route, q *core.Request) (reply *core.Reply, failure *core.RequestError) {
+	defer f.answerPanic(q.ID, &failure)
+	reply, err := f.dispatcher.Do(ctx, route, q)
+	if err != nil {
+		return nil, core.AsRequestError(err)
+	}
+	return reply, nil
+}
+
+// answerPanic turns a panic into an answer, before any part of another one has been written.
+func (f *Front) answerPanic(request string, failure **core.RequestError) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	f.logPanic(request, cause, false)
+	*failure = core.MayHaveRun("internal", "a defect ended the work on the request")
+	(*failure).Status = http.StatusInternalServerError
+}
+
 // read reads a request and finds its route. A request that it refuses has not been sent to
 // any runner.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, forward *core.Forward) (*core.Request, *core.Route, *core.RequestError) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, forward *core.Forward) (q *core.Request, route *core.Route, refusal *core.RequestError) {
+	defer f.answerPanic(f.dialect.RequestID(r.Header), &refusal)
 	config := f.catalog.Config()
 	if config == nil {
 		return nil, nil, core.NotRun(http.StatusServiceUnavailable, core.CodeNoConfig, "no configuration is known yet", noConfigRetry)
@@ -144,7 +169,7 @@
 	if !f.settingsKnown() {
 		return nil, nil, core.NotRun(http.StatusServiceUnavailable, core.CodeNoSettings, "no settings are known yet", noConfigRetry)
 	}
-	route := config.Route(hostOf(r.Host), r.URL.Path)
+	route = config.Route(hostOf(r.Host), r.URL.Path)
 	if route == nil {
 		return nil, nil, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0)
 	}
@@ -283,6 +308,7 @@
 		n, err := reply.Body.Read(buf[:])
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
+				f.logDisconnected(q, reply.Status, sent, werr)
 				panic(http.ErrAbortHandler)
 			}
 			sent += n
@@ -292,36 +318,64 @@
 			return
 		}
 		if err != nil {
-			if r.Context().Err() == nil {
+			if gone := r.Context().Err(); gone != nil {
+				f.logDisconnected(q, reply.Status, sent, gone)
+			} else {
 				f.logCut(q, reply.Status, sent, err)
 			}
 			panic(http.ErrAbortHandler)
 		}
 		if err := control.Flush(); err != nil {
+			f.logDisconnected(q, reply.Status, sent, err)
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-// logPanic logs a panic of the handler with the request that it worked on, and passes it on.
-func (f *Front) logPanic(q *core.Request) {
+// passPanic logs a panic of the handler with the request that it worked on, and passes it on: the
+// connection is aborted, as a part of the answer may have been written.
+func (f *Front) passPanic(q *core.Request) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
 	if cause != http.ErrAbortHandler {
-		f.log.Error(logs.HandlerPanicked, zap.String("request", q.ID), zap.Any("cause", cause), zap.Stack("stack"))
+		f.logPanic(q.ID, cause, true)
 	}
 	panic(cause)
 }
 
+// logPanic logs and counts a panic, by whether it cuts an answer.
+func (f *Front) logPanic(request string, cause any, cut bool) {
+	f.log.Error(logs.HandlerPanicked, zap.String("request", request), zap.Bool("cut", cut), zap.Any("cause", cause), zap.Stack("stack"))
+	label := "no"
+	if cut {
+		label = "yes"
+	}
+	f.scope.Tagged(map[string]string{"cut": label}).Counter("handlers_panicked").Inc(1)
+}
+
+// countCut counts an answer that ends before it is complete, by the cause.
+func (f *Front) countCut(cause string) {
+	f.scope.Tagged(map[string]string{"cause": cause}).Counter("answers_cut").Inc(1)
+}
+
+// logDisconnected logs that the connection of a caller has ended before its answer was complete.
+func (f *Front) logDisconnected(q *core.Request, status, sent int, cause error) {
+	f.countCut(logs.CauseCallerGone)
+	f.log.Info(logs.CallerDisconnected, zap.String("request", q.ID), zap.Bool("forwarded", q.Forward != nil), zap.Bool("leaving", f.leaving.Load()), zap.Int("status", status), zap.Int("bytes", sent),
+		zap.Duration("took", f.clock.Since(q.Arrived)), logs.Err(cause))
+}
+
 // logCut logs that the connection of a caller that waits for the rest of an answer is aborted.
 func (f *Front) logCut(q *core.Request, status, sent int, cause error) {
 	version := uint64(0)
 	if config := f.catalog.Config(); config != nil {
 		version = config.Version
 	}
-	f.log.Warn(logs.AnswerCut, zap.String("request", q.ID), zap.Bool("forwarded", q.Forward != nil), zap.Int("status", status), zap.Int("bytes", sent),
+	code := core.AsRequestError(cause).Code
+	f.countCut(code)
+	f.log.Warn(logs.AnswerCut, zap.String("request", q.ID), zap.String("cause", code), zap.Bool("forwarded", q.Forward != nil), zap.Int("status", status), zap.Int("bytes", sent),
 		zap.Uint64("config", version), zap.Duration("took", f.clock.Since(q.Arrived)), zap.Duration("limit", q.Timeout), logs.Err(cause))
 }
 
