Dispatch: a request that a defect ends no longer counts as in progress

Cause: a panic left Do before the request was counted out, so a daemon that leaves would wait for it until the end of its grace time, and its part of limits and allowance stayed taken.

Change: Do ends a request that it does not return an answer to, also after a panic.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -260,15 +260,21 @@
 		j.endStream()
 		d.running.Add(-1)
 	}
+	answered := false
+	defer func() { // after a panic too
+		if !answered {
+			end()
+		}
+	}()
 	if !j.countedElsewhere {
 		d.demand.Count(j.service, q)
 	}
 	reply, err := j.serve(ctx)
 	d.requestDone(j, reply, err)
 	if err != nil {
-		end()
 		return nil, err
 	}
+	answered = true
 	reply.Info.Runs = j.runs
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: end}
 	return reply, nil
