Native interface: a defect is answered with 500, and ends of connections are logged and counted

Cause: a panic of a handler closed the caller's connection without an answer; an aborted answer and a caller that disconnects left neither a line nor a counter.

Change: as in package front: 500, internal, may_have_run before the head, an aborted connection after it; "answer cut", "caller disconnected", "handler panicked" with the request's id, counters entry answers_cut{cause} and handlers_panicked{cut}.

--- a/transport/routers/reply.go
+++ b/transport/routers/reply.go
@@ -76,14 +76,14 @@
 // writeAnswer copies an answer to the caller, starting at an offset. If the answer breaks off,
 // the connection is aborted, so that the caller's client sees an error instead of an answer
 // that looks complete.
-func writeAnswer(w http.ResponseWriter, r *http.Request, buf *answer.Buffer, offset int64) error {
+func (a *API) writeAnswer(w http.ResponseWriter, r *http.Request, request string, buf *answer.Buffer, offset int64) error {
 	ctx := r.Context()
 	detach := buf.Attach()
 	defer detach()
 	head, err := buf.Head(ctx)
 	if err != nil {
-		if ctx.Err() != nil {
-			return errDisconnected
+		if gone := ctx.Err(); gone != nil {
+			return a.disconnected(request, offset, gone)
 		}
 		writeError(w, err)
 		return nil
@@ -100,8 +100,9 @@
 		data, complete, err := buf.Next(ctx, offset)
 		switch {
 		case ctx.Err() != nil:
-			return errDisconnected
+			return a.disconnected(request, offset, ctx.Err())
 		case err != nil:
+			a.cut(request, head.Status, offset, err)
 			abort(w, control, head, err)
 		case complete:
 			markComplete()
@@ -109,10 +110,10 @@
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := w.Write(data); err != nil {
-			return errDisconnected
+			return a.disconnected(request, offset, err)
 		}
-		if control.Flush() != nil {
-			return errDisconnected
+		if err := control.Flush(); err != nil {
+			return a.disconnected(request, offset, err)
 		}
 		offset += int64(len(data))
 	}
--- a/transport/routers/routers.go
+++ b/transport/routers/routers.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -41,13 +42,18 @@
 	log         *zap.Logger
 	maxBody     int64
 	bodyTimeout time.Duration
+	scope       tally.Scope
 	leaving     atomic.Bool
 }
 
 // New returns an API. maxBody bounds the body of a request in bytes, bodyTimeout the time to
 // receive it.
-func New(e *entry.Entry, clock core.Clock, log *zap.Logger, maxBody int64, bodyTimeout time.Duration) *API {
-	return &API{entry: e, clock: clock, log: log, maxBody: maxBody, bodyTimeout: bodyTimeout}
+func New(e *entry.Entry, clock core.Clock, log *zap.Logger, maxBody int64, bodyTimeout time.Duration, opts ...Option) *API {
+	a := &API{entry: e, clock: clock, log: log, maxBody: maxBody, bodyTimeout: bodyTimeout, scope: tally.NoopScope}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
 }
 
 // Leave makes the API set "Connection: close" on all further answers, so that no connection
@@ -69,7 +75,7 @@
 // Handler returns the handler of all routes.
 func (a *API) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Use(a.traceRequests)
+	r.Use(a.traceRequests, a.answerPanics)
 	r.Post("/v1/chat/completions", a.serveModel)
 	r.Post("/v1/completions", a.serveModel)
 	r.Get("/v1/models", a.listModels)
@@ -198,7 +204,7 @@
 		writeError(w, err)
 		return
 	}
-	if writeAnswer(w, r, buf, 0) != nil {
+	if a.writeAnswer(w, r, q.ID, buf, 0) != nil {
 		a.entry.CallerDisconnected(q)
 		panic(http.ErrAbortHandler) // otherwise the server would complete the answer
 	}
@@ -304,7 +310,7 @@
 func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(a.bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(innermost(w), r.Body, a.maxBody))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
@@ -385,7 +391,7 @@
 	case err != nil:
 		writeError(w, err)
 	default:
-		if writeAnswer(w, r, buf, offset) != nil {
+		if a.writeAnswer(w, r, id, buf, offset) != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
