Dispatch: a changed configuration ends no request in progress

Causes, both found by new tests: (1) a request that arrived with a key was refused as "the key has been taken away", or its stream cut, at its next send after a configuration that needs no keys any more, or in which its route is public; (2) a stream in progress that is forwarded to another daemon was refused there (version_gone), and so cut, if that daemon's configuration has another service on the route.

Change: (1) such a request goes on for the workspace that it arrived with; (2) a forwarded stream goes on at the service that began it. A stream that its caller takes up itself is refused in this case as before.

--- a/coordination/dispatch/change_test.go
+++ b/coordination/dispatch/change_test.go
@@ -4,12 +4,160 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
 )
 
+// configChanges lists changes of the configuration that end no request in progress. Each returns the new
+// version.
+var configChanges = []struct {
+	name   string
+	change func() *core.Config
+}{
+	{"nothing but its version", func() *core.Config {
+		c := configWithKey(0, "w")
+		c.Routes = []core.Route{*route(core.KindStream, true, 3)}
+		return c
+	}},
+	{"the route is dropped", func() *core.Config { return configWithKey(0, "w") }},
+	{"the route moves to another service", func() *core.Config {
+		c := configWithKey(0, "w")
+		r := route(core.KindStream, true, 3)
+		r.Shares = []core.Share{{Service: "other", Weight: 1}}
+		c.Routes, c.Services["other"] = []core.Route{*r}, &core.Service{Name: "other"}
+		return c
+	}},
+	{"the route's timeout, attempts and kind are lowered", func() *core.Config {
+		c := configWithKey(0, "w")
+		r := route(core.KindUnsafe, false, 1)
+		r.Timeout = time.Nanosecond
+		c.Routes = []core.Route{*r}
+		return c
+	}},
+	{"the service is dropped", func() *core.Config {
+		c := configWithKey(0, "w")
+		c.Services = map[string]*core.Service{}
+		return c
+	}},
+	{"there are no services", func() *core.Config {
+		c := configWithKey(0, "w")
+		c.Services = nil
+		return c
+	}},
+	{"the service's runners become engines that do not offer the model", func() *core.Config {
+		c := configWithKey(0, "w")
+		c.Services["s"] = &core.Service{Name: "s", Engine: &core.Engine{Slots: 4, Models: []core.Model{{Name: "other"}}}}
+		c.Index()
+		return c
+	}},
+	{"limits are lowered below the request", func() *core.Config {
+		c := configWithKey(0, "w")
+		c.Limits = core.CallerLimits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: time.Nanosecond, IdleTimeout: time.Nanosecond}
+		return c
+	}},
+	{"the key belongs to another workspace", func() *core.Config { return configWithKey(0, "w2") }},
+	{"callers need no keys", func() *core.Config {
+		c := configWithKey(0, "")
+		c.Workspaces = nil
+		return c
+	}},
+	{"the route needs no key", func() *core.Config {
+		c := configWithKey(0, "")
+		r := route(core.KindStream, true, 3)
+		r.Public = true
+		c.Routes = []core.Route{*r}
+		return c
+	}},
+}
+
+// TestConfigChangesEndNoRequest guards against a request that is refused or whose answer is cut because the
+// configuration has changed since it arrived.
+func TestConfigChangesEndNoRequest(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		kind  core.RequestKind
+		first act // of the runner at which the configuration changes
+	}{
+		{"it is sent again as it was rejected", core.KindUnsafe, rejects},
+		{"it is sent again as its answer was lost", core.KindSafe, losesAnswer},
+		{"it is sent", core.KindUnsafe, serves},
+		{"its stream begins", core.KindStream, serves},
+		{"its stream is resumed", core.KindStream, breaksOff},
+		{"its runner pauses", core.KindStream, pauses},
+	} {
+		for _, change := range configChanges {
+			t.Run(tt.name+", "+change.name, func(t *testing.T) {
+				t.Parallel()
+				f := &fleet{}
+				d := newDispatcher(f, 3)
+				before := configWithKey(2, "w")
+				before.Routes = []core.Route{*route(tt.kind, true, 3)}
+				before.Index()
+				d.catalog.SetConfig(before)
+				next := script(tt.first)
+				f.nextAct = func(runner string) act {
+					after := change.change()
+					after.Version = 3
+					after.Index()
+					d.catalog.SetConfig(after)
+					return next(runner)
+				}
+				e, err := callKeyed(d, &before.Routes[0])
+				assert.NilError(t, err)
+				assert.Assert(t, e == nil, "%v", e)
+				assert.Equal(t, d.catalog.Config().Version, uint64(3))
+			})
+		}
+	}
+}
+
+// TestForwardedStreamGoesOnWhereItsRouteHasMoved guards against a stream in progress that is cut as it is
+// forwarded to a daemon with a newer configuration, in which its route has another service.
+func TestForwardedStreamGoesOnWhereItsRouteHasMoved(t *testing.T) {
+	f := &fleet{nextAct: script()}
+	d := newDispatcher(f, 1)
+	r := route(core.KindStream, true, 2)
+	r.Shares = []core.Share{{Service: "other", Weight: 1}}
+	q := &core.Request{
+		ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: time.Second, LastEvent: "2",
+		Forward: &core.Forward{From: "vm-1", Runs: 1, Attempts: 1, Origin: &core.Origin{Service: "s"}},
+	}
+	reply, err := d.Do(t.Context(), r, q)
+	assert.NilError(t, err)
+	body, err := readAll(reply)
+	assert.NilError(t, err)
+	assert.Equal(t, body, eventText("2", eventCount))
+}
+
+// TestServiceIsDroppedWhileARequestWaits guards against a request that is refused as its service leaves the
+// configuration while it waits for its model, though the model is then there.
+func TestServiceIsDroppedWhileARequestWaits(t *testing.T) {
+	f := &fleet{nextAct: script()}
+	d := newDispatcher(f, 1)
+	e := d.catalog.Runner("r0").Runner
+	e.Holdings = nil
+	d.catalog.Put(e, d.clock.Now())
+	d.placer = placerFunc(func() string {
+		d.catalog.SetConfig(&core.Config{Version: 2})
+		e.Holdings = []core.Holding{{Model: "m"}}
+		d.catalog.Put(e, d.clock.Now())
+		return "r0"
+	})
+	status, _, err := call(d, route(core.KindUnsafe, false, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// placerFunc is a Placer that has the model loaded by a function, which returns the runner.
+type placerFunc func() string
+
+func (f placerFunc) Place(context.Context, PlacementKey) (string, time.Duration, error) {
+	return f(), 0, nil
+}
+
 // TestPanicEndsTheRequest guards against a request that counts as in progress for good after a defect has
 // ended the work on it: a daemon that leaves would wait for it until its grace time ends.
 func TestPanicEndsTheRequest(t *testing.T) {
--- a/coordination/dispatch/origin.go
+++ b/coordination/dispatch/origin.go
@@ -60,7 +60,8 @@
 		return nil
 	}
 	if f := j.q.Forward; f != nil && f.Origin != nil {
-		return j.bind(*f.Origin)
+		j.bind(*f.Origin) // the route may have moved since the stream began
+		return nil
 	}
 	var key *core.StreamKey
 	if j.q.Resumes != "" {
@@ -77,17 +78,17 @@
 	case err != nil:
 		return j.refuseTakeUp(takenUpUnknown, codeOriginUnknown, "it is not known which version began the stream", 0)
 	}
-	return j.bind(o.Origin)
-}
-
-// bind makes the request go to runners of an origin only.
-func (j *job) bind(o core.Origin) error {
 	if o.Service != j.service && !slices.ContainsFunc(j.route.Shares, func(s core.Share) bool { return s.Service == o.Service }) {
 		return j.refuseTakeUp(takenUpMoved, errVersionGone.Error(), "the service that began the stream no longer serves the route", 0)
 	}
+	j.bind(o.Origin)
+	return nil
+}
+
+// bind makes the request go to runners of an origin only.
+func (j *job) bind(o core.Origin) {
 	j.service, j.origin = o.Service, &o
 	j.d.metrics.takenUp(takenUpKnown)
-	return nil
 }
 
 // refuseTakeUp refuses a stream that the caller takes up.
--- a/coordination/dispatch/workspace.go
+++ b/coordination/dispatch/workspace.go
@@ -52,7 +52,8 @@
 }
 
 // authorize refuses a request whose key has been removed since it arrived. If the key now
-// belongs to another workspace, the request counts for that one.
+// belongs to another workspace, the request counts for that one. If its route needs no key any more, the
+// request goes on for the workspace that it arrived with.
 func (j *job) authorize() error {
 	if j.q.Workspace == nil {
 		return nil
@@ -62,6 +63,9 @@
 		j.q.Workspace = w
 		return nil
 	}
+	if !j.needsKey(config) {
+		return nil
+	}
 	j.log.Warn(logs.Refused, zap.String("code", codeKey), zap.Stringer("key", j.q.Key), zap.Uint64("config", config.Version), zap.Int("runs", j.runs))
 	const message = "the key has been taken away"
 	if j.runs > 0 {
@@ -70,5 +74,15 @@
 	return core.NotRun(http.StatusUnauthorized, codeKey, message, 0)
 }
 
+// needsKey reports whether the request's route needs a key in a configuration.
+func (j *job) needsKey(c *core.Config) bool {
+	for i := range c.Routes {
+		if c.Routes[i].Name == j.route.Name {
+			return c.NeedsKey(&c.Routes[i])
+		}
+	}
+	return c.NeedsKey(j.route)
+}
+
 // rank returns the request's urgency; 0 is the most urgent.
 func (j *job) rank() int { return j.d.catalog.Config().Rank(j.q.Workspace, j.route) }
