Front: a forwarded request is not measured against limits again

Cause: a daemon that another one forwards a request to refused it as too large (413, 431) if its configuration had lower limits than the one under which the request was accepted; a stream in progress was cut by that.

Change: the limits on headers and bodies hold where the request is taken from its caller. Those of the settings tree hold at both daemons as before.

--- a/transport/front/ends_test.go
+++ b/transport/front/ends_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -148,3 +149,32 @@
 	<-u.ctx.Done()
 	return 0, u.ctx.Err()
 }
+
+// TestForwardedRequestIsNotMeasuredAgain guards against a request in progress that the daemon it is forwarded
+// to refuses as too large: the limits were lowered since it arrived, or the headers of forwarding do not fit.
+func TestForwardedRequestIsNotMeasuredAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		body   string
+		header string
+	}{
+		{"a body", strings.Repeat("x", 1001), ""},
+		{"headers", "", strings.Repeat("x", 2000)},
+	} {
+		d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, strings.NewReader("ok")) }}
+		f, _ := setUp(t, 1, d)
+		srv := httptest.NewServer(f.Forwarded(http.NotFoundHandler()))
+		defer srv.Close()
+		req, err := http.NewRequest(http.MethodPost, srv.URL+"/a/x", strings.NewReader(tt.body))
+		assert.NilError(t, err)
+		req.Host = "h.example"
+		req.Header.Set("X-Primroseward-Request-Id", "q1")
+		req.Header.Set("X-Long", tt.header)
+		(&core.Forward{From: "vm-1", Runs: 1, Attempts: 1}).Write(req.Header)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, 200, tt.name)
+		assert.Equal(t, len(d.got.Body), len(tt.body), tt.name)
+	}
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -177,14 +177,18 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	if limit := config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+	limits := config.Limits
+	if forward != nil {
+		limits = core.CallerLimits{} // the daemon that took it from its caller has applied its own
+	}
+	if limit := limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
 		return nil, nil, core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0)
 	}
 	q, err := f.dialect.ReadRequest(r)
 	if err != nil {
 		return nil, nil, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0)
 	}
-	if q.Body, err = f.readBody(w, r, config.Limits.BodyBytes); err != nil {
+	if q.Body, err = f.readBody(w, r, limits.BodyBytes); err != nil {
 		return nil, nil, core.AsRequestError(err)
 	}
 	if config.Workspaces != nil {
