Dispatch: a forwarded request keeps the time that it had

Cause: a daemon that a request is forwarded to took the lower of the time left and its own route's timeout, so a request in progress ended early where the timeout was lowered since it arrived.

Change: what is left where it arrived holds. Tests that rank, units and settings of a request hold through a change.

Measured: TestForwardedRequestKeepsItsTime fails before (timeout) and passes now; TestRankAndUnitsAfterAChange and TestSettingsOfArrivalHold passed at once.

--- a/coordination/dispatch/change_test.go
+++ b/coordination/dispatch/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	"primroseward/state/tree"
 )
 
 // configChanges lists changes of the configuration that end no request in progress. Each returns the new
@@ -169,3 +171,84 @@
 	}()
 	assert.Equal(t, d.Running(), 0)
 }
+
+// TestForwardedRequestKeepsItsTime guards against a request in progress that ends early at the daemon it is
+// forwarded to, as the route's timeout is lower in the configuration there.
+func TestForwardedRequestKeepsItsTime(t *testing.T) {
+	for _, forward := range []*core.Forward{nil, {From: "vm-1", Runs: 1, Attempts: 1}} {
+		f := &fleet{nextAct: script()}
+		d := newDispatcher(f, 1)
+		r := route(core.KindSafe, false, 2)
+		r.Timeout = time.Nanosecond
+		q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: 3 * time.Second, Forward: forward}
+		reply, err := d.Do(t.Context(), r, q)
+		assert.Equal(t, err == nil, forward != nil, "%v", err)
+		if err == nil {
+			_, err = readAll(reply)
+			assert.NilError(t, err)
+		}
+	}
+}
+
+// TestRankAndUnitsAfterAChange guards against a request that is sent again at a rank that is no longer in
+// force, and against one that is charged more than it was admitted for.
+func TestRankAndUnitsAfterAChange(t *testing.T) {
+	f := &fleet{}
+	d, a := newDispatcher(f, 2), &fakeAllowance{admits: 1}
+	WithAllowance(a)(d)
+	config := func(version uint64, unit core.Unit, priority int) *core.Config {
+		c := configWithKey(version, "w")
+		c.Routes = []core.Route{*route(core.KindSafe, false, 3)}
+		c.Workspaces[0].Unit, c.Workspaces[0].Priority = unit, priority
+		c.Workspaces = append(c.Workspaces, &core.Workspace{Name: "other", Priority: 5})
+		c.Index()
+		return c
+	}
+	before := config(2, core.UnitTokens, 1)
+	d.catalog.SetConfig(before)
+	next := script(losesAnswer)
+	f.nextAct = func(runner string) act {
+		d.catalog.SetConfig(config(3, core.UnitRequests, 9))
+		return next(runner)
+	}
+	e, err := callKeyed(d, &before.Routes[0])
+	assert.NilError(t, err)
+	assert.Assert(t, e == nil, "%v", e)
+	assert.Equal(t, f.sends[0].Priority, 0)
+	assert.Equal(t, f.sends[1].Priority, 1)
+	assert.Equal(t, a.taken, 10.0)
+	assert.Equal(t, a.charged, 10.0)
+}
+
+// TestSettingsOfArrivalHold guards against a request in progress that is refused, ends early or is not sent
+// again because the settings tree was narrowed since it arrived.
+func TestSettingsOfArrivalHold(t *testing.T) {
+	once := false
+	for _, set := range []tree.Settings{
+		{Deadline: core.Duration(time.Nanosecond)},
+		{Repeatable: &once},
+		{Body: 1},
+		{Rate: 1e-9},
+		{MaxUnconfirmed: core.Duration(time.Nanosecond)},
+	} {
+		for _, stream := range []bool{false, true} {
+			f := &fleet{}
+			d := newDispatcherWithSettings(t, f, tree.Settings{}, time.Second)
+			body, err := json.Marshal(tree.BranchBody{Node: &tree.Node{Set: set}})
+			assert.NilError(t, err)
+			r, first := route(core.KindSafe, false, 3), losesAnswer
+			if stream {
+				r, first = route(core.KindStream, true, 3), breaksOff
+			}
+			next := script(first)
+			f.nextAct = func(runner string) act {
+				d.settings.replica.Apply([]tree.Branch{{Name: "service/s", Version: 2, Body: body}})
+				return next(runner)
+			}
+			_, _, err = call(d, r)
+			assert.NilError(t, err, "%+v, stream %v", set, stream)
+			assert.Equal(t, d.settings.replica.Versions()["service/s"], uint64(2), "%+v: %v", set, d.settings.replica.Problems())
+			assert.Equal(t, len(f.runs), 2)
+		}
+	}
+}
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -226,8 +226,8 @@
 // *core.RequestError.
 func (d *Dispatcher) Do(ctx context.Context, route *core.Route, q *core.Request) (*core.Reply, error) {
 	limit := route.Timeout
-	if q.Timeout > 0 && (limit == 0 || q.Timeout < limit) {
-		limit = q.Timeout
+	if q.Timeout > 0 && (limit == 0 || q.Timeout < limit || q.Forward != nil) {
+		limit = q.Timeout // of a forwarded request, what is left of its time at the daemon that it arrived at
 	}
 	j := &job{
 		d: d, q: q, route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent,
