primrosectl losses: answers cut, by cause

Cause: an answer that was cut showed only as a failed request.

Change: one more table, from "answer cut", "caller disconnected" and "handler panicked" with cut=true; lines of a daemon that helped are left out.

Measured: TestCountCuts is new (it does not compile before) and passes.

--- a/io/logs/losses.go
+++ b/io/logs/losses.go
@@ -66,6 +66,7 @@
 	Loads    []Row `json:"loads"`    // streams, by the assumed load of their runner
 	Times    []Row `json:"times"`    // by time of the end
 	Refusals []Row `json:"refusals"` // by code; only Requests and Refused are set
+	Cuts     []Row `json:"cuts"`     // answers cut, by cause; only Requests and Failed are set
 }
 
 // request is the information on one request from the logs.
@@ -96,6 +97,12 @@
 		}
 		r.update(l)
 	}
+	cuts := map[string]*Tally{}
+	for i := range lines {
+		if cause := lines[i].cutCause(); cause != "" {
+			tallyOf(cuts, cause).add(failed, 0)
+		}
+	}
 	c := counts{routes: map[string]*Tally{}, loads: map[string]*Tally{}, times: map[string]*Tally{}, codes: map[string]*Tally{}}
 	var begin time.Time
 	for _, r := range requests {
@@ -108,7 +115,26 @@
 			c.add(r, begin)
 		}
 	}
-	return Losses{Routes: rows(c.routes), Loads: rows(c.loads), Times: rows(c.times), Refusals: rows(c.codes)}
+	return Losses{Routes: rows(c.routes), Loads: rows(c.loads), Times: rows(c.times), Refusals: rows(c.codes), Cuts: rows(cuts)}
+}
+
+// cutCause returns what cut the answer that a line is on, or an empty string. Lines of a daemon to which the
+// request was forwarded are left out.
+func (l *Line) cutCause() string {
+	if forwarded, _ := l.Fields["forwarded"].(bool); forwarded {
+		return ""
+	}
+	switch l.Event {
+	case AnswerCut:
+		return l.textField("cause")
+	case CallerDisconnected:
+		return CauseCallerGone
+	case HandlerPanicked:
+		if cut, _ := l.Fields["cut"].(bool); cut {
+			return "panic"
+		}
+	}
+	return ""
 }
 
 // update updates the request's state from a log line on it.
@@ -201,7 +227,7 @@
 	for _, part := range []struct {
 		title string
 		rows  []Row
-	}{{"route", l.Routes}, {"runner's load when chosen", l.Loads}, {"ended after", l.Times}, {"refusal", l.Refusals}} {
+	}{{"route", l.Routes}, {"runner's load when chosen", l.Loads}, {"ended after", l.Times}, {"refusal", l.Refusals}, {"answer cut", l.Cuts}} {
 		fmt.Fprintf(w, "%s\trequests\tin time\tlate\tpaused\trefused\tfailed\tmean first\t\n", part.title)
 		for i := range part.rows {
 			r := &part.rows[i]
--- a/io/logs/losses_test.go
+++ b/io/logs/losses_test.go
@@ -50,3 +50,28 @@
 	assert.NilError(t, got.Print(&out))
 	assert.Assert(t, strings.Contains(out.String(), "100% and more         1     0.0%  100.0%"), out.String())
 }
+
+// Guards against answers cut that show only as failed requests, without what cut them, and against a cut that
+// is counted at the daemon that helped, too.
+func TestCountCuts(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(`
+{"level":"warn","ts":"2026-04-11T16:05:41.800Z","msg":"answer cut","request":"a","forwarded":false,"cause":"answer_lost"}
+{"level":"warn","ts":"2026-04-11T16:05:41.800Z","msg":"answer cut","request":"a","forwarded":true,"cause":"answer_lost"}
+{"level":"warn","ts":"2026-04-11T16:05:41.900Z","msg":"answer cut","request":"b","cause":"answer_lost"}
+{"level":"warn","ts":"2026-04-11T16:05:42.000Z","msg":"answer cut","request":"c","cause":"full"}
+{"level":"info","ts":"2026-04-11T16:05:42.000Z","msg":"caller disconnected","request":"d","forwarded":false}
+{"level":"error","ts":"2026-04-11T16:05:42.100Z","msg":"handler panicked","request":"e","cut":true,"cause":"a defect"}
+{"level":"error","ts":"2026-04-11T16:05:42.100Z","msg":"handler panicked","request":"f","cut":false,"cause":"a defect"}
+`))
+	assert.NilError(t, err)
+	got := CountLosses(lines)
+	assert.DeepEqual(t, got.Cuts, []Row{
+		{"answer_lost", Tally{Requests: 2, Failed: 2}},
+		{CauseCallerGone, Tally{Requests: 1, Failed: 1}},
+		{"full", Tally{Requests: 1, Failed: 1}},
+		{"panic", Tally{Requests: 1, Failed: 1}},
+	})
+	var out strings.Builder
+	assert.NilError(t, got.Print(&out))
+	assert.Assert(t, strings.Contains(out.String(), "answer cut"), out.String())
+}
