--- a/coordination/dispatch/change_test.go
+++ b/coordination/dispatch/change_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"primroseward/coordination/load"
 	"primroseward/core"
 	"primroseward/state/tree"
 )
@@ -252,3 +253,58 @@
 		}
 	}
 }
+
+// TestHelperWithoutTheRouteIsNoReasonToRefuse guards against a request that is refused, or whose stream is cut,
+// as one other daemon has a configuration without its route, while a further one would serve it.
+func TestHelperWithoutTheRouteIsNoReasonToRefuse(t *testing.T) {
+	origin := &core.Origin{Service: "s"}
+	noRoute := refuses(core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0))
+	breaksOff := func() (*core.Reply, error) {
+		return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1, Origin: origin}, eventText("", 3), core.ErrAnswerLost), nil
+	}
+	for _, tt := range []struct {
+		name    string
+		kind    core.RequestKind
+		answers []func() (*core.Reply, error)
+	}{
+		{"before its first send", core.KindUnsafe, []func() (*core.Reply, error){noRoute}},
+		{"before its first event", core.KindStream, []func() (*core.Reply, error){noRoute}},
+		{"in the middle of its stream", core.KindStream, []func() (*core.Reply, error){breaksOff, noRoute}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDispatcher(&fleet{nextAct: script()}, 1)
+			o := &threeDaemons{otherDaemons{loads: load.New(d.clock), answers: tt.answers}}
+			WithHelpers("vm-1", o, func() bool { return true })(d)
+			_, body, err := call(d, route(tt.kind, true, 3))
+			assert.NilError(t, err)
+			assert.Equal(t, body, eventText("", eventCount))
+		})
+	}
+}
+
+// threeDaemons are otherDaemons with one more.
+type threeDaemons struct{ otherDaemons }
+
+func (o *threeDaemons) Choose(exclude map[string]bool, _ []core.Code) *core.Runner {
+	for _, name := range append(o.Names(), "vm-4") {
+		if !exclude[name] {
+			return &core.Runner{ID: name}
+		}
+	}
+	return nil
+}
+
+// TestStreamOfUnknownOriginIsRefused guards against a stream that is cut without a code that says why, as it
+// can't be found out where it began.
+func TestStreamOfUnknownOriginIsRefused(t *testing.T) {
+	d := newDispatcher(&fleet{nextAct: script()}, 1)
+	o := &otherDaemons{loads: load.New(d.clock), answers: []func() (*core.Reply, error){func() (*core.Reply, error) {
+		return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1}, eventText("", 3), core.ErrAnswerLost), nil
+	}}}
+	WithHelpers("vm-1", o, func() bool { return true })(d)
+	WithOrigins(&origins{findErr: core.ErrOriginUnanswered})(d)
+	_, _, err := call(d, route(core.KindStream, true, 3))
+	refusal := core.AsRequestError(err)
+	assert.Equal(t, refusal.Code, codeOriginUnknown)
+	assert.Equal(t, refusal.Outcome, core.OutcomeMayHaveRun)
+}
--- a/coordination/dispatch/origin.go
+++ b/coordination/dispatch/origin.go
@@ -190,7 +190,7 @@
 	key := j.streamKey()
 	o, err := j.d.origins.Find(ctx, &key, j.service)
 	if err != nil {
-		return err
+		return j.refuse(codeOriginUnknown, "it could not be found out which version began the stream", err)
 	}
 	j.service, j.origin = o.Service, &o.Origin
 	return nil
