--- a/transport/front/ends_test.go
+++ b/transport/front/ends_test.go
@@ -165,10 +165,9 @@
 		f, _ := setUp(t, 1, d)
 		srv := httptest.NewServer(f.Forwarded(http.NotFoundHandler()))
 		defer srv.Close()
-		req, err := http.NewRequest(http.MethodPost, srv.URL+"/a/x", strings.NewReader(tt.body))
-		assert.NilError(t, err)
-		req.Host = "h.example"
-		req.Header.Set("X-Primroseward-Request-Id", "q1")
+		req := newRequest(t, srv.URL)
+		req.Body = io.NopCloser(strings.NewReader(tt.body))
+		req.ContentLength = int64(len(tt.body))
 		req.Header.Set("X-Long", tt.header)
 		(&core.Forward{From: "vm-1", Runs: 1, Attempts: 1}).Write(req.Header)
 		resp, err := http.DefaultClient.Do(req)
@@ -178,3 +177,35 @@
 		assert.Equal(t, len(d.got.Body), len(tt.body), tt.name)
 	}
 }
+
+// TestEndOfTheGraceTimeIsLogged guards against an answer that is cut as a daemon that leaves closes its
+// connections, and that is taken for a caller that has left.
+func TestEndOfTheGraceTimeIsLogged(t *testing.T) {
+	d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
+		return reply(200, io.MultiReader(strings.NewReader("half"), untilDone{ctx}))
+	}}
+	f, srv := setUp(t, 1, d)
+	resp, err := http.DefaultClient.Do(newRequest(t, srv.URL))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	f.Leave()
+	_ = srv.Config.Close()
+	_, err = io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if seen := lines.FilterMessage(logs.CallerDisconnected).All(); len(seen) == 1 && seen[0].ContextMap()["leaving"] == true {
+			return poll.Success()
+		}
+		return poll.Continue("no line yet")
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// newRequest returns a request for the route of setUp.
+func newRequest(t *testing.T, url string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/a/x", http.NoBody)
+	assert.NilError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Primroseward-Request-Id", "q1")
+	return req
+}
