--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -234,8 +234,8 @@
 // *core.RequestError.
 func (d *Dispatcher) Do(ctx context.Context, route *core.Route, q *core.Request) (*core.Reply, error) {
 	limit := route.Timeout
-	if q.Timeout > 0 && (limit == 0 || q.Timeout < limit) {
-		limit = q.Timeout
+	if q.Timeout > 0 && (limit == 0 || q.Timeout < limit || q.Forward != nil) {
+		limit = q.Timeout // of a forwarded request, what is left of its time at the daemon that it arrived at
 	}
 	j := &job{
 		d: d, q: q, route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent,
@@ -268,15 +268,21 @@
 		j.endStream()
 		d.running.Add(-1)
 	}
+	answered := false
+	defer func() { // after a panic too
+		if !answered {
+			end()
+		}
+	}()
 	if !j.countedElsewhere {
 		d.demand.Count(j.service, q)
 	}
 	reply, err := j.serve(ctx)
 	d.requestDone(j, reply, err)
 	if err != nil {
-		end()
 		return nil, err
 	}
+	answered = true
 	reply.Info.Runs = j.runs
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: end}
 	return reply, nil
