--- a/core/errors.go
+++ b/core/errors.go
@@ -42,6 +42,8 @@
 	// configuration or no settings yet.
 	CodeNoConfig   = "no_config"
 	CodeNoSettings = "no_settings"
+	// CodeNoRoute is the code of refusals by a daemon whose configuration has no route for the request.
+	CodeNoRoute = "no_route"
 )
 
 // CodeEndpointBroken is the code of an attempt whose endpoint closed the connection, or
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -171,7 +171,7 @@
 	}
 	route = config.Route(hostOf(r.Host), r.URL.Path)
 	if route == nil {
-		return nil, nil, core.NotRun(http.StatusNotFound, "no_route", "no route has this host and path", 0)
+		return nil, nil, core.NotRun(http.StatusNotFound, core.CodeNoRoute, "no route has this host and path", 0)
 	}
 	key, workspace, refusal := f.authorize(config, route, r, forward)
 	if refusal != nil {
