Reach: runners that are silent for a second are no lost path

Cause: a round of checks without an answer counted as the loss of the path, whatever made the checks fail. Runners that accept a connection and send nothing for a second were taken for it, although other runners sent meanwhile, or no daemon had anything from them either.

Change: where a check's connection was made and nothing came on it, other daemons are asked what they have received from the checked runners since. One that hears them shows a loss, as before. Else it is the runners if others send to this daemon, or to one that waits for all the checked ones too, or if daemons wait and none hears any runner. Refusals, resets and connections that can't be made count as before. A daemon that does not know the question counts as one that knows nothing.

In reach_test.go only fakePeer got the new method; it knows nothing.

--- a/coordination/load/paths.go
+++ b/coordination/load/paths.go
@@ -164,6 +164,31 @@
 	return out
 }
 
+// Heard is what a daemon knows of runners that do not answer checks of another one.
+type Heard struct {
+	Asked   bool // one of them has sent something to it within the time
+	Any     bool // any runner has
+	Waiting int  // those of them at which it has requests from before that time, if none of them has
+}
+
+// HeardWithin returns what this daemon has received within a time from the given runners, and from any.
+func (t *Table) HeardWithin(runners []string, d time.Duration) Heard {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since, out := t.clock.Now().Add(-d), Heard{}
+	out.Any = t.paths.heardAt.After(since)
+	for _, r := range runners {
+		if t.lastReceived[r].After(since) {
+			return Heard{Asked: true, Any: true}
+		}
+		list := t.waiting[r]
+		if t.unanswering[r] == nil && (t.localRequests(r) > len(list) || len(list) > 0 && !list[0].at.After(since)) {
+			out.Waiting++
+		}
+	}
+	return out
+}
+
 // PathRegained drops the evidence of failed attempts, and of requests without an answer: they were due
 // to this daemon's own path.
 func (t *Table) PathRegained() {
--- a/coordination/load/unanswered_test.go
+++ b/coordination/load/unanswered_test.go
@@ -96,3 +96,45 @@
 	l.BeginSend("r").Answered()
 	assert.Assert(t, !l.Down("r"))
 }
+
+// Guards against a daemon that speaks for a silence of runners although one of them sends to it, or that has
+// only just sent a request there, or that has lost the path to it.
+func TestHeardWithin(t *testing.T) {
+	const within = 400 * time.Millisecond
+	asked := []string{"r", "s"}
+	for _, tt := range []struct {
+		name string
+		do   func(l *Table, clock *clockwork.FakeClock)
+		want Heard
+	}{
+		{"nothing", func(*Table, *clockwork.FakeClock) {}, Heard{}},
+		{"one sends", func(l *Table, _ *clockwork.FakeClock) { l.BeginSend("r"); l.RecordActivity("s") }, Heard{Asked: true, Any: true}},
+		{"it sent before", func(l *Table, clock *clockwork.FakeClock) { l.RecordActivity("s"); clock.Advance(within) }, Heard{}},
+		{"another one sends", func(l *Table, _ *clockwork.FakeClock) { l.RecordActivity("other") }, Heard{Any: true}},
+		{"one waits", func(l *Table, clock *clockwork.FakeClock) { l.BeginSend("r"); clock.Advance(within) }, Heard{Waiting: 1}},
+		{"both wait", func(l *Table, clock *clockwork.FakeClock) {
+			l.BeginSend("r")
+			l.BeginSend("s")
+			clock.Advance(within)
+			l.BeginSend("s")
+			l.RecordActivity("other")
+		}, Heard{Any: true, Waiting: 2}},
+		{"in the middle of an answer", func(l *Table, clock *clockwork.FakeClock) {
+			l.BeginSend("r").Answered()
+			l.RecordActivity("r")
+			clock.Advance(within)
+		}, Heard{Waiting: 1}},
+		{"just sent", func(l *Table, _ *clockwork.FakeClock) { l.BeginSend("r") }, Heard{}},
+		{"ended", func(l *Table, clock *clockwork.FakeClock) { s := l.BeginSend("r"); clock.Advance(within); s.End() }, Heard{}},
+		{"its path is lost", func(l *Table, clock *clockwork.FakeClock) {
+			l.BeginSend("r")
+			l.SetUnanswering("r")
+			clock.Advance(within)
+		}, Heard{}},
+	} {
+		clock := clockwork.NewFakeClock()
+		l := New(clock)
+		tt.do(l, clock)
+		assert.Equal(t, l.HeardWithin(asked, within), tt.want, tt.name)
+	}
+}
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -41,7 +42,8 @@
 	maxRounds   = 8
 )
 
-// Checker checks whether anything answers at a runner's address.
+// Checker checks whether anything answers at a runner's address. Its error is core.ErrAnswerLost without
+// core.ErrClosed if a connection was made on which nothing came.
 type Checker interface {
 	Check(ctx context.Context, r *core.Runner, path string) error
 }
@@ -171,13 +173,18 @@
 		return 0
 	}
 	m.sortForDoubt(targets)
-	answered, checked := m.check(ctx, targets)
-	if answered > 0 {
+	began := m.clock.Now()
+	got := m.check(ctx, targets)
+	if got.answered > 0 {
 		m.loads.PathChecked()
 		return answeredInterval
 	}
+	if got.silent > 0 && m.silenceOfRunners(ctx, got.runners, m.clock.Since(began)) {
+		m.scope.Counter("path_silences").Inc(1)
+		return checkInterval
+	}
 	if s = m.loads.PathState(); ctx.Err() == nil && s.Doubtful(len(targets)) {
-		m.set(true, s, checked)
+		m.set(true, s, len(got.runners))
 	}
 	return checkInterval
 }
@@ -200,14 +207,14 @@
 // lookForPath checks whether a lost path is back.
 func (m *Monitor) lookForPath(ctx context.Context, targets []Target) {
 	rand.Shuffle(len(targets), func(i, k int) { targets[i], targets[k] = targets[k], targets[i] })
-	answered, checked := m.check(ctx, targets)
-	if 2*answered <= checked {
+	got := m.check(ctx, targets)
+	if 2*got.answered <= len(got.runners) {
 		m.rounds = 0
 		return
 	}
 	if m.rounds++; m.rounds >= m.requiredRounds() {
 		m.loads.PathRegained()
-		m.set(false, m.loads.PathState(), checked)
+		m.set(false, m.loads.PathState(), len(got.runners))
 	}
 }
 
@@ -241,23 +248,34 @@
 	m.onChange(lost)
 }
 
-// check checks the first runners of a list, and returns how many answered. Those that did not count
-// as failed attempts.
-func (m *Monitor) check(ctx context.Context, targets []Target) (answered, checked int) {
+// checks is the outcome of a round of checks.
+type checks struct {
+	runners  []string
+	answered int
+	silent   int // connections that were made, and on which nothing came
+}
+
+// check checks the first runners of a list. Those that did not answer count as failed attempts.
+func (m *Monitor) check(ctx context.Context, targets []Target) checks {
 	targets = targets[:min(len(targets), checkedRunners)]
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	var out checks
 	results := make(chan error, len(targets))
 	for _, one := range targets {
+		out.runners = append(out.runners, one.Runner.ID)
 		m.wg.Add(1)
 		go m.runCheck(ctx, one, results)
 	}
 	for range targets {
-		if <-results == nil {
-			answered++
+		switch err := <-results; {
+		case err == nil:
+			out.answered++
+		case errors.Is(err, core.ErrAnswerLost) && !errors.Is(err, core.ErrClosed):
+			out.silent++
 		}
 	}
-	return answered, len(targets)
+	return out
 }
 
 func (m *Monitor) runCheck(ctx context.Context, one Target, results chan<- error) {
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -163,6 +163,8 @@
 	return PeerView{Waits: true}
 }
 
+func (p fakePeer) HeardWithin(context.Context, []string, time.Duration) []load.Heard { return nil }
+
 // Guards against a daemon that goes on sending requests to runners that it does not reach, as it reaches
 // others, and against one that takes runners for unreachable that are slow or have stopped.
 func TestLossOfThePathToSomeRunners(t *testing.T) {
--- a/coordination/reach/unanswered.go
+++ b/coordination/reach/unanswered.go
@@ -39,12 +39,47 @@
 	// AnsweredWithin returns whether a runner has begun to answer a request of another daemon that was
 	// sent within the given time.
 	AnsweredWithin(ctx context.Context, runner string, d time.Duration) PeerView
+	// HeardWithin returns what other daemons with a path have received within the given time from
+	// runners that do not answer checks of this one, and from any. Daemons that know nothing may be
+	// left out.
+	HeardWithin(ctx context.Context, runners []string, d time.Duration) []load.Heard
 }
 
 // WithPeers sets the other daemons. Without them the loss of the path to single runners is not
 // noticed.
 func WithPeers(p Peers) Option { return func(m *Monitor) { m.peers = p } }
 
+// silenceOfRunners reports whether silence on connections that were accepted is the runners' own instead
+// of a loss of this daemon's path. checked are the runners that do not answer checks, for the given time. A
+// daemon that hears one of them shows a loss. Otherwise it is the runners if others send to this daemon, or
+// to one that waits for all the checked ones too, or if no daemon hears any and some wait.
+func (m *Monitor) silenceOfRunners(ctx context.Context, checked []string, wait time.Duration) bool {
+	var views []load.Heard
+	if m.peers != nil {
+		asking, cancel := context.WithTimeout(ctx, peersTimeout)
+		views = m.peers.HeardWithin(asking, checked, wait-overtakenMargin)
+		cancel()
+	}
+	own := m.loads.HeardWithin(checked, wait)
+	if own.Asked {
+		return true
+	}
+	others, same, heard := own.Any, false, false
+	for _, v := range views {
+		switch {
+		case v.Asked:
+			return false
+		case v.Any && v.Waiting == len(checked):
+			others = true
+		case v.Any:
+			heard = true
+		case v.Waiting > 0:
+			same = true
+		}
+	}
+	return others || same && !heard
+}
+
 // lookAtUnanswered starts inquiries about runners that leave requests unanswered, and checks whether those
 // that are known not to answer do so again.
 func (m *Monitor) lookAtUnanswered(ctx context.Context) {
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -199,6 +199,7 @@
 	d.peers.Handle(kindLimit, handleUpdate(d, d.limits.ApplyUpdate))
 	d.peers.Handle(kindBrittle, handleUpdate(d, d.available.ApplyBrittle))
 	d.peers.Handle(kindAnswered, d.handleAnswered)
+	d.peers.Handle(kindHeard, d.handleHeard)
 	d.peers.Handle(kindLeaving, handleUpdate(d, d.available.ApplyUpdate))
 	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.RetryWindow), d.ratio, d.slack)
 	demand := dispatch.NewDemand()
