Callers' connections: the idle and header times of the configuration apply

Cause: core.CallerLimits.IdleTimeout and HeaderTimeout were read and used nowhere. The server closed idle connections after a fixed 60 s and gave headers 10 s: a caller that reuses a connection after four fifths of a longer configured time was disconnected, a shorter time had no effect.

Change: the front wraps its listener. A connection on which nothing was ever sent has the longer of the two limits. Without a configuration, or if it states none, 60 s and 10 s apply as before. Closed ones are counted in connections_closed{reason}.

--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -279,9 +279,13 @@
 		if err != nil {
 			return eris.Wrap(err, l.name)
 		}
+		var accepting net.Listener = ln
+		if len(d.servers) == 0 {
+			accepting = d.front.Listen(ln)
+		}
 		d.servers = append(d.servers, l.server)
 		d.wg.Add(1)
-		go d.runServer(l.server, ln)
+		go d.runServer(l.server, accepting)
 	}
 	return nil
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -27,11 +27,6 @@
 )
 
 const (
-	// headerTimeout and idleTimeout bound connections before a configuration is known, and
-	// are the minimum afterwards: they never disconnect a caller that stays within the
-	// configuration's limits.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
 	// headerBytes is the maximum size of a request's headers; a configuration may set a
 	// lower one.
 	headerBytes = 64 << 10
@@ -64,6 +59,7 @@
 	scope         tally.Scope
 	settingsKnown func() bool // whether the operators' settings are known
 	keysConfirmed func() bool // whether the known keys may be used
+	conns         *connections
 	leaving       atomic.Bool
 }
 
@@ -84,29 +80,47 @@
 // New returns a Front that passes requests to a dispatcher.
 func New(c *catalog.Catalog, dialect core.Dialect, dispatcher Dispatcher, clock core.Clock, log *zap.Logger, opts ...Option) *Front {
 	f := &Front{catalog: c, dialect: dialect, dispatcher: dispatcher, clock: clock, log: log, scope: tally.NoopScope, settingsKnown: func() bool { return true }, keysConfirmed: func() bool { return true }}
+	f.conns = newConnections(clock, f.limits)
 	for _, o := range opts {
 		o(f)
 	}
+	f.conns.scope = f.scope
 	return f
 }
 
+// limits returns the limits of the configuration.
+func (f *Front) limits() core.CallerLimits {
+	if config := f.catalog.Config(); config != nil {
+		return config.Limits
+	}
+	return core.CallerLimits{}
+}
+
+// Listen returns a listener for Server, whose connections are closed when they exceed the
+// configuration's limits.
+func (f *Front) Listen(ln net.Listener) net.Listener { return f.conns.listen(ln) }
+
 // Leave makes the Front set "Connection: close" on all further answers.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
-// Server returns the HTTP server for callers.
+// Server returns the HTTP server for callers. It must serve a listener of Listen.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
-		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ConnContext:       tcp.WithConn,
-		ErrorLog:          zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler:        f,
+		MaxHeaderBytes: headerBytes,
+		ConnContext:    tcp.WithConn,
+		ConnState:      f.conns.changed,
+		ErrorLog:       zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
 
 // ServeHTTP answers one request of a caller.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, nil) }
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := tcp.ConnOf(r).(*callerConn); ok {
+		c.enter(phaseServing)
+	}
+	f.serve(w, r, nil)
+}
 
 // serve answers one request. forward is set if another daemon has passed it on.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, forward *core.Forward) {
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -49,7 +49,11 @@
 // setUp starts a server with one route, or without a configuration if version is 0.
 func setUp(t *testing.T, version uint64, d *dispatcher) (*Front, *httptest.Server) {
 	t.Helper()
-	clock := clockwork.NewRealClock()
+	return setUpAt(t, clockwork.NewRealClock(), version, d)
+}
+
+func setUpAt(t *testing.T, clock core.Clock, version uint64, d *dispatcher, opts ...Option) (*Front, *httptest.Server) {
+	t.Helper()
 	c := catalog.New(clock)
 	if version > 0 {
 		config := &core.Config{
@@ -61,9 +65,10 @@
 	}
 	var seen zapcore.Core
 	seen, lines = observer.New(zap.InfoLevel)
-	f := New(c, platform.Dialect{}, d, clock, zap.New(seen))
+	f := New(c, platform.Dialect{}, d, clock, zap.New(seen), opts...)
 	srv := httptest.NewUnstartedServer(f)
 	srv.Config = f.Server()
+	srv.Listener = f.Listen(srv.Listener)
 	srv.Start()
 	t.Cleanup(srv.Close)
 	return f, srv
