Stop: kept connections stay open until shortly before the end of the grace time

Cause: about 2.5 s after SIGTERM, http.Server.Shutdown closed all idle connections at once. A request sent as that close was on its way got no answer, and Shutdown also drops a request whose headers it has just read.

Change: after 2.5 s only the listener is closed. Connections close with their next answer, as each has carried Connection: close since SIGTERM. The process ends when no connection and no request is left; otherwise idle connections are closed 0.6 s before the end of the grace time, only those on which no byte of a request has been read, and the rest 0.4 s before it, as before. After 2.5 s a request that may not be complete in time is refused as not run (503, leaving): a stream if less than its time limit is left, others if less than that or four times the route's target is left; a refusal can be repeated elsewhere, a cut answer can't.

Trade-off: with callers that keep idle connections a stop takes up to the grace time less 0.6 s, where it took 2.8 s; a rolling restart that waits for each process is that much longer. A stopping machine is not ready and not in the directory from SIGTERM on (unchanged), so that callers are served elsewhere meanwhile. It still sends to runners for callers with kept connections.

New: TestLateRequestsAreRefused, TestCloseIdleLeavesBegunRequests.

--- /dev/null
+++ b/proof/stop_test.go
@@ -0,0 +1,210 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"primroseward/core"
+	"primroseward/io/logs"
+	wire "primroseward/platform"
+)
+
+const (
+	longGrace = 8 * time.Second
+	// keptCallers return to their connections after random times, of which meanIdle is the mean and maxIdle
+	// the maximum. goneCallers never return.
+	keptCallers = 400
+	goneCallers = 5
+	meanIdle    = time.Second
+	maxIdle     = 6 * time.Second
+	// crossing is how long after the end of a connection a caller does not know of it yet.
+	crossing = 50 * time.Millisecond
+	// streamsOf is the number of callers of which one requests a stream.
+	streamsOf = 10
+)
+
+// setGrace changes the grace time of a running daemon.
+func (d *fleetDaemon) setGrace(t *testing.T, grace time.Duration) {
+	t.Helper()
+	data, err := os.ReadFile(d.file)
+	assert.NilError(t, err)
+	data = bytes.Replace(data, []byte(fmt.Sprintf(`"grace":%q`, gracePeriod.String())), []byte(fmt.Sprintf(`"grace":%q`, grace.String())), 1)
+	assert.NilError(t, os.WriteFile(d.file, data, 0o600))
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGHUP))
+	d.awaitLog(t, logs.Reloaded)
+}
+
+// awaitLog waits until the daemon's log contains a message.
+func (d *fleetDaemon) awaitLog(t *testing.T, message string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		data, err := os.ReadFile(d.log)
+		if err != nil || !bytes.Contains(data, []byte(`"`+message+`"`)) {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// keptConn is a connection that its caller keeps open between requests.
+type keptConn struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func dialKept(d *fleetDaemon) (*keptConn, error) {
+	conn, err := net.Dial("tcp", d.callerAddr)
+	if err != nil {
+		return nil, err
+	}
+	return &keptConn{conn: conn, in: bufio.NewReader(conn)}, nil
+}
+
+// post sends a request.
+func (k *keptConn) post(path, model string) error {
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: q%d\r\n%s: 4000\r\nContent-Length: 0\r\n", path, wire.HeaderRequestID, requestSerial.Add(1), wire.HeaderTimeout)
+	if model != "" {
+		text += wire.HeaderModel + ": " + model + "\r\n"
+	}
+	_, err := io.WriteString(k.conn, text+"\r\n")
+	return err
+}
+
+// answer reads an answer.
+func (k *keptConn) answer() (*http.Response, string, error) {
+	resp, err := http.ReadResponse(k.in, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// Ends of a request that a caller sends on a kept connection of a daemon that stops.
+const (
+	endWhole   = "whole"
+	endRefused = "refused"
+	endClosed  = "closed before the request"
+	endLost    = "without an answer"
+)
+
+// sendAfter waits, sends one request and returns how it ends.
+func (k *keptConn) sendAfter(wait time.Duration, path, model, want string) string {
+	sendAt := time.Now().Add(wait)
+	_ = k.conn.SetReadDeadline(sendAt)
+	if _, err := k.in.Peek(1); err == nil || !os.IsTimeout(err) {
+		if time.Until(sendAt) > crossing {
+			return endClosed
+		}
+		return endLost // the request would have been on its way
+	}
+	_ = k.conn.SetReadDeadline(time.Time{})
+	if err := k.post(path, model); err != nil {
+		return endLost
+	}
+	resp, body, err := k.answer()
+	switch {
+	case err != nil:
+		return endLost
+	case resp.StatusCode == http.StatusOK && (want == "" || body == want):
+		return endWhole
+	case resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(body, string(core.OutcomeNotRun)):
+		return endRefused
+	}
+	return fmt.Sprint("status ", resp.StatusCode, " ", body)
+}
+
+// TestStopAnswersOnKeptConnections guards against requests that cross the end of their kept connection: a
+// stopping daemon closed all idle ones at once. Callers that return within the grace time get an answer,
+// and those that never return don't keep the process beyond its grace time.
+func TestStopAnswersOnKeptConnections(t *testing.T) {
+	c := startFleet(t, 2)
+	d := c.daemons[0]
+	d.setGrace(t, longGrace)
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	ends := map[string]int{}
+	var ready, done sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range keptCallers + goneCallers {
+		wait := min(time.Duration(random.ExpFloat64()*float64(meanIdle)), maxIdle)
+		start := time.Duration(random.Float64() * float64(time.Second))
+		ready.Add(1)
+		done.Go(func() {
+			time.Sleep(start)
+			k, err := dialKept(d)
+			if !assert.Check(t, err) {
+				ready.Done()
+				return
+			}
+			defer k.conn.Close()
+			assert.Check(t, k.post("/ask/x", ""))
+			resp, _, err := k.answer()
+			assert.Check(t, err == nil && resp.StatusCode == http.StatusOK && !resp.Close, "%v %v", err, resp)
+			ready.Done()
+			<-stop
+			if i >= keptCallers {
+				_ = k.conn.SetReadDeadline(time.Now().Add(2 * longGrace))
+				_, _ = k.in.Peek(1) // the end of the connection
+				return
+			}
+			path, model, want := "/ask/x", "", ""
+			if i%streamsOf == 0 {
+				path, model, want = "/gen/x", "m1", fullStream(20)
+			}
+			end := k.sendAfter(wait, path, model, want)
+			mu.Lock()
+			defer mu.Unlock()
+			ends[end]++
+		})
+	}
+	ready.Wait()
+	close(stop)
+	began := time.Now()
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+	kill := time.AfterFunc(longGrace, func() { _ = d.cmd.Process.Kill() })
+	defer kill.Stop()
+	state, err := d.cmd.Process.Wait()
+	assert.NilError(t, err)
+	took := time.Since(began)
+	done.Wait()
+	t.Logf("the process ended after %v; requests: %v", took.Round(10*time.Millisecond), ends)
+	assert.Assert(t, state.Success(), "%v", state)
+	assert.Equal(t, ends[endWhole]+ends[endRefused], keptCallers, "%v", ends)
+}
+
+// TestStopEndsWithItsLastConnection guards against a stopping daemon that waits for the end of its grace time
+// although no caller is connected any more.
+func TestStopEndsWithItsLastConnection(t *testing.T) {
+	c := startFleet(t, 1)
+	d := c.daemons[0]
+	const grace = time.Minute
+	d.setGrace(t, grace)
+	k, err := dialKept(d)
+	assert.NilError(t, err)
+	defer k.conn.Close()
+	assert.NilError(t, k.post("/ask/x", ""))
+	_, _, err = k.answer()
+	assert.NilError(t, err)
+	began := time.Now()
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, k.sendAfter(4*time.Second, "/ask/x", "", ""), endWhole)
+	state, err := d.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), "%v", state)
+	assert.Assert(t, time.Since(began) < grace/2, "%v", time.Since(began))
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -92,9 +92,12 @@
 	// backlogDrain is how long new connections are accepted even if listenerDrain has passed,
 	// for those that arrived while the process was paused.
 	backlogDrain = 200 * time.Millisecond
-	// forwardedPoll is how often a stopping daemon looks whether the requests that other daemons
-	// have forwarded to it are complete.
-	forwardedPoll = 20 * time.Millisecond
+	// drainPoll is how often a stopping daemon looks whether callers' connections and the requests that
+	// other daemons have forwarded to it have ended.
+	drainPoll = 20 * time.Millisecond
+	// idleMargin is how long before requests in progress are cut idle connections are closed, so that
+	// those whose request has just been read are answered.
+	idleMargin = 200 * time.Millisecond
 	// closeMargin is the part of the grace time that is reserved for closing.
 	closeMargin = 400 * time.Millisecond
 	// budgetPercent is the percentage of the shared retry budget that is used. Daemons
@@ -140,6 +143,7 @@
 	client    *http.Client // for requests to other daemons
 	snapshots snapshotCache
 	servers   []*http.Server
+	callers   net.Listener // of servers[0]
 	wg        sync.WaitGroup
 }
 
@@ -282,6 +286,7 @@
 		var accepting net.Listener = ln
 		if len(d.servers) == 0 {
 			accepting = d.front.Listen(ln)
+			d.callers = accepting
 		}
 		d.servers = append(d.servers, l.server)
 		d.wg.Add(1)
@@ -350,9 +355,10 @@
 
 // Stop shuts the daemon down without interrupting requests. It first announces the shutdown
 // to other daemons and to callers, and accepts new connections until callers have queried
-// the directory again. Then it closes idle connections, as a request that arrives on one at
-// the very end would be interrupted. Requests in progress may complete within the grace time,
-// which continues to run while the process is paused or the store does not answer.
+// the directory again. Connections close with their next answer; those that stay idle are closed
+// shortly before the end of the grace time, as a request that crosses the end of its connection gets
+// no answer. Requests in progress may complete within the grace time, which continues to run while
+// the process is paused or the store does not answer.
 func (d *Daemon) Stop(ctx context.Context) {
 	start := d.clock.Now()
 	d.log.Info(logs.Leaving, zap.Int("running", d.dispatcher.Running()))
@@ -367,17 +373,17 @@
 	}
 	cancel()
 	core.Sleep(ctx, d.clock, max(backlogDrain, listenerDrain-d.clock.Since(start)))
-	left := time.Duration(d.current.Load().Grace) - closeMargin - d.clock.Since(start)
-	drain, cancel := context.WithTimeout(ctx, left)
-	err := d.servers[0].Shutdown(drain)
-	for err == nil && d.dispatcher.Running() > 0 {
-		core.Sleep(drain, d.clock, forwardedPoll) // requests that other daemons have forwarded
-		err = drain.Err()
+	end := start.Add(time.Duration(d.current.Load().Grace) - closeMargin)
+	d.front.EndAt(end)
+	if err := d.callers.Close(); err != nil {
+		d.log.Warn(logs.ListenerFailed, logs.Err(err))
 	}
-	if err != nil {
-		d.log.Warn(logs.RequestsCancelled, zap.Int("running", d.dispatcher.Running()), logs.Err(err))
+	if !d.drain(ctx, end.Add(-idleMargin)) {
+		d.front.CloseIdle()
+		if !d.drain(ctx, end) {
+			d.log.Warn(logs.RequestsCancelled, zap.Int("running", d.dispatcher.Running()), zap.Int("connections", d.front.Connections()))
+		}
 	}
-	cancel()
 	d.log.Info(logs.Stopped, zap.Duration("took", d.clock.Since(start)))
 	d.stopStarting()
 	d.placer.Stop()
@@ -394,3 +400,16 @@
 		d.log.Warn(logs.TracesUnsent, logs.Err(err))
 	}
 }
+
+// drain waits until callers' connections and the requests that other daemons have forwarded have ended.
+// It returns false if some have not at the given time.
+func (d *Daemon) drain(ctx context.Context, until time.Time) bool {
+	for d.front.Connections() > 0 || d.dispatcher.Running() > 0 {
+		left := d.clock.Until(until)
+		if left <= 0 || ctx.Err() != nil {
+			return false
+		}
+		core.Sleep(ctx, d.clock, min(drainPoll, left))
+	}
+	return true
+}
--- a/transport/front/connections.go
+++ b/transport/front/connections.go
@@ -127,6 +127,22 @@
 	return 1<<63 - 1
 }
 
+// closeIdle closes the connections on which no byte of a request has been read.
+func (s *connections) closeIdle() {
+	s.mu.Lock()
+	var idle []*callerConn
+	for c := range s.open {
+		state := c.state.Load()
+		if p, _ := state.split(); (p == phaseNew || p == phaseIdle) && c.state.CompareAndSwap(state, s.stateOf(phaseClosed)) {
+			idle = append(idle, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // fails only if it has ended
+	}
+}
+
 // count returns the number of open connections.
 func (s *connections) count() int {
 	s.mu.Lock()
--- a/transport/front/connections_test.go
+++ b/transport/front/connections_test.go
@@ -261,3 +261,61 @@
 		}
 	})
 }
+
+// Guards against requests that are run by a daemon that ends before their answers are complete: they must
+// be refused as not run.
+func TestLateRequestsAreRefused(t *testing.T) {
+	for _, tt := range []struct {
+		name                  string
+		kind                  core.RequestKind
+		timeout, target, left time.Duration
+		deadline              string
+		want                  int
+	}{
+		{"a plain request in time", core.KindSafe, 4 * time.Second, 500 * time.Millisecond, 2 * time.Second, "", http.StatusOK},
+		{"a plain request too late", core.KindSafe, 4 * time.Second, 500 * time.Millisecond, 2*time.Second - 1, "", http.StatusServiceUnavailable},
+		{"a stream in time", core.KindStream, 4 * time.Second, 500 * time.Millisecond, 4 * time.Second, "", http.StatusOK},
+		{"a stream too late", core.KindStream, 4 * time.Second, 500 * time.Millisecond, 4*time.Second - 1, "", http.StatusServiceUnavailable},
+		{"a short time limit of the caller", core.KindStream, 4 * time.Second, 500 * time.Millisecond, time.Second, "X-Primroseward-Deadline-Ms: 1000\n", http.StatusOK},
+		{"no target", core.KindUnsafe, time.Second, 0, time.Second - 1, "", http.StatusServiceUnavailable},
+		{"no limits", core.KindUnsafe, 0, 0, time.Second, "", http.StatusOK},
+	} {
+		clock := clockwork.NewFakeClock()
+		d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, strings.NewReader("ok")) }}
+		f, srv := setUpAt(t, clock, 1, d)
+		config := &core.Config{Version: 2, Routes: []core.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Kind: tt.kind, Timeout: tt.timeout, Target: tt.target}}}
+		config.Index()
+		f.catalog.SetConfig(config)
+		f.Leave()
+		f.EndAt(clock.Now().Add(tt.left))
+		resp, body, err := send(t, srv, strings.Replace(post("/a/x", ""), "Content-Length", tt.deadline+"Content-Length", 1))
+		assert.NilError(t, err, tt.name)
+		assert.Equal(t, resp.StatusCode, tt.want, tt.name)
+		assert.Assert(t, resp.Close, tt.name)
+		if tt.want != http.StatusOK {
+			assert.Assert(t, strings.Contains(body, `"not_run"`), "%s: %s", tt.name, body)
+			assert.Assert(t, resp.Header.Get("Retry-After") != "", tt.name)
+			assert.Assert(t, d.got == nil, tt.name)
+		}
+	}
+}
+
+// Guards against a stop that closes a connection on which a request has begun to arrive.
+func TestCloseIdleLeavesBegunRequests(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		l := startLimitsTest(t)
+		l.exchange()
+		text := post("/a/x", "abc")
+		if begun {
+			l.write(text[:1])
+			l.awaitPhase(phaseHeaders)
+		}
+		l.front.CloseIdle()
+		if !begun {
+			assert.Assert(t, l.closed(readWait))
+			continue
+		}
+		l.write(text[1:])
+		l.readAnswer()
+	}
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -39,6 +39,12 @@
 	// unconfirmedRetry is the Retry-After time for a caller whose key could not be confirmed.
 	// Outages of the store last some seconds.
 	unconfirmedRetry = 2 * time.Second
+	// leavingRetry is the Retry-After time that a daemon sends that is about to end. Other daemons serve
+	// at once.
+	leavingRetry = 50 * time.Millisecond
+	// lateTargets is the multiple of a route's target latency in which almost all answers that are not
+	// streams are complete.
+	lateTargets = 4
 	// minRetry is the minimum Retry-After time. The header has three decimals, and a value
 	// that rounds to 0 means that the time is not known.
 	minRetry = time.Millisecond
@@ -61,6 +67,7 @@
 	keysConfirmed func() bool // whether the known keys may be used
 	conns         *connections
 	leaving       atomic.Bool
+	end           atomic.Pointer[time.Time] // when requests in progress are cut; nil: not known
 }
 
 // Option configures a Front.
@@ -103,6 +110,32 @@
 // Leave makes the Front set "Connection: close" on all further answers.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
+// EndAt sets when requests in progress are cut. From now on a request is refused if its answer may not be
+// complete by then.
+func (f *Front) EndAt(end time.Time) { f.end.Store(&end) }
+
+// Connections returns the number of open connections of callers.
+func (f *Front) Connections() int { return f.conns.count() }
+
+// CloseIdle closes the connections on which no request has begun.
+func (f *Front) CloseIdle() { f.conns.closeIdle() }
+
+// endsTooSoon reports whether the answer to a request may not be complete when requests are cut.
+func (f *Front) endsTooSoon(route *core.Route, q *core.Request) bool {
+	end := f.end.Load()
+	if end == nil || q.Forward != nil {
+		return false
+	}
+	need := route.Timeout
+	if q.Timeout > 0 && (need == 0 || q.Timeout < need) {
+		need = q.Timeout
+	}
+	if expected := lateTargets * route.Target; route.Kind != core.KindStream && expected > 0 {
+		need = min(need, expected)
+	}
+	return end.Sub(f.clock.Now()) < need
+}
+
 // Server returns the HTTP server for callers. It must serve a listener of Listen.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
@@ -185,6 +218,9 @@
 		q.Caller = forward.Caller
 	}
 	q.Digest = core.DigestOf(q)
+	if f.endsTooSoon(route, q) {
+		return nil, nil, core.NotRun(http.StatusServiceUnavailable, "leaving", "the daemon ends before the answer may be complete", leavingRetry)
+	}
 	return q, route, nil
 }
 
