Stop: requests that still wait at the end of the grace time get an answer

Cause: as the grace time ended, Stop closed the connections of requests that waited for a model, a connection to a runner, the rest of their body or an answer. Their callers could not tell that a request had not run.

Change: 0.4 s before the end of the grace time the front ends the requests whose answer has not begun, and closes what is left 0.1 s later. A body that is awaited is no longer read (503, not run). Other requests are cancelled through their context with the cause core.ErrEnding; contextError of the dispatcher (the one change there) refuses these: 503 as not run if no send may have run, 502 otherwise. Answers that have begun are not touched by it. What ends a request is kept in its connection's own state, so that requests share no lock.

Not covered: requests that other daemons have forwarded here are cut as before; the daemon that took them answers their callers.

Tests: before, TestRequestsOfAnEndingDaemon failed in five of seven cases (499 in place of 503 or 502), TestStopAnswersWaitingRequests in both (unexpected EOF). TestGracefulStopCutsNothing, TestFleetStopsGracefully and TestFleetStopsInItsGraceAfterAPause pass unchanged.

--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -133,9 +133,12 @@
 	return nil
 }
 
-// contextError returns the error for a request whose caller has disconnected or whose deadline
-// has passed.
+// contextError returns the error for a request whose caller has disconnected, whose deadline
+// has passed or whose daemon ends.
 func (j *job) contextError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), core.ErrEnding) {
+		return j.refuse(core.CodeLeaving, "the daemon ends", err)
+	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
 	}
--- a/core/errors.go
+++ b/core/errors.go
@@ -18,6 +18,8 @@
 	ErrLastReplica = errors.New("last ready replica")
 	ErrStaleFence  = errors.New("stale fencing number")
 	ErrGone        = errors.New("no longer held")
+	// ErrEnding is the cause with which a daemon that ends cancels its requests.
+	ErrEnding = errors.New("the daemon ends")
 )
 
 // Outcome states whether a request without a complete answer may have run.
@@ -36,6 +38,8 @@
 	CodeOverloaded = "overloaded"
 	CodeLimited    = "limited"
 	CodeBackoff    = "backoff"
+	// CodeLeaving is the code of refusals by a daemon that is about to end.
+	CodeLeaving = "leaving"
 	// CodePath is the code of refusals by a daemon that has lost its path to the runners.
 	CodePath = "path"
 	// CodeNoConfig and CodeNoSettings are the codes of refusals by a daemon that knows no
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -208,3 +208,45 @@
 	assert.Assert(t, state.Success(), "%v", state)
 	assert.Assert(t, time.Since(began) < grace/2, "%v", time.Since(began))
 }
+
+// TestStopAnswersWaitingRequests guards against requests that still wait at the end of the grace time and whose
+// connection is closed without an answer.
+func TestStopAnswersWaitingRequests(t *testing.T) {
+	c := startFleet(t, 1)
+	d := c.daemons[0]
+	for _, r := range c.runners[2:] {
+		r.Silence(2 * gracePeriod)
+	}
+	cases := []struct {
+		name, path, body string
+		status           int
+		outcome          core.Outcome
+	}{
+		{"at a silent runner", "/order/x", "abc", http.StatusBadGateway, core.OutcomeMayHaveRun},
+		{"whose body is slow", "/order/x", "a", http.StatusServiceUnavailable, core.OutcomeNotRun},
+	}
+	conns := make([]*keptConn, len(cases))
+	for i, tt := range cases {
+		var err error
+		conns[i], err = dialKept(d)
+		assert.NilError(t, err)
+		defer conns[i].conn.Close()
+		text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: q%d\r\nContent-Length: 3\r\n\r\n%s", tt.path, wire.HeaderRequestID, requestSerial.Add(1), tt.body)
+		_, err = io.WriteString(conns[i].conn, text)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+	kill := time.AfterFunc(gracePeriod, func() { _ = d.cmd.Process.Kill() })
+	defer kill.Stop()
+	for i, tt := range cases {
+		resp, body, err := conns[i].answer()
+		if !assert.Check(t, err, tt.name) {
+			continue
+		}
+		assert.Check(t, resp.StatusCode == tt.status, "%s: %d %s", tt.name, resp.StatusCode, body)
+		assert.Check(t, strings.Contains(body, `"`+string(tt.outcome)+`"`), "%s: %s", tt.name, body)
+	}
+	state, err := d.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), "%v", state)
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -98,6 +98,9 @@
 	// idleMargin is how long before requests in progress are cut idle connections are closed, so that
 	// those whose request has just been read are answered.
 	idleMargin = 200 * time.Millisecond
+	// answerMargin is the time for the refusals of the requests that still wait when requests in progress
+	// are cut. It is a part of closeMargin.
+	answerMargin = 100 * time.Millisecond
 	// closeMargin is the part of the grace time that is reserved for closing.
 	closeMargin = 400 * time.Millisecond
 	// budgetPercent is the percentage of the shared retry budget that is used. Daemons
@@ -358,7 +361,7 @@
 // the directory again. Connections close with their next answer; those that stay idle are closed
 // shortly before the end of the grace time, as a request that crosses the end of its connection gets
 // no answer. Requests in progress may complete within the grace time, which continues to run while
-// the process is paused or the store does not answer.
+// the process is paused or the store does not answer. Those that still wait then are refused.
 func (d *Daemon) Stop(ctx context.Context) {
 	start := d.clock.Now()
 	d.log.Info(logs.Leaving, zap.Int("running", d.dispatcher.Running()))
@@ -382,6 +385,8 @@
 		d.front.CloseIdle()
 		if !d.drain(ctx, end) {
 			d.log.Warn(logs.RequestsCancelled, zap.Int("running", d.dispatcher.Running()), zap.Int("connections", d.front.Connections()))
+			d.front.EndWaiting()
+			d.drain(ctx, end.Add(answerMargin))
 		}
 	}
 	d.log.Info(logs.Stopped, zap.Duration("took", d.clock.Since(start)))
--- a/transport/front/connections.go
+++ b/transport/front/connections.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"primroseward/core"
+	"primroseward/io/tcp"
 )
 
 const (
@@ -49,6 +50,8 @@
 	limits func() core.CallerLimits
 	base   time.Time // times in states count from here
 
+	ending atomic.Bool // whether requests that wait are to end
+
 	mu       sync.Mutex
 	open     map[*callerConn]struct{}
 	accepts  bool // whether the listener is open
@@ -143,6 +146,20 @@
 	}
 }
 
+// endWaiting ends the requests that wait for their body or for their answer to begin, now and from now on.
+func (s *connections) endWaiting() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	var waiting []*callerConn
+	for c := range s.open {
+		waiting = append(waiting, c)
+	}
+	s.mu.Unlock()
+	for _, c := range waiting {
+		c.endWaiting()
+	}
+}
+
 // count returns the number of open connections.
 func (s *connections) count() int {
 	s.mu.Lock()
@@ -206,6 +223,37 @@
 	conns   *connections
 	state   atomicState
 	overdue connState // the state in which the last sweep found it over its limit
+	waiting atomic.Pointer[func()]
+}
+
+// callerConnOf returns the connection of a request, nil if the request was forwarded by another daemon.
+func callerConnOf(r *http.Request) *callerConn {
+	c, _ := tcp.ConnOf(r).(*callerConn)
+	return c
+}
+
+// wait sets what ends the request in progress while it waits. The returned function ends the wait and reports
+// whether the request has been ended.
+func (c *callerConn) wait(end func()) (done func() bool) {
+	if c == nil {
+		return func() bool { return false }
+	}
+	c.waiting.Store(&end)
+	if c.conns.ending.Load() {
+		c.endWaiting()
+	}
+	return func() bool { return c.waiting.Swap(nil) == nil }
+}
+
+func (c *callerConn) endWaiting() {
+	if end := c.waiting.Swap(nil); end != nil {
+		(*end)()
+	}
+}
+
+// endRead makes a read in progress fail.
+func (c *callerConn) endRead() {
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended, which ends the read too
 }
 
 // atomicState is a connState that is read and changed atomically.
--- a/transport/front/connections_test.go
+++ b/transport/front/connections_test.go
@@ -44,15 +44,21 @@
 	d := &dispatcher{answer: func(context.Context) (*core.Reply, error) { return reply(200, strings.NewReader("ok")) }}
 	l.front, l.srv = setUpAt(t, l.clock, 1, d, WithScope(l.scope))
 	l.await(1)
+	l.dial()
+	return l
+}
+
+// dial opens the connection.
+func (l *limitsTest) dial() {
+	l.t.Helper()
 	var err error
 	l.conn, err = net.Dial("tcp", l.srv.Listener.Addr().String())
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.conn.Close() })
+	assert.NilError(l.t, err)
+	l.t.Cleanup(func() { _ = l.conn.Close() })
 	l.in = bufio.NewReader(l.conn)
 	for l.front.conns.count() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	return l
 }
 
 // await waits until the sweeps sleep.
@@ -319,3 +325,73 @@
 		l.readAnswer()
 	}
 }
+
+// Guards against requests that wait as their daemon ends and get no answer, and against running those that
+// arrive after that.
+func TestEndWaiting(t *testing.T) {
+	text := post("/a/x", "abc")
+	for _, tt := range []struct {
+		name, send   string
+		ended        bool // before the request arrives
+		status       int
+		body         string
+		wantDispatch bool
+	}{
+		{"waits for its body", text[:len(text)-1], false, http.StatusServiceUnavailable, `"not_run"`, false},
+		{"waits for its answer", text, false, http.StatusBadGateway, `"may_have_run"`, true},
+		{"arrives later", text, true, http.StatusServiceUnavailable, `"not_run"`, false},
+	} {
+		began := make(chan struct{})
+		d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
+			close(began)
+			<-ctx.Done()
+			assert.Check(t, errors.Is(context.Cause(ctx), core.ErrEnding), tt.name)
+			return nil, core.MayHaveRun("x", "")
+		}}
+		l := &limitsTest{t: t}
+		l.front, l.srv = setUp(t, 1, d)
+		l.dial()
+		if tt.ended {
+			l.front.EndWaiting()
+		}
+		l.write(tt.send)
+		if tt.wantDispatch {
+			<-began
+		}
+		if !tt.ended {
+			l.awaitPhase(phaseServing)
+			l.front.EndWaiting()
+		}
+		resp, err := http.ReadResponse(l.in, nil)
+		assert.NilError(t, err, tt.name)
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err, tt.name)
+		assert.Equal(t, resp.StatusCode, tt.status, tt.name)
+		assert.Assert(t, strings.Contains(string(data), tt.body), "%s: %s", tt.name, data)
+		assert.Equal(t, d.got != nil, tt.wantDispatch, tt.name)
+	}
+}
+
+// Guards against cutting an answer that has begun when the requests that wait are ended.
+func TestEndWaitingLeavesBegunAnswers(t *testing.T) {
+	rest, more := io.Pipe()
+	d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
+		context.AfterFunc(ctx, func() { _ = more.CloseWithError(core.ErrAnswerLost) })
+		return reply(http.StatusOK, rest)
+	}}
+	l := &limitsTest{t: t}
+	l.front, l.srv = setUp(t, 1, d)
+	l.dial()
+	l.write(post("/a/x", "abc"))
+	_, err := io.WriteString(more, "wh")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(l.in, nil)
+	assert.NilError(t, err)
+	l.front.EndWaiting()
+	_, err = io.WriteString(more, "ole")
+	assert.NilError(t, err)
+	assert.NilError(t, more.Close())
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "whole")
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -120,6 +120,10 @@
 // CloseIdle closes the connections on which no request has begun.
 func (f *Front) CloseIdle() { f.conns.closeIdle() }
 
+// EndWaiting ends the requests whose answer has not begun: they are refused as not run, or as lost if they
+// may have run.
+func (f *Front) EndWaiting() { f.conns.endWaiting() }
+
 // endsTooSoon reports whether the answer to a request may not be complete when requests are cut.
 func (f *Front) endsTooSoon(route *core.Route, q *core.Request) bool {
 	end := f.end.Load()
@@ -149,7 +153,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := tcp.ConnOf(r).(*callerConn); ok {
+	if c := callerConnOf(r); c != nil {
 		c.enter(phaseServing)
 	}
 	f.serve(w, r, nil)
@@ -172,7 +176,11 @@
 	ctx, span := otel.Tracer(tracer).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request", q.ID), attribute.String("route", route.Name)))
 	defer span.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	answered := callerConnOf(r).wait(func() { cancel(core.ErrEnding) })
 	reply, err := f.dispatcher.Do(ctx, route, q)
+	answered()
 	if err != nil {
 		writeError(w, core.AsRequestError(err))
 		return
@@ -219,11 +227,16 @@
 	}
 	q.Digest = core.DigestOf(q)
 	if f.endsTooSoon(route, q) {
-		return nil, nil, core.NotRun(http.StatusServiceUnavailable, "leaving", "the daemon ends before the answer may be complete", leavingRetry)
+		return nil, nil, refuseLeaving()
 	}
 	return q, route, nil
 }
 
+// refuseLeaving refuses a request that has not run because the daemon is about to end.
+func refuseLeaving() *core.RequestError {
+	return core.NotRun(http.StatusServiceUnavailable, core.CodeLeaving, "the daemon ends before the answer may be complete", leavingRetry)
+}
+
 // authorize returns the workspace of the caller's key, before any of the body is read. The
 // workspace is nil for routes that need no key.
 func (f *Front) authorize(config *core.Config, route *core.Route, r *http.Request, forward *core.Forward) (core.KeyID, *core.Workspace, *core.RequestError) {
@@ -293,9 +306,14 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	conn := callerConnOf(r)
+	complete := conn.wait(func() { conn.endRead() })
 	data, err := io.ReadAll(r.Body)
+	ended := complete()
 	var large *http.MaxBytesError
 	switch {
+	case ended:
+		return nil, refuseLeaving()
 	case errors.As(err, &large):
 		return nil, core.NotRun(http.StatusRequestEntityTooLarge, "too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
 	case err != nil:
