--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -27,11 +27,6 @@
 )
 
 const (
-	// headerTimeout and idleTimeout bound connections before a configuration is known, and
-	// are the minimum afterwards: they never disconnect a caller that stays within the
-	// configuration's limits.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
 	// headerBytes is the maximum size of a request's headers; a configuration may set a
 	// lower one.
 	headerBytes = 64 << 10
@@ -44,6 +39,12 @@
 	// unconfirmedRetry is the Retry-After time for a caller whose key could not be confirmed.
 	// Outages of the store last some seconds.
 	unconfirmedRetry = 2 * time.Second
+	// leavingRetry is the Retry-After time that a daemon sends that is about to end. Other daemons serve
+	// at once.
+	leavingRetry = 50 * time.Millisecond
+	// lateTargets is the multiple of a route's target latency in which almost all answers that are not
+	// streams are complete.
+	lateTargets = 4
 	// minRetry is the minimum Retry-After time. The header has three decimals, and a value
 	// that rounds to 0 means that the time is not known.
 	minRetry = time.Millisecond
@@ -64,7 +65,9 @@
 	scope         tally.Scope
 	settingsKnown func() bool // whether the operators' settings are known
 	keysConfirmed func() bool // whether the known keys may be used
+	conns         *connections
 	leaving       atomic.Bool
+	end           atomic.Pointer[time.Time] // when requests in progress are cut; nil: not known
 }
 
 // Option configures a Front.
@@ -84,29 +87,77 @@
 // New returns a Front that passes requests to a dispatcher.
 func New(c *catalog.Catalog, dialect core.Dialect, dispatcher Dispatcher, clock core.Clock, log *zap.Logger, opts ...Option) *Front {
 	f := &Front{catalog: c, dialect: dialect, dispatcher: dispatcher, clock: clock, log: log, scope: tally.NoopScope, settingsKnown: func() bool { return true }, keysConfirmed: func() bool { return true }}
+	f.conns = newConnections(clock, f.limits)
 	for _, o := range opts {
 		o(f)
 	}
+	f.conns.scope = f.scope
 	return f
 }
 
+// limits returns the limits of the configuration.
+func (f *Front) limits() core.CallerLimits {
+	if config := f.catalog.Config(); config != nil {
+		return config.Limits
+	}
+	return core.CallerLimits{}
+}
+
+// Listen returns a listener for Server, whose connections are closed when they exceed the
+// configuration's limits.
+func (f *Front) Listen(ln net.Listener) net.Listener { return f.conns.listen(ln) }
+
 // Leave makes the Front set "Connection: close" on all further answers.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
-// Server returns the HTTP server for callers.
+// EndAt sets when requests in progress are cut. From now on a request is refused if its answer may not be
+// complete by then.
+func (f *Front) EndAt(end time.Time) { f.end.Store(&end) }
+
+// Connections returns the number of open connections of callers.
+func (f *Front) Connections() int { return f.conns.count() }
+
+// CloseIdle closes the connections on which no request has begun.
+func (f *Front) CloseIdle() { f.conns.closeIdle() }
+
+// EndWaiting ends the requests whose answer has not begun: they are refused as not run, or as lost if they
+// may have run.
+func (f *Front) EndWaiting() { f.conns.endWaiting() }
+
+// endsTooSoon reports whether the answer to a request may not be complete when requests are cut.
+func (f *Front) endsTooSoon(route *core.Route, q *core.Request) bool {
+	end := f.end.Load()
+	if end == nil || q.Forward != nil {
+		return false
+	}
+	need := route.Timeout
+	if q.Timeout > 0 && (need == 0 || q.Timeout < need) {
+		need = q.Timeout
+	}
+	if expected := lateTargets * route.Target; route.Kind != core.KindStream && expected > 0 {
+		need = min(need, expected)
+	}
+	return end.Sub(f.clock.Now()) < need
+}
+
+// Server returns the HTTP server for callers. It must serve a listener of Listen.
 func (f *Front) Server() *http.Server {
 	return &http.Server{
-		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ConnContext:       tcp.WithConn,
-		ErrorLog:          zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler:        f,
+		MaxHeaderBytes: headerBytes,
+		ConnContext:    tcp.WithConn,
+		ConnState:      f.conns.changed,
+		ErrorLog:       zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 }
 
 // ServeHTTP answers one request of a caller.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, nil) }
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c := callerConnOf(r); c != nil {
+		c.enter(phaseServing)
+	}
+	f.serve(w, r, nil)
+}
 
 // serve answers one request. forward is set if another daemon has passed it on.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, forward *core.Forward) {
@@ -125,7 +176,11 @@
 	ctx, span := otel.Tracer(tracer).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request", q.ID), attribute.String("route", route.Name)))
 	defer span.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	answered := callerConnOf(r).wait(func() { cancel(core.ErrEnding) })
 	reply, refusal := f.do(ctx, route, q)
+	answered()
 	if refusal != nil {
 		if r.Context().Err() != nil {
 			f.logDisconnected(q, refusal.Status, 0, r.Context().Err())
@@ -200,9 +255,17 @@
 		q.Caller = forward.Caller
 	}
 	q.Digest = core.DigestOf(q)
+	if f.endsTooSoon(route, q) {
+		return nil, nil, refuseLeaving()
+	}
 	return q, route, nil
 }
 
+// refuseLeaving refuses a request that has not run because the daemon is about to end.
+func refuseLeaving() *core.RequestError {
+	return core.NotRun(http.StatusServiceUnavailable, core.CodeLeaving, "the daemon ends before the answer may be complete", leavingRetry)
+}
+
 // authorize returns the workspace of the caller's key, before any of the body is read. The
 // workspace is nil for routes that need no key.
 func (f *Front) authorize(config *core.Config, route *core.Route, r *http.Request, forward *core.Forward) (core.KeyID, *core.Workspace, *core.RequestError) {
@@ -272,9 +335,14 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	conn := callerConnOf(r)
+	complete := conn.wait(func() { conn.endRead() })
 	data, err := io.ReadAll(r.Body)
+	ended := complete()
 	var large *http.MaxBytesError
 	switch {
+	case ended:
+		return nil, refuseLeaving()
 	case errors.As(err, &large):
 		return nil, core.NotRun(http.StatusRequestEntityTooLarge, "too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
 	case err != nil:
