Stop: a forwarded request that waits as its daemon ends is not refused as not run

Cause: the refusal of waiting requests went by the number of sends that may have run, which does not yet include those of the daemon that the request was forwarded to. It was refused with 503 as not run although that daemon may have run it.

Change: contextError refuses as not run only after an attempt that sent nothing, and answers 502 otherwise.

Test: TestForwardedRequestOfAnEndingDaemon failed before (503 in place of 502), passes 5 of 5 times.

--- a/coordination/dispatch/ending_test.go
+++ b/coordination/dispatch/ending_test.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
+	"primroseward/coordination/load"
 	"primroseward/core"
 )
 
@@ -68,3 +69,26 @@
 		})
 	}
 }
+
+// Guards against a forwarded request that is refused as not run when its daemon ends, although the other
+// daemon may have run it.
+func TestForwardedRequestOfAnEndingDaemon(t *testing.T) {
+	for _, tt := range []struct {
+		err    error
+		status int
+	}{{core.ErrAnswerLost, http.StatusBadGateway}, {core.ErrNotSent, http.StatusServiceUnavailable}} {
+		d := newDispatcher(&fleet{nextAct: script()}, 2)
+		ctx, cancel := context.WithCancelCause(context.Background())
+		o := &otherDaemons{loads: load.New(d.clock), answers: []func() (*core.Reply, error){func() (*core.Reply, error) {
+			cancel(core.ErrEnding)
+			return failsWith(tt.err)()
+		}}}
+		WithHelpers("vm-1", o, func() bool { return true })(d)
+		q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: 3 * time.Second}
+		_, err := d.Do(ctx, route(core.KindUnsafe, false, 2), q)
+		var re *core.RequestError
+		assert.Assert(t, errors.As(err, &re), "%v", err)
+		assert.Equal(t, re.Status, tt.status)
+		assert.Equal(t, len(o.sent), 1)
+	}
+}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -137,6 +137,9 @@
 // has passed or whose daemon ends.
 func (j *job) contextError(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), core.ErrEnding) {
+		if !errors.Is(err, core.ErrNotSent) { // runs does not include those of a forwarded request yet
+			return core.MayHaveRun(core.CodeLeaving, "the daemon ends")
+		}
 		return j.refuse(core.CodeLeaving, "the daemon ends", err)
 	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
