--- a/coordination/reach/unanswered.go
+++ b/coordination/reach/unanswered.go
@@ -61,13 +61,10 @@
 		cancel()
 	}
 	own := m.loads.HeardWithin(checked, wait)
-	if own.Asked {
-		return true
-	}
-	others, same, heard := own.Any, false, false
+	others, same, heard := own.Any || own.Asked, false, false
 	for _, v := range views {
 		switch {
-		case v.Asked:
+		case v.Asked && !own.Asked:
 			return false
 		case v.Any && v.Waiting == len(checked):
 			others = true
@@ -77,7 +74,12 @@
 			same = true
 		}
 	}
-	return others || same && !heard
+	silent := others || same && !heard
+	if silent {
+		m.log.Info(logs.RunnersSilent, zap.Strings("runners", checked), zap.Duration("wait", wait),
+			zap.Bool("sends", own.Asked), zap.Bool("others", own.Any), zap.Int("daemons", len(views)), zap.Bool("heard", heard), zap.Bool("same", same))
+	}
+	return silent
 }
 
 // lookAtUnanswered starts inquiries about runners that leave requests unanswered, and checks whether those
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -43,6 +43,9 @@
 	PathLost = "path lost"
 	// PathRegained: the path is back; with the time since it was lost.
 	PathRegained = "path regained"
+	// RunnersSilent: runners do not answer checks on connections that they accept, and it is not this
+	// daemon's path; with the runners, for how long they were checked, and what other daemons know.
+	RunnersSilent = "runners silent"
 	// RunnerUnanswering: a runner leaves requests of this daemon unanswered while it answers the named
 	// one; with their number, for how long they have waited, and whether it was checked and answered
 	// that. If it did not, it gets no requests of this daemon.
