Soak: runners that are silent for up to 1.5 s; a cut answer whose runner went on is a violation

Cause: the soak had no runners that fall silent and go on, and looked at cut answers in the calm phase only, so that an answer that its daemon cut because of a silent runner went unseen.

Change: a fault in series with the others: one runner, some or all of a service are silent for 0.2 to 1.5 s, half the time with room for up to three more requests. A check of every answer that was cut before its time was up: it is a violation if a runner that ran it went on with it, or no runner had it 0.2 s after it was sent. What excuses a cut: the runner broke this answer off or closed its connections (the stand-in records both), the path between them was disrupted, the daemon was killed, paused or in the last sixth of its grace, or its callers' path was disrupted. Other faults, a store that is down, a SIGHUP and a SIGTERM before that excuse nothing. The stand-in also gets points at which it falls silent, for the proof that follows.

--- a/soak/broken.go
+++ b/soak/broken.go
@@ -30,7 +30,8 @@
 // rawAnswerOf returns a runner's answer to a request. The request's id and salt decide how it ends.
 func rawAnswerOf(h *proxiedRunner, q *http.Request, salt uint32) *runner.Raw {
 	sum := fnv.New32a()
-	_, _ = io.WriteString(sum, q.Header.Get(wire.HeaderRequestID)) // writing to a hash does not fail
+	id := q.Header.Get(wire.HeaderRequestID)
+	_, _ = io.WriteString(sum, id) // writing to a hash does not fail
 	n := int(sum.Sum32()^salt) & 0xffff
 	a := &runner.Raw{Framing: core.FramingClose}
 	if h.Service != "gen" {
@@ -38,6 +39,9 @@
 		if err != nil {
 			return nil
 		}
+		if n%3 == 0 {
+			h.NoteBreak(id)
+		}
 		a.Body, a.Reset = h.ID+" "+q.RequestURI+" "+string(body), n%3 == 0
 		return a
 	}
@@ -46,6 +50,7 @@
 		a.Body += runner.EventText(i, h.Version)
 	}
 	if n%3 == 0 && a.Body != "" {
+		h.NoteBreak(id)
 		end := (n / 3) % len(a.Body)
 		for strings.HasSuffix(a.Body[:end], "\n\n") { // an end between two events shows no break
 			end++
--- a/soak/check.go
+++ b/soak/check.go
@@ -108,6 +108,7 @@
 			}
 		}
 	}
+	w.checkCuts(runs)
 	w.checkFatal()
 	w.checkVersions()
 	w.checkWorkspaces(runs)
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -114,6 +114,7 @@
 
 // kill sends SIGKILL to the process, frozen or not, and waits until it has exited.
 func (d *daemon) kill() {
+	d.w.noteBreakage(d, nil, 0, 0)
 	<-d.signal(syscall.SIGKILL)
 }
 
@@ -137,6 +138,7 @@
 // stop sends SIGTERM to the process, and kills it after the grace time, as the platform
 // does.
 func (d *daemon) stop() {
+	d.w.noteBreakage(d, nil, stopGrace-graceLeft, graceLeft)
 	select {
 	case <-d.signal(syscall.SIGTERM):
 	case <-time.After(stopGrace):
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -93,6 +93,7 @@
 	{"freeze", func(w *World, r *rand.Rand) string {
 		d, length := w.anyDaemon(r), randomSeconds(r, 0.2, 4)
 		d.markImpaired(length)
+		w.noteBreakage(d, nil, 0, length)
 		d.signal(syscall.SIGSTOP)
 		w.schedule(length, func() { d.signal(syscall.SIGCONT) })
 		return fmt.Sprintf("%s for %v", d.name, length)
@@ -142,11 +143,13 @@
 		}
 		length := randomSeconds(r, 0.3, 3)
 		w.markAllImpaired(length)
+		w.noteBreakage(nil, h, 0, length)
 		return h.ID + " " + impairProxy(w, r, h.proxy, length)
 	}},
 	{"path of callers", func(w *World, r *rand.Rand) string {
 		d, length := w.anyDaemon(r), randomSeconds(r, 0.2, 1.5)
 		d.markImpaired(length + timeout + lateWait)
+		w.noteBreakage(d, nil, 0, length)
 		return d.name + " " + impairProxy(w, r, d.callerProxy, length)
 	}},
 	{"runner fails requests", func(w *World, r *rand.Rand) string {
@@ -260,6 +263,7 @@
 	{"brittle runners", func(w *World, r *rand.Rand) string { return w.makeBrittle(r) }},
 	{"broken answers", func(w *World, r *rand.Rand) string { return w.breakAnswers(r) }},
 	{"software version", func(w *World, r *rand.Rand) string { return w.changeVersion(r) }},
+	{"silent runners", func(w *World, r *rand.Rand) string { return w.silenceRunners(r) }},
 }
 
 // invalidEntries are entries of the store that no runner writes.
--- a/soak/paths.go
+++ b/soak/paths.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,7 @@
 		d := w.daemons[i]
 		names = append(names, d.name)
 		pid := d.pid()
+		w.notePartition(d, targets, length)
 		w.paths.Partition(pid, mode, targets...)
 		w.schedule(length, func() { w.paths.Partition(pid, paths.Open, targets...) })
 	}
@@ -34,6 +36,21 @@
 	return fmt.Sprintf("%v, mode %d, for %v, at %d runners", names, mode, length, len(targets))
 }
 
+// notePartition records that answers of the runners at some addresses, none for all, may break off.
+func (w *World) notePartition(d *daemon, targets []string, length time.Duration) {
+	if len(targets) == 0 {
+		w.noteBreakage(d, nil, 0, length)
+	}
+	w.mu.Lock()
+	list := slices.Clone(w.runners)
+	w.mu.Unlock()
+	for _, h := range list {
+		if slices.Contains(targets, h.proxy.Addr()) {
+			w.noteBreakage(d, h, 0, length)
+		}
+	}
+}
+
 // partitionTargets draws the addresses of runners behind a partition; none stands for all runners.
 func (w *World) partitionTargets(r *rand.Rand) []string {
 	if r.IntN(2) == 0 {
--- a/soak/run.go
+++ b/soak/run.go
@@ -141,6 +141,7 @@
 	for _, d := range w.daemons {
 		d.signal(syscall.SIGCONT)
 		d.restart()
+		w.noteBreakage(d, nil, 0, 0) // its connections are reset
 		for _, p := range []*Proxy{d.callerProxy, d.storeProxy} {
 			p.SetImpairment(Impairment{})
 			p.Reset()
--- a/soak/world.go
+++ b/soak/world.go
@@ -79,6 +79,7 @@
 	software       string           // version of the software of new runners
 	requests       []*request
 	violations     []string
+	breakages      []breakage
 	events         []string // what was done, and when
 	cleanups       []func()
 	scheduled      sync.WaitGroup // functions passed to schedule that have not returned
--- a/standin/runner/brittle.go
+++ b/standin/runner/brittle.go
@@ -74,6 +74,7 @@
 	srv := s.srv
 	s.mu.Unlock()
 	addr := srv.Listener.Addr().String()
+	s.noteClose()
 	_ = srv.Listener.Close()
 	srv.CloseClientConnections()
 	time.Sleep(downtime)
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -24,6 +24,10 @@
 	Body    string
 	Cut     bool // the connection ends before the end that the framing promises
 	Reset   bool // the connection is reset
+	// The runner falls silent for Pause before the byte at PauseAt of the answer, of which its head is a
+	// part; if negative, counted from the end.
+	Pause   time.Duration
+	PauseAt int
 	Exit    bool // the runner's listener ends before the connection, as in the exit of a process
 }
 
@@ -78,7 +82,7 @@
 	}
 	head.WriteString("\r\n")
 	// In one piece, so that a path that drops data does not let the head through alone.
-	if _, err := conn.Write(append([]byte(head.String()), body...)); err != nil {
+	if err := s.writePieces(conn, append([]byte(head.String()), body...), a); err != nil {
 		return
 	}
 	if a.Exit {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -85,6 +85,9 @@
 	arrived     []Arrival // requests, run or not
 	brittle     brittleState
 	silentUntil time.Time
+	silenceAt   func(p Point) time.Duration
+	brokenOff   map[string]bool // requests whose answers the runner broke off
+	closes      []time.Time     // when it closed all connections
 	terms       []Term
 	violations  []string // orders that exceeded the bounds
 }
@@ -115,6 +118,7 @@
 // Restart starts a new instance of the runner under the same ID, without models and
 // without orders carried out. Its start time is that of the previous instance plus step.
 func (s *Server) Restart(step time.Duration) {
+	s.noteClose()
 	s.srv.CloseClientConnections()
 	s.mu.Lock()
 	s.started = s.started.Add(step)
@@ -133,6 +137,7 @@
 
 // Kill closes the runner's listener and all its connections.
 func (s *Server) Kill() {
+	s.noteClose()
 	s.srv.CloseClientConnections()
 	s.srv.Config.Close()
 }
@@ -233,6 +238,7 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.pass(InReport)
 	s.announce(w.Header())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,6 +247,7 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	s.pass(InOrder)
 	s.announce(w.Header())
 	var o platform.OrderMessage
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get(platform.HeaderInstance) != s.ID {
@@ -321,7 +328,7 @@
 }
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := s.readBody(r)
 	if err != nil {
 		return
 	}
@@ -416,6 +423,7 @@
 	if exited {
 		return
 	}
+	s.noteClose()
 	_ = s.srv.Listener.Close()
 	s.srv.CloseClientConnections()
 	s.Exited()
--- a/standin/runner/stream.go
+++ b/standin/runner/stream.go
@@ -28,6 +28,7 @@
 	for i := from + 1; i <= s.Events; i++ {
 		s.awaitSilence()
 		if cut > 0 && i > cut {
+			s.NoteBreak(r.Header.Get(platform.HeaderRequestID))
 			fmt.Fprintf(w, "id: %d\nda", i)
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
