--- a/proof/fleet_cluster_test.go
+++ b/proof/fleet_cluster_test.go
@@ -37,6 +37,7 @@
 	paths   *paths.Network // between daemons and runners; nil: direct connections
 	events  int            // in a stream
 
+	callRate  int  // of a daemon's calls to the store per second; 0: as by default
 	plainOnly bool // callers send no requests for models
 }
 
@@ -152,6 +153,9 @@
 		"keep":"1s","grace":%q,"lease":"500ms","ratio":0.2,"slack":20,"window":"10s",
 		"quota":{"window":"2s","over":0.1,"slack":200}}}`,
 		name, dataCentre, d.callerAddr, freePort(c.t), d.adminAddr, c.addr, d.readyAddr, d.directoryAddr, gracePeriod.String())
+	if c.callRate > 0 {
+		text = strings.Replace(text, `"fleet":`, fmt.Sprintf(`"limits":{"platform":%d},"fleet":`, c.callRate), 1)
+	}
 	assert.NilError(c.t, os.WriteFile(file, []byte(text), 0o600))
 	d.log, d.file = filepath.Join(dir, "log"), file
 	d.run(c)
--- a/standin/runner/points.go
+++ b/standin/runner/points.go
@@ -12,10 +12,10 @@
 type Point string
 
 const (
-	// InBody: half of a request's body has been read.
+	// InBody: an eighth of a request's body has been read.
 	InBody Point = "in a body sent to it"
 	// InReport, InOrder: such a message has arrived and is not answered yet.
-	InReport Point = "in a report"
+	InReport Point = "in a health check"
 	InOrder  Point = "in an order"
 )
 
@@ -41,10 +41,10 @@
 	}
 }
 
-// readBody reads the body of a request, and passes InBody at half of it.
+// readBody reads the body of a request, and passes InBody on the way.
 func (s *Server) readBody(r *http.Request) ([]byte, error) {
 	var body bytes.Buffer
-	if _, err := io.CopyN(&body, r.Body, r.ContentLength/2); r.ContentLength > 0 && err != nil {
+	if _, err := io.CopyN(&body, r.Body, r.ContentLength/8); r.ContentLength > 0 && err != nil {
 		return nil, err
 	}
 	if r.ContentLength > 0 {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,6 +45,7 @@
 	// FatalAnswer is what the runner answers to a fatal request when it exits; nil: nothing, or the
 	// head of a stream.
 	FatalAnswer *Raw
+	ReadBuffer  int // of its connections, in bytes; 0: as the system sets it
 	// AdvertisedAddr returns the address to register for the runner's listen address; nil: the
 	// listen address itself.
 	AdvertisedAddr func(addr string) string
@@ -110,7 +112,14 @@
 	mux.HandleFunc("GET "+platform.PathReport, s.report)
 	mux.HandleFunc("POST "+platform.PathOrder, s.order)
 	mux.HandleFunc("/", s.request)
-	s.srv = httptest.NewServer(s.handler)
+	s.srv = httptest.NewUnstartedServer(s.handler)
+	if spec.ReadBuffer > 0 {
+		s.srv.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			_ = conn.(*net.TCPConn).SetReadBuffer(spec.ReadBuffer) // fails on a closed connection only
+			return ctx
+		}
+	}
+	s.srv.Start()
 	s.Register()
 	return s
 }
