--- a/soak/silence.go
+++ b/soak/silence.go
@@ -87,25 +87,35 @@
 // or was leaving with grace time to spare, and a runner that ran it went on or no runner had it yet.
 func (w *World) checkCuts(runs map[string][]execution) {
 	through := w.daemonsPassed()
+	excused := 0
 	for _, req := range w.requests {
 		if req.err == nil || req.complete || req.abandoned || !req.ended.Before(req.sent.Add(timeout-timeUpMargin)) {
 			continue
 		}
-		list := append(through[req.id], req.daemon)
-		if w.isBroken(list, nil, req.sent, req.ended) {
+		if text := w.cutInVain(req, append(through[req.id], req.daemon), runs[req.id]); text != "" {
+			w.reportViolation("%s: %s at %s was cut after %v with status %d and %d bytes, %s: %v",
+				req.id, req.kind, req.daemon.name, req.ended.Sub(req.sent), req.status, len(req.answer), text, req.err)
 			continue
 		}
-		if len(runs[req.id]) == 0 && req.ended.After(req.sent.Add(lossSlack)) {
-			w.reportViolation("%s: %s at %s was cut after %v before a runner had it: %v", req.id, req.kind, req.daemon.name, req.ended.Sub(req.sent), req.err)
-		}
-		for _, r := range runs[req.id] {
-			if !r.runner.HasBrokenOff(r.Run, req.ended) && !w.isBroken(list, r.runner, r.At, req.ended) {
-				w.reportViolation("%s: %s at %s was cut after %v with status %d and %d bytes, though %s that ran it went on: %v",
-					req.id, req.kind, req.daemon.name, req.ended.Sub(req.sent), req.status, len(req.answer), r.runner.ID, req.err)
-				break
-			}
+		excused++
+	}
+	w.logEvent("cut before their time was up, for a reason: %d", excused)
+}
+
+// cutInVain says why a request need not have been cut; empty: it had to.
+func (w *World) cutInVain(req *request, through []*daemon, runs []execution) string {
+	if w.isBroken(through, nil, req.sent, req.ended) {
+		return ""
+	}
+	if len(runs) == 0 && req.ended.After(req.sent.Add(lossSlack)) {
+		return "before a runner had it"
+	}
+	for _, r := range runs {
+		if !r.runner.HasBrokenOff(r.Run, req.ended) && !w.isBroken(through, r.runner, r.At, req.ended) {
+			return "though " + r.runner.ID + " that ran it went on"
 		}
 	}
+	return ""
 }
 
 // daemonsPassed returns by request the other daemons that it was passed on to, as the logs say.
