--- a/standin/runner/points.go
+++ b/standin/runner/points.go
@@ -12,11 +12,12 @@
 type Point string
 
 const (
-	// InBody: an eighth of a request's body has been read.
+	// InBody is where an eighth of a request's body has been read.
 	InBody Point = "in a body sent to it"
-	// InReport, InOrder: such a message has arrived and is not answered yet.
+	// InReport is where a health check has arrived and is not answered yet.
 	InReport Point = "in a health check"
-	InOrder  Point = "in an order"
+	// InOrder is where an order has arrived and is not answered yet.
+	InOrder Point = "in an order"
 )
 
 // SetSilence makes the runner fall silent at each point for which fn returns a duration. fn may be
