Soak: silences of runners in short series

Change: a fault makes runners silent up to five times, each drawn anew: how many, which, for how long, and whether they are nearly full.

--- a/soak/silence.go
+++ b/soak/silence.go
@@ -14,6 +14,8 @@
 const (
 	// maxSilence is for how long runners are silent at most.
 	maxSilence = 1500 * time.Millisecond
+	// maxSilences is how often runners are silent in one fault at most.
+	maxSilences = 5
 	// nearlyFullRoom is for how many more requests nearly full runners have room at most.
 	nearlyFullRoom = 3
 	// lossSlack is how long after it was sent a request that no runner has received may be cut.
@@ -26,9 +28,20 @@
 	graceLeft = stopGrace / 6
 )
 
-// silenceRunners makes one runner, some or all of a service silent for a while. They go on afterwards.
-// At times the runners of that service have little room meanwhile.
+// silenceRunners makes runners silent once or several times in turn.
 func (w *World) silenceRunners(r *rand.Rand) string {
+	at := time.Duration(0)
+	for range r.IntN(maxSilences) {
+		at += randomSeconds(r, 0.2, maxSilence.Seconds())
+		next := rand.New(rand.NewPCG(w.opts.Seed, r.Uint64()))
+		w.schedule(at, func() { w.logEvent("silent runners, again: %s", w.silenceOnce(next)) })
+	}
+	return w.silenceOnce(r)
+}
+
+// silenceOnce makes one runner, some or all of a service silent for a while. They go on afterwards. At
+// times the runners of that service have little room meanwhile.
+func (w *World) silenceOnce(r *rand.Rand) string {
 	service, length := []string{"gen", "app"}[r.IntN(2)], randomSeconds(r, 0.2, maxSilence.Seconds())
 	w.mu.Lock()
 	var list []*proxiedRunner
