--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,6 +45,7 @@
 	// FatalAnswer is what the runner answers to a fatal request when it exits; nil: nothing, or the
 	// head of a stream.
 	FatalAnswer *Raw
+	ReadBuffer  int // of its connections, in bytes; 0: as the system sets it
 	// AdvertisedAddr returns the address to register for the runner's listen address; nil: the
 	// listen address itself.
 	AdvertisedAddr func(addr string) string
@@ -85,6 +87,9 @@
 	arrived     []Arrival // requests, run or not
 	brittle     brittleState
 	silentUntil time.Time
+	silenceAt   func(p Point) time.Duration
+	brokenOff   map[string]bool // requests whose answers the runner broke off
+	closes      []time.Time     // when it closed all connections
 	terms       []Term
 	violations  []string // orders that exceeded the bounds
 }
@@ -107,7 +112,14 @@
 	mux.HandleFunc("GET "+platform.PathReport, s.report)
 	mux.HandleFunc("POST "+platform.PathOrder, s.order)
 	mux.HandleFunc("/", s.request)
-	s.srv = httptest.NewServer(s.handler)
+	s.srv = httptest.NewUnstartedServer(s.handler)
+	if spec.ReadBuffer > 0 {
+		s.srv.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			_ = conn.(*net.TCPConn).SetReadBuffer(spec.ReadBuffer) // fails on a closed connection only
+			return ctx
+		}
+	}
+	s.srv.Start()
 	s.Register()
 	return s
 }
@@ -115,6 +127,7 @@
 // Restart starts a new instance of the runner under the same ID, without models and
 // without orders carried out. Its start time is that of the previous instance plus step.
 func (s *Server) Restart(step time.Duration) {
+	s.noteClose()
 	s.srv.CloseClientConnections()
 	s.mu.Lock()
 	s.started = s.started.Add(step)
@@ -133,6 +146,7 @@
 
 // Kill closes the runner's listener and all its connections.
 func (s *Server) Kill() {
+	s.noteClose()
 	s.srv.CloseClientConnections()
 	s.srv.Config.Close()
 }
@@ -233,6 +247,7 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.pass(InReport)
 	s.announce(w.Header())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,6 +256,7 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	s.pass(InOrder)
 	s.announce(w.Header())
 	var o platform.OrderMessage
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get(platform.HeaderInstance) != s.ID {
@@ -321,7 +337,7 @@
 }
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := s.readBody(r)
 	if err != nil {
 		return
 	}
@@ -416,6 +432,7 @@
 	if exited {
 		return
 	}
+	s.noteClose()
 	_ = s.srv.Listener.Close()
 	s.srv.CloseClientConnections()
 	s.Exited()
