Stand-in: an order counts from its arrival, also at a silent runner

Traced: vm-3 had sent its order before it gave the lease back at 50.83 s (the sequence moved on from 3 to 4 with no answer logged); the runner was silent, took it up at the end of its silence and stamped it then, 42 ms before the first order of vm-4, which had taken the lease at 50.88 s. The rule counts arrivals.

Change: the stand-in stamps orders as they arrive. The check is unchanged.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -265,7 +265,7 @@
 	}
 	s.mu.Lock()
 	status := s.apply(o.Operation == platform.OperationLoad, o.Model, o.Adapter, o.Expected)
-	s.terms = append(s.terms, Term{o.Holder, o.Fence, time.Now()})
+	s.terms = append(s.terms, Term{o.Holder, o.Fence, arrivalOf(r)})
 	s.mu.Unlock()
 	s.Register()
 	w.WriteHeader(status)
--- a/standin/runner/silence.go
+++ b/standin/runner/silence.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -29,7 +30,17 @@
 // runAfterSilence returns a handler whose requests begin when the runner is not silent.
 func (s *Server) runAfterSilence(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), arrivalKey{}, time.Now())
 		s.awaitSilence()
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
+
+// arrivalKey is the key of the time at which a request arrived in its context.
+type arrivalKey struct{}
+
+// arrivalOf returns when a request arrived, which a silent runner takes up later.
+func arrivalOf(r *http.Request) time.Time {
+	at, _ := r.Context().Value(arrivalKey{}).(time.Time)
+	return at
+}
