Attempts beside a silent runner: versions, runs and counts as for any other attempt

What callers would have seen: events of two software versions in a stream, more runs than the route allows, 500 or 502 although another runner was about to answer, a broken stream that is given up because of runners that were not reached long before.

Cause: the attempt elsewhere skipped checks that a resumed stream makes (its origin, which daemons may not state), dropped the error of a key that was taken away, did not count runs of a daemon that is withdrawn, took the silent runner's failure for its going on, asked a runner that still has the request, and kept its own failures in the request's counts. A silent runner counted as failed only once another had accepted, so that the next requests chose it again.

Change: the state that a failed attempt leaves as it was is one type; the rest as above.

Result: eight new tests fail before, pass three times race-built now.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -176,20 +176,25 @@
 // Running returns the number of requests in progress.
 func (d *Dispatcher) Running() int { return int(d.running.Load()) }
 
-// latestSend is the state of the latest send of a request.
-type latestSend struct {
+// counts is the part of a request's state that an attempt elsewhere, beside a silent runner, leaves as it was
+// if it fails: the latest send, and what went wrong before.
+type counts struct {
 	sentAt      time.Time
 	stage       stage              // progress of the answer
 	framing     core.Framing       // of the answer
 	answeredAt  time.Time          // when the answer began
 	granted     int                // sends that the daemon that the request was forwarded to may still make
+	statedRuns  int                // runs that were stated to that daemon
 	cancelSend  context.CancelFunc // closes the connection
 	answerBegan func()             // called when the answer has begun
+	rejections  int
+	failedDials int
+	closed      int // connections that a runner closed before the answer was complete
 }
 
 // job is the state of one request in progress.
 type job struct {
-	latestSend
+	counts
 	d                  *Dispatcher
 	q                  *core.Request
 	route              *core.Route
@@ -198,10 +203,8 @@
 	deadline           time.Time
 	tried              map[string]bool // runners that the request has been sent to
 	runs               int             // sends that may have run
-	rejections         int
-	failedDials        int
-	closed             int // connections that a runner closed before the answer was complete
-	unanswered         int // sends to runners that do not answer this daemon
+	unanswered         int             // sends to runners that do not answer this daemon
+	silent             []string        // runners that keep the request while it is sent elsewhere
 	sends              int
 	units              float64         // taken from the workspace's allowance by each run
 	placementRequested bool            // the holder of orders has been asked to load the model or adapter
@@ -224,6 +227,7 @@
 	countedElsewhere   bool            // allowance and limits are counted by the daemon that sends the request
 	leaveLimits        func()          // counts the request out of the limits of the settings
 	lastEvent          string          // id of the last event passed on
+	begun              bool            // an event of its stream has been passed on
 	origin             *core.Origin    // where the stream began; nil: it has not begun, or it is not known
 	unadmitted         []core.Origin   // left out of the latest choice, as no stream may begin there yet
 	endStream          func()          // called when the stream has ended
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -142,7 +142,7 @@
 	j.forwards++
 	j.tried[to.ID] = true
 	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
-	j.granted = max(1, j.maxRuns()-j.runs-1)
+	j.granted, j.statedRuns = max(1, j.maxRuns()-j.runs-1), j.runs
 	out := core.Outgoing{Timeout: left, Priority: -1, LastEvent: j.lastEvent, Forward: &core.Forward{
 		From: j.d.self, Runs: j.runs, Attempts: j.granted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller, Origin: j.origin,
 	}}
@@ -156,14 +156,13 @@
 		endLoad()
 	}
 	if next != nil {
-		j.d.helpers.Loads().RecordFailure(to.ID)
 		return next.reply, next.runner, nil
 	}
 	if err != nil {
 		return nil, to, err
 	}
 	j.stage, j.framing, j.answeredAt = stageHead, reply.Framing, j.d.clock.Now()
-	runs := max(1, reply.Info.Runs-j.runs)
+	runs := max(1, reply.Info.Runs-j.statedRuns)
 	j.runs, j.granted = j.runs+runs, max(0, j.granted-runs)
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() {
 		cancel()
@@ -210,9 +209,8 @@
 // handleForwardRefusal decides what follows the refusal of another daemon. If that one reaches no
 // runner either, another one is asked.
 func (j *job) handleForwardRefusal(to *core.Runner, e *core.RequestError) error {
-	runs := j.runs
 	j.recordForwardRefusal(to, e)
-	if e.Outcome != core.OutcomeNotRun && (e.Runs == 0 || e.Runs > runs) { // it may have run there
+	if e.Outcome != core.OutcomeNotRun && (e.Runs == 0 || e.Runs > j.statedRuns) { // it may have run there
 		if j.takeRetry() {
 			return nil
 		}
@@ -238,7 +236,7 @@
 	j.granted = 0
 	j.d.metrics.forwarded(forwardRefused)
 	j.log.Info(logs.ForwardRefused, zap.String("to", to.ID), zap.String("code", e.Code), zap.String("outcome", string(e.Outcome)), zap.Int("runs", e.Runs), zap.Duration("retry", e.Retry))
-	j.runs = max(j.runs, e.Runs)
+	j.runs += max(0, e.Runs-j.statedRuns)
 	if e.Outcome != core.OutcomeNotRun {
 		j.runs = max(1, j.runs)
 		return
--- a/coordination/dispatch/origin.go
+++ b/coordination/dispatch/origin.go
@@ -175,22 +175,31 @@
 	if err != nil {
 		return err
 	}
-	j.origin, reply.Info.Origin = o, o
+	j.origin, reply.Info.Origin, j.begun = o, o, true
 	if o != nil {
 		j.endStream = j.d.origins.Begin(j.streamKey(), j.q.Workspace, *o)
 	}
 	return nil
 }
 
-// learnOrigin finds out where a stream began whose helper did not state it.
+// learnOrigin finds out where a stream began whose helper did not state it, and refuses it if that can't be
+// found out.
 func (j *job) learnOrigin(ctx context.Context) error {
+	if err := j.findBeginning(ctx); err != nil {
+		return j.refuse(codeOriginUnknown, "it could not be found out which version began the stream", err)
+	}
+	return nil
+}
+
+// findBeginning is learnOrigin without a refusal.
+func (j *job) findBeginning(ctx context.Context) error {
 	if j.origin != nil {
 		return nil
 	}
 	key := j.streamKey()
 	o, err := j.d.origins.Find(ctx, &key, j.service)
 	if err != nil {
-		return j.refuse(codeOriginUnknown, "it could not be found out which version began the stream", err)
+		return err
 	}
 	j.service, j.origin = o.Service, &o.Origin
 	return nil
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -67,7 +67,6 @@
 	reply, next, err := j.sendWithStallCheck(ctx, sending, r, out)
 	if next != nil {
 		endProbe(false)
-		j.markFailed(r)
 		end()
 		return next.reply, next.runner, nil
 	}
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -26,13 +27,37 @@
 	if err == nil {
 		j.loadsOf(r).RecordActivity(r.ID)
 	}
-	next := watch.stop(err)
+	ended := waitGoesOn
+	if err != nil || reply.Info.NotRun || reply.Status >= http.StatusInternalServerError || checkStamp(reply) != nil {
+		ended = waitFailed
+	}
+	next := watch.stop(ended)
 	if next != nil && err == nil {
 		_ = reply.Body.Close()
 	}
 	return reply, next, err
 }
 
+// waitEnd is how the wait for a runner has ended.
+type waitEnd int
+
+const (
+	waitGoesOn   waitEnd = iota // the runner has answered, and works on
+	waitComplete                // the answer is complete
+	waitFailed                  // the runner has not answered, or refuses or fails the request
+)
+
+// waitEndOf returns how a wait for events has ended.
+func waitEndOf(err error) waitEnd {
+	switch err {
+	case nil:
+		return waitGoesOn
+	case io.EOF:
+		return waitComplete
+	}
+	return waitFailed
+}
+
 // lostPathInterval is how often a request that waits for its answer looks whether this daemon has
 // lost its path to the runners, or to its runner. If so it is sent elsewhere once its runner has sent
 // nothing for lostPathSilence, or for unansweringSilence: one that is sent to find out whether the
@@ -140,15 +165,15 @@
 }
 
 // runHedge sends the request elsewhere, and closes the connection to the silent runner if it is accepted
-// there. Otherwise the job's latest send is the one to the silent runner again.
+// there. Otherwise the request is again as it was, but for the runs that it may have had elsewhere.
 func (s *stallWatch) runHedge(ctx context.Context) {
 	j := s.job
-	former, runs := j.latestSend, j.pendingRuns(s.runner, s.pending)
+	former, runs := j.counts, j.pendingRuns(s.runner, s.pending)
 	j.runs += runs
-	if j.d.loads.IsUnanswering(s.runner.ID) {
-		j.unanswered = max(1, j.unanswered)
-	}
+	j.silent = append(j.silent, s.runner.ID)
+	j.recordSilent(s.runner)
 	next, err := j.sendElsewhere(ctx)
+	j.silent = j.silent[:len(j.silent)-1]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.hedged)
@@ -164,7 +189,7 @@
 		_ = next.reply.Body.Close()
 	}
 	s.cancelHedge()
-	j.latestSend = former
+	j.counts = former
 	j.runs -= runs
 	outcome := hedgeFailed
 	if s.unneeded {
@@ -178,11 +203,10 @@
 	}
 }
 
-// stop ends the watch. err is how the wait for the runner ended. It returns the answer that takes the
-// place of the runner's, or nil. If the runner has failed, it waits for the attempt elsewhere in progress. If
-// the runner goes on, that one has hedgeGrace left: a run that has begun there would go on beside the
-// runner's.
-func (s *stallWatch) stop(err error) *replacement {
+// stop ends the watch. It returns the answer that takes the place of the runner's, or nil. If the runner has
+// failed, it waits for the attempt elsewhere in progress. If the runner goes on, that one has hedgeGrace
+// left: a run that has begun there would go on beside the runner's.
+func (s *stallWatch) stop(end waitEnd) *replacement {
 	s.mu.Lock()
 	s.ended = true
 	if s.timer != nil {
@@ -191,10 +215,10 @@
 	hedged := s.hedged
 	s.mu.Unlock()
 	if hedged != nil {
-		switch err {
-		case nil:
+		switch end {
+		case waitGoesOn:
 			s.await(hedged, hedgeGrace)
-		case io.EOF:
+		case waitComplete:
 			s.await(hedged, 0)
 		}
 		<-hedged
@@ -224,7 +248,11 @@
 	if !j.attemptsLeft(j.pendingRuns(silent, pending)) {
 		return false
 	}
-	j.tried = map[string]bool{silent.ID: true} // others may accept the request by now
+	// Other runners may accept the request by now, but not those that have it already.
+	j.tried = map[string]bool{silent.ID: true}
+	for _, id := range j.silent {
+		j.tried[id] = true
+	}
 	_, candidates := j.candidates()
 	forward := j.d.pathLost() || policy.AllDown(candidates) && j.d.loads.IsUnanswering(silent.ID)
 	if policy.Choose(candidates, j.requirements()) < 0 && !(forward && j.hasHelper()) {
@@ -242,21 +270,41 @@
 	return pending
 }
 
+// recordSilent records that a runner, or a daemon, has been silent for so long that the request is sent
+// elsewhere.
+func (j *job) recordSilent(r *core.Runner) {
+	if isDaemon(r) {
+		j.d.helpers.Loads().RecordFailure(r.ID)
+		return
+	}
+	j.markFailed(r)
+	if j.d.loads.IsUnanswering(r.ID) {
+		j.unanswered++
+	}
+}
+
 // sendElsewhere sends the request once, beside a silent runner that may still run it, and returns the
 // answer if that can replace the silent runner's.
 func (j *job) sendElsewhere(ctx context.Context) (*replacement, error) {
-	reached := j.stage
+	if j.begun {
+		if err := j.findBeginning(ctx); err != nil {
+			return nil, err
+		}
+	}
 	r, err := j.choose(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if ok, err := j.permit(ctx, r); !ok {
+	if ok, err := j.permit(ctx, r); !ok || err != nil {
 		return nil, err
 	}
 	j.retryReserved = false
 	reply, r, err := j.send(ctx, r)
 	switch {
 	case ctx.Err() != nil && err != nil:
+		if isDaemon(r) && !errors.Is(err, core.ErrNotSent) {
+			j.runs += j.granted // that daemon may have used them all
+		}
 		return nil, err
 	case err != nil:
 		j.recordError(r, err)
@@ -266,7 +314,7 @@
 		j.recordRejection(r, reply)
 		return nil, errRejected
 	}
-	if err := j.checkReplacement(r, reply, reached); err != nil {
+	if err := j.checkReplacement(r, reply); err != nil {
 		_ = reply.Body.Close()
 		if !isDaemon(r) {
 			j.markFailed(r)
@@ -276,13 +324,12 @@
 	return &replacement{r, reply}, nil
 }
 
-// checkReplacement checks that an answer can replace that of a silent runner, which has reached the given
-// stage.
-func (j *job) checkReplacement(r *core.Runner, reply *core.Reply, reached stage) error {
+// checkReplacement checks that an answer can replace that of a silent runner.
+func (j *job) checkReplacement(r *core.Runner, reply *core.Reply) error {
 	if err := checkStamp(reply); err != nil {
 		return err
 	}
-	if reached == stageEvents {
+	if j.begun || j.origin != nil {
 		if _, err := j.checkOrigin(r, reply); err != nil {
 			return err
 		}
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -62,7 +62,7 @@
 	for {
 		watch := j.watchForStall(ctx, s.runner, max(minStall, stallTargets*j.route.Target), 0)
 		first, err = s.nextEvents()
-		next := watch.stop(err)
+		next := watch.stop(waitEndOf(err))
 		if next == nil {
 			break
 		}
@@ -106,12 +106,7 @@
 func (s *stream) replaceBy(next *replacement) {
 	_ = s.body.Close()
 	s.in.close()
-	if isDaemon(s.runner) {
-		s.j.d.helpers.Loads().RecordFailure(s.runner.ID)
-	} else {
-		s.j.markFailed(s.runner)
-	}
-	if s.reads > 0 {
+	if s.j.begun {
 		s.logResumed(next.runner)
 	}
 	s.readFrom(next.runner, next.reply)
@@ -153,7 +148,7 @@
 	for {
 		watch := s.j.watchForStall(s.ctx, s.runner, max(minStall, stallGaps*s.j.route.MaxGap), 0)
 		ready, err := s.nextEvents()
-		if next := watch.stop(err); next != nil {
+		if next := watch.stop(waitEndOf(err)); next != nil {
 			s.replaceBy(next)
 			continue
 		}
