--- a/proof/paths_test.go
+++ b/proof/paths_test.go
@@ -129,6 +129,10 @@
 		{"answers of one of two services to two of six are lost", 6, []int{0, 1}, paths.HangToDaemon, plainRunners, 0, false},
 		{"two of six hang, no runner has a check", 6, []int{0, 1}, paths.Hang, nil, 0, true},
 		{"five of six hang, no runner has a check", 6, []int{0, 1, 2, 3, 4}, paths.Hang, nil, 0, true},
+		{"two of six are reset at one of two services", 6, []int{0, 1}, paths.Reset, plainRunners, 0, false},
+		{"five of six are reset at one of two services", 6, []int{0, 1, 2, 3, 4}, paths.Reset, plainRunners, 0, false},
+		{"two of six are reset, no runner has a check", 6, []int{0, 1}, paths.Reset, nil, 0, true},
+		{"five of six are reset, no runner has a check", 6, []int{0, 1, 2, 3, 4}, paths.Reset, nil, 0, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := startFleet(t, tt.daemons, withPaths)
