--- a/coordination/reach/unanswered.go
+++ b/coordination/reach/unanswered.go
@@ -51,8 +51,8 @@
 
 // silenceOfRunners reports whether silence on connections that were accepted is the runners' own instead
 // of a loss of this daemon's path. checked are the runners that do not answer checks, for the given time. A
-// daemon that hears one of them shows a loss. Otherwise it is the runners if others send to this daemon, or
-// to one that waits for all the checked ones too, or if no daemon hears any and some wait.
+// daemon that has received something from one of them shows a loss. Otherwise it is the runners if others send to this daemon, or
+// to one that waits for all the checked ones too, or if no daemon has received anything and some wait.
 func (m *Monitor) silenceOfRunners(ctx context.Context, checked []string, wait time.Duration) bool {
 	var views []load.Heard
 	if m.peers != nil {
--- a/services/fleet/answered.go
+++ b/services/fleet/answered.go
@@ -20,7 +20,7 @@
 	// answeredResend is the time after which a question is sent again, a round trip between data
 	// centres.
 	answeredResend = 100 * time.Millisecond
-	// maxHeardPeers is how many daemons are asked whether they hear the runners, in a large fleet: most
+	// maxHeardPeers is how many daemons are asked what they have received from runners, in a large fleet: most
 	// of those asked may have lost their path too.
 	maxHeardPeers = 8
 )
@@ -83,7 +83,8 @@
 	reply(heardReply(d.loads.HeardWithin(req.Runners, req.Within)))
 }
 
-// HeardWithin implements reach.Peers. It returns once a daemon hears one of the runners.
+// HeardWithin implements reach.Peers. It returns once a daemon has received something from one of
+// the runners.
 func (a answeredPeers) HeardWithin(ctx context.Context, runners []string, within time.Duration) []load.Heard {
 	var out []load.Heard
 	peers.RequestAll(ctx, a.d.peers, a.choose(maxHeardPeers), kindHeard, heardRequest{Runners: runners, Within: within}, answeredResend, func(_ string, r heardReply) bool {
--- a/transport/front/ends_test.go
+++ b/transport/front/ends_test.go
@@ -110,7 +110,7 @@
 }
 
 // TestCallersThatLeaveAreCounted guards against callers whose connections end before their answer, by
-// their own doing or that of the network, without a line that tells them from answers that are cut.
+// their own doing or that of the network, without a line that differs from that of an answer that is cut.
 func TestCallersThatLeaveAreCounted(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
