Proof: the cases of silent runners run at the same time

Cause: they added 43 s to a package that has 20 minutes.

Change: t.Parallel. Cases, checks and bounds as before.

--- a/proof/silence_test.go
+++ b/proof/silence_test.go
@@ -110,6 +110,7 @@
 		{"three of four plain ones", 3, "app", false, 2},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := startSilent(t)
 			list := c.runnersOf(tt.service)
 			var wg sync.WaitGroup
