Soak: a runner that answers a resumed stream with 500 has failed it

Traced: its first runner, i-gen-5, restarted and closed its connections after event 5; the stream was resumed at i-gen-3, which was told to answer 500 and did, at 38 ms; the route's two attempts were used. Both runners failed the request, which the rule does not count.

Change: the stand-in records a request that it fails as one that it broke off. Cuts of runners that go on are a violation as before.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -386,6 +386,7 @@
 		s.crash(w, r)
 	}
 	if fail {
+		s.NoteBreak(id)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
