A second SIGTERM cuts no request

What callers saw: connections that end without an answer while a daemon leaves, long before its grace time is over.

Cause: the second SIGTERM to a daemon that was leaving aborted its requests, as a second interrupt at a terminal does. The platform's signals come in series; its grace time counts from the first. Between the two registrations of the signals a second one ended the process at once.

Change: only a further SIGINT aborts; the first registration stays.

--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -57,8 +57,9 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT. The first of these begins a graceful stop, a second
-// one aborts the remaining requests. SIGHUP reloads the settings file.
+// run serves until SIGTERM or SIGINT. The first of these begins a graceful stop. A further SIGINT aborts the
+// remaining requests; a further SIGTERM changes nothing, as the grace time counts from the first. SIGHUP
+// reloads the settings file.
 func run(set *setting.Setting, config string, hup <-chan os.Signal) error {
 	out := logs.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer out.Close()
@@ -79,9 +80,9 @@
 			reload(d, config, log)
 		}
 	}
-	stop()
-	forced, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// The first registration stays, so that a further SIGTERM does not end the process.
+	forced, stopForced := signal.NotifyContext(context.Background(), syscall.SIGINT)
+	defer stopForced()
 	d.Stop(forced)
 	return nil
 }
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -250,3 +250,32 @@
 	assert.NilError(t, err)
 	assert.Assert(t, state.Success(), "%v", state)
 }
+
+// TestSecondStopSignalCutsNothing guards against requests that are cut because the platform sends SIGTERM again
+// while the daemon is leaving.
+func TestSecondStopSignalCutsNothing(t *testing.T) {
+	c := startFleet(t, 1, func(c *fleetCluster) { c.events = 100 })
+	d := c.daemons[0]
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			status, body, err := d.send("/gen/x", "", "m1")
+			assert.Check(t, err)
+			assert.Check(t, status == http.StatusOK && strings.HasSuffix(body, fullStream(100)), "status %d, %d bytes", status, len(body))
+		})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.runsOf("gen") < 4 {
+			return poll.Continue("not all run yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	for range 5 {
+		assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	state, err := d.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Assert(t, state.Success(), state.String())
+}
