Logs name the shared parts of a request's prompt

Cause: the logs of a crashed runner's requests have their digests alone, which differ from request to request.

Change: the IDs of the shared parts are read with the request; `runner chosen`, `answer lost` and refusals of held requests name the first eight.

Result: no change of behaviour; tests of platform and dispatch pass.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -130,7 +130,7 @@
 	c := &candidates[i]
 	wait := j.reserveSend(c.ID)
 	limit, limited := j.d.limits.Limit(c.ID)
-	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.String("version", holders[i].Version), zap.String("after", j.lastEvent), zap.String("resumes", j.q.Resumes), zap.Stringer("digest", j.q.Digest), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
+	j.log.Info(logs.RunnerChosen, zap.String("runner", c.ID), zap.String("version", holders[i].Version), zap.String("after", j.lastEvent), zap.String("resumes", j.q.Resumes), zap.Stringer("digest", j.q.Digest), j.partsField(), zap.String("model", j.q.Model), zap.String("adapter", j.q.Adapter),
 		zap.Int("candidates", len(candidates)), zap.Int("requests", c.Requests), zap.Int("slots", c.Slots), zap.Float64("penalty", c.Penalty), zap.Bool("near", c.SameDataCentre), zap.Duration("wait", wait),
 		zap.Bool("limited", limited), zap.Float64("limit", limit.Rate), zap.String("limitfrom", limit.From), zap.Duration("limitage", limit.Age), j.beganField(), j.omittedField())
 	if wait == 0 {
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -88,7 +88,7 @@
 // refuseHeld refuses a request that is held because an identical one crashed runners. The
 // error states whether this one may have run, and when to retry it.
 func (j *job) refuseHeld(retry time.Duration) error {
-	j.log.Warn(logs.Refused, zap.String("code", core.CodeHeld), zap.Stringer("digest", j.q.Digest), zap.String("service", j.service),
+	j.log.Warn(logs.Refused, zap.String("code", core.CodeHeld), zap.Stringer("digest", j.q.Digest), j.partsField(), zap.String("service", j.service),
 		zap.String("model", j.q.Model), zap.Int("runs", j.runs), zap.Duration("retry", retry))
 	return core.HeldBack(j.runs, retry)
 }
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -116,11 +116,19 @@
 // most of all those that the runner had just started.
 func (j *job) lostFields(r *core.Runner) []zap.Field {
 	return []zap.Field{
-		zap.String("runner", r.ID), zap.Stringer("digest", j.q.Digest), zap.Stringer("caller", j.q.Caller),
+		zap.String("runner", r.ID), zap.Stringer("digest", j.q.Digest), j.partsField(), zap.Stringer("caller", j.q.Caller),
 		zap.String("stage", string(j.stage)), zap.String("framing", string(j.framing)), zap.Duration("since", j.d.clock.Since(j.sentAt)),
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partsField returns a log field with the first shared parts of the request's prompt.
+func (j *job) partsField() zap.Field {
+	return zap.Strings("parts", j.q.SharedParts[:min(len(j.q.SharedParts), maxLoggedParts)])
+}
+
 // markFailed records a failed attempt at a runner, unless it was at an earlier instance of it.
 func (j *job) markFailed(r *core.Runner) {
 	if e := j.d.catalog.Runner(r.ID); e == nil || e.StartedAt.Equal(r.StartedAt) {
--- a/core/request.go
+++ b/core/request.go
@@ -23,11 +23,12 @@
 	Arrived         time.Time
 	Model           string
 	Adapter         string
-	InputTokens     int    // tokens of the prompt
-	MaxOutputTokens int    // most tokens of the answer
-	TokensKnown     bool   // InputTokens and MaxOutputTokens are given
-	LastEvent       string // id of the last event that the caller has received
-	Resumes         string // id of the caller's earlier attempt that brought the first event of the stream; empty if not given
+	InputTokens     int      // tokens of the prompt
+	MaxOutputTokens int      // most tokens of the answer
+	TokensKnown     bool     // InputTokens and MaxOutputTokens are given
+	SharedParts     []string // IDs of the parts of the prompt that other requests may have too
+	LastEvent       string   // id of the last event that the caller has received
+	Resumes         string   // id of the caller's earlier attempt that brought the first event of the stream; empty if not given
 	Caller          netip.Addr
 	Digest          Digest     // of the request, the same when the caller retries
 	Key             KeyID      // of the caller, if callers need a key
