Test of crashing prompt parts, which fails: requests with one part in common crash runner after runner

Change: TestPromptPartThatCrashesRunnersIsStopped: three daemons, 24 runners that exit under requests with a prompt part, seven requests a second with it, no two alike, at any daemon, beside sound requests.

--- /dev/null
+++ b/proof/parts_test.go
@@ -0,0 +1,156 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	wire "primroseward/platform"
+	"primroseward/standin/runner"
+)
+
+const (
+	// partsCrashes is how many runners may crash under requests with one prompt part until these are
+	// stopped, maxLatePartRuns how many of these may still run later than settleTime after that.
+	partsCrashes    = 5
+	maxLatePartRuns = 3
+	// soundCallers is the number of callers that send sound requests, soundDocuments the number of
+	// parts that these share.
+	soundCallers   = 9
+	soundDocuments = 5
+	// partsDuration is how long requests with a part that crashes runners are sent.
+	partsDuration = 15 * time.Second
+)
+
+// promptHeader returns the header line that names the parts of a prompt. The last one is new.
+func promptHeader(shared ...string) string {
+	return fmt.Sprintf("%s: %s,%x:250", wire.HeaderParts, strings.Join(shared, ":400,")+":400", rand.Uint64())
+}
+
+// partRuns returns the times at which requests with a shared prompt part began to run, in order.
+func (crashing *crashingRunners) partRuns(part string) []time.Time {
+	crashing.mu.Lock()
+	defer crashing.mu.Unlock()
+	var out []time.Time
+	for _, r := range crashing.all {
+		for _, run := range r.Runs() {
+			if runner.HasSharedPart(run.Header, part) {
+				out = append(out, run.At)
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// crashAt returns the time of the n-th crash, or of the last one if there are fewer.
+func (crashing *crashingRunners) crashAt(n int) time.Time {
+	crashing.mu.Lock()
+	defer crashing.mu.Unlock()
+	if len(crashing.crashTimes) == 0 {
+		return time.Time{}
+	}
+	return crashing.crashTimes[min(n, len(crashing.crashTimes))-1]
+}
+
+// partOutcome is the outcome of one sound request.
+type partOutcome struct {
+	sent time.Time
+	ok   bool
+	text string
+}
+
+// startSoundCallers sends requests without a part that crashes runners, no two alike, to random daemons until
+// the returned function is called. It returns their outcomes.
+func (c *fleetCluster) startSoundCallers(path string) (stop func() []partOutcome) {
+	done, out := make(chan struct{}), make(chan []partOutcome)
+	for range soundCallers {
+		go func() {
+			var list []partOutcome
+			for {
+				sent := time.Now()
+				status, body, err := c.daemons[rand.N(len(c.daemons))].send(path, fmt.Sprint("sound", rand.Uint64()), "m1", promptHeader("a1", fmt.Sprint("d", rand.N(soundDocuments))))
+				list = append(list, partOutcome{sent, err == nil && status == http.StatusOK, fmt.Sprintf("%d %v %.60s", status, err, body)})
+				select {
+				case <-done:
+					out <- list
+					return
+				case <-time.After(callerRetryInterval):
+				}
+			}
+		}()
+	}
+	return func() []partOutcome {
+		close(done)
+		var all []partOutcome
+		for range soundCallers {
+			all = append(all, <-out...)
+		}
+		return all
+	}
+}
+
+// TestPromptPartThatCrashesRunnersIsStopped guards against runner after runner crashing under requests that have
+// nothing in common but one part of their prompts, and against refusing sound requests that share the other parts.
+func TestPromptPartThatCrashesRunnersIsStopped(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		path    string
+		runners runner.Spec
+		prompts [][]string // shared parts of the requests, of which one crashes runners
+	}{
+		{"stream that may be resumed", "/gen/x", modelRunner, [][]string{{"a1", "bad1"}}},
+		{"stream that may not", "/live/x", modelRunner, [][]string{{"a1", "bad1"}}},
+		{"part between others", "/gen/x", modelRunner, [][]string{{"a1", "d0", "bad1", "d1"}}},
+		{"first part", "/gen/x", modelRunner, [][]string{{"bad1", "d0"}}},
+		{"late crash", "/gen/x", crashLate(modelRunner), [][]string{{"a1", "bad1"}}},
+		{"closed between events", "/gen/x", crashWith(modelRunner, ""), [][]string{{"a1", "bad1"}}},
+		{"two parts", "/gen/x", modelRunner, [][]string{{"a1", "bad1"}, {"a1", "bad2"}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, 3)
+			spec := tt.runners
+			spec.FatalParts = []string{"bad1", "bad2"}
+			crashing := c.startCrashingRunners(crashingRunnerCount, spec)
+			c.awaitServed(callerRequest{path: tt.path, body: "harmless", model: "m1"})
+			stop := c.startSoundCallers(tt.path)
+			time.Sleep(2 * time.Second)
+			for end := time.Now().Add(partsDuration); time.Now().Before(end); time.Sleep(callerRetryInterval) {
+				prompt := tt.prompts[rand.N(len(tt.prompts))]
+				d := c.daemons[rand.N(len(c.daemons))]
+				go func() { _, _, _ = d.send(tt.path, fmt.Sprint("harmful", rand.Uint64()), "m1", promptHeader(prompt...)) }() // any outcome is allowed
+			}
+			outcomes := stop()
+			crashes, limit := crashing.crashCount(), partsCrashes*len(tt.prompts)
+			stopped, late := crashing.crashAt(limit).Add(settleTime), 0
+			for _, part := range spec.FatalParts {
+				runs := crashing.partRuns(part)
+				n := len(slices.DeleteFunc(slices.Clone(runs), func(at time.Time) bool { return at.Before(stopped) }))
+				t.Logf("%s: %d runs, %d of them late", part, len(runs), n)
+				late = max(late, n)
+			}
+			served, sent, failed := 0, 0, map[string]int{}
+			for _, o := range outcomes {
+				if o.sent.Before(stopped.Add(settleTime)) {
+					continue
+				}
+				sent++
+				if o.ok {
+					served++
+				} else {
+					failed[o.text]++
+				}
+			}
+			t.Logf("%d runners crashed; sound requests served: %d of %d, failed: %v", crashes, served, sent, failed)
+			assert.Check(t, late <= maxLatePartRuns, "%d late runs, %d runners crashed in all", late, crashes)
+			assert.Check(t, sent > 0 && served*100 >= minServedPercent*sent, "sound requests served: %d of %d", served, sent)
+		})
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -40,6 +40,7 @@
 	// it never does. The runner exits FatalAfter after it has begun to run the request,
 	// and then calls Exited.
 	Fatal      func(body string) bool
+	FatalParts []string // it exits as well because of requests whose prompts share one of these parts
 	FatalAfter time.Duration
 	Exited     func()
 	// FatalAnswer is what the runner answers to a fatal request when it exits; nil: nothing, or the
@@ -382,7 +383,7 @@
 		}
 	}()
 	w.Header().Set(platform.HeaderStamp, s.ID+"."+id)
-	if s.Fatal != nil && s.Fatal(string(body)) {
+	if s.isFatal(r.Header, string(body)) {
 		s.crash(w, r)
 	}
 	if fail {
@@ -406,6 +407,17 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// isFatal reports whether the runner exits because of a request.
+func (s *Server) isFatal(h http.Header, body string) bool {
+	return s.Fatal != nil && s.Fatal(body) || slices.ContainsFunc(s.FatalParts, func(part string) bool { return HasSharedPart(h, part) })
+}
+
+// HasSharedPart reports whether a request's prompt has a part other than the last one.
+func HasSharedPart(h http.Header, part string) bool {
+	list := strings.Split(h.Get(platform.HeaderParts), ",")
+	return slices.ContainsFunc(list[:len(list)-1], func(v string) bool { return strings.HasPrefix(v, part+":") })
+}
+
 // crash makes the runner exit after FatalAfter, with all its connections; the head of a
 // stream has been sent by then. If the caller disconnects first, the runner does not exit.
 func (s *Server) crash(w http.ResponseWriter, r *http.Request) {
