Quarantine: prompt parts under which runners crash are held back

Callers saw: runners of a model service crash one after another, and most requests refused as runners had ended or could not be reached, while requests with one part in common in their prompts came at any daemon, no two alike.

Cause: what crashes runners was recognised by the whole request alone. Each of these requests had a digest of its own, so that each exit was counted once for each.

Change: each shared part of a prompt has a digest of its own, by workspace and ID, and goes through the same counters, holds, trials and releases as requests do. A part is held back after two exits of runners that had just begun different requests with it, unless any daemon has had half a second of events, or a whole answer, of a request with it in the last minute. Where a part that follows in the prompt was there at each exit and was not served either, that one is held instead; once it is, the exits count for no other part.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -95,7 +95,7 @@
 	running    atomic.Int64
 	buffers    bufferBudget
 	byRunner   inFlight[string]      // sends in progress, by runner
-	unanswered inFlight[core.Digest] // sends whose answer has not begun, by request digest
+	unanswered inFlight[core.Digest] // sends whose answer has not begun, by the digests of the request
 	guard      core.Guard
 	exits      ExitDetector // nil: the end of a connection is the end of the answer
 	// allowance enforces the allowances of workspaces.
@@ -183,6 +183,7 @@
 	stage       stage              // progress of the answer
 	framing     core.Framing       // of the answer
 	answeredAt  time.Time          // when the answer began
+	eventsAt    time.Time          // when its first event arrived
 	granted     int                // sends that the daemon that the request was forwarded to may still make
 	statedRuns  int                // runs that were stated to that daemon
 	cancelSend  context.CancelFunc // closes the connection
@@ -197,6 +198,7 @@
 	counts
 	d                  *Dispatcher
 	q                  *core.Request
+	parts              []core.Part // shared parts of the prompt
 	route              *core.Route
 	service            string
 	effective          *tree.Effective // settings of the request when it arrived
@@ -242,7 +244,7 @@
 		limit = q.Timeout // of a forwarded request, what is left of its time at the daemon that it arrived at
 	}
 	j := &job{
-		d: d, q: q, route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent,
+		d: d, q: q, parts: sharedParts(q), route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent,
 		log: d.log.With(zap.String("request", q.ID), zap.String("route", route.Name)), leaveLimits: func() {}, releaseRoom: func() {}, endStream: func() {},
 	}
 	if q.Forward != nil {
@@ -431,6 +433,7 @@
 	if status < http.StatusInternalServerError {
 		j.loadsOf(r).RecordSuccess(r.ID)
 		j.d.guard.Served(j.q.Digest)
+		j.d.guard.PartsServed(j.parts)
 	}
 	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", status), zap.String("framing", string(j.framing)), zap.Int("bytes", size),
 		zap.Duration("took", j.d.clock.Since(j.q.Arrived)), zap.Duration("target", j.route.Target))
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -17,12 +17,59 @@
 // would count as a cause and never complete.
 const harmlessAfter = 2 * time.Second
 
+// soundAfter is how long a runner must have sent events of a stream before the parts of its prompt count as
+// harmless. It is shorter than harmlessAfter because a part stands in many requests: while runners crash often,
+// few of their streams last long.
+const soundAfter = 500 * time.Millisecond
+
+// sharedParts returns the shared parts of a request's prompt.
+func sharedParts(q *core.Request) []core.Part {
+	workspace := ""
+	if q.Workspace != nil {
+		workspace = q.Workspace.Name
+	}
+	out := make([]core.Part, 0, len(q.SharedParts))
+	for _, id := range q.SharedParts {
+		out = append(out, core.NewPart(workspace, id))
+	}
+	return out
+}
+
+// held returns for how much longer the request is held, 0 if it is not, and the part of its prompt
+// that is the reason; a Part without ID if it is the request itself.
+func (j *job) held() (left time.Duration, reason core.Part) {
+	left, reason = j.d.guard.HoldRemaining(j.q.Digest), core.Part{Digest: j.q.Digest}
+	for _, p := range j.parts {
+		if of := j.d.guard.HoldRemaining(p.Digest); of > left {
+			left, reason = of, p
+		}
+	}
+	return left, reason
+}
+
+// guardAdmits reports whether the guard admits a send of the request now. If not, it returns when the
+// caller may retry, and the reason as held does.
+func (j *job) guardAdmits(ctx context.Context) (retry time.Duration, reason core.Part, ok bool) {
+	if left, reason := j.held(); left > 0 {
+		return left, reason, false // before a trial is taken that could not run
+	}
+	if retry, ok := j.d.guard.Admit(ctx, j.q.Digest); !ok {
+		return retry, core.Part{Digest: j.q.Digest}, false
+	}
+	for _, p := range j.parts {
+		if retry, ok := j.d.guard.Admit(ctx, p.Digest); !ok {
+			return retry, p, false
+		}
+	}
+	return 0, core.Part{}, true
+}
+
 // admit refuses a request that may not be served now, and counts it in otherwise. The
 // workspace's allowance is checked last, so that requests refused for other reasons use
 // none of it.
 func (j *job) admit() error {
-	if left := j.d.guard.HoldRemaining(j.q.Digest); left > 0 {
-		return j.refuseHeld(left)
+	if left, reason := j.held(); left > 0 {
+		return j.refuseHeld(left, reason)
 	}
 	if err := j.applySettings(); err != nil {
 		return err
@@ -64,8 +111,8 @@
 	if isDaemon(r) {
 		return true, j.authorize()
 	}
-	if retry, ok := j.d.guard.Admit(ctx, j.q.Digest); !ok {
-		return false, j.refuseHeld(retry)
+	if retry, reason, ok := j.guardAdmits(ctx); !ok {
+		return false, j.refuseHeld(retry, reason)
 	}
 	if err := j.authorize(); err != nil {
 		return false, err
@@ -85,10 +132,11 @@
 	return true, nil
 }
 
-// refuseHeld refuses a request that is held because an identical one crashed runners. The
-// error states whether this one may have run, and when to retry it.
-func (j *job) refuseHeld(retry time.Duration) error {
-	j.log.Warn(logs.Refused, zap.String("code", core.CodeHeld), zap.Stringer("digest", j.q.Digest), j.partsField(), zap.String("service", j.service),
+// refuseHeld refuses a request that is held because runners have crashed under identical ones, or under
+// ones with the same part in their prompts. The error states whether this one may have run, and when to
+// retry it.
+func (j *job) refuseHeld(retry time.Duration, reason core.Part) error {
+	j.log.Warn(logs.Refused, zap.String("code", core.CodeHeld), zap.Stringer("digest", j.q.Digest), j.partsField(), zap.String("part", reason.ID), zap.Stringer("held", reason.Digest), zap.String("service", j.service),
 		zap.String("model", j.q.Model), zap.Int("runs", j.runs), zap.Duration("retry", retry))
 	return core.HeldBack(j.runs, retry)
 }
@@ -98,6 +146,11 @@
 	return j.stage == stageEvents && j.d.clock.Since(j.answeredAt) >= harmlessAfter
 }
 
+// sound reports whether the runner has sent events of the request for soundAfter.
+func (j *job) sound() bool {
+	return j.stage == stageEvents && j.d.clock.Since(j.eventsAt) >= soundAfter
+}
+
 // reportClosed reports to the guard that the runner has closed the connection, or has ended its
 // answer inside an event, as a process that exits may do. It leaves out runners that had announced that they leave, as the platform took those away. A runner
 // whose entry is missing may only have lost it to an outage of the store, and counts.
@@ -109,13 +162,31 @@
 	if e == nil || !e.Usable() || !e.StartedAt.Equal(r.StartedAt) {
 		return
 	}
-	j.d.guard.ConnectionLost(core.LostRequest{
+	lost := core.LostRequest{
 		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
 		MayHaveRun: j.stage != stageSent || !j.engine(), JustStarted: j.stage == stageHead && j.engine(),
-	})
+	}
+	if !j.sound() {
+		lost.Parts = j.parts
+	}
+	j.d.guard.ConnectionLost(lost)
+}
+
+// addUnanswered holds a send whose answer has not begun under the request's digests, until the returned
+// function is called.
+func (j *job) addUnanswered(cancel context.CancelFunc) (answerBegan func()) {
+	done := []func(){j.d.unanswered.add(j.q.Digest, cancel)}
+	for _, p := range j.parts {
+		done = append(done, j.d.unanswered.add(p.Digest, cancel))
+	}
+	return func() {
+		for _, fn := range done {
+			fn()
+		}
+	}
 }
 
-// CancelHeld cancels the sends of a request that is now held and whose answer has not begun. They
+// CancelHeld cancels the sends of requests that are now held and whose answers have not begun. They
 // may still be queued at a runner, which they would crash.
 func (d *Dispatcher) CancelHeld(digest core.Digest) {
 	for _, cancel := range d.unanswered.removeAll(digest) {
--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -19,23 +19,26 @@
 	admits int // how often the request is admitted; negative: held when it arrives
 	closed []core.LostRequest
 	worked int
+	sound  []core.Part
+	// held is a digest that is held, refused one that is not admitted.
+	held, refused core.Digest
 }
 
 const holdTime = 7 * time.Second
 
-func (g *guard) HoldRemaining(core.Digest) time.Duration {
+func (g *guard) HoldRemaining(d core.Digest) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.admits < 0 {
+	if g.admits < 0 || d != (core.Digest{}) && d == g.held {
 		return holdTime
 	}
 	return 0
 }
 
-func (g *guard) Admit(context.Context, core.Digest) (time.Duration, bool) {
+func (g *guard) Admit(_ context.Context, d core.Digest) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.admits == 0 {
+	if g.admits == 0 || d != (core.Digest{}) && d == g.refused {
 		return holdTime, false
 	}
 	g.admits--
@@ -54,6 +57,12 @@
 	g.worked++
 }
 
+func (g *guard) PartsServed(parts []core.Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sound = append(g.sound, parts...)
+}
+
 // errCrashed is the error of a runner that exits with all of its connections.
 var errCrashed = fmt.Errorf("%w: %w", core.ErrAnswerLost, core.ErrClosed)
 
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -54,7 +54,7 @@
 	sent := j.d.loads.BeginSend(r.ID)
 	sending, cancelSend := context.WithCancel(ctx)
 	done := j.d.byRunner.add(r.ID, cancelSend)
-	answerBegan := j.d.unanswered.add(j.q.Digest, cancelSend)
+	answerBegan := j.addUnanswered(cancelSend)
 	j.cancelSend, j.answerBegan = cancelSend, answerBegan
 	end := func() {
 		span.End()
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -31,6 +31,7 @@
 	maxGap   time.Duration
 	reads    int
 	harmless bool // the guard has been informed that this runner has worked on it for harmlessAfter
+	sound    bool // and that it has done so for soundAfter
 }
 
 // recordEvent records the arrival of events and the longest pause between them.
@@ -43,7 +44,9 @@
 	}
 	s.lastAt = now
 	s.reads++
-	s.j.stage = stageEvents
+	if s.j.stage != stageEvents {
+		s.j.stage, s.j.eventsAt = stageEvents, now
+	}
 }
 
 // newEventReader returns a reader of the events of a runner's answer. Whatever the runner sends shows
@@ -98,7 +101,7 @@
 // readFrom makes the stream go on with an answer.
 func (s *stream) readFrom(r *core.Runner, reply *core.Reply) {
 	s.runner, s.body, s.framing, s.in = r, reply.Body, reply.Framing, s.j.newEventReader(r, reply.Body)
-	s.harmless = false
+	s.harmless, s.sound = false, false
 }
 
 // replaceBy makes the stream go on with the answer that takes the place of a silent runner's. What that one
@@ -129,6 +132,7 @@
 		if s.err == io.EOF {
 			s.j.loadsOf(s.runner).RecordSuccess(s.runner.ID)
 			s.j.d.guard.Served(s.j.q.Digest)
+			s.j.d.guard.PartsServed(s.j.parts)
 			if !isDaemon(s.runner) {
 				s.j.d.pacer.ObserveStream(s.j.service, s.lastAt.Sub(s.firstAt))
 			}
@@ -181,13 +185,17 @@
 	return ready, err
 }
 
-// reportHarmless informs the guard, once per runner, that the request is harmless there.
+// reportHarmless informs the guard, once per runner, that the request and the parts of its prompt are
+// harmless there.
 func (s *stream) reportHarmless() {
-	if s.harmless || !s.j.harmless() {
-		return
+	if !s.sound && s.j.sound() {
+		s.sound = true
+		s.j.d.guard.PartsServed(s.j.parts)
+	}
+	if !s.harmless && s.j.harmless() {
+		s.harmless = true
+		s.j.d.guard.Served(s.j.q.Digest)
 	}
-	s.harmless = true
-	s.j.d.guard.Served(s.j.q.Digest)
 }
 
 // resume continues the stream at another runner after the last event passed on. It first
--- a/coordination/policy/exits.go
+++ b/coordination/policy/exits.go
@@ -18,6 +18,8 @@
 	freshWeight   = 3
 	startedWeight = 2
 	queuedWeight  = 1
+	// maxExitWeight is the sum of weights from which on a request is held back.
+	maxExitWeight = exitLimit * startedWeight
 	// exitRetention is how long a runner's exit counts.
 	exitRetention = 10 * time.Minute
 	// maxTrackedRequests bounds the requests with recorded exits. Each exit adds all requests
@@ -33,16 +35,22 @@
 // present at every exit and is never served is taken for the cause. ExitRecords is not
 // safe for concurrent use.
 type ExitRecords struct {
-	byDigest map[core.Digest]*requestExits
+	byDigest  map[core.Digest]*requestExits
+	explained map[Instance]time.Time // exits whose cause is known, and since when
 }
 
 type requestExits struct {
 	weights  map[Instance]int // of each runner instance's exit
 	lastExit time.Time
+	// suspects are the requests in progress at each exit that have the prompt part; nil in the record
+	// of a request.
+	suspects map[Instance]suspects
 }
 
 // NewExitRecords returns an empty ExitRecords.
-func NewExitRecords() *ExitRecords { return &ExitRecords{byDigest: map[core.Digest]*requestExits{}} }
+func NewExitRecords() *ExitRecords {
+	return &ExitRecords{byDigest: map[core.Digest]*requestExits{}, explained: map[Instance]time.Time{}}
+}
 
 // Add records the exit of a runner with a request in progress. Repeated reports of one exit
 // count once. It returns how many runners have exited with the request in progress, and
@@ -60,19 +68,30 @@
 }
 
 func (e *ExitRecords) add(now time.Time, d core.Digest, instance Instance, weight int) (runners int, hold bool) {
+	one := e.record(now, d)
+	one.weights[instance] = max(one.weights[instance], weight)
+	return len(one.weights), one.tooMany()
+}
+
+// record returns the record of a request or prompt part at which an exit is to be added.
+func (e *ExitRecords) record(now time.Time, d core.Digest) *requestExits {
 	one := e.byDigest[d]
 	if one == nil || now.Sub(one.lastExit) > exitRetention {
 		e.evict(now)
 		one = &requestExits{weights: map[Instance]int{}}
 		e.byDigest[d] = one
 	}
-	one.weights[instance] = max(one.weights[instance], weight)
 	one.lastExit = now
+	return one
+}
+
+// tooMany reports whether the sum of the exits' weights is reached that holds a request back.
+func (r *requestExits) tooMany() bool {
 	sum := 0
-	for _, w := range one.weights {
+	for _, w := range r.weights {
 		sum += w
 	}
-	return len(one.weights), sum >= exitLimit*startedWeight
+	return sum >= maxExitWeight
 }
 
 // Clear drops the recorded exits of a request.
--- /dev/null
+++ b/coordination/policy/parts_test.go
@@ -0,0 +1,68 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+)
+
+func fresh(instance Instance, request uint64, prompt ...uint64) PartExit {
+	x := PartExit{Instance: instance, Started: true, Fresh: true, Request: digest(request)}
+	for _, p := range prompt {
+		x.Prompt = append(x.Prompt, digest(p))
+	}
+	return x
+}
+
+// Guards against a prompt part that is held back for what a single request did, and against one that is not though
+// different requests with it crash runners.
+func TestPartIsHeldAfterExitsUnderDifferentRequests(t *testing.T) {
+	queued := fresh(4, 4, 1)
+	queued.Started, queued.Fresh = false, false
+	for _, tt := range []struct {
+		name  string
+		exits []PartExit
+		hold  bool
+	}{
+		{"one exit", []PartExit{fresh(1, 11, 1)}, false},
+		{"two requests, one exit", []PartExit{fresh(1, 11, 1), fresh(1, 12, 1)}, false},
+		{"one request, two exits", []PartExit{fresh(1, 11, 1), fresh(2, 11, 1)}, false},
+		{"one request, ten exits", []PartExit{fresh(1, 11, 1), fresh(2, 11, 1), fresh(3, 11, 1), fresh(4, 11, 1), fresh(5, 11, 1), fresh(6, 11, 1), fresh(7, 11, 1), fresh(8, 11, 1), fresh(9, 11, 1), fresh(10, 11, 1)}, false},
+		{"two requests, two exits", []PartExit{fresh(1, 11, 1), fresh(2, 12, 1)}, true},
+		{"queued at the second", []PartExit{fresh(1, 11, 1), queued}, false},
+	} {
+		e, now, hold := NewExitRecords(), time.Unix(1e9, 0), false
+		for _, x := range tt.exits {
+			_, hold = e.AddPart(now, digest(1), x)
+		}
+		assert.Equal(t, hold, tt.hold, tt.name)
+		assert.Equal(t, e.PartHeld(digest(1), now), tt.hold, tt.name)
+	}
+}
+
+// Guards against holding back the first part of all prompts beside the part that crashes runners.
+func TestDeeperPartsOfAllExits(t *testing.T) {
+	const first, bad, doc1, doc2 = 1, 2, 3, 4
+	e, now := NewExitRecords(), time.Unix(1e9, 0)
+	exits := []PartExit{
+		fresh(1, 11, first, bad, doc1),
+		fresh(1, 12, first, doc2), // in progress beside it
+		fresh(2, 13, first, bad, doc2),
+	}
+	for _, x := range exits {
+		for _, part := range x.Prompt {
+			e.AddPart(now, part, x)
+		}
+	}
+	assert.DeepEqual(t, e.Deeper(digest(first), now), []core.Digest{digest(bad), digest(doc2)})
+	assert.Equal(t, len(e.Deeper(digest(bad), now)), 0)
+	assert.Equal(t, len(e.Deeper(digest(9), now)), 0)
+	assert.Assert(t, !e.PartHeld(digest(bad), now.Add(-time.Second)), "reported later")
+	e.Explain(now, digest(bad))
+	assert.Assert(t, !e.PartHeld(digest(first), now), "the exits are explained")
+	_, hold := e.AddPart(now, digest(first), fresh(2, 14, first, doc2))
+	assert.Assert(t, !hold && !e.PartHeld(digest(first), now), "also those reported later")
+}
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -34,17 +34,51 @@
 	// which it is resent in case a message was lost.
 	reportTimeout = 3 * time.Second
 	reportResend  = 100 * time.Millisecond
-	// maxAffected bounds the requests per message, to keep it below a packet of 1,500 bytes.
-	maxAffected = 12
+	// maxAffected and maxAffectedParts bound the requests and the prompt parts per message, to keep it
+	// below a packet of 1,500 bytes.
+	maxAffected      = 12
+	maxAffectedParts = 2
+	// maxPrompt bounds the parts of a prompt in a message, and maxPromptBefore those of them that precede
+	// the part that the message is on.
+	maxPrompt       = 12
+	maxPromptBefore = 6
+	// maxPartRequests bounds the requests that a daemon reports for one part and exit, those that had
+	// come furthest first.
+	maxPartRequests = 3
 )
 
-// affected is a request that was in progress at a runner when it exited, on the wire.
+// affected is a request that was in progress at a runner when it exited, or a part of its prompt, on the
+// wire.
 type affected struct {
 	Digest  core.Digest `json:"d"`
 	Route   string      `json:"r"`
 	Service string      `json:"s"`
 	Begun   bool        `json:"b,omitempty"`
 	Fresh   bool        `json:"f,omitempty"`
+	// Request is the request of a part; nil: this is no part. Prompt are the shared parts of its prompt.
+	Request *core.Digest  `json:"q,omitempty"`
+	Prompt  []core.Digest `json:"p,omitempty"`
+}
+
+// isPart reports whether it is a part of a prompt.
+func (a *affected) isPart() bool { return a.Request != nil }
+
+// affectedOf returns a lost request and the parts of its prompt.
+func affectedOf(b *core.LostRequest) []affected {
+	request := affected{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.MayHaveRun, Fresh: b.JustStarted}
+	out := []affected{request}
+	var prompt []core.Digest
+	for _, p := range b.Parts {
+		prompt = append(prompt, p.Digest)
+	}
+	for i, p := range b.Parts {
+		part := request
+		part.Digest, part.Route, part.Request = p.Digest, "prompt part "+p.ID, &b.Digest
+		from := max(0, i-maxPromptBefore)
+		part.Prompt = prompt[from:min(len(prompt), from+maxPrompt)]
+		out = append(out, part)
+	}
+	return out
 }
 
 // exitReport reports a runner's exit to a counter.
@@ -84,7 +118,7 @@
 		c = &check{q: q, runner: b.Runner, instance: instance}
 		q.checks[instance] = c
 	}
-	c.affected = append(c.affected, affected{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.MayHaveRun, Fresh: b.JustStarted})
+	c.affected = append(c.affected, affectedOf(&b)...)
 	if !c.running {
 		c.running = true
 		q.wg.Add(1)
@@ -129,11 +163,12 @@
 	c.affected, c.exited, c.checkedAt, c.running = nil, exited, q.clock.Now(), false
 	q.mu.Unlock()
 	if !exited {
-		q.log.Info(logs.RunnerStillRunning, zap.String("runner", c.runner.ID), zap.Int("requests", len(affected)), logs.Err(reason))
+		q.log.Info(logs.RunnerStillRunning, zap.String("runner", c.runner.ID), zap.Int("requests", countRequests(affected)), logs.Err(reason))
 		return
 	}
-	q.scope.Counter("quarantine_ends").Inc(int64(len(affected)))
-	q.log.Info(logs.RunnerExited, zap.String("runner", c.runner.ID), zap.Time("born", c.runner.StartedAt), zap.Int("requests", len(affected)), logs.Err(reason))
+	requests := countRequests(affected)
+	q.scope.Counter("quarantine_ends").Inc(int64(requests))
+	q.log.Info(logs.RunnerExited, zap.String("runner", c.runner.ID), zap.Time("born", c.runner.StartedAt), zap.Int("requests", requests), logs.Err(reason))
 	q.reportExit(c, affected)
 }
 
@@ -161,8 +196,8 @@
 func (q *Quarantine) reportExit(c *check, affected []affected) {
 	self := q.net.Self().Name
 	for _, share := range byCounter(affected, q.net.Alive()) {
-		for part := range slices.Chunk(share.affected, maxAffected) {
-			report := exitReport{Runner: c.runner.ID, Instance: c.instance, Affected: part}
+		for _, chunk := range slices.Concat(slices.Collect(slices.Chunk(share.requests, maxAffected)), slices.Collect(slices.Chunk(share.parts, maxAffectedParts))) {
+			report := exitReport{Runner: c.runner.ID, Instance: c.instance, Affected: chunk}
 			if share.counter.Name == self {
 				q.countExit(report, self)
 				continue
@@ -173,31 +208,62 @@
 	}
 }
 
-// counterShare is the requests that one counter counts.
+// countRequests counts what is no part of a prompt.
+func countRequests(list []affected) int {
+	n := 0
+	for i := range list {
+		if !list[i].isPart() {
+			n++
+		}
+	}
+	return n
+}
+
+// counterShare is the requests and prompt parts that one counter counts.
 type counterShare struct {
 	counter  peers.Peer
-	affected []affected
+	requests []affected
+	parts    []affected
 }
 
-// byCounter groups requests by their counters among all live daemons.
-func byCounter(affected []affected, all []peers.Peer) map[string]*counterShare {
+// byCounter groups requests and prompt parts by their counters among all live daemons.
+func byCounter(list []affected, all []peers.Peer) map[string]*counterShare {
+	// Those that had come furthest first: of a part only some are reported.
+	list = slices.SortedStableFunc(slices.Values(list), func(a, b affected) int { return b.progress() - a.progress() })
 	out := map[string]*counterShare{}
-	seen := map[core.Digest]bool{}
-	for _, s := range affected {
-		if seen[s.Digest] && !s.Begun {
+	seen := map[core.Digest]int{}
+	for _, s := range list {
+		if n := seen[s.Digest]; s.isPart() && n >= maxPartRequests || !s.isPart() && n > 0 && !s.Begun {
 			continue
 		}
-		seen[s.Digest] = true
+		seen[s.Digest]++
 		for _, counter := range countersOf(s.Digest, all) {
-			if out[counter.Name] == nil {
-				out[counter.Name] = &counterShare{counter: counter}
+			share := out[counter.Name]
+			if share == nil {
+				share = &counterShare{counter: counter}
+				out[counter.Name] = share
+			}
+			if s.isPart() {
+				share.parts = append(share.parts, s)
+			} else {
+				share.requests = append(share.requests, s)
 			}
-			out[counter.Name].affected = append(out[counter.Name].affected, s)
 		}
 	}
 	return out
 }
 
+// progress ranks requests by how likely the exit is theirs.
+func (a *affected) progress() int {
+	switch {
+	case a.Fresh:
+		return 2
+	case a.Begun:
+		return 1
+	}
+	return 0
+}
+
 // runReportExit sends a report to a counter until the counter acknowledges it or reportTimeout
 // has passed.
 func (q *Quarantine) runReportExit(to peers.Peer, report exitReport) {
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,9 @@
 	// queryWait is how long to wait for daemons that have served a request: some round trips,
 	// and one interval of a hub.
 	queryWait = 150 * time.Millisecond
+	// firstPartWait is how long an exit does not count for the first part of prompts. Most requests share
+	// it, and the reports of a part that follows it may be on their way.
+	firstPartWait = 300 * time.Millisecond
 	// servedWindow is how long ago a request may have been served to count as harmless. What
 	// it needs, such as its model, may have changed since an earlier run.
 	servedWindow = time.Minute
@@ -30,12 +34,16 @@
 type servedQuery struct {
 	record   hold.Record // the hold to place if no daemon has
 	servedBy string      // the daemon that has served it; empty: none yet
+	// deeper are the parts that follow a prompt part at each of its exits, and whether a daemon has
+	// served them; nil if this is no part.
+	deeper map[core.Digest]bool
 }
 
-// seen is the message of a query for daemons that have served a request.
+// seen is the message of a query for daemons that have served a request, or any with a prompt part.
 type seen struct {
 	Digest core.Digest   `json:"digest"`
 	Within time.Duration `json:"within"`
+	Part   bool          `json:"part,omitempty"`
 }
 
 func (q *Quarantine) handleExit(from peers.Peer, body json.RawMessage, answer func(any)) {
@@ -70,8 +78,12 @@
 func (q *Quarantine) count(report exitReport, s affected, from string, old hold.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.otherPartHeld(&s) {
+		q.exits.ExplainExit(q.clock.Now(), report.Instance)
+		return
+	}
 	runners, tooMany := q.addExit(report.Instance, s)
-	q.log.Info(logs.ExitCounted, zap.Stringer("digest", s.Digest), zap.String("runner", report.Runner), zap.String("from", from),
+	q.log.Info(logs.ExitCounted, zap.Stringer("digest", s.Digest), zap.String("route", s.Route), zap.String("runner", report.Runner), zap.String("from", from),
 		zap.Bool("begun", s.Begun), zap.Bool("fresh", s.Fresh), zap.Int("runners", runners), zap.Bool("many", tooMany))
 	if !tooMany {
 		return
@@ -80,13 +92,29 @@
 	if c == nil {
 		c = &servedQuery{}
 		q.queries[s.Digest] = c
-		q.queryServed(s.Digest)
+		if s.isPart() {
+			q.queryPart(c, s.Digest)
+		} else {
+			q.queryServed(s.Digest)
+		}
 	}
 	c.record = hold.Record{Digest: s.Digest, Version: old.Version, Route: s.Route, Service: s.Service, Runners: runners}
 }
 
+// otherPartHeld reports whether another part of the prompt is held back, and so is the cause of the exit.
+func (q *Quarantine) otherPartHeld(s *affected) bool {
+	return slices.ContainsFunc(s.Prompt, func(d core.Digest) bool {
+		_, held := q.table.Held(d)
+		return held && d != s.Digest
+	})
+}
+
 // addExit counts one runner's exit; the caller holds q.mu.
 func (q *Quarantine) addExit(instance policy.Instance, s affected) (runners int, tooMany bool) {
+	if s.isPart() {
+		x := policy.PartExit{Instance: instance, Started: s.Begun, Fresh: s.Fresh, Request: *s.Request, Prompt: s.Prompt}
+		return q.exits.AddPart(q.clock.Now(), s.Digest, x)
+	}
 	if s.Fresh {
 		return q.exits.AddFresh(q.clock.Now(), s.Digest, instance)
 	}
@@ -108,9 +136,70 @@
 	}
 }
 
+// queryPart sends all daemons queries whether any request with a part of a prompt has been served recently,
+// and any with one of the parts that followed it at each exit. The caller holds q.mu.
+func (q *Quarantine) queryPart(c *servedQuery, part core.Digest) {
+	c.deeper = map[core.Digest]bool{}
+	q.queryDeeper(c, part)
+	q.broadcast(kindSeen, seen{Digest: part, Within: servedWindow, Part: true}, queryDelays)
+	q.clock.AfterFunc(queryWait, func() { q.decide(part) })
+	if q.parts.servedWithin(part, servedWindow) {
+		c.servedBy = q.net.Self().Name
+	}
+}
+
+// queryDeeper sends the queries for the parts that followed a part at each exit and were not queried yet, and
+// reports whether there are any. The caller holds q.mu.
+func (q *Quarantine) queryDeeper(c *servedQuery, part core.Digest) bool {
+	any := false
+	for _, d := range q.exits.Deeper(part, q.countsUntil(part)) {
+		if _, queried := c.deeper[d]; queried {
+			continue
+		}
+		any = true
+		c.deeper[d] = q.parts.servedWithin(d, servedWindow)
+		q.broadcast(kindSeen, seen{Digest: d, Within: servedWindow, Part: true}, queryDelays)
+	}
+	return any
+}
+
+// undecided reports whether it is too early to hold back a part that no daemon has served, and has it decided
+// later. The caller holds q.mu.
+func (q *Quarantine) undecided(c *servedQuery, part core.Digest) bool {
+	wait := queryWait
+	switch {
+	case c.deeper == nil || c.servedBy != "":
+		return false
+	case q.queryDeeper(c, part): // exits that were reported since have shown them
+	case q.exits.PartHeld(part, q.clock.Now()) && !q.exits.PartHeld(part, q.countsUntil(part)):
+		wait = firstPartWait
+	default:
+		return false
+	}
+	q.clock.AfterFunc(wait, func() { q.decide(part) })
+	return true
+}
+
+// countsUntil returns until when an exit must have been reported to count for a part now. The caller holds
+// q.mu.
+func (q *Quarantine) countsUntil(part core.Digest) time.Time {
+	now := q.clock.Now()
+	if q.exits.IsFirst(part) {
+		return now.Add(-firstPartWait)
+	}
+	return now
+}
+
 func (q *Quarantine) handleSeen(from peers.Peer, body json.RawMessage, _ func(any)) {
 	var s seen
-	if peers.Decode(q.log, from, body, &s) && q.recent.servedWithin(s.Digest, s.Within) {
+	if !peers.Decode(q.log, from, body, &s) {
+		return
+	}
+	served := q.recent
+	if s.Part {
+		served = q.parts
+	}
+	if served.servedWithin(s.Digest, s.Within) {
 		q.net.Send(from, kindWorked, s.Digest)
 	}
 }
@@ -125,6 +214,11 @@
 	if c := q.queries[d]; c != nil {
 		c.servedBy = from.Name
 	}
+	for _, c := range q.queries {
+		if _, ok := c.deeper[d]; ok {
+			c.deeper[d] = true
+		}
+	}
 }
 
 // decide holds a request back, or clears it if a daemon has served it.
@@ -135,12 +229,24 @@
 		q.mu.Unlock()
 		return // decided by another daemon meanwhile
 	}
+	if q.undecided(c, d) {
+		q.mu.Unlock()
+		return
+	}
 	delete(q.queries, d)
 	if c.servedBy != "" {
 		q.clear(d)
 	}
+	likelier, defers := q.likelierPart(c, d)
+	explained := c.deeper != nil && !q.exits.PartHeld(d, q.countsUntil(d))
 	q.mu.Unlock()
-	if c.servedBy == "" {
+	switch {
+	case c.servedBy != "":
+	case defers || explained:
+		q.scope.Counter("quarantine_deferred").Inc(1)
+		q.log.Info(logs.HoldDeferred, zap.Stringer("digest", d), zap.String("route", c.record.Route), zap.Stringer("likelier", likelier), zap.Bool("explained", explained), zap.Int("runners", c.record.Runners))
+		return
+	default:
 		q.hold(c.record)
 		return
 	}
@@ -148,6 +254,17 @@
 	q.log.Info(logs.RequestCleared, zap.Stringer("digest", d), zap.String("worked", c.servedBy), zap.Int("runners", c.record.Runners))
 }
 
+// likelierPart returns a part that followed another one at each exit and that no daemon has served either.
+// The caller holds q.mu.
+func (q *Quarantine) likelierPart(c *servedQuery, part core.Digest) (core.Digest, bool) {
+	for _, d := range q.exits.Deeper(part, q.countsUntil(part)) {
+		if served, asked := c.deeper[d]; asked && !served {
+			return d, true
+		}
+	}
+	return core.Digest{}, false
+}
+
 // clear drops the exits counted for a request; the caller holds q.mu.
 func (q *Quarantine) clear(d core.Digest) {
 	q.exits.Clear(d)
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -73,7 +73,8 @@
 	keeper    *keeper
 
 	table       *hold.Table
-	recent      *recent
+	recent      *recent       // requests
+	parts       *recent       // prompt parts
 	holdChanged chan struct{} // signals that a hold has changed
 
 	mu      sync.Mutex
@@ -112,7 +113,7 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
+		table: hold.NewTable(), recent: newRecent(clock), parts: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
@@ -181,6 +182,16 @@
 	}
 }
 
+// PartsServed implements core.Guard.
+func (q *Quarantine) PartsServed(parts []core.Part) {
+	for _, p := range parts {
+		q.parts.add(p.Digest)
+		if r, ok := q.table.Held(p.Digest); ok {
+			q.release(r, hold.BySuccess)
+		}
+	}
+}
+
 // Release ends a hold on behalf of an operator; false if there is none.
 func (q *Quarantine) Release(d core.Digest) bool {
 	r, ok := q.table.Held(d)
@@ -228,7 +239,7 @@
 	q.log.Warn(logs.HoldChanged, zap.Stringer("digest", r.Digest), zap.String("state", string(r.State)), zap.String("by", string(r.By)),
 		zap.String("from", from), zap.Uint64("version", r.Version), zap.String("route", r.Route), zap.String("service", r.Service),
 		zap.Int("runners", r.Runners), zap.Int("times", r.Level+1), zap.Duration("left", r.Remaining(q.clock.Now())))
-	q.dropCounts(r.Digest)
+	q.dropCounts(r.Digest, r.State == hold.StateHeld)
 	if r.State == hold.StateHeld {
 		q.onHold(r.Digest)
 	}
@@ -239,10 +250,14 @@
 	return true
 }
 
-// dropCounts drops what was counted for a request once a hold has been placed or ended.
-func (q *Quarantine) dropCounts(d core.Digest) {
+// dropCounts drops what was counted for a request or prompt part once a hold has been placed or ended. What
+// is held explains the exits under it, which then count for no other part.
+func (q *Quarantine) dropCounts(d core.Digest, held bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if held {
+		q.exits.Explain(q.clock.Now(), d)
+	}
 	q.exits.Clear(d)
 	delete(q.queries, d)
 	delete(q.trials, d)
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -256,6 +256,10 @@
 // newSolo returns the Quarantine of a single daemon, and its clock.
 func newSolo(t *testing.T) (*Quarantine, *clockwork.FakeClock) {
 	t.Helper()
+	return newSoloQuarantine()
+}
+
+func newSoloQuarantine() (*Quarantine, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	d := &daemon{net: newNetwork(), name: "d"}
 	q := New(soloNetwork{d}, newRunners(), clock, zap.NewNop())
--- a/core/digest.go
+++ b/core/digest.go
@@ -28,6 +28,19 @@
 	return Digest(h.Sum(nil)[:digestSize])
 }
 
+// Part is a shared part of a prompt: one that other requests may have too.
+type Part struct {
+	ID     string
+	Digest Digest // of the ID and the workspace
+}
+
+// NewPart returns a part of a prompt of a workspace's caller. Equal parts of two workspaces have different
+// digests, so that no caller can have another workspace's requests held.
+func NewPart(workspace, id string) Part {
+	// No request can have this digest, since "prompt part" is not a valid HTTP method.
+	return Part{ID: id, Digest: DigestOf(&Request{Method: "prompt part", Host: workspace, Target: id})}
+}
+
 // CallerOf returns the IP address in a connection's remote address, the zero Addr if it has
 // none.
 func CallerOf(remote string) netip.Addr {
--- a/core/guard.go
+++ b/core/guard.go
@@ -10,7 +10,8 @@
 const CodeHeld = "held_back"
 
 // Guard is the quarantine of requests: it puts a digest on hold if runners have exited
-// under requests with it.
+// under requests with it. A request has a digest of its own and one for each shared part of its
+// prompt.
 type Guard interface {
 	// HoldRemaining returns for how much longer a request is on hold, 0 if it is not on hold or a
 	// trial may run.
@@ -24,6 +25,9 @@
 	// Served records that a runner has served a request, or has worked on it for a long
 	// time.
 	Served(d Digest)
+	// PartsServed records that a runner has served a request with these parts in its prompt, or
+	// has sent events of it for a while.
+	PartsServed(parts []Part)
 }
 
 // LostRequest describes a request whose runner closed the connection before the answer was
@@ -35,6 +39,8 @@
 	Service     string
 	MayHaveRun  bool // the runner may have started to run it
 	JustStarted bool // the runner had just started to run it: only the answer's head had arrived
+	// Parts are the shared parts of its prompt, in order; none if the runner had sent events for a while.
+	Parts []Part
 }
 
 // LoadDigest returns the digest that stands for the load of a model. No request can have
@@ -63,6 +69,9 @@
 // Served implements Guard.
 func (NoGuard) Served(Digest) {}
 
+// PartsServed implements Guard.
+func (NoGuard) PartsServed([]Part) {}
+
 // HeldBack returns the answer to a request whose digest is on hold. runs is how often this
 // request itself has run, which determines the outcome; retry is the time after which the
 // caller may retry.
