--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -151,16 +151,16 @@
 // queryDeeper sends the queries for the parts that followed a part at each exit and were not queried yet, and
 // reports whether there are any. The caller holds q.mu.
 func (q *Quarantine) queryDeeper(c *servedQuery, part core.Digest) bool {
-	any := false
+	found := false
 	for _, d := range q.exits.Deeper(part, q.countsUntil(part)) {
 		if _, queried := c.deeper[d]; queried {
 			continue
 		}
-		any = true
+		found = true
 		c.deeper[d] = q.parts.servedWithin(d, servedWindow)
 		q.broadcast(kindSeen, seen{Digest: d, Within: servedWindow, Part: true}, queryDelays)
 	}
-	return any
+	return found
 }
 
 // undecided reports whether it is too early to hold back a part that no daemon has served, and has it decided
