Client of runners: bytes without end that are no answer are not read on

Callers saw: a request that hangs until its time is over, 504, while other runners have room; a daemon with gigabytes of memory, as a runner in trouble sends bytes that are no answer until the connection is closed.

Cause: neither the head of an answer (status line, fields, interim answers) nor the body of an answer to another request had a bound in bytes or time, and chunk sizes, extensions and trailers had none in time.

Change: a connection counts the bytes, and the time, that its runner has sent without any of an answer's body: at most 64 KB and 1 s, of which a silence takes no more than 250 ms, so that a sound runner may pause anywhere. The request then goes on as after any lost answer, and the runner counts as failed. The native interface's client bounds the head of an answer to 64 KB.

--- /dev/null
+++ b/proof/endless_test.go
@@ -0,0 +1,74 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/standin/runner"
+)
+
+const (
+	// maxDaemonMemory is the memory of a daemon's VM, in bytes.
+	maxDaemonMemory = 284 << 20
+	// minServedBeside is the least percentage of requests that may be repeated and are served beside
+	// runners that send bytes without end.
+	minServedBeside = 98
+)
+
+// TestRunnersThatSendBytesWithoutEnd guards against a daemon that reads what a runner in trouble sends without end
+// until the request's deadline, with hundreds of megabytes for each request, while other runners have room.
+func TestRunnersThatSendBytesWithoutEnd(t *testing.T) {
+	const interval, duration = 20 * time.Millisecond, 4 * time.Second
+	for _, tt := range []struct {
+		name    string
+		endless string
+		slow    time.Duration
+	}{
+		{"no HTTP", "x", 0},
+		{"fields", "HTTP/1.1 200 OK\r\nX: y\r\n", 0},
+		{"interim answers", "HTTP/1.1 102 Processing\r\n\r\n", 0},
+		{"no HTTP, slowly", "xxxxxxxxxxxxxxxx", 50 * time.Millisecond},
+		{"interim answers, slowly", "HTTP/1.1 102 Processing\r\n\r\n", 50 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, 1)
+			c.addRunners("i-app-3", "i-app-4", "i-app-5")
+			c.sendAtInterval(interval, time.Second)
+			for _, r := range c.runners[5:] {
+				r.SetRaw(func(*http.Request) *runner.Raw {
+					return &runner.Raw{Endless: tt.endless, EndlessInterval: tt.slow}
+				})
+			}
+			got := c.sendAtInterval(interval, duration)
+			peak := c.daemons[0].peakMemory(t)
+			t.Logf("answers: %v; at most %d MB", got, peak>>20)
+			assert.Check(t, got[http.StatusGatewayTimeout] == 0, "requests have waited until their deadline: %v", got)
+			assert.Check(t, got[http.StatusOK]*100 >= minServedBeside*total(got), "answers: %v", got)
+			assert.Check(t, peak <= maxDaemonMemory, "%d MB", peak>>20)
+		})
+	}
+}
+
+// peakMemory returns the most memory that the process has had, in bytes.
+func (d *fleetDaemon) peakMemory(t *testing.T) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	assert.NilError(t, err)
+	for line := range bytes.Lines(data) {
+		if f := bytes.Fields(line); len(f) == 3 && string(f[0]) == "VmHWM:" {
+			kb, err := strconv.Atoi(string(f[1]))
+			assert.NilError(t, err)
+			return kb << 10
+		}
+	}
+	t.Fatal("the peak is not known")
+	return 0
+}
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -27,6 +27,7 @@
 	dialTimeout     = time.Second
 	nativeTimeout   = 2 * time.Second
 	maxNativeAnswer = 4 << 20 // bytes
+	maxAnswerHead   = 64 << 10
 )
 
 // Paths of an engine's native interface, which it serves besides the OpenAI API.
@@ -78,10 +79,11 @@
 			}
 			return &guardConn{Conn: conn}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		Protocols:           http1(),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    64,
+		MaxResponseHeaderBytes: maxAnswerHead,
+		IdleConnTimeout:        30 * time.Second,
+		Protocols:              http1(),
 	}
 }
 
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(core.ErrNotSent, "dial: %v", err)
 	}
-	return newConn(nc), nil
+	return newConn(nc, c.clock), nil
 }
 
 func (c *Client) pop(id string) *conn {
@@ -176,6 +176,7 @@
 		stop()
 		_ = cn.Close()
 	}
+	cn.overhead.reset()
 	written, err := cn.send(requestHead(x.method, x.host, x.target, x.header, x.payload), x.payload)
 	if err != nil {
 		discard()
@@ -191,7 +192,7 @@
 	}
 	reuseFor := idleTimeout(reply.Header)
 	closing := reply.closing
-	reply.Body = &body{rc: reply.raw, release: func(complete bool) {
+	reply.Body = &body{rc: reply.raw, progress: cn.overhead.reset, release: func(complete bool) {
 		// stop returns false if ctx is done; the connection is closed by then.
 		if !complete || closing || !written() || cn.in.Buffered() > 0 || !stop() {
 			discard()
@@ -316,6 +317,7 @@
 		if skipped > maxForeignAnswers {
 			return nil, core.ErrMismatchedAnswer
 		}
+		cn.overhead.extra = maxForeignBody
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
--- a/protocol/runner/conn.go
+++ b/protocol/runner/conn.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"primroseward/core"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes.
@@ -17,12 +19,25 @@
 // conn is one connection to a runner. It carries one request at a time.
 type conn struct {
 	net.Conn
-	in      *bufio.Reader
-	expires time.Time // from then on the connection must not be reused
+	in       *bufio.Reader
+	overhead overhead
+	expires  time.Time // from then on the connection must not be reused
+}
+
+func newConn(c net.Conn, clock core.Clock) *conn {
+	cn := &conn{Conn: c, overhead: overhead{clock: clock}}
+	cn.in = bufio.NewReaderSize(cn, readBuffer)
+	return cn
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, in: bufio.NewReaderSize(c, readBuffer)}
+// Read fails with errOverhead if what the runner sends is no part of an answer's body for too long.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.overhead.exceeded() {
+		return 0, errOverhead
+	}
+	n, err := c.Conn.Read(p)
+	c.overhead.add(n)
+	return n, err
 }
 
 // reusable reports whether an idle connection is open and has no unread data. If
@@ -69,13 +84,17 @@
 // body is the body of an answer. Reading it to the end returns its connection to the
 // pool; an error or an earlier Close closes the connection.
 type body struct {
-	rc      io.ReadCloser
-	release func(complete bool)
-	done    bool
+	rc       io.ReadCloser
+	progress func() // called when some of the body has been read
+	release  func(complete bool)
+	done     bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.rc.Read(p)
+	if n > 0 {
+		b.progress()
+	}
 	if err == nil {
 		return n, nil
 	}
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -29,6 +29,28 @@
 	Pause   time.Duration
 	PauseAt int
 	Exit    bool // the runner's listener ends before the connection, as in the exit of a process
+	// Endless is what the runner writes again and again, until the caller closes the connection, instead of
+	// an answer; empty: it answers. EndlessInterval is the time between two of them, each of which is
+	// repeated to endlessPiece bytes if it is 0.
+	Endless         string
+	EndlessInterval time.Duration
+}
+
+// endlessPiece is the least size of what is written at once of an endless answer, in bytes.
+const endlessPiece = 16 << 10
+
+// writeEndless writes what has no end until it fails.
+func (a *Raw) writeEndless(conn net.Conn) {
+	piece := a.Endless
+	if a.EndlessInterval == 0 {
+		piece = strings.Repeat(piece, 1+endlessPiece/len(piece))
+	}
+	for {
+		if _, err := conn.Write([]byte(piece)); err != nil {
+			return
+		}
+		time.Sleep(a.EndlessInterval)
+	}
 }
 
 // SetRaw makes the runner answer the requests that it has begun to run with what fn returns; nil:
@@ -58,6 +80,10 @@
 		return
 	}
 	defer conn.Close()
+	if a.Endless != "" {
+		a.writeEndless(conn)
+		return
+	}
 	var head strings.Builder
 	version := 1
 	if a.Old {
