Quarantine: an exit whose cause is held back counts for nothing else

Callers saw: sound requests answered 503 or 502 as held back, because they were in progress wherever a prompt part or a request crashed runners; in the first second of a fleet also requests with a sound prompt part.

Cause: each request and part was counted for itself. That another one at the same exit had been found to be the cause changed nothing, and a part that nothing had been served with yet counted as never served.

What is in doubt (a request that no runner had just started, the first part of prompts) is judged by exits older than 0.3 s. A counter holds back no part in its first 3 s. An answer that had begun weighs no more than a queued one where a part is concerned. Soak: a fault kind of its own, fatal prompt parts.

--- a/coordination/policy/exits.go
+++ b/coordination/policy/exits.go
@@ -40,13 +40,22 @@
 }
 
 type requestExits struct {
-	weights  map[Instance]int // of each runner instance's exit
+	exits    map[Instance]*exit
 	lastExit time.Time
-	// suspects are the requests in progress at each exit that have the prompt part; nil in the record
-	// of a request.
-	suspects map[Instance]suspects
 }
 
+// exit is the exit of one runner with a request in progress, or with requests that share a prompt part.
+type exit struct {
+	weight int
+	since  time.Time // when it was first reported
+	// cleared: it does not count, also if it is reported again, as the request has been served since.
+	cleared bool
+	suspects
+}
+
+// counts reports whether it counts if it must have been reported until a time.
+func (x *exit) counts(until time.Time) bool { return !x.cleared && !x.since.After(until) }
+
 // NewExitRecords returns an empty ExitRecords.
 func NewExitRecords() *ExitRecords {
 	return &ExitRecords{byDigest: map[core.Digest]*requestExits{}, explained: map[Instance]time.Time{}}
@@ -68,34 +77,97 @@
 }
 
 func (e *ExitRecords) add(now time.Time, d core.Digest, instance Instance, weight int) (runners int, hold bool) {
-	one := e.record(now, d)
-	one.weights[instance] = max(one.weights[instance], weight)
-	return len(one.weights), one.tooMany()
+	if e.record(now, d, instance, weight) == nil {
+		return 0, false
+	}
+	return e.byDigest[d].runners(), e.Held(d, now)
+}
+
+// runners counts the exits that have not been cleared.
+func (r *requestExits) runners() int {
+	n := 0
+	for _, x := range r.exits {
+		if !x.cleared {
+			n++
+		}
+	}
+	return n
 }
 
-// record returns the record of a request or prompt part at which an exit is to be added.
-func (e *ExitRecords) record(now time.Time, d core.Digest) *requestExits {
+// record records an exit under a request or prompt part, and returns nil if its cause is known.
+func (e *ExitRecords) record(now time.Time, d core.Digest, instance Instance, weight int) *exit {
+	if _, ok := e.explained[instance]; ok {
+		return nil
+	}
 	one := e.byDigest[d]
 	if one == nil || now.Sub(one.lastExit) > exitRetention {
 		e.evict(now)
-		one = &requestExits{weights: map[Instance]int{}}
+		one = &requestExits{exits: map[Instance]*exit{}}
 		e.byDigest[d] = one
 	}
 	one.lastExit = now
-	return one
+	x := one.exits[instance]
+	if x == nil {
+		x = &exit{since: now}
+		one.exits[instance] = x
+	}
+	x.weight = max(x.weight, weight)
+	return x
 }
 
-// tooMany reports whether the sum of the exits' weights is reached that holds a request back.
-func (r *requestExits) tooMany() bool {
+// Held reports whether the exits that were reported until a time suffice to hold a request or prompt part
+// back.
+func (e *ExitRecords) Held(d core.Digest, until time.Time) bool {
+	one := e.byDigest[d]
+	if one == nil {
+		return false
+	}
 	sum := 0
-	for _, w := range r.weights {
-		sum += w
+	var requests []core.Digest
+	for _, x := range one.exits {
+		if !x.counts(until) {
+			continue
+		}
+		sum += x.weight
+		for _, r := range x.requests {
+			requests = addNew(requests, r)
+		}
 	}
-	return sum >= maxExitWeight
+	return sum >= maxExitWeight && (requests == nil || len(requests) >= minSuspects)
 }
 
-// Clear drops the recorded exits of a request.
-func (e *ExitRecords) Clear(d core.Digest) { delete(e.byDigest, d) }
+// InDoubt reports whether something else that was in progress at the same exits may well be their cause: for
+// a request that no runner had just started, and for the first part of prompts, which most requests share.
+func (e *ExitRecords) InDoubt(d core.Digest) bool {
+	one := e.byDigest[d]
+	if one == nil {
+		return false
+	}
+	fresh := false
+	for _, x := range one.exits {
+		if x.cleared {
+			continue
+		}
+		if x.first {
+			return true
+		}
+		fresh = fresh || x.weight == freshWeight
+	}
+	return !fresh
+}
+
+// Drop drops the recorded exits of a request.
+func (e *ExitRecords) Drop(d core.Digest) { delete(e.byDigest, d) }
+
+// Clear makes the exits that were reported so far not count for a request, as it has been served. Others may be
+// reporting them still.
+func (e *ExitRecords) Clear(d core.Digest) {
+	if one := e.byDigest[d]; one != nil {
+		for _, x := range one.exits {
+			x.cleared = true
+		}
+	}
+}
 
 // evict removes expired records and, if that is not enough, the request with the fewest
 // exits, the one with the oldest last exit first.
@@ -110,7 +182,7 @@
 			delete(e.byDigest, d)
 			continue
 		}
-		if fewest == nil || len(one.weights) < len(fewest.weights) || len(one.weights) == len(fewest.weights) && one.lastExit.Before(fewest.lastExit) {
+		if fewest == nil || len(one.exits) < len(fewest.exits) || len(one.exits) == len(fewest.exits) && one.lastExit.Before(fewest.lastExit) {
 			victim, fewest = d, one
 		}
 	}
--- a/coordination/policy/parts.go
+++ b/coordination/policy/parts.go
@@ -14,18 +14,16 @@
 // PartExit is the exit of a runner with a request in progress whose prompt has a part.
 type PartExit struct {
 	Instance Instance
-	Started  bool // the runner had started the request
-	Fresh    bool // it had just started it
+	Fresh    bool // the runner had just started the request
 	Request  core.Digest
 	Prompt   []core.Digest // the shared parts of the request's prompt, in order
 }
 
+// weight counts a request whose answer had begun no more than a queued one: prompts share their parts, so that
+// of most parts some request has just begun.
 func (x *PartExit) weight() int {
-	switch {
-	case x.Fresh:
+	if x.Fresh {
 		return freshWeight
-	case x.Started:
-		return startedWeight
 	}
 	return queuedWeight
 }
@@ -33,7 +31,6 @@
 // suspects are the requests with a prompt part that were in progress at one exit. Any of them may have
 // caused it.
 type suspects struct {
-	since    time.Time // when the first of them was reported
 	requests []core.Digest
 	others   []core.Digest // all other parts of their prompts
 	deeper   []core.Digest // those of them that follow the part in a prompt
@@ -68,55 +65,12 @@
 // how many runners have exited under requests with the part, and whether the part must be held back
 // unless it has been served.
 func (e *ExitRecords) AddPart(now time.Time, part core.Digest, x PartExit) (runners int, hold bool) {
-	if _, ok := e.explained[x.Instance]; ok {
+	at := e.record(now, part, x.Instance, x.weight())
+	if at == nil {
 		return 0, false
 	}
-	one := e.record(now, part)
-	if one.suspects == nil {
-		one.suspects = map[Instance]suspects{}
-	}
-	one.weights[x.Instance] = max(one.weights[x.Instance], x.weight())
-	at, known := one.suspects[x.Instance]
-	if !known {
-		at.since = now
-	}
 	at.add(part, &x)
-	one.suspects[x.Instance] = at
-	return len(one.weights), one.partTooMany(now)
-}
-
-// PartHeld reports whether the exits that were reported until a time suffice to hold a part back.
-func (e *ExitRecords) PartHeld(part core.Digest, until time.Time) bool {
-	one := e.byDigest[part]
-	return one != nil && one.partTooMany(until)
-}
-
-// partTooMany is tooMany for a prompt part and the exits that were reported until a time.
-func (r *requestExits) partTooMany(until time.Time) bool {
-	var requests []core.Digest
-	sum := 0
-	for instance, s := range r.suspects {
-		if s.since.After(until) {
-			continue
-		}
-		sum += r.weights[instance]
-		for _, d := range s.requests {
-			requests = addNew(requests, d)
-		}
-	}
-	return len(requests) >= minSuspects && sum >= maxExitWeight
-}
-
-// IsFirst reports whether a part is the first one of a prompt at one of its exits.
-func (e *ExitRecords) IsFirst(part core.Digest) bool {
-	if one := e.byDigest[part]; one != nil {
-		for _, s := range one.suspects {
-			if s.first {
-				return true
-			}
-		}
-	}
-	return false
+	return e.byDigest[part].runners(), e.Held(part, now)
 }
 
 // Deeper returns the parts that follow a part in a prompt at each of its exits that was reported until a
@@ -129,51 +83,15 @@
 	}
 	var out []core.Digest
 	first := true
-	for _, s := range one.suspects {
-		if s.since.After(until) {
+	for _, x := range one.exits {
+		if !x.counts(until) {
 			continue
 		}
 		if first {
-			out, first = slices.Clone(s.deeper), false
+			out, first = slices.Clone(x.deeper), false
 			continue
 		}
-		out = slices.DeleteFunc(out, func(d core.Digest) bool { return !slices.Contains(s.deeper, d) })
+		out = slices.DeleteFunc(out, func(d core.Digest) bool { return !slices.Contains(x.deeper, d) })
 	}
 	return out
 }
-
-// Explain records that a part is the cause of the exits under requests with it, which then count for no
-// other part.
-func (e *ExitRecords) Explain(now time.Time, part core.Digest) {
-	var instances []Instance
-	for d, one := range e.byDigest {
-		for instance, s := range one.suspects {
-			if d == part || slices.Contains(s.others, part) {
-				instances = append(instances, instance)
-			}
-		}
-	}
-	for _, instance := range instances {
-		e.ExplainExit(now, instance)
-	}
-}
-
-// ExplainExit records that the cause of an exit is known. It counts for no part.
-func (e *ExitRecords) ExplainExit(now time.Time, instance Instance) {
-	for other, at := range e.explained {
-		if now.Sub(at) > exitRetention {
-			delete(e.explained, other)
-		}
-	}
-	e.explained[instance] = now
-	for d, one := range e.byDigest {
-		if _, ok := one.suspects[instance]; !ok {
-			continue
-		}
-		delete(one.suspects, instance)
-		delete(one.weights, instance)
-		if len(one.weights) == 0 {
-			delete(e.byDigest, d)
-		}
-	}
-}
--- a/coordination/policy/parts_test.go
+++ b/coordination/policy/parts_test.go
@@ -10,7 +10,7 @@
 )
 
 func fresh(instance Instance, request uint64, prompt ...uint64) PartExit {
-	x := PartExit{Instance: instance, Started: true, Fresh: true, Request: digest(request)}
+	x := PartExit{Instance: instance, Fresh: true, Request: digest(request)}
 	for _, p := range prompt {
 		x.Prompt = append(x.Prompt, digest(p))
 	}
@@ -21,7 +21,7 @@
 // different requests with it crash runners.
 func TestPartIsHeldAfterExitsUnderDifferentRequests(t *testing.T) {
 	queued := fresh(4, 4, 1)
-	queued.Started, queued.Fresh = false, false
+	queued.Fresh = false
 	for _, tt := range []struct {
 		name  string
 		exits []PartExit
@@ -32,14 +32,14 @@
 		{"one request, two exits", []PartExit{fresh(1, 11, 1), fresh(2, 11, 1)}, false},
 		{"one request, ten exits", []PartExit{fresh(1, 11, 1), fresh(2, 11, 1), fresh(3, 11, 1), fresh(4, 11, 1), fresh(5, 11, 1), fresh(6, 11, 1), fresh(7, 11, 1), fresh(8, 11, 1), fresh(9, 11, 1), fresh(10, 11, 1)}, false},
 		{"two requests, two exits", []PartExit{fresh(1, 11, 1), fresh(2, 12, 1)}, true},
-		{"queued at the second", []PartExit{fresh(1, 11, 1), queued}, false},
+		{"not just started at the second", []PartExit{fresh(1, 11, 1), queued}, false},
 	} {
 		e, now, hold := NewExitRecords(), time.Unix(1e9, 0), false
 		for _, x := range tt.exits {
 			_, hold = e.AddPart(now, digest(1), x)
 		}
 		assert.Equal(t, hold, tt.hold, tt.name)
-		assert.Equal(t, e.PartHeld(digest(1), now), tt.hold, tt.name)
+		assert.Equal(t, e.Held(digest(1), now), tt.hold, tt.name)
 	}
 }
 
@@ -60,9 +60,13 @@
 	assert.DeepEqual(t, e.Deeper(digest(first), now), []core.Digest{digest(bad), digest(doc2)})
 	assert.Equal(t, len(e.Deeper(digest(bad), now)), 0)
 	assert.Equal(t, len(e.Deeper(digest(9), now)), 0)
-	assert.Assert(t, !e.PartHeld(digest(bad), now.Add(-time.Second)), "reported later")
-	e.Explain(now, digest(bad))
-	assert.Assert(t, !e.PartHeld(digest(first), now), "the exits are explained")
+	assert.Assert(t, !e.Held(digest(bad), now.Add(-time.Second)), "reported later")
+	assert.Equal(t, len(e.Exits(digest(bad))), 2)
+	for _, instance := range e.Exits(digest(bad)) {
+		assert.Assert(t, e.Explain(now, instance))
+		assert.Assert(t, !e.Explain(now, instance))
+	}
+	assert.Assert(t, !e.Held(digest(first), now), "the exits are explained")
 	_, hold := e.AddPart(now, digest(first), fresh(2, 14, first, doc2))
-	assert.Assert(t, !hold && !e.PartHeld(digest(first), now), "also those reported later")
+	assert.Assert(t, !hold && !e.Held(digest(first), now), "also those reported later")
 }
--- a/coordination/quarantine/compare.go
+++ b/coordination/quarantine/compare.go
@@ -16,11 +16,11 @@
 	// compareInterval is how often a daemon with holds compares them with a peer, and
 	// idleCompareInterval how often one without holds does after its first comparison. A
 	// daemon that has just started tries every startCompareInterval until its first
-	// comparison, for at most startPeriod, as there may be no peer.
+	// comparison, for at most startComparePeriod, as there may be no peer.
 	compareInterval      = time.Second
 	idleCompareInterval  = 10 * time.Second
 	startCompareInterval = 100 * time.Millisecond
-	startPeriod          = 5 * time.Second
+	startComparePeriod   = 5 * time.Second
 	// compareTimeout bounds the wait for the peer's answer.
 	compareTimeout = 300 * time.Millisecond
 	compareResend  = 100 * time.Millisecond
@@ -83,7 +83,7 @@
 	defer q.wg.Done()
 	interval, started := startCompareInterval, q.clock.Now()
 	for q.ctx.Err() == nil {
-		if q.compare() || q.clock.Since(started) > startPeriod {
+		if q.compare() || q.clock.Since(started) > startComparePeriod {
 			interval = idleCompareInterval
 		}
 		q.table.Expire(q.clock.Now())
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,9 +17,12 @@
 	// queryWait is how long to wait for daemons that have served a request: some round trips,
 	// and one interval of a hub.
 	queryWait = 150 * time.Millisecond
-	// firstPartWait is how long an exit does not count for the first part of prompts. Most requests share
-	// it, and the reports of a part that follows it may be on their way.
-	firstPartWait = 300 * time.Millisecond
+	// doubtWait is how long an exit does not count for what is in doubt: the reports on its cause may be on
+	// their way, or another request or part be held back for it.
+	doubtWait = 300 * time.Millisecond
+	// startPeriod is how long after the start of a counter it holds back no part of prompts: callers' usual
+	// requests may not have been served yet.
+	startPeriod = 3 * time.Second
 	// servedWindow is how long ago a request may have been served to count as harmless. What
 	// it needs, such as its model, may have changed since an earlier run.
 	servedWindow = time.Minute
@@ -39,6 +41,9 @@
 	deeper map[core.Digest]bool
 }
 
+// isPart reports whether it is a query for a part of prompts.
+func (c *servedQuery) isPart() bool { return c.deeper != nil }
+
 // seen is the message of a query for daemons that have served a request, or any with a prompt part.
 type seen struct {
 	Digest core.Digest   `json:"digest"`
@@ -59,6 +64,11 @@
 // with too many exits.
 func (q *Quarantine) countExit(report exitReport, from string) {
 	for _, s := range report.Affected {
+		if q.explainedByHold(&s) {
+			q.mu.Lock()
+			q.explain([]policy.Instance{report.Instance})
+			q.mu.Unlock()
+		}
 		r, ok := q.table.Get(s.Digest)
 		switch {
 		case !ok || r.State != hold.StateHeld:
@@ -78,10 +88,6 @@
 func (q *Quarantine) count(report exitReport, s affected, from string, old hold.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.otherPartHeld(&s) {
-		q.exits.ExplainExit(q.clock.Now(), report.Instance)
-		return
-	}
 	runners, tooMany := q.addExit(report.Instance, s)
 	q.log.Info(logs.ExitCounted, zap.Stringer("digest", s.Digest), zap.String("route", s.Route), zap.String("runner", report.Runner), zap.String("from", from),
 		zap.Bool("begun", s.Begun), zap.Bool("fresh", s.Fresh), zap.Int("runners", runners), zap.Bool("many", tooMany))
@@ -101,18 +107,10 @@
 	c.record = hold.Record{Digest: s.Digest, Version: old.Version, Route: s.Route, Service: s.Service, Runners: runners}
 }
 
-// otherPartHeld reports whether another part of the prompt is held back, and so is the cause of the exit.
-func (q *Quarantine) otherPartHeld(s *affected) bool {
-	return slices.ContainsFunc(s.Prompt, func(d core.Digest) bool {
-		_, held := q.table.Held(d)
-		return held && d != s.Digest
-	})
-}
-
 // addExit counts one runner's exit; the caller holds q.mu.
 func (q *Quarantine) addExit(instance policy.Instance, s affected) (runners int, tooMany bool) {
 	if s.isPart() {
-		x := policy.PartExit{Instance: instance, Started: s.Begun, Fresh: s.Fresh, Request: *s.Request, Prompt: s.Prompt}
+		x := policy.PartExit{Instance: instance, Fresh: s.Fresh, Request: *s.Request, Prompt: s.Prompt}
 		return q.exits.AddPart(q.clock.Now(), s.Digest, x)
 	}
 	if s.Fresh {
@@ -163,29 +161,41 @@
 	return found
 }
 
-// undecided reports whether it is too early to hold back a part that no daemon has served, and has it decided
-// later. The caller holds q.mu.
-func (q *Quarantine) undecided(c *servedQuery, part core.Digest) bool {
-	wait := queryWait
-	switch {
-	case c.deeper == nil || c.servedBy != "":
+// undecided reports whether it is too early to hold back what no daemon has served, and has it decided later.
+// The caller holds q.mu.
+func (q *Quarantine) undecided(c *servedQuery, d core.Digest) bool {
+	now, wait := q.clock.Now(), queryWait
+	switch up := now.Sub(q.startedAt); {
+	case c.servedBy != "":
 		return false
-	case q.queryDeeper(c, part): // exits that were reported since have shown them
-	case q.exits.PartHeld(part, q.clock.Now()) && !q.exits.PartHeld(part, q.countsUntil(part)):
-		wait = firstPartWait
+	case c.isPart() && up < startPeriod:
+		q.clock.AfterFunc(startPeriod-up, func() { q.queryAgain(c, d) })
+		return true
+	case c.isPart() && q.queryDeeper(c, d): // exits that were reported since have shown them
+	case q.exits.Held(d, now) && !q.exits.Held(d, q.countsUntil(d)):
+		wait = doubtWait
 	default:
 		return false
 	}
-	q.clock.AfterFunc(wait, func() { q.decide(part) })
+	q.clock.AfterFunc(wait, func() { q.decide(d) })
 	return true
 }
 
-// countsUntil returns until when an exit must have been reported to count for a part now. The caller holds
-// q.mu.
-func (q *Quarantine) countsUntil(part core.Digest) time.Time {
+// queryAgain sends the queries for a part once more, unless it has been decided meanwhile.
+func (q *Quarantine) queryAgain(c *servedQuery, part core.Digest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.queries[part] == c && q.ctx.Err() == nil {
+		q.queryPart(c, part)
+	}
+}
+
+// countsUntil returns until when an exit must have been reported to count for a request or prompt part now. The
+// caller holds q.mu.
+func (q *Quarantine) countsUntil(d core.Digest) time.Time {
 	now := q.clock.Now()
-	if q.exits.IsFirst(part) {
-		return now.Add(-firstPartWait)
+	if q.exits.InDoubt(d) {
+		return now.Add(-doubtWait)
 	}
 	return now
 }
@@ -238,7 +248,7 @@
 		q.clear(d)
 	}
 	likelier, defers := q.likelierPart(c, d)
-	explained := c.deeper != nil && !q.exits.PartHeld(d, q.countsUntil(d))
+	explained := !q.exits.Held(d, q.countsUntil(d))
 	q.mu.Unlock()
 	switch {
 	case c.servedBy != "":
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -38,6 +38,7 @@
 		served  bool // requests with the other parts have been served before
 	}{{1, false}, {1, true}, {3, false}, {3, true}, {17, true}, {60, true}} {
 		t.Run(fmt.Sprint(tt.daemons, tt.served), func(t *testing.T) {
+			t.Parallel()
 			n, r := newNetwork(), newRunners()
 			all := n.fleet(t, tt.daemons, r)
 			if tt.served {
@@ -52,7 +53,7 @@
 				all[rand.N(tt.daemons)].ConnectionLost(brokenPrompt(id, firstPart)) // in progress beside it
 			}
 			waitForAll(t, "part held back", all, hasHold(badPart.Digest))
-			time.Sleep(2 * queryWait)
+			time.Sleep(2 * (queryWait + doubtWait))
 			for _, d := range all {
 				for _, p := range []core.Part{firstPart, document} {
 					assert.Equal(t, d.HoldRemaining(p.Digest), time.Duration(0), "%s: %s", d.name, p.ID)
@@ -64,6 +65,7 @@
 
 // Guards against holding back a part for one request that crashes runners by itself.
 func TestPartOfOneFatalRequestIsNotHeld(t *testing.T) {
+	t.Parallel()
 	n, r := newNetwork(), newRunners()
 	all := n.fleet(t, 3, r)
 	fatal := brokenPrompt("r0", firstPart, document)
@@ -82,6 +84,7 @@
 
 // Guards against holds that last though requests with the part are served.
 func TestServedPartIsReleased(t *testing.T) {
+	t.Parallel()
 	n, r := newNetwork(), newRunners()
 	all := n.fleet(t, 3, r)
 	for i := range 2 {
@@ -103,6 +106,7 @@
 
 // Guards against losing the holds of parts with all daemons.
 func TestHeldPartSurvivesAllDaemons(t *testing.T) {
+	t.Parallel()
 	n, r, store := newNetwork(), newRunners(), memory.New()
 	client := store.Client()
 	reads := WithStore(client, func() bool { return true })
@@ -184,3 +188,30 @@
 		}
 	}
 }
+
+// Guards against holding back sound requests and parts that are in progress wherever a part crashes runners, and that
+// nobody has been served yet.
+func TestExitsUnderAHeldPartCountForNothingElse(t *testing.T) {
+	t.Parallel()
+	n, r := newNetwork(), newRunners()
+	all := n.fleet(t, 5, r)
+	time.Sleep(startPeriod)
+	beside := brokenPrompt("", firstPart, document)
+	beside.JustStarted = false // a stream that goes on at one runner after the other
+	for i := range 6 {
+		id := fmt.Sprint("r", i)
+		r.setProbeErr(id, core.ErrNoListener)
+		beside.Runner.ID = id
+		all[i%5].ConnectionLost(brokenPrompt(id, firstPart, badPart))
+		all[(i+1)%5].ConnectionLost(beside)
+		if i == 1 {
+			waitForAll(t, "part held back", all, hasHold(badPart.Digest))
+		}
+	}
+	time.Sleep(2 * (queryWait + doubtWait))
+	for _, d := range all {
+		for _, digest := range []core.Digest{beside.Digest, firstPart.Digest, document.Digest} {
+			assert.Assert(t, !hasHold(digest)(d), d.name)
+		}
+	}
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -5,7 +5,8 @@
 // The daemon whose request breaks off determines whether the runner has exited. It reports the
 // requests that were in progress there to their counters, a few daemons chosen by the digest
 // of each request. The counters count exits, and hold back a request that was in progress at
-// every exit and was never served. Holds are broadcast to all daemons, kept in the platform's
+// every exit and was never served. Such a request explains the exits, which then count for no
+// other one. The shared parts of a request's prompt are counted and held in the same way. Holds are broadcast to all daemons, kept in the platform's
 // store, and compared between pairs of daemons, so that a daemon that has just started or was
 // cut off gets them too.
 package quarantine
@@ -38,6 +39,7 @@
 	kindSum     = "sum"
 	kindTrial   = "trial"
 	kindConfirm = "confirm"
+	kindExplain = "explain"
 )
 
 // Network sends messages to other daemons.
@@ -76,6 +78,7 @@
 	recent      *recent       // requests
 	parts       *recent       // prompt parts
 	holdChanged chan struct{} // signals that a hold has changed
+	startedAt   time.Time
 
 	mu      sync.Mutex
 	exits   *policy.ExitRecords
@@ -113,7 +116,7 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), parts: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
+		table: hold.NewTable(), recent: newRecent(clock), parts: newRecent(clock), holdChanged: make(chan struct{}, 1), startedAt: clock.Now(), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
@@ -127,6 +130,7 @@
 	net.Handle(kindSum, q.handleSum)
 	net.Handle(kindTrial, q.handleTrial)
 	net.Handle(kindConfirm, q.handleConfirm)
+	net.Handle(kindExplain, q.handleExplain)
 	return q
 }
 
@@ -239,7 +243,7 @@
 	q.log.Warn(logs.HoldChanged, zap.Stringer("digest", r.Digest), zap.String("state", string(r.State)), zap.String("by", string(r.By)),
 		zap.String("from", from), zap.Uint64("version", r.Version), zap.String("route", r.Route), zap.String("service", r.Service),
 		zap.Int("runners", r.Runners), zap.Int("times", r.Level+1), zap.Duration("left", r.Remaining(q.clock.Now())))
-	q.dropCounts(r.Digest, r.State == hold.StateHeld)
+	q.dropCounts(&r)
 	if r.State == hold.StateHeld {
 		q.onHold(r.Digest)
 	}
@@ -251,16 +255,16 @@
 }
 
 // dropCounts drops what was counted for a request or prompt part once a hold has been placed or ended. What
-// is held explains the exits under it, which then count for no other part.
-func (q *Quarantine) dropCounts(d core.Digest, held bool) {
+// is held back explains the exits under it.
+func (q *Quarantine) dropCounts(r *hold.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if held {
-		q.exits.Explain(q.clock.Now(), d)
+	if r.State == hold.StateHeld {
+		q.explain(q.exits.Exits(r.Digest))
 	}
-	q.exits.Clear(d)
-	delete(q.queries, d)
-	delete(q.trials, d)
+	q.exits.Drop(r.Digest)
+	delete(q.queries, r.Digest)
+	delete(q.trials, r.Digest)
 }
 
 // countersOf returns the counters of a request, the first of which grants its trials. all
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -95,9 +95,9 @@
 	// RequestCleared: a request under which runners have exited has been served; the exits counted
 	// for it are dropped.
 	RequestCleared = "request cleared"
-	// HoldDeferred: a part of prompts is not put on hold, as another one that followed it in the prompt at
-	// each exit has not been served either and is the likelier cause, or as that one has been put on hold
-	// and explains the exits.
+	// HoldDeferred: a request or a part of prompts is not put on hold, as the cause of the exits has been
+	// put on hold, or as another part that followed this one in the prompt at each exit has not been served
+	// either and is the likelier cause.
 	HoldDeferred = "hold deferred"
 	// CounterUnreachable: the exit of a runner could not be reported to a counter.
 	CounterUnreachable = "counting daemon does not answer"
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -30,6 +30,7 @@
 type request struct {
 	id, kind, target, body string
 	model                  string
+	prompt                 []string // shared parts
 	first                  *request // the attempt that began the stream that this one takes up; nil: a new request
 	lastEvent              int      // after which this one takes it up
 	hot                    bool     // sent for the hot workspace
@@ -112,7 +113,7 @@
 	case 1:
 		req.kind, req.target, req.hot = "ask", "/ask/"+req.id+"?q=1", c.rng.IntN(100) < hotPercent
 	default:
-		req.kind, req.target = "gen", "/gen/"+req.id
+		req.kind, req.target, req.prompt = "gen", "/gen/"+req.id, soundPrompt(req.id)
 	}
 	return req
 }
@@ -152,7 +153,7 @@
 	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: %s %s\r\nContent-Length: %d\r\n",
 		req.target, wire.HeaderRequestID, req.id, wire.HeaderTimeout, timeout.Milliseconds(), wire.HeaderKey, wire.KeyScheme, req.key(), len(req.body))
 	if req.kind == "gen" {
-		header += wire.HeaderModel + ": " + req.model + "\r\n"
+		header += wire.HeaderModel + ": " + req.model + "\r\n" + promptLine(req)
 	}
 	if req.first != nil {
 		header += fmt.Sprintf("%s: %s\r\n%s: %d\r\n", core.HeaderResumes, req.first.id, wire.HeaderLastEvent, req.lastEvent)
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -81,7 +81,7 @@
 
 // checkFatal checks that fatal requests were stopped, and that no others are on hold.
 func (w *World) checkFatal() {
-	fatalDigests := map[string]bool{}
+	fatalDigests := w.checkFatalParts()
 	byID, bodies := map[string]*request{}, map[string]*request{}
 	for _, req := range w.requests {
 		if isFatal(req.body) {
@@ -96,7 +96,7 @@
 		}
 	}
 	for body, req := range bodies {
-		if late := w.lateRuns(runs[body], byID); late > maxLateRuns {
+		if late := w.lateRuns(runs[body], byID, maxFatalExits); late > maxLateRuns {
 			w.reportViolation("%s %s: ran %d times later than %v after %d runners had exited under it", req.kind, body, late, fatalSettleTime, maxFatalExits)
 		}
 	}
@@ -109,14 +109,14 @@
 	}
 }
 
-// lateRuns counts the runs of a request after it must have been stopped. It leaves out those
-// through daemons that had just started or resumed: they receive the hold with a delay.
-func (w *World) lateRuns(runs []execution, byID map[string]*request) int {
+// lateRuns counts the runs of a request after it must have been stopped, which is after some exits. It leaves
+// out those through daemons that had just started or resumed: they receive the hold with a delay.
+func (w *World) lateRuns(runs []execution, byID map[string]*request, exits int) int {
 	slices.SortFunc(runs, func(a, b execution) int { return a.At.Compare(b.At) })
-	if len(runs) <= maxFatalExits {
+	if len(runs) <= exits {
 		return 0
 	}
-	settled := runs[maxFatalExits-1].At.Add(fatalAfter + w.scale(fatalSettleTime))
+	settled := runs[exits-1].At.Add(fatalAfter + w.scale(fatalSettleTime))
 	n := 0
 	for _, r := range runs {
 		a, since := byID[r.ID], r.At.Add(-fatalSettleTime)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -264,6 +264,7 @@
 	{"broken answers", func(w *World, r *rand.Rand) string { return w.breakAnswers(r) }},
 	{"software version", func(w *World, r *rand.Rand) string { return w.changeVersion(r) }},
 	{"silent runners", func(w *World, r *rand.Rand) string { return w.silenceRunners(r) }},
+	{"fatal prompt part", func(w *World, r *rand.Rand) string { return w.sendFatalPart(r) }},
 }
 
 // invalidEntries are entries of the store that no runner writes.
--- /dev/null
+++ b/soak/parts.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"primroseward/core"
+	wire "primroseward/platform"
+)
+
+const (
+	// firstPart is the first part of all prompts, documentParts the number of parts that sound ones share.
+	firstPart     = "a1"
+	documentParts = 4
+	// maxPartExits is how many runners may exit under requests with one prompt part before these must be
+	// stopped.
+	maxPartExits = 5
+)
+
+// fatalParts are the prompt parts that make each runner exit that begins to run a request with one.
+var fatalParts = []string{"bad0", "bad1", "bad2", "bad3", "bad4", "bad5", "bad6", "bad7"}
+
+// soundPrompt returns the shared parts of the prompt of a sound request.
+func soundPrompt(id string) []string {
+	h := fnv.New32()
+	_, _ = h.Write([]byte(id)) // never fails
+	return []string{firstPart, fmt.Sprint("d", h.Sum32()%documentParts)}
+}
+
+// promptLine returns the header line of a prompt, whose last part is the request's own.
+func promptLine(req *request) string {
+	var b strings.Builder
+	for _, p := range req.prompt {
+		b.WriteString(p + ":400,")
+	}
+	return fmt.Sprintf("%s: %s%x:250\r\n", wire.HeaderParts, b.String(), req.id)
+}
+
+// sendFatalPart sends requests that share one fatal part and are not equal otherwise, for a time, to daemons drawn
+// at random.
+func (w *World) sendFatalPart(r *rand.Rand) string {
+	part, length := fatalParts[r.IntN(len(fatalParts))], randomSeconds(r, 4, 9)
+	w.schedule(0, func() {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(fatalInterval) {
+			d := w.anyDaemon(r)
+			d.mu.Lock()
+			process := d.processStart
+			d.mu.Unlock()
+			id := fmt.Sprintf("%s-%d", part, r.Uint64())
+			req := &request{id: id, kind: "gen", target: "/gen/" + id, prompt: []string{firstPart, part}, daemon: d, processStart: process}
+			w.schedule(0, func() { w.sendOnNewConn(req) })
+		}
+	})
+	return fmt.Sprintf("%s for %v", part, length)
+}
+
+// checkFatalParts checks that requests with fatal parts were stopped. It returns the digests that may be on hold for
+// them.
+func (w *World) checkFatalParts() map[string]bool {
+	allowed, byID := map[string]bool{}, map[string]*request{}
+	for _, req := range w.requests {
+		if hasFatalPart(req) {
+			byID[req.id] = req
+			allowed[core.DigestOf(&core.Request{Method: "POST", Host: "h.example", Target: req.target}).String()] = true
+		}
+	}
+	runs := map[string][]execution{}
+	for id, list := range w.runsByRequest() {
+		if req := byID[id]; req != nil {
+			part := req.prompt[len(req.prompt)-1]
+			runs[part] = append(runs[part], list...)
+		}
+	}
+	for _, part := range fatalParts {
+		allowed[core.NewPart(mainWorkspace, part).Digest.String()] = true
+		if late := w.lateRuns(runs[part], byID, maxPartExits); late > maxLateRuns {
+			w.reportViolation("%s: requests with this part ran %d times later than %v after %d runners had exited under it", part, late, fatalSettleTime, maxPartExits)
+		}
+	}
+	return allowed
+}
+
+// hasFatalPart reports whether a request makes runners exit because of a part of its prompt.
+func hasFatalPart(req *request) bool {
+	return slices.ContainsFunc(req.prompt, func(p string) bool { return slices.Contains(fatalParts, p) })
+}
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -119,7 +119,7 @@
 		c.sent++
 		d.mu.Lock()
 		req = &request{
-			id: fmt.Sprintf("c%d-%d", c.index, c.sent), kind: "gen", target: first.target, model: first.model, first: first, lastEvent: last, daemon: d, processStart: d.processStart,
+			id: fmt.Sprintf("c%d-%d", c.index, c.sent), kind: "gen", target: first.target, model: first.model, prompt: first.prompt, first: first, lastEvent: last, daemon: d, processStart: d.processStart,
 		}
 		d.mu.Unlock()
 		c.w.send(req, conn, bufio.NewReader(conn))
