Watch: a store that has failed for one daemon alone starts no grace for missing entries

Cause: a daemon that the store serves again counts the time since its own failure as the time since the store's return, and keeps runners whose entries are missing for two seconds, as after an outage. Where the store had turned away this daemon alone, no entries have lapsed.

TestStoreThatFailedHereAloneStartsNoGrace failed before.

Result: the test passes, as does its counterpart, in which the peer was not served either and the grace stays.

--- a/coordination/watch/follow.go
+++ b/coordination/watch/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -76,7 +77,19 @@
 		w.log.Debug(logs.NoSnapshot, zap.String("kind", kind), logs.Err(err))
 		return
 	}
+	if !c.Stale {
+		w.recordPeerServed(kind, c.HealthyFor)
+	}
 	if !c.Stale || w.version(kind) == 0 {
 		w.applySnapshot(kind, c)
 	}
 }
+
+// recordPeerServed records that the store serves a peer, and has not failed there for a time.
+func (w *Watcher) recordPeerServed(kind string, healthy time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := w.kinds[kind]
+	k.peerServedAt = w.clock.Now()
+	k.peerFailedAt = k.peerServedAt.Add(-healthy)
+}
--- a/coordination/watch/grace_test.go
+++ b/coordination/watch/grace_test.go
@@ -61,6 +61,42 @@
 	})
 }
 
+// Guards against sending work for two more seconds to a runner that has left, once the store serves a daemon again
+// that it has turned away: peers that it served all the while show that no entries have lapsed.
+func TestStoreThatFailedHereAloneStartsNoGrace(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		peers bool // the store serves the peer all the while
+		gone  bool // at once
+	}{
+		{"the peer was served", true, true},
+		{"the peer was not served either", false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := memory.New()
+				s.Put(runners, "r1", `"ready"`)
+				a, b := newNode(s), newNode(s)
+				a.peer = b
+				for _, n := range []*node{a, b} {
+					n.Start()
+					defer n.Stop()
+				}
+				within(t, time.Second, "start", func() bool { return a.catalog.Runner("r1") != nil && b.catalog.Runner("r1") != nil })
+				time.Sleep(5 * time.Second)
+				a.client.SetDisconnected(true)
+				b.client.SetDisconnected(!tt.peers)
+				time.Sleep(4 * time.Second)
+				a.peer = nil // the removal is seen in the store, not in a peer's snapshot
+				s.Remove(runners, "r1")
+				a.client.SetDisconnected(false)
+				time.Sleep(time.Second)
+				assert.Equal(t, a.catalog.Runner("r1") == nil, tt.gone)
+			})
+		})
+	}
+}
+
 // Guards against sending work for seconds to a runner that leaves: the time of day was five
 // seconds ahead when the store failed, and was set back afterwards. How long the store has
 // not failed must be measured by monotonic time.
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -28,6 +28,9 @@
 	// lapseGrace is how long after the store's return a runner is kept although its entry
 	// is missing: entries of live runners are back within about two seconds.
 	lapseGrace = 2 * time.Second
+	// maxPeerAge is how long after a peer was served the store counts as not having failed meanwhile. It is
+	// far less than the time without a heartbeat after which entries lapse.
+	maxPeerAge = time.Second
 	// maxUnreadable bounds the unreadable entries that are remembered as reported.
 	maxUnreadable = 1000
 	sweepInterval = 100 * time.Millisecond
@@ -152,12 +155,15 @@
 	deletions      []Deletion // after the version deletionsSince, oldest first
 	openDeletions  int        // the last ones of deletions: those of a watch's answer that has not ended
 	deletionsSince uint64
-	failing        bool               // the store counts as failing for this daemon
-	failedAt       time.Time          // when the store last failed, or returned after that
-	following      bool               // this daemon does not watch the kind but fetches it from peers
-	cancel         context.CancelFunc // of the watch
-	hint           hint
-	wake           chan struct{} // wakes follow
+	failing        bool      // the store counts as failing for this daemon
+	failedAt       time.Time // when the store last failed, or returned after that
+	// peerServedAt is when a peer last showed that the store serves it, peerFailedAt when the store had last
+	// failed there.
+	peerServedAt, peerFailedAt time.Time
+	following                  bool               // this daemon does not watch the kind but fetches it from peers
+	cancel                     context.CancelFunc // of the watch
+	hint                       hint
+	wake                       chan struct{} // wakes follow
 	// confirmedAt is when the objects held were last confirmed to be the store's newest,
 	// zero if never. It keeps its monotonic reading.
 	confirmedAt time.Time
@@ -401,6 +407,9 @@
 	k.confirmedAt = w.clock.Now()
 	if regained {
 		k.failedAt = w.clock.Now()
+		if w.clock.Since(k.peerServedAt) <= maxPeerAge {
+			k.failedAt = k.peerFailedAt // it has failed for this daemon alone
+		}
 	}
 	w.mu.Unlock()
 	if regained {
