--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -44,7 +44,7 @@
 	DataCentre string         `json:"place"`           // data centre
 	Caller     netip.AddrPort `json:"caller"`          // address that callers connect to
 	Peer       netip.AddrPort `json:"peer"`            // address for datagrams of other daemons
-	Boot       uint64         `json:"boot"`            // number of the process; later processes have larger ones
+	Boot       uint64         `json:"boot"`            // start of the process in Unix nanoseconds
 	Cores      float64        `json:"cores,omitempty"` // processor cores that it may use; 0: not known
 	Leaving    bool           `json:"leaving,omitempty"`
 	State
--- a/coordination/policy/exits.go
+++ b/coordination/policy/exits.go
@@ -36,7 +36,7 @@
 // safe for concurrent use.
 type ExitRecords struct {
 	byDigest  map[core.Digest]*requestExits
-	explained map[Instance]time.Time // exits whose cause is known, and since when
+	explained map[Instance]Explanation
 }
 
 type requestExits struct {
@@ -58,7 +58,7 @@
 
 // NewExitRecords returns an empty ExitRecords.
 func NewExitRecords() *ExitRecords {
-	return &ExitRecords{byDigest: map[core.Digest]*requestExits{}, explained: map[Instance]time.Time{}}
+	return &ExitRecords{byDigest: map[core.Digest]*requestExits{}, explained: map[Instance]Explanation{}}
 }
 
 // Add records the exit of a runner with a request in progress. Repeated reports of one exit
@@ -77,7 +77,7 @@
 }
 
 func (e *ExitRecords) add(now time.Time, d core.Digest, instance Instance, weight int) (runners int, hold bool) {
-	if e.record(now, d, instance, weight) == nil {
+	if e.record(now, d, d, instance, weight) == nil {
 		return 0, false
 	}
 	return e.byDigest[d].runners(), e.Held(d, now)
@@ -94,9 +94,10 @@
 	return n
 }
 
-// record records an exit under a request or prompt part, and returns nil if its cause is known.
-func (e *ExitRecords) record(now time.Time, d core.Digest, instance Instance, weight int) *exit {
-	if _, ok := e.explained[instance]; ok {
+// record records an exit under a request, or under a request with a prompt part. It returns nil if the cause
+// of the exit is known.
+func (e *ExitRecords) record(now time.Time, d, request core.Digest, instance Instance, weight int) *exit {
+	if by, ok := e.explained[instance]; ok && by.Cause != d && (by.Part || by.Cause != request) {
 		return nil
 	}
 	one := e.byDigest[d]
--- a/coordination/policy/explain.go
+++ b/coordination/policy/explain.go
@@ -8,28 +8,45 @@
 	"primroseward/core"
 )
 
-// Exits returns the runner instances that have exited under a request or prompt part.
-func (e *ExitRecords) Exits(d core.Digest) []Instance {
+// Explanation is the known cause of an exit: a request, or a part of its prompt. The exit counts for nothing
+// else that was in progress, except that a request may have caused it because of a part of its prompt.
+type Explanation struct {
+	Cause core.Digest `json:"cause"`
+	Part  bool        `json:"part,omitempty"`
+	since time.Time
+}
+
+// Exits returns the runner instances that have exited under a request or prompt part, and which of the two
+// it is.
+func (e *ExitRecords) Exits(d core.Digest) (instances []Instance, part bool) {
 	one := e.byDigest[d]
 	if one == nil {
-		return nil
+		return nil, false
 	}
-	return slices.Collect(maps.Keys(one.exits))
+	for _, x := range one.exits {
+		part = part || x.requests != nil
+	}
+	return slices.Collect(maps.Keys(one.exits)), part
 }
 
-// Explain records that the cause of an exit is known: it counts for no request or part any more, also if it
-// is reported again. It returns false if that was known already.
-func (e *ExitRecords) Explain(now time.Time, instance Instance) bool {
-	if _, known := e.explained[instance]; known {
+// Explain records the cause of an exit, also for reports of it that are still to come. It returns false if
+// that was known already.
+func (e *ExitRecords) Explain(now time.Time, instance Instance, by Explanation) bool {
+	if known, ok := e.explained[instance]; ok && (known.Part || !by.Part) {
 		return false
 	}
-	for other, at := range e.explained {
-		if now.Sub(at) > exitRetention {
+	for other, known := range e.explained {
+		if now.Sub(known.since) > exitRetention {
 			delete(e.explained, other)
 		}
 	}
-	e.explained[instance] = now
+	by.since = now
+	e.explained[instance] = by
 	for d, one := range e.byDigest {
+		x := one.exits[instance]
+		if x == nil || d == by.Cause || !by.Part && slices.Contains(x.requests, by.Cause) {
+			continue
+		}
 		delete(one.exits, instance)
 		if len(one.exits) == 0 {
 			delete(e.byDigest, d)
--- a/coordination/policy/parts.go
+++ b/coordination/policy/parts.go
@@ -65,7 +65,7 @@
 // how many runners have exited under requests with the part, and whether the part must be held back
 // unless it has been served.
 func (e *ExitRecords) AddPart(now time.Time, part core.Digest, x PartExit) (runners int, hold bool) {
-	at := e.record(now, part, x.Instance, x.weight())
+	at := e.record(now, part, x.Request, x.Instance, x.weight())
 	if at == nil {
 		return 0, false
 	}
--- a/coordination/policy/parts_test.go
+++ b/coordination/policy/parts_test.go
@@ -61,12 +61,37 @@
 	assert.Equal(t, len(e.Deeper(digest(bad), now)), 0)
 	assert.Equal(t, len(e.Deeper(digest(9), now)), 0)
 	assert.Assert(t, !e.Held(digest(bad), now.Add(-time.Second)), "reported later")
-	assert.Equal(t, len(e.Exits(digest(bad))), 2)
-	for _, instance := range e.Exits(digest(bad)) {
-		assert.Assert(t, e.Explain(now, instance))
-		assert.Assert(t, !e.Explain(now, instance))
+	instances, part := e.Exits(digest(bad))
+	assert.Equal(t, len(instances), 2)
+	assert.Assert(t, part)
+	for _, instance := range instances {
+		assert.Assert(t, e.Explain(now, instance, Explanation{Cause: digest(bad), Part: true}))
+		assert.Assert(t, !e.Explain(now, instance, Explanation{Cause: digest(bad), Part: true}))
 	}
 	assert.Assert(t, !e.Held(digest(first), now), "the exits are explained")
 	_, hold := e.AddPart(now, digest(first), fresh(2, 14, first, doc2))
 	assert.Assert(t, !hold && !e.Held(digest(first), now), "also those reported later")
 }
+
+// Guards against a part that is not held back because requests with it are, each of which has crashed two runners.
+func TestHeldRequestsDoNotClearTheirParts(t *testing.T) {
+	const first, bad, beside = 1, 2, 3
+	e, now := NewExitRecords(), time.Unix(1e9, 0)
+	for _, x := range []PartExit{fresh(1, 11, first, bad), fresh(2, 11, first, bad), fresh(3, 12, first, bad)} {
+		e.AddFresh(now, x.Request, x.Instance)
+		e.AddPart(now, digest(bad), x)
+		e.AddPart(now, digest(beside), fresh(x.Instance, 13, beside))
+		e.AddPart(now, digest(beside), fresh(x.Instance, 14, beside))
+	}
+	exits, part := e.Exits(digest(11))
+	assert.Equal(t, len(exits), 2)
+	assert.Assert(t, !part)
+	for _, instance := range exits {
+		e.Explain(now, instance, Explanation{Cause: digest(11)})
+	}
+	assert.Assert(t, e.Held(digest(bad), now))
+	assert.Assert(t, !e.Held(digest(beside), now))
+	_, hold := e.AddPart(now, digest(bad), fresh(2, 11, first, bad))
+	assert.Assert(t, hold, "reported again")
+	assert.Assert(t, e.Explain(now, 1, Explanation{Cause: digest(bad), Part: true}), "the part is a better explanation")
+}
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -20,7 +20,7 @@
 	// doubtWait is how long an exit does not count for what is in doubt: the reports on its cause may be on
 	// their way, or another request or part be held back for it.
 	doubtWait = 300 * time.Millisecond
-	// startPeriod is how long after the start of a counter it holds back no part of prompts: callers' usual
+	// startPeriod is how long after the start of all daemons no part of prompts is held back: callers' usual
 	// requests may not have been served yet.
 	startPeriod = 3 * time.Second
 	// servedWindow is how long ago a request may have been served to count as harmless. What
@@ -64,9 +64,9 @@
 // with too many exits.
 func (q *Quarantine) countExit(report exitReport, from string) {
 	for _, s := range report.Affected {
-		if q.explainedByHold(&s) {
+		if by, held := q.heldCause(&s); held {
 			q.mu.Lock()
-			q.explain([]policy.Instance{report.Instance})
+			q.explain([]policy.Instance{report.Instance}, by)
 			q.mu.Unlock()
 		}
 		r, ok := q.table.Get(s.Digest)
@@ -165,7 +165,7 @@
 // The caller holds q.mu.
 func (q *Quarantine) undecided(c *servedQuery, d core.Digest) bool {
 	now, wait := q.clock.Now(), queryWait
-	switch up := now.Sub(q.startedAt); {
+	switch up := q.fleetAge(); {
 	case c.servedBy != "":
 		return false
 	case c.isPart() && up < startPeriod:
@@ -181,6 +181,15 @@
 	return true
 }
 
+// fleetAge returns for how long one of the live daemons, the oldest one, has been running.
+func (q *Quarantine) fleetAge() time.Duration {
+	now, oldest := q.clock.Now(), time.Duration(0)
+	for _, p := range q.net.Alive() {
+		oldest = max(oldest, now.Sub(time.Unix(0, int64(p.Boot))))
+	}
+	return oldest
+}
+
 // queryAgain sends the queries for a part once more, unless it has been decided meanwhile.
 func (q *Quarantine) queryAgain(c *servedQuery, part core.Digest) {
 	q.mu.Lock()
--- a/coordination/quarantine/explain.go
+++ b/coordination/quarantine/explain.go
@@ -6,39 +6,45 @@
 
 	"primroseward/coordination/peers"
 	"primroseward/coordination/policy"
-	"primroseward/core"
 )
 
 // maxExplained bounds the exits per message, to keep it below a packet of 1,500 bytes.
 const maxExplained = 50
 
+// explained is the message that some exits have a cause that is held back.
+type explained struct {
+	Exits []policy.Instance  `json:"exits"`
+	By    policy.Explanation `json:"by"`
+}
+
 // explain records that the cause of some exits is held back, at all daemons: what was in progress beside it
 // may have been there by chance. The caller holds q.mu.
-func (q *Quarantine) explain(instances []policy.Instance) {
+func (q *Quarantine) explain(exits []policy.Instance, by policy.Explanation) {
 	now := q.clock.Now()
-	instances = slices.DeleteFunc(instances, func(i policy.Instance) bool { return !q.exits.Explain(now, i) })
-	for part := range slices.Chunk(instances, maxExplained) {
-		q.broadcast(kindExplain, part, queryDelays)
+	exits = slices.DeleteFunc(exits, func(i policy.Instance) bool { return !q.exits.Explain(now, i, by) })
+	for part := range slices.Chunk(exits, maxExplained) {
+		q.broadcast(kindExplain, explained{Exits: part, By: by}, queryDelays)
 	}
 }
 
 func (q *Quarantine) handleExplain(from peers.Peer, body json.RawMessage, _ func(any)) {
-	var instances []policy.Instance
-	if !peers.Decode(q.log, from, body, &instances) {
+	var m explained
+	if !peers.Decode(q.log, from, body, &m) {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, i := range instances {
-		q.exits.Explain(q.clock.Now(), i)
+	for _, i := range m.Exits {
+		q.exits.Explain(q.clock.Now(), i, m.By)
 	}
 }
 
-// explainedByHold reports whether a request, a part of its prompt or the part itself is held back, and so is
-// the cause of an exit under it.
-func (q *Quarantine) explainedByHold(s *affected) bool {
-	return slices.ContainsFunc(append(s.Prompt, s.Digest), func(d core.Digest) bool {
-		_, held := q.table.Held(d)
-		return held
-	})
+// heldCause returns the request or prompt part that is held back and so is the cause of an exit under it.
+func (q *Quarantine) heldCause(s *affected) (policy.Explanation, bool) {
+	for _, d := range append(s.Prompt, s.Digest) {
+		if _, held := q.table.Held(d); held {
+			return policy.Explanation{Cause: d, Part: s.isPart()}, true
+		}
+	}
+	return policy.Explanation{}, false
 }
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -40,11 +40,12 @@
 		t.Run(fmt.Sprint(tt.daemons, tt.served), func(t *testing.T) {
 			t.Parallel()
 			n, r := newNetwork(), newRunners()
+			if !tt.served {
+				n.loss = 0.2
+			}
 			all := n.fleet(t, tt.daemons, r)
 			if tt.served {
 				all[rand.N(tt.daemons)].PartsServed([]core.Part{firstPart, document})
-			} else {
-				n.loss = 0.2
 			}
 			for i := range 3 {
 				id := fmt.Sprint("r", i)
@@ -195,7 +196,6 @@
 	t.Parallel()
 	n, r := newNetwork(), newRunners()
 	all := n.fleet(t, 5, r)
-	time.Sleep(startPeriod)
 	beside := brokenPrompt("", firstPart, document)
 	beside.JustStarted = false // a stream that goes on at one runner after the other
 	for i := range 6 {
@@ -215,3 +215,29 @@
 		}
 	}
 }
+
+// Guards against holding back a sound part because nothing has been served yet: all daemons have just started.
+func TestNoPartIsHeldAtTheStart(t *testing.T) {
+	t.Parallel()
+	n, r := newNetwork(), newRunners()
+	all := n.fleet(t, 3, r)
+	n.mu.Lock()
+	started := time.Now()
+	for _, d := range all {
+		d.boot = started
+	}
+	n.mu.Unlock()
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		r.setProbeErr(id, core.ErrNoListener)
+		all[i%3].ConnectionLost(brokenPrompt(id, document))
+		all[i%3].ConnectionLost(brokenPrompt(id, badPart))
+	}
+	time.Sleep(2 * (queryWait + doubtWait))
+	all[0].PartsServed([]core.Part{document})
+	waitForAll(t, "held back", all, hasHold(badPart.Digest))
+	assert.Assert(t, time.Since(started) >= startPeriod)
+	for _, d := range all {
+		assert.Assert(t, !hasHold(document.Digest)(d), d.name)
+	}
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -78,7 +78,6 @@
 	recent      *recent       // requests
 	parts       *recent       // prompt parts
 	holdChanged chan struct{} // signals that a hold has changed
-	startedAt   time.Time
 
 	mu      sync.Mutex
 	exits   *policy.ExitRecords
@@ -116,7 +115,7 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), parts: newRecent(clock), holdChanged: make(chan struct{}, 1), startedAt: clock.Now(), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
+		table: hold.NewTable(), recent: newRecent(clock), parts: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
@@ -260,7 +259,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if r.State == hold.StateHeld {
-		q.explain(q.exits.Exits(r.Digest))
+		exits, part := q.exits.Exits(r.Digest)
+		q.explain(exits, policy.Explanation{Cause: r.Digest, Part: part})
 	}
 	q.exits.Drop(r.Digest)
 	delete(q.queries, r.Digest)
--- a/coordination/quarantine/sim_test.go
+++ b/coordination/quarantine/sim_test.go
@@ -31,6 +31,7 @@
 	net      *network
 	name     string
 	isolated bool // neither sends nor receives
+	boot     time.Time
 	handlers map[string]peers.Handler
 	stopped  bool
 }
@@ -124,7 +125,14 @@
 	go d.handlers[kind](peers.Peer{Name: from.name}, body, answer)
 }
 
-func (d *daemon) Self() peers.Peer { return peers.Peer{Name: d.name} }
+func (d *daemon) Self() peers.Peer { return d.peer() }
+
+func (d *daemon) peer() peers.Peer {
+	if d.boot.IsZero() {
+		return peers.Peer{Name: d.name}
+	}
+	return peers.Peer{Name: d.name, Boot: uint64(d.boot.UnixNano())}
+}
 
 func (d *daemon) Alive() []peers.Peer {
 	d.net.mu.Lock()
@@ -132,7 +140,7 @@
 	out := []peers.Peer{d.Self()}
 	for name, other := range d.net.daemons {
 		if name != d.name && !d.isolated && !other.isolated {
-			out = append(out, peers.Peer{Name: name})
+			out = append(out, other.peer())
 		}
 	}
 	return out
--- a/proof/parts_test.go
+++ b/proof/parts_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -61,9 +62,24 @@
 
 // partOutcome is the outcome of one sound request.
 type partOutcome struct {
-	sent time.Time
-	ok   bool
-	text string
+	daemon      *fleetDaemon
+	sent, ended time.Time
+	ok          bool
+	text        string
+}
+
+// daemonKill is a daemon that was killed, and when.
+type daemonKill struct {
+	daemon *fleetDaemon
+	at     time.Time
+}
+
+// cutBy reports whether a request's daemon was killed while it was in progress or shortly before, when no process
+// listened at its address.
+func (o *partOutcome) cutBy(kills []daemonKill) bool {
+	return slices.ContainsFunc(kills, func(k daemonKill) bool {
+		return k.daemon == o.daemon && k.at.Before(o.ended) && k.at.After(o.sent.Add(-time.Second))
+	})
 }
 
 // startSoundCallers sends requests without a part that crashes runners, no two alike, to random daemons until
@@ -74,9 +90,9 @@
 		go func() {
 			var list []partOutcome
 			for {
-				sent := time.Now()
-				status, body, err := c.daemons[rand.N(len(c.daemons))].send(path, fmt.Sprint("sound", rand.Uint64()), "m1", promptHeader("a1", fmt.Sprint("d", rand.N(soundDocuments))))
-				list = append(list, partOutcome{sent, err == nil && status == http.StatusOK, fmt.Sprintf("%d %v %.60s", status, err, body)})
+				d, sent := c.daemons[rand.N(len(c.daemons))], time.Now()
+				status, body, err := d.send(path, fmt.Sprint("sound", rand.Uint64()), "m1", promptHeader("a1", fmt.Sprint("d", rand.N(soundDocuments))))
+				list = append(list, partOutcome{d, sent, time.Now(), err == nil && status == http.StatusOK, fmt.Sprintf("%d %v %.60s", status, err, body)})
 				select {
 				case <-done:
 					out <- list
@@ -104,14 +120,22 @@
 		path    string
 		runners runner.Spec
 		prompts [][]string // shared parts of the requests, of which one crashes runners
+		// interval is the time between two of them; 0: callerRetryInterval. kills is the time between two
+		// daemons that are killed and started again; 0: none is. empty: runners that have crashed are back
+		// without models.
+		interval, kills time.Duration
+		empty           bool
 	}{
-		{"stream that may be resumed", "/gen/x", modelRunner, [][]string{{"a1", "bad1"}}},
-		{"stream that may not", "/live/x", modelRunner, [][]string{{"a1", "bad1"}}},
-		{"part between others", "/gen/x", modelRunner, [][]string{{"a1", "d0", "bad1", "d1"}}},
-		{"first part", "/gen/x", modelRunner, [][]string{{"bad1", "d0"}}},
-		{"late crash", "/gen/x", crashLate(modelRunner), [][]string{{"a1", "bad1"}}},
-		{"closed between events", "/gen/x", crashWith(modelRunner, ""), [][]string{{"a1", "bad1"}}},
-		{"two parts", "/gen/x", modelRunner, [][]string{{"a1", "bad1"}, {"a1", "bad2"}}},
+		{name: "stream that may be resumed", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}},
+		{name: "stream that may not", path: "/live/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}},
+		{name: "part between others", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "d0", "bad1", "d1"}}},
+		{name: "first part", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"bad1", "d0"}}},
+		{name: "late crash", path: "/gen/x", runners: crashLate(modelRunner), prompts: [][]string{{"a1", "bad1"}}},
+		{name: "closed between events", path: "/gen/x", runners: crashWith(modelRunner, ""), prompts: [][]string{{"a1", "bad1"}}},
+		{name: "many at a time", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}, interval: 30 * time.Millisecond},
+		{name: "daemons are killed", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}, kills: 2500 * time.Millisecond},
+		{name: "runners are back without models", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}, empty: true},
+		{name: "two parts", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}, {"a1", "bad2"}}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -122,7 +146,18 @@
 			c.awaitServed(callerRequest{path: tt.path, body: "harmless", model: "m1"})
 			stop := c.startSoundCallers(tt.path)
 			time.Sleep(2 * time.Second)
-			for end := time.Now().Add(partsDuration); time.Now().Before(end); time.Sleep(callerRetryInterval) {
+			if tt.empty {
+				crashing.mu.Lock()
+				crashing.spec.Models = nil
+				crashing.mu.Unlock()
+			}
+			interval, killed, kills := cmp.Or(tt.interval, callerRetryInterval), time.Now(), []daemonKill(nil)
+			for end := time.Now().Add(partsDuration); time.Now().Before(end); time.Sleep(interval) {
+				if tt.kills > 0 && time.Since(killed) >= tt.kills {
+					killed = time.Now()
+					kills = append(kills, daemonKill{c.daemons[rand.N(len(c.daemons))], killed})
+					kills[len(kills)-1].daemon.restart(c)
+				}
 				prompt := tt.prompts[rand.N(len(tt.prompts))]
 				d := c.daemons[rand.N(len(c.daemons))]
 				go func() { _, _, _ = d.send(tt.path, fmt.Sprint("harmful", rand.Uint64()), "m1", promptHeader(prompt...)) }() // any outcome is allowed
@@ -138,7 +173,7 @@
 			}
 			served, sent, failed := 0, 0, map[string]int{}
 			for _, o := range outcomes {
-				if o.sent.Before(stopped.Add(settleTime)) {
+				if o.sent.Before(stopped.Add(settleTime)) || o.cutBy(kills) {
 					continue
 				}
 				sent++
