Quarantine: what was queued is no cause; bounded records of prompt parts; reports share no memory

Callers would have seen: a sound part held back for ten minutes instead of five seconds, as a request with it was queued where a runner exited for another reason; found in a review of the change, as are the others.

Cause: any exit under a held part whose trial was due counted as the trial's; an exit was taken for explained by what was merely queued there; the check of a report appended to a slice that it shares with the reports on the prompt's other parts; counting went through all requests of all exits for each of them, and exits were kept for as long as others followed.

Evidence: TestQueuedRequestDoesNotExtendTheHoldOfAPart and TestReportsOfLongPrompts failed before.

Change: what had just begun counts against a held part; two different requests are enough to look at; exits are dropped after ten minutes; a counter that has itself served a part queries nobody.

--- a/coordination/policy/exits.go
+++ b/coordination/policy/exits.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"time"
 
 	"primroseward/core"
@@ -109,6 +110,7 @@
 	one.lastExit = now
 	x := one.exits[instance]
 	if x == nil {
+		maps.DeleteFunc(one.exits, func(_ Instance, old *exit) bool { return now.Sub(old.since) > exitRetention })
 		x = &exit{since: now}
 		one.exits[instance] = x
 	}
@@ -124,14 +126,16 @@
 		return false
 	}
 	sum := 0
-	var requests []core.Digest
+	var requests []core.Digest // no more than minSuspects, as there may be many
 	for _, x := range one.exits {
 		if !x.counts(until) {
 			continue
 		}
 		sum += x.weight
 		for _, r := range x.requests {
-			requests = addNew(requests, r)
+			if len(requests) < minSuspects {
+				requests = addNew(requests, r)
+			}
 		}
 	}
 	return sum >= maxExitWeight && (requests == nil || len(requests) >= minSuspects)
--- a/coordination/policy/parts.go
+++ b/coordination/policy/parts.go
@@ -32,8 +32,7 @@
 // caused it.
 type suspects struct {
 	requests []core.Digest
-	others   []core.Digest // all other parts of their prompts
-	deeper   []core.Digest // those of them that follow the part in a prompt
+	deeper   []core.Digest // parts that follow the part in a prompt
 	first    bool          // the part is the first one of a prompt
 }
 
@@ -41,15 +40,9 @@
 func (s *suspects) add(part core.Digest, x *PartExit) {
 	s.requests = addNew(s.requests, x.Request)
 	s.first = s.first || len(x.Prompt) > 0 && x.Prompt[0] == part
-	follows := false
-	for _, other := range x.Prompt {
-		if other == part {
-			follows = true
-			continue
-		}
-		s.others = addNew(s.others, other)
-		if follows {
-			s.deeper = addNew(s.deeper, other)
+	if at := slices.Index(x.Prompt, part); at >= 0 {
+		for _, d := range x.Prompt[at+1:] {
+			s.deeper = addNew(s.deeper, d)
 		}
 	}
 }
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -75,6 +75,7 @@
 			q.count(report, s, from, r)
 		case r.Remaining(q.clock.Now()) > 0:
 			// The request was already in progress when it was held back.
+		case s.isPart() && !s.mayBeCause():
 		default:
 			q.log.Info(logs.ExitCounted, zap.Stringer("digest", s.Digest), zap.String("runner", report.Runner), zap.String("from", from), zap.Bool("tried", true))
 			r.Level++
@@ -138,12 +139,13 @@
 // and any with one of the parts that followed it at each exit. The caller holds q.mu.
 func (q *Quarantine) queryPart(c *servedQuery, part core.Digest) {
 	c.deeper = map[core.Digest]bool{}
-	q.queryDeeper(c, part)
-	q.broadcast(kindSeen, seen{Digest: part, Within: servedWindow, Part: true}, queryDelays)
 	q.clock.AfterFunc(queryWait, func() { q.decide(part) })
 	if q.parts.servedWithin(part, servedWindow) {
 		c.servedBy = q.net.Self().Name
+		return
 	}
+	q.queryDeeper(c, part)
+	q.broadcast(kindSeen, seen{Digest: part, Within: servedWindow, Part: true}, queryDelays)
 }
 
 // queryDeeper sends the queries for the parts that followed a part at each exit and were not queried yet, and
--- a/coordination/quarantine/explain.go
+++ b/coordination/quarantine/explain.go
@@ -39,12 +39,23 @@
 	}
 }
 
-// heldCause returns the request or prompt part that is held back and so is the cause of an exit under it.
+// heldCause returns the request or prompt part that is held back and so is the cause of an exit under it. What
+// may have been queued only is not.
 func (q *Quarantine) heldCause(s *affected) (policy.Explanation, bool) {
-	for _, d := range append(s.Prompt, s.Digest) {
+	if !s.mayBeCause() {
+		return policy.Explanation{}, false
+	}
+	if _, held := q.table.Held(s.Digest); held {
+		return policy.Explanation{Cause: s.Digest, Part: s.isPart()}, true
+	}
+	for _, d := range s.Prompt {
 		if _, held := q.table.Held(d); held {
-			return policy.Explanation{Cause: d, Part: s.isPart()}, true
+			return policy.Explanation{Cause: d, Part: true}, true
 		}
 	}
 	return policy.Explanation{}, false
 }
+
+// mayBeCause reports whether the exit counts against what is held back already. Most requests with a part have
+// been there by chance.
+func (a *affected) mayBeCause() bool { return a.Fresh || a.Begun && !a.isPart() }
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -13,8 +13,10 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"primroseward/coordination/policy"
 	"primroseward/core"
 	"primroseward/standin/memory"
+	"primroseward/state/hold"
 )
 
 var (
@@ -241,3 +243,43 @@
 		assert.Assert(t, !hasHold(document.Digest)(d), d.name)
 	}
 }
+
+// Guards against a hold that is extended, and a cause that is taken for explained, because a request with a held part
+// was queued at a runner that exited for another reason.
+func TestQueuedRequestDoesNotExtendTheHoldOfAPart(t *testing.T) {
+	q, clock := newSolo(t)
+	q.hold(hold.Record{Digest: document.Digest, Route: "r", Service: "s", Runners: 2})
+	clock.Advance(hold.Duration(0))
+	for i, fresh := range []bool{false, true} {
+		b := brokenPrompt("", firstPart, document)
+		b.MayHaveRun, b.JustStarted = fresh, fresh
+		instance := instanceOf(&core.Runner{ID: fmt.Sprint(i)})
+		q.countExit(exitReport{Runner: "r", Instance: instance, Affected: affectedOf(&b)}, "d")
+		assert.Equal(t, q.HoldRemaining(document.Digest) > 0, fresh)
+		counts := q.exits.Explain(clock.Now(), instance, policy.Explanation{Cause: badPart.Digest, Part: true})
+		assert.Equal(t, counts, !fresh, "explained")
+	}
+}
+
+// Guards against reports that change the prompts of others.
+func TestReportsOfLongPrompts(t *testing.T) {
+	var prompt []core.Part
+	for i := range 3 * maxPrompt {
+		prompt = append(prompt, core.NewPart("", fmt.Sprint(i)))
+	}
+	b := brokenPrompt("r", prompt...)
+	list := affectedOf(&b)
+	q, _ := newSolo(t)
+	for i := range list {
+		_, held := q.heldCause(&list[i])
+		assert.Assert(t, !held)
+	}
+	for i, a := range list[1:] {
+		assert.Equal(t, a.Digest, prompt[i].Digest)
+		assert.Assert(t, len(a.Prompt) <= maxPrompt && slices.Contains(a.Prompt, a.Digest))
+		from := slices.IndexFunc(prompt, func(p core.Part) bool { return p.Digest == a.Prompt[0] })
+		for k, d := range a.Prompt {
+			assert.Equal(t, d, prompt[from+k].Digest)
+		}
+	}
+}
