--- a/coordination/watch/grace_test.go
+++ b/coordination/watch/grace_test.go
@@ -87,7 +87,6 @@
 				a.client.SetDisconnected(true)
 				b.client.SetDisconnected(!tt.peers)
 				time.Sleep(4 * time.Second)
-				a.peer = nil // the removal is seen in the store, not in a peer's snapshot
 				s.Remove(runners, "r1")
 				a.client.SetDisconnected(false)
 				time.Sleep(time.Second)
