--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -17,10 +17,10 @@
 // would count as a cause and never complete.
 const harmlessAfter = 2 * time.Second
 
-// soundAfter is how long a runner must have sent events of a stream before the parts of its prompt count as
+// partsHarmlessAfter is how long a runner must have sent events of a stream before the parts of its prompt count as
 // harmless. It is shorter than harmlessAfter because a part stands in many requests: while runners crash often,
 // few of their streams last long.
-const soundAfter = 500 * time.Millisecond
+const partsHarmlessAfter = 500 * time.Millisecond
 
 // sharedParts returns the shared parts of a request's prompt.
 func sharedParts(q *core.Request) []core.Part {
@@ -146,9 +146,9 @@
 	return j.stage == stageEvents && j.d.clock.Since(j.answeredAt) >= harmlessAfter
 }
 
-// sound reports whether the runner has sent events of the request for soundAfter.
-func (j *job) sound() bool {
-	return j.stage == stageEvents && j.d.clock.Since(j.eventsAt) >= soundAfter
+// partsHarmless reports whether the runner has sent events of the request for partsHarmlessAfter.
+func (j *job) partsHarmless() bool {
+	return j.stage == stageEvents && j.d.clock.Since(j.eventsAt) >= partsHarmlessAfter
 }
 
 // reportClosed reports to the guard that the runner has closed the connection, or has ended its
@@ -166,7 +166,7 @@
 		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
 		MayHaveRun: j.stage != stageSent || !j.engine(), JustStarted: j.stage == stageHead && j.engine(),
 	}
-	if !j.sound() {
+	if !j.partsHarmless() {
 		lost.Parts = j.parts
 	}
 	j.d.guard.ConnectionLost(lost)
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -18,20 +18,21 @@
 // stream is a stream of events. If it breaks off at its runner, it is resumed at another one
 // if the route allows that.
 type stream struct {
-	ctx      context.Context
-	j        *job
-	runner   *core.Runner
-	framing  core.Framing
-	body     io.ReadCloser
-	in       *eventReader
-	ready    []byte
-	err      error
-	firstAt  time.Time
-	lastAt   time.Time
-	maxGap   time.Duration
-	reads    int
-	harmless bool // the guard has been informed that this runner has worked on it for harmlessAfter
-	sound    bool // and that it has done so for soundAfter
+	ctx     context.Context
+	j       *job
+	runner  *core.Runner
+	framing core.Framing
+	body    io.ReadCloser
+	in      *eventReader
+	ready   []byte
+	err     error
+	firstAt time.Time
+	lastAt  time.Time
+	maxGap  time.Duration
+	reads   int
+	// harmless and partsHarmless are whether the guard has been informed that this runner has worked on it for
+	// harmlessAfter, and has sent events for partsHarmlessAfter.
+	harmless, partsHarmless bool
 }
 
 // recordEvent records the arrival of events and the longest pause between them.
@@ -101,7 +102,7 @@
 // readFrom makes the stream go on with an answer.
 func (s *stream) readFrom(r *core.Runner, reply *core.Reply) {
 	s.runner, s.body, s.framing, s.in = r, reply.Body, reply.Framing, s.j.newEventReader(r, reply.Body)
-	s.harmless, s.sound = false, false
+	s.harmless, s.partsHarmless = false, false
 }
 
 // replaceBy makes the stream go on with the answer that takes the place of a silent runner's. What that one
@@ -188,8 +189,8 @@
 // reportHarmless informs the guard, once per runner, that the request and the parts of its prompt are
 // harmless there.
 func (s *stream) reportHarmless() {
-	if !s.sound && s.j.sound() {
-		s.sound = true
+	if !s.partsHarmless && s.j.partsHarmless() {
+		s.partsHarmless = true
 		s.j.d.guard.PartsServed(s.j.parts)
 	}
 	if !s.harmless && s.j.harmless() {
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -140,7 +140,7 @@
 func (q *Quarantine) queryPart(c *servedQuery, part core.Digest) {
 	c.deeper = map[core.Digest]bool{}
 	q.clock.AfterFunc(queryWait, func() { q.decide(part) })
-	if q.parts.servedWithin(part, servedWindow) {
+	if q.recentParts.servedWithin(part, servedWindow) {
 		c.servedBy = q.net.Self().Name
 		return
 	}
@@ -157,7 +157,7 @@
 			continue
 		}
 		found = true
-		c.deeper[d] = q.parts.servedWithin(d, servedWindow)
+		c.deeper[d] = q.recentParts.servedWithin(d, servedWindow)
 		q.broadcast(kindSeen, seen{Digest: d, Within: servedWindow, Part: true}, queryDelays)
 	}
 	return found
@@ -218,7 +218,7 @@
 	}
 	served := q.recent
 	if s.Part {
-		served = q.parts
+		served = q.recentParts
 	}
 	if served.servedWithin(s.Digest, s.Within) {
 		q.net.Send(from, kindWorked, s.Digest)
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -76,7 +76,7 @@
 
 	table       *hold.Table
 	recent      *recent       // requests
-	parts       *recent       // prompt parts
+	recentParts *recent       // prompt parts
 	holdChanged chan struct{} // signals that a hold has changed
 
 	mu      sync.Mutex
@@ -115,7 +115,7 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), parts: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
+		table: hold.NewTable(), recent: newRecent(clock), recentParts: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
@@ -188,7 +188,7 @@
 // PartsServed implements core.Guard.
 func (q *Quarantine) PartsServed(parts []core.Part) {
 	for _, p := range parts {
-		q.parts.add(p.Digest)
+		q.recentParts.add(p.Digest)
 		if r, ok := q.table.Held(p.Digest); ok {
 			q.release(r, hold.BySuccess)
 		}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -113,7 +113,7 @@
 	case 1:
 		req.kind, req.target, req.hot = "ask", "/ask/"+req.id+"?q=1", c.rng.IntN(100) < hotPercent
 	default:
-		req.kind, req.target, req.prompt = "gen", "/gen/"+req.id, soundPrompt(req.id)
+		req.kind, req.target, req.prompt = "gen", "/gen/"+req.id, harmlessPrompt(req.id)
 	}
 	return req
 }
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -54,18 +54,24 @@
 func (w *World) sendFatal(r *rand.Rand) string {
 	kind := []string{"gen", "order", "ask"}[r.IntN(3)]
 	body, length := fmt.Sprintf("%s-%d", fatalPrefix, r.Uint64()), randomSeconds(r, 4, 9)
+	w.sendAtRandom(r, length, func() *request {
+		return &request{id: fmt.Sprintf("%s-%d", body, r.Uint64()), kind: kind, target: "/" + kind + "/" + fatalPrefix, body: body}
+	})
+	return fmt.Sprintf("%s %s for %v", kind, body, length)
+}
+
+// sendAtRandom sends what next returns every fatalInterval for a time, each to a daemon drawn at random.
+func (w *World) sendAtRandom(r *rand.Rand, length time.Duration, next func() *request) {
 	w.schedule(0, func() {
 		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(fatalInterval) {
 			d := w.anyDaemon(r)
+			req := next()
 			d.mu.Lock()
-			process := d.processStart
+			req.daemon, req.processStart = d, d.processStart
 			d.mu.Unlock()
-			id := fmt.Sprintf("%s-%d", body, r.Uint64())
-			req := &request{id: id, kind: kind, target: "/" + kind + "/" + fatalPrefix, body: body, daemon: d, processStart: process}
 			w.schedule(0, func() { w.sendOnNewConn(req) })
 		}
 	})
-	return fmt.Sprintf("%s %s for %v", kind, body, length)
 }
 
 // sendOnNewConn sends one request on a new connection.
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -6,14 +6,13 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"time"
 
 	"primroseward/core"
 	wire "primroseward/platform"
 )
 
 const (
-	// firstPart is the first part of all prompts, documentParts the number of parts that sound ones share.
+	// firstPart is the first part of all prompts, documentParts the number of parts that harmless ones share.
 	firstPart     = "a1"
 	documentParts = 4
 	// maxPartExits is how many runners may exit under requests with one prompt part before these must be
@@ -24,8 +23,8 @@
 // fatalParts are the prompt parts that make each runner exit that begins to run a request with one.
 var fatalParts = []string{"bad0", "bad1", "bad2", "bad3", "bad4", "bad5", "bad6", "bad7"}
 
-// soundPrompt returns the shared parts of the prompt of a sound request.
-func soundPrompt(id string) []string {
+// harmlessPrompt returns the shared parts of the prompt of a harmless request.
+func harmlessPrompt(id string) []string {
 	h := fnv.New32()
 	_, _ = h.Write([]byte(id)) // never fails
 	return []string{firstPart, fmt.Sprint("d", h.Sum32()%documentParts)}
@@ -44,16 +43,9 @@
 // at random.
 func (w *World) sendFatalPart(r *rand.Rand) string {
 	part, length := fatalParts[r.IntN(len(fatalParts))], randomSeconds(r, 4, 9)
-	w.schedule(0, func() {
-		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(fatalInterval) {
-			d := w.anyDaemon(r)
-			d.mu.Lock()
-			process := d.processStart
-			d.mu.Unlock()
-			id := fmt.Sprintf("%s-%d", part, r.Uint64())
-			req := &request{id: id, kind: "gen", target: "/gen/" + id, prompt: []string{firstPart, part}, daemon: d, processStart: process}
-			w.schedule(0, func() { w.sendOnNewConn(req) })
-		}
+	w.sendAtRandom(r, length, func() *request {
+		id := fmt.Sprintf("%s-%d", part, r.Uint64())
+		return &request{id: id, kind: "gen", target: "/gen/" + id, prompt: []string{firstPart, part}}
 	})
 	return fmt.Sprintf("%s for %v", part, length)
 }
