Quarantine: in the first seconds of a fleet nothing that is in doubt is held back

Cause: parts of prompts are not held back in the first three seconds, and so explain no exits; requests were.

TestNoPartIsHeldAtTheStart with such a stream failed before: the stream was held back, and its exits no longer counted for the part.

Change: a request that no runner had just started waits as well, 0.3 s longer than parts.

Result: the test passes.

--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -20,8 +20,8 @@
 	// doubtWait is how long an exit does not count for what is in doubt: the reports on its cause may be on
 	// their way, or another request or part be held back for it.
 	doubtWait = 300 * time.Millisecond
-	// startPeriod is how long after the start of all daemons no part of prompts is held back: callers' usual
-	// requests may not have been served yet.
+	// startPeriod is how long after the start of all daemons nothing is held back that is in doubt, and no part
+	// of prompts: callers' usual requests may not have been served yet.
 	startPeriod = 3 * time.Second
 	// servedWindow is how long ago a request may have been served to count as harmless. What
 	// it needs, such as its model, may have changed since an earlier run.
@@ -170,8 +170,11 @@
 	switch up := q.fleetAge(); {
 	case c.servedBy != "":
 		return false
-	case c.isPart() && up < startPeriod:
-		q.clock.AfterFunc(startPeriod-up, func() { q.queryAgain(c, d) })
+	case up < startPeriod && (c.isPart() || q.exits.InDoubt(d)):
+		if wait = startPeriod - up; !c.isPart() {
+			wait += doubtWait // parts first, which may explain the exits
+		}
+		q.clock.AfterFunc(wait, func() { q.queryAgain(c, d) })
 		return true
 	case c.isPart() && q.queryDeeper(c, d): // exits that were reported since have shown them
 	case q.exits.Held(d, now) && !q.exits.Held(d, q.countsUntil(d)):
@@ -192,12 +195,16 @@
 	return oldest
 }
 
-// queryAgain sends the queries for a part once more, unless it has been decided meanwhile.
-func (q *Quarantine) queryAgain(c *servedQuery, part core.Digest) {
+// queryAgain sends the queries for a request or part once more, unless it has been decided meanwhile.
+func (q *Quarantine) queryAgain(c *servedQuery, d core.Digest) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.queries[part] == c && q.ctx.Err() == nil {
-		q.queryPart(c, part)
+	switch {
+	case q.queries[d] != c || q.ctx.Err() != nil:
+	case c.isPart():
+		q.queryPart(c, d)
+	default:
+		q.queryServed(d)
 	}
 }
 
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -218,7 +218,8 @@
 	}
 }
 
-// Guards against holding back a sound part because nothing has been served yet: all daemons have just started.
+// Guards against holding back a sound part, or a stream that was in progress beside the cause, because nothing has been
+// served yet: all daemons have just started.
 func TestNoPartIsHeldAtTheStart(t *testing.T) {
 	t.Parallel()
 	n, r := newNetwork(), newRunners()
@@ -229,9 +230,12 @@
 		d.boot = started
 	}
 	n.mu.Unlock()
+	beside := broken(other, "")
 	for i := range 4 {
 		id := fmt.Sprint("r", i)
 		r.setProbeErr(id, core.ErrNoListener)
+		beside.Runner.ID = id
+		all[i%3].ConnectionLost(beside)
 		all[i%3].ConnectionLost(brokenPrompt(id, document))
 		all[i%3].ConnectionLost(brokenPrompt(id, badPart))
 	}
@@ -239,8 +243,10 @@
 	all[0].PartsServed([]core.Part{document})
 	waitForAll(t, "held back", all, hasHold(badPart.Digest))
 	assert.Assert(t, time.Since(started) >= startPeriod)
+	time.Sleep(2 * (queryWait + doubtWait))
 	for _, d := range all {
 		assert.Assert(t, !hasHold(document.Digest)(d), d.name)
+		assert.Assert(t, !hasHold(other)(d), d.name)
 	}
 }
 
