--- a/coordination/policy/explain.go
+++ b/coordination/policy/explain.go
@@ -29,6 +29,20 @@
 	return slices.Collect(maps.Keys(one.exits)), part
 }
 
+// ShareExit reports whether a runner has exited under both of two requests or prompt parts.
+func (e *ExitRecords) ShareExit(a, b core.Digest) bool {
+	one, other := e.byDigest[a], e.byDigest[b]
+	if one == nil || other == nil {
+		return false
+	}
+	for instance := range one.exits {
+		if other.exits[instance] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Explain records the cause of an exit, also for reports of it that are still to come. It returns false if
 // that was known already.
 func (e *ExitRecords) Explain(now time.Time, instance Instance, by Explanation) bool {
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -20,8 +20,8 @@
 	// doubtWait is how long an exit does not count for what is in doubt: the reports on its cause may be on
 	// their way, or another request or part be held back for it.
 	doubtWait = 300 * time.Millisecond
-	// startPeriod is how long after the start of all daemons nothing is held back that is in doubt, and no part
-	// of prompts: callers' usual requests may not have been served yet.
+	// startPeriod is how long after the start of all daemons no part of prompts is held back, and nothing in
+	// doubt that such a part may explain: callers' usual requests may not have been served yet.
 	startPeriod = 3 * time.Second
 	// servedWindow is how long ago a request may have been served to count as harmless. What
 	// it needs, such as its model, may have changed since an earlier run.
@@ -170,7 +170,7 @@
 	switch up := q.fleetAge(); {
 	case c.servedBy != "":
 		return false
-	case up < startPeriod && (c.isPart() || q.exits.InDoubt(d)):
+	case up < startPeriod && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
 		if wait = startPeriod - up; !c.isPart() {
 			wait += doubtWait // parts first, which may explain the exits
 		}
@@ -186,6 +186,17 @@
 	return true
 }
 
+// partWaits reports whether a part of prompts is not decided yet that may explain exits under a request. The
+// caller holds q.mu.
+func (q *Quarantine) partWaits(request core.Digest) bool {
+	for d, c := range q.queries {
+		if c.isPart() && q.exits.ShareExit(d, request) {
+			return true
+		}
+	}
+	return false
+}
+
 // fleetAge returns for how long one of the live daemons, the oldest one, has been running.
 func (q *Quarantine) fleetAge() time.Duration {
 	now, oldest := q.clock.Now(), time.Duration(0)
