--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -6,9 +6,9 @@
 // requests that were in progress there to their counters, a few daemons chosen by the digest
 // of each request. The counters count exits, and hold back a request that was in progress at
 // every exit and was never served. Such a request explains the exits, which then count for no
-// other one. The shared parts of a request's prompt are counted and held in the same way. Holds are broadcast to all daemons, kept in the platform's
-// store, and compared between pairs of daemons, so that a daemon that has just started or was
-// cut off gets them too.
+// other one. The shared parts of a request's prompt are counted and held in the same way. Holds
+// are broadcast to all daemons, kept in the platform's store, and compared between pairs of
+// daemons, so that a daemon that has just started or was cut off gets them too.
 package quarantine
 
 import (
