--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -53,12 +53,14 @@
 	daemons   []*daemon
 	servers   []*server
 
+	starts sync.Mutex // held while a daemon is started or all are killed
 	mu     sync.Mutex
 	log    *os.File
 	began  time.Time
 	reads  sync.WaitGroup
 	number int
 	port   int // the last one given out
+	closed bool
 	// line is called with each line of a runner.
 	line func(s *server, text string)
 }
@@ -102,6 +104,9 @@
 
 // killAll kills all processes.
 func (w *world) killAll() {
+	w.starts.Lock()
+	defer w.starts.Unlock()
+	w.closed = true
 	for _, d := range w.daemons {
 		kill(d.cmd)
 	}
@@ -243,8 +248,13 @@
 	return os.WriteFile(d.file, body, 0o600)
 }
 
-// startDaemon starts a daemon's process.
+// startDaemon starts a daemon's process, unless the case is at its end.
 func (w *world) startDaemon(d *daemon) error {
+	w.starts.Lock()
+	defer w.starts.Unlock()
+	if w.closed {
+		return errors.New("the case is at its end")
+	}
 	out, err := os.OpenFile(filepath.Join(w.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
