Review: a prompt part in use that begins to crash runners is never held back

Cause: queryPart clears a part that was served within the last minute, also if that was before the first crash; the exits counted so far are dropped each time.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases. It needs no network: they use the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-GOFLAGS=-mod=mod GOWORK=off go build -o bin/standin ./standin
+CGO_ENABLED=0 GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local GOWORK=off go build -o bin/standin ./standin
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -25,6 +25,7 @@
 	slots, events            int
 	interval                 time.Duration
 	unframed                 bool
+	fatal                    string // part of prompts under which the process exits; empty: none
 
 	mu        sync.Mutex
 	models    map[string][]string
@@ -46,6 +47,7 @@
 	flags.IntVar(&r.slots, "slots", 32, "slots")
 	flags.IntVar(&r.events, "events", 0, "events of a stream; 0: plain answers")
 	flags.DurationVar(&r.interval, "interval", 50*time.Millisecond, "time between events, or of a plain answer")
+	flags.StringVar(&r.fatal, "fatal", "", "part of prompts under which the process exits as it begins to answer")
 	flags.BoolVar(&r.unframed, "unframed", false, "streams have no length and end with their connection")
 	_ = flags.Parse(args)
 	for _, m := range strings.Fields(strings.ReplaceAll(*models, ",", " ")) {
@@ -69,6 +71,11 @@
 		r.register(*addr)
 		r.print("draining", "-")
 	})
+	mux.HandleFunc("POST /_fatal", func(_ http.ResponseWriter, q *http.Request) {
+		r.mu.Lock()
+		r.fatal = q.URL.Query().Get("part")
+		r.mu.Unlock()
+	})
 	mux.HandleFunc("/", r.serve)
 	_ = http.Serve(ln, mux)
 }
@@ -237,7 +244,7 @@
 		r.running--
 		r.mu.Unlock()
 	}()
-	r.print(fmt.Sprintf("runs bytes=%d after=%q", len(body), q.Header.Get("Last-Event-Id")), id)
+	r.print(fmt.Sprintf("runs bytes=%d after=%q parts=%s", len(body), q.Header.Get("Last-Event-Id"), q.Header.Get("X-Primroseward-Prompt-Prefix")), id)
 	stamp := r.id + "." + id
 	w.Header().Set("X-Primroseward-Server-Stamp", stamp)
 	w.Header().Set("X-Primroseward-Weight-Versions", "1")
@@ -247,6 +254,14 @@
 		r.print("ends whole", id)
 		return
 	}
+	r.mu.Lock()
+	fatal := r.fatal != "" && strings.Contains(q.Header.Get("X-Primroseward-Prompt-Prefix"), r.fatal+":")
+	r.mu.Unlock()
+	if fatal {
+		time.Sleep(r.interval)
+		r.print("crashes", id)
+		os.Exit(1)
+	}
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err := r.stream(w, id, stamp, first); err != nil {
 		r.print("ends early", id)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -63,6 +63,15 @@
 	s.write(kind, object{Metadata: metadata{Name: name}, Spec: body}, false)
 }
 
+// remove deletes an object, as the platform does with the entry of a runner that is silent.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.kinds[kind][name]; ok {
+		s.write(kind, o, true)
+	}
+}
+
 // write stores an object under a new revision. The caller holds the lock.
 func (s *store) write(kind string, o object, removed bool) object {
 	s.revision++
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -177,6 +177,11 @@
 
 // startServer starts a runner and copies its lines to the record.
 func (w *world) startServer(id, service, zone string, args ...string) (*server, error) {
+	w.starts.Lock()
+	defer w.starts.Unlock()
+	if w.closed {
+		return nil, errors.New("the case is at its end")
+	}
 	addr, err := w.freeAddr()
 	if err != nil {
 		return nil, err
@@ -299,7 +304,7 @@
 }
 
 // send makes one request on a new connection.
-func (w *world) send(d *daemon, id, path, model string, timeout time.Duration, body io.Reader) answer {
+func (w *world) send(d *daemon, id, path, model string, timeout time.Duration, body io.Reader, parts ...string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.caller+path, body)
@@ -312,6 +317,9 @@
 	if model != "" {
 		q.Header.Set("X-Primroseward-Model", model)
 		q.Header.Set("X-Primroseward-Token-Counts", "715,282")
+		if len(parts) > 0 {
+			q.Header.Set("X-Primroseward-Prompt-Prefix", strings.Join(parts, ","))
+		}
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	w.record("client", fmt.Sprintf("sends %s %s to %s", id, path, d.name))
