Decisions of the retry budget are logged and counted

Cause: a line said that a request is retried, none what the daemon believed of the budget, nor that a retry was not made for it. Change: retry taken, retry denied, primrose_retries{cause,taken}.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -158,7 +158,7 @@
 // this daemon, a retry is taken from the budget, so that the request can be sent elsewhere.
 func (j *job) verify(runner string) {
 	if j.d.loads.IsUnanswering(runner) && !j.retryReserved {
-		j.retryReserved = j.attemptsLeft(1) && j.d.budget.TakeRetry(j.service)
+		j.retryReserved = j.attemptsLeft(1) && j.reserveRetry(retryVerify)
 	}
 	j.d.loads.Verify(runner)
 }
--- a/coordination/dispatch/metrics.go
+++ b/coordination/dispatch/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -113,6 +114,11 @@
 	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_forwarded").Inc(1)
 }
 
+// retry counts a retry that was taken from the budget, or denied by it.
+func (m *metrics) retry(cause string, taken bool) {
+	m.scope.Tagged(map[string]string{"cause": cause, "taken": strconv.FormatBool(taken)}).Counter("retries").Inc(1)
+}
+
 // helped counts a request that another daemon has forwarded to this one.
 func (m *metrics) helped(reply *core.Reply, err error) {
 	m.scope.Tagged(map[string]string{"outcome": outcomeOf(reply, err)}).Counter("requests_helped").Inc(1)
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -101,7 +101,7 @@
 func (j *job) takeRetry() bool {
 	reserved := j.retryReserved
 	j.retryReserved = false
-	return j.attemptsLeft(0) && (reserved || j.d.budget.TakeRetry(j.service))
+	return j.attemptsLeft(0) && (reserved || j.reserveRetry(retryFailed))
 }
 
 // attemptsLeft reports whether the route allows one more run in addition to the pending ones.
--- a/coordination/policy/budget.go
+++ b/coordination/policy/budget.go
@@ -75,14 +75,34 @@
 	return b.left(b.current(service))
 }
 
+// BudgetState is what the budget of a service is decided by.
+type BudgetState struct {
+	FirstSends, Retries int     // in the window
+	Ratio, Slack        float64 // retries allowed for each first send, and in addition
+}
+
+// State returns the state of a service's budget.
+func (b *Budget) State(service string) BudgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := BudgetState{Ratio: b.ratio(), Slack: b.slack()}
+	s.FirstSends, s.Retries = b.counts(b.current(service))
+	return s
+}
+
 // left is Left for callers that hold the lock, with the result of current.
 func (b *Budget) left(r *sendCounts, now int) bool {
-	firstSends, retries := 0, 0
+	firstSends, retries := b.counts(r, now)
+	return float64(retries+1) <= b.ratio()*float64(firstSends)+b.slack()
+}
+
+// counts returns the first sends and the retries of the window. Its arguments are the result of current.
+func (b *Budget) counts(r *sendCounts, now int) (firstSends, retries int) {
 	for i := range r.interval {
 		if r.interval[now]-r.interval[i] < windowIntervals {
 			firstSends += r.firstSends[i]
 			retries += r.retries[i]
 		}
 	}
-	return float64(retries+1) <= b.ratio()*float64(firstSends)+b.slack()
+	return firstSends, retries
 }
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -81,6 +81,11 @@
 	RunnerUnreachable = "runner unreachable"
 	// RunnerFailed: the runner answered 5xx to a repeatable request, which is retried.
 	RunnerFailed = "runner failed the request, trying another"
+	// RetryTaken: a retry was taken from the budget that all daemons share; with the cause and what this
+	// daemon has counted and may count.
+	RetryTaken = "retry taken"
+	// RetryDenied: the budget has no retry left; with the same.
+	RetryDenied = "retry denied"
 	// AnswerRetried: no complete answer arrived, and the request is repeatable and is retried.
 	AnswerRetried = "answer lost, trying another runner"
 	// AnswerLost: no complete answer arrived; the caller gets 502 or a truncated stream.
