Retry budget: saved up from requests, a process starts without any

Callers saw: nothing; runners got more repeats than the budget allows where daemons were killed, stopped or cut off from each other. Cause: counts lay in each process, the slack was divided by the daemons heard, a window of ten intervals covered nine, and a request forwarded after a failed first send was counted twice. Class: a bound that all share is kept by what one process remembers or hears. What is saved up before a window and received in it never exceeds the bound, whichever processes end meanwhile; the slack is divided by the daemons that the store lists.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"primroseward/coordination/load"
 	"primroseward/coordination/origin"
 	"primroseward/coordination/policy"
+	"primroseward/coordination/retry"
 	"primroseward/core"
 	"primroseward/io/logs"
 	"primroseward/state/catalog"
@@ -88,7 +89,7 @@
 	loads      *load.Table
 	sender     Sender
 	placer     Placer
-	budget     *policy.Budget
+	budget     *retry.Budget
 	pacer      *policy.Pacer
 	onDown     func()
 	daemons    func() int // number of daemons that send to the runners now
@@ -170,7 +171,7 @@
 func (d *Dispatcher) balanced() bool { return d.balance().Enabled(d.catalog.Config()) }
 
 // New returns the Dispatcher of a daemon in a data centre.
-func New(dataCentre string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *policy.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
+func New(dataCentre string, c *catalog.Catalog, loads *load.Table, sender Sender, placer Placer, budget *retry.Budget, demand *Demand, clock core.Clock, log *zap.Logger, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
 		dataCentre: dataCentre, catalog: c, loads: loads, sender: sender, placer: placer, budget: budget, demand: demand,
 		pacer: policy.NewPacer(), daemons: func() int { return 1 }, onDown: func() {}, clock: clock, log: log, metrics: newMetrics(tally.NoopScope), guard: core.NoGuard{},
@@ -258,6 +259,7 @@
 	backoffUntil       time.Time         // end of the first backoff among the runners that could serve the request
 	probeAwaited       bool              // a runner was skipped because a request probes its backoff
 	forwards           int               // daemons that the request has been forwarded to
+	counted            bool              // for the retry budget, here or by the daemon that has forwarded it
 	countedElsewhere   bool              // allowance and limits are counted by the daemon that sends the request
 	leaveLimits        func()            // counts the request out of the limits of the settings
 	lastEvent          string            // id of the last event passed on
@@ -307,6 +309,7 @@
 		limit = j.effective.Deadline
 	}
 	j.deadline = q.Arrived.Add(limit)
+	j.countRequest()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	d.running.Add(1)
 	end := func() {
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -144,8 +144,9 @@
 	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
 	j.granted, j.statedRuns = max(1, j.maxRuns()-j.runs-1), j.runs
 	out := core.Outgoing{Timeout: left, Priority: -1, LastEvent: j.lastEvent, Forward: &core.Forward{
-		From: j.d.self, Runs: j.runs, Attempts: j.granted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller, Origin: j.origin,
+		From: j.d.self, Runs: j.runs, Attempts: j.granted, Counted: j.counted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller, Origin: j.origin,
 	}}
+	j.counted = true // from now on by the other daemon, if not before
 	endLoad := j.d.helpers.Loads().Begin(to.ID)
 	sending, cancel := context.WithCancel(ctx)
 	j.cancelSend = cancel
--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -14,16 +14,25 @@
 	retryVerify   = "verify"   // the runner may not answer this daemon
 )
 
+// countRequest counts the request for the retry budget, unless the daemon that it is forwarded to
+// or that has forwarded it counts it.
+func (j *job) countRequest() {
+	j.counted = j.q.Forward != nil && j.q.Forward.Counted
+	if !j.counted && !j.countedElsewhere {
+		j.counted = true
+		j.d.budget.CountRequest(j.service)
+	}
+}
+
 // reserveRetry takes a retry from the budget. It returns false if none is left.
 func (j *job) reserveRetry(cause string) bool {
-	state := j.d.budget.State(j.service)
-	taken := j.d.budget.TakeRetry(j.service)
+	state, taken := j.d.budget.Take(j.service)
 	message := logs.RetryDenied
 	if taken {
 		message = logs.RetryTaken
 	}
 	j.d.metrics.retry(cause, taken)
-	j.log.Info(message, zap.String("service", j.service), zap.String("cause", cause), zap.Int("firsts", state.FirstSends), zap.Int("retries", state.Retries),
-		zap.Float64("ratio", state.Ratio), zap.Float64("slack", state.Slack), zap.Int("runs", j.runs), zap.Int("sends", j.sends), zap.Bool("forwarded", j.q.Forward != nil))
+	j.log.Info(message, zap.String("service", j.service), zap.String("cause", cause), zap.Float64("saved", state.Saved), zap.Float64("max", state.Max),
+		zap.Int("requests", state.Requests), zap.Int("daemons", state.Daemons), zap.Int("runs", j.runs), zap.Int("sends", j.sends), zap.Bool("forwarded", j.q.Forward != nil))
 	return taken
 }
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -48,9 +48,6 @@
 	}
 	j.observeTokens()
 	j.chargeAllowance()
-	if j.sends == 0 && j.runs == 0 {
-		j.d.budget.CountFirst(j.service)
-	}
 	j.sends++
 	j.chargeLimit(r.ID)
 	j.sentAt, j.stage, j.framing = j.d.clock.Now(), stageSent, ""
--- a/coordination/peers/usage.go
+++ b/coordination/peers/usage.go
@@ -23,6 +23,15 @@
 	p.onUsage(reachable, known, usage)
 }
 
+// CountKnown returns the number of daemons that may be alive, this one included, or 0 until the store
+// has been listed.
+func (p *Peers) CountKnown() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, known := p.countDaemons(p.clock.Now())
+	return known
+}
+
 // countDaemons returns how many daemons are reachable and how many may be alive, both with
 // this one; known is 0 until the store has been listed. A peer that was leaving and is no
 // longer alive has stopped and is not counted. The caller holds the lock.
--- a/core/forward.go
+++ b/core/forward.go
@@ -16,14 +16,18 @@
 	From     string     // the daemon that took the request from its caller
 	Runs     int        // sends so far that may have run
 	Attempts int        // further sends that may run
+	Counted  bool       // the retry budget has received its share for the request
 	HasKey   bool       // the caller has shown a key
 	Key      KeyID      // of the caller
 	Caller   netip.Addr // address of the caller
 	Origin   *Origin    // where the stream began that the request continues; nil: not known, or a new stream
 }
 
+// countedValue is the value of HeaderCounted; another one or none stands for false.
+const countedValue = "1"
+
 // forwardHeaders are the headers of a forwarded request that are not passed on to runners.
-var forwardHeaders = []string{HeaderFrom, HeaderRuns, HeaderAttempts, HeaderKeyID, HeaderCaller}
+var forwardHeaders = []string{HeaderFrom, HeaderRuns, HeaderAttempts, HeaderCounted, HeaderKeyID, HeaderCaller}
 
 // Write sets the headers of a forwarded request.
 func (f *Forward) Write(h http.Header) {
@@ -34,6 +38,9 @@
 	h.Set(HeaderFrom, f.From)
 	h.Set(HeaderRuns, strconv.Itoa(f.Runs))
 	h.Set(HeaderAttempts, strconv.Itoa(f.Attempts))
+	if f.Counted {
+		h.Set(HeaderCounted, countedValue)
+	}
 	if f.HasKey {
 		h.Set(HeaderKeyID, hex.EncodeToString(f.Key[:]))
 	}
@@ -55,6 +62,7 @@
 	if f.Attempts, err = strconv.Atoi(h.Get(HeaderAttempts)); err != nil || f.Attempts < 1 {
 		return nil, eris.Wrapf(ErrInvalid, "%s: want a number above 0, got %q", HeaderAttempts, h.Get(HeaderAttempts))
 	}
+	f.Counted = h.Get(HeaderCounted) == countedValue
 	if text := h.Get(HeaderKeyID); text != "" {
 		n, err := hex.Decode(f.Key[:], []byte(text[:min(len(text), 2*len(f.Key))]))
 		if err != nil || n != len(f.Key) || len(text) != 2*len(f.Key) {
--- a/core/headers.go
+++ b/core/headers.go
@@ -34,11 +34,12 @@
 	HeaderRunner = "Primrose-Runner"
 	// HeaderDataCentre names the data centre in which the request was answered.
 	HeaderDataCentre = "Primrose-Place"
-	// HeaderFrom names the daemon that forwards a request to another one. The next four headers
+	// HeaderFrom names the daemon that forwards a request to another one. The next five headers
 	// of such a request are the fields of Forward.
 	HeaderFrom     = "Primrose-From"
 	HeaderRuns     = "Primrose-Runs"
 	HeaderAttempts = "Primrose-Attempts"
+	HeaderCounted  = "Primrose-Counted"
 	HeaderKeyID    = "Primrose-Key"
 	HeaderCaller   = "Primrose-Caller"
 	// HeaderCode is the code of a refusal in the answer to a forwarded request.
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -29,9 +29,9 @@
 	"primroseward/coordination/origin"
 	"primroseward/coordination/peers"
 	"primroseward/coordination/placement"
-	"primroseward/coordination/policy"
 	"primroseward/coordination/quarantine"
 	"primroseward/coordination/reach"
+	"primroseward/coordination/retry"
 	"primroseward/coordination/watch"
 	"primroseward/core"
 	"primroseward/io/logs"
@@ -104,9 +104,6 @@
 	answerMargin = 100 * time.Millisecond
 	// closeMargin is the part of the grace time that is reserved for closing.
 	closeMargin = 400 * time.Millisecond
-	// budgetPercent is the percentage of the shared retry budget that is used. Daemons
-	// count retries independently, and some may have just failed.
-	budgetPercent = 70
 )
 
 // Daemon is one running primrosed.
@@ -211,7 +208,7 @@
 	d.peers.Handle(kindAnswered, d.handleAnswered)
 	d.peers.Handle(kindHeard, d.handleHeard)
 	d.peers.Handle(kindLeaving, handleUpdate(d, d.available.ApplyUpdate))
-	budget := policy.NewBudget(d.clock, time.Duration(set.Fleet.RetryWindow), d.ratio, d.slack)
+	budget := retry.New(d.clock, d.retryLimits, d.peers.CountKnown)
 	demand := dispatch.NewDemand()
 	d.lease = lease.New(d.store, kindLeases, leaseName, set.Name, time.Duration(set.Fleet.Lease), currentHolder{d}, d.clock, d.log, lease.WithCandidate(d.mayHoldLease), lease.WithResign(d.shouldResignLease))
 	d.departures = &departureReader{clock: d.clock, log: d.log, choose: d.selectPeer, fetch: d.fetchDepartures, storeKnown: d.storeKnown}
@@ -239,13 +236,10 @@
 // balanced reports whether requests are balanced so under the configuration in force.
 func (d *Daemon) balanced() bool { return d.balance().Enabled(d.catalog.Config()) }
 
-// ratio returns the retry budget as a fraction of requests.
-func (d *Daemon) ratio() float64 { return d.current.Load().RetryRatio * budgetPercent / 100 }
-
-// slack returns this daemon's part of the retries that all daemons may make in addition
-// to the ratio.
-func (d *Daemon) slack() float64 {
-	return d.current.Load().RetrySlack * budgetPercent / 100 / float64(d.peers.Count())
+// retryLimits returns the retry budget of all daemons.
+func (d *Daemon) retryLimits() retry.Limits {
+	f := d.current.Load()
+	return retry.Limits{Window: time.Duration(f.RetryWindow), Ratio: f.RetryRatio, Slack: f.RetrySlack}
 }
 
 // runnerGone discards the state that is kept of a runner that is gone.
