--- a/proof/broken_test.go
+++ b/proof/broken_test.go
@@ -13,11 +13,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"primroseward/core"
 	wire "primroseward/platform"
 	"primroseward/standin/fuzz"
+	"primroseward/standin/paths"
 	"primroseward/standin/runner"
 )
 
@@ -344,3 +346,33 @@
 		assert.Assert(rt, a.status != http.StatusOK || strings.HasPrefix(raw.Body, a.body), "%q of %q", a.body, raw.Body)
 	})
 }
+
+// TestRunnerStopsInItsHead guards against a runner that stops in the middle of its answer's head and closes, and whose
+// answer reaches the caller as a success with an empty or short body, from a daemon that reaches the runner or through
+// another one that it forwards to.
+func TestRunnerStopsInItsHead(t *testing.T) {
+	c := startFleet(t, 2, withPaths)
+	c.partition([]int{0}, paths.Reset)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _, err := c.daemons[0].send("/ask/x", "", ""); err != nil || status != http.StatusOK {
+			return poll.Continue("%d %v", status, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	for _, framing := range []core.Framing{core.FramingLength, core.FramingChunked, core.FramingClose} {
+		for _, cut := range []int{1, 9, 12, 15, 17, 30, -40, -20, -5, -4, -3, -2, -1} {
+			raw := &runner.Raw{Framing: framing, Body: fullStream(20), CutHead: cut}
+			for _, r := range c.runners {
+				r.SetRaw(func(*http.Request) *runner.Raw { return raw })
+			}
+			for _, path := range []string{"order", "ask", "live", "gen"} {
+				model := map[string]string{"live": "m1", "gen": "m1"}[path]
+				for _, d := range c.daemons {
+					a := d.sendRaw(t, 1, fmt.Sprintf("/%s/%s%d", path, framing, cut), model)
+					assert.Check(t, a.status == 0 || a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable,
+						"%s %s, %s, head cut at %d: %d, complete %v, %q", d.name, path, framing, cut, a.status, a.complete, a.body)
+				}
+			}
+		}
+	}
+}
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -24,6 +24,9 @@
 	Body    string
 	Cut     bool // the connection ends before the end that the framing promises
 	Reset   bool // the connection is reset
+	// CutHead is the number of bytes of the head after which the connection ends, from the end of the head if
+	// negative; 0: the head is whole.
+	CutHead int
 	// The runner falls silent for Pause before the byte at PauseAt of the answer, of which its head is a
 	// part; if negative, counted from the end.
 	Pause   time.Duration
@@ -107,6 +110,15 @@
 		body = a.chunks()
 	}
 	head.WriteString("\r\n")
+	if a.CutHead != 0 {
+		text := head.String()
+		n := a.CutHead
+		if n < 0 {
+			n += len(text)
+		}
+		_, _ = conn.Write([]byte(text[:min(max(0, n), len(text)-1)])) // fails if the caller has disconnected
+		return
+	}
 	// In one piece, so that a path that drops data does not let the head through alone.
 	if err := s.writePieces(conn, append([]byte(head.String()), body...), a); err != nil {
 		return
