Tests of taken up streams whose version has left, all daemons killed

Cause: a report of take-ups joined from two versions after all daemons were killed while the old version's servers had just left. Not seen here: the store lists each version before a stream begins at it, and a daemon that knows nothing refuses while several are listed (docs/design/0015). Change: tests only: the runners of one version leave, or are gone, and all daemons are killed, once and twice.

--- a/proof/versions_test.go
+++ b/proof/versions_test.go
@@ -220,6 +220,32 @@
 			c.daemons[0].kill()
 			c.daemons[1].restart(c)
 		}, true},
+		{"the runners of one version leave, all daemons are killed twice", func(c *fleetCluster) {
+			for _, r := range c.runners {
+				if r.Version == "v1" {
+					r.Drain()
+				}
+			}
+			for range 2 {
+				for _, d := range c.daemons {
+					d.restart(c)
+				}
+			}
+		}, false},
+		{"the runners of one version are gone, all daemons are killed", func(c *fleetCluster) {
+			for _, r := range c.runners {
+				if r.Version == "v1" {
+					r.Kill()
+					c.deleteObject(wire.KindRunners, r.ID)
+				}
+			}
+			for _, d := range c.daemons {
+				d.kill()
+			}
+			for _, d := range c.daemons {
+				d.run(c)
+			}
+		}, false},
 		{"all daemons are killed", func(c *fleetCluster) {
 			for _, d := range c.daemons {
 				d.restart(c)
