A prompt part that has been in use and begins to crash runners is held back

Cause: what was served in the last minute, before the part's first crash, cleared it again after each pair of crashes; for a whole request what was served before it was last cleared has long been left out. Change: the same for parts, at least the last second.

--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -26,6 +26,9 @@
 	// servedWindow is how long ago a request may have been served to count as harmless. What
 	// it needs, such as its model, may have changed since an earlier run.
 	servedWindow = time.Minute
+	// minServedWindow is the least of that for a part of prompts that has been cleared before: requests with a harmless
+	// one may be served seldom.
+	minServedWindow = time.Second
 )
 
 // queryDelays are the times after which a query is sent; it is sent repeatedly because a
@@ -139,13 +142,25 @@
 // and any with one of the parts that followed it at each exit. The caller holds q.mu.
 func (q *Quarantine) queryPart(c *servedQuery, part core.Digest) {
 	c.deeper = map[core.Digest]bool{}
+	within := q.partWindow(part)
 	q.clock.AfterFunc(queryWait, func() { q.decide(part) })
-	if q.recentParts.servedWithin(part, servedWindow) {
+	if q.recentParts.servedWithin(part, within) {
 		c.servedBy = q.net.Self().Name
 		return
 	}
 	q.queryDeeper(c, part)
-	q.broadcast(kindSeen, seen{Digest: part, Within: servedWindow, Part: true}, queryDelays)
+	q.broadcast(kindSeen, seen{Digest: part, Within: within, Part: true}, queryDelays)
+}
+
+// partWindow returns how long ago a request with a part of a prompt may have been served for the part to count as
+// harmless. What was served before the part was last cleared has been taken into account: the part may have begun to
+// crash runners since. The caller holds q.mu.
+func (q *Quarantine) partWindow(part core.Digest) time.Duration {
+	at, ok := q.cleared[part]
+	if !ok {
+		return servedWindow
+	}
+	return min(servedWindow, max(minServedWindow, q.clock.Since(at)))
 }
 
 // queryDeeper sends the queries for the parts that followed a part at each exit and were not queried yet, and
@@ -157,8 +172,9 @@
 			continue
 		}
 		found = true
-		c.deeper[d] = q.recentParts.servedWithin(d, servedWindow)
-		q.broadcast(kindSeen, seen{Digest: d, Within: servedWindow, Part: true}, queryDelays)
+		within := q.partWindow(d)
+		c.deeper[d] = q.recentParts.servedWithin(d, within)
+		q.broadcast(kindSeen, seen{Digest: d, Within: within, Part: true}, queryDelays)
 	}
 	return found
 }
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -289,3 +289,26 @@
 		}
 	}
 }
+
+// TestServedPartThatCrashesRunnersIsHeld guards against a prompt part that has been in use and begins to crash runners:
+// what was served before would clear it again after each pair of crashes, for as long as a minute.
+func TestServedPartThatCrashesRunnersIsHeld(t *testing.T) {
+	const maxExits = 8
+	t.Parallel()
+	n, r := newNetwork(), newRunners()
+	all := n.fleet(t, 3, r)
+	all[0].PartsServed([]core.Part{firstPart, badPart})
+	for i := range maxExits {
+		id := fmt.Sprint("r", i)
+		r.setProbeErr(id, core.ErrNoListener)
+		all[i%3].ConnectionLost(brokenPrompt(id, firstPart, badPart))
+		for range 10 {
+			time.Sleep(50 * time.Millisecond)
+			all[(i+1)%3].PartsServed([]core.Part{firstPart, document})
+		}
+	}
+	waitForAll(t, "part held back", all, hasHold(badPart.Digest))
+	for _, d := range all {
+		assert.Equal(t, d.HoldRemaining(firstPart.Digest), time.Duration(0), "%s", d.name)
+	}
+}
