Streams of a leaving runner that exits do not look complete

Cause: a runner that is leaving was not asked whether it has exited, as it may exit after its last answer. Change: it is asked like any other.

--- a/coordination/dispatch/exited_test.go
+++ b/coordination/dispatch/exited_test.go
@@ -22,8 +22,8 @@
 }
 
 // TestAnswerOfARunnerThatExits guards against an answer that counts as complete because the exit of its
-// runner closed the connection with which it ends, and against a whole one of a runner that is leaving
-// that counts as broken.
+// runner closed the connection with which it ends, whether it is leaving or not, and against a whole one that
+// counts as broken.
 func TestAnswerOfARunnerThatExits(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
@@ -44,7 +44,9 @@
 		{"the runner runs on", route(core.KindUnsafe, false, 2), core.FramingClose, false, false, false, 200, true, 1, 1},
 		{"in chunks", route(core.KindStream, false, 2), core.FramingChunked, true, false, false, 200, true, 1, 0},
 		{"with a length", route(core.KindUnsafe, false, 2), core.FramingLength, true, false, false, 200, true, 1, 0},
-		{"the runner is leaving", route(core.KindStream, false, 2), core.FramingClose, true, true, false, 200, true, 1, 0},
+		{"the runner is leaving", route(core.KindStream, false, 2), core.FramingClose, true, true, false, 200, false, 1, 1},
+		{"a stream that is resumed, the runner is leaving", route(core.KindStream, true, 2), core.FramingClose, true, true, false, 200, true, 2, 1},
+		{"the runner is leaving and runs on", route(core.KindStream, false, 2), core.FramingClose, false, true, false, 200, true, 1, 1},
 		{"this daemon has lost its path", route(core.KindStream, false, 2), core.FramingClose, true, false, true, 200, true, 1, 0},
 	} {
 		runs := 0
@@ -74,6 +76,6 @@
 		assert.Equal(t, body == eventText("", eventCount), status == 200, tt.name)
 		assert.Equal(t, runs, tt.runs, tt.name)
 		assert.Equal(t, exits.asked, tt.asked, tt.name)
-		assert.Equal(t, len(g.closed), map[bool]int{true: 1}[tt.exits && tt.asked > 0], tt.name)
+		assert.Equal(t, len(g.closed), map[bool]int{true: 1}[tt.exits && !tt.leaves && tt.asked > 0], tt.name)
 	}
 }
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -82,9 +82,9 @@
 
 // confirmEnd returns io.EOF for an answer whose body has ended, unless it may be the exit of the
 // runner's process that ended it: that closes the connection too, with which such an answer ends. A
-// runner that is leaving may exit after its last answer.
+// runner that is leaving exits as well, whatever it works on.
 func (j *job) confirmEnd(ctx context.Context, r *core.Runner, framing core.Framing) error {
-	if framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || j.d.pathLost() || !j.d.accepts(r, true) || !j.d.exits.Exited(ctx, r) {
+	if framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || j.d.pathLost() || !j.d.exits.Exited(ctx, r) {
 		return io.EOF
 	}
 	return endedEarly(framing, errExited)
