A crashed runner that resets new connections has exited

Cause: while the kernel closes the sockets of a process, it resets connections that the process has not accepted yet. That error, and two connections that were closed at once, counted as a runner that runs on. Change: such a connection is tried again, four times; a runner that resets all has exited. One must stay open for 25 ms instead of 5.

--- a/coordination/quarantine/confirm.go
+++ b/coordination/quarantine/confirm.go
@@ -35,15 +35,16 @@
 	Addr    netip.AddrPort `json:"addr"`
 }
 
-// Exited reports whether a runner's process has exited: nothing listens at its address, and no other
-// daemon reaches it.
+// Exited reports whether a runner's process has exited, or may have: nothing listens at its address, or no connection
+// to it stays open, and no other daemon reaches it.
 func (q *Quarantine) Exited(ctx context.Context, r *core.Runner) bool {
 	if q.connector == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	return errors.Is(q.connector.Connect(ctx, r), core.ErrNoListener) && !q.answersPeer(r)
+	err := q.connector.Connect(ctx, r)
+	return (errors.Is(err, core.ErrNoListener) || errors.Is(err, core.ErrClosed)) && !q.answersPeer(r)
 }
 
 // answersPeer asks another daemon whether a runner that refuses this daemon's connections answers
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -36,10 +36,11 @@
 	// may answer before it has read the body.
 	maxInlineRequest = 16 << 10
 	maxCallAnswer    = 4 << 20 // limit in bytes of the answer to a report request or an order
-	// connectSettle is how long a new connection must stay open to count as such, connectAttempts
-	// how often it is tried.
-	connectSettle   = 5 * time.Millisecond
-	connectAttempts = 2
+	// connectSettle is how long a new connection must stay open to count as such: the sockets of a process that
+	// ends are closed one after the other, and its listener accepts connections until it is closed. connectAttempts
+	// is how often it is tried: a runner resets the connections beyond the number that it accepts.
+	connectSettle   = 25 * time.Millisecond
+	connectAttempts = 4
 	// maxForeignAnswers is how many answers to other requests are skipped on a connection
 	// before it is closed.
 	maxForeignAnswers = 2
@@ -49,7 +50,7 @@
 type Client struct {
 	clock   core.Clock
 	dialect core.Dialect
-	dialer  net.Dialer
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	dialed  func()
 	called  func(id string)
 	// answered is called with what the headers of each answer state of its runner.
@@ -76,10 +77,11 @@
 
 // New returns a Client without connections.
 func New(clock core.Clock, dialect core.Dialect, opts ...Option) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout}
 	c := &Client{
 		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {}, called: func(string) {},
 		answered: func(*core.Runner, core.ReplyInfo) {},
-		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout},
+		dial:     dialer.DialContext,
 	}
 	for _, o := range opts {
 		o(c)
@@ -112,12 +114,12 @@
 		_ = cn.Close()
 	}
 	c.dialed()
-	nc, err := c.dialer.DialContext(ctx, "tcp", r.Addr.String())
+	nc, err := c.dial(ctx, "tcp", r.Addr.String())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, fmt.Errorf("%w: %w: %v", core.ErrNotSent, core.ErrNoListener, err)
 	}
 	if err != nil {
-		return nil, eris.Wrapf(core.ErrNotSent, "dial: %v", err)
+		return nil, fmt.Errorf("%w: dial: %w", core.ErrNotSent, err)
 	}
 	return newConn(nc, c.clock), nil
 }
@@ -370,10 +372,14 @@
 }
 
 // Connect opens a connection to a runner, for a later request. Its error is ErrNotSent, with
-// ErrNoListener if the runner's host refused the connection.
+// ErrNoListener if the runner's host refused the connection, and with ErrClosed if it closed each at once.
 func (c *Client) Connect(ctx context.Context, r *core.Runner) error {
 	for range connectAttempts {
 		cn, err := c.get(ctx, r, true)
+		if errors.Is(err, syscall.ECONNRESET) {
+			core.Sleep(ctx, c.clock, connectSettle)
+			continue // reset before it was accepted
+		}
 		if err != nil {
 			return err
 		}
@@ -385,7 +391,7 @@
 		}
 		_ = cn.Close()
 	}
-	return eris.Wrap(core.ErrNotSent, "the runner closed the connection at once")
+	return fmt.Errorf("%w: %w at once", core.ErrNotSent, core.ErrClosed)
 }
 
 // Report fetches a runner's loaded models and its state. It fails with ErrReplaced if
--- a/protocol/runner/client_test.go
+++ b/protocol/runner/client_test.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -441,3 +443,39 @@
 	assert.ErrorIs(t, c.Connect(t.Context(), &exited), core.ErrNoListener)
 	assert.ErrorIs(t, c.Connect(t.Context(), &exited), core.ErrNoListener)
 }
+
+// TestConnectToARunnerThatResets guards against an exited runner that counts as running, because the kernel reset the
+// connections that its process had not accepted yet, or each that it had; and against one that runs and does not accept
+// one connection, as it has too many, and counts as exited.
+func TestConnectToARunnerThatResets(t *testing.T) {
+	reset := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNRESET)}
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	open := serve(t, func(int, net.Conn, *http.Request) bool { return true })
+	for _, tt := range []struct {
+		name  string
+		dials []error // nil: the connection is opened
+		want  error   // nil: it is connected
+	}{
+		{"reset, then refused", []error{reset, refused}, core.ErrNoListener},
+		{"reset again and again", []error{reset, reset, reset, reset}, core.ErrClosed},
+		{"reset once", []error{reset, nil}, nil},
+	} {
+		c := client()
+		dial, n := c.dial, 0
+		c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			err := tt.dials[n]
+			if n++; err != nil {
+				return nil, err
+			}
+			return dial(ctx, network, addr)
+		}
+		err := c.Connect(t.Context(), &open.runner)
+		assert.Equal(t, n, len(tt.dials), tt.name)
+		if tt.want == nil {
+			assert.NilError(t, err, tt.name)
+			continue
+		}
+		assert.ErrorIs(t, err, core.ErrNotSent, tt.name)
+		assert.ErrorIs(t, err, tt.want, tt.name)
+	}
+}
