--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -16,10 +16,10 @@
 	// usedShare is the part of what is allowed that daemons use. Retries reach their runners
 	// some time after they are taken, and daemons learn of others that start some time after
 	// these have.
-	usedShare = 0.85
+	usedShare = 0.9
 	// savedShare is the part of that which a daemon may have saved up; the other part is what
 	// it receives in one window.
-	savedShare = 0.5
+	savedShare = 0.6
 )
 
 // Limits are what all daemons together may send in a window.
