--- a/soak/check.go
+++ b/soak/check.go
@@ -113,6 +113,7 @@
 	w.checkVersions()
 	w.checkWorkspaces(runs)
 	w.checkBalance()
+	w.checkBudget()
 	good, all := w.countServed(calmFrom, calmTo)
 	if all == 0 || (all-good)*100 > maxFailedPercent*all {
 		w.reportViolation("%d of %d requests served in the calm phase", good, all)
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -54,9 +54,9 @@
 		return nil, err
 	}
 	text := fmt.Sprintf(`{"name":%q,"place":%q,"caller":%q,"peer":%q,"admin":%q,"platform":%q,"limits":{"platform":100},"fleet":{%s"ready":%q,"directory":%q,
-"keep":%q,"grace":%q,"lease":%q,"ratio":0.2,"slack":60,"window":"10s",
+"keep":%q,"grace":%q,"lease":%q,"ratio":%v,"slack":%v,"window":%q,
 "quota":{"window":%q,"over":%v,"slack":%v}}}`,
-		name, dataCentre, d.caller, d.peer, d.admin, d.storeProxy.Addr(), w.balanceSetting(), d.ready, d.directory, addressTTL, stopGrace, lease, quotaWindow, quotaTolerance, quotaSlack)
+		name, dataCentre, d.caller, d.peer, d.admin, d.storeProxy.Addr(), w.balanceSetting(), d.ready, d.directory, addressTTL, stopGrace, lease, retryBudget.Ratio, retryBudget.Slack, retryBudget.Length.String(), quotaWindow, quotaTolerance, quotaSlack)
 	return d, os.WriteFile(d.configFile, []byte(text), 0o600)
 }
 
