The pause between two holders of orders outlasts the one that waits

Cause: a new holder that ends before its wait is over stated the time since its own last order, none, and the next one did not wait; its own next process took the lease without waiting at all. Change: a holder counts the orders of those before it as its own when it states how long ago the last one was; the lease says how long its holder still waits, which its next process keeps to.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -49,8 +49,10 @@
 	Holder string `json:"holder"` // empty: released
 	Term   uint64 `json:"term"`   // incremented when the holder changes or restarts
 	Count  uint64 `json:"count"`  // incremented by every renewal
-	// Idle is the time from the last order to the release of the lease.
+	// Idle is the time from the last order of any holder to the release of the lease.
 	Idle core.Duration `json:"idle"`
+	// Wait is the time from this write until the holder may send its first order.
+	Wait core.Duration `json:"wait,omitempty"`
 }
 
 // CurrentHolder is the daemon that holds the lease, as seen by another one.
@@ -82,7 +84,7 @@
 	held           bool
 	renewedAt      time.Duration // boot time at which the last renewal was sent
 	actFrom        time.Duration // boot time from which orders may be sent
-	lastOrderAt    time.Duration // boot time of the last order
+	lastOrderAt    time.Duration // boot time until which this or an earlier holder may have sent orders
 	unchangedSince time.Duration // boot time at which the current version of object was first read
 	lastReadAt     time.Duration // boot time at which the object was last read
 
@@ -138,7 +140,7 @@
 	held := l.held
 	l.held = false
 	next := l.record
-	next.Idle = core.Duration(l.bootTime() - l.lastOrderAt)
+	next.Idle, next.Wait = core.Duration(l.bootTime()-l.lastOrderAt), 0
 	l.mu.Unlock()
 	if !held {
 		return nil
@@ -243,6 +245,7 @@
 func (l *Lease) renew(ctx context.Context) error {
 	l.mu.Lock()
 	next := l.record
+	next.Wait = core.Duration(max(0, l.actFrom-l.bootTime()))
 	l.mu.Unlock()
 	next.Count++
 	err := l.write(ctx, next)
@@ -316,7 +319,7 @@
 	l.mu.Unlock()
 	switch {
 	case previous.Holder == l.self:
-		return l.acquire(ctx, object, previous, 0)
+		return l.acquire(ctx, object, previous, time.Duration(previous.Wait))
 	case previous.Holder == "":
 		return l.acquire(ctx, object, previous, l.firstOrderDelay(time.Duration(previous.Idle)))
 	case unchanged >= takeoverAfter:
@@ -340,7 +343,7 @@
 	l.mu.Lock()
 	l.object = object
 	l.mu.Unlock()
-	next := record{Holder: l.self, Term: previous.Term + 1}
+	next := record{Holder: l.self, Term: previous.Term + 1, Wait: core.Duration(wait)}
 	err := l.write(ctx, next)
 	if errors.Is(err, core.ErrConflict) || errors.Is(err, core.ErrExists) || errors.Is(err, core.ErrOverwritten) {
 		return nil // another daemon was faster
@@ -350,6 +353,10 @@
 	}
 	l.mu.Lock()
 	l.held, l.actFrom = true, l.bootTime()+wait
+	l.lastOrderAt = max(l.lastOrderAt, l.actFrom-l.handoverPause-orderMargin)
+	if previous.Holder == l.self {
+		l.lastOrderAt = l.bootTime()
+	}
 	l.mu.Unlock()
 	l.log.Info(logs.LeaseAcquired, zap.Uint64("term", next.Term), zap.String("before", previous.Holder), zap.Duration("wait", wait))
 	return nil
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,14 @@
 	start   time.Time
 	store   *memory.Store
 	daemons []*daemon
+	last    order
+}
+
+// order is an order that a daemon has sent.
+type order struct {
+	name string
+	term uint64
+	at   time.Duration
 }
 
 // daemon is one of them.
@@ -37,12 +46,23 @@
 	c := &cluster{t: t, start: time.Now(), store: memory.New()}
 	for _, name := range names {
 		d := &daemon{cluster: c, name: name, client: c.store.Client()}
-		d.Lease = New(d.client, "leases", "orders", name, pause, d, clockwork.NewRealClock(), zap.NewNop(), WithBootTime(c.elapsed))
+		d.newProcess()
 		c.daemons = append(c.daemons, d)
 	}
 	return c
 }
 
+// newProcess gives a daemon a process that knows nothing of the one before.
+func (d *daemon) newProcess() {
+	d.Lease = New(d.client, "leases", "orders", d.name, pause, d, clockwork.NewRealClock(), zap.NewNop(), WithBootTime(d.cluster.elapsed))
+}
+
+// kill ends a daemon's process without notice.
+func (d *daemon) kill() {
+	d.cancel()
+	d.wg.Wait()
+}
+
 func (c *cluster) elapsed() time.Duration { return time.Since(c.start) }
 
 // RenewedRecently and RequestYield implement CurrentHolder for a daemon by the state of the others.
@@ -67,12 +87,6 @@
 // checkOrders lets all daemons send orders whenever they may, for a time, and checks that no two
 // of them do so within the pause, or in one term.
 func (c *cluster) checkOrders(t time.Duration) {
-	type order struct {
-		name string
-		term uint64
-		at   time.Duration
-	}
-	var last order
 	for end := c.elapsed() + t; c.elapsed() < end; time.Sleep(20 * time.Millisecond) {
 		for _, d := range c.daemons {
 			term, ok := d.Use()
@@ -80,12 +94,12 @@
 				continue
 			}
 			now := order{d.name, term, c.elapsed()}
-			if last.name != "" && last.name != now.name {
-				assert.Assert(c.t, now.at-last.at >= pause, "%v after %v", now, last)
-				assert.Assert(c.t, now.term > last.term, "%v after %v", now, last)
+			if c.last.name != "" && c.last.name != now.name {
+				assert.Assert(c.t, now.at-c.last.at >= pause, "%v after %v", now, c.last)
+				assert.Assert(c.t, now.term > c.last.term, "%v after %v", now, c.last)
 			}
-			assert.Assert(c.t, now.term >= last.term, "%v after %v", now, last)
-			last = now
+			assert.Assert(c.t, now.term >= c.last.term, "%v after %v", now, c.last)
+			c.last = now
 		}
 	}
 }
@@ -260,3 +274,40 @@
 		restarted.Stop(context.Background())
 	})
 }
+
+// TestPauseIsKeptWhileHoldersRestart guards against a pause between two holders that is lost as the new one ends
+// before it is over: the next one, or its own next process, would send orders at once.
+func TestPauseIsKeptWhileHoldersRestart(t *testing.T) {
+	const rolls = 8
+	for _, tt := range []struct {
+		name string
+		end  func(d *daemon)
+	}{
+		{"stopped in turn", func(d *daemon) { d.Stop(context.Background()) }},
+		{"killed in turn", (*daemon).kill},
+		{"killed after its answers were lost", func(d *daemon) { d.client.LoseAnswers(2); time.Sleep(100 * time.Millisecond); d.kill() }},
+	} {
+		for _, gap := range []time.Duration{300 * time.Millisecond, time.Second, 1500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprint(tt.name, " each ", gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(t, "a", "b", "c", "d")
+					c.startAll()
+					c.checkOrders(2 * time.Second)
+					for range rolls {
+						for _, d := range c.daemons {
+							tt.end(d)
+							c.checkOrders(gap / 3)
+							d.newProcess()
+							d.Start()
+							c.checkOrders(gap - gap/3)
+						}
+						c.checkOrders(2 * pause)
+					}
+					c.checkOrders(10 * time.Second)
+					assert.Assert(t, c.holder() != nil)
+					c.stopAll()
+				})
+			})
+		}
+	}
+}
--- a/proof/budget_test.go
+++ b/proof/budget_test.go
@@ -99,7 +99,7 @@
 			_ = d.cmd.Wait()
 			d.run(c)
 		}},
-		{"all but one killed", func(c *fleetCluster, round int) {
+		{"all but one killed", func(c *fleetCluster, _ int) {
 			for _, d := range c.daemons[1:] {
 				d.kill()
 			}
