An answer's end is whole only if its runner can still be reached

Change: a runner has exited if no connection to it can be opened here and no other daemon reaches it, whatever the error and whatever is believed of the path. Two rows of tests said the opposite: nobody answers here and nothing listens as another daemon sees it, which is an exit; and a daemon without a path, where the runner had exited. Rows for runners that run on are added.

--- a/coordination/dispatch/exited_test.go
+++ b/coordination/dispatch/exited_test.go
@@ -47,7 +47,8 @@
 		{"the runner is leaving", route(core.KindStream, false, 2), core.FramingClose, true, true, false, 200, false, 1, 1},
 		{"a stream that is resumed, the runner is leaving", route(core.KindStream, true, 2), core.FramingClose, true, true, false, 200, true, 2, 1},
 		{"the runner is leaving and runs on", route(core.KindStream, false, 2), core.FramingClose, false, true, false, 200, true, 1, 1},
-		{"this daemon has lost its path", route(core.KindStream, false, 2), core.FramingClose, true, false, true, 200, true, 1, 0},
+		{"this daemon has lost its path", route(core.KindStream, false, 2), core.FramingClose, true, false, true, 200, false, 1, 1},
+		{"this daemon has lost its path, the runner runs on", route(core.KindStream, false, 2), core.FramingClose, false, false, true, 200, true, 1, 1},
 	} {
 		runs := 0
 		exits := &exitDetector{exited: map[string]bool{}}
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -84,7 +84,7 @@
 // runner's process that ended it: that closes the connection too, with which such an answer ends. A
 // runner that is leaving exits as well, whatever it works on.
 func (j *job) confirmEnd(ctx context.Context, r *core.Runner, framing core.Framing) error {
-	if framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || j.d.pathLost() || !j.d.exits.Exited(ctx, r) {
+	if framing != core.FramingClose || j.d.exits == nil || isDaemon(r) || !j.d.exits.Exited(ctx, r) {
 		return io.EOF
 	}
 	return endedEarly(framing, errExited)
--- a/coordination/quarantine/confirm.go
+++ b/coordination/quarantine/confirm.go
@@ -35,16 +35,15 @@
 	Addr    netip.AddrPort `json:"addr"`
 }
 
-// Exited reports whether a runner's process has exited, or may have: nothing listens at its address, or no connection
-// to it stays open, and no other daemon reaches it.
+// Exited reports whether a runner's process has exited, or may have: no connection to it can be opened that stays open,
+// and no other daemon reaches it.
 func (q *Quarantine) Exited(ctx context.Context, r *core.Runner) bool {
 	if q.connector == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	err := q.connector.Connect(ctx, r)
-	return (errors.Is(err, core.ErrNoListener) || errors.Is(err, core.ErrClosed)) && !q.answersPeer(r)
+	return q.connector.Connect(ctx, r) != nil && !q.answersPeer(r)
 }
 
 // answersPeer asks another daemon whether a runner that refuses this daemon's connections answers
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -383,6 +383,11 @@
 // broken, because this daemon alone does not reach it.
 func TestExitedNeedsProof(t *testing.T) {
 	refused := func(context.Context) error { return core.ErrNoListener }
+	closed := func(context.Context) error { return core.ErrClosed }
+	noAnswer := func(ctx context.Context) error {
+		<-ctx.Done()
+		return core.ErrNotSent
+	}
 	for _, tt := range []struct {
 		name    string
 		daemons int
@@ -395,10 +400,11 @@
 		{"refused, and there is no other daemon", 1, refused, nil, true},
 		{"refused here only", 2, refused, nil, false},
 		{"refused, and another instance answers elsewhere", 2, refused, core.ErrReplaced, true},
-		{"no answer", 2, func(ctx context.Context) error {
-			<-ctx.Done()
-			return core.ErrNotSent
-		}, core.ErrNoListener, false},
+		{"no answer here, refused elsewhere", 2, noAnswer, core.ErrNoListener, true},
+		{"no answer here, answers elsewhere", 2, noAnswer, nil, false},
+		{"no answer anywhere", 2, noAnswer, core.ErrNotSent, true},
+		{"closed at once here, answers elsewhere", 2, closed, nil, false},
+		{"closed at once everywhere", 2, closed, core.ErrAnswerLost, true},
 	} {
 		r := &runners{probeErrs: map[string]error{"r1": tt.other}}
 		list := newNetwork().fleet(t, tt.daemons, r, WithConnector(connectorFunc(tt.connect)))
