--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -36,6 +36,7 @@
 // daemon is one of them.
 type daemon struct {
 	*Lease
+	process  atomic.Pointer[Lease] // the same, for the other daemons
 	cluster  *cluster
 	name     string
 	client   *memory.Client
@@ -55,6 +56,7 @@
 // newProcess gives a daemon a process that knows nothing of the one before.
 func (d *daemon) newProcess() {
 	d.Lease = New(d.client, "leases", "orders", d.name, pause, d, clockwork.NewRealClock(), zap.NewNop(), WithBootTime(d.cluster.elapsed))
+	d.process.Store(d.Lease)
 }
 
 // kill ends a daemon's process without notice.
@@ -68,7 +70,7 @@
 // RenewedRecently and RequestYield implement CurrentHolder for a daemon by the state of the others.
 func (d *daemon) RenewedRecently() bool {
 	for _, o := range d.cluster.daemons {
-		if _, fresh := o.Claim(); o != d && fresh && !o.isolated.Load() && !d.isolated.Load() {
+		if _, fresh := o.process.Load().Claim(); o != d && fresh && !o.isolated.Load() && !d.isolated.Load() {
 			return true
 		}
 	}
@@ -77,8 +79,8 @@
 
 func (d *daemon) RequestYield(_ context.Context, term uint64) (time.Duration, bool) {
 	for _, o := range d.cluster.daemons {
-		if held, _ := o.Claim(); o != d && held == term && !o.isolated.Load() && !d.isolated.Load() {
-			return o.Yield(term)
+		if held, _ := o.process.Load().Claim(); o != d && held == term && !o.isolated.Load() && !d.isolated.Load() {
+			return o.process.Load().Yield(term)
 		}
 	}
 	return 0, false
