What crashes runners is decided before what was in progress beside it

Cause: no part of a prompt is held back in a fleet's first three seconds; at their end all were decided at the same instant. A shared part with six exits under streams in progress came before the part with ten exits just after requests had begun, and then even explained its exits. Ruled out: the window of parts that were cleared before: in these runs none had been. Result: TestCauseIsDecidedBeforeWhatIsInDoubt failed in 3 of 3 runs, the cause was never held; passes.

--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -187,8 +187,12 @@
 	case c.servedBy != "":
 		return false
 	case up < startPeriod && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
-		if wait = startPeriod - up; !c.isPart() {
-			wait += doubtWait // parts first, which may explain the exits
+		wait = startPeriod - up
+		if q.exits.InDoubt(d) {
+			wait += doubtWait // first what may explain the exits
+		}
+		if !c.isPart() {
+			wait += doubtWait
 		}
 		q.clock.AfterFunc(wait, func() { q.queryAgain(c, d) })
 		return true
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -250,6 +250,41 @@
 	}
 }
 
+// Guards against holding back sound parts that were in progress beside the cause, all under decision at the same instant:
+// the end of the fleet's first seconds.
+func TestCauseIsDecidedBeforeWhatIsInDoubt(t *testing.T) {
+	t.Parallel()
+	n, r := newNetwork(), newRunners()
+	all := n.fleet(t, 3, r)
+	n.mu.Lock()
+	started := time.Now()
+	for _, d := range all {
+		d.boot = started
+	}
+	n.mu.Unlock()
+	var documents []core.Part
+	for i := range 12 {
+		documents = append(documents, core.NewPart("", fmt.Sprint("d", i)))
+	}
+	for i := range 7 {
+		id := fmt.Sprint("r", i)
+		r.setProbeErr(id, core.ErrNoListener)
+		for _, p := range documents {
+			beside := brokenPrompt(id, firstPart, p)
+			beside.JustStarted = false
+			all[i%3].ConnectionLost(beside)
+		}
+		all[i%3].ConnectionLost(brokenPrompt(id, firstPart, badPart))
+	}
+	waitForAll(t, "held back", all, hasHold(badPart.Digest))
+	time.Sleep(2 * (queryWait + doubtWait))
+	for _, d := range all {
+		for _, p := range append(documents, firstPart) {
+			assert.Check(t, !hasHold(p.Digest)(d), "%s: %s", d.name, p.ID)
+		}
+	}
+}
+
 // Guards against a hold that is extended, and a cause that is taken for explained, because a request with a held part
 // was queued at a runner that exited for another reason.
 func TestQueuedRequestDoesNotExtendTheHoldOfAPart(t *testing.T) {
