The bodies of requests in progress have a share of a daemon's memory

Cause: each body was read whole and held until its request's end; nothing bounded them together, and reading doubled buffers. Change: io/retain counts the bytes of bodies, before they are read, in both interfaces; without room 503 overloaded, not run, come back in 1 s, and the body is skipped after the answer, so that the connection is not reset. The bounds of answers use the same type.

--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -69,6 +69,7 @@
 		return err
 	}
 	out.StartReports(log)
+	set.Limits.SetMemoryLimit()
 	graceful, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	d.Start()
--- a/coordination/dispatch/ahead.go
+++ b/coordination/dispatch/ahead.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"sync"
+
+	"primroseward/io/retain"
 )
 
 const (
@@ -36,7 +38,7 @@
 type readAhead struct {
 	body    io.ReadCloser // used by run alone until done is closed
 	cancel  context.CancelFunc
-	budget  *bufferBudget
+	budget  *retain.Budget
 	metrics *metrics
 	done    chan struct{}
 
@@ -52,7 +54,7 @@
 }
 
 // newReadAhead reads body until its end or Close, which calls cancel to end a read in progress.
-func newReadAhead(body io.ReadCloser, cancel context.CancelFunc, budget *bufferBudget, m *metrics) *readAhead {
+func newReadAhead(body io.ReadCloser, cancel context.CancelFunc, budget *retain.Budget, m *metrics) *readAhead {
 	a := &readAhead{body: body, cancel: cancel, budget: budget, metrics: m, done: make(chan struct{})}
 	a.changed = sync.NewCond(&a.mu)
 	go a.run()
@@ -132,7 +134,7 @@
 		return ""
 	case a.size+aheadChunk > maxAhead:
 		return boundAnswer
-	case !a.budget.take(max(more, aheadChunk)):
+	case !a.budget.Take(max(more, aheadChunk)):
 		return boundTotal
 	}
 	a.taken += max(more, aheadChunk)
@@ -165,7 +167,7 @@
 	}
 	a.size -= n
 	if a.size+aheadChunk <= freeAhead || a.err != nil && len(a.chunks) == 0 {
-		a.budget.release(a.taken)
+		a.budget.Release(a.taken)
 		a.taken = 0
 	}
 	a.changed.Broadcast()
@@ -185,7 +187,7 @@
 	<-a.done
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.budget.release(a.taken)
+	a.budget.Release(a.taken)
 	a.chunks, a.size, a.taken = nil, 0, 0
 	if ended || a.err != nil && a.cause == nil {
 		return nil
--- a/coordination/dispatch/ahead_test.go
+++ b/coordination/dispatch/ahead_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 )
 
 // impatientRunner is the body of a runner's answer that has an event each 50 ms, and is cut off if an event stays
@@ -90,7 +91,7 @@
 			assert.NilError(t, reply.Body.Close())
 			assert.Equal(t, *cutOff, b == core.BalanceOff)
 			assert.Equal(t, err == io.EOF && strings.Count(data, "\n\n") == events, b == core.BalanceOn, "%v", err)
-			assert.Equal(t, d.ahead.used.Load(), int64(0))
+			assert.Equal(t, d.ahead.Used(), int64(0))
 			assert.Equal(t, d.Running(), 0)
 		})
 	}
@@ -134,7 +135,7 @@
 		bound   string
 		callers int
 	}{{boundAnswer, 1}, {boundTotal, callers}} {
-		budget, scope := &bufferBudget{limit: maxAheadTotal}, tally.NewTestScope("", nil)
+		budget, scope := retain.New(maxAheadTotal), tally.NewTestScope("", nil)
 		m := newMetrics(scope)
 		var bodies []*readAhead
 		for range tt.callers {
@@ -170,7 +171,7 @@
 			})
 		}
 		readers.Wait()
-		assert.Equal(t, budget.used.Load(), int64(0))
+		assert.Equal(t, budget.Used(), int64(0))
 	}
 }
 
@@ -182,9 +183,9 @@
 		defer cancel()
 		reply := beginStream(ctx, t, d)
 		time.Sleep(time.Second)
-		assert.Assert(t, d.ahead.used.Load() > 0)
+		assert.Assert(t, d.ahead.Used() > 0)
 		assert.NilError(t, reply.Body.Close())
-		assert.Equal(t, d.ahead.used.Load(), int64(0))
+		assert.Equal(t, d.ahead.Used(), int64(0))
 		assert.Equal(t, d.loads.View("r0").Requests, 0)
 		assert.Equal(t, d.Running(), 0)
 	})
@@ -193,7 +194,7 @@
 // Guards against a defect in the work on one answer that ends the process, as the answer is read apart from its
 // request.
 func TestPanicWhileReadingAhead(t *testing.T) {
-	a := newReadAhead(panickingBody{}, func() {}, &bufferBudget{limit: maxAheadTotal}, newMetrics(tally.NoopScope))
+	a := newReadAhead(panickingBody{}, func() {}, retain.New(maxAheadTotal), newMetrics(tally.NoopScope))
 	cause := func() (cause any) {
 		defer func() { cause = recover() }()
 		_, _ = a.Read(make([]byte, 1))
@@ -221,7 +222,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a := newReadAhead(io.NopCloser(tt.body), func() {}, &bufferBudget{limit: maxAheadTotal}, newMetrics(tally.NoopScope))
+				a := newReadAhead(io.NopCloser(tt.body), func() {}, retain.New(maxAheadTotal), newMetrics(tally.NoopScope))
 				synctest.Wait()
 				assert.NilError(t, a.Close())
 				_, err := a.Read(make([]byte, 1))
@@ -236,7 +237,7 @@
 func TestSmallPartsAreBoundedInMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const size = maxAhead / 4
-		a := newReadAhead(io.NopCloser(iotest.OneByteReader(&zeros{size, io.EOF})), func() {}, &bufferBudget{limit: maxAheadTotal}, newMetrics(tally.NoopScope))
+		a := newReadAhead(io.NopCloser(iotest.OneByteReader(&zeros{size, io.EOF})), func() {}, retain.New(maxAheadTotal), newMetrics(tally.NoopScope))
 		synctest.Wait()
 		a.mu.Lock()
 		held := len(a.chunks) * int(unsafe.Sizeof(a.chunks[0]))
--- a/coordination/dispatch/buffer.go
+++ b/coordination/dispatch/buffer.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 )
 
 const (
@@ -24,34 +24,9 @@
 	maxBlock = 64 << 10
 )
 
-// bufferBudget counts the bytes held of all answers.
-type bufferBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// take reports whether n more bytes may be held, and counts them. There is no bound if b is nil.
-func (b *bufferBudget) take(n int) bool {
-	if b == nil {
-		return true
-	}
-	if b.used.Add(int64(n)) > b.limit {
-		b.used.Add(-int64(n))
-		return false
-	}
-	return true
-}
-
-// release counts n bytes as no longer held.
-func (b *bufferBudget) release(n int) {
-	if b != nil {
-		b.used.Add(-int64(n))
-	}
-}
-
 // answerBuffer holds the beginning of an answer, or all of it.
 type answerBuffer struct {
-	budget *bufferBudget
+	budget *retain.Budget
 	blocks [][]byte
 	size   int // of the blocks
 	taken  int // from the budget
@@ -80,7 +55,7 @@
 	if b.size+n <= freeBuffered {
 		return true
 	}
-	if b.size+n > maxBuffered || !b.budget.take(n) {
+	if b.size+n > maxBuffered || !b.budget.Take(n) {
 		return false
 	}
 	b.taken += n
@@ -116,7 +91,7 @@
 
 // Close drops what is held.
 func (b *answerBuffer) Close() error {
-	b.budget.release(b.taken)
+	b.budget.Release(b.taken)
 	b.blocks, b.taken = nil, 0
 	return nil
 }
--- a/coordination/dispatch/buffer_test.go
+++ b/coordination/dispatch/buffer_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 )
 
 // zeros returns the given number of bytes, then an error.
@@ -67,7 +68,7 @@
 		assert.Equal(t, err != nil, tt.broken, "%s: %v", tt.name, err)
 		assert.Equal(t, len(g.closed), map[bool]int{true: tt.runs}[tt.broken], tt.name)
 		assert.Equal(t, g.worked > 0, !tt.broken, tt.name)
-		assert.Equal(t, d.buffers.used.Load(), int64(0), tt.name)
+		assert.Equal(t, d.buffers.Used(), int64(0), tt.name)
 	}
 }
 
@@ -119,29 +120,29 @@
 			}()
 		}
 		wg.Wait()
-		assert.Equal(t, d.buffers.used.Load()+d.ahead.used.Load(), int64(0))
+		assert.Equal(t, d.buffers.Used()+d.ahead.Used(), int64(0))
 	}
 }
 
 // TestLargeEventsAreBoundedInMemory guards against running out of memory while many streams are in the
 // middle of a large event, and against a part of the budget that is never given back.
 func TestLargeEventsAreBoundedInMemory(t *testing.T) {
-	budget := &bufferBudget{limit: maxBufferedTotal}
+	budget := retain.New(maxBufferedTotal)
 	readers := make([]*eventReader, 200)
 	for i := range readers {
 		readers[i] = &eventReader{in: io.MultiReader(&zeros{maxEvent / 2, io.EOF}, &zeros{0, core.ErrAnswerLost}), budget: budget}
 		for {
 			_, err := readers[i].next()
-			assert.Check(t, budget.used.Load() <= maxBufferedTotal)
+			assert.Check(t, budget.Used() <= maxBufferedTotal)
 			if errors.Is(err, core.ErrAnswerLost) {
 				break
 			}
 			assert.NilError(t, err)
 		}
 	}
-	assert.Assert(t, budget.used.Load() > maxBufferedTotal-maxEvent)
+	assert.Assert(t, budget.Used() > maxBufferedTotal-maxEvent)
 	for _, r := range readers {
 		r.close()
 	}
-	assert.Equal(t, budget.used.Load(), int64(0))
+	assert.Equal(t, budget.Used(), int64(0))
 }
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	"primroseward/coordination/retry"
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/io/retain"
 	"primroseward/state/catalog"
 	"primroseward/state/tree"
 )
@@ -98,8 +99,8 @@
 	log        *zap.Logger
 	metrics    *metrics
 	running    atomic.Int64
-	buffers    bufferBudget
-	ahead      bufferBudget          // of what is read ahead of callers
+	buffers    *retain.Budget
+	ahead      *retain.Budget        // of what is read ahead of callers
 	byRunner   inFlight[string]      // sends in progress, by runner
 	unanswered inFlight[core.Digest] // sends whose answer has not begun, by the digests of the request
 	guard      core.Guard
@@ -178,7 +179,7 @@
 		allowance: core.Unbounded{}, limits: allowance.NewLimits(clock, log), pathLost: func() bool { return false },
 		balance: func() core.Balance { return core.BalanceOff }, estimator: balance.NewEstimator(), random: rand.Float64,
 		backlog: backlog.New(clock), callers: allowance.NewCallers(clock), fairness: fairness.New(clock),
-		buffers: bufferBudget{limit: maxBufferedTotal}, ahead: bufferBudget{limit: maxAheadTotal},
+		buffers: retain.New(maxBufferedTotal), ahead: retain.New(maxAheadTotal),
 	}
 	for _, o := range opts {
 		o(d)
@@ -342,7 +343,7 @@
 	_, held := reply.Body.(*answerBuffer)
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: func() { j.countEnd(reply) }}
 	if !held && d.balanced() {
-		reply.Body = newReadAhead(reply.Body, cancel, &d.ahead, d.metrics)
+		reply.Body = newReadAhead(reply.Body, cancel, d.ahead, d.metrics)
 	}
 	reply.Body = &closeHook{ReadCloser: reply.Body, onClose: end}
 	return reply, nil
@@ -469,7 +470,7 @@
 // bufferAnswer reads an answer to its end before any of it is passed on, so that one that breaks off
 // can be requested again. Of a long answer only the beginning is held.
 func (j *job) bufferAnswer(ctx context.Context, r *core.Runner, reply *core.Reply) (*core.Reply, error) {
-	held := &answerBuffer{budget: &j.d.buffers}
+	held := &answerBuffer{budget: j.d.buffers}
 	err := held.fill(reply.Body)
 	if err == io.EOF {
 		err = j.confirmEnd(ctx, r, j.framing)
--- a/coordination/dispatch/events.go
+++ b/coordination/dispatch/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"primroseward/io/retain"
 )
 
 const (
@@ -37,7 +39,7 @@
 // and empty lines between two events are no part of either.
 type eventReader struct {
 	in     io.Reader
-	budget *bufferBudget
+	budget *retain.Budget
 	onRead func() // called after each read that returned something; nil: nothing
 	lastID string // id of the last complete event returned
 	events int    // complete events returned
@@ -99,7 +101,7 @@
 	if more <= 0 {
 		return true
 	}
-	if n > maxEvent || !e.budget.take(max(more, minReserved)) {
+	if n > maxEvent || !e.budget.Take(max(more, minReserved)) {
 		return false
 	}
 	e.reserved += max(more, minReserved)
@@ -108,7 +110,7 @@
 
 // close drops what is held.
 func (e *eventReader) close() {
-	e.budget.release(e.reserved)
+	e.budget.Release(e.reserved)
 	e.buf, e.reserved = nil, 0
 }
 
@@ -126,7 +128,7 @@
 // shrink returns to the budget what the buffer no longer needs.
 func (e *eventReader) shrink() {
 	if e.reserved > 0 && len(e.buf) <= freeBuffered {
-		e.budget.release(e.reserved)
+		e.budget.Release(e.reserved)
 		e.reserved = 0
 	}
 }
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -55,7 +55,7 @@
 // that it works on the request, also a comment that is held back.
 func (j *job) newEventReader(r *core.Runner, body io.Reader) *eventReader {
 	loads := j.loadsOf(r)
-	return &eventReader{in: body, budget: &j.d.buffers, lastID: j.lastEvent, onRead: func() { loads.RecordActivity(r.ID) }}
+	return &eventReader{in: body, budget: j.d.buffers, lastID: j.lastEvent, onRead: func() { loads.RecordActivity(r.ID) }}
 }
 
 // stream waits for the first event. If the answer breaks off before it, the request can
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -126,7 +126,7 @@
 	d.entry = entry.New(d.replica, d.table, d.pool.Dial, d.owner, dir, d.claims, d.clock, entry.WithLogger(d.log),
 		entry.WithScope(scope.SubScope("entry")), entry.WithGuard(d.quarantine), entry.WithAnswerLimits(int64(set.Held.Bytes), time.Duration(set.Held.TTL)))
 	d.planner = planner.NewRole(planner.Default(), d.replica, d.table, d.pool.Dial, d.clock, d.log)
-	d.api = routers.New(d.entry, d.clock, d.log, int64(set.Limits.Body), time.Duration(set.Limits.BodyTimeout), routers.WithScope(scope.SubScope("entry")))
+	d.api = routers.New(d.entry, d.clock, d.log, int64(set.Limits.Body), time.Duration(set.Limits.BodyTimeout), routers.WithScope(scope.SubScope("entry")), routers.WithBodies(set.Limits.BodyBudget()))
 	return d.listen(&rpc.Handler{
 		Table: d.table, Spread: d.spread, Replica: d.replica, Owner: d.owner, Entry: d.entry, Dir: dir, Clock: d.clock, Planner: d.planner,
 		Messages: d.network,
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -227,7 +227,7 @@
 	d.dispatcher = dispatch.New(set.DataCentre, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
 		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithBalance(d.balance), dispatch.WithExits(d.quarantine), dispatch.WithOrigins(d.origins), dispatch.WithAllowance(d.allowances), dispatch.WithFairness(d.fairness), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	dispatch.WithHelpers(set.Name, forward.New(d.peers, platform.Dialect{}, d.clock), d.reach.Lost)(d.dispatcher)
-	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed))
+	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed), front.WithBodies(set.Limits.BodyBudget()))
 }
 
 // balance returns whether operators want requests to be balanced by counts of the whole fleet.
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -6,12 +6,14 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap/zapcore"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 	"primroseward/io/strict"
 )
 
@@ -106,9 +108,36 @@
 	BodyTimeout  core.Duration `json:"sender"`   // longest time in which a request body must arrive
 	PlatformRate float64       `json:"platform"` // calls of the platform per second
 	MaxBackoff   core.Duration `json:"backoff"`  // longest time without requests that an endpoint may ask for; 0 means none
+	Memory       core.Bytes    `json:"memory"`   // memory that the daemon may use; 0 means unknown
 	Cores        float64       `json:"cores"`    // processor cores that the daemon may use; 0 means unknown
 }
 
+const (
+	// bodyShare is the part of a daemon's memory that the bodies of requests in progress may take. As much again may
+	// wait to be collected.
+	bodyShare = 0.25
+	// defaultBodies is that in bytes where the memory is not known.
+	defaultBodies = 64e6
+	// memoryShare is the part of a daemon's memory from which on the runtime collects garbage more often. The rest is
+	// for what other processes have sent and the daemon has not read.
+	memoryShare = 0.8
+)
+
+// BodyBudget returns a budget for the bodies of requests in progress.
+func (l *Limits) BodyBudget() *retain.Budget {
+	if l.Memory == 0 {
+		return retain.New(defaultBodies)
+	}
+	return retain.New(int64(bodyShare * float64(l.Memory)))
+}
+
+// SetMemoryLimit has the runtime stay within the daemon's memory, if it is known.
+func (l *Limits) SetMemoryLimit() {
+	if l.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(l.Memory)))
+	}
+}
+
 // Setting is a validated File with its parsed addresses and log level.
 type Setting struct {
 	File
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -22,6 +22,7 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/io/retain"
 	"primroseward/io/tcp"
 	"primroseward/state/catalog"
 )
@@ -45,6 +46,8 @@
 	// lateTargets is the multiple of a route's target latency in which almost all answers that are not
 	// streams are complete.
 	lateTargets = 4
+	// fullRetry is the Retry-After time where there is no room for a body. Streams last some seconds.
+	fullRetry = time.Second
 	// minRetry is the minimum Retry-After time. The header has three decimals, and a value
 	// that rounds to 0 means that the time is not known.
 	minRetry = time.Millisecond
@@ -63,8 +66,9 @@
 	clock         core.Clock
 	log           *zap.Logger
 	scope         tally.Scope
-	settingsKnown func() bool // whether the operators' settings are known
-	keysConfirmed func() bool // whether the known keys may be used
+	settingsKnown func() bool    // whether the operators' settings are known
+	keysConfirmed func() bool    // whether the known keys may be used
+	bodies        *retain.Budget // of the bodies of requests in progress; nil: no bound
 	conns         *connections
 	leaving       atomic.Bool
 	end           atomic.Pointer[time.Time] // when requests in progress are cut; nil: not known
@@ -84,6 +88,9 @@
 // may have been removed while the store was unreachable.
 func WithKeysConfirmed(fn func() bool) Option { return func(f *Front) { f.keysConfirmed = fn } }
 
+// WithBodies bounds the bodies of all requests in progress together.
+func WithBodies(b *retain.Budget) Option { return func(f *Front) { f.bodies = b } }
+
 // New returns a Front that passes requests to a dispatcher.
 func New(c *catalog.Catalog, dialect core.Dialect, dispatcher Dispatcher, clock core.Clock, log *zap.Logger, opts ...Option) *Front {
 	f := &Front{catalog: c, dialect: dialect, dispatcher: dispatcher, clock: clock, log: log, scope: tally.NoopScope, settingsKnown: func() bool { return true }, keysConfirmed: func() bool { return true }}
@@ -165,7 +172,9 @@
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q, route, refusal := f.read(w, r, forward)
+	var body retain.Body
+	defer body.Release()
+	q, route, refusal := f.read(w, r, forward, &body)
 	if refusal != nil {
 		f.refuse(w, r, refusal)
 		return
@@ -204,7 +213,7 @@
 
 // read reads a request and finds its route. A request that it refuses has not been sent to
 // any runner.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, forward *core.Forward) (q *core.Request, route *core.Route, refusal *core.RequestError) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, forward *core.Forward, body *retain.Body) (q *core.Request, route *core.Route, refusal *core.RequestError) {
 	defer f.answerPanic(f.dialect.RequestID(r.Header), &refusal)
 	config := f.catalog.Config()
 	if config == nil {
@@ -232,9 +241,10 @@
 	if err != nil {
 		return nil, nil, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0)
 	}
-	if q.Body, err = f.readBody(w, r, limits.BodyBytes); err != nil {
+	if err := f.readBody(w, r, limits.BodyBytes, body); err != nil {
 		return nil, nil, core.AsRequestError(err)
 	}
+	q.Body = body.Data
 	if config.Workspaces != nil {
 		f.dialect.DropKey(q.Header)
 	}
@@ -298,7 +308,24 @@
 	if e.Status == http.StatusUnauthorized && r.ContentLength != 0 {
 		w.Header().Set("Connection", "close") // otherwise the server would wait for the body
 	}
+	if e.Code == core.CodeOverloaded && r.Header.Get("Expect") == "" {
+		f.answerAndSkipBody(w, r, e)
+		return
+	}
+	writeError(w, e)
+}
+
+// answerAndSkipBody refuses a request before its body has been read, and then reads the body: a connection that is
+// closed with unread bytes is reset, and the caller may lose the answer.
+func (f *Front) answerAndSkipBody(w http.ResponseWriter, r *http.Request, e *core.RequestError) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex() // otherwise the server would read 256 KiB first
 	writeError(w, e)
+	_ = control.Flush() // an error means that the caller has disconnected, as below
+	conn := callerConnOf(r)
+	complete := conn.wait(func() { conn.endRead() })
+	defer complete()
+	_, _ = io.Copy(io.Discard, r.Body)
 }
 
 // hostOf returns the value of a Host header without the port.
@@ -320,24 +347,34 @@
 	return n
 }
 
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads a request's body, if there is room for it.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, limit int64, body *retain.Body) error {
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	conn := callerConnOf(r)
 	complete := conn.wait(func() { conn.endRead() })
-	data, err := io.ReadAll(r.Body)
+	var err error
+	if limit > 0 && r.ContentLength > limit {
+		_, err = io.Copy(io.Discard, r.Body)
+	} else {
+		err = body.Read(r.Body, r.ContentLength, f.bodies)
+	}
 	ended := complete()
 	var large *http.MaxBytesError
 	switch {
 	case ended:
-		return nil, refuseLeaving()
+		return refuseLeaving()
+	case errors.Is(err, retain.ErrFull):
+		return core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, err.Error(), fullRetry)
+	case errors.Is(err, retain.ErrLarge):
+		return core.NotRun(http.StatusRequestEntityTooLarge, "too_large", err.Error(), 0)
 	case errors.As(err, &large):
-		return nil, core.NotRun(http.StatusRequestEntityTooLarge, "too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
+		return core.NotRun(http.StatusRequestEntityTooLarge, "too_large", "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes", 0)
 	case err != nil:
-		return nil, core.NotRun(http.StatusBadRequest, "bad_body", err.Error(), 0)
+		return core.NotRun(http.StatusBadRequest, "bad_body", err.Error(), 0)
 	}
-	return data, nil
+	return nil
 }
 
 // hopHeaders are the hop-by-hop headers of an answer, which apply only to the connection with
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -23,6 +23,7 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/io/retain"
 	"primroseward/platform"
 	"primroseward/state/catalog"
 )
@@ -149,6 +150,67 @@
 	assert.Equal(t, resp.Header.Get("X-Primroseward-Server-Stamp"), "s")
 }
 
+// TestBodyWithoutRoom guards against bodies that take all memory: a request without room for its body is refused as not
+// run, and its connection, over which the body still arrives, serves the next one.
+func TestBodyWithoutRoom(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		hold, began := make(chan struct{}), make(chan struct{}, 8)
+		d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
+			began <- struct{}{}
+			select {
+			case <-hold:
+			case <-ctx.Done():
+			}
+			return reply(200, strings.NewReader("ok"))
+		}}
+		budget := retain.New(1 << 20)
+		f, srv := setUpAt(t, clockwork.NewRealClock(), 1, d, WithBodies(budget))
+		config := *f.catalog.Config()
+		config.Limits.BodyBytes, config.Version = 4<<20, 2
+		f.catalog.SetConfig(&config)
+		call := func(size int) (*http.Response, error) {
+			var body io.Reader = strings.NewReader(strings.Repeat("x", size))
+			if chunked {
+				body = struct{ io.Reader }{body}
+			}
+			req, err := http.NewRequest(http.MethodPost, srv.URL+"/a/x", body)
+			assert.NilError(t, err)
+			req.Host = "h.example"
+			req.Header.Set("X-Primroseward-Request-Id", "q1")
+			resp, err := srv.Client().Do(req)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			return resp, err
+		}
+		first := make(chan int, 1)
+		go func() {
+			resp, err := call(300 << 10)
+			assert.Check(t, err)
+			first <- resp.StatusCode
+		}()
+		<-began
+		for range 20 {
+			resp, err := call(700 << 10)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, 503)
+			assert.Equal(t, resp.Header.Get("Retry-After"), "1.000")
+		}
+		assert.Equal(t, lines.FilterMessage(logs.RefusedAtFront).All()[0].ContextMap()["code"], core.CodeOverloaded)
+		close(hold)
+		assert.Equal(t, <-first, 200)
+		resp, err := call(300 << 10)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200)
+		resp, err = call(2 << 20)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 413)
+		srv.Close()
+		assert.Equal(t, budget.Used(), int64(0))
+	}
+}
+
 // broken returns an error in place of the end of a reader.
 type broken struct{ io.Reader }
 
--- a/transport/routers/routers.go
+++ b/transport/routers/routers.go
@@ -23,6 +23,7 @@
 
 	"primroseward/coordination/entry"
 	"primroseward/core"
+	"primroseward/io/retain"
 	"primroseward/io/tcp"
 	"primroseward/state/answer"
 	"primroseward/state/tree"
@@ -41,6 +42,7 @@
 	clock       core.Clock
 	log         *zap.Logger
 	maxBody     int64
+	bodies      *retain.Budget // of the bodies of requests in progress; nil: no bound
 	bodyTimeout time.Duration
 	scope       tally.Scope
 	leaving     atomic.Bool
@@ -119,12 +121,13 @@
 	if !ok {
 		return
 	}
-	body, ok := a.readBody(w, r)
-	if !ok {
+	var body retain.Body
+	defer body.Release()
+	if !a.readBody(w, r, &body) {
 		return
 	}
 	var req modelRequest
-	if err := json.Unmarshal(body, &req); err != nil {
+	if err := json.Unmarshal(body.Data, &req); err != nil {
 		writeError(w, core.NotRun(http.StatusBadRequest, "malformed_json", "body: "+err.Error(), 0))
 		return
 	}
@@ -139,7 +142,7 @@
 	eff := t.Effective(tree.Selector{Service: q.Service, Model: q.Model})
 	q.Repeatable = eff.Repeatable
 	q.Path = r.URL.RequestURI()
-	a.serve(w, r, q, eff, body)
+	a.serve(w, r, q, eff, body.Data)
 }
 
 // checkModel validates the model of a request, and sets the service if the request names none.
@@ -171,8 +174,9 @@
 		writeError(w, core.NotRun(http.StatusNotFound, "unknown_service", fmt.Sprintf("service %q is not served", name), 0))
 		return
 	}
-	body, ok := a.readBody(w, r)
-	if !ok {
+	var body retain.Body
+	defer body.Release()
+	if !a.readBody(w, r, &body) {
 		return
 	}
 	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+name)
@@ -184,7 +188,7 @@
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
 	}
-	a.serve(w, r, q, eff, body)
+	a.serve(w, r, q, eff, body.Data)
 }
 
 // serve runs the request and writes its answer to the caller.
@@ -307,16 +311,27 @@
 // readBody reads a request's body within the size limit and the timeout. It answers with an
 // error and returns false on failure. A caller that stops sending occupies one goroutine until
 // the timeout and no other resources.
-func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+func (a *API) readBody(w http.ResponseWriter, r *http.Request, body *retain.Body) bool {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(a.bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(innermost(w), r.Body, a.maxBody))
+	in := http.MaxBytesReader(innermost(w), r.Body, a.maxBody)
+	var err error
+	if r.ContentLength > a.maxBody {
+		_, err = io.Copy(io.Discard, in)
+	} else {
+		err = body.Read(in, r.ContentLength, a.bodies)
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
 	case err == nil:
-		return body, true
+		return true
+	case errors.Is(err, retain.ErrFull):
+		w.Header().Set("Connection", "close")
+		writeError(w, core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, "body: "+err.Error(), time.Second))
+	case errors.Is(err, retain.ErrLarge):
+		writeError(w, core.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", "body: "+err.Error(), 0))
 	case errors.As(err, &tooLarge):
 		writeError(w, core.NotRun(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("body: over %d bytes", a.maxBody), 0))
 	case errors.As(err, &netErr) && netErr.Timeout():
@@ -326,7 +341,7 @@
 		w.Header().Set("Connection", "close")
 		writeError(w, core.NotRun(http.StatusBadRequest, "body_broken", "body: "+err.Error(), 0))
 	}
-	return nil, false
+	return false
 }
 
 // modelItem is a model in the format of the OpenAI API.
