--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -116,6 +116,7 @@
 func (d *daemon) kill() {
 	d.w.noteBreakage(d, nil, 0, 0)
 	<-d.signal(syscall.SIGKILL)
+	d.w.noteBreakage(d, nil, 0, 0) // its connections break off no earlier than it exits
 }
 
 // restart starts a new process if none is running.
