--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -224,12 +224,7 @@
 	t.Parallel()
 	n, r := newNetwork(), newRunners()
 	all := n.fleet(t, 3, r)
-	n.mu.Lock()
-	started := time.Now()
-	for _, d := range all {
-		d.boot = started
-	}
-	n.mu.Unlock()
+	started := n.bootNow(all)
 	beside := broken(other, "")
 	for i := range 4 {
 		id := fmt.Sprint("r", i)
@@ -256,12 +251,7 @@
 	t.Parallel()
 	n, r := newNetwork(), newRunners()
 	all := n.fleet(t, 3, r)
-	n.mu.Lock()
-	started := time.Now()
-	for _, d := range all {
-		d.boot = started
-	}
-	n.mu.Unlock()
+	n.bootNow(all)
 	var documents []core.Part
 	for i := range 12 {
 		documents = append(documents, core.NewPart("", fmt.Sprint("d", i)))
--- a/coordination/quarantine/sim_test.go
+++ b/coordination/quarantine/sim_test.go
@@ -103,6 +103,17 @@
 	return out
 }
 
+// bootNow makes daemons state that they have started now, and returns when that was.
+func (n *network) bootNow(daemons []*daemon) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for _, d := range daemons {
+		d.boot = now
+	}
+	return now
+}
+
 func (n *network) setIsolated(d *daemon, isolated bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
