--- a/proof/budget_test.go
+++ b/proof/budget_test.go
@@ -35,12 +35,21 @@
 // appBudgetLog returns what the runners of service app have received, with the given times of
 // callers' requests.
 func (c *fleetCluster) appBudgetLog(sent []time.Time) *budget.Log {
-	var arrivals []runner.Arrival
+	var of []*runner.Server
 	for _, r := range c.runners {
 		if r.Service == "app" {
-			arrivals = append(arrivals, r.Arrivals()...)
+			of = append(of, r)
 		}
 	}
+	return arrivalLog(of, sent)
+}
+
+// arrivalLog returns what runners have received, with the given times of callers' requests.
+func arrivalLog(runners []*runner.Server, sent []time.Time) *budget.Log {
+	var arrivals []runner.Arrival
+	for _, r := range runners {
+		arrivals = append(arrivals, r.Arrivals()...)
+	}
 	slices.SortFunc(arrivals, func(a, b runner.Arrival) int { return a.At.Compare(b.At) })
 	l := &budget.Log{}
 	for _, at := range sent {
