Retries are sent within a fifth of a window, or taken anew

Callers saw nothing of it; a service could get more repeats in a window than the budget allows. Cause: what an account may save up is bounded, but a retry that a request has taken was kept without a bound: a stream that found out whether a runner answers kept it until it broke, one that waits for room up to four times its target latency (12 s at 3 s), a frozen process until it went on.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -46,6 +46,7 @@
 	errDown:      "the runners that may serve the request have ended",
 	errLimited:   "the runners that may serve the request take no more for now",
 	errShare:     "the workspace uses more than its share of the room at the runners that may serve the request",
+	errBudget:    "the retry budget is used up",
 	errBackoff:   "the runners that may serve the request have asked for a backoff",
 
 	errUnreachable: "no runner could be reached",
@@ -157,7 +158,7 @@
 // verify records that the request finds out whether a runner is down. If the runner has not answered
 // this daemon, a retry is taken from the budget, so that the request can be sent elsewhere.
 func (j *job) verify(runner string) {
-	if j.d.loads.IsUnanswering(runner) && !j.retryReserved {
+	if j.d.loads.IsUnanswering(runner) && !j.hasReserved() {
 		j.retryReserved = j.attemptsLeft(1) && j.reserveRetry(retryVerify)
 	}
 	j.d.loads.Verify(runner)
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -248,6 +248,7 @@
 	paced              bool              // its send has been paced, at most once per request
 	committed          bool              // the caller has received a part of an answer that no other run continues
 	retryReserved      bool              // a retry has been taken from the budget for the next send
+	takenAt            time.Time         // when the latest retry that has not been sent yet was taken
 	retryAfter         time.Duration     // until a missing model may be loaded or a limit allows the request; 0 if not known
 	atLimit            bool              // a runner was skipped because its limit is used up
 	limitFields        []zap.Field       // log fields on the last such runner
@@ -294,6 +295,9 @@
 	}
 	if q.Forward != nil {
 		j.runs = q.Forward.Runs
+		if j.runs > 0 {
+			j.takenAt = q.Arrived // by the daemon that has forwarded it
+		}
 		j.log.Info(logs.ForwardReceived, zap.String("from", q.Forward.From), zap.Int("runs", q.Forward.Runs), zap.Int("attempts", q.Forward.Attempts), zap.Duration("left", limit))
 	}
 	if err := j.findOrigin(ctx); err != nil {
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -35,7 +35,10 @@
 		endProbe(false)
 		return nil, r, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
-	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool { return j.d.accepts(r, probe) }}
+	takenAt, keepRetry := j.takenAt, j.beginRetry()
+	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool {
+		return j.d.accepts(r, probe) && j.d.retryValid(takenAt)
+	}}
 	if j.q.Model != "" {
 		out.Priority = j.priority()
 		j.sentPriority = out.Priority
@@ -78,6 +81,7 @@
 		j.runs++
 	}
 	if errors.Is(err, core.ErrNotSent) {
+		keepRetry()
 		j.d.limits.Refund(r.ID)
 	}
 	if err != nil {
@@ -96,7 +100,7 @@
 
 // takeRetry takes a retry from the budget, if the route allows one.
 func (j *job) takeRetry() bool {
-	reserved := j.retryReserved
+	reserved := j.hasReserved()
 	j.retryReserved = false
 	return j.attemptsLeft(0) && (reserved || j.reserveRetry(retryFailed))
 }
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -258,7 +258,7 @@
 	if policy.Choose(candidates, j.requirements()) < 0 && !(forward && j.hasHelper()) {
 		return false
 	}
-	j.retryReserved = j.retryReserved || j.reserveRetry(retrySilent)
+	j.retryReserved = j.hasReserved() || j.reserveRetry(retrySilent)
 	return j.retryReserved
 }
 
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -20,6 +20,9 @@
 	// savedShare is the part of that which a daemon may have saved up; the other part is what
 	// it receives in one window.
 	savedShare = 0.6
+	// maxDelay is the part of a window after which a retry that was taken must not be sent any more. Those that
+	// are sent late are received beside the ones of the next window.
+	maxDelay = 0.2
 )
 
 // Limits are what all daemons together may send in a window.
@@ -88,6 +91,11 @@
 	return s, true
 }
 
+// Valid reports whether a retry may still be sent so long after it was taken.
+func (b *Budget) Valid(age time.Duration) bool {
+	return age <= time.Duration(maxDelay*float64(b.limits().Window))
+}
+
 // Left reports whether a retry is left.
 func (b *Budget) Left(service string) bool {
 	b.mu.Lock()
