--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"primroseward/core"
 	"primroseward/io/logs"
 )
 
@@ -78,3 +79,10 @@
 		}
 	}
 }
+
+// rejectedElsewhere reports whether an error is the refusal of another daemon whose runners have rejected the
+// request. What follows is a retry that nobody has taken yet.
+func rejectedElsewhere(err error) bool {
+	var refusal *core.RequestError
+	return errors.As(err, &refusal) && refusal.Code == errRejected.Error()
+}
