The slack of a leaving daemon stays its own until its grace time ends; a new VM has none until others know it

A service could get more repeats than the budget allows, in two cases in which two daemons used the same part of the slack. Cause: a leaving daemon counted as stopped once it was silent for 1.5 s, also if it was frozen or cut off and went on within its grace time; and a VM that was added while the others did not hear it took its part, which these had divided among themselves. Class: what a silent daemon does is guessed. Change: a leaving daemon is counted until its grace time is over; a daemon that the store did not list before has no part until all that may be alive have been heard, or are forgotten.

--- a/coordination/peers/find.go
+++ b/coordination/peers/find.go
@@ -69,6 +69,11 @@
 	}
 	o := core.Object{Kind: p.kind, Name: self.Name, Body: body}
 	_, err = p.store.Create(ctx, o)
+	if err == nil {
+		p.mu.Lock()
+		p.created = true
+		p.mu.Unlock()
+	}
 	if !errors.Is(err, core.ErrExists) {
 		return err
 	}
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -109,6 +109,7 @@
 	onUsage   func(reachable, known int, usage map[core.Code]core.Usage)
 	state     func() State
 	counts    *occupancyCounts // nil: not used
+	grace     func() time.Duration
 
 	mu         sync.Mutex
 	self       Peer
@@ -116,6 +117,7 @@
 	handlers   map[string]Handler    // by kind of message
 	pending    map[uint64]chan json.RawMessage
 	discovered bool
+	created    bool           // this daemon was not listed in the store before its start
 	roster     *roster.Roster // used in a large fleet
 	actsAsHub  bool
 	sendQueue  chan queued // for peers of a large fleet
@@ -137,6 +139,7 @@
 		onSummary: func(Summary) {}, onSend: func(string, bool, int) {},
 		ownUsage: func() map[core.Code]core.Usage { return nil }, onUsage: func(int, int, map[core.Code]core.Usage) {},
 		known: map[string]*knownPeer{}, handlers: map[string]Handler{}, pending: map[uint64]chan json.RawMessage{},
+		grace:  func() time.Duration { return 0 },
 		roster: roster.New(clock.Now(), self.daemon()), sendQueue: make(chan queued, maxQueued), lookup: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -168,6 +171,9 @@
 	return func(p *Peers) { p.ownUsage, p.onUsage = own, onUsage }
 }
 
+// WithGrace sets the function that returns the longest time that a daemon takes to stop.
+func WithGrace(fn func() time.Duration) Option { return func(p *Peers) { p.grace = fn } }
+
 // Handle sets the handler of a kind of messages. It must be called before Start.
 func (p *Peers) Handle(kind string, h Handler) { p.handlers[kind] = h }
 
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -165,3 +165,54 @@
 	assert.Assert(t, a.receiveHeartbeat(&heartbeat{Peer: Peer{Name: "b", Boot: 5}}))
 	assert.Assert(t, !a.receiveHeartbeat(&heartbeat{Peer: Peer{Name: "a", Boot: 9}}), "a heartbeat with the daemon's own name")
 }
+
+// TestLeavingDaemonIsCountedUntilItsGraceEnds guards against daemons that use the part of a leaving one, of what all may
+// use together, while that one is only silent and goes on within its grace time.
+func TestLeavingDaemonIsCountedUntilItsGraceEnds(t *testing.T) {
+	const grace = 3 * time.Second
+	s := memory.New()
+	a, b := newPeers(t, s, "a", "p", nil, nil), newPeers(t, s, "b", "p", nil, nil)
+	WithGrace(func() time.Duration { return grace })(a)
+	for _, p := range []*Peers{a, b} {
+		p.Start()
+	}
+	defer a.Stop()
+	eventually(t, "both are known", func() bool { return a.Count() == 2 && b.Count() == 2 })
+	b.Leave()
+	eventually(t, "leaving is known", func() bool { peer, _ := a.Get("b"); return peer.Leaving })
+	left := time.Now()
+	b.Stop() // it sends nothing any more
+	eventually(t, "it is silent", func() bool { return a.Count() == 1 })
+	assert.Equal(t, a.CountKnown(), 2)
+	eventually(t, "its grace time has ended", func() bool { return a.CountKnown() == 1 })
+	assert.Assert(t, time.Since(left) >= grace-aliveTimeout, "%v", time.Since(left))
+}
+
+// TestNewDaemonHasNoPartUntilOthersKnowIt guards against a VM that is added while it is cut off from the others, which divide
+// what all may use together without it.
+func TestNewDaemonHasNoPartUntilOthersKnowIt(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		listed bool // in the store, from an earlier process
+		want   int
+	}{
+		{"new", false, 0},
+		{"started again", true, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := memory.New()
+			a, b := newPeers(t, s, "a", "p", nil, nil), newPeers(t, s, "b", "p", nil, nil)
+			assert.NilError(t, a.register(context.Background()))
+			if tt.listed {
+				assert.NilError(t, newPeers(t, s, "b", "p", nil, nil).register(context.Background()))
+			}
+			b.Start() // a does not receive anything yet
+			defer b.Stop()
+			eventually(t, "the store has been listed", b.Discovered)
+			assert.Equal(t, b.CountKnown(), tt.want)
+			a.Start()
+			defer a.Stop()
+			eventually(t, "both know each other", func() bool { return b.CountKnown() == 2 && a.CountKnown() == 2 })
+		})
+	}
+}
--- a/coordination/peers/usage.go
+++ b/coordination/peers/usage.go
@@ -24,25 +24,35 @@
 }
 
 // CountKnown returns the number of daemons that may be alive, this one included, or 0 until the store
-// has been listed.
+// has been listed and those that may be alive know this one.
 func (p *Peers) CountKnown() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, known := p.countDaemons(p.clock.Now())
+	now := p.clock.Now()
+	_, known := p.countDaemons(now)
+	for _, k := range p.known {
+		if p.created && !k.reached && p.mayBeAlive(now, k) {
+			return 0 // it may not know this daemon, and divide without it
+		}
+	}
 	return known
 }
 
+// mayBeAlive reports whether a peer is alive, or may be although it is silent. One that was leaving has stopped
+// once its grace time is over. The caller holds the lock.
+func (p *Peers) mayBeAlive(now time.Time, k *knownPeer) bool {
+	return k.alive(now) || !k.Leaving || now.Sub(k.lastSeen) < p.grace()
+}
+
 // countDaemons returns how many daemons are reachable and how many may be alive, both with
-// this one; known is 0 until the store has been listed. A peer that was leaving and is no
-// longer alive has stopped and is not counted. The caller holds the lock.
+// this one; known is 0 until the store has been listed. The caller holds the lock.
 func (p *Peers) countDaemons(now time.Time) (reachable, known int) {
 	reachable, known = 1, 1
 	for _, k := range p.known {
-		alive := k.alive(now)
-		if alive && now.Sub(k.lastSeen) < roster.ReachableFor {
+		if k.alive(now) && now.Sub(k.lastSeen) < roster.ReachableFor {
 			reachable++
 		}
-		if alive || !k.Leaving {
+		if p.mayBeAlive(now, k) {
 			known++
 		}
 	}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -202,7 +202,7 @@
 		Boot: uint64(d.clock.Now().UnixNano()), Cores: set.Limits.Cores,
 	}
 	d.peers = peers.New(self, kindDaemons, d.store, udp, d.clock, d.log, d.loads.LocalRequests, d.peerUpdate, peers.WithSummaries(d.groupSummary), peers.WithDatagramCounter(d.countDatagram),
-		peers.WithUsage(d.localUsage, d.peerUsage), peers.WithOccupancy(d.occupancy()))
+		peers.WithUsage(d.localUsage, d.peerUsage), peers.WithGrace(func() time.Duration { return time.Duration(d.current.Load().Grace) }), peers.WithOccupancy(d.occupancy()))
 	d.peers.Handle(kindLimit, handleUpdate(d, d.limits.ApplyUpdate))
 	d.peers.Handle(kindBrittle, handleUpdate(d, d.available.ApplyBrittle))
 	d.peers.Handle(kindAnswered, d.handleAnswered)
