--- a/proof/endless_test.go
+++ b/proof/endless_test.go
@@ -10,7 +10,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	wire "primroseward/platform"
+	"primroseward/standin/platform"
 	"primroseward/standin/runner"
 )
 
@@ -57,6 +60,77 @@
 	}
 }
 
+// TestReportsAndOrdersWithoutEnd guards against a daemon that runs out of memory, or serves nothing else, as runners
+// answer reports and orders with bytes without end.
+func TestReportsAndOrdersWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"models\":["
+	for _, tt := range []struct {
+		name string
+		raw  runner.Raw
+	}{
+		{"no HTTP", runner.Raw{Endless: "x"}},
+		{"body", runner.Raw{EndlessHead: head, Endless: " "}},
+		{"body, slowly", runner.Raw{EndlessHead: head, Endless: " ", EndlessInterval: 20 * time.Millisecond}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, 1)
+			const more = 60
+			for i := range more {
+				c.addRunner(runner.Spec{ID: fmt.Sprint("i-gen-more-", i), Service: "gen", DataCentre: "north", Slots: 8, Events: c.events, Interval: 20 * time.Millisecond})
+			}
+			c.sendAtInterval(20*time.Millisecond, time.Second)
+			for _, r := range c.runners {
+				if r.Service == "gen" {
+					r.SetRawControl(func(*http.Request) *runner.Raw { return &tt.raw })
+				}
+			}
+			for range more / 2 {
+				go func() { _, _, _ = c.daemons[0].send("/gen/x", "", "m2") }() // models are loaded
+			}
+			got := c.sendAtInterval(20*time.Millisecond, 6*time.Second)
+			peak := c.daemons[0].peakMemory(t)
+			t.Logf("answers: %v; at most %d MB", got, peak>>20)
+			assert.Check(t, got[http.StatusOK]*100 >= minServedBeside*total(got), "answers: %v", got)
+			assert.Check(t, peak <= maxDaemonMemory, "%d MB", peak>>20)
+		})
+	}
+}
+
+// TestStoreThatSendsBytesWithoutEnd guards against a daemon that runs out of memory, or forgets what it knows, as the store, or what
+// answers in its place, sends bytes without end.
+func TestStoreThatSendsBytesWithoutEnd(t *testing.T) {
+	for _, tt := range []struct{ name, endless string }{
+		{"body", " "},
+		{"fields", "X: y\r\n"},
+		{"interim answers", "\r\nHTTP/1.1 102 Processing\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, 2)
+			c.sendAtInterval(20*time.Millisecond, time.Second)
+			c.store.SetFaults(platform.Faults{Endless: tt.endless})
+			got := c.sendAtInterval(20*time.Millisecond, 6*time.Second)
+			c.store.SetFaults(platform.Faults{})
+			for _, d := range c.daemons {
+				peak := d.peakMemory(t)
+				t.Logf("answers: %v; at most %d MB", got, peak>>20)
+				assert.Check(t, peak <= maxDaemonMemory, "%d MB", peak>>20)
+			}
+			assert.Check(t, got[http.StatusOK]*100 >= minServedBeside*total(got), "answers: %v", got)
+			c.put(wire.KindConfig, wire.NameConfig, fleetConfig(2, "/new/"))
+			for _, d := range c.daemons {
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if status, _, err := d.send("/new/x", "", "m1"); err != nil || status != http.StatusOK {
+						return poll.Continue("%d %v", status, err)
+					}
+					return poll.Success()
+				}, poll.WithTimeout(20*time.Second))
+			}
+		})
+	}
+}
+
 // peakMemory returns the most memory that the process has had, in bytes.
 func (d *fleetDaemon) peakMemory(t *testing.T) int {
 	t.Helper()
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -21,13 +20,16 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 )
 
 const (
-	dialTimeout     = time.Second
-	nativeTimeout   = 2 * time.Second
-	maxNativeAnswer = 4 << 20 // bytes
-	maxAnswerHead   = 64 << 10
+	dialTimeout   = time.Second
+	nativeTimeout = 2 * time.Second
+	// MaxAnswers bounds the answers of the native interface that a daemon holds at the same time, one answer to a half
+	// of it, in bytes.
+	MaxAnswers    = 8 << 20
+	maxAnswerHead = 64 << 10
 )
 
 // Paths of an engine's native interface, which it serves besides the OpenAI API.
@@ -42,6 +44,7 @@
 	base   string // URL without a path
 	clock  core.Clock
 	echo   bool            // refuse answers without the attempt's id
+	held   *retain.Budget  // of answers of the native interface
 	reused *http.Transport // reuses connections
 	fresh  *http.Transport // dials a connection per request
 }
@@ -53,9 +56,12 @@
 // echo it; plain services need not.
 func WithRequiredID() Option { return func(c *Client) { c.echo = true } }
 
+// WithAnswers sets the budget of the answers of the native interface, which all clients share.
+func WithAnswers(b *retain.Budget) Option { return func(c *Client) { c.held = b } }
+
 // New returns a client for the endpoint at addr.
 func New(addr netip.AddrPort, clock core.Clock, opts ...Option) *Client {
-	c := &Client{base: "http://" + addr.String(), clock: clock}
+	c := &Client{base: "http://" + addr.String(), clock: clock, held: retain.New(MaxAnswers)}
 	c.reused = newTransport()
 	// http.Transport resends a request when a reused connection breaks before an
 	// answer and it takes the request for idempotent, for example because of an
@@ -232,10 +238,12 @@
 		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxNativeAnswer))
-	if err != nil {
+	var answer retain.Body
+	if err := answer.Read(resp.Body, resp.ContentLength, c.held); err != nil {
 		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
 	}
+	data := answer.Data
+	defer answer.Release()
 	switch {
 	case resp.StatusCode == http.StatusConflict:
 		return nil, core.ErrStaleFence
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 	"primroseward/protocol/endpoint"
 )
 
@@ -208,3 +212,28 @@
 		assert.Equal(t, got, "")
 	}
 }
+
+// TestNativeAnswersWithoutEnd guards against a daemon that runs out of memory as endpoints answer calls of their native
+// interface with bytes without end.
+func TestNativeAnswersWithoutEnd(t *testing.T) {
+	const endpoints = 20
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		piece := bytes.Repeat([]byte(" "), 64<<10)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(piece)
+		}
+	}))
+	defer srv.Close()
+	budget := retain.New(endpoint.MaxAnswers)
+	var wg sync.WaitGroup
+	for range endpoints {
+		c := endpoint.New(netip.MustParseAddrPort(srv.Listener.Addr().String()), clockwork.NewRealClock(), endpoint.WithAnswers(budget))
+		wg.Go(func() {
+			_, err := c.Observe(t.Context())
+			assert.Check(t, errors.Is(err, core.ErrUnavailable), "%v", err)
+			c.Close()
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, budget.Used(), int64(0))
+}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 	"primroseward/io/tcp"
 )
 
@@ -36,6 +37,8 @@
 	// may answer before it has read the body.
 	maxInlineRequest = 16 << 10
 	maxCallAnswer    = 4 << 20 // limit in bytes of the answer to a report request or an order
+	// maxCallAnswers bounds the answers to report requests that are held at the same time, in bytes.
+	maxCallAnswers = 8 << 20
 	// connectSettle is how long a new connection must stay open to count as such: the sockets of a process that
 	// ends are closed one after the other, and its listener accepts connections until it is closed. connectAttempts
 	// is how often it is tried: a runner resets the connections beyond the number that it accepts.
@@ -56,6 +59,8 @@
 	// answered is called with what the headers of each answer state of its runner.
 	answered func(r *core.Runner, info core.ReplyInfo)
 
+	answers *retain.Budget // of answers to report requests
+
 	mu    sync.Mutex
 	pools map[string][]*conn // idle connections by runner ID, most recently used last
 }
@@ -80,8 +85,8 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout}
 	c := &Client{
 		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {}, called: func(string) {},
-		answered: func(*core.Runner, core.ReplyInfo) {},
-		dial:     dialer.DialContext,
+		answered: func(*core.Runner, core.ReplyInfo) {}, answers: retain.New(maxCallAnswers),
+		dial: dialer.DialContext,
 	}
 	for _, o := range opts {
 		o(c)
@@ -329,9 +334,9 @@
 	}
 }
 
-// call sends a report request, a check or an order, which carry no request ID, and reads the
-// complete answer.
-func (c *Client) call(ctx context.Context, r *core.Runner, method, path string, payload []byte, fresh bool) (int, []byte, error) {
+// call sends a report request, a check or an order, which carry no request ID, and passes the complete
+// answer's body to read; nil: the body does not matter.
+func (c *Client) call(ctx context.Context, r *core.Runner, method, path string, payload []byte, fresh bool, read func(status int, body []byte) error) (int, error) {
 	header := http.Header{}
 	if payload != nil {
 		header.Set("Content-Type", "application/json")
@@ -340,14 +345,22 @@
 	c.called(r.ID)
 	reply, err := c.exchange(ctx, r, exchange{method: method, host: r.Addr.String(), target: path, header: header, payload: payload, fresh: fresh})
 	if err != nil {
-		return 0, nil, err
+		return 0, err
 	}
 	defer reply.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(reply.Body, maxCallAnswer))
-	if err != nil {
-		return 0, nil, eris.Wrapf(core.ErrAnswerLost, "%v", err)
+	in := http.MaxBytesReader(nil, reply.Body, maxCallAnswer)
+	if read == nil {
+		if _, err := io.Copy(io.Discard, in); err != nil {
+			return 0, eris.Wrapf(core.ErrAnswerLost, "%v", err)
+		}
+		return reply.Status, nil
 	}
-	return reply.Status, data, nil
+	var body retain.Body
+	if err := body.Read(in, -1, c.answers); err != nil {
+		return 0, eris.Wrapf(core.ErrAnswerLost, "%v", err)
+	}
+	defer body.Release()
+	return reply.Status, read(reply.Status, body.Data)
 }
 
 // Order sends an order to one instance of a runner. If the outcome is unknown because
@@ -357,7 +370,7 @@
 	if err != nil {
 		return core.OrderRefused, err
 	}
-	status, _, err := c.call(ctx, r, http.MethodPost, path, payload, false)
+	status, err := c.call(ctx, r, http.MethodPost, path, payload, false, nil)
 	if err != nil {
 		return core.OrderUnknown, err
 	}
@@ -367,7 +380,7 @@
 // Check sends a runner a request for a path on a new connection, without a request ID, and reports
 // whether anything answers. What the answer says does not matter.
 func (c *Client) Check(ctx context.Context, r *core.Runner, path string) error {
-	_, _, err := c.call(ctx, r, http.MethodGet, path, nil, true)
+	_, err := c.call(ctx, r, http.MethodGet, path, nil, true, nil)
 	return err
 }
 
@@ -397,15 +410,16 @@
 // Report fetches a runner's loaded models and its state. It fails with ErrReplaced if
 // another instance answers.
 func (c *Client) Report(ctx context.Context, r *core.Runner) (*core.Report, error) {
-	status, data, err := c.call(ctx, r, http.MethodGet, c.dialect.ReportPath(), nil, false)
-	if err != nil {
-		return nil, err
-	}
-	if status == http.StatusMisdirectedRequest {
-		return nil, eris.Wrap(core.ErrReplaced, "report")
-	}
-	if status != http.StatusOK {
-		return nil, eris.Wrapf(core.ErrUnavailable, "report: status %d", status)
-	}
-	return c.dialect.ReadReport(data)
+	var report *core.Report
+	_, err := c.call(ctx, r, http.MethodGet, c.dialect.ReportPath(), nil, false, func(status int, body []byte) (err error) {
+		if status == http.StatusMisdirectedRequest {
+			return eris.Wrap(core.ErrReplaced, "report")
+		}
+		if status != http.StatusOK {
+			return eris.Wrapf(core.ErrUnavailable, "report: status %d", status)
+		}
+		report, err = c.dialect.ReadReport(body)
+		return err
+	})
+	return report, err
 }
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"primroseward/coordination/spread"
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/io/retain"
 	"primroseward/platform"
 	"primroseward/protocol/endpoint"
 	"primroseward/services/holds"
@@ -58,6 +59,7 @@
 	clock       core.Clock
 	metrics     *observe.Metrics
 	stopTracing func(context.Context) error
+	answers     *retain.Budget // of endpoints to calls of their native interface
 
 	callBytes  peer.ByteCounter // counts the bytes of calls between daemons
 	pool       *peer.Pool
@@ -83,7 +85,7 @@
 
 // New opens the listeners and assembles the components.
 func New(set *setting.Setting, log *zap.Logger) (*Daemon, error) {
-	d := &Daemon{set: set, log: log.With(zap.String("member", set.Name)), clock: clockwork.NewRealClock(), addressTTL: entry.AddressTTL}
+	d := &Daemon{set: set, log: log.With(zap.String("member", set.Name)), clock: clockwork.NewRealClock(), addressTTL: entry.AddressTTL, answers: retain.New(endpoint.MaxAnswers)}
 	var err error
 	if d.stopTracing, err = observe.StartTraces(set); err != nil {
 		return nil, err
@@ -165,9 +167,9 @@
 func (d *Daemon) connect(_ string, spec tree.Endpoint) core.Endpoint {
 	addr, _ := netip.ParseAddrPort(spec.Addr) // valid: it was checked when the tree was accepted
 	if spec.Kind == tree.KindModel {
-		return endpoint.New(addr, d.clock, endpoint.WithRequiredID())
+		return endpoint.New(addr, d.clock, endpoint.WithAnswers(d.answers), endpoint.WithRequiredID())
 	}
-	return endpoint.New(addr, d.clock)
+	return endpoint.New(addr, d.clock, endpoint.WithAnswers(d.answers))
 }
 
 func (d *Daemon) report(ctx context.Context, to core.Member, reports []directory.Report) error {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -34,6 +34,9 @@
 	Busy       bool `json:"busy"`        // answers every other call with 429
 	Delay      int  `json:"delay"`       // milliseconds before each answer
 	StaleWatch bool `json:"stale_watch"` // watches repeat old events first
+	// Endless is what is written again and again after the begin of each answer, until the caller closes the
+	// connection; in its head if it contains a line end.
+	Endless string `json:"endless"`
 }
 
 // event is a change in the history.
@@ -128,6 +131,10 @@
 			writeError(w, http.StatusServiceUnavailable, "platform is down")
 			return
 		}
+		if f.Endless != "" {
+			writeEndless(w, f.Endless)
+			return
+		}
 		if busy {
 			writeError(w, http.StatusTooManyRequests, "too many calls")
 			return
@@ -144,6 +151,26 @@
 	})
 }
 
+// endlessPiece is the least size of what is written at once of an endless answer, in bytes.
+const endlessPiece = 64 << 10
+
+// writeEndless writes an answer without an end until that fails.
+func writeEndless(w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	begin := "HTTP/1.1 200 OK\r\n"
+	if !strings.Contains(text, "\n") {
+		begin += "Content-Type: application/json\r\n\r\n{\"items\":[ "
+	}
+	piece := []byte(strings.Repeat(text, 1+endlessPiece/len(text)))
+	for _, err = io.WriteString(conn, begin); err == nil; {
+		_, err = conn.Write(piece)
+	}
+}
+
 // lateDelay is the delay of the writes in Faults.LateWrites.
 const lateDelay = 1500 * time.Millisecond
 
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -34,8 +34,9 @@
 	Exit    bool // the runner's listener ends before the connection, as in the exit of a process
 	// Endless is what the runner writes again and again, until the caller closes the connection, instead of
 	// an answer; empty: it answers. EndlessInterval is the time between two of them, each of which is
-	// repeated to endlessPiece bytes if it is 0.
+	// repeated to endlessPiece bytes if it is 0. EndlessHead is written once before them.
 	Endless         string
+	EndlessHead     string
 	EndlessInterval time.Duration
 }
 
@@ -48,6 +49,7 @@
 	if a.EndlessInterval == 0 {
 		piece = strings.Repeat(piece, 1+endlessPiece/len(piece))
 	}
+	_, _ = conn.Write([]byte(a.EndlessHead)) // if it fails, so does what follows
 	for {
 		if _, err := conn.Write([]byte(piece)); err != nil {
 			return
@@ -64,6 +66,28 @@
 	s.raw = fn
 }
 
+// SetRawControl is SetRaw for reports and orders.
+func (s *Server) SetRawControl(fn func(r *http.Request) *Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rawControl = fn
+}
+
+// writeControl writes the raw answer to a report or an order, if there is one.
+func (s *Server) writeControl(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	fn := s.rawControl
+	s.mu.Unlock()
+	if fn == nil {
+		return false
+	}
+	raw := fn(r)
+	if raw != nil {
+		s.write(raw, w)
+	}
+	return raw != nil
+}
+
 // rawAnswer returns the raw answer to a request, or nil.
 func (s *Server) rawAnswer(r *http.Request) *Raw {
 	s.mu.Lock()
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -76,15 +76,16 @@
 	draining    bool
 	cutAfter    int // events after which the next stream is cut; 0: never
 	raw         func(r *http.Request) *Raw
-	failures    int       // next requests to answer with status 500
-	running     int       // requests
-	busy        bool      // a model is being loaded
-	exited      bool      // exited because of a fatal request
-	limit       []string  // values of the limit header
-	leaving     []string  // values of the leaving header
-	rejects     bool      // rejects all requests
-	backoff     []string  // values of Retry-After in rejections
-	arrived     []Arrival // requests, run or not
+	rawControl  func(r *http.Request) *Raw // to reports and orders
+	failures    int                        // next requests to answer with status 500
+	running     int                        // requests
+	busy        bool                       // a model is being loaded
+	exited      bool                       // exited because of a fatal request
+	limit       []string                   // values of the limit header
+	leaving     []string                   // values of the leaving header
+	rejects     bool                       // rejects all requests
+	backoff     []string                   // values of Retry-After in rejections
+	arrived     []Arrival                  // requests, run or not
 	brittle     brittleState
 	silentUntil time.Time
 	silenceAt   func(p Point) time.Duration
@@ -247,7 +248,10 @@
 	s.store(platform.KindRunners, s.ID, entry)
 }
 
-func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
+	if s.writeControl(w, r) {
+		return
+	}
 	s.pass(InReport)
 	s.announce(w.Header())
 	s.mu.Lock()
@@ -257,6 +261,9 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	if s.writeControl(w, r) {
+		return
+	}
 	s.pass(InOrder)
 	s.announce(w.Header())
 	var o platform.OrderMessage
