A leaving daemon refuses forwarded requests that it cannot answer in time, and answers those that wait

Callers got 502 for requests that nobody had run, or lost them, as the daemon that theirs had passed them on to reached the end of its grace time. Cause: the checks of the grace time looked at callers' connections alone: forwarded requests were taken until the end, and cut with the connection. Change: forwarded requests are refused as leaving and not run if their answer may come too late, those that wait for their body or their answer at the end are answered, the stop waits for these answers, and the daemon that forwards asks the next one.

--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -222,7 +222,7 @@
 		return e
 	}
 	switch e.Code {
-	case core.CodePath, codeUnreachable, errDown.Error(), errExhausted.Error(), core.CodeOverloaded, core.CodeNoConfig, core.CodeNoSettings, core.CodeNoRoute:
+	case core.CodePath, codeUnreachable, errDown.Error(), errExhausted.Error(), core.CodeOverloaded, core.CodeLeaving, core.CodeNoConfig, core.CodeNoSettings, core.CodeNoRoute:
 		if j.hasHelper() {
 			return nil
 		}
--- a/coordination/dispatch/forward_test.go
+++ b/coordination/dispatch/forward_test.go
@@ -82,6 +82,7 @@
 		{"a safe request may have run", core.KindSafe, []func() (*core.Reply, error){mayHaveRun}, "", "", 2},
 		{"no path there either", core.KindUnsafe, []func() (*core.Reply, error){notRun(core.CodePath)}, "", "", 2},
 		{"no room for the body there", core.KindUnsafe, []func() (*core.Reply, error){notRun(core.CodeOverloaded)}, "", "", 2},
+		{"that daemon ends", core.KindUnsafe, []func() (*core.Reply, error){notRun(core.CodeLeaving)}, "", "", 2},
 		{"full there", core.KindUnsafe, []func() (*core.Reply, error){notRun("full")}, "full", core.OutcomeNotRun, 1},
 		{"may have run, then full", core.KindSafe, []func() (*core.Reply, error){mayHaveRun, notRun("full")}, "full", core.OutcomeMayHaveRun, 2},
 	} {
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -300,3 +300,45 @@
 	assert.NilError(t, err)
 	assert.Assert(t, state.Success(), state.String())
 }
+
+// TestStopOfADaemonThatOthersForwardTo guards against requests that a daemon without a path passes on to one that is stopped
+// in order, and that are cut or lost with it while another one has a path.
+func TestStopOfADaemonThatOthersForwardTo(t *testing.T) {
+	const (
+		interval = 100 * time.Millisecond
+		during   = 2 * gracePeriod
+	)
+	c := startForwardingFleet(t, 3)
+	var mu sync.Mutex
+	ends := map[string]int{}
+	var wg sync.WaitGroup
+	leaving := c.daemons[2] // it is preferred, as it is in the same data centre
+	stop := time.AfterFunc(time.Second, func() { _ = leaving.cmd.Process.Signal(syscall.SIGTERM) })
+	defer stop.Stop()
+	for i, end := 0, time.Now().Add(during); time.Now().Before(end); i++ {
+		path, model := []string{"/ask/x", "/order/x", "/gen/x"}[i%3], ""
+		if path == "/gen/x" {
+			model = "m1"
+		}
+		wg.Go(func() {
+			status, body, err := c.daemons[0].send(path, "", model)
+			end := endWhole
+			switch {
+			case err != nil:
+				end = endLost
+			case status == http.StatusServiceUnavailable && strings.Contains(body, string(core.OutcomeNotRun)):
+				end = endRefused
+			case status != http.StatusOK || model != "" && body != fullStream(longEvents):
+				end = fmt.Sprint(path, " status ", status, " ", body)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ends[end]++
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	t.Log(ends)
+	assert.Equal(t, ends[endWhole]+ends[endRefused], int(during/interval), "%v", ends)
+	assert.Assert(t, ends[endWhole] > 0)
+}
--- a/transport/front/connections.go
+++ b/transport/front/connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,14 +54,16 @@
 
 	ending atomic.Bool // whether requests that wait are to end
 
-	mu       sync.Mutex
-	open     map[*callerConn]struct{}
-	accepts  bool // whether the listener is open
-	lastDone time.Time
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+	// forwarded holds the requests in progress that other daemons have passed on.
+	forwarded map[*waiting]struct{}
+	accepts   bool // whether the listener is open
+	lastDone  time.Time
 }
 
 func newConnections(clock core.Clock, limits func() core.CallerLimits) *connections {
-	return &connections{clock: clock, scope: tally.NoopScope, limits: limits, base: clock.Now(), open: map[*callerConn]struct{}{}}
+	return &connections{clock: clock, scope: tally.NoopScope, limits: limits, base: clock.Now(), open: map[*callerConn]struct{}{}, forwarded: map[*waiting]struct{}{}}
 }
 
 // listen returns a listener whose connections are held to the limits.
@@ -150,21 +154,34 @@
 func (s *connections) endWaiting() {
 	s.ending.Store(true)
 	s.mu.Lock()
-	var waiting []*callerConn
+	all := slices.Collect(maps.Keys(s.forwarded))
 	for c := range s.open {
-		waiting = append(waiting, c)
+		all = append(all, &c.waiting)
 	}
 	s.mu.Unlock()
-	for _, c := range waiting {
-		c.endWaiting()
+	for _, w := range all {
+		w.endWaiting()
 	}
 }
 
-// count returns the number of open connections.
+// count returns the number of open connections, and of requests in progress that other daemons have passed on.
 func (s *connections) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.open)
+	return len(s.open) + len(s.forwarded)
+}
+
+// addForwarded adds a request that another daemon has passed on, until it is removed.
+func (s *connections) addForwarded() (w *waiting, remove func()) {
+	w = &waiting{conns: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forwarded[w] = struct{}{}
+	return w, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.forwarded, w)
+	}
 }
 
 // changed is for http.Server.ConnState.
@@ -201,7 +218,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{TCPConn: nc.(*net.TCPConn), conns: l.conns, overdue: noState}
+	c := &callerConn{TCPConn: nc.(*net.TCPConn), overdue: noState}
+	c.conns = l.conns
 	c.enter(phaseNew)
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
@@ -220,10 +238,31 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	*net.TCPConn
-	conns   *connections
+	waiting
 	state   atomicState
 	overdue connState // the state in which the last sweep found it over its limit
-	waiting atomic.Pointer[func()]
+}
+
+// waiting is the request in progress on a connection, while it waits for its body or for its answer to begin.
+type waiting struct {
+	conns *connections
+	end   atomic.Pointer[func()] // nil: it does not wait
+}
+
+// waitingOf returns what waits for the answer to a request; nil in tests without a connection.
+func waitingOf(w http.ResponseWriter, r *http.Request) *waiting {
+	if to, ok := w.(*forwardedWriter); ok {
+		return to.waiting
+	}
+	if c := callerConnOf(r); c != nil {
+		return &c.waiting
+	}
+	return nil
+}
+
+// endRead makes the read of a request's body fail.
+func endRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended, which ends the read too
 }
 
 // callerConnOf returns the connection of a request, nil if the request was forwarded by another daemon.
@@ -234,28 +273,23 @@
 
 // wait sets what ends the request in progress while it waits. The returned function ends the wait and reports
 // whether the request has been ended.
-func (c *callerConn) wait(end func()) (done func() bool) {
-	if c == nil {
+func (w *waiting) wait(end func()) (done func() bool) {
+	if w == nil {
 		return func() bool { return false }
 	}
-	c.waiting.Store(&end)
-	if c.conns.ending.Load() {
-		c.endWaiting()
+	w.end.Store(&end)
+	if w.conns.ending.Load() {
+		w.endWaiting()
 	}
-	return func() bool { return c.waiting.Swap(nil) == nil }
+	return func() bool { return w.end.Swap(nil) == nil }
 }
 
-func (c *callerConn) endWaiting() {
-	if end := c.waiting.Swap(nil); end != nil {
+func (w *waiting) endWaiting() {
+	if end := w.end.Swap(nil); end != nil {
 		(*end)()
 	}
 }
 
-// endRead makes a read in progress fail.
-func (c *callerConn) endRead() {
-	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended, which ends the read too
-}
-
 // atomicState is a connState that is read and changed atomically.
 type atomicState struct{ v atomic.Int64 }
 
--- a/transport/front/connections_test.go
+++ b/transport/front/connections_test.go
@@ -256,7 +256,8 @@
 func BenchmarkConnections(b *testing.B) {
 	s := newConnections(clockwork.NewRealClock(), func() core.CallerLimits { return core.CallerLimits{} })
 	b.RunParallel(func(pb *testing.PB) {
-		c := &callerConn{conns: s, overdue: noState}
+		c := &callerConn{overdue: noState}
+		c.conns = s
 		s.mu.Lock()
 		s.open[c] = struct{}{}
 		s.mu.Unlock()
--- a/transport/front/ends_test.go
+++ b/transport/front/ends_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -209,3 +210,73 @@
 	req.Header.Set("X-Primroseward-Request-Id", "q1")
 	return req
 }
+
+// TestForwardedRequestsOfALeavingDaemonAreAnswered guards against requests that other daemons pass on to a leaving one, which takes
+// them too late to answer them, or cuts those that wait.
+func TestForwardedRequestsOfALeavingDaemonAreAnswered(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		left  time.Duration // of the grace time
+		wants int           // bytes of the body that are missing
+		ran   bool
+		want  string
+	}{
+		{"in time", time.Hour, 0, false, ""},
+		{"too late", time.Millisecond, 0, false, `"not_run"`},
+		{"waits for its answer", time.Hour, 0, true, `"may_have_run"`},
+		{"waits for its body", time.Hour, 1, false, `"not_run"`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			began := make(chan struct{})
+			d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
+				if !tt.ran {
+					return reply(200, strings.NewReader("ok"))
+				}
+				close(began)
+				<-ctx.Done()
+				if !errors.Is(context.Cause(ctx), core.ErrEnding) {
+					return nil, context.Cause(ctx)
+				}
+				return nil, core.MayHaveRun(core.CodeLeaving, "the daemon ends")
+			}}
+			f, _ := setUp(t, 1, d)
+			srv := httptest.NewServer(f.Forwarded(http.NotFoundHandler()))
+			defer srv.Close()
+			config := &core.Config{Version: 2, Routes: []core.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Kind: core.KindUnsafe, Timeout: 4 * time.Second}}}
+			config.Index()
+			f.catalog.SetConfig(config)
+			req := newRequest(t, srv.URL)
+			in, out := io.Pipe()
+			defer out.Close()
+			req.Body, req.ContentLength = in, int64(1+tt.wants)
+			(&core.Forward{From: "vm-2", Attempts: 1}).Write(req.Header)
+			f.Leave()
+			f.EndAt(time.Now().Add(tt.left))
+			go func() {
+				_, _ = out.Write([]byte("x")) // fails if it is refused before
+				switch {
+				case tt.ran:
+					<-began
+				case tt.wants > 0:
+					for f.Connections() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+				default:
+					return
+				}
+				f.EndWaiting()
+			}()
+			resp, err := http.DefaultClient.Do(req)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			_ = resp.Body.Close()
+			if tt.want == "" {
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				return
+			}
+			assert.Assert(t, strings.Contains(string(body), tt.want), "%d %s", resp.StatusCode, body)
+			assert.Equal(t, resp.Header.Get(core.HeaderCode), core.CodeLeaving)
+		})
+	}
+}
--- a/transport/front/forwarded.go
+++ b/transport/front/forwarded.go
@@ -15,7 +15,9 @@
 			other.ServeHTTP(w, r)
 			return
 		}
-		w = &forwardedWriter{ResponseWriter: w, id: f.dialect.RequestID(r.Header)}
+		waiting, remove := f.conns.addForwarded()
+		defer remove()
+		w = &forwardedWriter{ResponseWriter: w, id: f.dialect.RequestID(r.Header), waiting: waiting}
 		forward, err := core.ReadForward(r.Header)
 		if err != nil {
 			writeError(w, core.NotRun(http.StatusBadRequest, "bad_forward", err.Error(), 0))
@@ -29,7 +31,8 @@
 // daemon a refusal from a runner's answer.
 type forwardedWriter struct {
 	http.ResponseWriter
-	id string // of the request
+	id      string // of the request
+	waiting *waiting
 }
 
 // Unwrap returns the wrapped writer, for http.ResponseController.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -134,7 +134,7 @@
 // endsTooSoon reports whether the answer to a request may not be complete when requests are cut.
 func (f *Front) endsTooSoon(route *core.Route, q *core.Request) bool {
 	end := f.end.Load()
-	if end == nil || q.Forward != nil {
+	if end == nil {
 		return false
 	}
 	need := route.Timeout
@@ -187,7 +187,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	answered := callerConnOf(r).wait(func() { cancel(core.ErrEnding) })
+	answered := waitingOf(w, r).wait(func() { cancel(core.ErrEnding) })
 	reply, refusal := f.do(ctx, route, q)
 	answered()
 	if refusal != nil {
@@ -322,8 +322,7 @@
 	_ = control.EnableFullDuplex() // otherwise the server would read 256 KiB first
 	writeError(w, e)
 	_ = control.Flush() // an error means that the caller has disconnected, as below
-	conn := callerConnOf(r)
-	complete := conn.wait(func() { conn.endRead() })
+	complete := waitingOf(w, r).wait(func() { endRead(w) })
 	defer complete()
 	_, _ = io.Copy(io.Discard, r.Body)
 }
@@ -352,8 +351,7 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	conn := callerConnOf(r)
-	complete := conn.wait(func() { conn.endRead() })
+	complete := waitingOf(w, r).wait(func() { endRead(w) })
 	var err error
 	if limit > 0 && r.ContentLength > limit {
 		_, err = io.Copy(io.Discard, r.Body)
