Test: streams taken up at a daemon out of step while a version joins

Cause: other operators saw streams that went on at another version at a machine that was cut off or stood still as a version joined. Change: six cases on real processes.

--- a/proof/versions_test.go
+++ b/proof/versions_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"primroseward/core"
 	wire "primroseward/platform"
+	"primroseward/standin/platform"
 	"primroseward/standin/runner"
 )
 
@@ -44,6 +46,18 @@
 
 // startVersions starts a fleet of n daemons that serves runners of two software versions.
 func startVersions(t *testing.T, n int, opts ...func(*fleetCluster)) *fleetCluster {
+	t.Helper()
+	c := startFirstVersion(t, n, opts...)
+	c.addVersion("v2", 2)
+	for _, d := range c.daemons {
+		c.awaitVersions(d)
+	}
+	return c
+}
+
+// startFirstVersion starts a fleet of n daemons that serves runners of one software version.
+func startFirstVersion(t *testing.T, n int, opts ...func(*fleetCluster)) *fleetCluster {
+	t.Helper()
 	c := startFleet(t, n, opts...)
 	config := fleetConfig(2, "/gen/").(map[string]any)
 	config["routes"] = append(config["routes"].([]any), map[string]any{
@@ -54,10 +68,6 @@
 	config["services"] = append(config["services"].([]any), map[string]any{"name": versionedService, "engine": engine})
 	c.put(wire.KindConfig, wire.NameConfig, config)
 	c.addVersion("v1", 2)
-	c.addVersion("v2", 2)
-	for _, d := range c.daemons {
-		c.awaitVersions(d)
-	}
 	return c
 }
 
@@ -260,3 +270,95 @@
 		})
 	}
 }
+
+// TestStreamsTakenUpWhileAVersionJoins guards against streams that began at a version that has just joined, and that a daemon
+// which is out of step with the others, or with the store, continues at the other version.
+func TestStreamsTakenUpWhileAVersionJoins(t *testing.T) {
+	const outOfStep = 3 * time.Second
+	stopProcess := func(d *fleetDaemon) { _ = d.cmd.Process.Signal(syscall.SIGSTOP) } // fails if it has ended
+	goOn := func(d *fleetDaemon) { _ = d.cmd.Process.Signal(syscall.SIGCONT) }
+	for _, tt := range []struct {
+		name         string
+		joins        func(c *fleetCluster, d *fleetDaemon) // before the version joins; d is the daemon out of step
+		takenUp      func(c *fleetCluster, d *fleetDaemon) // before streams are taken up there
+		afterwards   func(c *fleetCluster, d *fleetDaemon) // outOfStep later
+		wantTakenUps bool
+	}{
+		{"in step", func(*fleetCluster, *fleetDaemon) {}, func(*fleetCluster, *fleetDaemon) {}, func(*fleetCluster, *fleetDaemon) {}, true},
+		{
+			"frozen while it joins", func(_ *fleetCluster, d *fleetDaemon) { stopProcess(d) },
+			func(_ *fleetCluster, d *fleetDaemon) { goOn(d) }, func(*fleetCluster, *fleetDaemon) {}, true,
+		},
+		{
+			"frozen, then cut off from the others", func(_ *fleetCluster, d *fleetDaemon) { stopProcess(d) },
+			func(c *fleetCluster, d *fleetDaemon) {
+				for _, other := range c.daemons[:2] {
+					stopProcess(other)
+				}
+				goOn(d)
+			},
+			func(c *fleetCluster, _ *fleetDaemon) {
+				for _, other := range c.daemons[:2] {
+					goOn(other)
+				}
+			}, false,
+		},
+		{
+			"frozen, then cut off from the others and the store", func(_ *fleetCluster, d *fleetDaemon) { stopProcess(d) },
+			func(c *fleetCluster, d *fleetDaemon) {
+				c.store.SetFaults(platform.Faults{Down: true})
+				for _, other := range c.daemons[:2] {
+					stopProcess(other)
+				}
+				goOn(d)
+			},
+			func(c *fleetCluster, _ *fleetDaemon) {
+				c.store.SetFaults(platform.Faults{})
+				for _, other := range c.daemons[:2] {
+					goOn(other)
+				}
+			}, false,
+		},
+		{
+			"frozen while it asks", func(_ *fleetCluster, d *fleetDaemon) { stopProcess(d) },
+			func(c *fleetCluster, d *fleetDaemon) {
+				c.store.SetFaults(platform.Faults{Delay: 300})
+				goOn(d)
+				time.AfterFunc(200*time.Millisecond, func() { stopProcess(d) })
+			},
+			func(c *fleetCluster, d *fleetDaemon) {
+				c.store.SetFaults(platform.Faults{})
+				goOn(d)
+			}, false,
+		},
+		{"started again without the store", func(*fleetCluster, *fleetDaemon) {}, func(c *fleetCluster, d *fleetDaemon) {
+			c.store.SetFaults(platform.Faults{Down: true})
+			d.restart(c)
+		}, func(c *fleetCluster, _ *fleetDaemon) { c.store.SetFaults(platform.Faults{}) }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFirstVersion(t, 3)
+			d := c.daemons[2]
+			for _, of := range c.daemons {
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					s := of.openStream("", "")
+					defer s.close()
+					if err := s.read(1); err != nil {
+						return poll.Continue("%v", err)
+					}
+					return poll.Success()
+				}, poll.WithTimeout(20*time.Second))
+			}
+			tt.joins(c, d)
+			c.addVersion("v2", 4)
+			c.awaitVersions(c.daemons[0])
+			got := c.takeUpAll(t, c.daemons[0], func() {
+				tt.takenUp(c, d)
+				time.AfterFunc(outOfStep, func() { tt.afterwards(c, d) })
+			}, d)
+			assert.Equal(t, got.mixed, 0)
+			assert.Assert(t, !tt.wantTakenUps || got.wentOn >= versionedStreams/2, "%d went on", got.wentOn)
+		})
+	}
+}
