A stop that was paused beyond its grace time answers what is in progress before it closes

Requests that may not be repeated ended without an answer after they had reached a runner, where the process of a planned stop stood still until its grace time was over. Cause: the time for the last answers was counted from the end of the grace time, so none was left. Change: after a pause it is counted from now.

--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +24,7 @@
 	"primroseward/core"
 	"primroseward/io/logs"
 	wire "primroseward/platform"
+	"primroseward/standin/runner"
 )
 
 const (
@@ -342,3 +345,113 @@
 	assert.Equal(t, ends[endWhole]+ends[endRefused], int(during/interval), "%v", ends)
 	assert.Assert(t, ends[endWhole] > 0)
 }
+
+// TestLateRequestsOfAStop guards against requests that reach a stopping daemon late in its grace time, on kept and on new
+// connections, and that are passed on to a runner and cut without an answer.
+func TestLateRequestsOfAStop(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	large := strings.Repeat("x", 900<<10)
+	signals := func(d *fleetDaemon, list ...syscall.Signal) {
+		for _, s := range list {
+			time.Sleep(gracePeriod / 5)
+			_ = d.cmd.Process.Signal(s) // fails if it has ended
+		}
+	}
+	for _, tt := range []struct {
+		name  string
+		body  string
+		grace func(d *fleetDaemon)
+	}{
+		{"nothing beside it", "", func(*fleetDaemon) {}},
+		{"large bodies", large, func(*fleetDaemon) {}},
+		{"signals again", "", func(d *fleetDaemon) { signals(d, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP) }},
+		{"a pause", "", func(d *fleetDaemon) {
+			signals(d, syscall.SIGCONT, syscall.SIGCONT)
+			d.freeze(gracePeriod / 5)
+		}},
+		{"a pause until the end", large, func(d *fleetDaemon) {
+			signals(d, syscall.SIGCONT, syscall.SIGCONT, syscall.SIGCONT)
+			d.freeze(gracePeriod)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, 2)
+			for i := range 3 {
+				c.addRunner(runner.Spec{ID: fmt.Sprint("i-app-slow-", i), Service: "app", DataCentre: "north", Slots: 64, Interval: 300 * time.Millisecond})
+			}
+			d := c.daemons[0]
+			ctx, cancel := context.WithCancel(t.Context())
+			var mu sync.Mutex
+			ends, lost := map[string]int{}, []string(nil)
+			var wg sync.WaitGroup
+			send := func(k *keptConn, i int) bool {
+				path, model := []string{"/ask/x", "/order/x", "/gen/x"}[i%3], ""
+				if path == "/gen/x" {
+					model = "m1"
+				}
+				id := fmt.Sprintf("q%d", requestSerial.Add(1))
+				text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 4000\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", path, wire.HeaderRequestID, id, wire.HeaderTimeout, wire.HeaderModel, model, len(tt.body))
+				if model == "" {
+					text = strings.Replace(text, wire.HeaderModel+": \r\n", "", 1)
+				}
+				_, err := io.WriteString(k.conn, text+tt.body)
+				resp, body, readErr := k.answer()
+				end := endLost
+				switch {
+				case err == nil && readErr == nil && resp.StatusCode == http.StatusOK:
+					end = endWhole
+				case readErr == nil && strings.Contains(body, string(core.OutcomeNotRun)):
+					end = endRefused
+				case readErr == nil:
+					end = fmt.Sprint("status ", resp.StatusCode)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				ends[end]++
+				if readErr != nil {
+					lost = append(lost, id)
+				}
+				return readErr == nil && !resp.Close
+			}
+			for i := range 6 { // kept connections
+				wg.Go(func() {
+					k, err := dialKept(d)
+					assert.NilError(t, err)
+					defer k.conn.Close()
+					for ctx.Err() == nil && send(k, i) {
+						time.Sleep(time.Duration(i) * interval)
+					}
+				})
+			}
+			wg.Go(func() { // new ones
+				for i := 0; ctx.Err() == nil; i++ {
+					wg.Go(func() {
+						if k, err := dialKept(d); err == nil {
+							defer k.conn.Close()
+							send(k, i)
+						}
+					})
+					time.Sleep(interval)
+				}
+			})
+			time.Sleep(time.Second)
+			assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+			go tt.grace(d)
+			_ = d.cmd.Wait()
+			cancel()
+			wg.Wait()
+			ran := 0
+			for _, r := range c.runners {
+				for _, run := range r.Runs() {
+					if slices.Contains(lost, run.ID) {
+						ran++
+					}
+				}
+			}
+			t.Logf("%v; of those without an answer %d ran", ends, ran)
+			assert.Equal(t, ran, 0)
+			assert.Assert(t, ends[endWhole] > 0)
+		})
+	}
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -391,7 +391,11 @@
 		if !d.drain(ctx, end) {
 			d.log.Warn(logs.RequestsCancelled, zap.Int("running", d.dispatcher.Running()), zap.Int("connections", d.front.Connections()))
 			d.front.EndWaiting()
-			d.drain(ctx, end.Add(answerMargin))
+			until := end.Add(answerMargin)
+			if now := d.clock.Now(); now.After(until) { // the process was paused
+				until = now.Add(closeMargin)
+			}
+			d.drain(ctx, until)
 		}
 	}
 	d.log.Info(logs.Stopped, zap.Duration("took", d.clock.Since(start)))
