Retries that requests hold count as saved; more of the budget is received, less saved up

And retries taken by requests that wait, or that find out whether a runner answers, were outside of what an account may hold, with a time to expire as the only bound. Change: a retry is taken as before but spent just before its send; until then it counts as saved, and one that is not needed is given back, so nothing has to expire. 0.65 of 0.95 is received, 0.35 saved up; a daemon with few requests makes one in advance.

--- a/coordination/dispatch/choose.go
+++ b/coordination/dispatch/choose.go
@@ -158,8 +158,8 @@
 // verify records that the request finds out whether a runner is down. If the runner has not answered
 // this daemon, a retry is taken from the budget, so that the request can be sent elsewhere.
 func (j *job) verify(runner string) {
-	if j.d.loads.IsUnanswering(runner) && !j.hasReserved() {
-		j.retryReserved = j.attemptsLeft(1) && j.reserveRetry(retryVerify)
+	if j.d.loads.IsUnanswering(runner) && j.spare == nil && j.attemptsLeft(1) {
+		j.spare = j.reserveRetry(retryVerify)
 	}
 	j.d.loads.Verify(runner)
 }
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -247,8 +247,8 @@
 	resumed            bool              // its stream has broken after the first event
 	paced              bool              // its send has been paced, at most once per request
 	committed          bool              // the caller has received a part of an answer that no other run continues
-	retryReserved      bool              // a retry has been taken from the budget for the next send
-	takenAt            time.Time         // when the latest retry that has not been sent yet was taken
+	due                *retry.Retry      // that the next send spends; nil: it needs none
+	spare              *retry.Retry      // for a send that may follow
 	retryAfter         time.Duration     // until a missing model may be loaded or a limit allows the request; 0 if not known
 	atLimit            bool              // a runner was skipped because its limit is used up
 	limitFields        []zap.Field       // log fields on the last such runner
@@ -295,9 +295,6 @@
 	}
 	if q.Forward != nil {
 		j.runs = q.Forward.Runs
-		if j.runs > 0 {
-			j.takenAt = q.Arrived // by the daemon that has forwarded it
-		}
 		j.log.Info(logs.ForwardReceived, zap.String("from", q.Forward.From), zap.Int("runs", q.Forward.Runs), zap.Int("attempts", q.Forward.Attempts), zap.Duration("left", limit))
 	}
 	if err := j.findOrigin(ctx); err != nil {
@@ -323,6 +320,7 @@
 		cancel()
 		j.leaveLimits()
 		j.endStream()
+		j.releaseRetries()
 		d.running.Add(-1)
 	}
 	answered := false
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -138,7 +138,6 @@
 	if left <= 0 {
 		return nil, to, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
-	keepRetry := j.beginRetry()
 	j.releaseCounts()
 	j.forwards++
 	j.tried[to.ID] = true
@@ -160,9 +159,6 @@
 	if next != nil {
 		return next.reply, next.runner, nil
 	}
-	if errors.Is(err, core.ErrNotSent) {
-		keepRetry()
-	}
 	if err != nil {
 		return nil, to, err
 	}
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -133,11 +133,11 @@
 // permit reports whether the request may be sent to a runner now. If not, and without an
 // error, the runner has stopped accepting requests since it was chosen.
 func (j *job) permit(ctx context.Context, r *core.Runner) (bool, error) {
-	if err := j.renewRetry(); err != nil {
-		return false, err
-	}
 	if isDaemon(r) {
-		return true, j.authorize()
+		if err := j.authorize(); err != nil {
+			return false, err
+		}
+		return true, j.spendRetry()
 	}
 	if retry, reason, ok := j.guardAdmits(ctx); !ok {
 		return false, j.refuseHeld(retry, reason)
@@ -156,6 +156,13 @@
 		release()
 		return false, nil
 	}
+	if err := j.spendRetry(); err != nil {
+		release()
+		if j.probe {
+			j.d.available.EndProbe(r.ID, false)
+		}
+		return false, err
+	}
 	j.releaseRoom = release
 	return true, nil
 }
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -139,7 +139,7 @@
 // handleRejection decides what follows a runner's statement that it did not run the request.
 func (j *job) handleRejection(r *core.Runner, reply *core.Reply) error {
 	j.recordRejection(r, reply)
-	if j.rejections >= maxRejections || !j.reserveRetry(retryRejected) {
+	if j.rejections >= maxRejections || !j.spendOnNext(j.reserveRetry(retryRejected)) {
 		return j.refuse(errRejected.Error(), "the runners that may serve the request have no room", nil)
 	}
 	return nil
--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"primroseward/coordination/retry"
 	"primroseward/core"
 	"primroseward/io/logs"
 )
@@ -16,10 +17,13 @@
 	retryRejected = "rejected" // the runner has not run the request
 	retrySilent   = "silent"   // the runner sends nothing
 	retryVerify   = "verify"   // the runner may not answer this daemon
-	retryLate     = "late"     // the retry taken before was not sent in time
+	retryLate     = "late"     // another daemon has spent one, but the request had to wait here
 )
 
-// errBudget: the retry that was taken has expired, and no other is left.
+// forwardedDelay is how long a forwarded request whose retry another daemon has spent may wait until it is sent.
+const forwardedDelay = 500 * time.Millisecond
+
+// errBudget: the retry that was taken is not left any more.
 var errBudget = errors.New("budget")
 
 // countRequest counts the request for the retry budget, unless the daemon that it is forwarded to
@@ -32,52 +36,61 @@
 	}
 }
 
-// reserveRetry takes a retry from the budget. It returns false if none is left.
-func (j *job) reserveRetry(cause string) bool {
-	state, taken := j.d.budget.Take(j.service)
-	if taken {
-		j.takenAt = j.d.clock.Now()
-	}
+// reserveRetry takes a retry from the budget, nil if none is left.
+func (j *job) reserveRetry(cause string) *retry.Retry {
+	taken, state := j.d.budget.Take(j.service)
 	message := logs.RetryDenied
-	if taken {
+	if taken != nil {
 		message = logs.RetryTaken
 	}
-	j.d.metrics.retry(cause, taken)
+	j.d.metrics.retry(cause, taken != nil)
 	j.log.Info(message, zap.String("service", j.service), zap.String("cause", cause), zap.Float64("saved", state.Saved), zap.Float64("max", state.Max),
 		zap.Int("requests", state.Requests), zap.Int("daemons", state.Daemons), zap.Int("runs", j.runs), zap.Int("sends", j.sends), zap.Bool("forwarded", j.q.Forward != nil))
 	return taken
 }
 
-// retryValid reports whether a retry taken at a time may still be sent; at the zero time none was taken.
-func (d *Dispatcher) retryValid(takenAt time.Time) bool {
-	return takenAt.IsZero() || d.budget.Valid(d.clock.Since(takenAt))
+// spendOnNext makes the next send spend a retry. It returns false for nil.
+func (j *job) spendOnNext(r *retry.Retry) bool {
+	if r == nil {
+		return false
+	}
+	j.due.Release()
+	j.due = r
+	return true
 }
 
-// hasReserved reports whether a retry is reserved for the next send.
-func (j *job) hasReserved() bool { return j.retryReserved && j.d.retryValid(j.takenAt) }
-
-// renewRetry takes another retry for the next send if the one taken for it has expired while the request
-// waited. It returns an error if none is left.
-func (j *job) renewRetry() error {
-	if j.d.retryValid(j.takenAt) || j.reserveRetry(retryLate) {
-		return nil
+// takeRetry takes a retry for the next send, if the route allows one.
+func (j *job) takeRetry() bool {
+	r := j.spare
+	j.spare = nil
+	if !j.attemptsLeft(0) {
+		r.Release()
+		return false
 	}
-	return j.refuseFor(errBudget)
+	if r == nil {
+		r = j.reserveRetry(retryFailed)
+	}
+	return j.spendOnNext(r)
 }
 
-// beginRetry marks the retry that was taken for a send as used, and returns a function that keeps it for the
-// next send, as nothing has arrived. One that is reserved is for the send after this one.
-func (j *job) beginRetry() (keep func()) {
-	if j.retryReserved {
-		return func() {}
+// spendRetry spends the retry that the next send needs, if it needs one.
+func (j *job) spendRetry() error {
+	f := j.q.Forward
+	if f != nil && f.Runs > 0 && j.sends == 0 && j.due == nil && j.d.clock.Since(j.q.Arrived) > forwardedDelay && !j.spendOnNext(j.reserveRetry(retryLate)) {
+		return j.refuseFor(errBudget)
 	}
-	takenAt := j.takenAt
-	j.takenAt = time.Time{}
-	return func() {
-		if j.takenAt.IsZero() {
-			j.takenAt = takenAt
-		}
+	due := j.due
+	j.due = nil
+	if !due.Spend() {
+		return j.refuseFor(errBudget)
 	}
+	return nil
+}
+
+// releaseRetries gives up the retries that have not been spent.
+func (j *job) releaseRetries() {
+	j.due.Release()
+	j.spare.Release()
 }
 
 // rejectedElsewhere reports whether an error is the refusal of another daemon whose runners have rejected the
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -35,10 +35,7 @@
 		endProbe(false)
 		return nil, r, eris.Wrap(core.ErrNotSent, "deadline exceeded")
 	}
-	takenAt, keepRetry := j.takenAt, j.beginRetry()
-	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool {
-		return j.d.accepts(r, probe) && j.d.retryValid(takenAt)
-	}}
+	out := core.Outgoing{Timeout: left, Instance: r.ID, Priority: -1, LastEvent: j.lastEvent, Accepts: func() bool { return j.d.accepts(r, probe) }}
 	if j.q.Model != "" {
 		out.Priority = j.priority()
 		j.sentPriority = out.Priority
@@ -81,7 +78,6 @@
 		j.runs++
 	}
 	if errors.Is(err, core.ErrNotSent) {
-		keepRetry()
 		j.d.limits.Refund(r.ID)
 	}
 	if err != nil {
@@ -98,13 +94,6 @@
 // repeatable reports whether the request may be sent again after it may have run.
 func (j *job) repeatable() bool { return j.route.Repeatable() && j.effective.Repeatable }
 
-// takeRetry takes a retry from the budget, if the route allows one.
-func (j *job) takeRetry() bool {
-	reserved := j.hasReserved()
-	j.retryReserved = false
-	return j.attemptsLeft(0) && (reserved || j.reserveRetry(retryFailed))
-}
-
 // attemptsLeft reports whether the route allows one more run in addition to the pending ones.
 func (j *job) attemptsLeft(pending int) bool {
 	return j.repeatable() && !j.committed && j.runs+pending < j.maxRuns()
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -258,8 +258,10 @@
 	if policy.Choose(candidates, j.requirements()) < 0 && !(forward && j.hasHelper()) {
 		return false
 	}
-	j.retryReserved = j.hasReserved() || j.reserveRetry(retrySilent)
-	return j.retryReserved
+	if j.spare == nil {
+		j.spare = j.reserveRetry(retrySilent)
+	}
+	return j.spare != nil
 }
 
 // pendingRuns returns how many runs the latest send may still be counted as.
@@ -295,10 +297,11 @@
 	if err != nil {
 		return nil, err
 	}
+	j.due, j.spare = j.spare, nil
 	if ok, err := j.permit(ctx, r); !ok || err != nil {
+		j.due, j.spare = nil, j.due
 		return nil, err
 	}
-	j.retryReserved = false
 	reply, r, err := j.send(ctx, r)
 	switch {
 	case ctx.Err() != nil && err != nil:
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -257,7 +257,7 @@
 			continue
 		}
 		// Another daemon that has no room at first, and has not run the request, may have some soon.
-		if !isDaemon(r) || j.runs > runs || !s.pause(until, forwardInterval<<refusals) || rejectedElsewhere(err) && !j.reserveRetry(retryRejected) {
+		if !isDaemon(r) || j.runs > runs || !s.pause(until, forwardInterval<<refusals) || rejectedElsewhere(err) && !j.spendOnNext(j.reserveRetry(retryRejected)) {
 			return err
 		}
 		refusals++
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -13,16 +13,15 @@
 const (
 	// windowIntervals is the number of intervals that the requests of a window are counted in.
 	windowIntervals = 10
-	// usedShare is the part of what is allowed that daemons use. Retries reach their runners
-	// some time after they are taken, and daemons learn of others that start some time after
-	// these have.
-	usedShare = 0.9
+	// usedShare is the part of what is allowed that daemons use. Retries reach their runners some time after
+	// they are spent, as connections are dialed first.
+	usedShare = 0.95
 	// savedShare is the part of that which a daemon may have saved up; the other part is what
 	// it receives in one window.
-	savedShare = 0.6
-	// maxDelay is the part of a window after which a retry that was taken must not be sent any more. Those that
-	// are sent late are received beside the ones of the next window.
-	maxDelay = 0.2
+	savedShare = 0.35
+	// advanceWindows is the number of windows in which a daemon must not have made any retry, and for which its process
+	// must have lived, before it makes one in advance.
+	advanceWindows = 1.1
 )
 
 // Limits are what all daemons together may send in a window.
@@ -49,6 +48,8 @@
 // account is the state of one service.
 type account struct {
 	saved    float64
+	reserved int       // retries of these that have been taken and not spent yet
+	spentAt  time.Time // when the latest retry was spent
 	at       time.Time // up to which it has received retries by time
 	current  int64     // index of the present interval
 	requests [windowIntervals]int
@@ -79,36 +80,97 @@
 	a.saved = min(a.saved+usedShare*(1-savedShare)*limits.Ratio, a.max(limits, daemons))
 }
 
-// Take takes one retry. It returns false if none is left, and the state before.
-func (b *Budget) Take(service string) (State, bool) {
+// Retry is a retry that has been taken. A nil Retry is that of a send that needs none.
+type Retry struct {
+	budget  *Budget
+	account *account
+	advance bool
+	ended   bool
+}
+
+// Take takes one retry, which counts as saved until it is spent. It returns nil if none is left, and the state
+// before.
+func (b *Budget) Take(service string) (*Retry, State) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a, s := b.state(service)
-	if s.Saved < 1 {
-		return s, false
+	advance := s.Saved < 1
+	if advance && !b.mayAdvance(a, s) {
+		return nil, s
+	}
+	a.reserved++
+	return &Retry{budget: b, account: a, advance: advance}, s
+}
+
+// mayAdvance reports whether a retry may be made before it has been received: a daemon with few requests would
+// never save up a whole one. The requests of half a window count, as any window that the retry is in covers them. The
+// caller holds the lock.
+func (b *Budget) mayAdvance(a *account, s State) bool {
+	limits := b.limits()
+	since := time.Duration(advanceWindows * float64(limits.Window))
+	last := a.spentAt
+	if last.IsZero() {
+		last = b.start
+	}
+	share := limits.Ratio*float64(a.count(windowIntervals/2)) + slack(limits, s.Daemons)
+	return a.reserved == 0 && b.clock.Since(last) >= since && usedShare*share >= 1
+}
+
+// Spend spends the retry just before its send. It returns false if it is not left any more, because what may be saved up has
+// fallen meanwhile.
+func (r *Retry) Spend() bool {
+	if r == nil {
+		return true
+	}
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.ended {
+		return false
+	}
+	r.end()
+	a := r.account
+	limits, daemons := b.limits(), b.daemons()
+	b.updateAccount(a, limits, daemons)
+	if a.saved < 1 && !r.advance {
+		return false
 	}
 	a.saved--
-	return s, true
+	a.spentAt = b.clock.Now()
+	return true
+}
+
+// Release gives up the retry, unless it has been spent.
+func (r *Retry) Release() {
+	if r == nil {
+		return
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.end()
 }
 
-// Valid reports whether a retry may still be sent so long after it was taken.
-func (b *Budget) Valid(age time.Duration) bool {
-	return age <= time.Duration(maxDelay*float64(b.limits().Window))
+// end ends the reservation. The caller holds the lock.
+func (r *Retry) end() {
+	if !r.ended {
+		r.ended = true
+		r.account.reserved--
+	}
 }
 
 // Left reports whether a retry is left.
 func (b *Budget) Left(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, s := b.state(service)
-	return s.Saved >= 1
+	a, s := b.state(service)
+	return s.Saved >= 1 || b.mayAdvance(a, s)
 }
 
 // state updates an account and returns it. The caller holds the lock.
 func (b *Budget) state(service string) (*account, State) {
 	limits, daemons := b.limits(), b.daemons()
 	a := b.update(service, limits, daemons)
-	return a, State{Saved: a.saved, Max: a.max(limits, daemons), Requests: a.count(), Daemons: daemons}
+	return a, State{Saved: a.saved - float64(a.reserved), Max: a.max(limits, daemons), Requests: a.count(windowIntervals), Daemons: daemons}
 }
 
 // update returns a service's account with the retries that it has received by time. The caller
@@ -119,15 +181,20 @@
 		a = &account{at: b.start}
 		b.services[service] = a
 	}
+	b.updateAccount(a, limits, daemons)
+	return a
+}
+
+// updateAccount adds what an account has received by time. The caller holds the lock.
+func (b *Budget) updateAccount(a *account, limits Limits, daemons int) {
 	a.current = int64(b.clock.Since(b.start) / max(1, limits.Window/windowIntervals))
 	if i := a.current % windowIntervals; a.interval[i] != a.current {
 		a.interval[i], a.requests[i] = a.current, 0
 	}
 	now := b.clock.Now()
 	passed := now.Sub(a.at).Seconds() / limits.Window.Seconds()
-	a.saved = min(a.saved+passed*(1-savedShare)*slack(limits, daemons), a.max(limits, daemons))
+	a.saved = min(a.saved+passed*usedShare*(1-savedShare)*slack(limits, daemons), a.max(limits, daemons))
 	a.at = now
-	return a
 }
 
 // slack returns this daemon's part of the slack. It has none while the number of daemons is not known.
@@ -135,19 +202,19 @@
 	if daemons == 0 {
 		return 0
 	}
-	return usedShare * limits.Slack / float64(daemons)
+	return limits.Slack / float64(daemons)
 }
 
 // max returns how many retries may be saved up.
 func (a *account) max(limits Limits, daemons int) float64 {
-	return savedShare * (usedShare*limits.Ratio*float64(a.count()) + slack(limits, daemons))
+	return usedShare * savedShare * (limits.Ratio*float64(a.count(windowIntervals)) + slack(limits, daemons))
 }
 
-// count returns the number of requests of the latest window.
-func (a *account) count() int {
+// count returns the number of requests of the latest intervals.
+func (a *account) count(intervals int64) int {
 	n := 0
 	for i, m := range a.requests {
-		if age := a.current - a.interval[i]; age >= 0 && age < windowIntervals {
+		if age := a.current - a.interval[i]; age >= 0 && age < intervals {
 			n += m
 		}
 	}
--- a/proof/endless_test.go
+++ b/proof/endless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,6 +61,39 @@
 	}
 }
 
+// TestSafeRequestsBesideSlowRunners guards against safe requests that are refused a retry which the budget allows, beside runners that
+// send heads or trailers without end, slowly.
+func TestSafeRequestsBesideSlowRunners(t *testing.T) {
+	const (
+		interval = 15625 * time.Microsecond
+		duration = 10 * time.Second
+		maxLost  = 1
+	)
+	for _, tt := range []struct {
+		name string
+		raw  runner.Raw
+	}{
+		{"fields", runner.Raw{EndlessHead: "HTTP/1.1 200 OK\r\n", Endless: "X-Field: yyyyyyyy\r\n", EndlessInterval: 50 * time.Millisecond}},
+		{"interim answers", runner.Raw{Endless: "HTTP/1.1 102 Processing\r\n\r\n", EndlessInterval: 50 * time.Millisecond}},
+		{"trailers", runner.Raw{EndlessHead: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", Endless: "X-Field: yyyyyyyy\r\n", EndlessInterval: 50 * time.Millisecond}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, 3)
+			c.addRunners("i-app-3", "i-app-4", "i-app-5")
+			for _, r := range c.runners[5:] {
+				r.SetRaw(func(*http.Request) *runner.Raw { return &tt.raw })
+			}
+			var wg sync.WaitGroup
+			wg.Go(func() { c.sendPathAtInterval("/order/x", 3*interval, duration) })
+			got := c.sendAtInterval(3*interval/2, duration)
+			wg.Wait()
+			t.Logf("answers: %v", got)
+			assert.Check(t, total(got)-got[http.StatusOK] <= maxLost, "answers: %v", got)
+		})
+	}
+}
+
 // TestReportsAndOrdersWithoutEnd guards against a daemon that runs out of memory, or serves nothing else, as runners
 // answer reports and orders with bytes without end.
 func TestReportsAndOrdersWithoutEnd(t *testing.T) {
