--- a/scripts/tests/main_test.go
+++ b/scripts/tests/main_test.go
@@ -80,3 +80,25 @@
 	assert.NilError(t, os.MkdirAll(filepath.Dir(path), 0o700))
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 }
+
+// Guards against tests that run without the race detector and are left out, or take other tests with them.
+func TestTestsWithoutTheRaceDetector(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		flags []string
+		want  []string
+	}{
+		{"with the race detector", []string{"-race"}, []string{
+			"list ./a", "list ./...", "test -count=1 -timeout 30m -race b", "test -count=1 -timeout 30m -race -skip ^TestA$ ./a", "test -count=1 -timeout 30m -run ^TestA$ ./a",
+		}},
+		{"without it", nil, []string{"test -count=1 -timeout 30m ./..."}},
+	} {
+		var got []string
+		r := &runner{out: io.Discard, withoutRace: []entry{{Package: "./a", Test: "TestA"}}, run: func(_ io.Writer, args ...string) (string, error) {
+			got = append(got, strings.Join(args, " "))
+			return map[string]string{"list ./a": "a", "list ./...": "a b"}[got[len(got)-1]], nil
+		}}
+		assert.Equal(t, len(r.runUnlisted(nil, tt.flags)), 0, tt.name)
+		assert.DeepEqual(t, got, tt.want)
+	}
+}
