Retries and daemons: less work for each request, one way to owe a retry

Cause: read again. The count of daemons, which each decision of the retry budget asks for, went through all peers twice; a hedge set the next send's retry beside spendOnNext; the condition of a forwarded request that had to wait was one long line; a test's window stayed changed for a rule that is gone. Change: countDaemons counts those that were never heard in the same pass; spendOnNext and forwardedLate are used; the window of savedRetries is as it was; a caller's connection is made in one literal. Behaviour is the same.

--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -214,7 +214,7 @@
 // savedRetries returns a budget that has n retries left and receives no more.
 func savedRetries(n float64) *retry.Budget {
 	clock := clockwork.NewFakeClock()
-	limits := retry.Limits{Window: 10 * time.Second, Slack: 10 * (n + 1)} // more than n of which are saved up
+	limits := retry.Limits{Window: time.Second, Slack: 10 * (n + 1)} // more than n of which are saved up
 	b := retry.New(clock, func() retry.Limits { return limits }, func() int { return 1 })
 	clock.Advance(time.Minute)
 	for {
--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -75,8 +75,7 @@
 
 // spendRetry spends the retry that the next send needs, if it needs one.
 func (j *job) spendRetry() error {
-	f := j.q.Forward
-	if f != nil && f.Runs > 0 && j.sends == 0 && j.due == nil && j.d.clock.Since(j.q.Arrived) > forwardedDelay && !j.spendOnNext(j.reserveRetry(retryLate)) {
+	if j.due == nil && j.forwardedLate() && !j.spendOnNext(j.reserveRetry(retryLate)) {
 		return j.refuseFor(errBudget)
 	}
 	due := j.due
@@ -87,6 +86,12 @@
 	return nil
 }
 
+// forwardedLate reports whether the next send is the one that another daemon has spent a retry on, too long ago.
+func (j *job) forwardedLate() bool {
+	f := j.q.Forward
+	return f != nil && f.Runs > 0 && j.sends == 0 && j.d.clock.Since(j.q.Arrived) > forwardedDelay
+}
+
 // releaseRetries gives up the retries that have not been spent.
 func (j *job) releaseRetries() {
 	j.due.Release()
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -297,7 +297,8 @@
 	if err != nil {
 		return nil, err
 	}
-	j.due, j.spare = j.spare, nil
+	j.spendOnNext(j.spare)
+	j.spare = nil
 	if ok, err := j.permit(ctx, r); !ok || err != nil {
 		j.due, j.spare = nil, j.due
 		return nil, err
--- a/coordination/peers/usage.go
+++ b/coordination/peers/usage.go
@@ -12,7 +12,7 @@
 func (p *Peers) notifyUsage() {
 	p.mu.Lock()
 	now := p.clock.Now()
-	reachable, known := p.countDaemons(now)
+	reachable, known, _ := p.countDaemons(now)
 	var usage map[core.Code]core.Usage
 	if p.large() {
 		usage = p.roster.OtherUsage(now)
@@ -28,12 +28,9 @@
 func (p *Peers) CountKnown() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.Now()
-	_, known := p.countDaemons(now)
-	for _, k := range p.known {
-		if p.created && !k.reached && p.mayBeAlive(now, k) {
-			return 0 // it may not know this daemon, and divide without it
-		}
+	_, known, unheard := p.countDaemons(p.clock.Now())
+	if p.created && unheard > 0 {
+		return 0 // they may not know this daemon, and divide without it
 	}
 	return known
 }
@@ -45,15 +42,20 @@
 }
 
 // countDaemons returns how many daemons are reachable and how many may be alive, both with
-// this one; known is 0 until the store has been listed. The caller holds the lock.
-func (p *Peers) countDaemons(now time.Time) (reachable, known int) {
+// this one; known is 0 until the store has been listed. unheard of them have never been heard. The caller
+// holds the lock.
+func (p *Peers) countDaemons(now time.Time) (reachable, known, unheard int) {
 	reachable, known = 1, 1
 	for _, k := range p.known {
 		if k.alive(now) && now.Sub(k.lastSeen) < roster.ReachableFor {
 			reachable++
 		}
-		if p.mayBeAlive(now, k) {
-			known++
+		if !p.mayBeAlive(now, k) {
+			continue
+		}
+		known++
+		if !k.reached {
+			unheard++
 		}
 	}
 	if p.large() {
@@ -62,7 +64,7 @@
 	if !p.discovered {
 		known = 0
 	}
-	return reachable, known
+	return reachable, known, unheard
 }
 
 // sumUsage adds up the usage of the peers that are alive. What is left of an allowance is
--- a/transport/front/connections.go
+++ b/transport/front/connections.go
@@ -218,8 +218,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{TCPConn: nc.(*net.TCPConn), overdue: noState}
-	c.conns = l.conns
+	c := &callerConn{TCPConn: nc.(*net.TCPConn), waiting: waiting{conns: l.conns}, overdue: noState}
 	c.enter(phaseNew)
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
--- a/transport/front/connections_test.go
+++ b/transport/front/connections_test.go
@@ -256,8 +256,7 @@
 func BenchmarkConnections(b *testing.B) {
 	s := newConnections(clockwork.NewRealClock(), func() core.CallerLimits { return core.CallerLimits{} })
 	b.RunParallel(func(pb *testing.PB) {
-		c := &callerConn{overdue: noState}
-		c.conns = s
+		c := &callerConn{waiting: waiting{conns: s}, overdue: noState}
 		s.mu.Lock()
 		s.open[c] = struct{}{}
 		s.mu.Unlock()
