Stand-ins and stop tests: one writer of bytes without end, one reading of how a request ended

Cause: read again. The store's stand-in wrote its own endless loop beside the runner's; raw answers to reports and orders had a twin of the code for requests; two new tests told the ends of requests apart as sendAfter does, and chose kinds in turn twice. Change: faults.WriteEndless, Server.writeRaw, endOf and kindOf serve both sides. The tests' assertions are as they were; a refusal now has to be a 503 in all of them.

--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -142,15 +142,32 @@
 		return endLost
 	}
 	resp, body, err := k.answer()
-	switch {
-	case err != nil:
+	if err != nil {
 		return endLost
-	case resp.StatusCode == http.StatusOK && (want == "" || body == want):
+	}
+	return endOf(resp.StatusCode, body, want)
+}
+
+// endOf returns how a request has ended that was answered. want is the body of a whole answer, if it matters.
+func endOf(status int, body, want string) string {
+	switch {
+	case status == http.StatusOK && (want == "" || body == want):
 		return endWhole
-	case resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(body, string(core.OutcomeNotRun)):
+	case status == http.StatusServiceUnavailable && strings.Contains(body, string(core.OutcomeNotRun)):
 		return endRefused
 	}
-	return fmt.Sprint("status ", resp.StatusCode, " ", body)
+	return fmt.Sprint("status ", status, " ", body)
+}
+
+// kindOf returns the path, the model and the whole answer's body, if it matters, of the nth request of all kinds in turn.
+func kindOf(n int, stream string) (path, model, want string) {
+	switch n % 3 {
+	case 0:
+		return "/ask/x", "", ""
+	case 1:
+		return "/order/x", "", ""
+	}
+	return "/gen/x", "m1", stream
 }
 
 // TestStopAnswersOnKeptConnections guards against requests that cross the end of their kept connection: a
@@ -319,20 +336,12 @@
 	stop := time.AfterFunc(time.Second, func() { _ = leaving.cmd.Process.Signal(syscall.SIGTERM) })
 	defer stop.Stop()
 	for i, end := 0, time.Now().Add(during); time.Now().Before(end); i++ {
-		path, model := []string{"/ask/x", "/order/x", "/gen/x"}[i%3], ""
-		if path == "/gen/x" {
-			model = "m1"
-		}
+		path, model, want := kindOf(i, fullStream(longEvents))
 		wg.Go(func() {
 			status, body, err := c.daemons[0].send(path, "", model)
-			end := endWhole
-			switch {
-			case err != nil:
-				end = endLost
-			case status == http.StatusServiceUnavailable && strings.Contains(body, string(core.OutcomeNotRun)):
-				end = endRefused
-			case status != http.StatusOK || model != "" && body != fullStream(longEvents):
-				end = fmt.Sprint(path, " status ", status, " ", body)
+			end := endLost
+			if err == nil {
+				end = endOf(status, body, want)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -386,10 +395,7 @@
 			ends, lost := map[string]int{}, []string(nil)
 			var wg sync.WaitGroup
 			send := func(k *keptConn, i int) bool {
-				path, model := []string{"/ask/x", "/order/x", "/gen/x"}[i%3], ""
-				if path == "/gen/x" {
-					model = "m1"
-				}
+				path, model, _ := kindOf(i, "")
 				id := fmt.Sprintf("q%d", requestSerial.Add(1))
 				text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 4000\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", path, wire.HeaderRequestID, id, wire.HeaderTimeout, wire.HeaderModel, model, len(tt.body))
 				if model == "" {
@@ -398,13 +404,11 @@
 				_, err := io.WriteString(k.conn, text+tt.body)
 				resp, body, readErr := k.answer()
 				end := endLost
-				switch {
-				case err == nil && readErr == nil && resp.StatusCode == http.StatusOK:
-					end = endWhole
-				case readErr == nil && strings.Contains(body, string(core.OutcomeNotRun)):
-					end = endRefused
-				case readErr == nil:
-					end = fmt.Sprint("status ", resp.StatusCode)
+				if readErr == nil {
+					end = endOf(resp.StatusCode, body, "")
+				}
+				if err != nil && end == endWhole {
+					end = "answered before it was written"
 				}
 				mu.Lock()
 				defer mu.Unlock()
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -151,9 +151,6 @@
 	})
 }
 
-// endlessPiece is the least size of what is written at once of an endless answer, in bytes.
-const endlessPiece = 64 << 10
-
 // writeEndless writes an answer without an end until that fails.
 func writeEndless(w http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -165,10 +162,7 @@
 	if !strings.Contains(text, "\n") {
 		begin += "Content-Type: application/json\r\n\r\n{\"items\":[ "
 	}
-	piece := []byte(strings.Repeat(text, 1+endlessPiece/len(text)))
-	for _, err = io.WriteString(conn, begin); err == nil; {
-		_, err = conn.Write(piece)
-	}
+	faults.WriteEndless(conn, begin, text, 0)
 }
 
 // lateDelay is the delay of the writes in Faults.LateWrites.
--- a/standin/runner/raw.go
+++ b/standin/runner/raw.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"primroseward/core"
+	"primroseward/standin/faults"
 )
 
 // rawChunk is the size of the chunks of a raw answer in bytes, resetDelay the time that its last
@@ -34,30 +35,12 @@
 	Exit    bool // the runner's listener ends before the connection, as in the exit of a process
 	// Endless is what the runner writes again and again, until the caller closes the connection, instead of
 	// an answer; empty: it answers. EndlessInterval is the time between two of them, each of which is
-	// repeated to endlessPiece bytes if it is 0. EndlessHead is written once before them.
+	// repeated to some kilobytes if it is 0. EndlessHead is written once before them.
 	Endless         string
 	EndlessHead     string
 	EndlessInterval time.Duration
 }
 
-// endlessPiece is the least size of what is written at once of an endless answer, in bytes.
-const endlessPiece = 16 << 10
-
-// writeEndless writes what has no end until it fails.
-func (a *Raw) writeEndless(conn net.Conn) {
-	piece := a.Endless
-	if a.EndlessInterval == 0 {
-		piece = strings.Repeat(piece, 1+endlessPiece/len(piece))
-	}
-	_, _ = conn.Write([]byte(a.EndlessHead)) // if it fails, so does what follows
-	for {
-		if _, err := conn.Write([]byte(piece)); err != nil {
-			return
-		}
-		time.Sleep(a.EndlessInterval)
-	}
-}
-
 // SetRaw makes the runner answer the requests that it has begun to run with what fn returns; nil:
 // as usual. fn may be called by several requests at once.
 func (s *Server) SetRaw(fn func(r *http.Request) *Raw) {
@@ -73,10 +56,10 @@
 	s.rawControl = fn
 }
 
-// writeControl writes the raw answer to a report or an order, if there is one.
-func (s *Server) writeControl(w http.ResponseWriter, r *http.Request) bool {
+// writeRaw writes the raw answer that a function gives to a request, if there is one.
+func (s *Server) writeRaw(w http.ResponseWriter, r *http.Request, of *func(r *http.Request) *Raw) bool {
 	s.mu.Lock()
-	fn := s.rawControl
+	fn := *of
 	s.mu.Unlock()
 	if fn == nil {
 		return false
@@ -88,17 +71,6 @@
 	return raw != nil
 }
 
-// rawAnswer returns the raw answer to a request, or nil.
-func (s *Server) rawAnswer(r *http.Request) *Raw {
-	s.mu.Lock()
-	fn := s.raw
-	s.mu.Unlock()
-	if fn == nil {
-		return nil
-	}
-	return fn(r)
-}
-
 // write writes a raw answer on the connection of a request and ends it. Errors mean that the caller
 // has disconnected.
 func (s *Server) write(a *Raw, w http.ResponseWriter) {
@@ -108,7 +80,7 @@
 	}
 	defer conn.Close()
 	if a.Endless != "" {
-		a.writeEndless(conn)
+		faults.WriteEndless(conn, a.EndlessHead, a.Endless, a.EndlessInterval)
 		return
 	}
 	var head strings.Builder
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -249,7 +249,7 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, r *http.Request) {
-	if s.writeControl(w, r) {
+	if s.writeRaw(w, r, &s.rawControl) {
 		return
 	}
 	s.pass(InReport)
@@ -261,7 +261,7 @@
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	if s.writeControl(w, r) {
+	if s.writeRaw(w, r, &s.rawControl) {
 		return
 	}
 	s.pass(InOrder)
@@ -400,8 +400,7 @@
 		return
 	}
 	r.Body = io.NopCloser(strings.NewReader(body))
-	if raw := s.rawAnswer(r); raw != nil {
-		s.write(raw, w)
+	if s.writeRaw(w, r, &s.raw) {
 		return
 	}
 	if s.Events > 0 {
