--- /dev/null
+++ b/proof/arrivals_test.go
@@ -0,0 +1,104 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	"primroseward/standin/runner"
+)
+
+// TestRepeatsThatArriveTogetherStayInBudget guards against retries of many windows that arrive in one, as runners that
+// stood still take up all that was sent to them meanwhile.
+func TestRepeatsThatArriveTogetherStayInBudget(t *testing.T) {
+	const (
+		calm = 8 * time.Second // before runners stand still
+		rest = 12 * time.Second
+	)
+	reject := func(r *runner.Server) { r.Reject() }
+	for _, tt := range []struct {
+		name     string
+		short    bool // it is always played
+		daemons  int
+		interval time.Duration // between two requests
+		streams  bool
+		still    int // of six runners
+		length   time.Duration
+		stagger  time.Duration          // between two runners
+		others   func(r *runner.Server) // what the other runners do; nil: they serve
+		then     func(r *runner.Server) // what all do afterwards; nil: they serve
+		rounds   int
+	}{
+		{"streams leave three", false, 4, steadyInterval, true, 3, 20 * time.Second, 0, nil, nil, 1},
+		{"streams leave four", true, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1},
+		{"streams leave five", false, 4, steadyInterval, true, 5, 20 * time.Second, 0, nil, nil, 1},
+		{"streams leave four, much traffic", false, 8, 10 * time.Millisecond, true, 4, 15 * time.Second, 0, nil, nil, 1},
+		{"one after the other", false, 4, steadyInterval, true, 5, 24 * time.Second, 4 * time.Second, nil, nil, 1},
+		{"all again and again", false, 4, steadyInterval, true, 6, 5 * time.Second, 0, nil, nil, 4},
+		{"rejections", true, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, reject, 1},
+		{"rejections, little traffic", false, 4, 25 * time.Millisecond, false, 4, 8 * time.Second, 0, reject, reject, 1},
+	} {
+		if !tt.short && os.Getenv("PRIMROSE_FUZZ") == "" {
+			continue
+		}
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := startFleet(t, tt.daemons)
+			c.addRunners("i-app-3", "i-app-4", "i-app-5", "i-app-6")
+			for i := range 4 {
+				c.addRunner(runner.Spec{ID: fmt.Sprintf("i-gen-%d", i+3), Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: c.events, Interval: 20 * time.Millisecond})
+			}
+			service := "app"
+			if tt.streams {
+				service = "gen"
+			}
+			length := calm + rest + time.Duration(tt.rounds)*(tt.length+time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), length)
+			defer cancel()
+			go func() {
+				core.Sleep(ctx, clockwork.NewRealClock(), calm)
+				for range tt.rounds {
+					c.standStill(ctx, service, tt.still, tt.length, tt.stagger, tt.others)
+					core.Sleep(ctx, clockwork.NewRealClock(), time.Second)
+				}
+				for _, r := range c.runners {
+					if tt.then != nil {
+						tt.then(r)
+					}
+				}
+			}()
+			load := c.sendSteadily(ctx, tt.streams, tt.interval)
+			began := load.sent[service][0]
+			log, beyond, _ := c.serviceLog(service, load.sent[service])
+			worst := fleetBudget.Worst(log)
+			t.Logf("%s: %.2f of the bound, %s, from %v; %d repeats, %d taken, %d of %d served", t.Name(), float64(worst.Repeats)/worst.Allowed, worst, worst.From.Sub(began).Round(time.Millisecond), log.Repeats(), c.retriesTaken(), load.served, load.total)
+			assert.Check(t, log.Repeats() > 0)
+			assert.Check(t, worst.Excess() <= 0, "%s", worst)
+			assert.Check(t, beyond == 0, "%d requests ran at more runners than allowed", beyond)
+			assert.Check(t, log.Repeats() <= c.retriesTaken(), "%d repeats, %d taken", log.Repeats(), c.retriesTaken())
+		})
+	}
+}
+
+// standStill makes the first n runners of a service stand still, one after the other, until a time has passed.
+func (c *fleetCluster) standStill(ctx context.Context, service string, n int, length, stagger time.Duration, others func(r *runner.Server)) {
+	until := time.Now().Add(length)
+	for _, r := range c.runners {
+		switch {
+		case r.Service != service:
+		case n > 0:
+			n--
+			r.Silence(time.Until(until))
+			core.Sleep(ctx, clockwork.NewRealClock(), stagger)
+		case others != nil:
+			others(r)
+		}
+	}
+	core.Sleep(ctx, clockwork.NewRealClock(), time.Until(until))
+}
--- a/proof/retries_test.go
+++ b/proof/retries_test.go
@@ -88,8 +88,8 @@
 	total  int
 }
 
-// sendSteadily sends repeatable requests and streams to random daemons until ctx ends.
-func (c *fleetCluster) sendSteadily(ctx context.Context, streams bool) *steadyLoad {
+// sendSteadily sends repeatable requests or streams to random daemons until ctx ends, one in each interval.
+func (c *fleetCluster) sendSteadily(ctx context.Context, streams bool, interval time.Duration) *steadyLoad {
 	load := &steadyLoad{sent: map[string][]time.Time{}}
 	var wg sync.WaitGroup
 	for i := 0; ctx.Err() == nil; i++ {
@@ -109,7 +109,7 @@
 				load.served++
 			}
 		})
-		core.Sleep(ctx, clockwork.NewRealClock(), steadyInterval)
+		core.Sleep(ctx, clockwork.NewRealClock(), interval)
 	}
 	wg.Wait()
 	return load
@@ -291,7 +291,7 @@
 					core.Sleep(ctx, clockwork.NewRealClock(), tt.every)
 				}
 			})
-			load := c.sendSteadily(ctx, tt.streams)
+			load := c.sendSteadily(ctx, tt.streams, steadyInterval)
 			wg.Wait()
 			repeats := 0
 			for service, sent := range load.sent {
