Repeats that may still arrive count as saved until they have

Cause: the budget counts a retry as it is sent, the rule counts it as the service reads it. A runner that stands still reads what was sent to it when it goes on, also from connections that were closed or reset before. So the retries of several windows arrived in one.

Each request keeps a record of its sends. A repeat that has been sent, and that is not known to have arrived, is a part of what a daemon may have saved up. It has arrived when an answer begins, the connection is closed by the receiver, or its receiver has sent anything half a second or more after it; it never will if nothing was sent or the receiver's process has ended. As it cannot be called back when the traffic falls, no more may be under way than fit in the daemon's part of the slack.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -249,6 +249,7 @@
 	committed          bool              // the caller has received a part of an answer that no other run continues
 	due                *retry.Retry      // that the next send spends; nil: it needs none
 	spare              *retry.Retry      // for a send that may follow
+	arrivals           *retry.Sends      // of its sends
 	retryAfter         time.Duration     // until a missing model may be loaded or a limit allows the request; 0 if not known
 	atLimit            bool              // a runner was skipped because its limit is used up
 	limitFields        []zap.Field       // log fields on the last such runner
@@ -293,6 +294,7 @@
 		d: d, q: q, parts: sharedParts(q), route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent, draw: d.random(),
 		log: d.log.With(zap.String("request", q.ID), zap.String("route", route.Name)), leaveLimits: func() {}, releaseRoom: func() {}, endStream: func() {},
 	}
+	j.arrivals = d.budget.Sends(j.service)
 	if q.Forward != nil {
 		j.runs = q.Forward.Runs
 		j.log.Info(logs.ForwardReceived, zap.String("from", q.Forward.From), zap.Int("runs", q.Forward.Runs), zap.Int("attempts", q.Forward.Attempts), zap.Duration("left", limit))
@@ -315,6 +317,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	d.running.Add(1)
 	end := func() {
+		j.arrivals.End(q.Forward != nil && ctx.Err() != nil) // the daemon that forwarded it may have given up on this one
 		j.refundAllowance()
 		j.refundLimit()
 		cancel()
@@ -355,7 +358,7 @@
 // by the daemon that took it from its caller.
 func (d *Dispatcher) requestDone(j *job, reply *core.Reply, err error) {
 	if re := (*core.RequestError)(nil); errors.As(err, &re) {
-		re.Runs = j.runs
+		re.Runs, re.Arrived = j.runs, j.arrivals.Any()
 		if re.Retry > 0 {
 			d.callers.Refused(j.route.Name)
 		}
--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -26,6 +26,12 @@
 	return e == nil || e.StartedAt.Equal(r.StartedAt)
 }
 
+// hasEnded reports whether the process of a runner has ended, as far as the store's list shows.
+func (d *Dispatcher) hasEnded(r *core.Runner) bool {
+	e := d.catalog.Runner(r.ID)
+	return e == nil || !e.StartedAt.Equal(r.StartedAt)
+}
+
 // observeStep records how long the runner took for each of the events that a read has brought, for which the
 // stream has waited since began.
 func (s *stream) observeStep(began time.Time, events int) {
--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -45,7 +45,7 @@
 	}
 	j.d.metrics.retry(cause, taken != nil)
 	j.log.Info(message, zap.String("service", j.service), zap.String("cause", cause), zap.Float64("saved", state.Saved), zap.Float64("max", state.Max),
-		zap.Int("requests", state.Requests), zap.Int("daemons", state.Daemons), zap.Int("runs", j.runs), zap.Int("sends", j.sends), zap.Bool("forwarded", j.q.Forward != nil))
+		zap.Int("requests", state.Requests), zap.Int("daemons", state.Daemons), zap.Int("late", state.Late), zap.Int("runs", j.runs), zap.Int("sends", j.sends), zap.Bool("forwarded", j.q.Forward != nil))
 	return taken
 }
 
@@ -80,7 +80,7 @@
 	}
 	due := j.due
 	j.due = nil
-	if !due.Spend() {
+	if !due.Spend(j.arrivals) {
 		return j.refuseFor(errBudget)
 	}
 	return nil
@@ -102,5 +102,28 @@
 // request. What follows is a retry that nobody has taken yet.
 func rejectedElsewhere(err error) bool {
 	var refusal *core.RequestError
-	return errors.As(err, &refusal) && refusal.Code == errRejected.Error()
+	return errors.As(err, &refusal) && (refusal.Arrived || refusal.Code == errRejected.Error())
+}
+
+// readWithin is how long a receiver that goes on takes to read what has been sent to it.
+const readWithin = 500 * time.Millisecond
+
+// beginSend records that the request is sent to a runner or a daemon. What it has not answered has arrived once it
+// has sent something else that much later, and never will if its process has ended.
+func (j *job) beginSend(r *core.Runner) *retry.Send {
+	at, d, loads := j.d.clock.Now(), j.d, j.loadsOf(r)
+	return j.arrivals.Begin(func() bool {
+		return !isDaemon(r) && d.hasEnded(r) || loads.LastActivity(r.ID).Sub(at) >= readWithin
+	})
+}
+
+// recordArrival records what the outcome of a send says of its arrival.
+func recordArrival(sent *retry.Send, err error) {
+	var refusal *core.RequestError
+	switch {
+	case errors.Is(err, core.ErrNotSent), errors.As(err, &refusal) && !refusal.Arrived:
+		sent.NotSent()
+	case err == nil, refusal != nil, errors.Is(err, core.ErrClosed):
+		sent.Arrived()
+	}
 }
--- a/coordination/dispatch/retry_test.go
+++ b/coordination/dispatch/retry_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -44,6 +46,53 @@
 	}
 }
 
+// TestRepeatsThatMayStillArriveAreKept guards against repeats beyond the budget: those that a silent receiver has not read
+// yet were forgotten as soon as they were sent.
+func TestRepeatsThatMayStillArriveAreKept(t *testing.T) {
+	errBegun := fmt.Errorf("%w: slow", core.ErrAnswerLost)
+	hear := func(d *Dispatcher, r core.Runner) { d.loads.RecordActivity(r.ID) }
+	for _, tt := range []struct {
+		name  string
+		sent  error // the outcome of the repeat
+		after time.Duration
+		then  func(d *Dispatcher, r core.Runner)
+		late  int // repeats that may still arrive
+	}{
+		{"nothing is heard of the runner", core.ErrAnswerLost, time.Minute, func(*Dispatcher, core.Runner) {}, 1},
+		{"it sends something that it may have sent before", core.ErrAnswerLost, readWithin - 1, hear, 1},
+		{"it sends something later", core.ErrAnswerLost, readWithin, hear, 0},
+		{"it has been started again", core.ErrAnswerLost, 0, func(d *Dispatcher, r core.Runner) {
+			r.StartedAt = d.clock.Now()
+			d.catalog.Put(r, d.clock.Now())
+		}, 0},
+		{"it has closed the connection", core.ErrClosed, 0, func(*Dispatcher, core.Runner) {}, 0},
+		{"it has sent a part of the answer", errBegun, 0, func(*Dispatcher, core.Runner) {}, 0},
+		{"nothing was sent", core.ErrNotSent, 0, func(*Dispatcher, core.Runner) {}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDispatcher(&fleet{}, 2)
+				var receivers []core.Runner
+				d.sender = senderFunc(func(_ context.Context, r *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+					receivers = append(receivers, *r)
+					if tt.sent == errBegun {
+						o.Began()
+					}
+					if len(receivers) > 1 {
+						return nil, tt.sent
+					}
+					return answer(http.StatusInternalServerError, core.ReplyInfo{Stamped: true}, "failed", nil), nil
+				})
+				_, _, _ = call(d, route(core.KindSafe, false, 2))
+				time.Sleep(tt.after)
+				tt.then(d, receivers[1])
+				_, state := d.budget.Take("s")
+				assert.Equal(t, state.Late, tt.late)
+			})
+		})
+	}
+}
+
 // TestUnusedRetriesAreGivenBack guards against retries that are taken and never sent, and are lost to the requests after.
 func TestUnusedRetriesAreGivenBack(t *testing.T) {
 	for _, tt := range []struct {
--- a/coordination/dispatch/silence.go
+++ b/coordination/dispatch/silence.go
@@ -23,7 +23,10 @@
 // answer is returned as the replacement.
 func (j *job) sendWithStallCheck(ctx, sending context.Context, r *core.Runner, out core.Outgoing) (*core.Reply, *replacement, error) {
 	watch := j.watchForStall(ctx, r, max(minStall, stallTargets*j.route.Target), 1)
+	sent := j.beginSend(r)
+	out.Began = sent.Arrived
 	reply, err := j.senderTo(r).Send(sending, r, j.q, out)
+	recordArrival(sent, err)
 	if err == nil {
 		j.loadsOf(r).RecordActivity(r.ID)
 	}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -149,6 +149,7 @@
 	}
 	e := &core.RequestError{
 		Outcome: core.OutcomeMayHaveRun, Status: reply.Status, Code: code, Message: body.Text, Runs: reply.Info.Runs,
+		Arrived: reply.Header.Get(core.HeaderArrived) == strconv.FormatBool(true),
 	}
 	if reply.Header.Get(core.HeaderOutcome) == string(core.OutcomeNotRun) {
 		e.Outcome = core.OutcomeNotRun
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -32,9 +32,9 @@
 }
 
 // Budget holds the retries that this daemon may make. A service's retries are saved up from
-// its requests and by time, up to a maximum, and a process starts with none. So in any window
-// there are no more than could be saved before it and received in it, however often processes
-// end and start meanwhile.
+// its requests and by time, up to a maximum, and a process starts with none. Those that have been sent and may
+// still arrive count towards the maximum. So in any window there are no more than could be saved before it and
+// received in it, however often processes end and start meanwhile.
 type Budget struct {
 	clock   core.Clock
 	limits  func() Limits
@@ -47,13 +47,16 @@
 
 // account is the state of one service.
 type account struct {
-	saved    float64
+	saved    float64   // below 0 if more repeats may still arrive than may be saved up
 	reserved int       // retries of these that have been taken and not spent yet
+	late     int       // repeats that may still arrive
 	spentAt  time.Time // when the latest retry was spent
 	at       time.Time // up to which it has received retries by time
 	current  int64     // index of the present interval
 	requests [windowIntervals]int
 	interval [windowIntervals]int64 // index of the interval that each element counts
+	// uncertain holds the requests of which repeats may still arrive, and how many.
+	uncertain map[*Sends]int
 }
 
 // New returns the budget of one daemon, whose retries are divided by the number of daemons that
@@ -68,6 +71,7 @@
 	Max      float64 // that may be saved up
 	Requests int     // of the window
 	Daemons  int     // that the slack is divided by
+	Late     int     // repeats that may still arrive
 }
 
 // CountRequest counts a request that a caller has sent to a service.
@@ -77,7 +81,7 @@
 	limits, daemons := b.limits(), b.daemons()
 	a := b.update(service, limits, daemons)
 	a.requests[a.current%windowIntervals]++
-	a.saved = min(a.saved+usedShare*(1-savedShare)*limits.Ratio, a.max(limits, daemons))
+	a.receive(usedShare*(1-savedShare)*limits.Ratio, limits, daemons)
 }
 
 // Retry is a retry that has been taken. A nil Retry is that of a send that needs none.
@@ -95,13 +99,18 @@
 	defer b.mu.Unlock()
 	a, s := b.state(service)
 	advance := s.Saved < 1
-	if advance && !b.mayAdvance(a, s) {
+	if !b.mayTake(a, s) {
 		return nil, s
 	}
 	a.reserved++
 	return &Retry{budget: b, account: a, advance: advance}, s
 }
 
+// mayTake reports whether a retry may be taken. The caller holds the lock.
+func (b *Budget) mayTake(a *account, s State) bool {
+	return a.mayBeLate(b.limits(), s.Daemons) && (s.Saved >= 1 || b.mayAdvance(a, s))
+}
+
 // mayAdvance reports whether a retry may be made before it has been received: a daemon with few requests would
 // never save up a whole one. The requests of half a window count, as any window that the retry is in covers them. The
 // caller holds the lock.
@@ -113,12 +122,12 @@
 		last = b.start
 	}
 	share := limits.Ratio*float64(a.count(windowIntervals/2)) + slack(limits, s.Daemons)
-	return a.reserved == 0 && b.clock.Since(last) >= since && usedShare*share >= 1
+	return a.reserved == 0 && a.late == 0 && b.clock.Since(last) >= since && usedShare*share >= 1
 }
 
-// Spend spends the retry just before its send. It returns false if it is not left any more, because what may be saved up has
-// fallen meanwhile.
-func (r *Retry) Spend() bool {
+// Spend spends the retry just before the next of the request's sends, nil if that is known to arrive at once. It returns
+// false if it is not left any more, because what may be saved up has fallen meanwhile.
+func (r *Retry) Spend(next *Sends) bool {
 	if r == nil {
 		return true
 	}
@@ -132,11 +141,15 @@
 	a := r.account
 	limits, daemons := b.limits(), b.daemons()
 	b.updateAccount(a, limits, daemons)
-	if a.saved < 1 && !r.advance {
+	if a.saved < 1 && !r.advance || !a.mayBeLate(limits, daemons) {
 		return false
 	}
 	a.saved--
 	a.spentAt = b.clock.Now()
+	if next != nil {
+		next.spent++
+		a.track(next)
+	}
 	return true
 }
 
@@ -163,25 +176,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a, s := b.state(service)
-	return s.Saved >= 1 || b.mayAdvance(a, s)
+	return b.mayTake(a, s)
 }
 
 // state updates an account and returns it. The caller holds the lock.
 func (b *Budget) state(service string) (*account, State) {
 	limits, daemons := b.limits(), b.daemons()
 	a := b.update(service, limits, daemons)
-	return a, State{Saved: a.saved - float64(a.reserved), Max: a.max(limits, daemons), Requests: a.count(windowIntervals), Daemons: daemons}
+	return a, State{Saved: a.saved - float64(a.reserved), Max: a.max(limits, daemons), Requests: a.count(windowIntervals), Daemons: daemons, Late: a.late}
 }
 
 // update returns a service's account with the retries that it has received by time. The caller
 // holds the lock.
 func (b *Budget) update(service string, limits Limits, daemons int) *account {
+	a := b.account(service)
+	b.updateAccount(a, limits, daemons)
+	return a
+}
+
+// account returns a service's account. The caller holds the lock.
+func (b *Budget) account(service string) *account {
 	a, ok := b.services[service]
 	if !ok {
-		a = &account{at: b.start}
+		a = &account{at: b.start, uncertain: map[*Sends]int{}}
 		b.services[service] = a
 	}
-	b.updateAccount(a, limits, daemons)
 	return a
 }
 
@@ -193,10 +212,16 @@
 	}
 	now := b.clock.Now()
 	passed := now.Sub(a.at).Seconds() / limits.Window.Seconds()
-	a.saved = min(a.saved+passed*usedShare*(1-savedShare)*slack(limits, daemons), a.max(limits, daemons))
+	a.settle(now)
+	a.receive(passed*usedShare*(1-savedShare)*slack(limits, daemons), limits, daemons)
 	a.at = now
 }
 
+// receive adds to what is saved, up to the maximum, of which the repeats that may still arrive are a part.
+func (a *account) receive(n float64, limits Limits, daemons int) {
+	a.saved = min(a.saved+n, a.max(limits, daemons)-float64(a.late))
+}
+
 // slack returns this daemon's part of the slack. It has none while the number of daemons is not known.
 func slack(limits Limits, daemons int) float64 {
 	if daemons == 0 {
--- a/coordination/retry/sim_test.go
+++ b/coordination/retry/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,14 @@
 	log     budget.Log
 	serial  int
 	waiting [][]waitingRetry // by daemon
+	late    []lateArrival    // that are under way, first to arrive first
+}
+
+// lateArrival is a send that its receiver reads later.
+type lateArrival struct {
+	id   string
+	at   time.Time
+	read func()
 }
 
 // waitingRetry is a retry that waits until there is room for its request.
@@ -39,6 +48,54 @@
 	return f
 }
 
+// advance lets time pass. What is under way arrives meanwhile.
+func (f *simFleet) advance(d time.Duration) {
+	until := f.clock.Now().Add(d)
+	for len(f.late) > 0 && !f.late[0].at.After(until) {
+		next := f.late[0]
+		f.late = f.late[1:]
+		f.clock.Advance(next.at.Sub(f.clock.Now()))
+		f.log.Arrived(next.id, f.clock.Now())
+		next.read()
+	}
+	f.clock.Advance(until.Sub(f.clock.Now()))
+}
+
+// deliver makes a send of a request arrive after a time. An answer or the end of the connection shows that if known is true;
+// otherwise the daemon has given it up, and finds out as its receiver goes on.
+func (f *simFleet) deliver(id string, sends *Sends, after time.Duration, known bool) {
+	at := f.clock.Now().Add(after)
+	send := sends.Begin(func() bool { return !f.clock.Now().Before(at) })
+	arrival := lateArrival{id, at, func() {}}
+	if known {
+		arrival.read = send.Arrived
+	}
+	if after == 0 {
+		f.log.Arrived(id, at)
+		arrival.read()
+		return
+	}
+	f.late = append(f.late, arrival)
+	slices.SortStableFunc(f.late, func(a, b lateArrival) int { return a.at.Compare(b.at) })
+}
+
+// sendLate sends requests to a daemon, each of which is sent once more at once, if the budget allows it. The sends arrive after
+// the given times.
+func (f *simFleet) sendLate(i, n int, first, second time.Duration) {
+	for range n {
+		f.serial++
+		id := fmt.Sprint(f.serial)
+		f.log.Sent(f.clock.Now())
+		f.daemons[i].CountRequest("s")
+		sends := f.daemons[i].Sends("s")
+		f.deliver(id, sends, first, first == 0)
+		if r, _ := f.daemons[i].Take("s"); r != nil && r.Spend(sends) {
+			f.deliver(id, sends, second, second == 0)
+		}
+		sends.End(false)
+	}
+}
+
 func (f *simFleet) restart(i int) {
 	f.waiting[i] = nil
 	f.daemons[i] = New(f.clock, func() Limits { return Limits{Window: simBound.Length, Ratio: simBound.Ratio, Slack: simBound.Slack} }, func() int { return len(f.daemons) })
@@ -75,7 +132,7 @@
 // sendWaiting sends the repeats that wait at a daemon.
 func (f *simFleet) sendWaiting(i int) {
 	for _, w := range f.waiting[i] {
-		if w.retry.Spend() {
+		if w.retry.Spend(nil) {
 			f.log.Arrived(w.id, f.clock.Now())
 		}
 	}
@@ -95,31 +152,31 @@
 			}
 		}},
 		{"saved up, used up and received again", func(f *simFleet) {
-			f.clock.Advance(time.Minute)
+			f.advance(time.Minute)
 			for range 10 {
 				for i := range f.daemons {
 					f.serve(i, 40)
 				}
-				f.clock.Advance(990 * time.Millisecond)
+				f.advance(990 * time.Millisecond)
 			}
 			for range 10 {
 				for i := range f.daemons {
 					f.send(i, 40)
 				}
-				f.clock.Advance(990 * time.Millisecond)
+				f.advance(990 * time.Millisecond)
 			}
 		}},
 		{"bursts just within a window", func(f *simFleet) {
-			f.clock.Advance(time.Minute + 950*time.Millisecond)
+			f.advance(time.Minute + 950*time.Millisecond)
 			for range 2 {
 				for i := range f.daemons {
 					f.send(i, 10)
 				}
-				f.clock.Advance(9100 * time.Millisecond)
+				f.advance(9100 * time.Millisecond)
 			}
 		}},
 		{"saved up, all used at once", func(f *simFleet) {
-			f.clock.Advance(time.Minute)
+			f.advance(time.Minute)
 			for i := range f.daemons {
 				f.send(i, 20)
 			}
@@ -129,9 +186,9 @@
 				for i := range f.daemons {
 					f.serve(i, 40)
 				}
-				f.clock.Advance(time.Second)
+				f.advance(time.Second)
 			}
-			f.clock.Advance(25 * time.Second)
+			f.advance(25 * time.Second)
 			for i := range f.daemons {
 				f.send(i, 50)
 			}
@@ -141,7 +198,7 @@
 				for i := range f.daemons {
 					f.hold(i, 20)
 				}
-				f.clock.Advance(time.Second)
+				f.advance(time.Second)
 			}
 			for i := range f.daemons {
 				f.sendWaiting(i)
@@ -150,7 +207,7 @@
 				for i := range f.daemons {
 					f.send(i, 20)
 				}
-				f.clock.Advance(time.Second)
+				f.advance(time.Second)
 			}
 		}},
 		{"waiting while the traffic ends", func(f *simFleet) {
@@ -158,9 +215,9 @@
 				for i := range f.daemons {
 					f.hold(i, 100)
 				}
-				f.clock.Advance(time.Second)
+				f.advance(time.Second)
 			}
-			f.clock.Advance(25 * time.Second)
+			f.advance(25 * time.Second)
 			for i := range f.daemons {
 				f.sendWaiting(i)
 			}
@@ -170,17 +227,73 @@
 				for i := range f.daemons {
 					f.send(i, (step+i)%3/2)
 				}
-				f.clock.Advance(250 * time.Millisecond)
+				f.advance(250 * time.Millisecond)
+			}
+		}},
+		{"to receivers that stand still, and go on together", func(f *simFleet) {
+			f.advance(time.Minute)
+			for step := range 60 {
+				for i := range f.daemons {
+					f.sendLate(i, 10, time.Duration(80-step)*500*time.Millisecond, 0)
+				}
+				f.advance(500 * time.Millisecond)
+			}
+			f.advance(9 * time.Second)
+			for range 20 {
+				for i := range f.daemons {
+					f.send(i, 10)
+				}
+				f.advance(500 * time.Millisecond)
+			}
+		}},
+		{"rejected, then to receivers that stand still", func(f *simFleet) {
+			f.advance(time.Minute)
+			for step := range 18 {
+				for i := range f.daemons {
+					f.sendLate(i, 8, 0, time.Duration(18-step)*500*time.Millisecond)
+				}
+				f.advance(500 * time.Millisecond)
 			}
+			for range 18 {
+				for i := range f.daemons {
+					f.send(i, 8)
+				}
+				f.advance(500 * time.Millisecond)
+			}
+		}},
+		{"the traffic ends while receivers stand still", func(f *simFleet) {
+			f.advance(time.Minute)
+			for step := range 60 {
+				for i := range f.daemons {
+					f.sendLate(i, 30, time.Duration(120-step)*500*time.Millisecond, 0)
+				}
+				f.advance(500 * time.Millisecond)
+			}
+			f.advance(25 * time.Second)
+			for range 10 {
+				for i := range f.daemons {
+					f.send(i, 1)
+				}
+				f.advance(time.Second)
+			}
+		}},
+		{"given up one after the other", func(f *simFleet) {
+			for range 40 {
+				for i := range f.daemons {
+					f.sendLate(i, 5, 20*time.Second, 15*time.Second)
+				}
+				f.advance(time.Second)
+			}
+			f.advance(20 * time.Second)
 		}},
 		{"restarted again and again", func(f *simFleet) {
-			f.clock.Advance(time.Minute)
+			f.advance(time.Minute)
 			for range 10 {
 				for i := range f.daemons {
 					f.send(i, 5)
 					f.restart(i)
 				}
-				f.clock.Advance(900 * time.Millisecond)
+				f.advance(900 * time.Millisecond)
 			}
 		}},
 		{"restarted between two windows of much traffic", func(f *simFleet) {
@@ -189,7 +302,7 @@
 					f.restart(i)
 					f.serve(i, 200)
 				}
-				f.clock.Advance(9900 * time.Millisecond)
+				f.advance(9900 * time.Millisecond)
 				for i := range f.daemons {
 					f.send(i, 40)
 				}
@@ -212,12 +325,18 @@
 		f := newSimFleet(rapid.IntRange(1, 8).Draw(t, "daemons"))
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(f.daemons)-1).Draw(t, "daemon")
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
-			case 0:
-				f.restart(i)
-			case 1:
-				for i := range f.daemons {
-					f.restart(i)
+			step := rapid.IntRange(0, 9).Draw(t, "step")
+			switch step {
+			case 8, 9: // up to the longest time that callers give a request
+				f.sendLate(i, rapid.IntRange(1, 50).Draw(t, "requests"), randomLateness(t), randomLateness(t))
+			case 0, 1:
+				if len(f.late) > 0 {
+					f.advance(maxLateness) // a process that ends forgets what is under way
+				}
+				for k := range f.daemons {
+					if all := step == 1; all || k == i {
+						f.restart(k)
+					}
 				}
 			case 4:
 				f.hold(i, rapid.IntRange(1, 200).Draw(t, "requests"))
@@ -226,7 +345,7 @@
 			case 2, 3:
 				f.send(i, rapid.IntRange(1, 200).Draw(t, "requests"))
 			default:
-				f.clock.Advance(time.Duration(rapid.IntRange(1, 12_000).Draw(t, "pause")) * time.Millisecond)
+				f.advance(time.Duration(rapid.IntRange(1, 12_000).Draw(t, "pause")) * time.Millisecond)
 			}
 		}
 		worst := simBound.Worst(&f.log)
@@ -234,6 +353,38 @@
 	})
 }
 
+// maxLateness is the longest time after which a request that its receiver has not read is read in these tests: callers
+// give it no more time.
+const maxLateness = 15 * time.Second
+
+// randomLateness returns how long a send is under way; most are read at once.
+func randomLateness(t *rapid.T) time.Duration {
+	if rapid.Bool().Draw(t, "at once") {
+		return 0
+	}
+	return time.Duration(rapid.IntRange(1, int(maxLateness.Milliseconds())).Draw(t, "late")) * time.Millisecond
+}
+
+// TestRepeatsUnderWayOutliveTheirDaemon guards against repeats beyond the budget as processes end that know of repeats which
+// have not arrived yet, while their receivers stand still.
+func TestRepeatsUnderWayOutliveTheirDaemon(t *testing.T) {
+	f := newSimFleet(8)
+	for life := range 6 {
+		for range 11 {
+			for i := range f.daemons {
+				f.sendLate(i, 10, time.Duration(66-11*life)*time.Second, 0)
+			}
+			f.advance(time.Second)
+		}
+		for i := range f.daemons {
+			f.restart(i)
+		}
+	}
+	f.advance(time.Minute)
+	worst := simBound.Worst(&f.log)
+	assert.Assert(t, worst.Excess() <= 0, "%s", worst)
+}
+
 // TestRetriesAreBounded guards against the failure of half of a service that doubles the load on the
 // other half, which would fail as well.
 func TestRetriesAreBounded(t *testing.T) {
@@ -252,7 +403,7 @@
 			if rapid.Bool().Draw(t, "first") {
 				b.CountRequest("s")
 				events = append(events, event{clock.Now(), false})
-			} else if r, _ := b.Take("s"); r != nil && r.Spend() {
+			} else if r, _ := b.Take("s"); r != nil && r.Spend(nil) {
 				events = append(events, event{clock.Now(), true})
 			}
 		}
@@ -304,7 +455,7 @@
 						f.serve(i, 1)
 					}
 				}
-				f.clock.Advance(tick)
+				f.advance(tick)
 				if atStart < 0 && f.clock.Now().Sub(began) >= startAfter {
 					atStart = f.log.Repeats()
 				}
--- a/core/errors.go
+++ b/core/errors.go
@@ -62,6 +62,7 @@
 	Message string        // one sentence for humans
 	Retry   time.Duration // after which a retry may succeed; 0: not known
 	Runs    int           // sends that may have run
+	Arrived bool          // the request has been sent to a runner, run or not
 }
 
 func (e *RequestError) Error() string {
--- a/core/headers.go
+++ b/core/headers.go
@@ -38,6 +38,7 @@
 	// of such a request are the fields of Forward.
 	HeaderFrom     = "Primrose-From"
 	HeaderRuns     = "Primrose-Runs"
+	HeaderArrived  = "Primrose-Arrived"
 	HeaderAttempts = "Primrose-Attempts"
 	HeaderCounted  = "Primrose-Counted"
 	HeaderKeyID    = "Primrose-Key"
--- a/core/request.go
+++ b/core/request.go
@@ -34,6 +34,8 @@
 	Key             KeyID      // of the caller, if callers need a key
 	Workspace       *Workspace // to which the key belongs; nil: no key is needed
 	Forward         *Forward   // set if another daemon has passed the request on
+	// Gone reports whether the caller has closed its connection; nil: not known.
+	Gone func() bool
 }
 
 // Outgoing holds the values of the headers that the system itself adds to a request to an
@@ -47,6 +49,8 @@
 	// Accepts reports whether the request may still be sent. It is called just before the
 	// request is written, as dialing a connection takes a while; nil: it may.
 	Accepts func() bool
+	// Began is called when the endpoint has sent a first part of its answer; nil: nothing is called.
+	Began   func()
 	Forward *Forward // set if the request goes to another daemon
 }
 
--- a/proof/arrivals_test.go
+++ b/proof/arrivals_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +24,11 @@
 		rest = 12 * time.Second
 	)
 	reject := func(r *runner.Server) { r.Reject() }
+	killAll := func(c *fleetCluster) {
+		c.each(func(d *fleetDaemon) { d.kill() })
+		c.each(func(d *fleetDaemon) { d.run(c) })
+	}
+	var turn atomic.Int64
 	for _, tt := range []struct {
 		name     string
 		short    bool // it is always played
@@ -34,15 +41,22 @@
 		others   func(r *runner.Server) // what the other runners do; nil: they serve
 		then     func(r *runner.Server) // what all do afterwards; nil: they serve
 		rounds   int
+		every    time.Duration // between two troubles of the daemons; 0: none
+		trouble  func(c *fleetCluster)
 	}{
-		{"streams leave three", false, 4, steadyInterval, true, 3, 20 * time.Second, 0, nil, nil, 1},
-		{"streams leave four", true, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1},
-		{"streams leave five", false, 4, steadyInterval, true, 5, 20 * time.Second, 0, nil, nil, 1},
-		{"streams leave four, much traffic", false, 8, 10 * time.Millisecond, true, 4, 15 * time.Second, 0, nil, nil, 1},
-		{"one after the other", false, 4, steadyInterval, true, 5, 24 * time.Second, 4 * time.Second, nil, nil, 1},
-		{"all again and again", false, 4, steadyInterval, true, 6, 5 * time.Second, 0, nil, nil, 4},
-		{"rejections", true, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, reject, 1},
-		{"rejections, little traffic", false, 4, 25 * time.Millisecond, false, 4, 8 * time.Second, 0, reject, reject, 1},
+		{"streams leave three", false, 4, steadyInterval, true, 3, 20 * time.Second, 0, nil, nil, 1, 0, nil},
+		{"streams leave four", true, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, 0, nil},
+		{"streams leave five", false, 4, steadyInterval, true, 5, 20 * time.Second, 0, nil, nil, 1, 0, nil},
+		{"streams leave four, much traffic", false, 8, 10 * time.Millisecond, true, 4, 15 * time.Second, 0, nil, nil, 1, 0, nil},
+		{"one after the other", false, 4, steadyInterval, true, 5, 24 * time.Second, 4 * time.Second, nil, nil, 1, 0, nil},
+		{"all again and again", false, 4, steadyInterval, true, 6, 5 * time.Second, 0, nil, nil, 4, 0, nil},
+		{"rejections", true, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, reject, 1, 0, nil},
+		{"rejections, little traffic", false, 4, 25 * time.Millisecond, false, 4, 8 * time.Second, 0, reject, reject, 1, 0, nil},
+		{"all killed", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, 3 * time.Second, killAll},
+		{"all killed seldom", false, 4, steadyInterval, true, 4, 24 * time.Second, 0, nil, nil, 1, 9 * time.Second, killAll},
+		{"killed in turn", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, time.Second, func(c *fleetCluster) {
+			c.daemons[int(turn.Add(1))%len(c.daemons)].restart(c)
+		}},
 	} {
 		if !tt.short && os.Getenv("PRIMROSE_FUZZ") == "" {
 			continue
@@ -73,7 +87,19 @@
 					}
 				}
 			}()
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				if tt.trouble == nil {
+					return
+				}
+				core.Sleep(ctx, clockwork.NewRealClock(), calm)
+				for until := time.Now().Add(time.Duration(tt.rounds) * tt.length); time.Now().Before(until); {
+					core.Sleep(ctx, clockwork.NewRealClock(), tt.every)
+					tt.trouble(c)
+				}
+			})
 			load := c.sendSteadily(ctx, tt.streams, tt.interval)
+			wg.Wait()
 			began := load.sent[service][0]
 			log, beyond, _ := c.serviceLog(service, load.sent[service])
 			worst := fleetBudget.Worst(log)
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -154,7 +154,7 @@
 func (c *Client) Send(ctx context.Context, r *core.Runner, q *core.Request, o core.Outgoing) (*core.Reply, error) {
 	header := q.Header.Clone()
 	c.dialect.WriteOutgoing(header, o)
-	return c.exchange(ctx, r, exchange{id: q.ID, method: q.Method, host: q.Host, target: q.Target, header: header, payload: q.Body, accepts: o.Accepts})
+	return c.exchange(ctx, r, exchange{id: q.ID, method: q.Method, host: q.Host, target: q.Target, header: header, payload: q.Body, accepts: o.Accepts, began: o.Began})
 }
 
 // exchange is what is sent on a connection.
@@ -163,6 +163,7 @@
 	header                   http.Header
 	payload                  []byte
 	accepts                  func() bool // see core.Outgoing; nil: it may be sent
+	began                    func()      // see core.Outgoing
 	fresh                    bool        // on a new connection
 }
 
@@ -184,6 +185,7 @@
 		_ = cn.Close()
 	}
 	cn.overhead.reset()
+	cn.began = x.began
 	written, err := cn.send(requestHead(x.method, x.host, x.target, x.header, x.payload), x.payload)
 	if err != nil {
 		discard()
--- a/protocol/runner/conn.go
+++ b/protocol/runner/conn.go
@@ -21,6 +21,7 @@
 	net.Conn
 	in       *bufio.Reader
 	overhead overhead
+	began    func()    // called when the answer begins; nil: nothing is
 	expires  time.Time // from then on the connection must not be reused
 }
 
@@ -37,6 +38,10 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.overhead.add(n)
+	if n > 0 && c.began != nil {
+		c.began()
+		c.began = nil
+	}
 	return n, err
 }
 
--- a/transport/front/forwarded.go
+++ b/transport/front/forwarded.go
@@ -43,6 +43,7 @@
 	w.setAnswer(e.Runs, nil)
 	w.Header().Set(core.HeaderCode, e.Code)
 	w.Header().Set(core.HeaderOutcome, string(e.Outcome))
+	w.Header().Set(core.HeaderArrived, strconv.FormatBool(e.Arrived))
 }
 
 // setAnswer sets the headers of any answer: to which request it is, how many sends of that may have run,
