A request whose caller has closed its connection is not sent any more

Runners got requests that nobody waited for: 4, 0 and 2 of 30 in three runs in which a daemon stands still for 5 s while callers send to it and close. Of 30 that another daemon had passed on none were sent in these runs; by reading both have the same cause.

Cause: as the process goes on, it reads a request and the end of its connection in one moment, and the request is sent before the HTTP server has found out the latter. Now the connection itself is asked just before each send, on the callers' and the daemons' listener.

TestFrozenDaemonSendsNothingThatWasGivenUp: failed in two of three runs before, passed in three of three since. TestRequestOfACallerThatHasGoneIsNotSent failed before.

--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -133,6 +133,9 @@
 // permit reports whether the request may be sent to a runner now. If not, and without an
 // error, the runner has stopped accepting requests since it was chosen.
 func (j *job) permit(ctx context.Context, r *core.Runner) (bool, error) {
+	if j.q.Gone != nil && j.q.Gone() {
+		return false, errCallerGone()
+	}
 	if isDaemon(r) {
 		if err := j.authorize(); err != nil {
 			return false, err
--- a/coordination/dispatch/outcome.go
+++ b/coordination/dispatch/outcome.go
@@ -176,7 +176,7 @@
 		return j.refuse(core.CodeLeaving, "the daemon ends", err)
 	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
+		return errCallerGone()
 	}
 	if j.runs == 0 && errors.Is(err, core.ErrNotSent) {
 		return j.refuse("timeout", "the deadline was reached before a runner was found", err)
@@ -185,6 +185,11 @@
 	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: http.StatusGatewayTimeout, Code: "timeout", Message: "the deadline was reached"}
 }
 
+// errCallerGone returns the error for a request whose caller has closed its connection.
+func errCallerGone() *core.RequestError {
+	return &core.RequestError{Outcome: core.OutcomeMayHaveRun, Status: statusClientGone, Code: "caller_gone", Message: "the caller has gone"}
+}
+
 // refuse returns the error for a request that is given up before a further run. If an earlier
 // attempt may have run, the outcome must not be not-run, even for repeatable requests, because
 // callers rely on it.
--- a/coordination/dispatch/retry_test.go
+++ b/coordination/dispatch/retry_test.go
@@ -46,6 +46,26 @@
 	}
 }
 
+// TestRequestOfACallerThatHasGoneIsNotSent guards against runs for nobody: a daemon that stood still reads requests whose
+// connections have been closed meanwhile.
+func TestRequestOfACallerThatHasGoneIsNotSent(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		t.Run(fmt.Sprint(gone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{nextAct: script()}
+				d := newDispatcher(f, 1)
+				q := &core.Request{ID: "q", Model: "m", Header: http.Header{}, Arrived: d.clock.Now(), Timeout: time.Second, Gone: func() bool { return gone }}
+				reply, err := d.Do(t.Context(), route(core.KindSafe, false, 2), q)
+				assert.Equal(t, len(f.sends) == 0, gone)
+				if err == nil {
+					_ = reply.Body.Close()
+				}
+				assert.Equal(t, err != nil, gone)
+			})
+		})
+	}
+}
+
 // TestRepeatsThatMayStillArriveAreKept guards against repeats beyond the budget: those that a silent receiver has not read
 // yet were forgotten as soon as they were sent.
 func TestRepeatsThatMayStillArriveAreKept(t *testing.T) {
--- /dev/null
+++ b/io/tcp/closed_test.go
@@ -0,0 +1,59 @@
+package tcp_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"primroseward/io/tcp"
+)
+
+// TestClosedByPeer guards against requests that are served for nobody, as their connections have been closed, or refused
+// although their callers wait.
+func TestClosedByPeer(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		act    func(caller *net.TCPConn) error
+		closed bool
+	}{
+		{"open", func(*net.TCPConn) error { return nil }, false},
+		{"has sent more", func(c *net.TCPConn) error {
+			_, err := c.Write([]byte("GET"))
+			return err
+		}, false},
+		{"closed", func(c *net.TCPConn) error { return c.Close() }, true},
+		{"closed for writing", func(c *net.TCPConn) error { return c.CloseWrite() }, true},
+		{"reset", func(c *net.TCPConn) error {
+			_ = c.SetLinger(0)
+			return c.Close()
+		}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			caller, err := net.Dial("tcp", ln.Addr().String())
+			assert.NilError(t, err)
+			defer caller.Close()
+			conn, err := ln.Accept()
+			assert.NilError(t, err)
+			defer conn.Close()
+			assert.NilError(t, tt.act(caller.(*net.TCPConn)))
+			if !tt.closed {
+				time.Sleep(20 * time.Millisecond)
+				assert.Assert(t, !tcp.ClosedByPeer(conn))
+				return
+			}
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if !tcp.ClosedByPeer(conn) {
+					return poll.Continue("open")
+				}
+				return poll.Success()
+			}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+			assert.Assert(t, tcp.ClosedByPeer(conn))
+		})
+	}
+}
--- a/proof/arrivals_test.go
+++ b/proof/arrivals_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	wire "primroseward/platform"
 	"primroseward/standin/runner"
 )
 
@@ -128,3 +130,51 @@
 	}
 	core.Sleep(ctx, clockwork.NewRealClock(), time.Until(until))
 }
+
+// TestFrozenDaemonSendsNothingThatWasGivenUp guards against repeats that arrive long after they were given up: a daemon that goes
+// on reads requests whose callers, or the daemons that passed them on, have closed their connections meanwhile.
+func TestFrozenDaemonSendsNothingThatWasGivenUp(t *testing.T) {
+	const (
+		count    = 30
+		frozen   = 5 * time.Second // longer than callers wait
+		settling = time.Second
+	)
+	c := startForwardingFleet(t, 3)
+	for _, tt := range []struct {
+		name string
+		to   int // the daemon that callers send to
+		send func(d *fleetDaemon)
+	}{
+		{"passed on by another daemon", 0, func(d *fleetDaemon) { _, _, _ = d.send("/gen/x", "", "m1") }},
+		{"from a caller", 1, func(d *fleetDaemon) {
+			conn, err := net.Dial("tcp", d.callerAddr)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /ask/x HTTP/1.1\r\nHost: h.example\r\n%s: q%d\r\n%s: 4000\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, requestSerial.Add(1), wire.HeaderTimeout)
+			time.Sleep(time.Second)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			goOn := make(chan struct{})
+			var daemon, callers sync.WaitGroup
+			daemon.Go(func() {
+				c.daemons[1].freeze(frozen)
+				close(goOn)
+			})
+			time.Sleep(50 * time.Millisecond) // until it stands still
+			for range count {
+				callers.Go(func() { tt.send(c.daemons[tt.to]) })
+			}
+			callers.Wait()
+			arrived := len(c.app.Arrivals()) + len(c.gen.Arrivals())
+			<-goOn
+			time.Sleep(settling)
+			late := len(c.app.Arrivals()) + len(c.gen.Arrivals()) - arrived
+			t.Logf("%d of %d arrived after they were given up", late, count)
+			assert.Equal(t, late, 0)
+			daemon.Wait()
+		})
+	}
+}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -35,6 +35,7 @@
 	"primroseward/coordination/watch"
 	"primroseward/core"
 	"primroseward/io/logs"
+	"primroseward/io/tcp"
 	"primroseward/platform"
 	"primroseward/protocol/runner"
 	"primroseward/services/observe"
@@ -284,7 +285,7 @@
 		{"caller", d.set.CallerAddr, d.front.Server()},
 		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}},
 		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: time.Second}},
-		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: time.Second}},
+		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: time.Second, ConnContext: tcp.WithConn}},
 		{"admin", d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: time.Second}},
 	} {
 		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -180,6 +180,9 @@
 		return
 	}
 	q.Arrived = arrived
+	if conn := tcp.ConnOf(r); conn != nil {
+		q.Gone = func() bool { return tcp.ClosedByPeer(conn) }
+	}
 	defer f.passPanic(q)
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := otel.Tracer(tracer).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
