What another daemon has had rejected is paid for, whatever it then refuses it for

Cause: only the refusal with the code of a rejection counted as one. A refusal now states whether the request has been sent to a runner there (Primrose-Arrived), and keeps it where its code is passed on. Daemons of a former version, which do not state it, are told by the code as before.

--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -219,7 +219,7 @@
 	}
 	switch e.Code {
 	case core.CodePath, codeUnreachable, errDown.Error(), errExhausted.Error(), core.CodeOverloaded, core.CodeLeaving, core.CodeNoConfig, core.CodeNoSettings, core.CodeNoRoute:
-		if j.hasHelper() {
+		if j.hasHelper() && (!e.Arrived || j.spendOnNext(j.reserveRetry(retryRejected))) {
 			return nil
 		}
 	}
@@ -227,7 +227,9 @@
 		j.confirmExits()
 	}
 	if j.runs > 0 {
-		return core.MayHaveRun(e.Code, e.Message)
+		lost := core.MayHaveRun(e.Code, e.Message)
+		lost.Arrived = e.Arrived
+		return lost
 	}
 	return e
 }
--- a/coordination/dispatch/retry_test.go
+++ b/coordination/dispatch/retry_test.go
@@ -9,37 +9,45 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"primroseward/coordination/load"
 	"primroseward/core"
 )
 
 // TestRejectionsElsewhereArePaid guards against repeats beyond the budget: a broken stream that runners reject at
-// one daemon without a retry left was sent to the next daemon without one.
+// one daemon, whatever that one then refuses it for, was sent to the next daemon without a retry.
 func TestRejectionsElsewhereArePaid(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
 		retries float64
 		code    string
+		arrived bool
 		sends   int
 	}{
-		{"a retry is left", 2, errRejected.Error(), 3},
-		{"none is left", 1, errRejected.Error(), 2},
-		{"none is left, nothing arrived", 1, errFull.Error(), 3},
+		{"a retry is left", 2, errRejected.Error(), true, 3},
+		{"none is left", 1, errRejected.Error(), true, 2},
+		{"none is left, a daemon that does not state it", 1, errRejected.Error(), false, 2},
+		{"none is left, nothing arrived", 1, errFull.Error(), false, 3},
+		{"a retry is left, then no other runner is", 2, errExhausted.Error(), true, 3},
+		{"none is left, then no other runner is", 1, errExhausted.Error(), true, 2},
+		{"none is left, no other runner is, nothing arrived", 1, errExhausted.Error(), false, 3},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDispatcher(&fleet{}, 2)
 				d.budget = savedRetries(tt.retries)
+				refusal := core.NotRun(http.StatusServiceUnavailable, tt.code, "m", time.Second)
+				refusal.Arrived = tt.arrived
 				o := &otherDaemons{loads: load.New(d.clock), answers: []func() (*core.Reply, error){
 					func() (*core.Reply, error) {
 						return answer(http.StatusOK, core.ReplyInfo{Stamped: true, Runs: 1, Origin: &core.Origin{Service: "s"}}, eventText("", 3), core.ErrAnswerLost), nil
 					},
-					refuses(core.NotRun(http.StatusServiceUnavailable, tt.code, "m", time.Second)),
+					refuses(refusal),
 				}}
 				WithHelpers("vm-1", o, func() bool { return true })(d)
 				_, body, err := call(d, route(core.KindStream, true, 3))
-				assert.Equal(t, len(o.sent), tt.sends)
+				assert.Check(t, cmp.Equal(len(o.sent), tt.sends))
 				assert.Equal(t, err == nil && body == eventText("", eventCount), tt.sends == 3, "%q %v", body, err)
 			})
 		})
