--- a/proof/arrivals_test.go
+++ b/proof/arrivals_test.go
@@ -26,6 +26,7 @@
 		rest = 12 * time.Second
 	)
 	reject := func(r *runner.Server) { r.Reject() }
+	accept := func(r *runner.Server) { r.Accept() }
 	killAll := func(c *fleetCluster) {
 		c.each(func(d *fleetDaemon) { d.kill() })
 		c.each(func(d *fleetDaemon) { d.run(c) })
@@ -54,6 +55,7 @@
 		{"all again and again", false, 4, steadyInterval, true, 6, 5 * time.Second, 0, nil, nil, 4, 0, nil},
 		{"rejections", true, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, reject, 1, 0, nil},
 		{"rejections, little traffic", false, 4, 25 * time.Millisecond, false, 4, 8 * time.Second, 0, reject, reject, 1, 0, nil},
+		{"rejections, then all serve", false, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, accept, 1, 0, nil},
 		{"all killed", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, 3 * time.Second, killAll},
 		{"all killed seldom", false, 4, steadyInterval, true, 4, 24 * time.Second, 0, nil, nil, 1, 9 * time.Second, killAll},
 		{"killed in turn", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, time.Second, func(c *fleetCluster) {
@@ -83,10 +85,11 @@
 					c.standStill(ctx, service, tt.still, tt.length, tt.stagger, tt.others)
 					core.Sleep(ctx, clockwork.NewRealClock(), time.Second)
 				}
+				if tt.then == nil {
+					return
+				}
 				for _, r := range c.runners {
-					if tt.then != nil {
-						tt.then(r)
-					}
+					tt.then(r)
 				}
 			}()
 			var wg sync.WaitGroup
@@ -103,10 +106,11 @@
 			load := c.sendSteadily(ctx, tt.streams, tt.interval)
 			wg.Wait()
 			began := load.sent[service][0]
-			log, beyond, _ := c.serviceLog(service, load.sent[service])
+			log, beyond, late := c.serviceLog(service, load.sent[service])
 			worst := fleetBudget.Worst(log)
-			t.Logf("%s: %.2f of the bound, %s, from %v; %d repeats, %d taken, %d of %d served", t.Name(), float64(worst.Repeats)/worst.Allowed, worst, worst.From.Sub(began).Round(time.Millisecond), log.Repeats(), c.retriesTaken(), load.served, load.total)
+			t.Logf("%s: %.2f of the bound, %s, from %v; %d repeats, %d taken, %d of %d served, %d late", t.Name(), float64(worst.Repeats)/worst.Allowed, worst, worst.From.Sub(began).Round(time.Millisecond), log.Repeats(), c.retriesTaken(), load.served, load.total, late)
 			assert.Check(t, log.Repeats() > 0)
+			assert.Check(t, tt.streams || late <= max(maxLate, log.Repeats()/5), "%d runs were given more time than their caller had", late)
 			assert.Check(t, worst.Excess() <= 0, "%s", worst)
 			assert.Check(t, beyond == 0, "%d requests ran at more runners than allowed", beyond)
 			assert.Check(t, log.Repeats() <= c.retriesTaken(), "%d repeats, %d taken", log.Repeats(), c.retriesTaken())
