Sends wait while too many repeats are under way, instead of being refused

A retry may be taken as before; its send waits, for half a second at most, until another repeat has arrived. Receivers that do not stand still answer within milliseconds.

--- a/coordination/dispatch/fake_test.go
+++ b/coordination/dispatch/fake_test.go
@@ -222,7 +222,7 @@
 		if r == nil {
 			return b
 		}
-		if r.Spend(nil); s.Saved < n+2 {
+		if _ = r.Spend(nil); s.Saved < n+2 {
 			return b
 		}
 	}
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"primroseward/coordination/retry"
 	"primroseward/core"
 	"primroseward/io/logs"
 )
@@ -131,16 +132,20 @@
 }
 
 // permit reports whether the request may be sent to a runner now. If not, and without an
-// error, the runner has stopped accepting requests since it was chosen.
+// error, the runner has stopped accepting requests since it was chosen, or other repeats have been sent since.
 func (j *job) permit(ctx context.Context, r *core.Runner) (bool, error) {
 	if j.q.Gone != nil && j.q.Gone() {
 		return false, errCallerGone()
 	}
+	if err := j.awaitSpend(ctx); err != nil {
+		return false, err
+	}
 	if isDaemon(r) {
 		if err := j.authorize(); err != nil {
 			return false, err
 		}
-		return true, j.spendRetry()
+		err := j.spendRetry()
+		return err == nil, withoutWait(err)
 	}
 	if retry, reason, ok := j.guardAdmits(ctx); !ok {
 		return false, j.refuseHeld(retry, reason)
@@ -164,12 +169,20 @@
 		if j.probe {
 			j.d.available.EndProbe(r.ID, false)
 		}
-		return false, err
+		return false, withoutWait(err)
 	}
 	j.releaseRoom = release
 	return true, nil
 }
 
+// withoutWait returns nil for retry.ErrWait: the request may be sent later.
+func withoutWait(err error) error {
+	if errors.Is(err, retry.ErrWait) {
+		return nil
+	}
+	return err
+}
+
 // refuseHeld refuses a request that is held because runners have crashed under identical ones, or under
 // ones with the same part in their prompts. The error states whether this one may have run, and when to
 // retry it.
--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -23,6 +24,13 @@
 // forwardedDelay is how long a forwarded request whose retry another daemon has spent may wait until it is sent.
 const forwardedDelay = 500 * time.Millisecond
 
+// maxSpendWait is how long a send waits while too many repeats are under way, spendInterval how often it looks. A runner
+// that does not stand still answers sooner.
+const (
+	maxSpendWait  = 500 * time.Millisecond
+	spendInterval = 10 * time.Millisecond
+)
+
 // errBudget: the retry that was taken is not left any more.
 var errBudget = errors.New("budget")
 
@@ -73,19 +81,38 @@
 	return j.spendOnNext(r)
 }
 
-// spendRetry spends the retry that the next send needs, if it needs one.
+// spendRetry spends the retry that the next send needs, if it needs one. With retry.ErrWait it is kept.
 func (j *job) spendRetry() error {
 	if j.due == nil && j.forwardedLate() && !j.spendOnNext(j.reserveRetry(retryLate)) {
 		return j.refuseFor(errBudget)
 	}
-	due := j.due
+	err := j.due.Spend(j.arrivals)
+	if errors.Is(err, retry.ErrWait) {
+		return err
+	}
 	j.due = nil
-	if !due.Spend(j.arrivals) {
+	if err != nil {
 		return j.refuseFor(errBudget)
 	}
 	return nil
 }
 
+// awaitSpend waits until the retry that the next send needs may be spent.
+func (j *job) awaitSpend(ctx context.Context) error {
+	for waited := time.Duration(0); j.due.Waits(); waited += spendInterval {
+		if ctx.Err() != nil {
+			return j.contextError(ctx, core.ErrNotSent)
+		}
+		if waited >= maxSpendWait {
+			j.due.Release()
+			j.due = nil
+			return j.refuseFor(errBudget)
+		}
+		core.Sleep(ctx, j.d.clock, spendInterval)
+	}
+	return nil
+}
+
 // forwardedLate reports whether the next send is the one that another daemon has spent a retry on, too long ago.
 func (j *job) forwardedLate() bool {
 	f := j.q.Forward
--- a/coordination/dispatch/retry_test.go
+++ b/coordination/dispatch/retry_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"primroseward/coordination/load"
+	"primroseward/coordination/retry"
 	"primroseward/core"
 )
 
@@ -121,6 +124,38 @@
 	}
 }
 
+// TestRepeatsWaitForEachOther guards against streams that are cut although a retry is left for each: many break at once, and
+// only one repeat may be under way.
+func TestRepeatsWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 12
+		d := newDispatcher(&fleet{}, 4)
+		d.budget = retry.New(d.clock, func() retry.Limits { return retry.Limits{Window: 10 * time.Second, Ratio: 1, Slack: 1} }, func() int { return 300 })
+		time.Sleep(time.Minute)
+		for range 10 * streams {
+			d.budget.CountRequest("s")
+		}
+		d.sender = senderFunc(func(_ context.Context, _ *core.Runner, _ *core.Request, o core.Outgoing) (*core.Reply, error) {
+			time.Sleep(5 * time.Millisecond)
+			if o.LastEvent == "" {
+				return answer(http.StatusOK, core.ReplyInfo{Stamped: true}, eventText("", 3), core.ErrAnswerLost), nil
+			}
+			return answer(http.StatusOK, core.ReplyInfo{Stamped: true}, eventText(o.LastEvent, eventCount), nil), nil
+		})
+		var whole atomic.Int64
+		var wg sync.WaitGroup
+		for range streams {
+			wg.Go(func() {
+				if _, body, err := call(d, route(core.KindStream, true, 2)); err == nil && body == eventText("", eventCount) {
+					whole.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, whole.Load(), int64(streams))
+	})
+}
+
 // TestUnusedRetriesAreGivenBack guards against retries that are taken and never sent, and are lost to the requests after.
 func TestUnusedRetriesAreGivenBack(t *testing.T) {
 	for _, tt := range []struct {
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -4,6 +4,7 @@
 package retry
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -24,6 +25,14 @@
 	advanceWindows = 1.1
 )
 
+// Errors of Spend.
+var (
+	// ErrWait: too many repeats are under way. The retry is kept and may be spent later.
+	ErrWait = errors.New("too many repeats are under way")
+	// ErrNone: the retry is not left any more, because what may be saved up has fallen meanwhile.
+	ErrNone = errors.New("the retry is not left any more")
+)
+
 // Limits are what all daemons together may send in a window.
 type Limits struct {
 	Window time.Duration
@@ -99,18 +108,13 @@
 	defer b.mu.Unlock()
 	a, s := b.state(service)
 	advance := s.Saved < 1
-	if !b.mayTake(a, s) {
+	if advance && !b.mayAdvance(a, s) {
 		return nil, s
 	}
 	a.reserved++
 	return &Retry{budget: b, account: a, advance: advance}, s
 }
 
-// mayTake reports whether a retry may be taken. The caller holds the lock.
-func (b *Budget) mayTake(a *account, s State) bool {
-	return a.mayBeLate(b.limits(), s.Daemons) && (s.Saved >= 1 || b.mayAdvance(a, s))
-}
-
 // mayAdvance reports whether a retry may be made before it has been received: a daemon with few requests would
 // never save up a whole one. The requests of half a window count, as any window that the retry is in covers them. The
 // caller holds the lock.
@@ -125,24 +129,40 @@
 	return a.reserved == 0 && a.late == 0 && b.clock.Since(last) >= since && usedShare*share >= 1
 }
 
-// Spend spends the retry just before the next of the request's sends, nil if that is known to arrive at once. It returns
-// false if it is not left any more, because what may be saved up has fallen meanwhile.
-func (r *Retry) Spend(next *Sends) bool {
+// Waits reports whether too many repeats are under way for the retry to be spent now.
+func (r *Retry) Waits() bool {
+	if r == nil {
+		return false
+	}
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limits, daemons := b.limits(), b.daemons()
+	b.updateAccount(r.account, limits, daemons)
+	return !r.account.mayBeLate(limits, daemons)
+}
+
+// Spend spends the retry just before the next of the request's sends, nil if that is known to arrive at once. Its error is
+// ErrWait or ErrNone.
+func (r *Retry) Spend(next *Sends) error {
 	if r == nil {
-		return true
+		return nil
 	}
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.ended {
-		return false
+		return ErrNone
 	}
-	r.end()
 	a := r.account
 	limits, daemons := b.limits(), b.daemons()
 	b.updateAccount(a, limits, daemons)
-	if a.saved < 1 && !r.advance || !a.mayBeLate(limits, daemons) {
-		return false
+	if !a.mayBeLate(limits, daemons) {
+		return ErrWait
+	}
+	r.end()
+	if a.saved < 1 && !r.advance {
+		return ErrNone
 	}
 	a.saved--
 	a.spentAt = b.clock.Now()
@@ -150,7 +170,7 @@
 		next.spent++
 		a.track(next)
 	}
-	return true
+	return nil
 }
 
 // Release gives up the retry, unless it has been spent.
@@ -176,7 +196,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a, s := b.state(service)
-	return b.mayTake(a, s)
+	return s.Saved >= 1 || b.mayAdvance(a, s)
 }
 
 // state updates an account and returns it. The caller holds the lock.
--- a/coordination/retry/sim_test.go
+++ b/coordination/retry/sim_test.go
@@ -89,7 +89,7 @@
 		f.daemons[i].CountRequest("s")
 		sends := f.daemons[i].Sends("s")
 		f.deliver(id, sends, first, first == 0)
-		if r, _ := f.daemons[i].Take("s"); r != nil && r.Spend(sends) {
+		if r, _ := f.daemons[i].Take("s"); r != nil && r.Spend(sends) == nil {
 			f.deliver(id, sends, second, second == 0)
 		}
 		sends.End(false)
@@ -132,7 +132,7 @@
 // sendWaiting sends the repeats that wait at a daemon.
 func (f *simFleet) sendWaiting(i int) {
 	for _, w := range f.waiting[i] {
-		if w.retry.Spend(nil) {
+		if w.retry.Spend(nil) == nil {
 			f.log.Arrived(w.id, f.clock.Now())
 		}
 	}
@@ -403,7 +403,7 @@
 			if rapid.Bool().Draw(t, "first") {
 				b.CountRequest("s")
 				events = append(events, event{clock.Now(), false})
-			} else if r, _ := b.Take("s"); r != nil && r.Spend(nil) {
+			} else if r, _ := b.Take("s"); r != nil && r.Spend(nil) == nil {
 				events = append(events, event{clock.Now(), true})
 			}
 		}
