--- a/proof/crash_test.go
+++ b/proof/crash_test.go
@@ -87,31 +87,30 @@
 	spec := crashing.spec
 	spec.ID, spec.DataCentre = fmt.Sprintf("i-%s-crash-%d", spec.Service, len(crashing.all)+1), []string{"north", "south"}[len(crashing.all)%2]
 	spec.Fatal = func(body string) bool { return strings.HasPrefix(body, fatalBody) }
-	var r *runner.Server
-	spec.Exited = func() { crashing.crashed(r) }
-	r = runner.New(spec, crashing.c.put)
+	spec.Exited = func() { crashing.crashed(spec.ID) }
+	r := runner.New(spec, crashing.c.put)
 	crashing.c.t.Cleanup(r.Kill)
 	crashing.all = append(crashing.all, r)
 }
 
 // crashed records the exit of a runner and schedules its replacement.
-func (crashing *crashingRunners) crashed(r *runner.Server) {
+func (crashing *crashingRunners) crashed(id string) {
 	crashing.mu.Lock()
 	defer crashing.mu.Unlock()
 	crashing.crashTimes = append(crashing.crashTimes, time.Now())
-	time.AfterFunc(runnerRestartDelay, func() { crashing.replace(r) })
+	time.AfterFunc(runnerRestartDelay, func() { crashing.replace(id) })
 }
 
 // replace starts a new runner once the old one is deleted from the store, and tries again
 // after runnerRestartDelay while the store is unavailable.
-func (crashing *crashingRunners) replace(r *runner.Server) {
+func (crashing *crashingRunners) replace(id string) {
 	crashing.mu.Lock()
 	defer crashing.mu.Unlock()
 	if crashing.testEnded {
 		return
 	}
-	if !crashing.c.deleteObject(wire.KindRunners, r.ID) {
-		time.AfterFunc(runnerRestartDelay, func() { crashing.replace(r) }) // the store is unavailable
+	if !crashing.c.deleteObject(wire.KindRunners, id) {
+		time.AfterFunc(runnerRestartDelay, func() { crashing.replace(id) }) // the store is unavailable
 		return
 	}
 	crashing.add()
