What was sent over a lost path no longer counts as under way after two seconds

Cause: since what is sent over a path that hangs counts as a repeat that may still arrive until the runner is heard, so that no retries were left. A path counts as lost only where others hear the runner: it does not stand still, and what has reached it has been read; the rest is given up by TCP.

--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -132,16 +132,30 @@
 	return errors.As(err, &refusal) && (refusal.Arrived || refusal.Code == errRejected.Error())
 }
 
-// readWithin is how long a receiver that goes on takes to read what has been sent to it.
-const readWithin = 500 * time.Millisecond
+// readWithin is how long a receiver that goes on takes to read what has been sent to it. sentWithin is how long it takes
+// until what a lost path has not delivered is given up: the user timeout of connections to runners, and half a second.
+const (
+	readWithin = 500 * time.Millisecond
+	sentWithin = 2 * time.Second
+)
 
-// beginSend records that the request is sent to a runner or a daemon. What it has not answered has arrived once it
-// has sent something else that much later, and never will if its process has ended.
+// beginSend records that the request is sent to a runner or a daemon.
 func (j *job) beginSend(r *core.Runner) *retry.Send {
 	at, d, loads := j.d.clock.Now(), j.d, j.loadsOf(r)
-	return j.arrivals.Begin(func() bool {
-		return !isDaemon(r) && d.hasEnded(r) || loads.LastActivity(r.ID).Sub(at) >= readWithin
-	})
+	return j.arrivals.Begin(func() bool { return d.mustHaveArrived(r, at, loads.LastActivity(r.ID)) })
+}
+
+// mustHaveArrived reports whether what was sent to a runner or a daemon at a time has been read by now, or never will be:
+// it has sent something later, its process has ended, or it does not stand still, as other daemons hear it, but this daemon's
+// path to it is lost.
+func (d *Dispatcher) mustHaveArrived(r *core.Runner, sent, heard time.Time) bool {
+	if heard.Sub(sent) >= readWithin {
+		return true
+	}
+	if isDaemon(r) {
+		return false
+	}
+	return d.hasEnded(r) || d.clock.Since(sent) >= sentWithin && (d.pathLost() || d.loads.IsUnanswering(r.ID))
 }
 
 // recordArrival records what the outcome of a send says of its arrival.
--- a/coordination/dispatch/retry_test.go
+++ b/coordination/dispatch/retry_test.go
@@ -96,6 +96,8 @@
 			r.StartedAt = d.clock.Now()
 			d.catalog.Put(r, d.clock.Now())
 		}, 0},
+		{"it answers other daemons, not this one", core.ErrAnswerLost, sentWithin, func(d *Dispatcher, r core.Runner) { d.loads.SetUnanswering(r.ID) }, 0},
+		{"the same, what was sent may be under way", core.ErrAnswerLost, sentWithin - 1, func(d *Dispatcher, r core.Runner) { d.loads.SetUnanswering(r.ID) }, 1},
 		{"it has closed the connection", core.ErrClosed, 0, func(*Dispatcher, core.Runner) {}, 0},
 		{"it has sent a part of the answer", errBegun, 0, func(*Dispatcher, core.Runner) {}, 0},
 		{"nothing was sent", core.ErrNotSent, 0, func(*Dispatcher, core.Runner) {}, 0},
