Retries: spending one tells by itself whether the send must wait

Change: spendRetry returns whether it has spent the retry; withoutWait is gone; Any is Sent. The behaviour is the same.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -358,7 +358,7 @@
 // by the daemon that took it from its caller.
 func (d *Dispatcher) requestDone(j *job, reply *core.Reply, err error) {
 	if re := (*core.RequestError)(nil); errors.As(err, &re) {
-		re.Runs, re.Arrived = j.runs, j.arrivals.Any()
+		re.Runs, re.Arrived = j.runs, j.arrivals.Sent()
 		if re.Retry > 0 {
 			d.callers.Refused(j.route.Name)
 		}
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"primroseward/coordination/retry"
 	"primroseward/core"
 	"primroseward/io/logs"
 )
@@ -144,8 +143,7 @@
 		if err := j.authorize(); err != nil {
 			return false, err
 		}
-		err := j.spendRetry()
-		return err == nil, withoutWait(err)
+		return j.spendRetry()
 	}
 	if retry, reason, ok := j.guardAdmits(ctx); !ok {
 		return false, j.refuseHeld(retry, reason)
@@ -164,25 +162,17 @@
 		release()
 		return false, nil
 	}
-	if err := j.spendRetry(); err != nil {
+	if spent, err := j.spendRetry(); !spent {
 		release()
 		if j.probe {
 			j.d.available.EndProbe(r.ID, false)
 		}
-		return false, withoutWait(err)
+		return false, err
 	}
 	j.releaseRoom = release
 	return true, nil
 }
 
-// withoutWait returns nil for retry.ErrWait: the request may be sent later.
-func withoutWait(err error) error {
-	if errors.Is(err, retry.ErrWait) {
-		return nil
-	}
-	return err
-}
-
 // refuseHeld refuses a request that is held because runners have crashed under identical ones, or under
 // ones with the same part in their prompts. The error states whether this one may have run, and when to
 // retry it.
--- a/coordination/dispatch/retry.go
+++ b/coordination/dispatch/retry.go
@@ -24,8 +24,8 @@
 // forwardedDelay is how long a forwarded request whose retry another daemon has spent may wait until it is sent.
 const forwardedDelay = 500 * time.Millisecond
 
-// maxSpendWait is how long a send waits while too many repeats are under way, spendInterval how often it looks. A runner
-// that does not stand still answers sooner.
+// maxSpendWait is how long a send waits while too many retries are in flight, spendInterval how often it looks. A runner
+// that is not frozen answers sooner.
 const (
 	maxSpendWait  = 500 * time.Millisecond
 	spendInterval = 10 * time.Millisecond
@@ -81,20 +81,21 @@
 	return j.spendOnNext(r)
 }
 
-// spendRetry spends the retry that the next send needs, if it needs one. With retry.ErrWait it is kept.
-func (j *job) spendRetry() error {
+// spendRetry spends the retry that the next send needs, if it needs one. It returns false without an error if too many retries
+// are in flight; the retry is kept then.
+func (j *job) spendRetry() (bool, error) {
 	if j.due == nil && j.forwardedLate() && !j.spendOnNext(j.reserveRetry(retryLate)) {
-		return j.refuseFor(errBudget)
+		return false, j.refuseFor(errBudget)
 	}
 	err := j.due.Spend(j.arrivals)
 	if errors.Is(err, retry.ErrWait) {
-		return err
+		return false, nil
 	}
 	j.due = nil
 	if err != nil {
-		return j.refuseFor(errBudget)
+		return false, j.refuseFor(errBudget)
 	}
-	return nil
+	return true, nil
 }
 
 // awaitSpend waits until the retry that the next send needs may be spent.
@@ -132,8 +133,8 @@
 	return errors.As(err, &refusal) && (refusal.Arrived || refusal.Code == errRejected.Error())
 }
 
-// readWithin is how long a receiver that goes on takes to read what has been sent to it. sentWithin is how long it takes
-// until what a lost path has not delivered is given up: the user timeout of connections to runners, and half a second.
+// readWithin is how long a receiver that is not frozen takes to read what has been sent to it. After sentWithin TCP has given
+// up what a lost path has not delivered.
 const (
 	readWithin = 500 * time.Millisecond
 	sentWithin = 2 * time.Second
@@ -146,7 +147,7 @@
 }
 
 // mustHaveArrived reports whether what was sent to a runner or a daemon at a time has been read by now, or never will be:
-// it has sent something later, its process has ended, or it does not stand still, as other daemons hear it, but this daemon's
+// it has sent something later, its process has ended, or it is not frozen, as other daemons hear it, but this daemon's
 // path to it is lost.
 func (d *Dispatcher) mustHaveArrived(r *core.Runner, sent, heard time.Time) bool {
 	if heard.Sub(sent) >= readWithin {
--- a/coordination/retry/arrivals.go
+++ b/coordination/retry/arrivals.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// Any reports whether the request has been sent.
-func (s *Sends) Any() bool {
+// Sent reports whether the request has been sent.
+func (s *Sends) Sent() bool {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	return s.arrived || len(s.uncertain) > 0
@@ -99,10 +99,13 @@
 
 // track keeps a request in the account while repeats of it may still arrive. The caller holds the lock.
 func (a *account) track(s *Sends) {
-	a.late += s.repeats() - a.uncertain[s]
-	if a.uncertain[s] = s.repeats(); a.uncertain[s] == 0 {
+	n := s.repeats()
+	a.late += n - a.uncertain[s]
+	if n == 0 {
 		delete(a.uncertain, s)
+		return
 	}
+	a.uncertain[s] = n
 }
 
 // settle drops what must have arrived by now. The caller holds the lock.
@@ -113,8 +116,8 @@
 	}
 }
 
-// mayBeLate reports whether one more repeat may be under way. They cannot be called back if the traffic falls, so that
-// they must fit in this daemon's part of the slack. A daemon whose part is below one may have one under way.
+// mayBeLate reports whether one more repeat may be in flight. They cannot be cancelled if the traffic falls, so that
+// they must fit in this daemon's part of the slack. A daemon whose part is below one may have one in flight.
 func (a *account) mayBeLate(limits Limits, daemons int) bool {
 	return float64(a.late+1) <= max(1, usedShare*slack(limits, daemons))
 }
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -27,8 +27,8 @@
 
 // Errors of Spend.
 var (
-	// ErrWait: too many repeats are under way. The retry is kept and may be spent later.
-	ErrWait = errors.New("too many repeats are under way")
+	// ErrWait: too many repeats are in flight. The retry is kept and may be spent later.
+	ErrWait = errors.New("too many repeats are in flight")
 	// ErrNone: the retry is not left any more, because what may be saved up has fallen meanwhile.
 	ErrNone = errors.New("the retry is not left any more")
 )
@@ -129,7 +129,7 @@
 	return a.reserved == 0 && a.late == 0 && b.clock.Since(last) >= since && usedShare*share >= 1
 }
 
-// Waits reports whether too many repeats are under way for the retry to be spent now.
+// Waits reports whether too many repeats are in flight for the retry to be spent now.
 func (r *Retry) Waits() bool {
 	if r == nil {
 		return false
