Connections: one look at what a socket holds, for callers and for runners

Cause: ClosedByPeer was written beside conn.reusable of protocol/runner, which asks the same socket nearly the same question with the same ten lines.

Change: io/tcp has one peek, and ClosedByPeer and Idle on it; reusable calls Idle. The idle connection's byte is peeked at, not read; the connection is closed in that case as before.

--- a/io/tcp/closed.go
+++ b/io/tcp/closed.go
@@ -9,19 +9,33 @@
 // ClosedByPeer reports whether the other end has closed a connection, and has sent nothing before that is still unread.
 // It may be called while another goroutine reads.
 func ClosedByPeer(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
+// Idle reports whether a connection is open and has no unread data. It is true where that cannot be told.
+func Idle(conn net.Conn) bool {
+	_, err := peek(conn)
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
+}
+
+// peek returns how many bytes, one at most, can be read from a connection without waiting. It reads none of them. Its error is
+// errors.ErrUnsupported for a connection without a socket.
+func peek(conn net.Conn) (n int, err error) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && recvErr == nil || errors.Is(recvErr, syscall.ECONNRESET)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && closed
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
--- a/protocol/runner/conn.go
+++ b/protocol/runner/conn.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"primroseward/core"
+	"primroseward/io/tcp"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes.
@@ -49,25 +49,7 @@
 // the runner has closed it, the next request would be lost. If the runner has sent a
 // second answer to the previous request, the next request would get that answer.
 func (c *conn) reusable() bool {
-	if c.in.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, readErr := syscall.Read(int(fd), b[:])
-		open = readErr == syscall.EAGAIN
-		return true // do not wait for data; the socket is non-blocking
-	})
-	return err == nil && open
+	return c.in.Buffered() == 0 && tcp.Idle(c.Conn)
 }
 
 // idleTimeout returns how long an idle connection may be reused, from the timeout in
