Tests of the retry budget: one fleet of six runners each, one restart of all daemons

Cause: the tests of late arrivals set up the same runners and killed all daemons with the lines of TestRetriesStayInBudgetUnderTrouble written again, and waited for a frozen daemon in two ways.

Change: addFurtherRunners and restartAll serve both; cases, bounds and assertions are the same.

--- a/proof/arrivals_test.go
+++ b/proof/arrivals_test.go
@@ -27,10 +27,6 @@
 	)
 	reject := func(r *runner.Server) { r.Reject() }
 	accept := func(r *runner.Server) { r.Accept() }
-	killAll := func(c *fleetCluster) {
-		c.each(func(d *fleetDaemon) { d.kill() })
-		c.each(func(d *fleetDaemon) { d.run(c) })
-	}
 	var turn atomic.Int64
 	for _, tt := range []struct {
 		name     string
@@ -56,8 +52,8 @@
 		{"rejections", true, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, reject, 1, 0, nil},
 		{"rejections, little traffic", false, 4, 25 * time.Millisecond, false, 4, 8 * time.Second, 0, reject, reject, 1, 0, nil},
 		{"rejections, then all serve", false, 8, 8 * time.Millisecond, false, 4, 9 * time.Second, 0, reject, accept, 1, 0, nil},
-		{"all killed", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, 3 * time.Second, killAll},
-		{"all killed seldom", false, 4, steadyInterval, true, 4, 24 * time.Second, 0, nil, nil, 1, 9 * time.Second, killAll},
+		{"all killed", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, 3 * time.Second, (*fleetCluster).restartAll},
+		{"all killed seldom", false, 4, steadyInterval, true, 4, 24 * time.Second, 0, nil, nil, 1, 9 * time.Second, (*fleetCluster).restartAll},
 		{"killed in turn", false, 4, steadyInterval, true, 4, 20 * time.Second, 0, nil, nil, 1, time.Second, func(c *fleetCluster) {
 			c.daemons[int(turn.Add(1))%len(c.daemons)].restart(c)
 		}},
@@ -68,10 +64,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			c := startFleet(t, tt.daemons)
-			c.addRunners("i-app-3", "i-app-4", "i-app-5", "i-app-6")
-			for i := range 4 {
-				c.addRunner(runner.Spec{ID: fmt.Sprintf("i-gen-%d", i+3), Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: c.events, Interval: 20 * time.Millisecond})
-			}
+			c.addFurtherRunners()
 			service := "app"
 			if tt.streams {
 				service = "gen"
@@ -161,24 +154,19 @@
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			goOn := make(chan struct{})
 			var daemon, callers sync.WaitGroup
-			daemon.Go(func() {
-				c.daemons[1].freeze(frozen)
-				close(goOn)
-			})
+			daemon.Go(func() { c.daemons[1].freeze(frozen) })
 			time.Sleep(50 * time.Millisecond) // until it stands still
 			for range count {
 				callers.Go(func() { tt.send(c.daemons[tt.to]) })
 			}
 			callers.Wait()
 			arrived := len(c.app.Arrivals()) + len(c.gen.Arrivals())
-			<-goOn
+			daemon.Wait()
 			time.Sleep(settling)
 			late := len(c.app.Arrivals()) + len(c.gen.Arrivals()) - arrived
 			t.Logf("%d of %d arrived after they were given up", late, count)
 			assert.Equal(t, late, 0)
-			daemon.Wait()
 		})
 	}
 }
--- a/proof/retries_test.go
+++ b/proof/retries_test.go
@@ -173,6 +173,21 @@
 	wg.Wait()
 }
 
+// restartAll kills all daemons and starts them again.
+func (c *fleetCluster) restartAll() {
+	c.each(func(d *fleetDaemon) { d.kill() })
+	c.each(func(d *fleetDaemon) { d.run(c) })
+}
+
+// addFurtherRunners adds runners to those of startFleet, so that there are six of each service.
+func (c *fleetCluster) addFurtherRunners() {
+	c.t.Helper()
+	c.addRunners("i-app-3", "i-app-4", "i-app-5", "i-app-6")
+	for i := range 4 {
+		c.addRunner(runner.Spec{ID: fmt.Sprintf("i-gen-%d", i+3), Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: c.events, Interval: 20 * time.Millisecond})
+	}
+}
+
 // stopAndRun ends a daemon in order and starts it again.
 func (d *fleetDaemon) stopAndRun(c *fleetCluster) {
 	_ = d.cmd.Process.Signal(syscall.SIGTERM) // fails if it has ended
@@ -215,10 +230,6 @@
 	calm := func(*fleetCluster) {}
 	var turn atomic.Int64
 	next := func(c *fleetCluster) *fleetDaemon { return c.daemons[int(turn.Add(1))%len(c.daemons)] }
-	killAll := func(c *fleetCluster) {
-		c.each(func(d *fleetDaemon) { d.kill() })
-		c.each(func(d *fleetDaemon) { d.run(c) })
-	}
 	cut := func(mode paths.Mode) func(c *fleetCluster) {
 		return func(c *fleetCluster) {
 			c.partition([]int{0, 1}, mode)
@@ -240,8 +251,8 @@
 		{"rejected", true, false, reject, time.Second, calm, nil},
 		{"streams", false, true, chunked, time.Second, calm, nil},
 		{"streams rejected", false, true, rejectBroken, time.Second, calm, nil},
-		{"all killed", false, false, reset, 3 * time.Second, killAll, nil},
-		{"streams all killed", true, true, chunked, 3 * time.Second, killAll, nil},
+		{"all killed", false, false, reset, 3 * time.Second, (*fleetCluster).restartAll, nil},
+		{"streams all killed", true, true, chunked, 3 * time.Second, (*fleetCluster).restartAll, nil},
 		{"killed in turn", true, false, reset, time.Second, func(c *fleetCluster) { next(c).restart(c) }, nil},
 		{"streams killed in turn", false, true, chunked, time.Second, func(c *fleetCluster) { next(c).restart(c) }, nil},
 		{"all stopped", true, false, reset, time.Second, func(c *fleetCluster) { c.each(func(d *fleetDaemon) { d.stopAndRun(c) }) }, nil},
@@ -268,7 +279,7 @@
 		{"paths reset, streams", true, true, chunked, 4 * time.Second, cut(paths.Reset), []func(*fleetCluster){withPaths}},
 		{"paths refused, rejected", false, false, reject, 4 * time.Second, cut(paths.RefuseNew), []func(*fleetCluster){withPaths}},
 		{"paths to daemon, streams rejected", false, true, rejectBroken, 4 * time.Second, cut(paths.HangToDaemon), []func(*fleetCluster){withPaths}},
-		{"paths hang, all killed", false, true, chunked, 4 * time.Second, func(c *fleetCluster) { killAll(c); cut(paths.Hang)(c) }, []func(*fleetCluster){withPaths}},
+		{"paths hang, all killed", false, true, chunked, 4 * time.Second, func(c *fleetCluster) { c.restartAll(); cut(paths.Hang)(c) }, []func(*fleetCluster){withPaths}},
 	} {
 		if !tt.short && !long {
 			continue
@@ -276,10 +287,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			c := startFleet(t, 4, tt.opts...)
-			c.addRunners("i-app-3", "i-app-4", "i-app-5", "i-app-6")
-			for i := range 4 {
-				c.addRunner(runner.Spec{ID: fmt.Sprintf("i-gen-%d", i+3), Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: c.events, Interval: 20 * time.Millisecond})
-			}
+			c.addFurtherRunners()
 			ctx, cancel := context.WithTimeout(t.Context(), length)
 			defer cancel()
 			var wg sync.WaitGroup
