--- a/scripts/tests/main.go
+++ b/scripts/tests/main.go
@@ -30,11 +30,14 @@
 	"arm64": {{Package: "./coordination/dispatch", Test: "TestCallersDuringALoad"}},
 }
 
+// apart lists the packages whose tests run by themselves, after all others, as they check what a process holds.
+var apart = []string{"./proof/crowd"}
+
 // errTestsFailed is returned for a run that does not pass, after its cause has been printed.
 var errTestsFailed = errors.New("tests failed")
 
 func main() {
-	r := &runner{out: os.Stdout, run: goCommand, withoutRace: detectorCrashes[runtime.GOARCH]}
+	r := &runner{out: os.Stdout, run: goCommand, withoutRace: detectorCrashes[runtime.GOARCH], apart: apart}
 	if err := r.runAll(listFile, os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "tests:", err)
 		os.Exit(1)
@@ -57,6 +60,8 @@
 	run func(out io.Writer, args ...string) (string, error)
 	// withoutRace lists the tests that run without the race detector.
 	withoutRace []entry
+	// apart lists the packages that run last, each by itself.
+	apart []string
 }
 
 // runAll runs the tests of all packages. flags are added to each run of go test.
@@ -103,7 +108,7 @@
 }
 
 // runUnlisted runs all tests except the listed ones. A package with a listed test is run by
-// itself, as the -skip flag of the go command applies to all packages that it tests. It returns lines that name what
+// itself, as the -skip flag of the go command applies to all packages that it tests; those apart are run last. It returns lines that name what
 // failed.
 func (r *runner) runUnlisted(listed []entry, flags []string) (failures []string) {
 	var withoutRace []entry
@@ -118,6 +123,8 @@
 		}
 		skip[e.Package] = append(skip[e.Package], e.pattern())
 	}
+	separate = slices.DeleteFunc(separate, func(p string) bool { return slices.Contains(r.apart, p) })
+	separate = append(separate, r.apart...)
 	packages, err := r.packagesExcept(separate)
 	if err != nil {
 		failures = append(failures, fmt.Sprintf("list of packages: %v", err))
@@ -125,7 +132,11 @@
 		failures = append(failures, r.runPackages(flags, packages...)...)
 	}
 	for _, p := range separate {
-		failures = append(failures, r.runPackages(flags, "-skip", strings.Join(skip[p], "|"), p)...)
+		args := []string{p}
+		if len(skip[p]) > 0 {
+			args = []string{"-skip", strings.Join(skip[p], "|"), p}
+		}
+		failures = append(failures, r.runPackages(flags, args...)...)
 	}
 	plain := slices.DeleteFunc(slices.Clone(flags), func(f string) bool { return f == raceFlag })
 	for _, e := range withoutRace {
--- a/scripts/tests/main_test.go
+++ b/scripts/tests/main_test.go
@@ -102,3 +102,23 @@
 		assert.DeepEqual(t, got, tt.want)
 	}
 }
+
+// Guards against tests that check what a process holds, and run beside others or not at all.
+func TestPackagesThatRunApart(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		listed []entry
+		want   []string
+	}{
+		{"nothing listed", nil, []string{"list ./b", "list ./...", "test -count=1 -timeout 30m a", "test -count=1 -timeout 30m ./b"}},
+		{"a test of it is listed", []entry{{Package: "./b", Test: "TestB"}}, []string{"list ./b", "list ./...", "test -count=1 -timeout 30m a", "test -count=1 -timeout 30m -skip ^TestB$ ./b"}},
+	} {
+		var got []string
+		r := &runner{out: io.Discard, apart: []string{"./b"}, run: func(_ io.Writer, args ...string) (string, error) {
+			got = append(got, strings.Join(args, " "))
+			return map[string]string{"list ./b": "b", "list ./...": "a b"}[got[len(got)-1]], nil
+		}}
+		assert.Equal(t, len(r.runUnlisted(tt.listed, nil)), 0, tt.name)
+		assert.DeepEqual(t, got, tt.want)
+	}
+}
