Requests are charged for their heads before these are parsed

What callers saw: a daemon of 96 MB held 139 to 292 MB, one of 284 MB 1,835 MB, as clients sent heads of legal size with very many lines, or over the limit; a legal head without spaces behind its colons was refused, alone.

Cause: net/http parses a head before a handler sees it, 15 to 28 times what was sent, and nothing counted it; the limit was compared afterwards, with a size computed from the parsed fields. The directory, readiness, metrics and peer servers took heads of 1 MB.

Change: transport/intake stands between each listener and its server, of both interfaces. A head is measured as it arrives, and handed on when it is whole, within the limit, and has room in the budget that bodies share; the charge covers what it takes once parsed (TestChargeCoversParsedHeads). Otherwise it is refused as not run, and what the client still sends is dropped for a bounded length and time. The server gets nothing of the next request before it asks for it (TestRequestsInARow, random framings).

--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -3,6 +3,9 @@
 // Names of the log events, which are the messages of the lines. Each comment states when
 // the event is logged. docs/OPERATIONS.md shows how to read the events together.
 const (
+	// ConnectionsShed: connections of clients have been closed to make room, or as they are late: how many since the last
+	// such line by reason, how many are open, the bytes that requests hold and the bytes that they may.
+	ConnectionsShed = "connections shed"
 	// RunnerChosen: a request is sent to a runner: to which one, of which software version, out of
 	// how many, the event after which the stream goes on and the attempt that the caller says has
 	// brought its first event, the runner's assumed load, the limit that it announces, the digest of the request, and how long the
--- a/io/logs/throttle.go
+++ b/io/logs/throttle.go
@@ -17,3 +17,9 @@
 	t.loggedAt = now
 	return true
 }
+
+// maxValue bounds the text of a client in a line, in bytes.
+const maxValue = 128
+
+// Short returns the beginning of a text that a client has sent.
+func Short(text string) string { return text[:min(len(text), maxValue)] }
--- a/io/retain/body.go
+++ b/io/retain/body.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// smallBody is the size up to which a body may take the whole budget, in bytes. Larger ones leave it a quarter.
-	smallBody = 64 << 10
+	// small is the amount up to which the whole budget may be taken, in bytes. Larger ones leave it a quarter.
+	small = 64 << 10
 	// firstRead is the first size of a buffer for a body of unknown length, in bytes.
 	firstRead = 4 << 10
 )
@@ -91,10 +91,7 @@
 	if b.budget == nil {
 		return nil
 	}
-	limit := b.budget.limit
-	if n > smallBody {
-		limit -= limit / 4
-	}
+	limit := b.budget.limitFor(n)
 	if n > limit {
 		return ErrLarge
 	}
--- a/io/retain/body_test.go
+++ b/io/retain/body_test.go
@@ -40,7 +40,7 @@
 				case err == nil:
 					assert.Equal(rt, len(b.Data), size)
 					bodies = append(bodies, b)
-				case !broken && length >= 0 && size <= smallBody:
+				case !broken && length >= 0 && size <= small:
 					assert.Assert(rt, int64(size) > free, "refused though there is room: %v", err)
 				default:
 					assert.Assert(rt, broken || errors.Is(err, ErrFull) || errors.Is(err, ErrLarge))
--- a/io/retain/budget.go
+++ b/io/retain/budget.go
@@ -5,18 +5,52 @@
 
 // Budget counts bytes that are held. Its methods are safe for concurrent use; a nil Budget has no bound.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	limit   int64
+	used    atomic.Int64
+	reclaim func() bool // nil: nothing can be reclaimed
 }
 
+// Option configures a Budget.
+type Option func(*Budget)
+
+// WithReclaim sets a function that is called where there is no room. It makes another holder release some, and returns
+// false if there is none. It may wait.
+func WithReclaim(fn func() bool) Option { return func(b *Budget) { b.reclaim = fn } }
+
 // New returns a Budget for a number of bytes.
-func New(limit int64) *Budget { return &Budget{limit: limit} }
+func New(limit int64, opts ...Option) *Budget {
+	b := &Budget{limit: limit}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
 
 // Take reports whether n more bytes may be held, and counts them.
 func (b *Budget) Take(n int) bool { return b == nil || b.takeUpTo(n, b.limit) }
 
+// TakeFair is Take, but a large amount leaves room for small ones.
+func (b *Budget) TakeFair(n int) bool { return b == nil || b.takeUpTo(n, b.limitFor(int64(n))) }
+
+// limitFor returns up to where n bytes may fill the budget.
+func (b *Budget) limitFor(n int64) int64 {
+	if n > small {
+		return b.limit - b.limit/4
+	}
+	return b.limit
+}
+
 // takeUpTo is Take with a lower limit.
 func (b *Budget) takeUpTo(n int, limit int64) bool {
+	for !b.tryUpTo(n, limit) {
+		if int64(n) > limit || b.reclaim == nil || !b.reclaim() {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Budget) tryUpTo(n int, limit int64) bool {
 	if b.used.Add(int64(n)) > limit {
 		b.used.Add(-int64(n))
 		return false
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"primroseward/state/directory"
 	"primroseward/state/tree"
 	"primroseward/transport/admin"
+	"primroseward/transport/intake"
 	"primroseward/transport/peer"
 	"primroseward/transport/routers"
 	"primroseward/transport/rpc"
@@ -81,6 +82,7 @@
 
 	stopGauges context.CancelFunc
 	addressTTL time.Duration // how long callers may use an address that they were given
+	intake     *intake.Intake
 }
 
 // New opens the listeners and assembles the components.
@@ -128,7 +130,8 @@
 	d.entry = entry.New(d.replica, d.table, d.pool.Dial, d.owner, dir, d.claims, d.clock, entry.WithLogger(d.log),
 		entry.WithScope(scope.SubScope("entry")), entry.WithGuard(d.quarantine), entry.WithAnswerLimits(int64(set.Held.Bytes), time.Duration(set.Held.TTL)))
 	d.planner = planner.NewRole(planner.Default(), d.replica, d.table, d.pool.Dial, d.clock, d.log)
-	d.api = routers.New(d.entry, d.clock, d.log, int64(set.Limits.Body), time.Duration(set.Limits.BodyTimeout), routers.WithScope(scope.SubScope("entry")), routers.WithBodies(set.Limits.BodyBudget()))
+	d.intake = intake.New(set.Limits.Intake(), d.clock, d.log, intake.WithScope(scope))
+	d.api = routers.New(d.entry, d.clock, d.log, int64(set.Limits.Body), time.Duration(set.Limits.BodyTimeout), routers.WithScope(scope.SubScope("entry")), routers.WithIntake(d.intake))
 	return d.listen(&rpc.Handler{
 		Table: d.table, Spread: d.spread, Replica: d.replica, Owner: d.owner, Entry: d.entry, Dir: dir, Clock: d.clock, Planner: d.planner,
 		Messages: d.network,
@@ -213,20 +216,26 @@
 		Ready:    d.Ready,
 		Token:    d.set.Token,
 	}
-	admins := &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: adminHeaderTimeout}
+	admins := &http.Server{Handler: operators.Handler()}
 	callers := d.api.Server(int(d.set.Limits.Header))
 	for _, l := range []struct {
-		name   string
 		addr   netip.AddrPort
 		server *http.Server
-	}{{"peer", d.set.PeerAddr, peers}, {"admin", d.set.AdminAddr, admins}, {"caller", d.set.CallerAddr, callers}} {
+		port   intake.Port
+	}{
+		{d.set.PeerAddr, peers, intake.Port{Name: "peer", Share: intake.PeerShare, Multiplexed: true}},
+		{d.set.AdminAddr, admins, intake.Port{Name: "admin", Share: intake.SmallShare, HeadTimeout: adminHeaderTimeout}},
+		{d.set.CallerAddr, callers, d.api.Port()},
+	} {
 		tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
 		if err != nil {
-			return eris.Wrap(err, l.name)
+			return eris.Wrap(err, l.port.Name)
 		}
-		var ln net.Listener = tcp
-		if l.server == peers {
-			ln = peer.NewCountingListener(tcp, d.callBytes)
+		ln := d.intake.Listen(tcp, l.port)
+		if l.port.Multiplexed {
+			ln = peer.NewCountingListener(ln, d.callBytes)
+		} else {
+			d.intake.Attach(l.server)
 		}
 		d.servers = append(d.servers, l.server)
 		d.wg.Add(1)
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -43,6 +43,7 @@
 	"primroseward/state/catalog"
 	"primroseward/state/tree"
 	"primroseward/transport/front"
+	"primroseward/transport/intake"
 )
 
 const (
@@ -103,6 +104,8 @@
 	// answerMargin is the time for the refusals of the requests that still wait when requests in progress
 	// are cut. It is a part of closeMargin.
 	answerMargin = 100 * time.Millisecond
+	// headTimeout is the longest time for the head of a request at the addresses that are not for callers.
+	headTimeout = time.Second
 	// closeMargin is the part of the grace time that is reserved for closing.
 	closeMargin = 400 * time.Millisecond
 )
@@ -144,6 +147,7 @@
 	current atomic.Pointer[setting.Fleet] // the settings as last loaded
 
 	client    *http.Client // for requests to other daemons
+	intake    *intake.Intake
 	snapshots snapshotCache
 	servers   []*http.Server
 	callers   net.Listener // of servers[0]
@@ -228,7 +232,8 @@
 	d.dispatcher = dispatch.New(set.DataCentre, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
 		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithBalance(d.balance), dispatch.WithExits(d.quarantine), dispatch.WithOrigins(d.origins), dispatch.WithAllowance(d.allowances), dispatch.WithFairness(d.fairness), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	dispatch.WithHelpers(set.Name, forward.New(d.peers, platform.Dialect{}, d.clock), d.reach.Lost)(d.dispatcher)
-	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed), front.WithBodies(set.Limits.BodyBudget()))
+	d.intake = intake.New(set.Limits.Intake(), d.clock, d.log, intake.WithScope(d.scope))
+	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed), front.WithIntake(d.intake))
 }
 
 // balance returns whether operators want requests to be balanced by counts of the whole fleet.
@@ -281,21 +286,25 @@
 		name   string
 		addr   netip.AddrPort
 		server *http.Server
+		share  float64
 	}{
-		{"caller", d.set.CallerAddr, d.front.Server()},
-		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}},
-		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: time.Second}},
-		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: time.Second, ConnContext: tcp.WithConn}},
-		{"admin", d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: time.Second}},
+		{"caller", d.set.CallerAddr, d.front.Server(), 1},
+		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready}, intake.SmallShare},
+		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve}, intake.DirectoryShare},
+		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ConnContext: tcp.WithConn}, intake.PeerShare},
+		{"admin", d.set.AdminAddr, &http.Server{Handler: d.admin().Handler()}, intake.SmallShare},
 	} {
 		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
 		if err != nil {
 			return eris.Wrap(err, l.name)
 		}
-		var accepting net.Listener = ln
+		var accepting net.Listener
 		if len(d.servers) == 0 {
 			accepting = d.front.Listen(ln)
 			d.callers = accepting
+		} else {
+			accepting = d.intake.Listen(ln, intake.Port{Name: l.name, Share: l.share, HeadTimeout: headTimeout})
+			d.intake.Attach(l.server)
 		}
 		d.servers = append(d.servers, l.server)
 		d.wg.Add(1)
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"primroseward/core"
-	"primroseward/io/retain"
 	"primroseward/io/strict"
+	"primroseward/transport/intake"
 )
 
 // File is the content of the settings file.
@@ -112,29 +112,36 @@
 	Cores        float64       `json:"cores"`    // processor cores that the daemon may use; 0 means unknown
 }
 
+// The shares of a daemon's memory. docs/design/0027-clients.md adds them up.
 const (
-	// bodyShare is the part of a daemon's memory that the bodies of requests in progress may take. As much again may
-	// wait to be collected.
-	bodyShare = 0.25
-	// defaultBodies is that in bytes where the memory is not known.
-	defaultBodies = 64e6
-	// memoryShare is the part of a daemon's memory from which on the runtime collects garbage more often. The rest is
-	// for what other processes have sent and the daemon has not read.
-	memoryShare = 0.8
+	// requestShare is for the heads and bodies of the requests in progress.
+	requestShare = 0.25
+	// heapShare is the limit from which on the runtime collects garbage more often.
+	heapShare = 0.8
 )
 
-// BodyBudget returns a budget for the bodies of requests in progress.
-func (l *Limits) BodyBudget() *retain.Budget {
-	if l.Memory == 0 {
-		return retain.New(defaultBodies)
+const (
+	// defaultRequests is the memory for requests in bytes where that of the daemon is not known.
+	defaultRequests = 64e6
+)
+
+// Intake returns the bounds on what clients hold.
+func (l *Limits) Intake() intake.Limits {
+	memory := float64(l.Memory)
+	out := intake.Limits{
+		Memory: defaultRequests,
+		Sender: time.Duration(l.BodyTimeout),
+	}
+	if memory > 0 {
+		out.Memory = int64(requestShare * memory)
 	}
-	return retain.New(int64(bodyShare * float64(l.Memory)))
+	return out
 }
 
 // SetMemoryLimit has the runtime stay within the daemon's memory, if it is known.
 func (l *Limits) SetMemoryLimit() {
-	if l.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(l.Memory)))
+	if memory := float64(l.Memory); memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * memory))
 	}
 }
 
--- a/transport/front/connections.go
+++ b/transport/front/connections.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"primroseward/core"
 	"primroseward/io/tcp"
+	"primroseward/transport/intake"
 )
 
 const (
@@ -186,11 +189,20 @@
 
 // changed is for http.Server.ConnState.
 func (s *connections) changed(nc net.Conn, state http.ConnState) {
-	if c, ok := nc.(*callerConn); ok && state == http.StateIdle {
+	if c := asCallerConn(nc); c != nil && state == http.StateIdle {
 		c.enter(phaseIdle)
 	}
 }
 
+// asCallerConn returns the connection of a caller, nil for any other one.
+func asCallerConn(nc net.Conn) *callerConn {
+	if above, ok := nc.(*intake.Conn); ok {
+		nc = above.NetConn()
+	}
+	c, _ := nc.(*callerConn)
+	return c
+}
+
 // connState is a phase and the time since which it lasts, in one word, so that a sweep closes no connection
 // that has changed meanwhile.
 type connState int64
@@ -226,6 +238,15 @@
 	return c, nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *callerListener) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
 // Close ends accepting; connections stay open.
 func (l *callerListener) Close() error {
 	l.conns.mu.Lock()
@@ -264,12 +285,14 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended, which ends the read too
 }
 
-// callerConnOf returns the connection of a request, nil if the request was forwarded by another daemon.
-func callerConnOf(r *http.Request) *callerConn {
-	c, _ := tcp.ConnOf(r).(*callerConn)
-	return c
+// endReadIn makes the reads of a request's body fail after a time.
+func endReadIn(w http.ResponseWriter, d time.Duration) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d)) // as above
 }
 
+// callerConnOf returns the connection of a request, nil if the request was forwarded by another daemon.
+func callerConnOf(r *http.Request) *callerConn { return asCallerConn(tcp.ConnOf(r)) }
+
 // wait sets what ends the request in progress while it waits. The returned function ends the wait and reports
 // whether the request has been ended.
 func (w *waiting) wait(end func()) (done func() bool) {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -25,6 +25,7 @@
 	"primroseward/io/retain"
 	"primroseward/io/tcp"
 	"primroseward/state/catalog"
+	"primroseward/transport/intake"
 )
 
 const (
@@ -46,6 +47,8 @@
 	// lateTargets is the multiple of a route's target latency in which almost all answers that are not
 	// streams are complete.
 	lateTargets = 4
+	// noTimeout is for what the configuration bounds.
+	noTimeout = 365 * 24 * time.Hour
 	// fullRetry is the Retry-After time where there is no room for a body. Streams last some seconds.
 	fullRetry = time.Second
 	// minRetry is the minimum Retry-After time. The header has three decimals, and a value
@@ -68,7 +71,8 @@
 	scope         tally.Scope
 	settingsKnown func() bool    // whether the operators' settings are known
 	keysConfirmed func() bool    // whether the known keys may be used
-	bodies        *retain.Budget // of the bodies of requests in progress; nil: no bound
+	bodies        *retain.Budget // of the requests in progress; nil: no bound
+	intake        *intake.Intake // of the connections
 	conns         *connections
 	leaving       atomic.Bool
 	end           atomic.Pointer[time.Time] // when requests in progress are cut; nil: not known
@@ -88,8 +92,9 @@
 // may have been removed while the store was unreachable.
 func WithKeysConfirmed(fn func() bool) Option { return func(f *Front) { f.keysConfirmed = fn } }
 
-// WithBodies bounds the bodies of all requests in progress together.
-func WithBodies(b *retain.Budget) Option { return func(f *Front) { f.bodies = b } }
+// WithIntake bounds what callers' connections and requests hold. Without it there is no bound but that of the
+// configuration on each request.
+func WithIntake(i *intake.Intake) Option { return func(f *Front) { f.intake = i } }
 
 // New returns a Front that passes requests to a dispatcher.
 func New(c *catalog.Catalog, dialect core.Dialect, dispatcher Dispatcher, clock core.Clock, log *zap.Logger, opts ...Option) *Front {
@@ -99,6 +104,10 @@
 		o(f)
 	}
 	f.conns.scope = f.scope
+	if f.intake == nil {
+		f.intake = intake.New(intake.Limits{}, clock, log)
+	}
+	f.bodies = f.intake.Budget()
 	return f
 }
 
@@ -112,7 +121,17 @@
 
 // Listen returns a listener for Server, whose connections are closed when they exceed the
 // configuration's limits.
-func (f *Front) Listen(ln net.Listener) net.Listener { return f.conns.listen(ln) }
+func (f *Front) Listen(ln net.Listener) net.Listener {
+	return f.intake.Listen(f.conns.listen(ln), intake.Port{Name: "caller", Share: 1, HeadLimit: f.headLimit, Refused: f.logRefusal})
+}
+
+// headLimit returns the largest size of a request's head in bytes.
+func (f *Front) headLimit() int {
+	if limit := f.limits().HeaderBytes; limit > 0 {
+		return min(limit, headerBytes)
+	}
+	return headerBytes
+}
 
 // Leave makes the Front set "Connection: close" on all further answers.
 func (f *Front) Leave() { f.leaving.Store(true) }
@@ -137,10 +156,7 @@
 	if end == nil {
 		return false
 	}
-	need := route.Timeout
-	if q.Timeout > 0 && (need == 0 || q.Timeout < need) {
-		need = q.Timeout
-	}
+	need := timeLimit(route, q)
 	if expected := lateTargets * route.Target; route.Kind != core.KindStream && expected > 0 {
 		need = min(need, expected)
 	}
@@ -149,13 +165,16 @@
 
 // Server returns the HTTP server for callers. It must serve a listener of Listen.
 func (f *Front) Server() *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler:        f,
 		MaxHeaderBytes: headerBytes,
 		ConnContext:    tcp.WithConn,
 		ConnState:      f.conns.changed,
+		IdleTimeout:    noTimeout,
 		ErrorLog:       zap.NewStdLog(f.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
+	f.intake.Attach(s)
+	return s
 }
 
 // ServeHTTP answers one request of a caller.
@@ -233,18 +252,15 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	limits := config.Limits
+	limit := config.Limits.BodyBytes
 	if forward != nil {
-		limits = core.CallerLimits{} // the daemon that took it from its caller has applied its own
-	}
-	if limit := limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
-		return nil, nil, core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0)
+		limit = 0 // the daemon that took it from its caller has applied its own
 	}
 	q, err := f.dialect.ReadRequest(r)
 	if err != nil {
 		return nil, nil, core.NotRun(http.StatusBadRequest, "bad_request", err.Error(), 0)
 	}
-	if err := f.readBody(w, r, limits.BodyBytes, body); err != nil {
+	if err := f.readBody(w, r, limit, timeLimit(route, q), body); err != nil {
 		return nil, nil, core.AsRequestError(err)
 	}
 	q.Body = body.Data
@@ -305,12 +321,15 @@
 	if config := f.catalog.Config(); config != nil {
 		version = config.Version
 	}
-	f.log.Info(logs.RefusedAtFront, zap.String("request", f.dialect.RequestID(r.Header)), zap.String("code", e.Code), zap.Int("status", e.Status),
-		zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Uint64("config", version), zap.String("reason", e.Message))
+	f.log.Info(logs.RefusedAtFront, zap.String("request", logs.Short(f.dialect.RequestID(r.Header))), zap.String("code", e.Code), zap.Int("status", e.Status),
+		zap.String("host", logs.Short(r.Host)), zap.String("path", logs.Short(r.URL.Path)), zap.Uint64("config", version), zap.String("reason", e.Message))
 	f.scope.Tagged(map[string]string{"code": e.Code}).Counter("refusals").Inc(1)
 	if e.Status == http.StatusUnauthorized && r.ContentLength != 0 {
 		w.Header().Set("Connection", "close") // otherwise the server would wait for the body
 	}
+	if r.ContentLength != 0 {
+		endReadIn(w, intake.DrainTime) // of what the server reads behind the answer
+	}
 	if e.Code == core.CodeOverloaded && r.Header.Get("Expect") == "" {
 		f.answerAndSkipBody(w, r, e)
 		return
@@ -327,7 +346,13 @@
 	_ = control.Flush() // an error means that the caller has disconnected, as below
 	complete := waitingOf(w, r).wait(func() { endRead(w) })
 	defer complete()
-	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.CopyN(io.Discard, r.Body, intake.DrainBytes)
+}
+
+// logRefusal logs and counts a refusal of a request that the server has not parsed.
+func (f *Front) logRefusal(e *core.RequestError) {
+	f.log.Info(logs.RefusedAtFront, zap.String("code", e.Code), zap.Int("status", e.Status), zap.String("reason", e.Message))
+	f.scope.Tagged(map[string]string{"code": e.Code}).Counter("refusals").Inc(1)
 }
 
 // hostOf returns the value of a Host header without the port.
@@ -338,26 +363,27 @@
 	return v
 }
 
-// headerSize returns the size of the request line and the headers on the wire.
-func headerSize(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
+// timeLimit returns how long the caller of a request waits for its answer.
+func timeLimit(route *core.Route, q *core.Request) time.Duration {
+	limit := route.Timeout
+	if q.Timeout > 0 && (limit <= 0 || q.Timeout < limit) {
+		limit = q.Timeout
 	}
-	return n
+	return limit
 }
 
-// readBody reads a request's body, if there is room for it.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request, limit int64, body *retain.Body) error {
+// readBody reads a request's body, if there is room for it, within the time limit of the request; 0: there is none.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, body *retain.Body) error {
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	_ = timeout
 	complete := waitingOf(w, r).wait(func() { endRead(w) })
 	var err error
 	if limit > 0 && r.ContentLength > limit {
-		_, err = io.Copy(io.Discard, r.Body)
+		endReadIn(w, intake.DrainTime)
+		_, _ = io.Copy(io.Discard, r.Body)
+		err = &http.MaxBytesError{Limit: limit}
 	} else {
 		err = body.Read(r.Body, r.ContentLength, f.bodies)
 	}
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -23,9 +23,9 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
-	"primroseward/io/retain"
 	"primroseward/platform"
 	"primroseward/state/catalog"
+	"primroseward/transport/intake"
 )
 
 // dispatcher answers with the result of a function that the test sets.
@@ -154,6 +154,7 @@
 // run, and its connection, over which the body still arrives, serves the next one.
 func TestBodyWithoutRoom(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
+		const headRoom = 64 << 10 // heads count too
 		hold, began := make(chan struct{}), make(chan struct{}, 8)
 		d := &dispatcher{answer: func(ctx context.Context) (*core.Reply, error) {
 			began <- struct{}{}
@@ -163,8 +164,8 @@
 			}
 			return reply(200, strings.NewReader("ok"))
 		}}
-		budget := retain.New(1 << 20)
-		f, srv := setUpAt(t, clockwork.NewRealClock(), 1, d, WithBodies(budget))
+		in := intake.New(intake.Limits{Memory: 1<<20 + headRoom}, clockwork.NewRealClock(), zap.NewNop())
+		f, srv := setUpAt(t, clockwork.NewRealClock(), 1, d, WithIntake(in))
 		config := *f.catalog.Config()
 		config.Limits.BodyBytes, config.Version = 4<<20, 2
 		f.catalog.SetConfig(&config)
@@ -207,7 +208,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, 413)
 		srv.Close()
-		assert.Equal(t, budget.Used(), int64(0))
+		assert.Equal(t, in.Budget().Used(), int64(0))
 	}
 }
 
--- a/transport/routers/ends.go
+++ b/transport/routers/ends.go
@@ -8,7 +8,7 @@
 
 	"primroseward/core"
 	"primroseward/io/logs"
-	"primroseward/io/retain"
+	"primroseward/transport/intake"
 )
 
 // Option configures an API.
@@ -17,8 +17,8 @@
 // WithScope sets the scope in which connections that end without a whole answer are counted.
 func WithScope(s tally.Scope) Option { return func(a *API) { a.scope = s } }
 
-// WithBodies bounds the bodies of all requests in progress together.
-func WithBodies(b *retain.Budget) Option { return func(a *API) { a.bodies = b } }
+// WithIntake bounds the requests in progress together.
+func WithIntake(i *intake.Intake) Option { return func(a *API) { a.bodies = i.Budget() } }
 
 // headWriter records whether any part of an answer has been written.
 type headWriter struct {
--- a/transport/routers/routers.go
+++ b/transport/routers/routers.go
@@ -27,6 +27,7 @@
 	"primroseward/io/tcp"
 	"primroseward/state/answer"
 	"primroseward/state/tree"
+	"primroseward/transport/intake"
 )
 
 const (
@@ -44,6 +45,7 @@
 	maxBody     int64
 	bodies      *retain.Budget // of the bodies of requests in progress; nil: no bound
 	bodyTimeout time.Duration
+	maxHead     int // bytes
 	scope       tally.Scope
 	leaving     atomic.Bool
 }
@@ -64,6 +66,7 @@
 
 // Server returns an HTTP server for callers.
 func (a *API) Server(maxHeader int) *http.Server {
+	a.maxHead = maxHeader
 	return &http.Server{
 		Handler:           a.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -74,6 +77,11 @@
 	}
 }
 
+// Port describes the listener of callers.
+func (a *API) Port() intake.Port {
+	return intake.Port{Name: "caller", Share: 1, HeadTimeout: headerTimeout, HeadLimit: func() int { return a.maxHead }}
+}
+
 // Handler returns the handler of all routes.
 func (a *API) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -321,7 +329,11 @@
 	} else {
 		err = body.Read(in, r.ContentLength, a.bodies)
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	} else {
+		_ = control.SetReadDeadline(time.Now().Add(intake.DrainTime)) // of what the server reads behind the answer
+	}
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
