Requests that make no progress make room for others

What callers saw: beside 400 bodies that lacked a byte, requests with bodies of 0.9 MB were refused for as long as the crowd stayed (30 s in TestOrdinaryRequestsBesideACrowd).

Cause: the budget refused whoever came last; what was there stayed, without time limit.

Change: where there is no room, the connection whose request is not whole and has made no progress for the longest time, 0.25 s at least, is closed. A request that has arrived whole is never closed for it.

--- a/transport/intake/intake.go
+++ b/transport/intake/intake.go
@@ -98,7 +98,7 @@
 func New(limits Limits, clock core.Clock, log *zap.Logger, opts ...Option) *Intake {
 	i := &Intake{limits: limits, clock: clock, log: log, scope: tally.NoopScope, closed: map[string]int{}}
 	if limits.Memory > 0 {
-		i.budget = retain.New(limits.Memory)
+		i.budget = retain.New(limits.Memory, retain.WithReclaim(i.reclaim))
 	}
 	for _, o := range opts {
 		o(i)
