--- a/setting/setting.go
+++ b/setting/setting.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -110,12 +111,18 @@
 	MaxBackoff   core.Duration `json:"backoff"`  // longest time without requests that an endpoint may ask for; 0 means none
 	Memory       core.Bytes    `json:"memory"`   // memory that the daemon may use; 0 means unknown
 	Cores        float64       `json:"cores"`    // processor cores that the daemon may use; 0 means unknown
+
+	Descriptors int `json:"descriptors"` // open descriptors of the daemon; 0: as the system limits them
+	Connections int `json:"connections"` // open connections of callers; 0: derived from descriptors and memory
 }
 
 // The shares of a daemon's memory. docs/design/0027-clients.md adds them up.
 const (
 	// requestShare is for the heads and bodies of the requests in progress.
 	requestShare = 0.25
+	// connectionShare is for connections, of which each takes connectionBytes.
+	connectionShare = 0.3
+	connectionBytes = 40 << 10
 	// heapShare is the limit from which on the runtime collects garbage more often.
 	heapShare = 0.8
 )
@@ -123,21 +130,45 @@
 const (
 	// defaultRequests is the memory for requests in bytes where that of the daemon is not known.
 	defaultRequests = 64e6
+	// callerShare is the part of the descriptors for callers' connections. About half as many are for those of other
+	// clients; the rest is for runners, the store and other daemons.
+	callerShare = 0.5
 )
 
 // Intake returns the bounds on what clients hold.
 func (l *Limits) Intake() intake.Limits {
 	memory := float64(l.Memory)
 	out := intake.Limits{
-		Memory: defaultRequests,
+		Memory: defaultRequests, Connections: l.Connections,
 		Sender: time.Duration(l.BodyTimeout),
 	}
+	if out.Connections == 0 {
+		out.Connections = int(callerShare * float64(l.descriptors()))
+		if memory > 0 {
+			out.Connections = min(out.Connections, int(connectionShare*memory/connectionBytes))
+		}
+	}
 	if memory > 0 {
 		out.Memory = int64(requestShare * memory)
 	}
 	return out
 }
 
+// descriptors returns how many descriptors the daemon may open.
+func (l *Limits) descriptors() int {
+	if l.Descriptors > 0 {
+		return l.Descriptors
+	}
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
+		return 0
+	}
+	return int(min(r.Cur, maxDescriptors))
+}
+
+// maxDescriptors bounds the system's limit, which may be without bound.
+const maxDescriptors = 1 << 20
+
 // SetMemoryLimit has the runtime stay within the daemon's memory, if it is known.
 func (l *Limits) SetMemoryLimit() {
 	if memory := float64(l.Memory); memory > 0 {
@@ -145,6 +176,9 @@
 	}
 }
 
+// minDescriptors is the least number of descriptors that a daemon works with.
+const minDescriptors = 128
+
 // Setting is a validated File with its parsed addresses and log level.
 type Setting struct {
 	File
@@ -274,6 +308,12 @@
 	if s.Limits.Header < 1e3 || s.Limits.Body <= 0 || s.Limits.BodyTimeout <= 0 || s.Limits.PlatformRate <= 0 {
 		c.add("limits", "header must be 1KB or more, the others above zero")
 	}
+	if s.Limits.Descriptors < 0 || s.Limits.Descriptors > 0 && s.Limits.Descriptors < minDescriptors {
+		c.add("limits.descriptors", fmt.Sprintf("must be %d or more, or 0", minDescriptors))
+	}
+	if s.Limits.Connections < 0 || s.Limits.Descriptors > 0 && s.Limits.Connections >= s.Limits.Descriptors {
+		c.add("limits.connections", "must not be below zero, and below descriptors")
+	}
 	if s.Limits.Cores < 0 {
 		c.add("limits.cores", "must not be below zero")
 	}
