What clients have sent and a daemon has not read is bounded

What callers saw: 132 to 322 MB counted on a machine of 96 MB, of which 35 to 90 MB were resident: the rest lay unread in receive buffers, as clients sent requests in a row or bodies without end.

Cause: the system lets a receive buffer grow to megabytes; an unread byte counts on the machine.

Change: a receive buffer of limits.unread for each connection of a client, 8 to 64 KiB, derived from the memory and the number of connections.

--- a/setting/setting.go
+++ b/setting/setting.go
@@ -112,8 +112,9 @@
 	Memory       core.Bytes    `json:"memory"`   // memory that the daemon may use; 0 means unknown
 	Cores        float64       `json:"cores"`    // processor cores that the daemon may use; 0 means unknown
 
-	Descriptors int `json:"descriptors"` // open descriptors of the daemon; 0: as the system limits them
-	Connections int `json:"connections"` // open connections of callers; 0: derived from descriptors and memory
+	Descriptors int        `json:"descriptors"` // open descriptors of the daemon; 0: as the system limits them
+	Connections int        `json:"connections"` // open connections of callers; 0: derived from descriptors and memory
+	Unread      core.Bytes `json:"unread"`      // receive buffer of a connection; 0: derived from memory and connections
 }
 
 // The shares of a daemon's memory. docs/design/0027-clients.md adds them up.
@@ -123,6 +124,8 @@
 	// connectionShare is for connections, of which each takes connectionBytes.
 	connectionShare = 0.3
 	connectionBytes = 40 << 10
+	// unreadShare is for what clients have sent and the daemon has not read.
+	unreadShare = 0.08
 	// heapShare is the limit from which on the runtime collects garbage more often.
 	heapShare = 0.8
 )
@@ -133,13 +136,16 @@
 	// callerShare is the part of the descriptors for callers' connections. About half as many are for those of other
 	// clients; the rest is for runners, the store and other daemons.
 	callerShare = 0.5
+	// minUnread and maxUnread bound the receive buffer of a connection, in bytes.
+	minUnread = 8 << 10
+	maxUnread = 64 << 10
 )
 
 // Intake returns the bounds on what clients hold.
 func (l *Limits) Intake() intake.Limits {
 	memory := float64(l.Memory)
 	out := intake.Limits{
-		Memory: defaultRequests, Connections: l.Connections,
+		Memory: defaultRequests, Connections: l.Connections, Unread: int(l.Unread),
 		Sender: time.Duration(l.BodyTimeout),
 	}
 	if out.Connections == 0 {
@@ -150,6 +156,9 @@
 	}
 	if memory > 0 {
 		out.Memory = int64(requestShare * memory)
+		if out.Unread == 0 && out.Connections > 0 {
+			out.Unread = min(maxUnread, max(minUnread, int(unreadShare*memory)/out.Connections))
+		}
 	}
 	return out
 }
@@ -314,6 +323,9 @@
 	if s.Limits.Connections < 0 || s.Limits.Descriptors > 0 && s.Limits.Connections >= s.Limits.Descriptors {
 		c.add("limits.connections", "must not be below zero, and below descriptors")
 	}
+	if s.Limits.Unread != 0 && s.Limits.Unread < minUnread/2 {
+		c.add("limits.unread", fmt.Sprintf("must be %dB or more, or 0B", minUnread/2))
+	}
 	if s.Limits.Cores < 0 {
 		c.add("limits.cores", "must not be below zero")
 	}
