Bodies end with the time limit of their request

What callers saw: a body that was never whole held its memory, head and descriptor until the daemon ended; its caller had no answer (30 s waited at a time limit of 0.5 s).

Cause: the front read bodies without a time limit.

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -377,7 +378,9 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	_ = timeout
+	if timeout > 0 && r.ContentLength != 0 {
+		endReadIn(w, timeout)
+	}
 	complete := waitingOf(w, r).wait(func() { endRead(w) })
 	var err error
 	if limit > 0 && r.ContentLength > limit {
@@ -392,6 +395,8 @@
 	switch {
 	case ended:
 		return refuseLeaving()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return core.NotRun(http.StatusRequestTimeout, "late_body", "the body was not complete within the time limit of the request", 0)
 	case errors.Is(err, retain.ErrFull):
 		return core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, err.Error(), fullRetry)
 	case errors.Is(err, retain.ErrLarge):
