Answers that nobody reads end

Cause: a client that reads nothing kept its handler, its connection and its runner's for as long as the runner held on.

Change: limits.reader, 30 s: the answer is aborted if the client reads nothing of it for that long.

--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// TestLargeAnswersThatAreNotRead guards against a daemon that keeps, or leaves unread, what runners answer to clients that
+// read nothing.
+func TestLargeAnswersThatAreNotRead(t *testing.T) {
+	testCrowd(t, startFleet(t, smallMachine), crowdCase{"", atCaller, crowdSize, func(c net.Conn, n int) {
+		if send(c, start("/big/x", n)+lengthOf(2)+"\r\nok") {
+			hold(c)
+		}
+	}})
+}
+
 // TestCrowdsElsewhere guards against a daemon that runs out of memory or descriptors by what clients send to its other
 // addresses.
 func TestCrowdsElsewhere(t *testing.T) {
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -72,7 +72,7 @@
 // daemon is one primrosed process.
 type daemon struct {
 	machine
-	t                                     *testing.T
+	t                                     testing.TB
 	caller, peer, admin, ready, directory string
 	store                                 *platform.Server
 	storeAddr                             string
@@ -84,7 +84,7 @@
 }
 
 // newDaemon returns a daemon with addresses and a store, which has not been started.
-func newDaemon(t *testing.T, m machine) *daemon {
+func newDaemon(t testing.TB, m machine) *daemon {
 	t.Helper()
 	d := &daemon{machine: m, t: t, store: platform.New(), exited: make(chan struct{})}
 	d.storeAddr = serve(t, d.store)
@@ -96,7 +96,7 @@
 	return d
 }
 
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	srv := httptest.NewServer(h)
 	t.Cleanup(func() {
 		srv.CloseClientConnections()
@@ -106,7 +106,7 @@
 }
 
 // startFleet starts a daemon that serves through the platform, with two runners.
-func startFleet(t *testing.T, m machine) *daemon {
+func startFleet(t testing.TB, m machine) *daemon {
 	t.Helper()
 	d := newDaemon(t, m)
 	d.configure()
@@ -135,21 +135,27 @@
 	}
 	d.put(wire.KindConfig, wire.NameConfig, map[string]any{
 		"version":  1,
-		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false)},
-		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}},
+		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false)},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}},
 		"limits":   map[string]any{"max_header_bytes": headLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	for _, spec := range []runner.Spec{
 		{ID: "i-app-1", Service: "app", DataCentre: "north", Slots: 64, Interval: 5 * time.Millisecond},
 		{ID: "i-slow-1", Service: "slow", DataCentre: "north", Slots: 4, Interval: time.Second},
+		{ID: "i-big-1", Service: "big", DataCentre: "north", Slots: crowdSize},
 	} {
 		r := runner.New(spec, d.put)
+		if spec.Service == "big" {
+			r.SetRaw(func(*http.Request) *runner.Raw {
+				return &runner.Raw{EndlessHead: "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", Endless: "x"}
+			})
+		}
 		d.t.Cleanup(r.Kill)
 	}
 }
 
 // startNative starts a daemon that serves the native interface, with one plain service.
-func startNative(t *testing.T) *daemon {
+func startNative(t testing.TB) *daemon {
 	t.Helper()
 	d := newDaemon(t, smallMachine)
 	d.ordinaryMethod, d.ordinaryPath = http.MethodPost, "/services/parts/x"
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -112,9 +112,10 @@
 	Memory       core.Bytes    `json:"memory"`   // memory that the daemon may use; 0 means unknown
 	Cores        float64       `json:"cores"`    // processor cores that the daemon may use; 0 means unknown
 
-	Descriptors int        `json:"descriptors"` // open descriptors of the daemon; 0: as the system limits them
-	Connections int        `json:"connections"` // open connections of callers; 0: derived from descriptors and memory
-	Unread      core.Bytes `json:"unread"`      // receive buffer of a connection; 0: derived from memory and connections
+	AnswerTimeout core.Duration `json:"reader"`      // longest time in which a client reads nothing of its answer
+	Descriptors   int           `json:"descriptors"` // open descriptors of the daemon; 0: as the system limits them
+	Connections   int           `json:"connections"` // open connections of callers; 0: derived from descriptors and memory
+	Unread        core.Bytes    `json:"unread"`      // receive buffer of a connection; 0: derived from memory and connections
 }
 
 // The shares of a daemon's memory. docs/design/0027-clients.md adds them up.
@@ -146,7 +147,7 @@
 	memory := float64(l.Memory)
 	out := intake.Limits{
 		Memory: defaultRequests, Connections: l.Connections, Unread: int(l.Unread),
-		Sender: time.Duration(l.BodyTimeout),
+		Sender: time.Duration(l.BodyTimeout), Reader: time.Duration(l.AnswerTimeout),
 	}
 	if out.Connections == 0 {
 		out.Connections = int(callerShare * float64(l.descriptors()))
@@ -205,7 +206,7 @@
 		Log:    Log{Level: "info"},
 		Trace:  Trace{Share: 1},
 		Held:   HeldAnswers{Bytes: 64e6, TTL: core.Duration(5 * time.Minute)},
-		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxBackoff: core.Duration(core.DefaultMaxBackoff)},
+		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), AnswerTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxBackoff: core.Duration(core.DefaultMaxBackoff)},
 	}
 }
 
@@ -317,6 +318,9 @@
 	if s.Limits.Header < 1e3 || s.Limits.Body <= 0 || s.Limits.BodyTimeout <= 0 || s.Limits.PlatformRate <= 0 {
 		c.add("limits", "header must be 1KB or more, the others above zero")
 	}
+	if s.Limits.AnswerTimeout <= 0 {
+		c.add("limits.reader", "must be above zero")
+	}
 	if s.Limits.Descriptors < 0 || s.Limits.Descriptors > 0 && s.Limits.Descriptors < minDescriptors {
 		c.add("limits.descriptors", fmt.Sprintf("must be %d or more, or 0", minDescriptors))
 	}
