The runtime's memory limit leaves room for the program

Cause: the limit was 0.8 of the memory. The program itself, 12 to 16 MB resident, does not count in it, so that on a small machine nothing was left for unread bytes: 80 to 90 of 96 MB resident.

Change: 0.85 of the memory less 16 MB, half of it at least: 66 of 96 MB, 225 of 284 MB (227 before).

--- a/setting/setting.go
+++ b/setting/setting.go
@@ -127,8 +127,12 @@
 	connectionBytes = 40 << 10
 	// unreadShare is for what clients have sent and the daemon has not read.
 	unreadShare = 0.08
-	// heapShare is the limit from which on the runtime collects garbage more often.
-	heapShare = 0.8
+	// heapShare, without programBytes for the program itself, is the limit from which on the runtime collects garbage
+	// more often.
+	heapShare    = 0.85
+	programBytes = 16e6
+	// minHeapShare is the least of that.
+	minHeapShare = 0.5
 )
 
 const (
@@ -182,7 +186,7 @@
 // SetMemoryLimit has the runtime stay within the daemon's memory, if it is known.
 func (l *Limits) SetMemoryLimit() {
 	if memory := float64(l.Memory); memory > 0 {
-		debug.SetMemoryLimit(int64(heapShare * memory))
+		debug.SetMemoryLimit(int64(max(minHeapShare*memory, heapShare*memory-programBytes)))
 	}
 }
 
