--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"primroseward/core"
 )
 
 const (
@@ -317,8 +315,3 @@
 	}
 	return err
 }
-
-// headTooLarge refuses a head over a limit.
-func headTooLarge(limit int) *core.RequestError {
-	return core.NotRun(statusHeadTooLarge, CodeHeadTooLarge, headTooLargeText(limit), 0)
-}
--- a/transport/intake/refusal.go
+++ b/transport/intake/refusal.go
@@ -11,20 +11,19 @@
 	"primroseward/core"
 )
 
+// DrainTime and DrainBytes bound what is read and dropped after a refusal, so that it reaches its client: a connection
+// that is closed with unread bytes is reset.
 const (
-	// CodeHeadTooLarge is the code of refusals of heads over the limit.
-	CodeHeadTooLarge   = "headers_too_large"
-	statusHeadTooLarge = http.StatusRequestHeaderFieldsTooLarge
-	// overloadRetry is the Retry-After time where there is no room for a request.
-	overloadRetry = time.Second
-	// DrainTime and DrainBytes bound what is read and dropped after a refusal, so that it reaches its client: a
-	// connection that is closed with unread bytes is reset.
 	DrainTime  = 2 * time.Second
 	DrainBytes = 4 << 20
 )
 
-func headTooLargeText(limit int) string {
-	return "the headers are larger than " + strconv.Itoa(limit) + " bytes"
+// overloadRetry is the Retry-After time where there is no room for a request.
+const overloadRetry = time.Second
+
+// headTooLarge refuses a head over a limit.
+func headTooLarge(limit int) *core.RequestError {
+	return core.NotRun(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(limit)+" bytes", 0)
 }
 
 // overloaded refuses a request for which there is no room.
--- a/transport/intake/requests_test.go
+++ b/transport/intake/requests_test.go
@@ -134,7 +134,7 @@
 func TestWhatMakesNoProgressMakesRoom(t *testing.T) {
 	const memory = 270 << 10
 	began, end := make(chan string, 16), make(chan struct{})
-	in, srv := serve(t, intake.Limits{Memory: memory}, intake.Port{Share: 1}, func(w http.ResponseWriter, r *http.Request) {
+	in, srv := serve(t, intake.Limits{Memory: memory}, intake.Port{Share: 1}, func(_ http.ResponseWriter, r *http.Request) {
 		began <- r.URL.Path
 		if _, err := io.ReadAll(r.Body); err != nil {
 			return
