Heads that another daemon passes on may grow; first heads are late after a second again

What callers would see: a legal head of many short lines, passed on by a daemon without a path, is written with a space and CRLF for each line, and could exceed the 64 KiB that the peer address had got with the charges; and connections on which nothing is sent stayed for two minutes at the directory, readiness, metrics and peer addresses, one second before.

Change: the peer address takes heads of four times the callers' limit; the servers keep their time for a first head. Headers of calls between daemons (native interface) are bounded to 64 KiB, 1 MB before. A head that has become whole counts as progress, so that its own wait for room does not make it the one to go.

--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -240,6 +240,15 @@
 	}
 }
 
+// TestForwardedHeadsMayGrow guards against a legal request that is refused because a daemon without a path has passed it on, which
+// writes more bytes for each line than its caller.
+func TestForwardedHeadsMayGrow(t *testing.T) {
+	d := startFleet(t, smallMachine)
+	const size = 100 << 10
+	got := exchange(t, d.peer, fill(forwardedStart(1), size, func(int) string { return "A: \r\n" })+lengthOf(2)+"\r\nok")
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+}
+
 // TestRefusalsReachTheirCallers guards against refusals that are lost, as the connection is reset with what the client has
 // sent still unread, and against requests that are never answered.
 func TestRefusalsReachTheirCallers(t *testing.T) {
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -216,7 +216,7 @@
 		Ready:    d.Ready,
 		Token:    d.set.Token,
 	}
-	admins := &http.Server{Handler: operators.Handler()}
+	admins := &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: adminHeaderTimeout}
 	callers := d.api.Server(int(d.set.Limits.Header))
 	for _, l := range []struct {
 		addr   netip.AddrPort
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -287,12 +287,13 @@
 		addr   netip.AddrPort
 		server *http.Server
 		share  float64
+		head   int // largest head in bytes; 0: the default
 	}{
-		{"caller", d.set.CallerAddr, d.front.Server(), 1},
-		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready}, intake.SmallShare},
-		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve}, intake.DirectoryShare},
-		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ConnContext: tcp.WithConn}, intake.PeerShare},
-		{"admin", d.set.AdminAddr, &http.Server{Handler: d.admin().Handler()}, intake.SmallShare},
+		{"caller", d.set.CallerAddr, d.front.Server(), 1, 0},
+		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headTimeout}, intake.SmallShare, 0},
+		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: headTimeout}, intake.DirectoryShare, 0},
+		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: headTimeout, ConnContext: tcp.WithConn}, intake.PeerShare, front.ForwardedHeaderBytes},
+		{"admin", d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: headTimeout}, intake.SmallShare, 0},
 	} {
 		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
 		if err != nil {
@@ -303,7 +304,7 @@
 			accepting = d.front.Listen(ln)
 			d.callers = accepting
 		} else {
-			accepting = d.intake.Listen(ln, intake.Port{Name: l.name, Share: l.share, HeadTimeout: headTimeout})
+			accepting = d.intake.Listen(ln, intake.Port{Name: l.name, Share: l.share, HeadTimeout: headTimeout, HeadLimit: l.head})
 			d.intake.Attach(l.server)
 		}
 		d.servers = append(d.servers, l.server)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -33,7 +33,10 @@
 	// headerBytes is the maximum size of a request's headers; a configuration may set a
 	// lower one.
 	headerBytes = 64 << 10
-	copyBuffer  = 16 << 10
+	// ForwardedHeaderBytes is that of a request that another daemon passes on: it writes each header with a space and
+	// CRLF, and adds its own.
+	ForwardedHeaderBytes = 4 * headerBytes
+	copyBuffer           = 16 << 10
 	// tracer is the name of the tracer of the spans of requests.
 	tracer = "primroseward"
 	// noConfigRetry is the Retry-After time that a daemon without a configuration sends. The
@@ -123,7 +126,7 @@
 // Listen returns a listener for Server, whose connections are closed when they exceed the
 // configuration's limits.
 func (f *Front) Listen(ln net.Listener) net.Listener {
-	return f.intake.Listen(f.conns.listen(ln), intake.Port{Name: "caller", Share: 1, HeadLimit: f.headLimit, Refused: f.logRefusal})
+	return f.intake.Listen(f.conns.listen(ln), intake.Port{Name: "caller", Share: 1, HeadLimitNow: f.headLimit, Refused: f.logRefusal})
 }
 
 // headLimit returns the largest size of a request's head in bytes.
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -81,10 +81,7 @@
 	if c.mismatch {
 		return 0, errFraming
 	}
-	limit := defaultHeadLimit
-	if c.port.HeadLimit != nil {
-		limit = c.port.HeadLimit()
-	}
+	limit := c.port.headLimit()
 	end := 0
 	if len(c.buf) == 0 {
 		n, err := c.socket.Read(p)
@@ -121,6 +118,7 @@
 		c.buf = c.buf[:len(c.buf)+n]
 		end = c.head.follow(c.buf)
 	}
+	c.to(phaseHead) // a whole head is progress
 	if _, err := c.handOnWhole(end, limit, len(c.buf)-end); err != nil {
 		return 0, err
 	}
--- a/transport/intake/intake.go
+++ b/transport/intake/intake.go
@@ -53,8 +53,9 @@
 	Name string
 	// Share is the number of connections as a share of Limits.Connections.
 	Share float64
-	// HeadLimit returns the largest size of a head in bytes.
-	HeadLimit func() int
+	// HeadLimit is the largest size of a head in bytes, 0: 64 KiB. HeadLimitNow returns it where it changes.
+	HeadLimit    int
+	HeadLimitNow func() int
 	// HeadTimeout is the longest time from the first byte of a head to its last one; 0: the owner of the listener
 	// enforces one.
 	HeadTimeout time.Duration
@@ -88,6 +89,17 @@
 	closing list // refused, the client may still read why
 }
 
+// headLimit returns the largest size of a head in bytes.
+func (p *Port) headLimit() int {
+	switch {
+	case p.HeadLimitNow != nil:
+		return p.HeadLimitNow()
+	case p.HeadLimit > 0:
+		return p.HeadLimit
+	}
+	return defaultHeadLimit
+}
+
 // Option configures an Intake.
 type Option func(*Intake)
 
@@ -123,6 +135,9 @@
 	if s.IdleTimeout == 0 {
 		s.IdleTimeout = idleTimeout
 	}
+	if s.ReadHeaderTimeout == 0 {
+		s.ReadHeaderTimeout = s.IdleTimeout // for the first request on a connection
+	}
 }
 
 // Listen returns a listener whose connections are held to the limits. The connections of ln must be TCP connections.
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -27,6 +27,8 @@
 	pingTimeout = time.Second
 	dialTimeout = time.Second
 	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the headers of a call, in bytes.
+	maxHeader = 64 << 10
 )
 
 // Dial returns the client for the daemon at an address.
@@ -143,6 +145,7 @@
 		Protocols:         unencryptedHTTP2(),
 		HTTP2:             pingConfig(),
 		ReadHeaderTimeout: 5 * time.Second,
+		MaxHeaderBytes:    maxHeader,
 	}, nil
 }
 
--- a/transport/routers/routers.go
+++ b/transport/routers/routers.go
@@ -79,7 +79,7 @@
 
 // Port describes the listener of callers.
 func (a *API) Port() intake.Port {
-	return intake.Port{Name: "caller", Share: 1, HeadTimeout: headerTimeout, HeadLimit: func() int { return a.maxHead }}
+	return intake.Port{Name: "caller", Share: 1, HeadTimeout: headerTimeout, HeadLimit: a.maxHead}
 }
 
 // Handler returns the handler of all routes.
