--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -65,3 +65,35 @@
 		assert.Error(t, err, tt.want)
 	}
 }
+
+// A bound on clients that is out of range is reported by its name; without one it follows from the machine.
+func TestBoundsOnClients(t *testing.T) {
+	const text = `{"name":"a","place":"a","caller":"127.0.0.1:1","peer":"127.0.0.1:2","admin":"127.0.0.1:3","platform":"127.0.0.1:4","limits":{%s}}`
+	for _, tt := range []struct {
+		limits, fault        string
+		memory               int64
+		connections, receive int
+	}{
+		{limits: `"memory":"96MB","descriptors":1000`, memory: 24e6, connections: 500, receive: 15_360},
+		{limits: `"memory":"284MB","descriptors":4100`, memory: 71e6, connections: 2050, receive: 11_082},
+		{limits: `"memory":"16MB","descriptors":4100`, memory: 4e6, connections: 117, receive: 10_940},
+		{limits: `"descriptors":4100`, memory: 64e6, connections: 2050},
+		{limits: `"memory":"96MB","connections":300,"unread":"5KB"`, memory: 24e6, connections: 300, receive: 5000},
+		{limits: `"descriptors":100`, fault: "limits.descriptors: must be 128 or more, or 0"},
+		{limits: `"connections":-1`, fault: "limits.connections: must not be below zero, and below descriptors"},
+		{limits: `"descriptors":200,"connections":200`, fault: "limits.connections: must not be below zero, and below descriptors"},
+		{limits: `"unread":"1KB"`, fault: "limits.unread: must be 4096B or more, or 0B"},
+		{limits: `"reader":"0s"`, fault: "limits.reader: must be above zero"},
+	} {
+		s, err := Parse(fmt.Appendf(nil, text, tt.limits))
+		if tt.fault != "" {
+			assert.Error(t, err, tt.fault)
+			continue
+		}
+		assert.NilError(t, err)
+		got := s.Limits.Intake()
+		assert.Equal(t, got.Memory, tt.memory, tt.limits)
+		assert.Equal(t, got.Connections, tt.connections, tt.limits)
+		assert.Equal(t, got.Unread, tt.receive, tt.limits)
+	}
+}
