Answers that are held, and what runners have sent, stay within a daemon's memory

Cause: 32 MB of answers, and 64 KB of each beside them, were held whatever the memory of the machine; each connection with a runner could hold 130 KB unread.

Change: a tenth of limits.memory for all plain answers together, 32 MB at most, each of them may hold 4 KB beside it; a receive buffer for connections with runners, as for those of clients, 16 KiB at least. An answer for which there is no room is passed on as it arrives.

--- a/coordination/dispatch/buffer.go
+++ b/coordination/dispatch/buffer.go
@@ -14,10 +14,10 @@
 	// maxBuffered bounds what is held in memory of one plain answer, in bytes. Up to there an answer
 	// that breaks off can be requested again, and looks like no answer to the caller.
 	maxBuffered = 8 << 20
-	// maxBufferedTotal bounds what is held of all answers together, in bytes, apart from freeBuffered
-	// of each.
+	// maxBufferedTotal bounds what is held of all answers together, in bytes, apart from minBlock of each plain one
+	// and freeBuffered of each stream. WithAnswerMemory sets a lower bound.
 	maxBufferedTotal = 32 << 20
-	// freeBuffered is what may be held of each answer in any case, in bytes.
+	// freeBuffered is what may be held of each stream in any case, in bytes.
 	freeBuffered = 64 << 10
 	// minBlock and maxBlock bound the blocks in which an answer is held, in bytes.
 	minBlock = 4 << 10
@@ -52,7 +52,7 @@
 
 // reserve reports whether n more bytes may be held.
 func (b *answerBuffer) reserve(n int) bool {
-	if b.size+n <= freeBuffered {
+	if b.size+n <= minBlock {
 		return true
 	}
 	if b.size+n > maxBuffered || !b.budget.Take(n) {
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -138,6 +138,14 @@
 // WithScope sets the scope for request metrics.
 func WithScope(s tally.Scope) Option { return func(d *Dispatcher) { d.metrics = newMetrics(s) } }
 
+// WithAnswerMemory bounds what is held of all answers together, in bytes; half as much may be read ahead of callers.
+func WithAnswerMemory(n int64) Option {
+	return func(d *Dispatcher) {
+		d.buffers = retain.New(min(maxBufferedTotal, n))
+		d.ahead = retain.New(min(maxAheadTotal, n/2))
+	}
+}
+
 // WithDown sets a function to call when a runner is newly found to be down.
 func WithDown(fn func()) Option { return func(d *Dispatcher) { d.onDown = fn } }
 
--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -89,11 +89,20 @@
 // TestLargeAnswersThatAreNotRead guards against a daemon that keeps, or leaves unread, what runners answer to clients that
 // read nothing.
 func TestLargeAnswersThatAreNotRead(t *testing.T) {
-	testCrowd(t, startFleet(t, smallMachine), crowdCase{"", atCaller, crowdSize, func(c net.Conn, n int) {
-		if send(c, start("/big/x", n)+lengthOf(2)+"\r\nok") {
-			hold(c)
-		}
-	}})
+	for _, tt := range []crowdCase{
+		{"longer than may be held", atCaller, crowdSize, func(c net.Conn, n int) {
+			if send(c, start("/big/x", n)+lengthOf(2)+"\r\nok") {
+				hold(c)
+			}
+		}},
+		{"held whole, in a row", atCaller, crowdSize, func(c net.Conn, n int) {
+			if send(c, strings.Repeat(start("/full/x", n)+lengthOf(2)+"\r\nok", 40)) {
+				hold(c)
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) { testCrowd(t, startFleet(t, smallMachine), tt) })
+	}
 }
 
 // TestCrowdsElsewhere guards against a daemon that runs out of memory or descriptors by what clients send to its other
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -23,6 +23,7 @@
 	"gotest.tools/v3/poll"
 
 	"primroseward/bench/fleet"
+	"primroseward/core"
 	wire "primroseward/platform"
 	"primroseward/standin/platform"
 	"primroseward/standin/runner"
@@ -135,20 +136,26 @@
 	}
 	d.put(wire.KindConfig, wire.NameConfig, map[string]any{
 		"version":  1,
-		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false)},
-		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}},
+		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false), route("full", "/full/", "safe", "full", false)},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}, map[string]any{"name": "full"}},
 		"limits":   map[string]any{"max_header_bytes": headLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	for _, spec := range []runner.Spec{
 		{ID: "i-app-1", Service: "app", DataCentre: "north", Slots: 64, Interval: 5 * time.Millisecond},
 		{ID: "i-slow-1", Service: "slow", DataCentre: "north", Slots: 4, Interval: time.Second},
 		{ID: "i-big-1", Service: "big", DataCentre: "north", Slots: crowdSize},
+		{ID: "i-full-1", Service: "full", DataCentre: "north", Slots: crowdSize},
 	} {
 		r := runner.New(spec, d.put)
-		if spec.Service == "big" {
+		switch spec.Service {
+		case "big":
 			r.SetRaw(func(*http.Request) *runner.Raw {
 				return &runner.Raw{EndlessHead: "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", Endless: "x"}
 			})
+		case "full":
+			r.SetRaw(func(*http.Request) *runner.Raw {
+				return &runner.Raw{Framing: core.FramingLength, Body: strings.Repeat("x", 1_000_000)}
+			})
 		}
 		d.t.Cleanup(r.Kill)
 	}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -61,8 +61,9 @@
 
 	answers *retain.Budget // of answers to report requests
 
-	mu    sync.Mutex
-	pools map[string][]*conn // idle connections by runner ID, most recently used last
+	mu            sync.Mutex
+	pools         map[string][]*conn // idle connections by runner ID, most recently used last
+	receiveBuffer int                // of a connection in bytes; 0: as the system sets it
 }
 
 // Option configures a Client.
@@ -71,6 +72,9 @@
 // WithDialCallback calls fn before each new connection is dialed.
 func WithDialCallback(fn func()) Option { return func(c *Client) { c.dialed = fn } }
 
+// WithReceiveBuffer sets the receive buffer of each connection in bytes; 0: as the system sets it.
+func WithReceiveBuffer(n int) Option { return func(c *Client) { c.receiveBuffer = n } }
+
 // WithCallCallback calls fn with the runner's ID for each order or report request sent to it.
 func WithCallCallback(fn func(id string)) Option { return func(c *Client) { c.called = fn } }
 
@@ -82,12 +86,11 @@
 
 // New returns a Client without connections.
 func New(clock core.Clock, dialect core.Dialect, opts ...Option) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: setUserTimeout}
 	c := &Client{
 		clock: clock, dialect: dialect, pools: map[string][]*conn{}, dialed: func() {}, called: func(string) {},
 		answered: func(*core.Runner, core.ReplyInfo) {}, answers: retain.New(maxCallAnswers),
-		dial: dialer.DialContext,
 	}
+	c.dial = (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive, Control: c.prepareSocket}).DialContext
 	for _, o := range opts {
 		o(c)
 	}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -191,7 +191,7 @@
 	d.limits = allowance.NewLimits(d.clock, d.log, allowance.WithLimitsScope(d.scope), allowance.WithBroadcast(d.broadcastLimit))
 	d.available = availability.New(d.clock, d.catalog, d.loads, d.limits, d.log, availability.WithScope(d.scope), availability.WithBroadcast(d.broadcastLeaving),
 		availability.WithMaxBackoff(time.Duration(set.Limits.MaxBackoff)), availability.WithBrittleBroadcast(d.broadcastBrittle), availability.WithMembers(set.Name, d.senders))
-	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
+	d.runners = runner.New(d.clock, platform.Dialect{}, runner.WithDialCallback(func() { dials.Inc(1) }), runner.WithReceiveBuffer(set.Limits.RunnerUnread()), runner.WithCallCallback(func(id string) { d.limits.Charge(id) }),
 		runner.WithAnswerCallback(func(r *core.Runner, info core.ReplyInfo) { d.dispatcher.ObserveAnswer(r, info) }))
 	d.reach = reach.New(d.loads, d.runners, d.checkTargets, d.clock, d.log, reach.WithScope(d.scope), reach.WithOnChange(d.pathChanged), reach.WithPeers(answeredPeers{d}))
 	d.watcher = watch.New(d.store, watch.Reader{
@@ -230,7 +230,7 @@
 	d.holder.SetSettings(d.settings)
 	d.placer = placement.NewClient(d.peers, d.holder, demand, d.clock, d.log)
 	d.dispatcher = dispatch.New(set.DataCentre, d.catalog, d.loads, d.runners, d.placer, budget, demand, d.clock, d.log,
-		dispatch.WithScope(d.scope), dispatch.WithGuard(d.quarantine), dispatch.WithBalance(d.balance), dispatch.WithExits(d.quarantine), dispatch.WithOrigins(d.origins), dispatch.WithAllowance(d.allowances), dispatch.WithFairness(d.fairness), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
+		dispatch.WithScope(d.scope), dispatch.WithAnswerMemory(set.Limits.AnswerMemory()), dispatch.WithGuard(d.quarantine), dispatch.WithBalance(d.balance), dispatch.WithExits(d.quarantine), dispatch.WithOrigins(d.origins), dispatch.WithAllowance(d.allowances), dispatch.WithFairness(d.fairness), dispatch.WithLimits(d.limits), dispatch.WithAvailability(d.available), dispatch.WithDaemons(d.serving), dispatch.WithDown(d.runnerDown), dispatch.WithSettings(d.settings, d.watcher.SettingsAge, limit.New(d.clock, d.serving, limit.WithShared(d.limits))))
 	dispatch.WithHelpers(set.Name, forward.New(d.peers, platform.Dialect{}, d.clock), d.reach.Lost)(d.dispatcher)
 	d.intake = intake.New(set.Limits.Intake(), d.clock, d.log, intake.WithScope(d.scope))
 	d.front = front.New(d.catalog, platform.Dialect{}, d.dispatcher, d.clock, d.log, front.WithScope(d.scope), front.WithSettingsKnown(d.stateKnown), front.WithKeysConfirmed(d.keysConfirmed), front.WithIntake(d.intake))
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -126,10 +126,12 @@
 	connectionShare = 0.3
 	connectionBytes = 40 << 10
 	// unreadShare is for what clients have sent and the daemon has not read.
-	unreadShare = 0.08
+	unreadShare = 0.06
+	// answerShare is for the beginnings of answers that are held until they are complete.
+	answerShare = 0.1
 	// heapShare, without programBytes for the program itself, is the limit from which on the runtime collects garbage
 	// more often.
-	heapShare    = 0.85
+	heapShare    = 0.8
 	programBytes = 16e6
 	// minHeapShare is the least of that.
 	minHeapShare = 0.5
@@ -143,7 +145,9 @@
 	callerShare = 0.5
 	// minUnread and maxUnread bound the receive buffer of a connection, in bytes.
 	minUnread = 8 << 10
-	maxUnread = 64 << 10
+	// runnerUnread is the least receive buffer of a connection with a runner, in bytes.
+	runnerUnread = 16 << 10
+	maxUnread    = 64 << 10
 )
 
 // Intake returns the bounds on what clients hold.
@@ -168,6 +172,22 @@
 	return out
 }
 
+// AnswerMemory returns the memory for answers that are held until they are complete, in bytes.
+func (l *Limits) AnswerMemory() int64 {
+	if l.Memory == 0 {
+		return defaultRequests
+	}
+	return int64(answerShare * float64(l.Memory))
+}
+
+// RunnerUnread returns the receive buffer of a connection with a runner in bytes; 0: as the system sets it.
+func (l *Limits) RunnerUnread() int {
+	if l.Memory == 0 {
+		return 0
+	}
+	return max(runnerUnread, l.Intake().Unread)
+}
+
 // descriptors returns how many descriptors the daemon may open.
 func (l *Limits) descriptors() int {
 	if l.Descriptors > 0 {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -74,9 +74,9 @@
 		memory               int64
 		connections, receive int
 	}{
-		{limits: `"memory":"96MB","descriptors":1000`, memory: 24e6, connections: 500, receive: 15_360},
-		{limits: `"memory":"284MB","descriptors":4100`, memory: 71e6, connections: 2050, receive: 11_082},
-		{limits: `"memory":"16MB","descriptors":4100`, memory: 4e6, connections: 117, receive: 10_940},
+		{limits: `"memory":"96MB","descriptors":1000`, memory: 24e6, connections: 500, receive: 11_520},
+		{limits: `"memory":"284MB","descriptors":4100`, memory: 71e6, connections: 2050, receive: 8_312},
+		{limits: `"memory":"16MB","descriptors":4100`, memory: 4e6, connections: 117, receive: 8_205},
 		{limits: `"descriptors":4100`, memory: 64e6, connections: 2050},
 		{limits: `"memory":"96MB","connections":300,"unread":"5KB"`, memory: 24e6, connections: 300, receive: 5000},
 		{limits: `"descriptors":100`, fault: "limits.descriptors: must be 128 or more, or 0"},
