--- a/soak/faults.go
+++ b/soak/faults.go
@@ -265,6 +265,7 @@
 	{"software version", func(w *World, r *rand.Rand) string { return w.changeVersion(r) }},
 	{"silent runners", func(w *World, r *rand.Rand) string { return w.silenceRunners(r) }},
 	{"fatal prompt part", func(w *World, r *rand.Rand) string { return w.sendFatalPart(r) }},
+	{"clients that do not behave", func(w *World, r *rand.Rand) string { return w.sendOddRequests(r) }},
 }
 
 // invalidEntries are entries of the store that no runner writes.
