Large heads leave half of the room; a request that never becomes whole goes, however it advances

Cause: large heads took the room up to where large bodies may; a body that advances kept its room until its time limit; a connection that had just been opened went before one with half a head.

Change: heads that cost more than 64 KiB fill half of the budget, bodies three quarters; without a stalled request the one that began first, over 1 s ago, and is not whole goes; without a place the connection goes that has done nothing for the longest time, idle or not.

Beside chunks of a byte large bodies are still refused as not run while each of the crowd is younger than a second.

--- a/io/retain/body.go
+++ b/io/retain/body.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// small is the amount up to which the whole budget may be taken, in bytes. Larger ones leave it a quarter.
+	// small is the amount up to which the whole budget may be taken, in bytes.
 	small = 64 << 10
 	// firstRead is the first size of a buffer for a body of unknown length, in bytes.
 	firstRead = 4 << 10
@@ -91,7 +91,7 @@
 	if b.budget == nil {
 		return nil
 	}
-	limit := b.budget.limitFor(n)
+	limit := b.budget.bodyLimit(n)
 	if n > limit {
 		return ErrLarge
 	}
--- a/io/retain/body_test.go
+++ b/io/retain/body_test.go
@@ -77,3 +77,18 @@
 	var b Body
 	assert.ErrorIs(t, b.Read(strings.NewReader("cut"), 4, New(10)), io.ErrUnexpectedEOF)
 }
+
+// Guards against large heads that take the room of bodies, and against one that is refused though it is alone.
+func TestLargeHeadsLeaveRoom(t *testing.T) {
+	budget := New(1 << 20)
+	for _, tt := range []struct {
+		size, taken int
+		ok          bool
+	}{{2 << 20, 512 << 10, true}, {100 << 10, 100 << 10, false}, {60 << 10, 60 << 10, true}} {
+		taken, ok := budget.TakeHead(tt.size)
+		assert.Equal(t, taken, tt.taken)
+		assert.Equal(t, ok, tt.ok, "%d", tt.size)
+	}
+	var b Body
+	assert.NilError(t, b.Read(zeros(190<<10), 190<<10, budget))
+}
--- a/io/retain/budget.go
+++ b/io/retain/budget.go
@@ -29,11 +29,22 @@
 // Take reports whether n more bytes may be held, and counts them.
 func (b *Budget) Take(n int) bool { return b == nil || b.takeUpTo(n, b.limit) }
 
-// TakeFair is Take, but a large amount leaves room for small ones.
-func (b *Budget) TakeFair(n int) bool { return b == nil || b.takeUpTo(n, b.limitFor(int64(n))) }
+// TakeHead takes room for a request's head, and returns how much. Large heads leave half of the budget to others, and
+// are charged that half at most.
+func (b *Budget) TakeHead(n int) (taken int, ok bool) {
+	if b == nil {
+		return 0, true
+	}
+	limit := b.limit
+	if n > small {
+		limit /= 2
+		n = min(n, int(limit))
+	}
+	return n, b.takeUpTo(n, limit)
+}
 
-// limitFor returns up to where n bytes may fill the budget.
-func (b *Budget) limitFor(n int64) int64 {
+// bodyLimit returns up to where a body of n bytes may fill the budget: large ones leave a quarter of it to others.
+func (b *Budget) bodyLimit(n int64) int64 {
 	if n > small {
 		return b.limit - b.limit/4
 	}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -37,6 +37,7 @@
 	// Of the list, guarded by the lock of the Intake.
 	phase                phase
 	progress             time.Time
+	began                time.Time // first byte of the request
 	in                   *list
 	preceding, following *Conn
 	released             chan struct{} // closed as the memory is released; nil: nobody waits
@@ -264,10 +265,11 @@
 
 // charge takes room for bytes.
 func (c *Conn) charge(n int) bool {
-	if !c.intake.budget.TakeFair(n) {
+	taken, ok := c.intake.budget.TakeHead(n)
+	if !ok {
 		return false
 	}
-	c.charged.Add(int64(n))
+	c.charged.Add(int64(taken))
 	if c.closed.Load() {
 		c.release()
 		return false
--- a/transport/intake/intake.go
+++ b/transport/intake/intake.go
@@ -22,6 +22,9 @@
 const (
 	// stallTime is how long a client may make no progress before its connection is closed to make room.
 	stallTime = 250 * time.Millisecond
+	// slowTime is how long a request may make progress without becoming whole before its connection is closed to make
+	// room.
+	slowTime = time.Second
 	// reclaimTimeout is how long a request waits until a connection that was closed has released its memory.
 	reclaimTimeout = time.Second
 	// checkInterval is how often connections are compared with the time limits.
@@ -247,22 +250,44 @@
 	if c := p.closing.first; c != nil {
 		return c
 	}
-	if c := p.partial.first; c != nil && (p.idle.first == nil || now.Sub(c.progress) >= stallTime) {
-		return c
+	partial, idle := p.partial.first, p.idle.first
+	if partial != nil && (idle == nil || now.Sub(partial.progress) >= stallTime || partial.progress.Before(idle.progress)) {
+		return partial
+	}
+	return idle
+}
+
+// stalled returns the connection whose request is not whole and has made no progress for the longest time, nil if all
+// make some.
+func (i *Intake) stalled(now time.Time) (found *Conn) {
+	for _, p := range i.ports {
+		if c := p.partial.first; c != nil && now.Sub(c.progress) >= stallTime && (found == nil || c.progress.Before(found.progress)) {
+			found = c
+		}
 	}
-	return p.idle.first
+	return found
 }
 
-// reclaim closes the connection that has held memory without progress for the longest time, and waits until it has
-// released it. It returns false if there is none.
+// oldest returns the connection whose request is not whole although it began long ago, nil if there is none.
+func (i *Intake) oldest(now time.Time) (found *Conn) {
+	for _, p := range i.ports {
+		for c := p.partial.first; c != nil; c = c.following {
+			if now.Sub(c.began) >= slowTime && (found == nil || c.began.Before(found.began)) {
+				found = c
+			}
+		}
+	}
+	return found
+}
+
+// reclaim closes the connection of a request that is not whole, and waits until it has released its memory: one that
+// has made no progress, or else the one that began first. It returns false if there is none.
 func (i *Intake) reclaim() bool {
 	now := i.clock.Now()
 	i.mu.Lock()
-	var victim *Conn
-	for _, p := range i.ports {
-		if c := p.partial.first; c != nil && now.Sub(c.progress) >= stallTime && (victim == nil || c.progress.Before(victim.progress)) {
-			victim = c
-		}
+	victim := i.stalled(now)
+	if victim == nil {
+		victim = i.oldest(now)
 	}
 	if victim == nil {
 		i.mu.Unlock()
--- a/transport/intake/list.go
+++ b/transport/intake/list.go
@@ -50,8 +50,11 @@
 	if c.in != nil {
 		c.in.remove(c)
 	}
-	c.phase = p
 	c.progress = i.clock.Now()
+	if c.phase <= phaseIdle || c.phase == phaseWhole {
+		c.began = c.progress
+	}
+	c.phase = p
 	switch p {
 	case phaseIdle:
 		c.port.idle.add(c)
--- a/transport/intake/requests_test.go
+++ b/transport/intake/requests_test.go
@@ -245,3 +245,32 @@
 		}
 	}
 }
+
+// Guards against clients that send just enough to count as progress, and so keep all room for as long as they like.
+func TestSlowRequestsMakeRoom(t *testing.T) {
+	const memory = 60 << 10
+	_, srv := serve(t, intake.Limits{Memory: memory}, intake.Port{Share: 1}, echo)
+	for range 2 {
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			_, err := io.WriteString(conn, "POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 100000000\r\n\r\n")
+			for err == nil { // ends with the connection
+				_, err = io.WriteString(conn, strings.Repeat("x", 5000))
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get(srv.URL + "/ordinary")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	})
+}
