Answers that are kept for later stay within a daemon's memory (native interface)

Change: a body goes with the end of its attempt; answers of ended attempts and finished answers are kept up to a tenth of the memory each, the oldest go first. An answer that is being read stays.

--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -67,14 +67,19 @@
 	onResume          func()    // charges a resumption to the endpoint's limit; set before run starts
 	tookToken         bool      // holds a token of the endpoint's limit; used only by the runner's loop
 	lastReadAt        time.Time // when the sweep last saw a reader; used only by the sweep
+	heldBytes         int64     // of the answer, guarded by the lock of the attempts
 	endedAt           time.Time // when the sweep first saw the end; used only by the sweep
 	status            int       // of the answer; used only by run
 	span              trace.SpanContext
 	stopDeadlineWatch func() bool // unregisters the callback for a deadline that passes in the queue
 }
 
+// dropBody drops the body of a request that will not be sent any more: the attempt stays known for minutes.
+func (a *Attempt) dropBody() { a.Body = nil }
+
 // refuse ends an attempt that was never sent.
 func (a *Attempt) refuse(err *core.RequestError) {
+	a.dropBody()
 	a.Buffer.Fail(err)
 	a.cancel()
 }
@@ -83,6 +88,7 @@
 // to the guard and calls done.
 func (a *Attempt) run(guard core.Guard, done func(*Attempt)) {
 	defer done(a)
+	defer a.dropBody()
 	defer a.reportOutcome(guard)
 	defer a.cancel()
 	ctx := trace.ContextWithRemoteSpanContext(a.ctx, a.span)
@@ -240,8 +246,34 @@
 // has ended, so that a dispatch that the transport sends twice joins the first attempt
 // instead of running again.
 type attempts struct {
-	mu   sync.Mutex
-	byID map[string]*Attempt
+	mu    sync.Mutex
+	byID  map[string]*Attempt
+	limit int64      // bytes of the answers of ended attempts
+	ended []*Attempt // whose answers are held, oldest first
+	held  int64      // bytes of these
+}
+
+// end holds the answer of an attempt that has ended. The oldest ones that nobody reads are released beyond the limit.
+func (m *attempts) end(a *Attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = append(m.ended, a)
+	a.heldBytes = a.Buffer.Size()
+	m.held += a.heldBytes
+	for m.held > m.limit && len(m.ended) > 0 {
+		m.release(m.ended[0])
+	}
+}
+
+// release drops the answer of the attempt that ended first. One that is being read is dropped by a sweep. The caller
+// holds the lock.
+func (m *attempts) release(oldest *Attempt) {
+	m.ended[0] = nil
+	m.ended = m.ended[1:]
+	m.held -= oldest.heldBytes
+	if oldest.Buffer.Readers() == 0 {
+		oldest.Buffer.Release()
+	}
 }
 
 // register adds an attempt. If its ID is already known, it returns the existing attempt
@@ -269,6 +301,9 @@
 func (m *attempts) sweep(now time.Time, releaseAfter, forgetAfter, orphanAfter time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for len(m.ended) > 0 && !m.ended[0].endedAt.IsZero() && now.Sub(m.ended[0].endedAt) > releaseAfter {
+		m.release(m.ended[0])
+	}
 	for id, a := range m.byID {
 		done, _ := a.Buffer.Done()
 		if !done {
--- a/coordination/owner/manager.go
+++ b/coordination/owner/manager.go
@@ -29,6 +29,7 @@
 	sweepInterval   = time.Second
 	answerRetention = 30 * time.Second // for the answer of an ended attempt
 	orphanTimeout   = 15 * time.Second // for an attempt without a reader
+	defaultAnswers  = 64 << 20         // bytes of the answers of ended attempts
 )
 
 // AttemptRetention is how long an attempt's ID stays known after its end.
@@ -92,6 +93,9 @@
 // WithMaxBackoff sets the longest backoff that is granted to an endpoint.
 func WithMaxBackoff(d time.Duration) Option { return func(m *Manager) { m.maxBackoff = d } }
 
+// WithAnswerLimit bounds the answers of ended attempts that are held for entries that lost their connection, in bytes.
+func WithAnswerLimit(n int64) Option { return func(m *Manager) { m.attempts.limit = n } }
+
 // WithGuard sets the quarantine guard, which receives the outcome of attempts and loads at
 // their endpoints.
 func WithGuard(g core.Guard) Option { return func(m *Manager) { m.guard = g } }
@@ -116,7 +120,7 @@
 		clock:       clock,
 		log:         zap.NewNop(),
 		scope:       tally.NoopScope,
-		attempts:    attempts{byID: map[string]*Attempt{}},
+		attempts:    attempts{byID: map[string]*Attempt{}, limit: defaultAnswers},
 		runners:     map[string]*runner{},
 		closing:     map[*runner]struct{}{},
 		maxBackoff:  core.DefaultMaxBackoff,
--- a/coordination/owner/runner.go
+++ b/coordination/owner/runner.go
@@ -229,6 +229,7 @@
 // attemptEnded is called from the attempt's own goroutine.
 func (r *runner) attemptEnded(a *Attempt) {
 	defer r.wg.Done()
+	r.mgr.attempts.end(a)
 	r.endProbe(a, false)
 	r.send(freeSlot{attempt: a, took: r.mgr.clock.Since(a.startedAt)})
 }
--- a/proof/crowd/clients_test.go
+++ b/proof/crowd/clients_test.go
@@ -207,6 +207,17 @@
 	}
 }
 
+// keptAnswers returns a behaviour that sends requests whose answers are kept for clients that come back, each under an id of its
+// own, and reads the answers.
+func keptAnswers(path string, size int) behaviour {
+	return func(c net.Conn, n int) {
+		go readAll(c)
+		for i := 0; send(c, start(path, n)+fmt.Sprintf("%s: kept-%d-%d\r\n", core.HeaderRequest, n, i)+lengthOf(size)+"\r\n"+strings.Repeat("x", size)); i++ {
+			time.Sleep(redialPause)
+		}
+	}
+}
+
 // longIDs returns a behaviour that sends requests with long ids for no route, and reads no answer.
 func longIDs(count int) behaviour {
 	return func(c net.Conn, _ int) {
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -125,7 +125,7 @@
 	d.network = newNetwork(d.table, d.pool.Dial, d.clock, d.log)
 	d.quarantine = quarantine.New(d.network, prober{d}, d.clock, d.log, quarantine.WithScope(scope), quarantine.WithStore(client, d.shouldReadHolds))
 	d.owner = owner.New(d.replica, d.table, client, d.connect, d.clock, owner.WithLogger(d.log), owner.WithScope(scope.SubScope("owner")), owner.WithMaxBackoff(time.Duration(set.Limits.MaxBackoff)),
-		owner.WithSettingsAge(d.spread.SinceConfirmed), owner.WithDirectory(d.report, d.find), owner.WithGuard(d.quarantine))
+		owner.WithSettingsAge(d.spread.SinceConfirmed), owner.WithDirectory(d.report, d.find), owner.WithGuard(d.quarantine), owner.WithAnswerLimit(set.Limits.AnswerMemory()))
 	d.claims = claim.New(client, d.table, d.clock, d.log)
 	d.entry = entry.New(d.replica, d.table, d.pool.Dial, d.owner, dir, d.claims, d.clock, entry.WithLogger(d.log),
 		entry.WithScope(scope.SubScope("entry")), entry.WithGuard(d.quarantine), entry.WithAnswerLimits(int64(set.Held.Bytes), time.Duration(set.Held.TTL)))
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -127,6 +127,8 @@
 	connectionBytes = 40 << 10
 	// unreadShare is for what clients have sent and the daemon has not read.
 	unreadShare = 0.06
+	// heldShare is for finished answers that are kept for callers that come back (native interface).
+	heldShare = 0.1
 	// answerShare is for the beginnings of answers that are held until they are complete.
 	answerShare = 0.1
 	// heapShare, without programBytes for the program itself, is the limit from which on the runtime collects garbage
@@ -140,6 +142,9 @@
 const (
 	// defaultRequests is the memory for requests in bytes where that of the daemon is not known.
 	defaultRequests = 64e6
+	// defaultHeld is the size of the answers that are kept if the settings state none, in bytes, where heldShare allows
+	// as much.
+	defaultHeld = 64e6
 	// callerShare is the part of the descriptors for callers' connections. About half as many are for those of other
 	// clients; the rest is for runners, the store and other daemons.
 	callerShare = 0.5
@@ -229,7 +234,7 @@
 	return File{
 		Log:    Log{Level: "info"},
 		Trace:  Trace{Share: 1},
-		Held:   HeldAnswers{Bytes: 64e6, TTL: core.Duration(5 * time.Minute)},
+		Held:   HeldAnswers{Bytes: defaultHeld, TTL: core.Duration(5 * time.Minute)},
 		Limits: Limits{Header: 64e3, Body: 32e6, BodyTimeout: core.Duration(30 * time.Second), AnswerTimeout: core.Duration(30 * time.Second), PlatformRate: 20, MaxBackoff: core.Duration(core.DefaultMaxBackoff)},
 	}
 }
@@ -249,6 +254,9 @@
 	if err := strict.Decode(data, &s.File); err != nil {
 		return nil, err
 	}
+	if s.Held.Bytes == defaultHeld && s.Limits.Memory > 0 {
+		s.Held.Bytes = min(defaultHeld, core.Bytes(heldShare*float64(s.Limits.Memory)))
+	}
 	c := &checker{}
 	c.required("name", s.Name)
 	c.required("place", s.DataCentre)
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -16,7 +16,7 @@
 	defaultHeadLimit = 64 << 10
 )
 
-// errFraming is returned where the server reads past the end of a request, so that the next one cannot be measured.
+// errFraming is returned where the server reads past the end of a request, so that it is not known where the next one begins.
 var errFraming = errors.New("the request ends elsewhere than expected")
 
 // socket is what a Conn needs of a TCP connection.
@@ -52,7 +52,7 @@
 	chunks    chunks
 	early     bool // the first byte of the next head has been handed on
 	unnoted   int  // bytes of progress
-	mismatch  bool // the next request cannot be measured
+	mismatch  bool // it is not known where the next request begins
 
 	charged    atomic.Int64
 	writeUntil time.Time
--- a/transport/intake/requests_test.go
+++ b/transport/intake/requests_test.go
@@ -39,7 +39,7 @@
 	fmt.Fprintf(w, "%s %s %d %v", r.URL.Path, r.Header.Get("X-Mark"), len(body), err)
 }
 
-// Guards against a request that is measured wrongly, so that the next one on its connection is lost, or mixed up with it.
+// Guards against a request whose end is found wrongly, so that the next one on its connection is lost, or mixed up with it.
 func TestRequestsInARow(t *testing.T) {
 	in, srv := serve(t, intake.Limits{Memory: 64 << 20}, intake.Port{Share: 1}, echo)
 	rapid.Check(t, func(rt *rapid.T) {
