--- a/coordination/owner/attempt_test.go
+++ b/coordination/owner/attempt_test.go
@@ -123,3 +123,24 @@
 		assert.Assert(t, ctx.Err() != nil, tt.name)
 	}
 }
+
+// Guards against answers of ended attempts that take all memory until they are swept.
+func TestEndedAttemptsHoldNoMoreThanTheirLimit(t *testing.T) {
+	const size = 60
+	m := attempts{byID: map[string]*Attempt{}, limit: 3 * size}
+	var all []*Attempt
+	for i := range 6 {
+		a := &Attempt{Buffer: answer.NewBuffer()}
+		assert.NilError(t, a.Buffer.Append(context.Background(), make([]byte, size)))
+		a.Buffer.Finish()
+		if i == 1 {
+			defer a.Buffer.Attach()()
+		}
+		m.end(a)
+		all = append(all, a)
+	}
+	for i, held := range []bool{false, true, false, true, true, true} { // the second one is being read
+		assert.Equal(t, all[i].Buffer.Size() > 0, held, "attempt %d", i)
+	}
+	assert.Equal(t, m.held, int64(3*size))
+}
