--- a/transport/intake/requests_test.go
+++ b/transport/intake/requests_test.go
@@ -33,6 +33,17 @@
 	return in, srv
 }
 
+// open opens a connection and sends a text.
+func open(t *testing.T, srv *httptest.Server, text string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	assert.NilError(t, err)
+	return conn
+}
+
 // echo answers with the path and the body of a request.
 func echo(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -143,19 +154,11 @@
 			<-end
 		}
 	})
-	open := func(text string) net.Conn {
-		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
-		_, err = io.WriteString(conn, text)
-		assert.NilError(t, err)
-		return conn
-	}
-	whole := open("GET /whole HTTP/1.1\r\nHost: h\r\n\r\n")
+	whole := open(t, srv, "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n")
 	<-began
 	var halves []net.Conn
 	for range 9 {
-		halves = append(halves, open("POST /half HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n123456789"))
+		halves = append(halves, open(t, srv, "POST /half HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n123456789"))
 		<-began
 	}
 	time.Sleep(400 * time.Millisecond)
@@ -184,17 +187,9 @@
 			<-end
 		}
 	})
-	open := func(text string) net.Conn {
-		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
-		_, err = io.WriteString(conn, text)
-		assert.NilError(t, err)
-		return conn
-	}
-	whole := open("GET /whole HTTP/1.1\r\nHost: h\r\n\r\n")
+	whole := open(t, srv, "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n")
 	for range 4 * places {
-		open("")
+		open(t, srv, "")
 	}
 	resp, err := http.Get(srv.URL + "/ordinary")
 	assert.NilError(t, err)
