An attempt that has ended keeps nothing of its request (native interface)

Cause: the owner knows the id of an attempt for two minutes after its end, and kept the request's header with it.

Change: the header goes with the body.

--- a/coordination/owner/attempt.go
+++ b/coordination/owner/attempt.go
@@ -74,12 +74,13 @@
 	stopDeadlineWatch func() bool // unregisters the callback for a deadline that passes in the queue
 }
 
-// dropBody drops the body of a request that will not be sent any more: the attempt stays known for minutes.
-func (a *Attempt) dropBody() { a.Body = nil }
+// dropRequest drops the header and the body of a request that will not be sent any more: the attempt stays known for
+// minutes.
+func (a *Attempt) dropRequest() { a.Header, a.Body = nil, nil }
 
 // refuse ends an attempt that was never sent.
 func (a *Attempt) refuse(err *core.RequestError) {
-	a.dropBody()
+	a.dropRequest()
 	a.Buffer.Fail(err)
 	a.cancel()
 }
@@ -88,7 +89,7 @@
 // to the guard and calls done.
 func (a *Attempt) run(guard core.Guard, done func(*Attempt)) {
 	defer done(a)
-	defer a.dropBody()
+	defer a.dropRequest()
 	defer a.reportOutcome(guard)
 	defer a.cancel()
 	ctx := trace.ContextWithRemoteSpanContext(a.ctx, a.span)
--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -143,6 +143,12 @@
 		{"heads, bodies lack a byte", atCaller, crowdSize, headOf(path, legalHead, distinctLine, lengthOf(10)+"\r\n123456789")},
 		{"bodies lack a byte", atCaller, crowdSize, bodyShortOf(path, "", bodyLimit, false)},
 		{"long ids, answers not read", atCaller, crowdSize, longIDs(300)},
+		{"whole requests in a row, answers not read", atCaller, crowdSize, wholeRequests(path, 40, false)},
+		{"large bodies, answers not read", atCaller, crowdSize, func(c net.Conn, n int) {
+			const size = 900_000
+			for send(c, start(path, n)+lengthOf(size)+"\r\n"+strings.Repeat("x", size)) {
+			}
+		}},
 		{"answers kept for clients that come back", atCaller, crowdSize / 20, keptAnswers(path, 300_000)},
 		{"more than descriptors, nothing sent", atCaller, largeCrowd, func(c net.Conn, _ int) { hold(c) }},
 		{"operators, heads over the limit", atAdmin, crowdSize, headOf("/metrics", largeHead, distinctLine, "\r\n")},
