Refusals of the intake are written by the interface whose client they go to

Cause: the intake wrote the refusal's JSON a second time instead of calling the interface's own writeError.

Change: a port states how it answers with an error; the copy of the body's form goes. Cost, which only a test used, moves into a test file.

--- a/io/logs/ends_test.go
+++ b/io/logs/ends_test.go
@@ -77,6 +77,8 @@
 	{"transport/intake/intake.go", "listener.Close", "Close", 1, "no connection: the listener"},
 	{"transport/intake/refusal.go", "Conn.refuse", "SetDeadline", 1, "a refusal of a head"},
 	{"transport/intake/refusal.go", "Conn.refuse", "Write", 1, "a refusal of a head"},
+	{"transport/intake/refusal.go", "Port.answer", "Write", 1, "no end: into memory"},
+	{"transport/intake/refusal.go", "recorder.Write", "Write", 1, "no end: into memory"},
 	{"transport/front/connections.go", "connections.closeIdle", "Close", 1, "idle connections shortly before the end of the grace time"},
 	{"transport/front/connections.go", "connections.sweep", "Close", 1, "an idle connection, headers that are late"},
 	{"transport/front/connections.go", "endRead", "SetReadDeadline", 1, "a body that is awaited as the grace time ends, also a forwarded one: refused"},
--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"primroseward/core"
 	wire "primroseward/platform"
 )
 
@@ -287,6 +288,17 @@
 	}
 }
 
+// TestRefusalsOfTheNativeInterface guards against a refusal in another form than that of the interface.
+func TestRefusalsOfTheNativeInterface(t *testing.T) {
+	d := startNative(t)
+	got := exchange(t, d.caller, fill(start("/services/parts/x", 1), largeHead, distinctLine)+"\r\n")
+	assert.Equal(t, got.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, got.Header.Get(core.HeaderOutcome), string(core.OutcomeNotRun))
+	body, err := io.ReadAll(got.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(body), `{"error":{`), "%s", body)
+}
+
 // exchange sends a text on a new connection and returns the answer.
 func exchange(t *testing.T, addr, text string) *http.Response {
 	t.Helper()
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -124,7 +124,7 @@
 // Listen returns a listener for Server, whose connections are closed when they exceed the
 // configuration's limits.
 func (f *Front) Listen(ln net.Listener) net.Listener {
-	return f.intake.Listen(f.conns.listen(ln), intake.Port{Name: "caller", Share: 1, HeadLimitNow: f.headLimit, Refused: f.logRefusal})
+	return f.intake.Listen(f.conns.listen(ln), intake.Port{Name: "caller", Share: 1, HeadLimitNow: f.headLimit, WriteError: writeError, Refused: f.logRefusal})
 }
 
 // headLimit returns the largest size of a request's head in bytes.
--- /dev/null
+++ b/transport/intake/export_test.go
@@ -0,0 +1,7 @@
+package intake
+
+// Cost returns the memory that is charged for a whole head, in bytes.
+func Cost(text []byte) int {
+	var h head
+	return h.cost(h.follow(text))
+}
--- a/transport/intake/head.go
+++ b/transport/intake/head.go
@@ -105,9 +105,3 @@
 	}
 	return bytes.TrimSpace(line[len(name):]), true
 }
-
-// Cost returns the memory that is charged for a whole head, in bytes.
-func Cost(text []byte) int {
-	var h head
-	return h.cost(h.follow(text))
-}
--- a/transport/intake/intake.go
+++ b/transport/intake/intake.go
@@ -64,6 +64,8 @@
 	HeadTimeout time.Duration
 	// Multiplexed is set for HTTP/2, whose connections are only counted.
 	Multiplexed bool
+	// WriteError answers with a refusal; nil: with its text.
+	WriteError func(w http.ResponseWriter, e *core.RequestError)
 	// Refused is called with each refusal by the Intake; nil: nothing.
 	Refused func(e *core.RequestError)
 }
--- a/transport/intake/refusal.go
+++ b/transport/intake/refusal.go
@@ -1,8 +1,7 @@
 package intake
 
 import (
-	"encoding/json"
-	"fmt"
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,23 +42,38 @@
 	}
 	deadline := time.Now().Add(DrainTime)
 	_ = c.socket.SetDeadline(deadline) // fails only on a closed connection
-	if _, err := c.socket.Write(answer(e)); err == nil && c.socket.CloseWrite() == nil {
+	if _, err := c.socket.Write(c.port.answer(e)); err == nil && c.socket.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, c.socket, DrainBytes)
 	}
 	return io.EOF
 }
 
-// answer returns a whole answer with a refusal.
-func answer(e *core.RequestError) []byte {
-	body, _ := json.Marshal(struct {
-		Code    string `json:"code"`
-		Text    string `json:"text"`
-		Outcome string `json:"outcome"`
-	}{e.Code, e.Message, string(e.Outcome)}) // cannot fail
-	retry := ""
-	if e.Retry > 0 {
-		retry = fmt.Sprintf("Retry-After: %.3f\r\n", e.Retry.Seconds())
+// answer returns a whole answer with a refusal, in the form of the port.
+func (p *Port) answer(e *core.RequestError) []byte {
+	w := &recorder{header: http.Header{}}
+	if p.WriteError != nil {
+		p.WriteError(w, e)
+	} else {
+		http.Error(w, e.Error(), e.WireStatus())
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		e.Status, http.StatusText(e.Status), retry, len(body), body)
+	resp := &http.Response{
+		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true,
+		Body: io.NopCloser(&w.body), ContentLength: int64(w.body.Len()),
+	}
+	var out bytes.Buffer
+	_ = resp.Write(&out) // a buffer takes all
+	return out.Bytes()
+}
+
+// recorder is a ResponseWriter for an answer to a request that the server has not seen.
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
 }
+
+func (w *recorder) Header() http.Header { return w.header }
+
+func (w *recorder) WriteHeader(status int) { w.status = status }
+
+func (w *recorder) Write(p []byte) (int, error) { return w.body.Write(p) }
--- a/transport/routers/routers.go
+++ b/transport/routers/routers.go
@@ -79,7 +79,10 @@
 
 // Port describes the listener of callers.
 func (a *API) Port() intake.Port {
-	return intake.Port{Name: "caller", Share: 1, HeadTimeout: headerTimeout, HeadLimit: a.maxHead}
+	return intake.Port{
+		Name: "caller", Share: 1, HeadTimeout: headerTimeout, HeadLimit: a.maxHead,
+		WriteError: func(w http.ResponseWriter, e *core.RequestError) { writeError(w, e) },
+	}
 }
 
 // Handler returns the handler of all routes.
