A refusal does not wait for a body that its daemon has stopped reading

What callers saw: a request whose body was slow as its daemon ended got no answer (unexpected EOF for 503, not run); a request whose body was late got its 408 two seconds after its time limit.

Cause: after a refusal the server itself reads on for DrainTime, so that the refusal is not lost with a reset. The net/http server does so before it writes the answer, unless the connection is to be closed. Whether it was depended on the order in which the request and the signal arrived: only a request that began after the signal had Connection: close. A process that ends waits 0.1 s for such answers, not 2 s.

Change: refusals that end the read of a body close the connection, and are written and flushed before the rest is read and dropped, as those without room are.

--- a/io/logs/ends_test.go
+++ b/io/logs/ends_test.go
@@ -91,7 +91,7 @@
 	{"transport/front/bodies.go", "Front.answerAndSkipBody", "Flush", 1, "a refusal without the caller's body"},
 	{"transport/front/front.go", "Front.serve", "WithCancelCause", 1, "a request that waits as the grace time ends: refused"},
 	{"transport/front/bodies.go", "Front.readBody", "MaxBytesReader", 1, "a body that is too large"},
-	{"transport/front/front.go", "Front.refuse", "Connection: close", 1, "a refusal without the caller's body"},
+	{"transport/front/front.go", "Front.refuse", "Connection: close", 2, "a refusal without the caller's body, or within it"},
 	{"transport/front/front.go", "Front.serve", "Connection: close", 1, "the daemon leaves; after a whole answer"},
 	{"transport/front/front.go", "Front.writeReply", "Connection: close", 1, "the daemon leaves; after a whole answer"},
 	{"transport/front/front.go", "Front.writeReply", "ErrAbortHandler", 3, "the answer is cut, or the caller has disconnected"},
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -253,6 +253,19 @@
 // TestStopAnswersWaitingRequests guards against requests that still wait at the end of the grace time and whose
 // connection is closed without an answer.
 func TestStopAnswersWaitingRequests(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		delay time.Duration // between the requests and the signal
+	}{
+		{"requests that arrive with the signal", 0},
+		{"requests that have begun", 200 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) { testStopAnswersWaitingRequests(t, tt.delay) })
+	}
+}
+
+func testStopAnswersWaitingRequests(t *testing.T, delay time.Duration) {
+	t.Helper()
 	c := startFleet(t, 1)
 	d := c.daemons[0]
 	for _, r := range c.runners[2:] {
@@ -276,6 +289,7 @@
 		_, err = io.WriteString(conns[i].conn, text)
 		assert.NilError(t, err)
 	}
+	time.Sleep(delay)
 	assert.NilError(t, d.cmd.Process.Signal(syscall.SIGTERM))
 	kill := time.AfterFunc(gracePeriod, func() { _ = d.cmd.Process.Kill() })
 	defer kill.Stop()
--- a/transport/front/bodies.go
+++ b/transport/front/bodies.go
@@ -13,6 +13,12 @@
 	"primroseward/transport/intake"
 )
 
+// codeLateBody is the code of a refusal of a request whose body has not arrived in time.
+const codeLateBody = "late_body"
+
+// endsBody reports whether a refusal may have ended the read of its request's body.
+func endsBody(e *core.RequestError) bool { return e.Code == core.CodeLeaving || e.Code == codeLateBody }
+
 // timeLimit returns how long the caller of a request waits for its answer.
 func timeLimit(route *core.Route, q *core.Request) time.Duration {
 	limit := route.Timeout
@@ -45,7 +51,7 @@
 	case ended:
 		return refuseLeaving()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return core.NotRun(http.StatusRequestTimeout, "late_body", "the body was not complete within the time limit of the request", 0)
+		return core.NotRun(http.StatusRequestTimeout, codeLateBody, "the body was not complete within the time limit of the request", 0)
 	case errors.Is(err, retain.ErrFull):
 		return core.NotRun(http.StatusServiceUnavailable, core.CodeOverloaded, err.Error(), fullRetry)
 	case errors.Is(err, retain.ErrLarge):
@@ -59,7 +65,8 @@
 }
 
 // answerAndSkipBody refuses a request before its body has been read, and then reads the body: a connection that is
-// closed with unread bytes is reset, and the caller may lose the answer.
+// closed with unread bytes is reset, and the caller may lose the answer. The server itself would read first, and a
+// caller that sends nothing more would wait for its answer.
 func (f *Front) answerAndSkipBody(w http.ResponseWriter, r *http.Request, e *core.RequestError) {
 	control := http.NewResponseController(w)
 	_ = control.EnableFullDuplex() // otherwise the server would read 256 KiB first
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -329,10 +329,15 @@
 	if e.Status == http.StatusUnauthorized && r.ContentLength != 0 {
 		w.Header().Set("Connection", "close") // otherwise the server would wait for the body
 	}
-	if r.ContentLength != 0 {
-		endReadIn(w, intake.DrainTime) // of what the server reads behind the answer
+	if r.ContentLength == 0 {
+		writeError(w, e)
+		return
+	}
+	endReadIn(w, intake.DrainTime) // of what the server reads behind the answer
+	if endsBody(e) {
+		w.Header().Set("Connection", "close") // a read that has failed ends the connection's context
 	}
-	if e.Code == core.CodeOverloaded && r.Header.Get("Expect") == "" {
+	if (endsBody(e) || e.Code == core.CodeOverloaded) && r.Header.Get("Expect") == "" {
 		f.answerAndSkipBody(w, r, e)
 		return
 	}
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"primroseward/core"
 	"primroseward/io/logs"
@@ -212,6 +214,59 @@
 	}
 }
 
+// TestRefusalDoesNotWaitForTheBody guards against a refusal that is held back until the rest of the body has arrived, or the time for
+// it is over: the caller sends nothing more, and a daemon that ends closes the connection first.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for _, tt := range []struct {
+		name, headers, limit string
+		status               int
+		end                  bool // whether the daemon ends
+	}{
+		{"late body", "", "100", http.StatusRequestTimeout, false},
+		{"late body, expected", "Expect: 100-continue\n", "100", http.StatusRequestTimeout, false},
+		{"the daemon ends", "", "60000", http.StatusServiceUnavailable, true},
+		{"the daemon ends, expected", "Expect: 100-continue\n", "60000", http.StatusServiceUnavailable, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f, srv := setUp(t, 1, &dispatcher{})
+			conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			text := "POST /a/x HTTP/1.1\nHost: h.example\nX-Primroseward-Request-Id: q1\n" + platform.HeaderTimeout + ": " + tt.limit + "\n" + tt.headers + "Content-Length: 3\n\na"
+			_, err = io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+			assert.NilError(t, err)
+			began := time.Now()
+			if tt.end {
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					for c := range f.conns.openNow() {
+						if c.end.Load() != nil {
+							return poll.Success()
+						}
+					}
+					return poll.Continue("the body is not awaited yet")
+				})
+				f.EndWaiting()
+			}
+			in := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(in, nil)
+			for err == nil && resp.StatusCode == http.StatusContinue {
+				resp, err = http.ReadResponse(in, nil)
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, tt.status)
+			assert.Assert(t, resp.Close)
+			assert.Assert(t, time.Since(began) < intake.DrainTime, "%v", time.Since(began))
+		})
+	}
+}
+
+// openNow returns the open connections.
+func (s *connections) openNow() map[*callerConn]struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.open)
+}
+
 // broken returns an error in place of the end of a reader.
 type broken struct{ io.Reader }
 
