Refusals of requests that another daemon has passed on, and that were not read, count as not run

What callers saw: by reading, 502 "may have run" where 503 (not run, when to return) would be true, and no other daemon was asked, as a daemon without a path passes a request on to one whose memory is taken up by a crowd.

Cause: the intake refuses a request before its head is parsed, so that the refusal has neither its id nor the headers that tell a refusal from a runner's answer. The daemon that forwards skips answers with another id, and takes the request for lost.

Change: the peer address states the code and the outcome; a refusal as not run without an id is that of the last request on its connection. This holds because the connection is closed behind it: nothing sent on it is read any more.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -171,10 +171,11 @@
 }
 
 // ReadReply reads the headers of an answer of another daemon. A refusal has no request id of the
-// callers' format.
+// callers' format, and none at all if the other daemon had no room to read the request; it then closes the connection.
 func (d hopDialect) ReadReply(status int, h http.Header) core.ReplyInfo {
 	info := d.Dialect.ReadReply(status, h)
 	info.RequestID, info.Instance = h.Get(core.HeaderRequest), ""
+	info.Unread = info.RequestID == "" && h.Get(core.HeaderCode) != "" && h.Get(core.HeaderOutcome) == string(core.OutcomeNotRun)
 	info.Runs, _ = strconv.Atoi(h.Get(core.HeaderRuns)) // absent: 0
 	info.Origin = core.ReadOrigin(h)
 	return info
--- a/core/request.go
+++ b/core/request.go
@@ -57,6 +57,7 @@
 // ReplyInfo holds what the headers of an endpoint's answer state.
 type ReplyInfo struct {
 	RequestID string
+	Unread    bool // another daemon has refused the last request on the connection before it read its id
 	NotRun    bool // the endpoint states that it did not run the request
 	Stamped   bool // the answer carries the endpoint's signature
 	Encoded   bool // the body is encoded, although no encoding was requested
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -317,7 +317,7 @@
 			continue // informational (1xx) answers have no body
 		}
 		info := c.dialect.ReadReply(resp.StatusCode, resp.Header)
-		if id == "" || info.RequestID == id {
+		if id == "" || info.RequestID == id || info.Unread {
 			framing := core.FramingOf(resp)
 			return &rawReply{
 				Reply:   core.Reply{Status: resp.StatusCode, Header: resp.Header, Info: info, Framing: framing},
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -282,29 +282,29 @@
 	resolve.Handle("GET "+platform.PathDirectory, dir)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.PathReady, dir.ServeReady)
+	peerPort := d.front.PeerPort()
+	peerPort.HeadTimeout = headTimeout
 	for _, l := range []struct {
-		name   string
 		addr   netip.AddrPort
 		server *http.Server
-		share  float64
-		head   int // largest head in bytes; 0: the default
+		port   intake.Port
 	}{
-		{"caller", d.set.CallerAddr, d.front.Server(), 1, 0},
-		{"ready", d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headTimeout}, intake.SmallShare, 0},
-		{"directory", d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: headTimeout}, intake.DirectoryShare, 0},
-		{"peer", d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: headTimeout, ConnContext: tcp.WithConn}, intake.PeerShare, front.ForwardedHeaderBytes},
-		{"admin", d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: headTimeout}, intake.SmallShare, 0},
+		{d.set.CallerAddr, d.front.Server(), d.front.Port()},
+		{d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headTimeout}, intake.Port{Name: "ready", Share: intake.SmallShare, HeadTimeout: headTimeout}},
+		{d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: headTimeout}, intake.Port{Name: "directory", Share: intake.DirectoryShare, HeadTimeout: headTimeout}},
+		{d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: headTimeout, ConnContext: tcp.WithConn}, peerPort},
+		{d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: headTimeout}, intake.Port{Name: "admin", Share: intake.SmallShare, HeadTimeout: headTimeout}},
 	} {
 		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
 		if err != nil {
-			return eris.Wrap(err, l.name)
+			return eris.Wrap(err, l.port.Name)
 		}
 		var accepting net.Listener
 		if len(d.servers) == 0 {
 			accepting = d.front.Listen(ln)
 			d.callers = accepting
 		} else {
-			accepting = d.intake.Listen(ln, intake.Port{Name: l.name, Share: l.share, HeadTimeout: headTimeout, HeadLimit: l.head})
+			accepting = d.intake.Listen(ln, l.port)
 			d.intake.Attach(l.server)
 		}
 		d.servers = append(d.servers, l.server)
--- a/transport/front/forwarded.go
+++ b/transport/front/forwarded.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"primroseward/core"
+	"primroseward/transport/intake"
 )
 
 // Forwarded returns the handler of requests that other daemons pass on, which arrive at the peer
@@ -27,11 +28,19 @@
 	})
 }
 
+// PeerPort describes the listener of Forwarded.
+func (f *Front) PeerPort() intake.Port {
+	return intake.Port{
+		Name: "peer", Share: intake.PeerShare, HeadLimit: forwardedHeaderBytes, Refused: f.logRefusal,
+		WriteError: func(w http.ResponseWriter, e *core.RequestError) { writeError(&forwardedWriter{ResponseWriter: w}, e) },
+	}
+}
+
 // forwardedWriter writes the answer to a forwarded request: with the headers that tell the other
 // daemon a refusal from a runner's answer.
 type forwardedWriter struct {
 	http.ResponseWriter
-	id      string // of the request
+	id      string // of the request; empty: it has not been read
 	waiting *waiting
 }
 
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -31,9 +31,9 @@
 	// headerBytes is the maximum size of a request's headers; a configuration may set a
 	// lower one.
 	headerBytes = 64 << 10
-	// ForwardedHeaderBytes is that of a request that another daemon passes on: it writes each header with a space and
+	// forwardedHeaderBytes is that of a request that another daemon passes on: it writes each header with a space and
 	// CRLF, and adds its own.
-	ForwardedHeaderBytes = 4 * headerBytes
+	forwardedHeaderBytes = 4 * headerBytes
 	copyBuffer           = 16 << 10
 	// tracer is the name of the tracer of the spans of requests.
 	tracer = "primroseward"
@@ -124,7 +124,12 @@
 // Listen returns a listener for Server, whose connections are closed when they exceed the
 // configuration's limits.
 func (f *Front) Listen(ln net.Listener) net.Listener {
-	return f.intake.Listen(f.conns.listen(ln), intake.Port{Name: "caller", Share: 1, HeadLimitNow: f.headLimit, WriteError: writeError, Refused: f.logRefusal})
+	return f.intake.Listen(f.conns.listen(ln), f.Port())
+}
+
+// Port describes the listener of callers.
+func (f *Front) Port() intake.Port {
+	return intake.Port{Name: "caller", Share: 1, HeadLimitNow: f.headLimit, WriteError: writeError, Refused: f.logRefusal}
 }
 
 // headLimit returns the largest size of a request's head in bytes.
