Calls between daemons are held to the limits, one by one (native interface)

What a client could do: at the peer address of the native interface a message without end, or many calls with large heads, took as much memory as was sent. 400 clients, 4 s, 96 MB allowed: 2,797 MB (messages without end), 248 MB (messages of 1 MB that lack their last byte), 214 MB (20 calls a connection, heads of 60 KB).

Cause: the intake counts HTTP/2 connections only. The library reads a message whole, of any size, and net/http takes 1 MiB a connection that nobody has read yet.

Change: each call is charged as its handler begins, its message as it is read, from the budget of bodies, and gives way as a connection does: without progress for 0.25 s, or not whole for 1 s, its read ends where another request needs the room, after limits.sender in any case. Other calls on the connection go on. A connection's unread bytes are limits.unread, 64 KiB at least. The limit is the one that bodies have; a message that a caller's body fills fits.

TestCallsThatStallMakeRoom 5 of 5 with the race detector; proof's tests of the native interface, of owners and answers (218 s) and of the packages concerned passed.

--- a/io/logs/ends_test.go
+++ b/io/logs/ends_test.go
@@ -68,6 +68,7 @@
 	{"transport/front/connections.go", "callerListener.Close", "Close", 1, "no connection: the listener"},
 	{"transport/front/connections.go", "endReadIn", "SetReadDeadline", 1, "a body that is late: refused; what is read behind a refusal"},
 	{"transport/front/front.go", "Front.Server", "IdleTimeout", 1, "none: the limits of the configuration apply"},
+	{"transport/intake/calls.go", "callEnd.Close", "SetReadDeadline", 1, "no caller: the message of a call between daemons, which is not whole"},
 	{"transport/intake/conn.go", "Conn.Close", "Close", 1, "no end of its own: the server's"},
 	{"transport/intake/conn.go", "Conn.SetWriteDeadline", "SetWriteDeadline", 1, "no end of its own: the server's"},
 	{"transport/intake/conn.go", "Conn.Write", "SetWriteDeadline", 1, "an answer that is not read"},
--- a/io/retain/budget.go
+++ b/io/retain/budget.go
@@ -43,6 +43,11 @@
 	return n, b.takeUpTo(n, limit)
 }
 
+// TakeBody reports whether n more bytes of a body that has total bytes by now may be held, and counts them.
+func (b *Budget) TakeBody(n, total int) bool {
+	return b == nil || b.takeUpTo(n, b.bodyLimit(int64(total)))
+}
+
 // bodyLimit returns up to where a body of n bytes may fill the budget: large ones leave a quarter of it to others.
 func (b *Budget) bodyLimit(n int64) int64 {
 	if n > small {
--- a/proof/crowd/clients_test.go
+++ b/proof/crowd/clients_test.go
@@ -1,15 +1,18 @@
 package crowd
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"primroseward/core"
 	wire "primroseward/platform"
+	"primroseward/protocol/peerv1/peerv1connect"
 )
 
 const (
@@ -243,3 +246,52 @@
 		}
 	}
 }
+
+// overHTTP2 returns a client of daemons' own calls that uses one connection.
+func overHTTP2(c net.Conn) *http.Client {
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	used := false
+	return &http.Client{Transport: &http.Transport{Protocols: p, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		if used {
+			return nil, net.ErrClosed
+		}
+		used = true
+		return c, nil
+	}}}
+}
+
+// calls returns a behaviour that makes calls of daemons side by side on one connection, with a head of a size. Each sends a
+// message that is never whole: size bytes of it, or bytes without end if size is below 0.
+func calls(count, head, size int) behaviour {
+	return func(c net.Conn, _ int) {
+		client := overHTTP2(c)
+		var wg sync.WaitGroup
+		for range count {
+			wg.Go(func() {
+				body, end := io.Pipe()
+				go func() {
+					for sent := 0; size < 0 || sent < size; {
+						n, err := end.Write(make([]byte, 16<<10))
+						if sent += n; err != nil {
+							return
+						}
+					}
+				}()
+				req, err := http.NewRequest(http.MethodPost, "http://daemon"+peerv1connect.PeerSyncProcedure, body)
+				if err != nil {
+					return
+				}
+				req.Header.Set("Content-Type", "application/proto")
+				for i := range head / 1000 {
+					req.Header.Set(fmt.Sprint("X-", i), strings.Repeat("v", 990))
+				}
+				if resp, err := client.Do(req); err == nil {
+					_ = resp.Body.Close()
+				}
+				_ = end.Close()
+			})
+		}
+		wg.Wait()
+	}
+}
--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -155,6 +155,9 @@
 		{"operators, heads over the limit", atAdmin, crowdSize, headOf("/metrics", largeHead, distinctLine, "\r\n")},
 		{"peer, heads over the limit", atPeer, crowdSize, headOf("/none", largeHead, distinctLine, "\r\n")},
 		{"peer, more than descriptors, nothing sent", atPeer, largeCrowd, func(c net.Conn, _ int) { hold(c) }},
+		{"peer, messages lack a byte", atPeer, crowdSize, calls(1, 0, bodyLimit)},
+		{"peer, messages without end", atPeer, crowdSize, calls(1, 0, -1)},
+		{"peer, many calls with large heads", atPeer, crowdSize, calls(20, 60_000, 1_000)},
 	} {
 		t.Run(tt.name, func(t *testing.T) { testCrowd(t, startNative(t), tt) })
 	}
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -202,7 +202,7 @@
 
 // listen opens the listeners for other daemons, operators and callers.
 func (d *Daemon) listen(h *rpc.Handler, client core.Platform) error {
-	peers, err := peer.NewServer(h)
+	peers, err := peer.NewServer(h, peer.WithBound(d.intake.Calls), peer.WithReceiveBuffer(d.set.Limits.Intake().Unread))
 	if err != nil {
 		return err
 	}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -31,6 +31,7 @@
 // for what the server makes of it, and nothing of the next request before the server asks for it.
 type Conn struct {
 	socket
+	stop   io.Closer // the socket, or what ends the read of a call
 	intake *Intake
 	port   *port
 
@@ -59,7 +60,7 @@
 	closed     atomic.Bool
 }
 
-func newConn(s socket, i *Intake, p *port) *Conn { return &Conn{socket: s, intake: i, port: p} }
+func newConn(s socket, i *Intake, p *port) *Conn { return &Conn{socket: s, stop: s, intake: i, port: p} }
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.socket }
@@ -263,12 +264,19 @@
 	c.to(phaseHead)
 }
 
-// charge takes room for bytes.
+// charge takes room for a head.
 func (c *Conn) charge(n int) bool {
 	taken, ok := c.intake.budget.TakeHead(n)
-	if !ok {
-		return false
-	}
+	return ok && c.holds(taken)
+}
+
+// chargeBody takes room for n more bytes of a body that has total bytes by now.
+func (c *Conn) chargeBody(n, total int) bool {
+	return c.intake.budget.TakeBody(n, total) && c.holds(n)
+}
+
+// holds counts room that has been taken. It returns false if the connection has been closed meanwhile.
+func (c *Conn) holds(taken int) bool {
 	c.charged.Add(int64(taken))
 	if c.closed.Load() {
 		c.release()
@@ -297,13 +305,19 @@
 }
 
 // abort closes the connection under the server, which closes the Conn then.
-func (c *Conn) abort() { _ = c.socket.Close() }
+func (c *Conn) abort() { _ = c.stop.Close() }
 
 // Close implements net.Conn. The server calls it when it has ended its work on the connection.
 func (c *Conn) Close() error {
 	err := c.socket.Close()
+	c.end()
+	return err
+}
+
+// end gives back all that the connection or the call holds.
+func (c *Conn) end() {
 	if c.closed.Swap(true) {
-		return err
+		return
 	}
 	c.release()
 	c.intake.mu.Lock()
@@ -313,5 +327,4 @@
 	if c.released != nil {
 		close(c.released)
 	}
-	return err
 }
--- a/transport/intake/export_test.go
+++ b/transport/intake/export_test.go
@@ -5,3 +5,6 @@
 	var h head
 	return h.cost(h.follow(text))
 }
+
+// StallTime is how long a client may make no progress.
+const StallTime = stallTime
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -29,6 +29,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeader bounds the headers of a call, in bytes.
 	maxHeader = 64 << 10
+	// minReceiveBuffer and maxReceiveBuffer bound the receive buffer of a connection as HTTP/2 counts it, in bytes.
+	minReceiveBuffer = 64 << 10
+	maxReceiveBuffer = 1 << 20
 )
 
 // Dial returns the client for the daemon at an address.
@@ -132,21 +135,44 @@
 // Close closes idle connections.
 func (p *Pool) Close() { p.http.CloseIdleConnections() }
 
+// ServerOption configures a server.
+type ServerOption func(*http.Server)
+
+// WithBound sets a function that wraps the handler of calls, to bound what these hold.
+func WithBound(fn func(http.Handler) http.Handler) ServerOption {
+	return func(s *http.Server) { s.Handler = fn(s.Handler) }
+}
+
+// WithReceiveBuffer sets how many bytes a connection may have received that its calls have not read; 0: the default of
+// net/http.
+func WithReceiveBuffer(bytes int) ServerOption {
+	return func(s *http.Server) {
+		if bytes > 0 {
+			s.HTTP2.MaxReceiveBufferPerConnection = min(maxReceiveBuffer, max(minReceiveBuffer, bytes))
+			s.HTTP2.MaxReceiveBufferPerStream = s.HTTP2.MaxReceiveBufferPerConnection
+		}
+	}
+}
+
 // NewServer returns an HTTP server for a handler of the Peer service.
-func NewServer(h peerv1connect.PeerHandler) (*http.Server, error) {
+func NewServer(h peerv1connect.PeerHandler, opts ...ServerOption) (*http.Server, error) {
 	trace, err := otelconnect.NewInterceptor(otelconnect.WithoutMetrics(), otelconnect.WithTrustRemote())
 	if err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerHandler(h, connect.WithInterceptors(trace)))
-	return &http.Server{
+	s := &http.Server{
 		Handler:           mux,
 		Protocols:         unencryptedHTTP2(),
 		HTTP2:             pingConfig(),
 		ReadHeaderTimeout: 5 * time.Second,
 		MaxHeaderBytes:    maxHeader,
-	}, nil
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s, nil
 }
 
 // ToConnectError returns the Connect error for an error of package core; other errors are
