Readiness, directory, operators and other daemons are served while requests take up all memory

What callers saw: 503 for all of readiness, directory, metrics and the calls of other daemons, for as long as whole requests inside the limits took up the memory for requests: the platform takes such a daemon for not ready, and none is left where all are busy.

Cause: heads at all addresses are charged to one budget since "Requests are charged for their heads before these are parsed"; small heads may fill it to its end, and whole requests do not make room.

Change: each address other than the callers' has a reserve of 3% of the budget for small heads, taken first. Natively the calls by which daemons stay together have one; those that carry callers' requests have none.

TestReservedCallsBesideOthers fails without a reserve.

--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -198,6 +198,41 @@
 	}
 }
 
+// TestOperatorsBesideWholeRequests guards against whole requests inside the limits that take up all memory for requests, so
+// that the platform, operators and other daemons are refused.
+func TestOperatorsBesideWholeRequests(t *testing.T) {
+	const (
+		size   = 450 // connections, below the places for callers
+		larger = 250 // those of them with a larger body
+		probes = 20
+	)
+	d := startFleet(t, smallMachine)
+	check := d.watch()
+	c := gather(d.caller, size, func(c net.Conn, n int) {
+		body := 10
+		if n < larger {
+			body = 60_000
+		}
+		if send(c, start("/held/x", n)+lengthOf(body)+"\r\n"+strings.Repeat("x", body)) {
+			hold(c)
+		}
+	})
+	defer c.leave()
+	time.Sleep(crowdTime / 3)
+	for i := range probes {
+		for _, url := range []string{d.ready + wire.PathReady, d.directory + wire.PathDirectory + "?name=h.example", d.admin + "/metrics", d.peer + "/departures"} {
+			resp, err := client.Get("http://" + url)
+			if !assert.Check(t, err, url) {
+				continue
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			assert.Check(t, resp.StatusCode == http.StatusOK, "%d: %s: status %d", i, url, resp.StatusCode)
+		}
+	}
+	check(t)
+}
+
 // TestStopBesideACrowd guards against a daemon that does not end when it is told to, as a crowd keeps its connections.
 func TestStopBesideACrowd(t *testing.T) {
 	for _, tt := range []crowdCase{
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -136,8 +136,8 @@
 	}
 	d.put(wire.KindConfig, wire.NameConfig, map[string]any{
 		"version":  1,
-		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false), route("full", "/full/", "safe", "full", false)},
-		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}, map[string]any{"name": "full"}},
+		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false), route("full", "/full/", "safe", "full", false), route("held", "/held/", "safe", "held", false)},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}, map[string]any{"name": "full"}, map[string]any{"name": "held"}},
 		"limits":   map[string]any{"max_header_bytes": headLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	for _, spec := range []runner.Spec{
@@ -145,6 +145,7 @@
 		{ID: "i-slow-1", Service: "slow", DataCentre: "north", Slots: 4, Interval: time.Second},
 		{ID: "i-big-1", Service: "big", DataCentre: "north", Slots: crowdSize},
 		{ID: "i-full-1", Service: "full", DataCentre: "north", Slots: crowdSize},
+		{ID: "i-held-1", Service: "held", DataCentre: "north", Slots: largeCrowd},
 	} {
 		r := runner.New(spec, d.put)
 		switch spec.Service {
@@ -152,6 +153,11 @@
 			r.SetRaw(func(*http.Request) *runner.Raw {
 				return &runner.Raw{EndlessHead: "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", Endless: "x"}
 			})
+		case "held":
+			r.SetRaw(func(req *http.Request) *runner.Raw {
+				<-req.Context().Done()
+				return nil
+			})
 		case "full":
 			r.SetRaw(func(*http.Request) *runner.Raw {
 				return &runner.Raw{Framing: core.FramingLength, Body: strings.Repeat("x", 1_000_000)}
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"primroseward/io/retain"
 	"primroseward/platform"
 	"primroseward/protocol/endpoint"
+	"primroseward/protocol/peerv1/peerv1connect"
 	"primroseward/services/holds"
 	"primroseward/services/observe"
 	service "primroseward/services/tree"
@@ -200,9 +201,21 @@
 	return out, nil
 }
 
+// bound bounds what the calls of other daemons hold. Those that carry no caller's request are served also while such
+// requests take up all memory.
+func (d *Daemon) bound(next http.Handler) http.Handler {
+	return d.intake.Calls(next, func(r *http.Request) bool {
+		switch r.URL.Path {
+		case peerv1connect.PeerDispatchProcedure, peerv1connect.PeerResumeProcedure, peerv1connect.PeerFetchProcedure:
+			return false
+		}
+		return true
+	})
+}
+
 // listen opens the listeners for other daemons, operators and callers.
 func (d *Daemon) listen(h *rpc.Handler, client core.Platform) error {
-	peers, err := peer.NewServer(h, peer.WithBound(d.intake.Calls), peer.WithReceiveBuffer(d.set.Limits.Intake().Unread))
+	peers, err := peer.NewServer(h, peer.WithBound(d.bound), peer.WithReceiveBuffer(d.set.Limits.Intake().Unread))
 	if err != nil {
 		return err
 	}
@@ -224,7 +237,7 @@
 		port   intake.Port
 	}{
 		{d.set.PeerAddr, peers, intake.Port{Name: "peer", Share: intake.PeerShare, Multiplexed: true}},
-		{d.set.AdminAddr, admins, intake.Port{Name: "admin", Share: intake.SmallShare, HeadTimeout: adminHeaderTimeout}},
+		{d.set.AdminAddr, admins, intake.Port{Name: "admin", Share: intake.SmallShare, HeadTimeout: adminHeaderTimeout, Reserved: true}},
 		{d.set.CallerAddr, callers, d.api.Port()},
 	} {
 		tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -290,10 +290,10 @@
 		port   intake.Port
 	}{
 		{d.set.CallerAddr, d.front.Server(), d.front.Port()},
-		{d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headTimeout}, intake.Port{Name: "ready", Share: intake.SmallShare, HeadTimeout: headTimeout}},
-		{d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: headTimeout}, intake.Port{Name: "directory", Share: intake.DirectoryShare, HeadTimeout: headTimeout}},
+		{d.set.FleetAddrs.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: headTimeout}, intake.Port{Name: "ready", Share: intake.SmallShare, HeadTimeout: headTimeout, Reserved: true}},
+		{d.set.FleetAddrs.Directory, &http.Server{Handler: resolve, ReadHeaderTimeout: headTimeout}, intake.Port{Name: "directory", Share: intake.DirectoryShare, HeadTimeout: headTimeout, Reserved: true}},
 		{d.set.PeerAddr, &http.Server{Handler: d.front.Forwarded(d.snapshotHandler()), ReadHeaderTimeout: headTimeout, ConnContext: tcp.WithConn}, peerPort},
-		{d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: headTimeout}, intake.Port{Name: "admin", Share: intake.SmallShare, HeadTimeout: headTimeout}},
+		{d.set.AdminAddr, &http.Server{Handler: d.admin().Handler(), ReadHeaderTimeout: headTimeout}, intake.Port{Name: "admin", Share: intake.SmallShare, HeadTimeout: headTimeout, Reserved: true}},
 	} {
 		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
 		if err != nil {
--- a/transport/front/forwarded.go
+++ b/transport/front/forwarded.go
@@ -31,7 +31,7 @@
 // PeerPort describes the listener of Forwarded.
 func (f *Front) PeerPort() intake.Port {
 	return intake.Port{
-		Name: "peer", Share: intake.PeerShare, HeadLimit: forwardedHeaderBytes, Refused: f.logRefusal,
+		Name: "peer", Share: intake.PeerShare, HeadLimit: forwardedHeaderBytes, Reserved: true, Refused: f.logRefusal,
 		WriteError: func(w http.ResponseWriter, e *core.RequestError) { writeError(&forwardedWriter{ResponseWriter: w}, e) },
 	}
 }
--- a/transport/intake/calls.go
+++ b/transport/intake/calls.go
@@ -11,24 +11,25 @@
 var errNoRoom = errors.New(overloaded().Message)
 
 // Calls returns a handler that holds each call of multiplexed connections to the limits: its head and its message are
-// charged, and a call whose message makes no progress ends to make room for others.
-func (i *Intake) Calls(next http.Handler) http.Handler {
-	p := &port{Port: Port{Name: "calls"}}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.ports = append(i.ports, p)
-	return &calls{intake: i, port: p, next: next}
+// charged, and a call whose message makes no progress ends to make room for others. Calls for which reserved returns true
+// are served while requests take up all memory.
+func (i *Intake) Calls(next http.Handler, reserved func(*http.Request) bool) http.Handler {
+	return &calls{intake: i, next: next, isReserved: reserved, reserved: i.addPort(Port{Name: "calls", Reserved: true}), other: i.addPort(Port{Name: "requests"})}
 }
 
 type calls struct {
-	intake *Intake
-	port   *port
-	next   http.Handler
+	intake          *Intake
+	next            http.Handler
+	isReserved      func(*http.Request) bool
+	reserved, other *port
 }
 
 // ServeHTTP implements http.Handler.
 func (h *calls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &Conn{stop: callEnd{http.NewResponseController(w)}, intake: h.intake, port: h.port}
+	c := &Conn{stop: callEnd{http.NewResponseController(w)}, intake: h.intake, port: h.other}
+	if h.isReserved(r) {
+		c.port = h.reserved
+	}
 	h.intake.admit(c)
 	defer c.end()
 	if !c.charge(costOf(r)) || !c.to(phaseBody) {
--- a/transport/intake/calls_test.go
+++ b/transport/intake/calls_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,31 +17,27 @@
 	"primroseward/transport/intake"
 )
 
-// TestCallsThatStallMakeRoom guards against calls of daemons that are refused for as long as others, whose messages are
-// never whole, take up the memory, and against calls that are ended although their message is whole.
-func TestCallsThatStallMakeRoom(t *testing.T) {
-	const size, memory = 150 << 10, 500 << 10
+// serveCalls starts a server of calls, of which those to /reserved are served while others take up all memory, and returns
+// what makes one.
+func serveCalls(t *testing.T, memory int64, whole func(*http.Request)) (*intake.Intake, func(path string, body io.Reader) int) {
+	t.Helper()
 	in := intake.New(intake.Limits{Memory: memory}, clockwork.NewRealClock(), zap.NewNop())
-	arrived, end := make(chan struct{}, 1), make(chan struct{})
 	srv := httptest.NewUnstartedServer(in.Calls(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			http.Error(w, err.Error(), http.StatusRequestTimeout)
 			return
 		}
-		if r.URL.Path == "/held" {
-			arrived <- struct{}{}
-			<-end
-		}
-	})))
+		whole(r)
+	}), func(r *http.Request) bool { return r.URL.Path == "/reserved" }))
 	p := &http.Protocols{}
 	p.SetUnencryptedHTTP2(true)
 	srv.Config.Protocols = p
 	srv.Listener = in.Listen(srv.Listener, intake.Port{Share: 1, Multiplexed: true})
 	srv.Start()
-	defer srv.Close()
+	t.Cleanup(srv.Close)
 	client := &http.Client{Transport: &http.Transport{Protocols: p}}
-	defer client.CloseIdleConnections()
-	call := func(path string, body io.Reader) int {
+	t.Cleanup(client.CloseIdleConnections)
+	return in, func(path string, body io.Reader) int {
 		resp, err := client.Post(srv.URL+path, "application/octet-stream", body)
 		if !assert.Check(t, err) {
 			return 0
@@ -49,6 +46,43 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 		return resp.StatusCode
 	}
+}
+
+// TestReservedCallsBesideOthers guards against calls that daemons need to stay together, and that are refused while requests take up
+// all memory.
+func TestReservedCallsBesideOthers(t *testing.T) {
+	const memory, least = 2 << 20, 24 << 10 // what a call takes at least
+	arrived, end := make(chan struct{}, 100), make(chan struct{})
+	in, call := serveCalls(t, memory, func(r *http.Request) {
+		if r.URL.Path == "/held" {
+			arrived <- struct{}{}
+			<-end
+		}
+	})
+	var held sync.WaitGroup
+	for in.Budget().Used() < memory-least {
+		held.Go(func() { assert.Check(t, call("/held", strings.NewReader("x")) == http.StatusOK) })
+		<-arrived
+	}
+	assert.Check(t, call("/next", strings.NewReader("x")) == http.StatusServiceUnavailable)
+	for range 50 {
+		assert.Check(t, call("/reserved", strings.NewReader("x")) == http.StatusOK)
+	}
+	close(end)
+	held.Wait()
+}
+
+// TestCallsThatStallMakeRoom guards against calls of daemons that are refused for as long as others, whose messages are
+// never whole, take up the memory, and against calls that are ended although their message is whole.
+func TestCallsThatStallMakeRoom(t *testing.T) {
+	const size, memory = 150 << 10, 500 << 10
+	arrived, end := make(chan struct{}, 1), make(chan struct{})
+	in, call := serveCalls(t, memory, func(r *http.Request) {
+		if r.URL.Path == "/held" {
+			arrived <- struct{}{}
+			<-end
+		}
+	})
 	whole := strings.Repeat("x", size)
 	held, stalled := make(chan int, 1), make(chan int, 1)
 	go func() { held <- call("/held", strings.NewReader(whole)) }()
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -56,11 +56,14 @@
 	mismatch  bool // it is not known where the next request begins
 
 	charged    atomic.Int64
+	reserved   atomic.Int64 // charged to the reserve of the port
 	writeUntil time.Time
 	closed     atomic.Bool
 }
 
-func newConn(s socket, i *Intake, p *port) *Conn { return &Conn{socket: s, stop: s, intake: i, port: p} }
+func newConn(s socket, i *Intake, p *port) *Conn {
+	return &Conn{socket: s, stop: s, intake: i, port: p}
+}
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.socket }
@@ -266,18 +269,24 @@
 
 // charge takes room for a head.
 func (c *Conn) charge(n int) bool {
+	if n <= maxReserved && c.port.reserve != nil && c.port.reserve.Take(n) {
+		return c.holds(&c.reserved, n)
+	}
 	taken, ok := c.intake.budget.TakeHead(n)
-	return ok && c.holds(taken)
+	return ok && c.holds(&c.charged, taken)
 }
 
 // chargeBody takes room for n more bytes of a body that has total bytes by now.
 func (c *Conn) chargeBody(n, total int) bool {
-	return c.intake.budget.TakeBody(n, total) && c.holds(n)
+	if c.port.reserve != nil && c.port.reserve.Take(n) {
+		return c.holds(&c.reserved, n)
+	}
+	return c.intake.budget.TakeBody(n, total) && c.holds(&c.charged, n)
 }
 
 // holds counts room that has been taken. It returns false if the connection has been closed meanwhile.
-func (c *Conn) holds(taken int) bool {
-	c.charged.Add(int64(taken))
+func (c *Conn) holds(count *atomic.Int64, taken int) bool {
+	count.Add(int64(taken))
 	if c.closed.Load() {
 		c.release()
 		return false
@@ -285,7 +294,10 @@
 	return true
 }
 
-func (c *Conn) release() { c.intake.budget.Release(int(c.charged.Swap(0))) }
+func (c *Conn) release() {
+	c.intake.budget.Release(int(c.charged.Swap(0)))
+	c.port.reserve.Release(int(c.reserved.Swap(0)))
+}
 
 // Write implements net.Conn. It fails when the client has read nothing for the time allowed.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/transport/intake/intake.go
+++ b/transport/intake/intake.go
@@ -31,6 +31,10 @@
 	checkInterval = time.Second
 	// progressBytes is the number of bytes of a body that count as progress.
 	progressBytes = 4 << 10
+	// reservedShare is the memory that is reserved for a listener, as a share of Limits.Memory.
+	reservedShare = 0.03
+	// maxReserved is the largest head for which the reserve may be used, in bytes of its cost.
+	maxReserved = 64 << 10
 	// idleTimeout applies to listeners that state no other one.
 	idleTimeout = 2 * time.Minute
 )
@@ -62,6 +66,8 @@
 	// HeadTimeout is the longest time from the first byte of a head to its last one; 0: the owner of the listener
 	// enforces one.
 	HeadTimeout time.Duration
+	// Reserved is set for listeners on which requests are served while those of callers take up all memory.
+	Reserved bool
 	// Multiplexed is set for HTTP/2, whose connections are only counted.
 	Multiplexed bool
 	// WriteError answers with a refusal; nil: with its text.
@@ -77,6 +83,7 @@
 	log    *zap.Logger
 	scope  tally.Scope
 	budget *retain.Budget
+	checks sync.Once
 
 	mu     sync.Mutex
 	ports  []*port
@@ -87,7 +94,8 @@
 // port is a listener with its connections. Those of a list are ordered by their last progress.
 type port struct {
 	Port
-	max     int // connections; 0: no bound
+	max     int            // connections; 0: no bound
+	reserve *retain.Budget // taken before the memory for all; nil: none
 	open    int
 	idle    list // no byte of a request has been read
 	partial list // a part of a request has been read
@@ -147,22 +155,29 @@
 
 // Listen returns a listener whose connections are held to the limits. The connections of ln must be TCP connections.
 func (i *Intake) Listen(ln net.Listener, p Port) net.Listener {
-	added := &port{Port: p}
+	added := i.addPort(p)
 	if i.limits.Connections > 0 {
 		added.max = max(minConnections, int(p.Share*float64(i.limits.Connections)))
 	}
-	i.mu.Lock()
-	i.ports = append(i.ports, added)
-	first := len(i.ports) == 1
-	i.mu.Unlock()
 	setReceiveBuffer(ln, i.limits.Unread)
 	l := &listener{Listener: ln, intake: i, port: added, done: make(chan struct{})}
-	if first && i.limits != (Limits{}) {
-		go i.run(l.done)
+	if i.limits != (Limits{}) {
+		i.checks.Do(func() { go i.run(l.done) })
 	}
 	return l
 }
 
+func (i *Intake) addPort(p Port) *port {
+	added := &port{Port: p}
+	if p.Reserved && i.limits.Memory > 0 {
+		added.reserve = retain.New(int64(reservedShare * float64(i.limits.Memory)))
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.ports = append(i.ports, added)
+	return added
+}
+
 // minConnections is the least number of connections of a listener.
 const minConnections = 8
 
