Test of streams in progress beside crowds

Guards against streams that are cut as a crowd takes up places and memory: four streams run as 1,200 heads without their end, 400 bodies that lack a byte, or 400 clients that do not read their answers arrive.

--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -198,6 +199,36 @@
 	}
 }
 
+// TestStreamsBesideACrowd guards against streams in progress that are cut as a crowd takes up places and memory.
+func TestStreamsBesideACrowd(t *testing.T) {
+	const streams = 4
+	for _, tt := range []crowdCase{
+		{"more than descriptors, heads without their end", atCaller, largeCrowd, headOf("/ask/x", legalHead, distinctLine, "")},
+		{"large bodies lack a byte", atCaller, crowdSize, bodyShortOf("/ask/x", "", bodyLimit, false)},
+		{"whole requests, answers not read", atCaller, crowdSize, wholeRequests("/ask/x", 40, false)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := startFleet(t, smallMachine)
+			var all sync.WaitGroup
+			for i := range streams {
+				request := start("/gen/x", i) + wire.HeaderModel + ": m1\r\n" + lengthOf(2) + "\r\nok"
+				resp := exchange(t, d.caller, request)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				all.Go(func() {
+					body, err := io.ReadAll(resp.Body)
+					assert.Check(t, err)
+					assert.Check(t, strings.Contains(string(body), fmt.Sprintf("id: %d\n", streamEvents)), "%d bytes", len(body))
+				})
+			}
+			check := d.watch()
+			c := gather(tt.at(d), tt.size, tt.act)
+			all.Wait()
+			c.leave()
+			check(t)
+		})
+	}
+}
+
 // TestOperatorsBesideWholeRequests guards against whole requests inside the limits that take up all memory for requests, so
 // that the platform, operators and other daemons are refused.
 func TestOperatorsBesideWholeRequests(t *testing.T) {
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -48,6 +48,8 @@
 	headLimit  = 16 << 10 // bytes
 	bodyLimit  = 1 << 20  // bytes
 	settleTime = 30 * time.Second
+	// streamEvents is the number of events in a stream.
+	streamEvents = 80
 )
 
 // daemonBinary is the path of primrosed, built once for all tests. It is built without the race detector, whose
@@ -134,10 +136,11 @@
 			"target_latency_ms": 300, "max_attempts": 2, "resumable": resumable, "priority": 1,
 		}
 	}
+	models := []any{map[string]any{"name": "m1", "weights_mb": 50, "load_s": 1}}
 	d.put(wire.KindConfig, wire.NameConfig, map[string]any{
 		"version":  1,
-		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false), route("full", "/full/", "safe", "full", false), route("held", "/held/", "safe", "held", false)},
-		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}, map[string]any{"name": "full"}, map[string]any{"name": "held"}},
+		"routes":   []any{route("ask", "/ask/", "safe", "app", false), route("late", "/late/", "safe", "slow", false), route("big", "/big/", "safe", "big", false), route("full", "/full/", "safe", "full", false), route("held", "/held/", "safe", "held", false), route("gen", "/gen/", "streaming", "gen", false)},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "slow"}, map[string]any{"name": "big"}, map[string]any{"name": "full"}, map[string]any{"name": "held"}, map[string]any{"name": "gen", "engine": map[string]any{"slots": 8, "weights_mb": 100, "adapter_slots": 2, "loads_per_s": 2, "models": models}}},
 		"limits":   map[string]any{"max_header_bytes": headLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	for _, spec := range []runner.Spec{
@@ -145,6 +148,7 @@
 		{ID: "i-slow-1", Service: "slow", DataCentre: "north", Slots: 4, Interval: time.Second},
 		{ID: "i-big-1", Service: "big", DataCentre: "north", Slots: crowdSize},
 		{ID: "i-full-1", Service: "full", DataCentre: "north", Slots: crowdSize},
+		{ID: "i-gen-1", Service: "gen", DataCentre: "north", Slots: 8, Models: []string{"m1"}, Events: streamEvents, Interval: 20 * time.Millisecond},
 		{ID: "i-held-1", Service: "held", DataCentre: "north", Slots: largeCrowd},
 	} {
 		r := runner.New(spec, d.put)
