Bodies of operators' edits are counted with those of callers (native interface)

Cause: the handlers read with io.ReadAll.

Change: they read through the budget of bodies, as the callers' interfaces do: 503 without room, 413 (500 before) over the limit. What has arrived is read and dropped first, so that the answer is not lost with a reset. With a token nothing changes for those who have none: they are refused before the body; the platform's daemons refuse edits.

--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -154,6 +154,8 @@
 		{"answers kept for clients that come back", atCaller, crowdSize / 20, keptAnswers(path, 300_000)},
 		{"more than descriptors, nothing sent", atCaller, largeCrowd, func(c net.Conn, _ int) { hold(c) }},
 		{"operators, heads over the limit", atAdmin, crowdSize, headOf("/metrics", largeHead, distinctLine, "\r\n")},
+		{"operators, bodies lack a byte", atAdmin, crowdSize, bodyShortOf("/admin/tree", "", 8*bodyLimit, false)},
+		{"operators, bodies in a chunk lack a byte", atAdmin, crowdSize, bodyShortOf("/admin/tree", "", 8*bodyLimit, true)},
 		{"peer, heads over the limit", atPeer, crowdSize, headOf("/none", largeHead, distinctLine, "\r\n")},
 		{"peer, more than descriptors, nothing sent", atPeer, largeCrowd, func(c net.Conn, _ int) { hold(c) }},
 		{"peer, messages lack a byte", atPeer, crowdSize, calls(1, 0, bodyLimit)},
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -228,6 +228,7 @@
 		Metrics:  d.metrics.Handler,
 		Ready:    d.Ready,
 		Token:    d.set.Token,
+		Bodies:   d.intake.Budget(),
 	}
 	admins := &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: adminHeaderTimeout}
 	callers := d.api.Server(int(d.set.Limits.Header))
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -15,12 +15,14 @@
 	"github.com/go-chi/chi/v5"
 
 	"primroseward/core"
+	"primroseward/io/retain"
 	"primroseward/io/strict"
 	"primroseward/services/holds"
 	"primroseward/services/limits"
 	service "primroseward/services/tree"
 	"primroseward/services/workspaces"
 	"primroseward/state/tree"
+	"primroseward/transport/intake"
 )
 
 const maxBody = 16 << 20
@@ -60,8 +62,9 @@
 	Limits   func() []limits.Status
 	Metrics  http.Handler
 	Ready    func() bool
-	Token    string // empty: no token is required
-	ReadOnly bool   // edits are refused
+	Token    string         // empty: no token is required
+	ReadOnly bool           // edits are refused
+	Bodies   *retain.Budget // of the bodies of requests in progress; nil: no bound
 }
 
 // Problem is the body of an error answer.
@@ -140,17 +143,18 @@
 }
 
 func (a *Admin) set(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		fail(w, err)
+	var body retain.Body
+	defer body.Release()
+	if !a.readBody(w, r, &body) {
 		return
 	}
 	var edit EditBody
-	if err := json.Unmarshal(body, &edit); err != nil {
+	if err := json.Unmarshal(body.Data, &edit); err != nil {
 		fail(w, strict.Problems{{Path: "(document)", Text: err.Error()}})
 		return
 	}
 	change := service.Edit{Path: r.URL.Query().Get("path"), Version: edit.Version, By: operator(r), Note: edit.Note}
+	var err error
 	if len(edit.Node) > 0 && string(edit.Node) != "null" {
 		if change.Node, err = tree.ParseNode(edit.Node); err != nil {
 			fail(w, err)
@@ -161,6 +165,16 @@
 	answer(w, got, err)
 }
 
+// readBody reads a request's body, if there is room for it. It answers with an error and returns false on failure.
+func (a *Admin) readBody(w http.ResponseWriter, r *http.Request, body *retain.Body) bool {
+	err := body.Read(r.Body, r.ContentLength, a.Bodies)
+	if err != nil {
+		_, _ = io.CopyN(io.Discard, r.Body, intake.DrainBytes) // so that the answer is not lost with a reset
+		fail(w, err)
+	}
+	return err == nil
+}
+
 func operator(r *http.Request) string {
 	if by := r.Header.Get(HeaderOperator); by != "" {
 		return by
@@ -169,12 +183,12 @@
 }
 
 func (a *Admin) apply(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		fail(w, err)
+	var body retain.Body
+	defer body.Release()
+	if !a.readBody(w, r, &body) {
 		return
 	}
-	root, err := tree.ParseNode(body)
+	root, err := tree.ParseNode(body.Data)
 	if err != nil {
 		fail(w, err)
 		return
@@ -244,7 +258,12 @@
 	p := Problem{Error: err.Error()}
 	var problems strict.Problems
 	var lost *service.ConflictError
+	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, retain.ErrFull):
+		reply(w, http.StatusServiceUnavailable, p)
+	case errors.Is(err, retain.ErrLarge), errors.As(err, &large):
+		reply(w, http.StatusRequestEntityTooLarge, p)
 	case errors.As(err, &problems):
 		p.Error = "the settings are refused"
 		for _, problem := range problems {
