Tests of long answers at the native interface, listed: they fail

What a client can do: requests inside the limits for answers of 100 MB make a daemon of the native interface hold 358 MB of 96 (answers not read) and 1,074 MB (read as they come), 16 running at once, as each answer in progress may be 1 MiB ahead of its caller and 16 MiB behind it, at the owner and at the entry. No ordinary request was answered in the 30 s after the crowd had gone.

--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -151,6 +151,16 @@
 			for send(c, start(path, n)+lengthOf(size)+"\r\n"+strings.Repeat("x", size)) {
 			}
 		}},
+		{"long answers, not read", atCaller, crowdSize, func(c net.Conn, n int) {
+			if send(c, start("/services/parts/long", n)+lengthOf(2)+"\r\nok") {
+				hold(c)
+			}
+		}},
+		{"long answers, read", atCaller, crowdSize, func(c net.Conn, n int) {
+			if send(c, start("/services/parts/long", n)+lengthOf(2)+"\r\nok") {
+				readAll(c)
+			}
+		}},
 		{"answers kept for clients that come back", atCaller, crowdSize / 20, keptAnswers(path, 300_000)},
 		{"more than descriptors, nothing sent", atCaller, largeCrowd, func(c net.Conn, _ int) { hold(c) }},
 		{"operators, heads over the limit", atAdmin, crowdSize, headOf("/metrics", largeHead, distinctLine, "\r\n")},
--- a/proof/crowd/system_test.go
+++ b/proof/crowd/system_test.go
@@ -183,7 +183,7 @@
 	root := &tree.Node{
 		Set:       tree.Settings{DataCentres: &places},
 		Store:     &tree.Store{Rate: 50, Slots: 4},
-		Endpoints: map[string]tree.Endpoint{"p1": {Addr: serve(t, plain.New("p1")), DataCentre: "north", Kind: tree.KindPlain, Service: "parts", Slots: 16}},
+		Endpoints: map[string]tree.Endpoint{"p1": {Addr: serve(t, longAnswers(plain.New("p1"))), DataCentre: "north", Kind: tree.KindPlain, Service: "parts", Slots: 16}},
 		Children:  map[string]*tree.Node{"service/parts": {Service: &tree.Service{Kind: tree.KindPlain}}},
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -196,6 +196,24 @@
 	return d
 }
 
+// longAnswers returns a handler that answers requests for a path with /long with 100 MB, and passes all others on.
+func longAnswers(other http.Handler) http.Handler {
+	const size, part = 100_000_000, 100_000
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, "/long") {
+			other.ServeHTTP(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(core.HeaderRequestID, r.Header.Get(core.HeaderRequestID))
+		for sent, data := 0, make([]byte, part); sent < size; sent += part {
+			if _, err := w.Write(data); err != nil {
+				return
+			}
+		}
+	})
+}
+
 // run starts the process with its descriptors limited.
 func (d *daemon) run(settings string) {
 	t := d.t
