Test of bodies without room: the former request is over before the next one is sent

Traced by the figures: a chunked body of 300 KB takes 256 and 512 KiB as its buffer grows, its head 24 KiB; bodies may fill 816 KiB of the 1,088 here. A second head, of the first request, whose connection counts as idle only after its caller has read the answer, makes 817.

Change: the test waits until nothing is held any more, while the connections are open, which was checked only after the server had closed.

--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -203,6 +203,12 @@
 		assert.Equal(t, lines.FilterMessage(logs.RefusedAtFront).All()[0].ContextMap()["code"], core.CodeOverloaded)
 		close(hold)
 		assert.Equal(t, <-first, 200)
+		poll.WaitOn(t, func(poll.LogT) poll.Result { // the answer is read before the server has ended its request
+			if used := in.Budget().Used(); used != 0 {
+				return poll.Continue("%d bytes are held", used)
+			}
+			return poll.Success()
+		})
 		resp, err := call(300 << 10)
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, 200)
