A lease is released although the answer to its last renewal is missing

Cause: a stop cancels the renewal that is under way. If the store has taken it, the release names the former version and fails with "version conflict", as vm-1's log line `lease not given back` said; the others wait until the lease has run out.

Change: after a conflict the stored lease is read; if it is still this daemon's in this term, it is released with the version read.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -146,13 +146,33 @@
 		return nil
 	}
 	next.Holder = ""
-	if err := l.write(ctx, next); err != nil {
+	err := l.write(ctx, next)
+	if errors.Is(err, core.ErrConflict) && l.readOwn(ctx, next.Term) { // a renewal whose answer is missing has been stored
+		err = l.write(ctx, next)
+	}
+	if err != nil {
 		return err
 	}
 	l.log.Info(logs.LeaseReleased, zap.Uint64("term", next.Term))
 	return nil
 }
 
+// readOwn reads the stored lease, and reports whether this daemon still holds it in a term.
+func (l *Lease) readOwn(ctx context.Context, term uint64) bool {
+	object, err := l.store.Get(ctx, l.kind, l.name)
+	if err != nil {
+		return false
+	}
+	var stored record
+	if json.Unmarshal(object.Body, &stored) != nil || stored.Holder != l.self || stored.Term != term {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.object = object
+	return true
+}
+
 // Term returns the term in which this daemon may send orders now.
 func (l *Lease) Term() (uint64, bool) {
 	l.mu.Lock()
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -183,6 +184,29 @@
 	}
 }
 
+// TestStopBesideALostRenewal guards against a lease that is not released because the answer to its last renewal is missing when
+// its holder stops: nobody sends orders until it has run out.
+func TestStopBesideALostRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		c.checkOrders(2 * time.Second)
+		old := c.holder()
+		old.mu.Lock()
+		object := old.object
+		old.mu.Unlock()
+		_, err := c.store.Client().Update(t.Context(), object) // as a renewal does
+		assert.NilError(t, err)
+		old.Stop(context.Background())
+		stored, err := c.store.Client().Get(t.Context(), "leases", "orders")
+		assert.NilError(t, err)
+		var now record
+		assert.NilError(t, json.Unmarshal(stored.Body, &now))
+		assert.Equal(t, now.Holder, "")
+		c.stopAll()
+	})
+}
+
 // A VM is suspended for some seconds. By its own timers no time has passed, so it would go on
 // sending orders beside the new holder.
 func TestSuspendedHolderHasStopped(t *testing.T) {
