--- a/proof/crowd/clients_test.go
+++ b/proof/crowd/clients_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"primroseward/core"
@@ -251,12 +252,11 @@
 func overHTTP2(c net.Conn) *http.Client {
 	p := &http.Protocols{}
 	p.SetUnencryptedHTTP2(true)
-	used := false
+	var used atomic.Bool
 	return &http.Client{Transport: &http.Transport{Protocols: p, DialContext: func(context.Context, string, string) (net.Conn, error) {
-		if used {
+		if used.Swap(true) {
 			return nil, net.ErrClosed
 		}
-		used = true
 		return c, nil
 	}}}
 }
