Tests of crowds look at a connection through io/tcp

Cause: proof/crowd peeked at a socket with a copy of what io/tcp does.

Change: tcp.Open on the same peek; the copy goes.

--- a/io/tcp/closed.go
+++ b/io/tcp/closed.go
@@ -19,6 +19,12 @@
 	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
 }
 
+// Open reports whether neither end has closed a connection, as far as its unread data show. It reads nothing.
+func Open(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n > 0 || errors.Is(err, syscall.EAGAIN)
+}
+
 // peek returns how many bytes, one at most, can be read from a connection without waiting. It reads none of them. Its error is
 // errors.ErrUnsupported for a connection without a socket.
 func peek(conn net.Conn) (n int, err error) {
--- a/proof/crowd/clients_test.go
+++ b/proof/crowd/clients_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"primroseward/core"
+	"primroseward/io/tcp"
 	wire "primroseward/platform"
 	"primroseward/protocol/peerv1/peerv1connect"
 )
@@ -87,7 +88,7 @@
 
 // hold waits until the connection is closed. It reads nothing, but looks from time to time.
 func hold(c net.Conn) {
-	for tcpOpen(c) {
+	for tcp.Open(c) {
 		time.Sleep(redialPause)
 	}
 }
