--- a/proof/parts_test.go
+++ b/proof/parts_test.go
@@ -34,14 +34,14 @@
 	return fmt.Sprintf("%s: %s,%x:250", wire.HeaderParts, strings.Join(shared, ":400,")+":400", rand.Uint64())
 }
 
-// partRuns returns the times at which requests with a shared prompt part began to run, in order.
-func (crashing *crashingRunners) partRuns(part string) []time.Time {
+// partRuns returns the times at which requests for a model with a shared prompt part began to run, in order.
+func (crashing *crashingRunners) partRuns(part, model string) []time.Time {
 	crashing.mu.Lock()
 	defer crashing.mu.Unlock()
 	var out []time.Time
 	for _, r := range crashing.all {
 		for _, run := range r.Runs() {
-			if runner.HasSharedPart(run.Header, part) {
+			if run.Model == model && runner.HasSharedPart(run.Header, part) {
 				out = append(out, run.At)
 			}
 		}
@@ -85,13 +85,18 @@
 // startSoundCallers sends requests without a part that crashes runners, no two alike, to random daemons until
 // the returned function is called. It returns their outcomes.
 func (c *fleetCluster) startSoundCallers(path string) (stop func() []partOutcome) {
+	return c.startPartCallers(path, "m1", func() []string { return []string{"a1", fmt.Sprint("d", rand.N(soundDocuments))} })
+}
+
+// startPartCallers is startSoundCallers with the shared parts that prompt returns.
+func (c *fleetCluster) startPartCallers(path, model string, prompt func() []string) (stop func() []partOutcome) {
 	done, out := make(chan struct{}), make(chan []partOutcome)
 	for range soundCallers {
 		go func() {
 			var list []partOutcome
 			for {
 				d, sent := c.daemons[rand.N(len(c.daemons))], time.Now()
-				status, body, err := d.send(path, fmt.Sprint("sound", rand.Uint64()), "m1", promptHeader("a1", fmt.Sprint("d", rand.N(soundDocuments))))
+				status, body, err := d.send(path, fmt.Sprint("sound", rand.Uint64()), model, promptHeader(prompt()...))
 				list = append(list, partOutcome{d, sent, time.Now(), err == nil && status == http.StatusOK, fmt.Sprintf("%d %v %.60s", status, err, body)})
 				select {
 				case <-done:
@@ -112,20 +117,139 @@
 	}
 }
 
+// partsCase is a series of requests with prompt parts that crash runners.
+type partsCase struct {
+	name    string
+	path    string
+	runners runner.Spec
+	prompts [][]string // shared parts of the requests, of which one crashes runners
+	// interval is the time between two of them; 0: callerRetryInterval. kills is the time between two
+	// daemons that are killed and started again; 0: none is. empty: runners that have crashed are back
+	// without models.
+	interval, kills time.Duration
+	empty           bool
+	// killAll: all daemons are killed at once. used is how long before the part begins to crash runners requests with it
+	// are served; 0: none is. elsewhere: requests with the part for another model are served all the while.
+	killAll        bool
+	used           time.Duration
+	elsewhere      bool
+	daemons, count int // of runners; 0: three daemons, crashingRunnerCount runners
+}
+
+// check plays the case. It checks that the requests are stopped and that sound ones are served.
+func (tt *partsCase) check(t *testing.T) {
+	c := startFleet(t, cmp.Or(tt.daemons, 3))
+	spec := tt.runners
+	spec.FatalParts = []string{"bad1", "bad2"}
+	spec.FatalFrom = time.Now().Add(tt.used)
+	crashing := c.startCrashingRunners(cmp.Or(tt.count, crashingRunnerCount), spec)
+	c.awaitServed(callerRequest{path: tt.path, body: "harmless", model: "m1"})
+	stops := []func() []partOutcome{c.startSoundCallers(tt.path)}
+	if tt.elsewhere {
+		stops = append(stops, c.startPartCallers(tt.path, "m2", func() []string { return tt.prompts[0] }))
+	}
+	time.Sleep(2 * time.Second)
+	if tt.empty {
+		crashing.mu.Lock()
+		crashing.spec.Models = nil
+		crashing.mu.Unlock()
+	}
+	interval, killed, kills := cmp.Or(tt.interval, callerRetryInterval), time.Now(), []daemonKill(nil)
+	for end := time.Now().Add(max(0, time.Until(spec.FatalFrom)) + partsDuration); time.Now().Before(end); time.Sleep(interval) {
+		if tt.kills > 0 && time.Since(killed) >= tt.kills {
+			killed = time.Now()
+			victims := []*fleetDaemon{c.daemons[rand.N(len(c.daemons))]}
+			if tt.killAll {
+				victims = c.daemons
+			}
+			for _, d := range victims {
+				kills = append(kills, daemonKill{d, killed})
+				d.kill()
+			}
+			for _, d := range victims {
+				d.run(c)
+			}
+		}
+		prompt := tt.prompts[rand.N(len(tt.prompts))]
+		d := c.daemons[rand.N(len(c.daemons))]
+		go func() { _, _, _ = d.send(tt.path, fmt.Sprint("harmful", rand.Uint64()), "m1", promptHeader(prompt...)) }() // any outcome is allowed
+	}
+	var outcomes []partOutcome
+	for _, stop := range stops {
+		outcomes = append(outcomes, stop()...)
+	}
+	crashes, limit := crashing.crashCount(), partsCrashes*len(tt.prompts)
+	stopped, late := crashing.crashAt(limit).Add(settleTime), 0
+	for _, part := range spec.FatalParts {
+		runs := crashing.partRuns(part, "m1")
+		n := len(slices.DeleteFunc(slices.Clone(runs), func(at time.Time) bool { return at.Before(stopped) }))
+		t.Logf("%s: %d runs, %d of them late", part, len(runs), n)
+		late = max(late, n)
+	}
+	served, sent, failed := 0, 0, map[string]int{}
+	for _, o := range outcomes {
+		if o.sent.Before(stopped.Add(settleTime)) || o.cutBy(kills) {
+			continue
+		}
+		sent++
+		if o.ok {
+			served++
+		} else {
+			failed[o.text]++
+		}
+	}
+	t.Logf("%d runners crashed; sound requests served: %d of %d, failed: %v", crashes, served, sent, failed)
+	assert.Check(t, late <= maxLatePartRuns, "%d late runs, %d runners crashed in all", late, crashes)
+	assert.Check(t, sent > 0 && served*100 >= minServedPercent*sent, "sound requests served: %d of %d", served, sent)
+}
+
+// atStage returns a spec whose runners exit some time after a fatal request begins to run, when its answer has come so far.
+func atStage(s runner.Spec, stage runner.FatalStage, after time.Duration) runner.Spec {
+	s.FatalStage, s.FatalAfter = stage, after
+	return s
+}
+
+// oneIn returns a spec whose runners exit under one fatal request in n.
+func oneIn(s runner.Spec, n int) runner.Spec {
+	s.FatalOne = n
+	return s
+}
+
+// atModel returns a spec whose runners exit under fatal requests for one model only.
+func atModel(s runner.Spec, model string) runner.Spec {
+	s.FatalModel = model
+	return s
+}
+
+// TestPromptPartThatCrashesRunnersAtAnyMomentIsStopped guards against runner after runner crashing under a prompt part that
+// was taken for harmless: because a runner had sent events before it crashed, because some requests with it were served,
+// or because those for another model or those of a minute ago were.
+func TestPromptPartThatCrashesRunnersAtAnyMomentIsStopped(t *testing.T) {
+	prompts := [][]string{{"a1", "bad1"}}
+	events := func(after time.Duration) runner.Spec { return atStage(modelRunner, runner.FatalAfterEvents, after) }
+	for _, tt := range []partsCase{
+		{name: "after events for 0.3 s", runners: events(300 * time.Millisecond)},
+		{name: "after events for 0.7 s", runners: events(700 * time.Millisecond)},
+		{name: "after events for 1.5 s", runners: events(1500 * time.Millisecond)},
+		{name: "after events for 3 s", runners: events(3 * time.Second)},
+		{name: "before the head", runners: atStage(modelRunner, runner.FatalBeforeHead, 70*time.Millisecond)},
+		{name: "one run in two", runners: oneIn(modelRunner, 2)},
+		{name: "one run in five", runners: oneIn(modelRunner, 5)},
+		{name: "at one model", runners: atModel(modelRunner, "m1"), elsewhere: true},
+		{name: "in use before", runners: events(100 * time.Millisecond), used: 8 * time.Second},
+		{name: "all daemons are killed", runners: modelRunner, kills: 4 * time.Second, killAll: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.path, tt.prompts, tt.daemons, tt.count = "/gen/x", prompts, 6, 16
+			tt.check(t)
+		})
+	}
+}
+
 // TestPromptPartThatCrashesRunnersIsStopped guards against runner after runner crashing under requests that have
 // nothing in common but one part of their prompts, and against refusing sound requests that share the other parts.
 func TestPromptPartThatCrashesRunnersIsStopped(t *testing.T) {
-	for _, tt := range []struct {
-		name    string
-		path    string
-		runners runner.Spec
-		prompts [][]string // shared parts of the requests, of which one crashes runners
-		// interval is the time between two of them; 0: callerRetryInterval. kills is the time between two
-		// daemons that are killed and started again; 0: none is. empty: runners that have crashed are back
-		// without models.
-		interval, kills time.Duration
-		empty           bool
-	}{
+	for _, tt := range []partsCase{
 		{name: "stream that may be resumed", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}},
 		{name: "stream that may not", path: "/live/x", runners: modelRunner, prompts: [][]string{{"a1", "bad1"}}},
 		{name: "part between others", path: "/gen/x", runners: modelRunner, prompts: [][]string{{"a1", "d0", "bad1", "d1"}}},
@@ -139,53 +263,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			c := startFleet(t, 3)
-			spec := tt.runners
-			spec.FatalParts = []string{"bad1", "bad2"}
-			crashing := c.startCrashingRunners(crashingRunnerCount, spec)
-			c.awaitServed(callerRequest{path: tt.path, body: "harmless", model: "m1"})
-			stop := c.startSoundCallers(tt.path)
-			time.Sleep(2 * time.Second)
-			if tt.empty {
-				crashing.mu.Lock()
-				crashing.spec.Models = nil
-				crashing.mu.Unlock()
-			}
-			interval, killed, kills := cmp.Or(tt.interval, callerRetryInterval), time.Now(), []daemonKill(nil)
-			for end := time.Now().Add(partsDuration); time.Now().Before(end); time.Sleep(interval) {
-				if tt.kills > 0 && time.Since(killed) >= tt.kills {
-					killed = time.Now()
-					kills = append(kills, daemonKill{c.daemons[rand.N(len(c.daemons))], killed})
-					kills[len(kills)-1].daemon.restart(c)
-				}
-				prompt := tt.prompts[rand.N(len(tt.prompts))]
-				d := c.daemons[rand.N(len(c.daemons))]
-				go func() { _, _, _ = d.send(tt.path, fmt.Sprint("harmful", rand.Uint64()), "m1", promptHeader(prompt...)) }() // any outcome is allowed
-			}
-			outcomes := stop()
-			crashes, limit := crashing.crashCount(), partsCrashes*len(tt.prompts)
-			stopped, late := crashing.crashAt(limit).Add(settleTime), 0
-			for _, part := range spec.FatalParts {
-				runs := crashing.partRuns(part)
-				n := len(slices.DeleteFunc(slices.Clone(runs), func(at time.Time) bool { return at.Before(stopped) }))
-				t.Logf("%s: %d runs, %d of them late", part, len(runs), n)
-				late = max(late, n)
-			}
-			served, sent, failed := 0, 0, map[string]int{}
-			for _, o := range outcomes {
-				if o.sent.Before(stopped.Add(settleTime)) || o.cutBy(kills) {
-					continue
-				}
-				sent++
-				if o.ok {
-					served++
-				} else {
-					failed[o.text]++
-				}
-			}
-			t.Logf("%d runners crashed; sound requests served: %d of %d, failed: %v", crashes, served, sent, failed)
-			assert.Check(t, late <= maxLatePartRuns, "%d late runs, %d runners crashed in all", late, crashes)
-			assert.Check(t, sent > 0 && served*100 >= minServedPercent*sent, "sound requests served: %d of %d", served, sent)
+			tt.check(t)
 		})
 	}
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -41,6 +41,12 @@
 	Fatal      func(body string) bool
 	FatalParts []string // it exits as well because of requests whose prompts share one of these parts
 	FatalAfter time.Duration
+	// FatalStage is how far the answer to a fatal request has come when the runner exits.
+	FatalStage FatalStage
+	// FatalOne makes one fatal request in so many make the runner exit, drawn at random; 0: each one. The others run as usual.
+	FatalOne   int
+	FatalModel string    // requests for other models are not fatal; empty: those for all models are
+	FatalFrom  time.Time // before that no request is fatal
 	Exited     func()
 	// FatalAnswer is what the runner answers to a fatal request when it exits; nil: nothing, or the
 	// head of a stream.
