An answer without a valid status is broken: nothing of it is passed on, and nobody waits for what follows

What callers saw on other systems of this kind: a runner in trouble sent an answer whose status was 000, and the client got it as an answer. Here a status below 200 was taken for that of an interim answer, and what followed was read as the next one: 000 with a body that reads like an answer gave that body to the caller, as a success; without one the request waited until its time was over. 600 and above were passed on as they were.

Cause: protocol/runner skipped each status below 200; 101 is never asked for, an interim answer has no body. Other readers compared with one bound: the store took 000 to 399 for success, an endpoint's call of the native interface likewise, and its answers were passed on with any status.

RFC 9110 calls others invalid. Such an answer counts as lost: another runner's where the route allows it, else 502. The number and time of interim answers were bounded already (TestBytesWithoutEndAreNotRead).

By reading: calls between daemons of the native interface (connect refuses all but 200), copies of the store's objects (all but 200 is an error), readiness is answered, not read.

--- a/cmd/primrosectl/client.go
+++ b/cmd/primrosectl/client.go
@@ -109,7 +109,7 @@
 		return &apiError{status: http.StatusServiceUnavailable, Problem: admin.Problem{Error: err.Error()}}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		f := &apiError{status: resp.StatusCode}
 		if json.NewDecoder(resp.Body).Decode(&f.Problem) != nil {
 			f.Problem.Error = resp.Status
--- a/core/request.go
+++ b/core/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -81,6 +82,9 @@
 	FramingClose   Framing = "close" // the body ends with its connection
 )
 
+// maxStatus is the largest status that has a meaning.
+const maxStatus = 599
+
 // FramingOf returns how the end of an answer's body is marked.
 func FramingOf(resp *http.Response) Framing {
 	switch {
@@ -92,6 +96,27 @@
 	return FramingClose
 }
 
+// ErrStatus means that the status of an answer is none that ends a request. What follows it is no answer either.
+var ErrStatus = errors.New("invalid status")
+
+// CheckStatus returns ErrStatus unless the status is that of a final answer, 200 to 599.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%w %03d", ErrStatus, status)
+	}
+	return nil
+}
+
+// CheckInterim returns ErrStatus unless a status below 200 is that of an answer which another one follows. Switching
+// protocols is none, as it is never asked for. A body would be read as the next answer.
+func CheckInterim(resp *http.Response) error {
+	hasBody := resp.Header.Get("Content-Length") != "" || len(resp.TransferEncoding) > 0 || resp.Header.Get("Transfer-Encoding") != ""
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols || hasBody {
+		return fmt.Errorf("%w %03d of an interim answer", ErrStatus, resp.StatusCode)
+	}
+	return nil
+}
+
 // IsEventStream reports whether the headers of an answer state that it is a series of events.
 func IsEventStream(h http.Header) bool {
 	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
--- a/protocol/endpoint/client.go
+++ b/protocol/endpoint/client.go
@@ -182,6 +182,9 @@
 // ended only by closing the connection, since a truncated body would look complete. A stream of
 // events has an end marker of its own.
 func (c *Client) verify(call core.Call, resp *http.Response) error {
+	if err := core.CheckStatus(resp.StatusCode); err != nil {
+		return core.MayHaveRun(core.CodeEndpointBroken, err.Error())
+	}
 	id := resp.Header.Get(core.HeaderRequestID)
 	if id != call.Attempt && (id != "" || c.echo) {
 		return core.MayHaveRun("crossed_answer", fmt.Sprintf("answer carries id %q", id))
@@ -238,6 +241,9 @@
 		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
 	}
 	defer resp.Body.Close()
+	if err := core.CheckStatus(resp.StatusCode); err != nil {
+		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
+	}
 	var answer retain.Body
 	if err := answer.Read(resp.Body, resp.ContentLength, c.held); err != nil {
 		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %v", err)
@@ -249,7 +255,7 @@
 		return nil, core.ErrStaleFence
 	case resp.StatusCode == http.StatusNotFound:
 		return nil, core.ErrNotFound
-	case resp.StatusCode >= http.StatusBadRequest:
+	case resp.StatusCode >= http.StatusMultipleChoices:
 		return nil, eris.Wrapf(core.ErrUnavailable, "endpoint: %d %s", resp.StatusCode, data)
 	}
 	return data, nil
--- a/protocol/endpoint/client_test.go
+++ b/protocol/endpoint/client_test.go
@@ -237,3 +237,20 @@
 	wg.Wait()
 	assert.Equal(t, budget.Used(), int64(0))
 }
+
+// Guards against a broken answer of an endpoint that is passed on, or taken for an order that was carried out.
+func TestAnswersWithoutAValidStatusAreBroken(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "+20", "600", "999"} {
+		s := serveRaw(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Oops\r\nContent-Length: 2\r\n\r\n{}")
+			return true
+		})
+		_, err := do(t, s, core.Call{Method: http.MethodPost, Path: "/x"})
+		assert.Equal(t, core.AsRequestError(err).Outcome, core.OutcomeMayHaveRun, status)
+		c := endpoint.New(s.addr, clockwork.NewRealClock())
+		_, err = c.Observe(t.Context())
+		assert.ErrorIs(t, err, core.ErrUnavailable, status)
+		assert.ErrorIs(t, c.Order(t.Context(), core.Order{}), core.ErrUnavailable, status)
+		c.Close()
+	}
+}
--- a/protocol/runner/client.go
+++ b/protocol/runner/client.go
@@ -314,7 +314,13 @@
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
-			continue // informational (1xx) answers have no body
+			if err := core.CheckInterim(resp); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if err := core.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
 		}
 		info := c.dialect.ReadReply(resp.StatusCode, resp.Header)
 		if id == "" || info.RequestID == id || info.Unread {
