--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -17,11 +17,6 @@
 // would count as a cause and never complete.
 const harmlessAfter = 2 * time.Second
 
-// partsHarmlessAfter is how long a runner must have sent events of a stream before the parts of its prompt count as
-// harmless. It is shorter than harmlessAfter because a part stands in many requests: while runners crash often,
-// few of their streams last long.
-const partsHarmlessAfter = 500 * time.Millisecond
-
 // sharedParts returns the shared parts of a request's prompt.
 func sharedParts(q *core.Request) []core.Part {
 	workspace := ""
@@ -30,18 +25,28 @@
 	}
 	out := make([]core.Part, 0, len(q.SharedParts))
 	for _, id := range q.SharedParts {
-		out = append(out, core.NewPart(workspace, id))
+		out = append(out, core.NewPart(workspace, id).For(modelOf(q)))
 	}
 	return out
 }
 
+// modelOf returns the model and adapter that a request needs.
+func modelOf(q *core.Request) string {
+	if q.Adapter == "" {
+		return q.Model
+	}
+	return q.Model + "/" + q.Adapter
+}
+
 // held returns for how much longer the request is held, 0 if it is not, and the part of its prompt
 // that is the reason; a Part without ID if it is the request itself.
 func (j *job) held() (left time.Duration, reason core.Part) {
 	left, reason = j.d.guard.HoldRemaining(j.q.Digest), core.Part{Digest: j.q.Digest}
 	for _, p := range j.parts {
-		if of := j.d.guard.HoldRemaining(p.Digest); of > left {
-			left, reason = of, p
+		for _, d := range p.Digests() {
+			if of := j.d.guard.HoldRemaining(d); of > left {
+				left, reason = of, core.Part{ID: p.ID, Digest: d}
+			}
 		}
 	}
 	return left, reason
@@ -57,8 +62,10 @@
 		return retry, core.Part{Digest: j.q.Digest}, false
 	}
 	for _, p := range j.parts {
-		if retry, ok := j.d.guard.Admit(ctx, p.Digest); !ok {
-			return retry, p, false
+		for _, d := range p.Digests() {
+			if retry, ok := j.d.guard.Admit(ctx, d); !ok {
+				return retry, core.Part{ID: p.ID, Digest: d}, false
+			}
 		}
 	}
 	return 0, core.Part{}, true
@@ -187,30 +194,23 @@
 	return j.stage == stageEvents && j.d.clock.Since(j.answeredAt) >= harmlessAfter
 }
 
-// partsHarmless reports whether the runner has sent events of the request for partsHarmlessAfter.
-func (j *job) partsHarmless() bool {
-	return j.stage == stageEvents && j.d.clock.Since(j.eventsAt) >= partsHarmlessAfter
-}
-
 // reportClosed reports to the guard that the runner has closed the connection, or has ended its
 // answer inside an event, as a process that exits may do. It leaves out runners that had announced that they leave, as the platform took those away. A runner
 // whose entry is missing may only have lost it to an outage of the store, and counts.
 func (j *job) reportClosed(r *core.Runner, err error) {
-	if !errors.Is(err, core.ErrClosed) && !errors.Is(err, errInsideEvent) || j.harmless() {
+	worked := j.harmless()
+	if !errors.Is(err, core.ErrClosed) && !errors.Is(err, errInsideEvent) || worked && len(j.parts) == 0 {
 		return
 	}
 	e := j.d.catalog.Runner(r.ID)
 	if e == nil || !e.Usable() || !e.StartedAt.Equal(r.StartedAt) {
 		return
 	}
-	lost := core.LostRequest{
-		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service,
-		MayHaveRun: j.stage != stageSent || !j.engine(), JustStarted: j.stage == stageHead && j.engine(),
-	}
-	if !j.partsHarmless() {
-		lost.Parts = j.parts
-	}
-	j.d.guard.ConnectionLost(lost)
+	j.d.guard.ConnectionLost(core.LostRequest{
+		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service, Model: modelOf(j.q), Age: j.d.clock.Since(j.sentAt),
+		MayHaveRun: j.stage != stageSent || !j.engine(), JustStarted: j.stage == stageHead && j.engine(), Worked: worked,
+		Parts: j.parts,
+	})
 }
 
 // addUnanswered holds a send whose answer has not begun under the request's digests, until the returned
@@ -218,7 +218,9 @@
 func (j *job) addUnanswered(cancel context.CancelFunc) (answerBegan func()) {
 	done := []func(){j.d.unanswered.add(j.q.Digest, cancel)}
 	for _, p := range j.parts {
-		done = append(done, j.d.unanswered.add(p.Digest, cancel))
+		for _, d := range p.Digests() {
+			done = append(done, j.d.unanswered.add(d, cancel))
+		}
 	}
 	return func() {
 		for _, fn := range done {
--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -20,6 +20,8 @@
 	closed []core.LostRequest
 	worked int
 	sound  []core.Part
+	// running counts the runs that have begun and not ended.
+	running int
 	// held is a digest that is held, refused one that is not admitted.
 	held, refused core.Digest
 }
@@ -57,10 +59,33 @@
 	g.worked++
 }
 
-func (g *guard) PartsServed(parts []core.Part) {
+func (g *guard) RunBegan(parts []core.Part, _ string) core.PartRun {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sound = append(g.sound, parts...)
+	g.running++
+	return &guardRun{g: g, parts: parts}
+}
+
+// guardRun is a run of a request at a runner.
+type guardRun struct {
+	g     *guard
+	parts []core.Part
+	ended bool
+}
+
+func (r *guardRun) Whole() {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	r.g.sound = append(r.g.sound, r.parts...)
+}
+
+func (r *guardRun) Ended() {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if !r.ended {
+		r.ended = true
+		r.g.running--
+	}
 }
 
 // errCrashed is the error of a runner that exits with all of its connections.
--- a/coordination/dispatch/parts_test.go
+++ b/coordination/dispatch/parts_test.go
@@ -13,34 +13,44 @@
 	"primroseward/core"
 )
 
-// lasting is a Sender whose runner sends an event at once and one each 100 ms, and crashes after a time.
-type lasting struct{ crashesAfter time.Duration }
+// lasting is a Sender whose runner sends an event at once and one each 100 ms, and after a time crashes or ends its answer.
+type lasting struct {
+	duration time.Duration
+	whole    bool
+}
 
 func (l *lasting) Send(context.Context, *core.Runner, *core.Request, core.Outgoing) (*core.Reply, error) {
 	in, out := io.Pipe()
 	go func() {
-		for end := time.Now().Add(l.crashesAfter); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for end := time.Now().Add(l.duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			_, _ = io.WriteString(out, "id: 1\ndata: x\n\n") // fails once the reader has closed
 		}
+		if l.whole {
+			_ = out.Close()
+			return
+		}
 		_ = out.CloseWithError(errCrashed)
 	}()
 	return &core.Reply{Status: http.StatusOK, Header: http.Header{}, Info: core.ReplyInfo{Stamped: true}, Body: in}, nil
 }
 
-// Guards against prompt parts that are blamed for a crash though the runner had sent events of the request for a
-// while, against ones that are not reported, and against sound ones that do not become known.
+// Guards against prompt parts that are taken for harmless because the runner had sent events before it crashed, against
+// sound ones whose whole answers do not become known, and against runs that are counted as in progress for ever.
 func TestPartsOfCrashedRequests(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
 		sender Sender
-		blamed bool
+		age    time.Duration // when it crashed
+		worked bool          // the request itself is not suspected
 		sound  bool
 	}{
-		{"queued", &crashing{}, true, false},
-		{"just started", &crashing{head: true}, true, false},
-		{"after some events at once", &crashing{events: 3}, true, false},
-		{"after events for 0.4 s", &lasting{400 * time.Millisecond}, true, false},
-		{"after events for 0.9 s", &lasting{900 * time.Millisecond}, false, true},
+		{"queued", &crashing{}, 0, false, false},
+		{"just started", &crashing{head: true}, 0, false, false},
+		{"after some events at once", &crashing{events: 3}, 0, false, false},
+		{"after events for 0.4 s", &lasting{duration: 400 * time.Millisecond}, 400 * time.Millisecond, false, false},
+		{"after events for 0.9 s", &lasting{duration: 900 * time.Millisecond}, 900 * time.Millisecond, false, false},
+		{"after events for 2.5 s", &lasting{duration: 2500 * time.Millisecond}, 2500 * time.Millisecond, true, false},
+		{"never", &lasting{duration: 900 * time.Millisecond, whole: true}, 0, false, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -49,14 +59,23 @@
 				d.sender = tt.sender
 				WithGuard(g)(d)
 				q := promptRequest(d)
-				reply, err := d.Do(t.Context(), route(core.KindStream, false, 1), q)
+				r := route(core.KindStream, false, 1)
+				r.Timeout = q.Timeout
+				reply, err := d.Do(t.Context(), r, q)
 				if err == nil {
 					_, _ = io.ReadAll(reply.Body) // its error is that of the runner
 					_ = reply.Body.Close()
 				}
-				assert.Equal(t, len(g.closed), 1)
-				assert.Equal(t, len(g.closed[0].Parts), map[bool]int{true: 2}[tt.blamed])
 				assert.Equal(t, len(g.sound) > 0, tt.sound)
+				assert.Equal(t, g.running, 0)
+				if tt.sound {
+					assert.Equal(t, len(g.closed), 0)
+					return
+				}
+				assert.Equal(t, len(g.closed), 1)
+				assert.Equal(t, len(g.closed[0].Parts), 2)
+				assert.Equal(t, g.closed[0].Age, tt.age)
+				assert.Equal(t, g.closed[0].Worked, tt.worked)
 			})
 		})
 	}
@@ -78,6 +97,9 @@
 	}{
 		{"held on arrival", &guard{admits: 9, held: bad.Digest}, nil, true},
 		{"held while it waited", &guard{admits: 9, refused: bad.Digest}, nil, true},
+		{"held at its model", &guard{admits: 9, held: bad.For("m").AtModel}, nil, true},
+		{"held at its model while it waited", &guard{admits: 9, refused: bad.For("m").AtModel}, nil, true},
+		{"held at another model", &guard{admits: 9, held: bad.For("m2").AtModel}, nil, false},
 		{"held in another workspace", &guard{admits: 9, held: bad.Digest}, &core.Workspace{Name: "w"}, false},
 	} {
 		d := newDispatcher(&fleet{nextAct: script(serves)}, 1)
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -18,22 +18,20 @@
 // stream is a stream of events. If it breaks off at its runner, it is resumed at another one
 // if the route allows that.
 type stream struct {
-	ctx     context.Context
-	j       *job
-	runner  *core.Runner
-	framing core.Framing
-	body    io.ReadCloser
-	in      *eventReader
-	ready   []byte
-	err     error
-	firstAt time.Time
-	lastAt  time.Time
-	maxGap  time.Duration
-	reads   int
-	stepped bool // an event of this runner has been read, from which the next step is measured
-	// harmless and partsHarmless are whether the guard has been informed that this runner has worked on it for
-	// harmlessAfter, and has sent events for partsHarmlessAfter.
-	harmless, partsHarmless bool
+	ctx      context.Context
+	j        *job
+	runner   *core.Runner
+	framing  core.Framing
+	body     io.ReadCloser
+	in       *eventReader
+	ready    []byte
+	err      error
+	firstAt  time.Time
+	lastAt   time.Time
+	maxGap   time.Duration
+	reads    int
+	stepped  bool // an event of this runner has been read, from which the next step is measured
+	harmless bool // the guard has been informed that this runner has worked on it for harmlessAfter
 }
 
 // recordEvent records the arrival of events and the longest pause between them.
@@ -46,9 +44,7 @@
 	}
 	s.lastAt = now
 	s.reads++
-	if s.j.stage != stageEvents {
-		s.j.stage, s.j.eventsAt = stageEvents, now
-	}
+	s.j.stage = stageEvents
 }
 
 // newEventReader returns a reader of the events of a runner's answer. Whatever the runner sends shows
@@ -104,7 +100,7 @@
 // readFrom makes the stream go on with an answer.
 func (s *stream) readFrom(r *core.Runner, reply *core.Reply) {
 	s.runner, s.body, s.framing, s.in = r, reply.Body, reply.Framing, s.j.newEventReader(r, reply.Body)
-	s.harmless, s.partsHarmless, s.stepped = false, false, false
+	s.harmless, s.stepped = false, false
 }
 
 // replaceBy makes the stream go on with the answer that takes the place of a silent runner's. What that one
@@ -135,7 +131,7 @@
 		if s.err == io.EOF {
 			s.j.loadsOf(s.runner).RecordSuccess(s.runner.ID)
 			s.j.d.guard.Served(s.j.q.Digest)
-			s.j.d.guard.PartsServed(s.j.parts)
+			s.j.partRun.Whole()
 			if !isDaemon(s.runner) {
 				s.j.d.pacer.ObserveStream(s.j.service, s.lastAt.Sub(s.firstAt))
 				s.j.observeStream(s.lastAt.Sub(s.firstAt))
@@ -193,13 +189,8 @@
 	return ready, err
 }
 
-// reportHarmless informs the guard, once per runner, that the request and the parts of its prompt are
-// harmless there.
+// reportHarmless informs the guard, once per runner, that the request is harmless there.
 func (s *stream) reportHarmless() {
-	if !s.partsHarmless && s.j.partsHarmless() {
-		s.partsHarmless = true
-		s.j.d.guard.PartsServed(s.j.parts)
-	}
 	if !s.harmless && s.j.harmless() {
 		s.harmless = true
 		s.j.d.guard.Served(s.j.q.Digest)
--- a/coordination/policy/parts_test.go
+++ b/coordination/policy/parts_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against holding back the first part of all prompts beside the part that crashes runners.
-func TestDeeperPartsOfAllExits(t *testing.T) {
+func TestCompanionsOfAllExits(t *testing.T) {
 	const first, bad, doc1, doc2 = 1, 2, 3, 4
 	e, now := NewExitRecords(), time.Unix(1e9, 0)
 	exits := []PartExit{
@@ -57,9 +57,9 @@
 			e.AddPart(now, part, x)
 		}
 	}
-	assert.DeepEqual(t, e.Deeper(digest(first), now), []core.Digest{digest(bad), digest(doc2)})
-	assert.Equal(t, len(e.Deeper(digest(bad), now)), 0)
-	assert.Equal(t, len(e.Deeper(digest(9), now)), 0)
+	assert.DeepEqual(t, e.Evidence(digest(first), now).Companions, map[core.Digest]bool{digest(bad): true, digest(doc2): true})
+	assert.DeepEqual(t, e.Evidence(digest(bad), now).Companions, map[core.Digest]bool{digest(first): false})
+	assert.Equal(t, len(e.Evidence(digest(9), now).Companions), 0)
 	assert.Assert(t, !e.Held(digest(bad), now.Add(-time.Second)), "reported later")
 	instances, part := e.Exits(digest(bad))
 	assert.Equal(t, len(instances), 2)
--- /dev/null
+++ b/coordination/policy/suspicion.go
@@ -0,0 +1,164 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxWholePerExit is how many whole answers to requests with a prompt part, for each exit under one, show that the
+	// part is not the cause. A part that crashes its runner more seldom than that is not held back.
+	maxWholePerExit = 10
+	// minChance bounds the probability of chance from below: a run lasts for some milliseconds at least, which the clocks of
+	// several daemons do not tell apart.
+	minChance = 1e-3
+	// minOdds is how much likelier the exits must be if the part is their cause than by chance, over the time since the
+	// first of them, and minLongOdds the same over SuspicionWindow. The second one is larger: the first exits of a wave
+	// come at once, and any part that has just come into use was seldom there before.
+	minOdds     = 100
+	minLongOdds = 1e4
+	// minFate and minLongFate are the same for what became of the runs with the part: hardly any ended otherwise than in
+	// an exit. They suffice together with minFateOdds over SuspicionWindow: a part that crashes its runners late is at many
+	// of them when the exits begin, and so at many exits by chance.
+	minFate     = 1e3
+	minLongFate = 1e4
+	minFateOdds = 100
+	// minFateRequests is how many different requests must have been there for that. Fewer may be streams that go on at one
+	// runner after the other in a wave of exits.
+	minFateRequests = 4
+	// clearOdds is from which odds on no other explanation needs to be waited for.
+	clearOdds = 1e6
+	// wholeWeight is the least that a whole answer counts as time at a runner.
+	wholeWeight = 10 * time.Millisecond
+	// maxElsewhere is how likely it may be by chance that a part has crashed no runner under requests for other models, for
+	// it to be held at the models at which it has.
+	maxElsewhere = 0.05
+)
+
+// SuspicionWindow is over which time the use of a prompt part and exits of runners are compared.
+const SuspicionWindow = time.Minute
+
+// Use is how much requests with a prompt part were in use over a time, at all daemons.
+type Use struct {
+	Busy  time.Duration // time at runners, of all requests together
+	Runs  int           // of requests at runners, also those in progress
+	Whole int           // answers that were received whole
+}
+
+// Add adds the use of others.
+func (u *Use) Add(o Use) { u.Busy, u.Runs, u.Whole = u.Busy+o.Busy, u.Runs+o.Runs, u.Whole+o.Whole }
+
+// amount is a measure of use for comparisons.
+func (u Use) amount() time.Duration { return max(u.Busy, time.Duration(u.Whole)*wholeWeight) }
+
+// Exposure is what happened over a time: how much requests with a part were at runners, and which of the service's runners
+// exited.
+type Exposure struct {
+	Use
+	Exits    int // under requests with the part
+	AllExits int // of runners of the service, with a cause that is not known yet
+	Window   time.Duration
+	Down     time.Duration // since each of AllExits, together: the runner may not have started again
+}
+
+// runnerTime returns for how long runners of the service have been up, together.
+func (x *Exposure) runnerTime(runners int) float64 {
+	all := float64(x.Window) * float64(max(1, runners))
+	return max(all-float64(x.Down), all/2)
+}
+
+// odds returns how much likelier the exits are if the part is the cause of those under it than by chance. By chance, it is
+// present at as many exits as it is at runners. The result is 1 if it was present at no more.
+func (x *Exposure) odds(runners int) float64 {
+	return likelihoodRatio(float64(x.Exits), float64(max(x.AllExits, x.Exits)), float64(x.Busy)/x.runnerTime(runners))
+}
+
+// fate returns how much likelier it is that so many runs with the part ended in an exit, and so few in a whole answer, if the
+// part is the cause than by chance. By chance, a runner exits during a run with the rate at which the service's runners do.
+func (x *Exposure) fate(runners int, age time.Duration) float64 {
+	if x.Runs > 0 {
+		age = max(age, x.Busy/time.Duration(x.Runs))
+	}
+	rate := float64(max(x.AllExits, x.Exits)) / x.runnerTime(runners)
+	return likelihoodRatio(float64(x.Exits), float64(x.Exits+x.Whole), 1-math.Exp(-rate*float64(age)))
+}
+
+// likelihoodRatio returns how much likelier k of n events are with the probability k/n than with the one that chance gives
+// them; 1 if that is larger.
+func likelihoodRatio(k, n, chance float64) float64 {
+	chance = min(1, max(minChance, chance))
+	if n == 0 || k/n <= chance {
+		return 1
+	}
+	ratio := k * math.Log(k/n/chance)
+	if k < n {
+		ratio += (n - k) * math.Log((1-k/n)/(1-chance))
+	}
+	return math.Exp(ratio)
+}
+
+// Suspicion is what is known for and against a prompt part that may crash runners. Recent is since the first exit under
+// it, Long over SuspicionWindow, both at the models of the requests under which runners exited. Elsewhere is since the first
+// exit, at other models.
+type Suspicion struct {
+	Runners      int           // of the service; 0: unknown
+	Requests     int           // different ones, at the exits
+	Age          time.Duration // of the requests at the exits, on average
+	Recent, Long Exposure
+	Elsewhere    Use
+}
+
+// Harmless reports whether the part is not the cause of the exits. As long as the runners are not known, a single whole
+// answer counts.
+func (s *Suspicion) Harmless() bool {
+	if s.Runners == 0 {
+		return s.Recent.Whole > 0
+	}
+	return s.Recent.Whole >= maxWholePerExit*s.Recent.Exits
+}
+
+// Odds are how much likelier exits are if a part is their cause than by chance.
+type Odds struct {
+	Recent, Long         float64 // by where the part was present
+	RecentFate, LongFate float64 // by what became of the runs with it
+}
+
+// Odds returns the odds over the time since the first exit, and over SuspicionWindow.
+func (s *Suspicion) Odds() Odds {
+	return Odds{s.Recent.odds(s.Runners), s.Long.odds(s.Runners), s.Recent.fate(s.Runners, s.Age), s.Long.fate(s.Runners, s.Age)}
+}
+
+// Suffices reports whether the part is so much likelier the cause than chance that it is to be held. As long as the runners
+// are not known, the exits alone count.
+func (s *Suspicion) Suffices() bool {
+	o := s.Odds()
+	byPresence := o.Recent >= minOdds && o.Long >= minLongOdds
+	byFate := o.RecentFate >= minFate && o.LongFate >= minLongFate && o.Long >= minFateOdds
+	return s.Runners == 0 || byPresence || byFate && s.Requests >= minFateRequests
+}
+
+// Clear reports whether no other explanation needs to be waited for.
+func (s *Suspicion) Clear() bool {
+	o := s.Odds()
+	return s.Runners > 0 && min(o.Recent, o.Long) >= clearOdds
+}
+
+// Likelier reports whether another part, which was there at each of the exits as well, is the likelier cause: it was in
+// use less, or no more and follows in the prompt. Prompts share their first parts most.
+func (s *Suspicion) Likelier(other Use, follows bool) bool {
+	mine, theirs := s.Long.amount(), other.amount()
+	return theirs < mine || theirs == mine && follows
+}
+
+// AtModels reports whether the part crashes runners at the models of the requests under which they exited only: there are so
+// many runs at others that it is unlikely that none of them did.
+func (s *Suspicion) AtModels() bool {
+	exits := float64(s.Recent.Exits)
+	share := exits / (exits + max(float64(s.Recent.Whole), 0.5))
+	byRuns := math.Pow(1-share, float64(s.Elsewhere.Whole))
+	byTime := 1.0
+	if s.Recent.Busy > 0 {
+		byTime = math.Exp(-exits * float64(s.Elsewhere.Busy) / float64(s.Recent.Busy))
+	}
+	return min(byRuns, byTime) < maxElsewhere
+}
--- /dev/null
+++ b/coordination/policy/suspicion_test.go
@@ -0,0 +1,61 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a prompt part that is taken for harmless by a single sign, and against a sound one that is taken for the
+// cause because it was there at exits, as it is everywhere or as runners exit in waves.
+func TestSuspicionOfParts(t *testing.T) {
+	const runners = 16
+	over := func(window time.Duration, exits, all, whole int, busy time.Duration) Exposure {
+		return Exposure{Use: Use{Busy: busy, Whole: whole}, Exits: exits, AllExits: all, Window: window}
+	}
+	for _, tt := range []struct {
+		name           string
+		recent, long   Exposure
+		harmless, held bool
+	}{
+		{"crashes at once", over(300*time.Millisecond, 2, 2, 0, 140*time.Millisecond), over(time.Minute, 2, 2, 0, 140*time.Millisecond), false, true},
+		{"crashes after 0.7 s, four exits", over(1300*time.Millisecond, 4, 4, 0, 4*time.Second), over(time.Minute, 4, 4, 0, 4*time.Second), false, true},
+		{"crashes after 1.5 s, seven exits", over(2600*time.Millisecond, 7, 7, 0, 20*time.Second), over(time.Minute, 7, 7, 0, 20*time.Second), false, true},
+		{"crashes under one run in five", over(3*time.Second, 4, 4, 16, 10*time.Second), over(time.Minute, 4, 4, 16, 10*time.Second), false, true},
+		{"in use before", over(time.Second, 4, 4, 0, 600*time.Millisecond), over(time.Minute, 4, 4, 400, 60*time.Second), false, true},
+		{"one of three causes", over(2*time.Second, 5, 15, 0, time.Second), over(time.Minute, 5, 15, 0, time.Second), false, true},
+		{"crashes after 3 s, three streams in one wave", Exposure{Use: Use{Busy: 9 * time.Second, Runs: 3}, Exits: 3, AllExits: 8, Window: 4 * time.Second}, Exposure{Use: Use{Busy: 9 * time.Second, Runs: 3}, Exits: 3, AllExits: 8, Window: time.Minute}, false, false},
+		{"crashes after 3 s, eight exits", Exposure{Use: Use{Busy: 46 * time.Second, Runs: 28}, Exits: 8, AllExits: 8, Window: 4500 * time.Millisecond}, Exposure{Use: Use{Busy: 46 * time.Second, Runs: 28}, Exits: 8, AllExits: 8, Window: time.Minute}, false, true},
+		{"in all prompts", over(time.Second, 5, 5, 5, 14*time.Second), over(time.Minute, 5, 5, 500, 800*time.Second), false, false},
+		{"in all prompts, served on", over(4*time.Second, 8, 8, 90, 50*time.Second), over(time.Minute, 8, 8, 500, 800*time.Second), true, false},
+		{"in one prompt of seven, at three of twenty exits", over(3*time.Second, 3, 20, 2, 7*time.Second), over(time.Minute, 3, 20, 100, 140*time.Second), false, false},
+		{"new, two long streams, at three of a wave of eight exits", over(3*time.Second, 3, 8, 0, 6*time.Second), over(time.Minute, 3, 8, 0, 6*time.Second), false, false},
+		{"seldom used, there at one exit of three", over(time.Second, 1, 3, 0, time.Second), over(time.Minute, 1, 3, 3, 5*time.Second), false, false},
+	} {
+		s := Suspicion{Runners: runners, Requests: tt.recent.Exits, Recent: tt.recent, Long: tt.long}
+		assert.Equal(t, s.Harmless(), tt.harmless, tt.name)
+		assert.Equal(t, s.Suffices() && !s.Harmless(), tt.held, "%s: %+v", tt.name, s.Odds())
+	}
+}
+
+// Guards against holding back sound requests for other models than those at which a part crashes runners, and against a
+// part that crashes runners at model after model.
+func TestPartIsHeldAtItsModels(t *testing.T) {
+	recent := Exposure{Use: Use{Busy: 300 * time.Millisecond}, Exits: 3, AllExits: 3, Window: time.Second}
+	for _, tt := range []struct {
+		name      string
+		recent    Exposure
+		elsewhere Use
+		at        bool
+	}{
+		{"not used for others", recent, Use{}, false},
+		{"one has just begun for another", recent, Use{Busy: 50 * time.Millisecond}, false},
+		{"served for another", recent, Use{Busy: 2 * time.Second, Whole: 2}, true},
+		{"streams go on for another", recent, Use{Busy: 2 * time.Second}, true},
+		{"crashes under one run in five, three answers for another", Exposure{Use: Use{Busy: 6 * time.Second, Whole: 12}, Exits: 3, AllExits: 3, Window: 3 * time.Second}, Use{Busy: time.Second, Whole: 3}, false},
+	} {
+		s := Suspicion{Runners: 16, Recent: tt.recent, Elsewhere: tt.elsewhere}
+		assert.Equal(t, s.AtModels(), tt.at, tt.name)
+	}
+}
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -29,7 +29,7 @@
 	// report. All of them break off within some milliseconds.
 	reportDelay = 20 * time.Millisecond
 	// exitRetention is how long a runner's exit is remembered.
-	exitRetention = 30 * time.Second
+	exitRetention = policy.SuspicionWindow
 	// reportTimeout bounds sending a report to a counter, reportResend is the interval at
 	// which it is resent in case a message was lost.
 	reportTimeout = 3 * time.Second
@@ -58,15 +58,24 @@
 	// Request is the request of a part; nil: this is no part. Prompt are the shared parts of its prompt.
 	Request *core.Digest  `json:"q,omitempty"`
 	Prompt  []core.Digest `json:"p,omitempty"`
+	Model   string        `json:"m,omitempty"`
+	Age     int64         `json:"a,omitempty"` // milliseconds since it was sent to the runner
 }
 
+// age returns how long before the exit it was sent to the runner.
+func (a *affected) age() time.Duration { return time.Duration(a.Age) * time.Millisecond }
+
 // isPart reports whether it is a part of a prompt.
 func (a *affected) isPart() bool { return a.Request != nil }
 
 // affectedOf returns a lost request and the parts of its prompt.
 func affectedOf(b *core.LostRequest) []affected {
 	request := affected{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.MayHaveRun, Fresh: b.JustStarted}
-	out := []affected{request}
+	var out []affected
+	if !b.Worked {
+		out = append(out, request)
+	}
+	request.Model, request.Age = b.Model, b.Age.Milliseconds()
 	var prompt []core.Digest
 	for _, p := range b.Parts {
 		prompt = append(prompt, p.Digest)
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -26,9 +26,6 @@
 	// servedWindow is how long ago a request may have been served to count as harmless. What
 	// it needs, such as its model, may have changed since an earlier run.
 	servedWindow = time.Minute
-	// minServedWindow is the least of that for a part of prompts that has been cleared before: requests with a harmless
-	// one may be served seldom.
-	minServedWindow = time.Second
 )
 
 // queryDelays are the times after which a query is sent; it is sent repeatedly because a
@@ -39,19 +36,16 @@
 type servedQuery struct {
 	record   hold.Record // the hold to place if no daemon has
 	servedBy string      // the daemon that has served it; empty: none yet
-	// deeper are the parts that follow a prompt part at each of its exits, and whether a daemon has
-	// served them; nil if this is no part.
-	deeper map[core.Digest]bool
+	part     *partQuery  // nil: this is no part of prompts
 }
 
 // isPart reports whether it is a query for a part of prompts.
-func (c *servedQuery) isPart() bool { return c.deeper != nil }
+func (c *servedQuery) isPart() bool { return c.part != nil }
 
-// seen is the message of a query for daemons that have served a request, or any with a prompt part.
+// seen is the message of a query for daemons that have served a request.
 type seen struct {
 	Digest core.Digest   `json:"digest"`
 	Within time.Duration `json:"within"`
-	Part   bool          `json:"part,omitempty"`
 }
 
 func (q *Quarantine) handleExit(from peers.Peer, body json.RawMessage, answer func(any)) {
@@ -78,7 +72,7 @@
 			q.count(report, s, from, r)
 		case r.Remaining(q.clock.Now()) > 0:
 			// The request was already in progress when it was held back.
-		case s.isPart() && !s.mayBeCause():
+		case s.isPart() && !s.mayBeTrial(&r, q.clock.Now()):
 		default:
 			q.log.Info(logs.ExitCounted, zap.Stringer("digest", s.Digest), zap.String("runner", report.Runner), zap.String("from", from), zap.Bool("tried", true))
 			r.Level++
@@ -103,7 +97,7 @@
 		c = &servedQuery{}
 		q.queries[s.Digest] = c
 		if s.isPart() {
-			q.queryPart(c, s.Digest)
+			q.queryPart(c, s.Digest, s.Service)
 		} else {
 			q.queryServed(s.Digest)
 		}
@@ -114,7 +108,7 @@
 // addExit counts one runner's exit; the caller holds q.mu.
 func (q *Quarantine) addExit(instance policy.Instance, s affected) (runners int, tooMany bool) {
 	if s.isPart() {
-		x := policy.PartExit{Instance: instance, Fresh: s.Fresh, Request: *s.Request, Prompt: s.Prompt}
+		x := policy.PartExit{Instance: instance, Fresh: s.Fresh, Request: *s.Request, Model: s.Model, Age: s.age(), Prompt: s.Prompt}
 		return q.exits.AddPart(q.clock.Now(), s.Digest, x)
 	}
 	if s.Fresh {
@@ -138,47 +132,6 @@
 	}
 }
 
-// queryPart sends all daemons queries whether any request with a part of a prompt has been served recently,
-// and any with one of the parts that followed it at each exit. The caller holds q.mu.
-func (q *Quarantine) queryPart(c *servedQuery, part core.Digest) {
-	c.deeper = map[core.Digest]bool{}
-	within := q.partWindow(part)
-	q.clock.AfterFunc(queryWait, func() { q.decide(part) })
-	if q.recentParts.servedWithin(part, within) {
-		c.servedBy = q.net.Self().Name
-		return
-	}
-	q.queryDeeper(c, part)
-	q.broadcast(kindSeen, seen{Digest: part, Within: within, Part: true}, queryDelays)
-}
-
-// partWindow returns how long ago a request with a part of a prompt may have been served for the part to count as
-// harmless. What was served before the part was last cleared has been taken into account: the part may have begun to
-// crash runners since. The caller holds q.mu.
-func (q *Quarantine) partWindow(part core.Digest) time.Duration {
-	at, ok := q.cleared[part]
-	if !ok {
-		return servedWindow
-	}
-	return min(servedWindow, max(minServedWindow, q.clock.Since(at)))
-}
-
-// queryDeeper sends the queries for the parts that followed a part at each exit and were not queried yet, and
-// reports whether there are any. The caller holds q.mu.
-func (q *Quarantine) queryDeeper(c *servedQuery, part core.Digest) bool {
-	found := false
-	for _, d := range q.exits.Deeper(part, q.countsUntil(part)) {
-		if _, queried := c.deeper[d]; queried {
-			continue
-		}
-		found = true
-		within := q.partWindow(d)
-		c.deeper[d] = q.recentParts.servedWithin(d, within)
-		q.broadcast(kindSeen, seen{Digest: d, Within: within, Part: true}, queryDelays)
-	}
-	return found
-}
-
 // undecided reports whether it is too early to hold back what no daemon has served, and has it decided later.
 // The caller holds q.mu.
 func (q *Quarantine) undecided(c *servedQuery, d core.Digest) bool {
@@ -186,7 +139,9 @@
 	switch up := q.fleetAge(); {
 	case c.servedBy != "":
 		return false
-	case up < startPeriod && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
+	case c.isPart() && q.isClear(c, d, now):
+		return false
+	case up < startPeriod && !(c.isPart() && q.runners(c.part.service) > 0) && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
 		wait = startPeriod - up
 		if q.exits.InDoubt(d) {
 			wait += doubtWait // first what may explain the exits
@@ -196,7 +151,7 @@
 		}
 		q.clock.AfterFunc(wait, func() { q.queryAgain(c, d) })
 		return true
-	case c.isPart() && q.queryDeeper(c, d): // exits that were reported since have shown them
+	case c.isPart() && q.queryCompanions(c, d): // exits that were reported since have shown them
 	case q.exits.Held(d, now) && !q.exits.Held(d, q.countsUntil(d)):
 		wait = doubtWait
 	default:
@@ -233,7 +188,7 @@
 	switch {
 	case q.queries[d] != c || q.ctx.Err() != nil:
 	case c.isPart():
-		q.queryPart(c, d)
+		q.queryPart(c, d, c.part.service)
 	default:
 		q.queryServed(d)
 	}
@@ -254,11 +209,7 @@
 	if !peers.Decode(q.log, from, body, &s) {
 		return
 	}
-	served := q.recent
-	if s.Part {
-		served = q.recentParts
-	}
-	if served.servedWithin(s.Digest, s.Within) {
+	if q.recent.servedWithin(s.Digest, s.Within) {
 		q.net.Send(from, kindWorked, s.Digest)
 	}
 }
@@ -273,14 +224,9 @@
 	if c := q.queries[d]; c != nil {
 		c.servedBy = from.Name
 	}
-	for _, c := range q.queries {
-		if _, ok := c.deeper[d]; ok {
-			c.deeper[d] = true
-		}
-	}
 }
 
-// decide holds a request back, or clears it if a daemon has served it.
+// decide holds a request or prompt part back, or clears it.
 func (q *Quarantine) decide(d core.Digest) {
 	q.mu.Lock()
 	c := q.queries[d]
@@ -288,6 +234,11 @@
 		q.mu.Unlock()
 		return // decided by another daemon meanwhile
 	}
+	if c.isPart() {
+		q.mu.Unlock()
+		q.decidePart(c, d)
+		return
+	}
 	if q.undecided(c, d) {
 		q.mu.Unlock()
 		return
@@ -296,14 +247,13 @@
 	if c.servedBy != "" {
 		q.clear(d)
 	}
-	likelier, defers := q.likelierPart(c, d)
 	explained := !q.exits.Held(d, q.countsUntil(d))
 	q.mu.Unlock()
 	switch {
 	case c.servedBy != "":
-	case defers || explained:
+	case explained:
 		q.scope.Counter("quarantine_deferred").Inc(1)
-		q.log.Info(logs.HoldDeferred, zap.Stringer("digest", d), zap.String("route", c.record.Route), zap.Stringer("likelier", likelier), zap.Bool("explained", explained), zap.Int("runners", c.record.Runners))
+		q.log.Info(logs.HoldDeferred, zap.Stringer("digest", d), zap.String("route", c.record.Route), zap.Bool("explained", explained), zap.Int("runners", c.record.Runners))
 		return
 	default:
 		q.hold(c.record)
@@ -313,17 +263,6 @@
 	q.log.Info(logs.RequestCleared, zap.Stringer("digest", d), zap.String("worked", c.servedBy), zap.Int("runners", c.record.Runners))
 }
 
-// likelierPart returns a part that followed another one at each exit and that no daemon has served either.
-// The caller holds q.mu.
-func (q *Quarantine) likelierPart(c *servedQuery, part core.Digest) (core.Digest, bool) {
-	for _, d := range q.exits.Deeper(part, q.countsUntil(part)) {
-		if served, asked := c.deeper[d]; asked && !served {
-			return d, true
-		}
-	}
-	return core.Digest{}, false
-}
-
 // clear drops the exits counted for a request; the caller holds q.mu.
 func (q *Quarantine) clear(d core.Digest) {
 	q.exits.Clear(d)
--- a/coordination/quarantine/explain.go
+++ b/coordination/quarantine/explain.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"primroseward/coordination/peers"
 	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/state/hold"
 )
 
 // maxExplained bounds the exits per message, to keep it below a packet of 1,500 bytes.
@@ -45,17 +48,27 @@
 	if !s.mayBeCause() {
 		return policy.Explanation{}, false
 	}
-	if _, held := q.table.Held(s.Digest); held {
-		return policy.Explanation{Cause: s.Digest, Part: s.isPart()}, true
-	}
-	for _, d := range s.Prompt {
+	for _, d := range append([]core.Digest{s.Digest}, s.Prompt...) {
 		if _, held := q.table.Held(d); held {
-			return policy.Explanation{Cause: d, Part: true}, true
+			return policy.Explanation{Cause: d, Part: s.isPart() || d != s.Digest}, true
+		}
+		if at := d.AtModel(s.Model); s.isPart() {
+			if _, held := q.table.Held(at); held {
+				return policy.Explanation{Cause: at, Part: true}, true
+			}
 		}
 	}
 	return policy.Explanation{}, false
 }
 
-// mayBeCause reports whether the exit counts against what is held back already. Most requests with a part have
-// been there by chance.
-func (a *affected) mayBeCause() bool { return a.Fresh || a.Begun && !a.isPart() }
+// mayBeCause reports whether the exit may be due to what is held back already.
+func (a *affected) mayBeCause() bool { return a.Fresh || a.Begun }
+
+// mayBeTrial reports whether the exit counts against a prompt part whose hold has expired: its run began since, or the
+// runner had just started it. Others were in progress before, or had been queued, by chance.
+func (a *affected) mayBeTrial(r *hold.Record, now time.Time) bool {
+	if a.Age > 0 {
+		return !now.Add(-a.age()).Before(r.Until)
+	}
+	return a.Fresh
+}
--- /dev/null
+++ b/coordination/quarantine/moments_test.go
@@ -0,0 +1,129 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"primroseward/core"
+	"primroseward/state/hold"
+)
+
+// withSixteen states that each service has sixteen runners.
+var withSixteen = WithRunners(func(string) int { return 16 })
+
+// crashPrompt reports that a runner crashed under a request for a model, some time after it was sent to it.
+func (r *runners) crashPrompt(at *daemon, runner, model string, age time.Duration, prompt ...core.Part) {
+	r.setProbeErr(runner, core.ErrNoListener)
+	b := brokenPrompt(runner, prompt...)
+	b.JustStarted, b.Model, b.Age, b.Worked = false, model, age, age > 2*time.Second
+	at.ConnectionLost(b)
+}
+
+// Guards against a part that crashes runners late, before its head or only sometimes, and that is cleared by the events or
+// answers in between; against holding back the part in requests for models that it does not harm, and the parts beside it.
+func TestPartThatCrashesAtAnyMomentIsHeld(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		age       time.Duration
+		whole     int  // answers with the part between two crashes
+		elsewhere bool // and as many for another model
+		at        bool // held at its model only
+	}{
+		{"after 0.7 s", 700 * time.Millisecond, 0, false, false},
+		{"after 3 s", 3 * time.Second, 0, false, false},
+		{"one run in five", 100 * time.Millisecond, 4, false, false},
+		{"at one model", 100 * time.Millisecond, 0, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			n, r := newNetwork(), newRunners()
+			all := n.fleet(t, 5, r, withSixteen)
+			bad := badPart.For("m1")
+			for i := range 5 {
+				for range 20 { // the first part is in use everywhere
+					run := all[i].RunBegan([]core.Part{firstPart.For("m1"), document.For("m1")}, "m1")
+					defer run.Ended()
+				}
+				for range tt.whole {
+					whole := all[(i+2)%5].RunBegan([]core.Part{firstPart.For("m1"), bad}, "m1")
+					whole.Whole()
+					whole.Ended()
+				}
+				if tt.elsewhere {
+					for range 3 {
+						run := all[(i+1)%5].RunBegan([]core.Part{firstPart.For("m2"), badPart.For("m2")}, "m2")
+						run.Whole()
+						run.Ended()
+					}
+				}
+				r.crashPrompt(all[i], fmt.Sprint("r", i), "m1", tt.age, firstPart.For("m1"), bad)
+				time.Sleep(100 * time.Millisecond)
+			}
+			held, sound := bad.Digest, badPart.For("m2").AtModel
+			if tt.at {
+				held = bad.AtModel
+			}
+			waitForAll(t, "held back", all, hasHold(held))
+			time.Sleep(2 * (queryWait + doubtWait))
+			for _, d := range all {
+				for _, digest := range []core.Digest{firstPart.Digest, document.Digest, sound} {
+					assert.Check(t, !hasHold(digest)(d), d.name)
+				}
+				assert.Equal(t, hasHold(bad.Digest)(d), !tt.at, d.name)
+			}
+		})
+	}
+}
+
+// Guards against the release of a part that crashes its runner only sometimes after one request with it was served, or
+// after one that was in progress before the hold.
+func TestPartIsReleasedByTrialsOnly(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		whole  int // answers between three exits
+		passes int
+	}{{"each run", 0, 1}, {"one run in two", 3, 2}, {"one run in five", 12, 8}} {
+		q, clock := newSolo(t)
+		parts := []core.Part{badPart.For("m")}
+		before := q.RunBegan(parts, "m")
+		clock.Advance(time.Second)
+		q.hold(hold.Record{Digest: badPart.Digest, Route: "r", Service: "s", Runners: 3, Whole: tt.whole})
+		before.Whole()
+		passes := 0
+		for r, _ := q.table.Held(badPart.Digest); r.State == hold.StateHeld; r, _ = q.table.Get(badPart.Digest) {
+			clock.Advance(r.Remaining(clock.Now()))
+			trial := q.RunBegan(parts, "m")
+			clock.Advance(time.Second)
+			trial.Whole()
+			trial.Ended()
+			passes++
+		}
+		assert.Equal(t, passes, tt.passes, tt.name)
+	}
+}
+
+// Guards against a hold that is not extended because its trial crashed the runner late, or before its head, and against
+// one that is extended by a stream that was in progress before it.
+func TestTrialThatCrashesLateExtendsTheHold(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		age      time.Duration
+		begun    bool
+		extended bool
+	}{
+		{"a trial, after 3 s", 3 * time.Second, true, true},
+		{"a trial, before its head", 100 * time.Millisecond, false, true},
+		{"begun before the hold expired", 5 * time.Second, true, false},
+	} {
+		q, clock := newSolo(t)
+		q.hold(hold.Record{Digest: badPart.Digest, Route: "r", Service: "s", Runners: 3})
+		clock.Advance(hold.Duration(0) + 4*time.Second)
+		b := brokenPrompt("", firstPart, badPart)
+		b.JustStarted, b.MayHaveRun, b.Age = false, tt.begun, tt.age
+		q.countExit(exitReport{Runner: "r", Instance: 1, Affected: affectedOf(&b)}, "d")
+		assert.Equal(t, q.HoldRemaining(badPart.Digest) > 0, tt.extended, tt.name)
+	}
+}
--- /dev/null
+++ b/coordination/quarantine/parts.go
@@ -0,0 +1,377 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"primroseward/coordination/peers"
+	"primroseward/coordination/policy"
+	"primroseward/core"
+	"primroseward/io/logs"
+	"primroseward/state/hold"
+)
+
+// maxReportedExits and maxReportedModels bound an answer on the use of a prompt part, to keep it below a packet of
+// 1,500 bytes.
+const (
+	maxReportedExits  = 20
+	maxReportedModels = 8
+)
+
+// useQuery asks all daemons how a prompt part was used, and which runners of a service have exited.
+type useQuery struct {
+	Part    core.Digest `json:"part"`
+	Service string      `json:"service"`
+	// Within is the recent time of the answer for each model of the exits, Longest that for others.
+	Within  map[string]time.Duration `json:"within"`
+	Longest time.Duration            `json:"longest"`
+}
+
+// within returns the recent time for a model.
+func (m *useQuery) within(model string) time.Duration {
+	if d, ok := m.Within[model]; ok {
+		return d
+	}
+	return m.Longest
+}
+
+// modelUse is the use of a prompt part for one model: over the recent time, and over policy.SuspicionWindow.
+type modelUse struct {
+	Model  string     `json:"m"`
+	Recent policy.Use `json:"r"`
+	Long   policy.Use `json:"l"`
+}
+
+// seenExit is an exit of a runner, and how long ago it was found.
+type seenExit struct {
+	Instance policy.Instance `json:"i"`
+	Age      time.Duration   `json:"a"`
+}
+
+// useReport answers a useQuery.
+type useReport struct {
+	Part   core.Digest `json:"part"`
+	Models []modelUse  `json:"models,omitempty"`
+	Exits  []seenExit  `json:"exits,omitempty"`
+}
+
+// partQuery is a query for a prompt part and for others that were there at each of its exits.
+type partQuery struct {
+	service string
+	asked   map[core.Digest]bool
+	reports map[core.Digest]map[string]useReport // by part and daemon
+}
+
+// queryPart asks all daemons for the use of a part and of its companions at the exits. The caller holds q.mu.
+func (q *Quarantine) queryPart(c *servedQuery, part core.Digest, service string) {
+	c.part = &partQuery{service: service, asked: map[core.Digest]bool{}, reports: map[core.Digest]map[string]useReport{}}
+	q.clock.AfterFunc(queryWait, func() { q.decide(part) })
+	q.queryUse(c, part, part)
+	q.queryCompanions(c, part)
+}
+
+// queryUse asks all daemons for the use of a part over the time that counts for another one. The caller holds q.mu.
+func (q *Quarantine) queryUse(c *servedQuery, d, part core.Digest) {
+	c.part.asked[d] = true
+	q.broadcast(kindUse, q.useQuery(c.part, d, part), queryDelays)
+}
+
+// useQuery returns the query for a part, over the time that counts for another one. The caller holds q.mu.
+func (q *Quarantine) useQuery(c *partQuery, d, part core.Digest) useQuery {
+	now := q.clock.Now()
+	m := useQuery{Part: d, Service: c.service, Within: map[string]time.Duration{}}
+	evidence := q.exits.Evidence(part, now)
+	for model, at := range evidence.Begin() {
+		m.Within[model] = now.Sub(at)
+		m.Longest = max(m.Longest, now.Sub(at))
+	}
+	return m
+}
+
+// queryCompanions asks for the parts that were there at each exit of a part and were not asked for yet, and reports
+// whether there are any. The caller holds q.mu.
+func (q *Quarantine) queryCompanions(c *servedQuery, part core.Digest) bool {
+	found := false
+	for d := range q.exits.Evidence(part, q.countsUntil(part)).Companions {
+		if !c.part.asked[d] {
+			found = true
+			q.queryUse(c, d, part)
+		}
+	}
+	return found
+}
+
+func (q *Quarantine) handleUse(from peers.Peer, body json.RawMessage, _ func(any)) {
+	var m useQuery
+	if !peers.Decode(q.log, from, body, &m) {
+		return
+	}
+	if r := q.reportUse(m); len(r.Models)+len(r.Exits) > 0 {
+		q.net.Send(from, kindUsed, r)
+	}
+}
+
+// reportUse returns what this daemon knows of the use of a part, and of exits.
+func (q *Quarantine) reportUse(m useQuery) useReport {
+	out := useReport{Part: m.Part}
+	for model, long := range q.uses.since(m.Part, policy.SuspicionWindow) {
+		out.Models = append(out.Models, modelUse{Model: model, Recent: q.uses.since(m.Part, m.within(model))[model], Long: long})
+	}
+	slices.SortFunc(out.Models, func(a, b modelUse) int { return cmp.Compare(b.Long.Busy, a.Long.Busy) })
+	out.Models = out.Models[:min(len(out.Models), maxReportedModels)]
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for instance, c := range q.checks {
+		if c.exited && c.runner.Service == m.Service {
+			out.Exits = append(out.Exits, seenExit{instance, q.clock.Since(c.checkedAt)})
+		}
+	}
+	slices.SortFunc(out.Exits, func(a, b seenExit) int { return cmp.Compare(a.Age, b.Age) })
+	out.Exits = out.Exits[:min(len(out.Exits), maxReportedExits)]
+	return out
+}
+
+func (q *Quarantine) handleUsed(from peers.Peer, body json.RawMessage, _ func(any)) {
+	var r useReport
+	if !peers.Decode(q.log, from, body, &r) {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range q.queries {
+		if c.part != nil && c.part.asked[r.Part] {
+			c.part.add(from.Name, r)
+		}
+	}
+}
+
+func (c *partQuery) add(from string, r useReport) {
+	if c.reports[r.Part] == nil {
+		c.reports[r.Part] = map[string]useReport{}
+	}
+	c.reports[r.Part][from] = r
+}
+
+// suspicion sums up what all daemons have reported on a part, at the models that explain the exits. The caller holds q.mu.
+func (q *Quarantine) suspicion(c *partQuery, part core.Digest, until time.Time) (s policy.Suspicion, models []string) {
+	now, evidence := q.clock.Now(), q.exits.Evidence(part, until)
+	use := map[string]policy.Use{}
+	for _, r := range c.reports[part] {
+		for _, m := range r.Models {
+			sum := use[m.Model]
+			sum.Add(m.Recent)
+			use[m.Model] = sum
+		}
+	}
+	models = evidence.Models(use)
+	s = policy.Suspicion{Runners: q.runners(c.service), Requests: evidence.Requests, Age: evidence.Age(models)}
+	begin := evidence.Begin()
+	for _, m := range models {
+		s.Recent.Window = max(s.Recent.Window, now.Sub(begin[m]))
+	}
+	s.Recent.Window = max(time.Millisecond, s.Recent.Window)
+	s.Long.Window = max(s.Recent.Window, min(policy.SuspicionWindow, q.fleetAge()))
+	ages := map[policy.Instance]time.Duration{} // of the exits, known by now or reported
+	for _, x := range evidence.Exits {
+		ages[x.Instance] = now.Sub(x.At)
+	}
+	s.Recent.Exits, s.Long.Exits = len(ages), len(ages)
+	for _, r := range c.reports[part] {
+		for _, m := range r.Models {
+			if !slices.Contains(models, m.Model) {
+				s.Elsewhere.Add(m.Recent)
+				continue
+			}
+			s.Recent.Add(m.Recent)
+			s.Long.Add(m.Long)
+		}
+		for _, x := range r.Exits {
+			if !q.exits.HasOtherCause(x.Instance, part) && x.Age >= now.Sub(until) {
+				ages[x.Instance] = max(ages[x.Instance], x.Age)
+			}
+		}
+	}
+	for _, age := range ages {
+		for _, in := range []*policy.Exposure{&s.Recent, &s.Long} {
+			if age <= in.Window {
+				in.AllExits++
+				in.Down += age
+			}
+		}
+	}
+	return s, models
+}
+
+// longUse sums up the use of a part over policy.SuspicionWindow, at all models.
+func (c *partQuery) longUse(part core.Digest) policy.Use {
+	var out policy.Use
+	for _, r := range c.reports[part] {
+		for _, m := range r.Models {
+			out.Add(m.Long)
+		}
+	}
+	return out
+}
+
+// askSelf adds what this daemon knows itself of the parts that were asked for.
+func (q *Quarantine) askSelf(c *partQuery, part core.Digest) {
+	q.mu.Lock()
+	var queries []useQuery
+	for d := range c.asked {
+		queries = append(queries, q.useQuery(c, d, part))
+	}
+	q.mu.Unlock()
+	for _, m := range queries {
+		r := q.reportUse(m)
+		q.mu.Lock()
+		c.add("", r)
+		q.mu.Unlock()
+	}
+}
+
+// verdict is the decision on a prompt part.
+type verdict string
+
+const (
+	verdictHarmless  verdict = "harmless"  // it is not the cause
+	verdictExplained verdict = "explained" // the exits that are left are too few
+	verdictChance    verdict = "chance"    // it may have been there by chance; the exits still count
+	verdictLikelier  verdict = "likelier"  // another part is the likelier cause
+	verdictHeld      verdict = "held"
+)
+
+// judgement is a verdict and what it is based on.
+type judgement struct {
+	verdict
+	policy.Suspicion
+	models   []string    // that explain the exits
+	likelier core.Digest // the likelier cause, if there is one
+}
+
+// judge decides on a part. The caller holds q.mu.
+func (q *Quarantine) judge(c *servedQuery, part core.Digest) judgement {
+	until := q.countsUntil(part)
+	if now := q.clock.Now(); q.isClear(c, part, now) {
+		until = now
+	}
+	j := judgement{verdict: verdictHeld}
+	j.Suspicion, j.models = q.suspicion(c.part, part, until)
+	other, defers := q.likelierPart(c.part, &j.Suspicion, part, until)
+	switch {
+	case !q.exits.Held(part, until):
+		j.verdict = verdictExplained
+	case j.Harmless():
+		j.verdict = verdictHarmless
+	case !j.Suffices():
+		j.verdict = verdictChance
+	case defers:
+		j.verdict, j.likelier = verdictLikelier, other
+	}
+	return j
+}
+
+// isClear reports whether a part is so clearly the cause of the exits until now that no other explanation needs to be
+// waited for. The caller holds q.mu.
+func (q *Quarantine) isClear(c *servedQuery, part core.Digest, now time.Time) bool {
+	s, _ := q.suspicion(c.part, part, now)
+	if !q.exits.Held(part, now) || !s.Clear() || s.Harmless() {
+		return false
+	}
+	_, defers := q.likelierPart(c.part, &s, part, now)
+	return !defers
+}
+
+// likelierPart returns a part that was there at each exit of another one and is the likelier cause. The caller holds q.mu.
+func (q *Quarantine) likelierPart(c *partQuery, s *policy.Suspicion, part core.Digest, until time.Time) (core.Digest, bool) {
+	mine := *s
+	mine.Long.Use = c.longUse(part)
+	for d, follows := range q.exits.Evidence(part, until).Companions {
+		if c.asked[d] && mine.Likelier(c.longUse(d), follows) {
+			return d, true
+		}
+	}
+	return core.Digest{}, false
+}
+
+// decidePart holds a part back, at the models of the exits only if it is harmless at others.
+func (q *Quarantine) decidePart(c *servedQuery, part core.Digest) {
+	q.askSelf(c.part, part)
+	q.mu.Lock()
+	if q.queries[part] != c || q.ctx.Err() != nil || q.undecided(c, part) {
+		q.mu.Unlock()
+		return
+	}
+	delete(q.queries, part)
+	j := q.judge(c, part)
+	if j.verdict == verdictHarmless {
+		q.clear(part)
+	}
+	records := q.partRecords(c, part, &j)
+	q.mu.Unlock()
+	q.scope.Tagged(map[string]string{"verdict": string(j.verdict)}).Counter("quarantine_parts").Inc(1)
+	q.logPart(c, part, &j)
+	if j.verdict != verdictHeld {
+		return
+	}
+	for _, r := range records {
+		q.hold(r)
+	}
+}
+
+// logPart logs the decision on a part.
+func (q *Quarantine) logPart(c *servedQuery, part core.Digest, j *judgement) {
+	odds := j.Odds()
+	q.log.Info(logs.PartDecided, zap.Stringer("digest", part), zap.String("route", c.record.Route), zap.String("verdict", string(j.verdict)), zap.Stringer("likelier", j.likelier),
+		zap.Strings("models", j.models), zap.Int("exits", j.Recent.Exits), zap.Int("all", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Duration("age", j.Age),
+		zap.Int("whole", j.Recent.Whole), zap.Duration("busy", j.Recent.Busy), zap.Duration("window", j.Recent.Window), zap.Duration("longbusy", j.Long.Busy), zap.Duration("longwindow", j.Long.Window),
+		zap.Int("elsewhere", j.Elsewhere.Whole), zap.Int("runners", j.Runners),
+		zap.Float64("odds", odds.Recent), zap.Float64("longodds", odds.Long), zap.Float64("fate", odds.RecentFate), zap.Float64("longfate", odds.LongFate))
+}
+
+// partRecords returns the holds to place for a part. The caller holds q.mu.
+func (q *Quarantine) partRecords(c *servedQuery, part core.Digest, j *judgement) []hold.Record {
+	record := c.record
+	record.Runners, record.Whole = j.Recent.Exits, j.Recent.Whole
+	if !j.AtModels() {
+		return []hold.Record{q.again(record)}
+	}
+	var out []hold.Record
+	for _, m := range j.models {
+		at := record
+		at.Digest, at.Route = part.AtModel(m), record.Route+" at model "+m
+		at.Part, at.Model = &part, m
+		if old, ok := q.table.Get(at.Digest); ok {
+			at.Version = old.Version
+		}
+		out = append(out, q.again(at))
+	}
+	return out
+}
+
+// again returns a hold at its next level if the same digest was released not long ago because it was served: that was by
+// chance.
+func (q *Quarantine) again(r hold.Record) hold.Record {
+	if old, ok := q.table.Get(r.Digest); ok && old.State == hold.StateReleased && old.By == hold.BySuccess {
+		r.Level = old.Level + 1
+	}
+	return r
+}
+
+// passed records that a run with a held part was served whole. That was a trial if it began after the hold. A part that
+// crashes its runner only sometimes passes some: it is released once so many trials in a row have been served as would
+// be unlikely otherwise.
+func (q *Quarantine) passed(d core.Digest, began time.Time) {
+	r, ok := q.table.Held(d)
+	if !ok || began.Before(r.Placed()) {
+		return
+	}
+	if r.Pass(q.clock.Now()) {
+		q.release(r, hold.BySuccess)
+		return
+	}
+	q.commit(r)
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -40,6 +40,8 @@
 	kindTrial   = "trial"
 	kindConfirm = "confirm"
 	kindExplain = "explain"
+	kindUse     = "use"
+	kindUsed    = "used"
 )
 
 // Network sends messages to other daemons.
@@ -72,11 +74,12 @@
 	log       *zap.Logger
 	scope     tally.Scope
 	onHold    func(core.Digest)
+	runners   func(service string) int
 	keeper    *keeper
 
 	table       *hold.Table
-	recent      *recent       // requests
-	recentParts *recent       // prompt parts
+	recent      *recent       // requests that were served
+	uses        *uses         // of prompt parts
 	holdChanged chan struct{} // signals that a hold has changed
 
 	mu      sync.Mutex
@@ -102,6 +105,12 @@
 // WithOnHold sets a function that is called for each request that is held back.
 func WithOnHold(fn func(core.Digest)) Option { return func(q *Quarantine) { q.onHold = fn } }
 
+// WithRunners sets a function that returns how many runners a service has. Without it, any exits under a prompt part that
+// was not served count against it.
+func WithRunners(count func(service string) int) Option {
+	return func(q *Quarantine) { q.runners = count }
+}
+
 // WithStore keeps holds in the platform's store. reads returns whether this daemon is the one
 // that reads operators' changes there.
 func WithStore(store core.Platform, reads func() bool) Option {
@@ -114,8 +123,8 @@
 // New returns a Quarantine and registers its message handlers.
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
-		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {},
-		table: hold.NewTable(), recent: newRecent(clock), recentParts: newRecent(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
+		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {}, runners: func(string) int { return 0 },
+		table: hold.NewTable(), recent: newRecent(clock), uses: newUses(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
@@ -130,6 +139,8 @@
 	net.Handle(kindTrial, q.handleTrial)
 	net.Handle(kindConfirm, q.handleConfirm)
 	net.Handle(kindExplain, q.handleExplain)
+	net.Handle(kindUse, q.handleUse)
+	net.Handle(kindUsed, q.handleUsed)
 	return q
 }
 
@@ -185,16 +196,6 @@
 	}
 }
 
-// PartsServed implements core.Guard.
-func (q *Quarantine) PartsServed(parts []core.Part) {
-	for _, p := range parts {
-		q.recentParts.add(p.Digest)
-		if r, ok := q.table.Held(p.Digest); ok {
-			q.release(r, hold.BySuccess)
-		}
-	}
-}
-
 // Release ends a hold on behalf of an operator; false if there is none.
 func (q *Quarantine) Release(d core.Digest) bool {
 	r, ok := q.table.Held(d)
@@ -260,6 +261,9 @@
 	defer q.mu.Unlock()
 	if r.State == hold.StateHeld {
 		exits, part := q.exits.Exits(r.Digest)
+		if r.Part != nil {
+			exits, part = q.exits.ExitsAt(*r.Part, r.Model), true
+		}
 		q.explain(exits, policy.Explanation{Cause: r.Digest, Part: part})
 	}
 	q.exits.Drop(r.Digest)
--- a/coordination/quarantine/sim_test.go
+++ b/coordination/quarantine/sim_test.go
@@ -190,3 +190,13 @@
 		}
 	}
 }
+
+// PartsServed records an answer that was received whole and took no time.
+func (q *Quarantine) PartsServed(parts []core.Part) {
+	for i, p := range parts {
+		parts[i] = p.For("")
+	}
+	r := q.RunBegan(parts, "")
+	r.Whole()
+	r.Ended()
+}
--- a/core/digest.go
+++ b/core/digest.go
@@ -32,6 +32,8 @@
 type Part struct {
 	ID     string
 	Digest Digest // of the ID and the workspace
+	// AtModel is the digest of the part in requests for one model: a part may crash the runners of a single one.
+	AtModel Digest
 }
 
 // NewPart returns a part of a prompt of a workspace's caller. Equal parts of two workspaces have different
@@ -41,6 +43,20 @@
 	return Part{ID: id, Digest: DigestOf(&Request{Method: "prompt part", Host: workspace, Target: id})}
 }
 
+// For returns the part in requests for a model.
+func (p Part) For(model string) Part {
+	p.AtModel = p.Digest.AtModel(model)
+	return p
+}
+
+// AtModel returns the digest of a part of a prompt in requests for a model.
+func (d Digest) AtModel(model string) Digest {
+	return DigestOf(&Request{Method: "prompt part at model", Host: model, Target: string(d[:])})
+}
+
+// Digests returns the digests under which the part may be on hold.
+func (p Part) Digests() []Digest { return []Digest{p.Digest, p.AtModel} }
+
 // CallerOf returns the IP address in a connection's remote address, the zero Addr if it has
 // none.
 func CallerOf(remote string) netip.Addr {
--- a/core/guard.go
+++ b/core/guard.go
@@ -25,9 +25,16 @@
 	// Served records that a runner has served a request, or has worked on it for a long
 	// time.
 	Served(d Digest)
-	// PartsServed records that a runner has served a request with these parts in its prompt, or
-	// has sent events of it for a while.
-	PartsServed(parts []Part)
+	// RunBegan records that a request for a model, with these parts in its prompt, is sent to a runner.
+	RunBegan(parts []Part, model string) PartRun
+}
+
+// PartRun is one run of a request whose prompt has shared parts.
+type PartRun interface {
+	// Whole records that the answer was received whole.
+	Whole()
+	// Ended records that the runner no longer works on the request. Only the first call counts.
+	Ended()
 }
 
 // LostRequest describes a request whose runner closed the connection before the answer was
@@ -39,8 +46,10 @@
 	Service     string
 	MayHaveRun  bool // the runner may have started to run it
 	JustStarted bool // the runner had just started to run it: only the answer's head had arrived
-	// Parts are the shared parts of its prompt, in order; none if the runner had sent events for a while.
-	Parts []Part
+	Worked      bool // the runner had worked on it for a long time, so that only the parts of its prompt are suspected
+	Model       string
+	Age         time.Duration // since it was sent to the runner
+	Parts       []Part        // shared parts of its prompt, in order
 }
 
 // LoadDigest returns the digest that stands for the load of a model. No request can have
@@ -69,8 +78,17 @@
 // Served implements Guard.
 func (NoGuard) Served(Digest) {}
 
-// PartsServed implements Guard.
-func (NoGuard) PartsServed([]Part) {}
+// RunBegan implements Guard.
+func (NoGuard) RunBegan([]Part, string) PartRun { return NoRun{} }
+
+// NoRun is a PartRun that records nothing.
+type NoRun struct{}
+
+// Whole implements PartRun.
+func (NoRun) Whole() {}
+
+// Ended implements PartRun.
+func (NoRun) Ended() {}
 
 // HeldBack returns the answer to a request whose digest is on hold. runs is how often this
 // request itself has run, which determines the outcome; retry is the time after which the
--- a/io/logs/follow.go
+++ b/io/logs/follow.go
@@ -39,7 +39,7 @@
 // holdEvents lists the events that show why a request's digest was on hold, or was not. They
 // are shown regardless of their time: the hold may have begun long before the request was
 // sent again.
-var holdEvents = []string{ExitCounted, RequestCleared, HoldDeferred, HoldChanged, TrialStarted, TrialRefused}
+var holdEvents = []string{ExitCounted, RequestCleared, HoldDeferred, PartDecided, HoldChanged, TrialStarted, TrialRefused}
 
 // Read reads log lines. Text before the first brace of a line, such as a VM's
 // name, is ignored. skipped is the number of lines that are not log lines.
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -113,10 +113,14 @@
 	// RequestCleared: a request under which runners have exited has been served; the exits counted
 	// for it are dropped.
 	RequestCleared = "request cleared"
-	// HoldDeferred: a request or a part of prompts is not put on hold, as the cause of the exits has been
-	// put on hold, or as another part that followed this one in the prompt at each exit has not been served
-	// either and is the likelier cause.
+	// HoldDeferred: a request is not put on hold, as the cause of the exits has been put on hold.
 	HoldDeferred = "hold deferred"
+	// PartDecided: a counter has decided whether a part of prompts, under which runners have exited, is put
+	// on hold: with the exits under it and in all, the whole answers and the time at runners of requests with it
+	// since the first exit, and how much likelier the exits are if it is their cause than by chance (odds, and
+	// longodds over a minute; fate and longfate by how the runs with it ended). Verdicts: held, harmless, likelier (another part is the likelier cause),
+	// explained (the cause of the exits is on hold), chance (the exits still count).
+	PartDecided = "prompt part decided"
 	// CounterUnreachable: the exit of a runner could not be reported to a counter.
 	CounterUnreachable = "counting daemon does not answer"
 	// HoldChanged: a request is put on hold or released; with the daemon or kind of object from
--- a/proof/parts_test.go
+++ b/proof/parts_test.go
@@ -130,10 +130,14 @@
 	empty           bool
 	// killAll: all daemons are killed at once. used is how long before the part begins to crash runners requests with it
 	// are served; 0: none is. elsewhere: requests with the part for another model are served all the while.
-	killAll        bool
-	used           time.Duration
-	elsewhere      bool
+	killAll   bool
+	used      time.Duration
+	elsewhere bool
+	// form is how the parts crash runners; nil: as runners does.
+	form           *runner.FatalForm
 	daemons, count int // of runners; 0: three daemons, crashingRunnerCount runners
+	// duration is how long requests with the part are sent; 0: partsDuration.
+	duration time.Duration
 }
 
 // check plays the case. It checks that the requests are stopped and that sound ones are served.
@@ -141,7 +145,12 @@
 	c := startFleet(t, cmp.Or(tt.daemons, 3))
 	spec := tt.runners
 	spec.FatalParts = []string{"bad1", "bad2"}
-	spec.FatalFrom = time.Now().Add(tt.used)
+	begin := time.Now().Add(tt.used)
+	if tt.form != nil {
+		form := *tt.form
+		form.From = begin
+		spec.FatalForms = map[string]runner.FatalForm{"bad1": form, "bad2": form}
+	}
 	crashing := c.startCrashingRunners(cmp.Or(tt.count, crashingRunnerCount), spec)
 	c.awaitServed(callerRequest{path: tt.path, body: "harmless", model: "m1"})
 	stops := []func() []partOutcome{c.startSoundCallers(tt.path)}
@@ -155,7 +164,7 @@
 		crashing.mu.Unlock()
 	}
 	interval, killed, kills := cmp.Or(tt.interval, callerRetryInterval), time.Now(), []daemonKill(nil)
-	for end := time.Now().Add(max(0, time.Until(spec.FatalFrom)) + partsDuration); time.Now().Before(end); time.Sleep(interval) {
+	for end := time.Now().Add(max(0, time.Until(begin)) + cmp.Or(tt.duration, partsDuration)); time.Now().Before(end); time.Sleep(interval) {
 		if tt.kills > 0 && time.Since(killed) >= tt.kills {
 			killed = time.Now()
 			victims := []*fleetDaemon{c.daemons[rand.N(len(c.daemons))]}
@@ -203,44 +212,29 @@
 	assert.Check(t, sent > 0 && served*100 >= minServedPercent*sent, "sound requests served: %d of %d", served, sent)
 }
 
-// atStage returns a spec whose runners exit some time after a fatal request begins to run, when its answer has come so far.
-func atStage(s runner.Spec, stage runner.FatalStage, after time.Duration) runner.Spec {
-	s.FatalStage, s.FatalAfter = stage, after
-	return s
-}
-
-// oneIn returns a spec whose runners exit under one fatal request in n.
-func oneIn(s runner.Spec, n int) runner.Spec {
-	s.FatalOne = n
-	return s
-}
-
-// atModel returns a spec whose runners exit under fatal requests for one model only.
-func atModel(s runner.Spec, model string) runner.Spec {
-	s.FatalModel = model
-	return s
-}
-
 // TestPromptPartThatCrashesRunnersAtAnyMomentIsStopped guards against runner after runner crashing under a prompt part that
 // was taken for harmless: because a runner had sent events before it crashed, because some requests with it were served,
 // or because those for another model or those of a minute ago were.
 func TestPromptPartThatCrashesRunnersAtAnyMomentIsStopped(t *testing.T) {
 	prompts := [][]string{{"a1", "bad1"}}
-	events := func(after time.Duration) runner.Spec { return atStage(modelRunner, runner.FatalAfterEvents, after) }
+	events := func(after time.Duration) *runner.FatalForm {
+		return &runner.FatalForm{After: after, Stage: runner.FatalAfterEvents}
+	}
+	const soon = 70 * time.Millisecond
 	for _, tt := range []partsCase{
-		{name: "after events for 0.3 s", runners: events(300 * time.Millisecond)},
-		{name: "after events for 0.7 s", runners: events(700 * time.Millisecond)},
-		{name: "after events for 1.5 s", runners: events(1500 * time.Millisecond)},
-		{name: "after events for 3 s", runners: events(3 * time.Second)},
-		{name: "before the head", runners: atStage(modelRunner, runner.FatalBeforeHead, 70*time.Millisecond)},
-		{name: "one run in two", runners: oneIn(modelRunner, 2)},
-		{name: "one run in five", runners: oneIn(modelRunner, 5)},
-		{name: "at one model", runners: atModel(modelRunner, "m1"), elsewhere: true},
-		{name: "in use before", runners: events(100 * time.Millisecond), used: 8 * time.Second},
-		{name: "all daemons are killed", runners: modelRunner, kills: 4 * time.Second, killAll: true},
+		{name: "after events for 0.3 s", form: events(300 * time.Millisecond)},
+		{name: "after events for 0.7 s", form: events(700 * time.Millisecond)},
+		{name: "after events for 1.5 s", form: events(1500 * time.Millisecond)},
+		{name: "after events for 3 s", form: events(3 * time.Second)},
+		{name: "before the head", form: &runner.FatalForm{After: soon, Stage: runner.FatalBeforeHead}},
+		{name: "one run in two", form: &runner.FatalForm{After: soon, One: 2}, duration: 2 * partsDuration},
+		{name: "one run in five", form: &runner.FatalForm{After: soon, One: 5}, duration: 2 * partsDuration},
+		{name: "at one model", form: &runner.FatalForm{After: soon, Model: "m1"}, elsewhere: true},
+		{name: "in use before", form: events(100 * time.Millisecond), used: 8 * time.Second},
+		{name: "all daemons are killed", form: &runner.FatalForm{After: soon}, kills: 4 * time.Second, killAll: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			tt.path, tt.prompts, tt.daemons, tt.count = "/gen/x", prompts, 6, 16
+			tt.path, tt.runners, tt.prompts, tt.daemons, tt.count = "/gen/x", modelRunner, prompts, 6, 16
 			tt.check(t)
 		})
 	}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -220,7 +220,8 @@
 	d.peers.SetState(d.state)
 	d.peers.Handle(kindYield, d.handleYield)
 	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
-		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds), quarantine.WithConnector(d.runners))
+		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds), quarantine.WithConnector(d.runners),
+		quarantine.WithRunners(func(service string) int { return len(d.catalog.Runners(service)) }))
 	d.origins = origin.New(d.catalog.Versions, d.clock, d.log, origin.WithScope(d.scope), origin.WithNetwork(d.peers), origin.WithRegistry(origin.NewRegistry(d.store, d.clock, d.log)),
 		origin.WithRetirement(func() bool { _, ok := d.lease.Term(); return ok }))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -119,10 +119,11 @@
 // out those through daemons that had just started or resumed: they receive the hold with a delay.
 func (w *World) lateRuns(runs []execution, byID map[string]*request, exits int) int {
 	slices.SortFunc(runs, func(a, b execution) int { return a.At.Compare(b.At) })
-	if len(runs) <= exits {
+	fatal := slices.DeleteFunc(slices.Clone(runs), func(r execution) bool { return r.Fatal == nil })
+	if len(fatal) <= exits {
 		return 0
 	}
-	settled := runs[exits-1].At.Add(fatalAfter + w.scale(fatalSettleTime))
+	settled := fatal[exits-1].At.Add(fatal[exits-1].Fatal.After + w.scale(fatalSettleTime))
 	n := 0
 	for _, r := range runs {
 		a, since := byID[r.ID], r.At.Add(-fatalSettleTime)
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -9,6 +9,7 @@
 
 	"primroseward/core"
 	wire "primroseward/platform"
+	"primroseward/standin/runner"
 )
 
 const (
@@ -23,6 +24,14 @@
 // fatalParts are the prompt parts that make each runner exit that begins to run a request with one.
 var fatalParts = []string{"bad0", "bad1", "bad2", "bad3", "bad4", "bad5", "bad6", "bad7"}
 
+// fatalForms are how some of fatalParts do so. The others make a runner exit after fatalAfter.
+var fatalForms = map[string]runner.FatalForm{
+	"bad1": {After: fatalAfter, Stage: runner.FatalBeforeHead},
+	"bad2": {After: 10 * eventGap, Stage: runner.FatalAfterEvents},
+	"bad3": {After: eventsPerStream * eventGap, Stage: runner.FatalAfterEvents},
+	"bad4": {After: fatalAfter, One: 2},
+}
+
 // harmlessPrompt returns the shared parts of the prompt of a harmless request.
 func harmlessPrompt(id string) []string {
 	h := fnv.New32()
--- a/soak/world.go
+++ b/soak/world.go
@@ -171,7 +171,7 @@
 	h := &proxiedRunner{}
 	spec := runner.Spec{
 		ID: id, Service: service, Version: software, DataCentre: dataCentre, Slots: w.slots(), Models: models, Interval: 5 * time.Millisecond,
-		Fatal: isFatal, FatalParts: fatalParts, FatalAfter: fatalAfter, Exited: func() { w.runnerExited(h) },
+		Fatal: isFatal, FatalParts: fatalParts, FatalForms: fatalForms, FatalAfter: fatalAfter, Exited: func() { w.runnerExited(h) },
 		AdvertisedAddr: func(addr string) string {
 			if h.proxy == nil {
 				h.proxy, _ = NewProxy(addr) // the run panics below if no loopback port is free
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -41,12 +41,7 @@
 	Fatal      func(body string) bool
 	FatalParts []string // it exits as well because of requests whose prompts share one of these parts
 	FatalAfter time.Duration
-	// FatalStage is how far the answer to a fatal request has come when the runner exits.
-	FatalStage FatalStage
-	// FatalOne makes one fatal request in so many make the runner exit, drawn at random; 0: each one. The others run as usual.
-	FatalOne   int
-	FatalModel string    // requests for other models are not fatal; empty: those for all models are
-	FatalFrom  time.Time // before that no request is fatal
+	FatalForms map[string]FatalForm // of FatalParts; those that are left out make it exit as Fatal does
 	Exited     func()
 	// FatalAnswer is what the runner answers to a fatal request when it exits; nil: nothing, or the
 	// head of a stream.
@@ -65,6 +60,7 @@
 	Model  string
 	Header http.Header
 	At     time.Time
+	Fatal  *FatalForm // how it made the runner exit; nil: it did not
 }
 
 // Server is the stand-in.
@@ -381,7 +377,8 @@
 		return
 	}
 	s.running++
-	s.runs = append(s.runs, Run{ID: id, Target: r.RequestURI, Body: body, Model: model, Header: r.Header.Clone(), At: time.Now()})
+	form := s.fatal(r.Header, body)
+	s.runs = append(s.runs, Run{ID: id, Target: r.RequestURI, Body: body, Model: model, Header: r.Header.Clone(), At: time.Now(), Fatal: form})
 	cut, fail := s.cutAfter, s.failures > 0
 	s.cutAfter = 0
 	if fail {
@@ -397,8 +394,8 @@
 		}
 	}()
 	w.Header().Set(platform.HeaderStamp, s.ID+"."+id)
-	if s.isFatal(r.Header, body) {
-		s.crash(w, r)
+	if form != nil {
+		s.crash(w, r, form)
 	}
 	if fail {
 		s.NoteBreak(id)
--- a/state/hold/record.go
+++ b/state/hold/record.go
@@ -51,9 +51,14 @@
 	Level   int           // number of earlier holds of the request
 	Route   string        // route of the request
 	Service string
-	Runners int       // runners that exited under the request
-	Since   time.Time // start of the latest hold
-	Until   time.Time // end of the hold by this daemon's clock; then one trial is allowed
+	Runners int // runners that exited under the request
+	Whole   int // of a prompt part: whole answers to requests with it between the exits
+	Passed  int // of a prompt part: trials since the hold that were served
+	// Part and Model are set for a part that is held in requests for one model.
+	Part  *core.Digest
+	Model string
+	Since time.Time // start of the latest hold
+	Until time.Time // end of the hold by this daemon's clock; then one trial is allowed
 }
 
 // Remaining returns how much longer the request is held back; 0 if a trial is allowed.
@@ -62,7 +67,33 @@
 // Hold updates the record to a new decision: the request is held back from now on.
 func (r *Record) Hold(now time.Time) {
 	r.Version++
-	r.State, r.By, r.Since, r.Until = StateHeld, "", now, now.Add(Duration(r.Level))
+	r.State, r.By, r.Passed, r.Since, r.Until = StateHeld, "", 0, now, now.Add(Duration(r.Level))
+}
+
+// passedDuration is how long a prompt part is held back after a trial that was served, until the next one.
+const passedDuration = time.Minute
+
+// passesPerAnswer is how many trials must be served for each whole answer that there was to one exit.
+const passesPerAnswer = 2
+
+// Pass records that a trial was served. It reports whether the request is to be released; if not, the record is
+// updated to a new decision: it is held back until the next trial.
+func (r *Record) Pass(now time.Time) (release bool) {
+	r.Passed++
+	if r.Passed*max(1, r.Runners) >= passesPerAnswer*r.Whole {
+		return true
+	}
+	r.Version++
+	r.Level, r.Until = max(1, r.Level), now.Add(passedDuration)
+	return false
+}
+
+// Placed returns since when the request is held back, by this daemon's clock: a trial begins later.
+func (r *Record) Placed() time.Time {
+	if r.Passed > 0 {
+		return r.Until.Add(-passedDuration)
+	}
+	return r.Until.Add(-Duration(r.Level))
 }
 
 // Release updates the record to a new decision: the request is no longer held back.
@@ -94,6 +125,10 @@
 	Route   string        `json:"route"`
 	Service string        `json:"service"`
 	Runners int           `json:"runners"`
+	Whole   int           `json:"whole,omitempty"`
+	Passed  int           `json:"passed,omitempty"`
+	Part    *core.Digest  `json:"part,omitempty"`
+	Model   string        `json:"model,omitempty"`
 	Since   int64         `json:"since"` // Unix milliseconds
 	Until   int64         `json:"until"` // Unix milliseconds by the writer's clock
 	Left    int64         `json:"left"`  // milliseconds from the time of writing to Until
@@ -103,7 +138,7 @@
 func Encode(r *Record, now time.Time) (json.RawMessage, error) {
 	return json.Marshal(encodedRecord{
 		Digest: r.Digest, Version: r.Version, State: r.State, By: r.By, Level: r.Level, Route: r.Route, Service: r.Service,
-		Runners: r.Runners, Since: r.Since.UnixMilli(), Until: r.Until.UnixMilli(), Left: r.Remaining(now).Milliseconds(),
+		Runners: r.Runners, Whole: r.Whole, Passed: r.Passed, Part: r.Part, Model: r.Model, Since: r.Since.UnixMilli(), Until: r.Until.UnixMilli(), Left: r.Remaining(now).Milliseconds(),
 	})
 }
 
@@ -131,7 +166,7 @@
 	}
 	r := &Record{
 		Digest: m.Digest, Version: m.Version, State: m.State, By: m.By, Level: m.Level, Route: m.Route, Service: m.Service,
-		Runners: m.Runners, Since: time.UnixMilli(m.Since),
+		Runners: m.Runners, Whole: m.Whole, Passed: m.Passed, Part: m.Part, Model: m.Model, Since: time.UnixMilli(m.Since),
 	}
 	// A wrong clock must not hold a request back for longer than its level's duration.
 	r.Until = now.Add(min(max(0, left(&m)), Duration(r.Level)))
