Holds are written at once and read by each daemon at its start; the first sends wait for that

Cause: a hold waited up to half a second for its write, and one daemon read the store only some time after its start.

Change: the write begins at once; each daemon reads the holds once at its start, and sends wait for it, one second at most. Readiness does not wait. One call to the store more for each start.

--- a/coordination/quarantine/keep.go
+++ b/coordination/quarantine/keep.go
@@ -27,6 +27,8 @@
 	storeRetention = 24 * time.Hour
 	// storeTimeout bounds one write or read.
 	storeTimeout = 2 * time.Second
+	// firstReadTimeout bounds how long sends wait, after the start of a daemon, until it has read the holds in the store.
+	firstReadTimeout = time.Second
 )
 
 // keeper writes holds to the platform's store, so that they survive the loss of all daemons,
@@ -38,11 +40,12 @@
 
 	mu      sync.Mutex
 	waiting map[core.Digest]bool
-	readAt  time.Time // zero: never
+	wake    chan struct{} // signals that a hold waits to be written
+	readAt  time.Time     // zero: never
 }
 
 func newKeeper(q *Quarantine, store core.Platform, isReader func() bool) *keeper {
-	return &keeper{q: q, store: store, isReader: isReader, waiting: map[core.Digest]bool{}}
+	return &keeper{q: q, store: store, isReader: isReader, waiting: map[core.Digest]bool{}, wake: make(chan struct{}, 1)}
 }
 
 // enqueue schedules the write of a request's hold.
@@ -50,23 +53,47 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.waiting[d] = true
+	select {
+	case k.wake <- struct{}{}:
+	default: // a signal is already pending
+	}
 }
 
+// run writes holds and reads them. It begins with a read: the daemons that knew them may all be gone.
 func (k *keeper) run(ctx context.Context) {
 	defer k.q.wg.Done()
+	if err := k.read(ctx, false); err != nil { // each daemon reads, so that none needs to broadcast
+		k.q.log.Warn(logs.HoldsNotRead, logs.Err(err))
+	}
+	k.q.setKnown()
 	for ctx.Err() == nil {
+		failed := false
 		for _, d := range k.takeWaiting() {
 			if err := k.write(ctx, d); err != nil {
 				k.q.log.Warn(logs.HoldNotStored, zap.Stringer("digest", d), logs.Err(err))
 				k.enqueue(d)
+				failed = true
 			}
 		}
 		if k.readDue() {
-			if err := k.read(ctx); err != nil {
+			if err := k.read(ctx, true); err != nil {
 				k.q.log.Warn(logs.HoldsNotRead, logs.Err(err))
 			}
 		}
+		k.wait(ctx, failed)
+	}
+}
+
+// wait waits until the next round, or until a hold is to be written unless a write has just failed.
+func (k *keeper) wait(ctx context.Context, failed bool) {
+	if failed {
 		core.Sleep(ctx, k.q.clock, writePause)
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-k.wake:
+	case <-k.q.clock.After(writePause):
 	}
 }
 
@@ -116,7 +143,7 @@
 	return err
 }
 
-// readDue reports whether this daemon is to read the store now: once after its start, and
+// readDue reports whether this daemon is to read the store now: if its first read has failed, and
 // every readInterval while any request is held back.
 func (k *keeper) readDue() bool {
 	if !k.isReader() {
@@ -125,9 +152,9 @@
 	return k.readAt.IsZero() || k.q.table.Len() > 0 && k.q.clock.Since(k.readAt) >= readInterval
 }
 
-// read merges the store's holds, broadcasts the changed ones, and deletes those older than
-// storeRetention.
-func (k *keeper) read(ctx context.Context) error {
+// read merges the store's holds, and deletes those older than storeRetention. If broadcast is set, it broadcasts the
+// changed ones.
+func (k *keeper) read(ctx context.Context, broadcast bool) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	objects, _, err := k.store.List(ctx, core.KindHolds)
@@ -148,7 +175,7 @@
 			}
 			continue
 		}
-		if k.q.merge(*r, core.KindHolds) {
+		if k.q.merge(*r, core.KindHolds) && broadcast {
 			k.q.broadcastHold(*r)
 		}
 	}
--- a/coordination/quarantine/moments_test.go
+++ b/coordination/quarantine/moments_test.go
@@ -1,13 +1,16 @@
 package quarantine
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"primroseward/core"
+	"primroseward/standin/memory"
 	"primroseward/state/hold"
 )
 
@@ -127,3 +130,23 @@
 		assert.Equal(t, q.HoldRemaining(badPart.Digest) > 0, tt.extended, tt.name)
 	}
 }
+
+// Guards against requests that pass, after all daemons have been lost, before a daemon knows the holds in the store.
+func TestSendsWaitForTheHoldsInTheStore(t *testing.T) {
+	t.Parallel()
+	n, r, store := newNetwork(), newRunners(), memory.New()
+	first := n.start(t, "d0", clockwork.NewRealClock(), r, WithStore(store.Client(), func() bool { return false }))
+	first.hold(hold.Record{Digest: harmful, Route: "r", Service: "s", Runners: 3})
+	waitForAll(t, "stored", []*daemon{first}, func(*daemon) bool {
+		_, err := store.Client().Get(context.Background(), core.KindHolds, harmful.String())
+		return err == nil
+	})
+	first.kill()
+	began := time.Now()
+	for i := range 3 { // none of them is the one that reads operators' changes
+		d := n.start(t, fmt.Sprint("d", i), clockwork.NewRealClock(), r, WithStore(store.Client(), func() bool { return false }))
+		_, ok := d.Admit(t.Context(), harmful)
+		assert.Assert(t, !ok, d.name)
+	}
+	assert.Assert(t, time.Since(began) < firstReadTimeout)
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -81,6 +81,8 @@
 	recent      *recent       // requests that were served
 	uses        *uses         // of prompt parts
 	holdChanged chan struct{} // signals that a hold has changed
+	known       chan struct{} // closed once the holds in the store are known, or have been waited for
+	knownOnce   sync.Once
 
 	mu      sync.Mutex
 	exits   *policy.ExitRecords
@@ -124,13 +126,16 @@
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
 		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {}, runners: func(string) int { return 0 },
-		table: hold.NewTable(), recent: newRecent(clock), uses: newUses(clock), holdChanged: make(chan struct{}, 1), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
+		table: hold.NewTable(), recent: newRecent(clock), uses: newUses(clock), holdChanged: make(chan struct{}, 1), known: make(chan struct{}), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(q)
 	}
+	if q.keeper == nil {
+		q.setKnown()
+	}
 	net.Handle(kindExit, q.handleExit)
 	net.Handle(kindSeen, q.handleSeen)
 	net.Handle(kindWorked, q.handleWorked)
@@ -148,12 +153,17 @@
 func (q *Quarantine) Start() {
 	q.wg.Add(1)
 	go q.runCompare()
-	if q.keeper != nil {
-		q.wg.Add(1)
-		go q.keeper.run(q.ctx)
+	if q.keeper == nil {
+		return
 	}
+	q.clock.AfterFunc(firstReadTimeout, q.setKnown)
+	q.wg.Add(1)
+	go q.keeper.run(q.ctx)
 }
 
+// setKnown ends the wait for the holds in the store.
+func (q *Quarantine) setKnown() { q.knownOnce.Do(func() { close(q.known) }) }
+
 // Stop stops both and waits for running checks and reports.
 func (q *Quarantine) Stop() {
 	q.stop()
@@ -170,8 +180,12 @@
 }
 
 // Admit implements core.Guard. When a hold has expired, the request's first counter admits a
-// single trial.
+// single trial. After the start it waits for the holds in the store.
 func (q *Quarantine) Admit(ctx context.Context, d core.Digest) (time.Duration, bool) {
+	select {
+	case <-q.known:
+	case <-ctx.Done():
+	}
 	r, ok := q.table.Held(d)
 	if !ok {
 		return 0, true
