Runners that exit together count as one event against a prompt part

Cause: presence at exits was taken for independent at each. What makes several runners exit at a time is one reason, and with 130 parts in use some are at all of them.

Change: exits within 150 ms of the first of them are one event; by chance a part is at one of its runners. An answer on use names up to 64 exits in place of 20, as those without the part speak for it.

--- a/coordination/policy/suspicion.go
+++ b/coordination/policy/suspicion.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -35,6 +37,10 @@
 	maxElsewhere = 0.05
 )
 
+// simultaneous is the time within which exits count as one event: runners that exit together do so for a common reason,
+// and where some part was by chance it may have been at all of them.
+const simultaneous = 150 * time.Millisecond
+
 // SuspicionWindow is over which time the use of a prompt part and exits of runners are compared.
 const SuspicionWindow = time.Minute
 
@@ -55,10 +61,38 @@
 // exited.
 type Exposure struct {
 	Use
-	Exits    int // under requests with the part
-	AllExits int // of runners of the service, with a cause that is not known yet
-	Window   time.Duration
-	Down     time.Duration // since each of AllExits, together: the runner may not have started again
+	Events    int // with an exit under a request with the part
+	AllEvents int // of one or more exits at a time, with a cause that is not known yet
+	AllExits  int
+	Window    time.Duration
+	Down      time.Duration // since each exit, together: the runner may not have started again
+}
+
+// KnownExit is an exit of a runner of the service.
+type KnownExit struct {
+	Age  time.Duration // since it was found
+	Part bool          // it was under a request with the part
+}
+
+// AddExits counts the exits within the exposure's window.
+func (x *Exposure) AddExits(list []KnownExit) {
+	list = slices.SortedFunc(slices.Values(list), func(a, b KnownExit) int { return cmp.Compare(b.Age, a.Age) })
+	began, counted := time.Duration(-1), false
+	for _, e := range list {
+		if e.Age > x.Window && !e.Part {
+			continue
+		}
+		x.AllExits++
+		x.Down += min(e.Age, x.Window)
+		if began < 0 || began-e.Age > simultaneous {
+			began, counted = e.Age, false
+			x.AllEvents++
+		}
+		if e.Part && !counted {
+			counted = true
+			x.Events++
+		}
+	}
 }
 
 // runnerTime returns for how long runners of the service have been up, together.
@@ -70,7 +104,8 @@
 // odds returns how much likelier the exits are if the part is the cause of those under it than by chance. By chance, it is
 // present at as many exits as it is at runners. The result is 1 if it was present at no more.
 func (x *Exposure) odds(runners int) float64 {
-	return likelihoodRatio(float64(x.Exits), float64(max(x.AllExits, x.Exits)), float64(x.Busy)/x.runnerTime(runners))
+	exitsPerEvent := float64(x.AllExits) / float64(max(1, x.AllEvents))
+	return likelihoodRatio(float64(x.Events), float64(x.AllEvents), exitsPerEvent*float64(x.Busy)/x.runnerTime(runners))
 }
 
 // fate returns how much likelier it is that so many runs with the part ended in an exit, and so few in a whole answer, if the
@@ -79,8 +114,8 @@
 	if x.Runs > 0 {
 		age = max(age, x.Busy/time.Duration(x.Runs))
 	}
-	rate := float64(max(x.AllExits, x.Exits)) / x.runnerTime(runners)
-	return likelihoodRatio(float64(x.Exits), float64(x.Exits+x.Whole), 1-math.Exp(-rate*float64(age)))
+	rate := float64(x.AllExits) / x.runnerTime(runners)
+	return likelihoodRatio(float64(x.Events), float64(x.Events+x.Whole), 1-math.Exp(-rate*float64(age)))
 }
 
 // likelihoodRatio returns how much likelier k of n events are with the probability k/n than with the one that chance gives
@@ -114,7 +149,7 @@
 	if s.Runners == 0 {
 		return s.Recent.Whole > 0
 	}
-	return s.Recent.Whole >= maxWholePerExit*s.Recent.Exits
+	return s.Recent.Whole >= maxWholePerExit*s.Recent.Events
 }
 
 // Odds are how much likelier exits are if a part is their cause than by chance.
@@ -153,12 +188,12 @@
 // AtModels reports whether the part crashes runners at the models of the requests under which they exited only: there are so
 // many runs at others that it is unlikely that none of them did.
 func (s *Suspicion) AtModels() bool {
-	exits := float64(s.Recent.Exits)
-	share := exits / (exits + max(float64(s.Recent.Whole), 0.5))
+	events := float64(s.Recent.Events)
+	share := events / (events + max(float64(s.Recent.Whole), 0.5))
 	byRuns := math.Pow(1-share, float64(s.Elsewhere.Whole))
 	byTime := 1.0
 	if s.Recent.Busy > 0 {
-		byTime = math.Exp(-exits * float64(s.Elsewhere.Busy) / float64(s.Recent.Busy))
+		byTime = math.Exp(-events * float64(s.Elsewhere.Busy) / float64(s.Recent.Busy))
 	}
 	return min(byRuns, byTime) < maxElsewhere
 }
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,10 +16,10 @@
 	"primroseward/state/hold"
 )
 
-// maxReportedExits and maxReportedModels bound an answer on the use of a prompt part, to keep it below a packet of
-// 1,500 bytes.
+// maxReportedExits and maxReportedModels bound an answer on the use of a prompt part. It is below a packet of 1,500
+// bytes unless many runners exit; without their exits, those under the part would seem to be the only ones.
 const (
-	maxReportedExits  = 20
+	maxReportedExits  = 64
 	maxReportedModels = 8
 )
 
@@ -175,11 +176,10 @@
 	}
 	s.Recent.Window = max(time.Millisecond, s.Recent.Window)
 	s.Long.Window = max(s.Recent.Window, min(policy.SuspicionWindow, q.fleetAge()))
-	ages := map[policy.Instance]time.Duration{} // of the exits, known by now or reported
+	exits := map[policy.Instance]policy.KnownExit{}
 	for _, x := range evidence.Exits {
-		ages[x.Instance] = now.Sub(x.At)
+		exits[x.Instance] = policy.KnownExit{Age: now.Sub(x.At), Part: true}
 	}
-	s.Recent.Exits, s.Long.Exits = len(ages), len(ages)
 	for _, r := range c.reports[part] {
 		for _, m := range r.Models {
 			if !slices.Contains(models, m.Model) {
@@ -190,19 +190,14 @@
 			s.Long.Add(m.Long)
 		}
 		for _, x := range r.Exits {
-			if !q.exits.HasOtherCause(x.Instance, part) && x.Age >= now.Sub(until) {
-				ages[x.Instance] = max(ages[x.Instance], x.Age)
-			}
-		}
-	}
-	for _, age := range ages {
-		for _, in := range []*policy.Exposure{&s.Recent, &s.Long} {
-			if age <= in.Window {
-				in.AllExits++
-				in.Down += age
+			if _, known := exits[x.Instance]; !known && !q.exits.HasOtherCause(x.Instance, part) && x.Age >= now.Sub(until) {
+				exits[x.Instance] = policy.KnownExit{Age: x.Age}
 			}
 		}
 	}
+	list := slices.Collect(maps.Values(exits))
+	s.Recent.AddExits(list)
+	s.Long.AddExits(list)
 	return s, models
 }
 
@@ -326,7 +321,7 @@
 func (q *Quarantine) logPart(c *servedQuery, part core.Digest, j *judgement) {
 	odds := j.Odds()
 	q.log.Info(logs.PartDecided, zap.Stringer("digest", part), zap.String("route", c.record.Route), zap.String("verdict", string(j.verdict)), zap.Stringer("likelier", j.likelier),
-		zap.Strings("models", j.models), zap.Int("exits", j.Recent.Exits), zap.Int("all", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Duration("age", j.Age),
+		zap.Strings("models", j.models), zap.Int("events", j.Recent.Events), zap.Int("all", j.Recent.AllEvents), zap.Int("exits", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Duration("age", j.Age),
 		zap.Int("whole", j.Recent.Whole), zap.Duration("busy", j.Recent.Busy), zap.Duration("window", j.Recent.Window), zap.Duration("longbusy", j.Long.Busy), zap.Duration("longwindow", j.Long.Window),
 		zap.Int("elsewhere", j.Elsewhere.Whole), zap.Int("runners", j.Runners),
 		zap.Float64("odds", odds.Recent), zap.Float64("longodds", odds.Long), zap.Float64("fate", odds.RecentFate), zap.Float64("longfate", odds.LongFate))
@@ -335,7 +330,7 @@
 // partRecords returns the holds to place for a part. The caller holds q.mu.
 func (q *Quarantine) partRecords(c *servedQuery, part core.Digest, j *judgement) []hold.Record {
 	record := c.record
-	record.Runners, record.Whole = j.Recent.Exits, j.Recent.Whole
+	record.Whole = j.Recent.Whole
 	if !j.AtModels() {
 		return []hold.Record{q.again(record)}
 	}
--- a/io/logs/names.go
+++ b/io/logs/names.go
@@ -116,8 +116,8 @@
 	// HoldDeferred: a request is not put on hold, as the cause of the exits has been put on hold.
 	HoldDeferred = "hold deferred"
 	// PartDecided: a counter has decided whether a part of prompts, under which runners have exited, is put
-	// on hold: with the exits under it and in all, the whole answers and the time at runners of requests with it
-	// since the first exit, and how much likelier the exits are if it is their cause than by chance (odds, and
+	// on hold: with the events of one or more exits under it and in all, the exits, the whole answers and the time at
+	// runners of requests with it since the first exit, and how much likelier the exits are if it is their cause than by chance (odds, and
 	// longodds over a minute; fate and longfate by how the runs with it ended). Verdicts: held, harmless, likelier (another part is the likelier cause),
 	// explained (the cause of the exits is on hold), chance (the exits still count).
 	PartDecided = "prompt part decided"
