A whole request that crashes runners after long work is recognised, by the evidence that prompt parts have

What callers saw: nothing was reported. By reading: a request that crashes each runner after 2 s of events was never counted, as a runner that had worked on it for 2 s proved it harmless, each time anew.

Change: such an exit counts under a digest of its own, with the request's time at runners and whole answers, as a prompt part does; the request is held if that is so unlikely by chance. Long sound streams that are broken off again and again stay as they were. Work of 2 s does not end such a hold; whole answers do. A trial's crash extends the hold of a part at one model, too.

Result: TestRequestThatCrashesLateIsHeld, two cases, and two more trials in TestTrialThatCrashesLateExtendsTheHold.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -223,7 +223,7 @@
 	stage       stage              // progress of the answer
 	framing     core.Framing       // of the answer
 	answeredAt  time.Time          // when the answer began
-	partRun     core.PartRun       // of the prompt's parts
+	run         core.Run           // as the guard knows it
 	granted     int                // sends that the daemon that the request was forwarded to may still make
 	statedRuns  int                // runs that were stated to that daemon
 	cancelSend  context.CancelFunc // closes the connection
@@ -299,7 +299,7 @@
 		limit = q.Timeout // of a forwarded request, what is left of its time at the daemon that it arrived at
 	}
 	j := &job{
-		d: d, q: q, counts: counts{partRun: core.NoRun{}}, parts: sharedParts(q), route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent, draw: d.random(),
+		d: d, q: q, counts: counts{run: core.NoRun{}}, parts: sharedParts(q), route: route, service: pickService(route.Shares), tried: map[string]bool{}, lastEvent: q.LastEvent, draw: d.random(),
 		log: d.log.With(zap.String("request", q.ID), zap.String("route", route.Name)), leaveLimits: func() {}, releaseRoom: func() {}, endStream: func() {},
 	}
 	j.arrivals = d.budget.Sends(j.service)
@@ -511,7 +511,7 @@
 		j.observeAnswer(r)
 		j.loadsOf(r).RecordSuccess(r.ID)
 		j.d.guard.Served(j.q.Digest)
-		j.partRun.Whole()
+		j.run.Whole()
 	}
 	j.log.Info(logs.AnswerEnded, zap.String("runner", r.ID), zap.Int("status", status), zap.String("framing", string(j.framing)), zap.Int("bytes", size),
 		zap.Duration("took", j.d.clock.Since(j.q.Arrived)), zap.Duration("target", j.route.Target))
--- a/coordination/dispatch/forward.go
+++ b/coordination/dispatch/forward.go
@@ -141,7 +141,7 @@
 	j.releaseCounts()
 	j.forwards++
 	j.tried[to.ID] = true
-	j.sentAt, j.stage, j.framing, j.partRun = j.d.clock.Now(), stageSent, "", core.NoRun{}
+	j.sentAt, j.stage, j.framing, j.run = j.d.clock.Now(), stageSent, "", core.NoRun{}
 	j.granted, j.statedRuns = max(1, j.maxRuns()-j.runs-1), j.runs
 	out := core.Outgoing{Timeout: left, Priority: -1, LastEvent: j.lastEvent, Forward: &core.Forward{
 		From: j.d.self, Runs: j.runs, Attempts: j.granted, Counted: j.counted, HasKey: j.q.Workspace != nil, Key: j.q.Key, Caller: j.q.Caller, Origin: j.origin,
--- a/coordination/dispatch/guard.go
+++ b/coordination/dispatch/guard.go
@@ -11,10 +11,9 @@
 	"primroseward/io/logs"
 )
 
-// harmlessAfter is how long a runner must have sent events of a stream before the request
-// counts as harmless there. A request that crashes its runner does so when the runner starts
-// it. Without this rule a long stream that is broken off again and again for other reasons
-// would count as a cause and never complete.
+// harmlessAfter is how long a runner must have sent events of a stream before a crash counts against the
+// request no more than against others that were there. Without this rule a long stream that is broken off again
+// and again for other reasons would count as a cause and never complete.
 const harmlessAfter = 2 * time.Second
 
 // sharedParts returns the shared parts of a request's prompt.
@@ -198,8 +197,7 @@
 // answer inside an event, as a process that exits may do. It leaves out runners that had announced that they leave, as the platform took those away. A runner
 // whose entry is missing may only have lost it to an outage of the store, and counts.
 func (j *job) reportClosed(r *core.Runner, err error) {
-	worked := j.harmless()
-	if !errors.Is(err, core.ErrClosed) && !errors.Is(err, errInsideEvent) || worked && len(j.parts) == 0 {
+	if !errors.Is(err, core.ErrClosed) && !errors.Is(err, errInsideEvent) {
 		return
 	}
 	e := j.d.catalog.Runner(r.ID)
@@ -208,7 +206,7 @@
 	}
 	j.d.guard.ConnectionLost(core.LostRequest{
 		Digest: j.q.Digest, Runner: *r, Route: j.route.Name, Service: j.service, Model: modelOf(j.q), Age: j.d.clock.Since(j.sentAt),
-		MayHaveRun: j.stage != stageSent || !j.engine(), JustStarted: j.stage == stageHead && j.engine(), Worked: worked,
+		MayHaveRun: j.stage != stageSent || !j.engine(), JustStarted: j.stage == stageHead && j.engine(), Worked: j.harmless(),
 		Parts: j.parts,
 	})
 }
--- a/coordination/dispatch/guard_test.go
+++ b/coordination/dispatch/guard_test.go
@@ -59,7 +59,7 @@
 	g.worked++
 }
 
-func (g *guard) RunBegan(parts []core.Part, _ string) core.PartRun {
+func (g *guard) RunBegan(parts []core.Part, _ string) core.Run {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running++
@@ -73,6 +73,12 @@
 	ended bool
 }
 
+func (r *guardRun) Worked(core.Digest) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	r.g.worked++
+}
+
 func (r *guardRun) Whole() {
 	r.g.mu.Lock()
 	defer r.g.mu.Unlock()
--- a/coordination/dispatch/send.go
+++ b/coordination/dispatch/send.go
@@ -57,10 +57,10 @@
 	sending, cancelSend := context.WithCancel(ctx)
 	done := j.d.byRunner.add(r.ID, cancelSend)
 	answerBegan := j.addUnanswered(cancelSend)
-	partRun := j.d.guard.RunBegan(j.parts, modelOf(j.q))
-	j.cancelSend, j.answerBegan, j.partRun = cancelSend, answerBegan, partRun
+	run := j.d.guard.RunBegan(j.parts, modelOf(j.q))
+	j.cancelSend, j.answerBegan, j.run = cancelSend, answerBegan, run
 	end := func() {
-		partRun.Ended()
+		run.Ended()
 		span.End()
 		done()
 		answerBegan()
--- a/coordination/dispatch/stream.go
+++ b/coordination/dispatch/stream.go
@@ -131,7 +131,7 @@
 		if s.err == io.EOF {
 			s.j.loadsOf(s.runner).RecordSuccess(s.runner.ID)
 			s.j.d.guard.Served(s.j.q.Digest)
-			s.j.partRun.Whole()
+			s.j.run.Whole()
 			if !isDaemon(s.runner) {
 				s.j.d.pacer.ObserveStream(s.j.service, s.lastAt.Sub(s.firstAt))
 				s.j.observeStream(s.lastAt.Sub(s.firstAt))
@@ -193,7 +193,7 @@
 func (s *stream) reportHarmless() {
 	if !s.harmless && s.j.harmless() {
 		s.harmless = true
-		s.j.d.guard.Served(s.j.q.Digest)
+		s.j.run.Worked(s.j.q.Digest)
 	}
 }
 
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -60,6 +61,23 @@
 	Prompt  []core.Digest `json:"p,omitempty"`
 	Model   string        `json:"m,omitempty"`
 	Age     int64         `json:"a,omitempty"` // milliseconds since it was sent to the runner
+	// Late is the request itself, of which Digest is lateDigest; nil: this is a request or a part.
+	Late *core.Digest `json:"l,omitempty"`
+}
+
+// lateDigest returns the digest under which exits are counted, as those of a prompt part, that followed after a runner had
+// worked on a request for a long time.
+func lateDigest(d core.Digest) core.Digest { return d.AtModel("late") }
+
+// held returns the digests under which it may be on hold.
+func (a *affected) held() []core.Digest {
+	switch {
+	case a.Late != nil:
+		return []core.Digest{*a.Late}
+	case a.isPart():
+		return []core.Digest{a.Digest, a.Digest.AtModel(a.Model)}
+	}
+	return []core.Digest{a.Digest}
 }
 
 // age returns how long before the exit it was sent to the runner.
@@ -75,7 +93,14 @@
 	if !b.Worked {
 		out = append(out, request)
 	}
-	request.Model, request.Age = b.Model, b.Age.Milliseconds()
+	request.Age = b.Age.Milliseconds()
+	if b.Worked {
+		late := request
+		send := b.Digest.AtModel(fmt.Sprint("send to ", instanceOf(&b.Runner)))
+		late.Digest, late.Late, late.Request = lateDigest(b.Digest), &b.Digest, &send
+		out = append(out, late)
+	}
+	request.Model = b.Model
 	var prompt []core.Digest
 	for _, p := range b.Parts {
 		prompt = append(prompt, p.Digest)
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -66,24 +66,34 @@
 			q.explain([]policy.Instance{report.Instance}, by)
 			q.mu.Unlock()
 		}
-		r, ok := q.table.Get(s.Digest)
-		switch {
-		case !ok || r.State != hold.StateHeld:
-			q.count(report, s, from, r)
-		case r.Remaining(q.clock.Now()) > 0:
-			// The request was already in progress when it was held back.
-		case s.isPart() && !s.mayBeTrial(&r, q.clock.Now()):
-		default:
-			q.log.Info(logs.ExitCounted, zap.Stringer("digest", s.Digest), zap.String("runner", report.Runner), zap.String("from", from), zap.Bool("tried", true))
-			r.Level++
-			r.Runners++
-			q.hold(r)
+		held := false
+		for _, d := range s.held() {
+			if r, ok := q.table.Held(d); ok {
+				held = true
+				q.countTrial(report, &s, from, r)
+			}
 		}
+		if !held {
+			q.count(report, s, from)
+		}
+	}
+}
+
+// countTrial counts an exit against a request or part that is held back, if that was its trial. Others were in progress
+// already when it was held back.
+func (q *Quarantine) countTrial(report exitReport, s *affected, from string, r hold.Record) {
+	now := q.clock.Now()
+	if r.Remaining(now) > 0 || s.isPart() && !s.mayBeTrial(&r, now) {
+		return
 	}
+	q.log.Info(logs.ExitCounted, zap.Stringer("digest", r.Digest), zap.String("runner", report.Runner), zap.String("from", from), zap.Bool("tried", true))
+	r.Level++
+	r.Runners++
+	q.hold(r)
 }
 
 // count adds a runner's exit to those of a request that is not held back.
-func (q *Quarantine) count(report exitReport, s affected, from string, old hold.Record) {
+func (q *Quarantine) count(report exitReport, s affected, from string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	runners, tooMany := q.addExit(report.Instance, s)
@@ -102,7 +112,13 @@
 			q.queryServed(s.Digest)
 		}
 	}
-	c.record = hold.Record{Digest: s.Digest, Version: old.Version, Route: s.Route, Service: s.Service, Runners: runners}
+	c.record = hold.Record{Digest: s.Digest, Route: s.Route, Service: s.Service, Runners: runners}
+	if s.Late != nil {
+		c.record.Digest, c.record.Part = *s.Late, &s.Digest
+	}
+	if old, ok := q.table.Get(c.record.Digest); ok {
+		c.record.Version = old.Version
+	}
 }
 
 // addExit counts one runner's exit; the caller holds q.mu.
--- a/coordination/quarantine/explain.go
+++ b/coordination/quarantine/explain.go
@@ -7,7 +7,6 @@
 
 	"primroseward/coordination/peers"
 	"primroseward/coordination/policy"
-	"primroseward/core"
 	"primroseward/state/hold"
 )
 
@@ -48,14 +47,13 @@
 	if !s.mayBeCause() {
 		return policy.Explanation{}, false
 	}
-	for _, d := range append([]core.Digest{s.Digest}, s.Prompt...) {
+	causes := s.held()
+	for _, d := range s.Prompt {
+		causes = append(causes, d, d.AtModel(s.Model))
+	}
+	for i, d := range causes {
 		if _, held := q.table.Held(d); held {
-			return policy.Explanation{Cause: d, Part: s.isPart() || d != s.Digest}, true
-		}
-		if at := d.AtModel(s.Model); s.isPart() {
-			if _, held := q.table.Held(at); held {
-				return policy.Explanation{Cause: at, Part: true}, true
-			}
+			return policy.Explanation{Cause: d, Part: s.isPart() || i > 0}, true
 		}
 	}
 	return policy.Explanation{}, false
--- a/coordination/quarantine/moments_test.go
+++ b/coordination/quarantine/moments_test.go
@@ -111,23 +111,81 @@
 // Guards against a hold that is not extended because its trial crashed the runner late, or before its head, and against
 // one that is extended by a stream that was in progress before it.
 func TestTrialThatCrashesLateExtendsTheHold(t *testing.T) {
+	request, bad := core.DigestOf(&core.Request{Target: "/late"}), badPart.For("m")
+	late := lateDigest(request)
 	for _, tt := range []struct {
 		name     string
+		held     hold.Record
 		age      time.Duration
 		begun    bool
 		extended bool
 	}{
-		{"a trial, after 3 s", 3 * time.Second, true, true},
-		{"a trial, before its head", 100 * time.Millisecond, false, true},
-		{"begun before the hold expired", 5 * time.Second, true, false},
+		{"a trial, after 3 s", hold.Record{Digest: bad.Digest}, 3 * time.Second, true, true},
+		{"a trial, before its head", hold.Record{Digest: bad.Digest}, 100 * time.Millisecond, false, true},
+		{"begun before the hold expired", hold.Record{Digest: bad.Digest}, 5 * time.Second, true, false},
+		{"a trial at the model", hold.Record{Digest: bad.AtModel, Part: &bad.Digest, Model: "m"}, 3 * time.Second, true, true},
+		{"a trial of a whole request", hold.Record{Digest: request, Part: &late}, 3 * time.Second, true, true},
 	} {
 		q, clock := newSolo(t)
-		q.hold(hold.Record{Digest: badPart.Digest, Route: "r", Service: "s", Runners: 3})
+		tt.held.Runners = 3
+		q.hold(tt.held)
 		clock.Advance(hold.Duration(0) + 4*time.Second)
-		b := brokenPrompt("", firstPart, badPart)
-		b.JustStarted, b.MayHaveRun, b.Age = false, tt.begun, tt.age
+		b := brokenPrompt("", firstPart.For("m"), bad)
+		b.Digest, b.Model, b.JustStarted, b.MayHaveRun, b.Age, b.Worked = request, "m", false, tt.begun, tt.age, tt.age > harmlessAge
 		q.countExit(exitReport{Runner: "r", Instance: 1, Affected: affectedOf(&b)}, "d")
-		assert.Equal(t, q.HoldRemaining(badPart.Digest) > 0, tt.extended, tt.name)
+		assert.Equal(t, q.HoldRemaining(tt.held.Digest) > 0, tt.extended, tt.name)
+	}
+}
+
+// harmlessAge is how long a runner must have worked on a request before it is reported so.
+const harmlessAge = 2 * time.Second
+
+// Guards against one request that crashes runner after runner late, and is taken for harmless as each had worked on it for
+// long; and against holding back long streams that are broken off again and again in a wave of exits.
+func TestRequestThatCrashesLateIsHeld(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		beside int // runners that exit without it, for each that exits with it
+		held   bool
+	}{{"the only cause", 0, true}, {"a long stream in a wave", 9, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			q, clock := newSoloQuarantine()
+			withSixteen(q)
+			clock.Advance(time.Minute)
+			exit := func(id string, b core.LostRequest) {
+				b.Runner.ID, b.Runner.Service = id, b.Service
+				q.checks[instanceOf(&b.Runner)] = &check{q: q, runner: b.Runner, exited: true, checkedAt: clock.Now()}
+				q.countExit(exitReport{Runner: id, Instance: instanceOf(&b.Runner), Affected: affectedOf(&b)}, "d")
+			}
+			for i := range 6 {
+				r := q.RunBegan(nil, "m")
+				clock.Advance(harmlessAge)
+				r.Worked(harmful)
+				clock.Advance(harmlessAge / 2)
+				b := broken(harmful, "")
+				b.Worked, b.Age = true, 3*harmlessAge/2
+				for k := range tt.beside {
+					clock.Advance(doubtWait)
+					exit(fmt.Sprint("o", i, k), brokenPrompt(""))
+				}
+				clock.Advance(doubtWait)
+				exit(fmt.Sprint("r", i), b)
+				r.Ended()
+				clock.Advance(doubtWait + queryWait)
+				decideAll(q)
+			}
+			_, held := q.table.Held(harmful)
+			assert.Equal(t, held, tt.held)
+			if !held {
+				return
+			}
+			q.RunBegan(nil, "m").Worked(harmful)
+			_, held = q.table.Held(harmful)
+			assert.Assert(t, held, "released by work that ends in a crash")
+			q.Served(harmful)
+			_, held = q.table.Held(harmful)
+			assert.Assert(t, !held)
+		})
 	}
 }
 
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -204,8 +204,15 @@
 // Served implements core.Guard. If a request is served while it is held back, it was not
 // the cause of the exits, or the model that it needs has been repaired.
 func (q *Quarantine) Served(d core.Digest) {
+	q.worked(d)
+	q.passed(d, q.clock.Now())
+}
+
+// worked records that a request was served, or that a runner has worked on it for a long time. That does not end a hold
+// that was placed because runners exited after such a time.
+func (q *Quarantine) worked(d core.Digest) {
 	q.recent.add(d)
-	if r, ok := q.table.Held(d); ok {
+	if r, ok := q.table.Held(d); ok && r.Part == nil {
 		q.release(r, hold.BySuccess)
 	}
 }
--- a/coordination/quarantine/use.go
+++ b/coordination/quarantine/use.go
@@ -138,36 +138,50 @@
 	return out
 }
 
-// partRun is a core.PartRun.
-type partRun struct {
+// run is a core.Run.
+type run struct {
 	q     *Quarantine
-	parts []core.Part
-	uses  []*use // of the parts
+	held  []core.Digest // under which its parts may be on hold
+	uses  []*use        // guarded by the lock of uses, as ended
 	began time.Duration
 	at    time.Time
-	ended bool // guarded by the lock of uses
+	ended bool
 }
 
 // RunBegan implements core.Guard.
-func (q *Quarantine) RunBegan(parts []core.Part, model string) core.PartRun {
-	if len(parts) == 0 {
-		return core.NoRun{}
-	}
+func (q *Quarantine) RunBegan(parts []core.Part, model string) core.Run {
 	u := q.uses
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	r := &partRun{q: q, parts: parts, began: u.now(), at: q.clock.Now()}
+	r := &run{q: q, began: u.now(), at: q.clock.Now()}
 	for _, p := range parts {
-		one := u.part(p.Digest).of(model)
-		one.running++
-		one.began += r.began
-		r.uses = append(r.uses, one)
+		r.add(p.Digest, model)
+		r.held = append(r.held, p.Digests()...)
 	}
 	return r
 }
 
-// Ended implements core.PartRun.
-func (r *partRun) Ended() {
+// add begins to record the use of a part since the begin of the run. The caller holds the lock.
+func (r *run) add(part core.Digest, model string) {
+	one := r.q.uses.part(part).of(model)
+	one.running++
+	one.began += r.began
+	r.uses = append(r.uses, one)
+}
+
+// Worked implements core.Run. From now on the use of the request as a whole is recorded, as that of a part.
+func (r *run) Worked(d core.Digest) {
+	u := r.q.uses
+	u.mu.Lock()
+	if !r.ended {
+		r.add(lateDigest(d), "")
+	}
+	u.mu.Unlock()
+	r.q.worked(d)
+}
+
+// Ended implements core.Run.
+func (r *run) Ended() {
 	u := r.q.uses
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -183,17 +197,15 @@
 	}
 }
 
-// Whole implements core.PartRun.
-func (r *partRun) Whole() {
+// Whole implements core.Run.
+func (r *run) Whole() {
 	u := r.q.uses
 	u.mu.Lock()
 	for _, one := range r.uses {
 		one.at(int64(u.now()/usePeriod)).Whole++
 	}
 	u.mu.Unlock()
-	for _, p := range r.parts {
-		for _, d := range p.Digests() {
-			r.q.passed(d, r.at)
-		}
+	for _, d := range r.held {
+		r.q.passed(d, r.at)
 	}
 }
--- a/coordination/quarantine/use_test.go
+++ b/coordination/quarantine/use_test.go
@@ -17,7 +17,7 @@
 func TestUseIsCounted(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		q, clock := newSoloQuarantine()
-		var runs []core.PartRun
+		var runs []core.Run
 		began := map[int]time.Time{}
 		var want policy.Use
 		rt.Repeat(map[string]func(*rapid.T){
--- a/core/guard.go
+++ b/core/guard.go
@@ -22,15 +22,17 @@
 	// ConnectionLost records that a runner has closed a request's connection before the answer was
 	// complete.
 	ConnectionLost(b LostRequest)
-	// Served records that a runner has served a request, or has worked on it for a long
-	// time.
+	// Served records that a runner has served a request.
 	Served(d Digest)
 	// RunBegan records that a request for a model, with these parts in its prompt, is sent to a runner.
-	RunBegan(parts []Part, model string) PartRun
+	RunBegan(parts []Part, model string) Run
 }
 
-// PartRun is one run of a request whose prompt has shared parts.
-type PartRun interface {
+// Run is one run of a request at a runner.
+type Run interface {
+	// Worked records that the runner has worked on the request for a long time. An exit that follows is
+	// no more due to the request than to others, unless such exits repeat.
+	Worked(d Digest)
 	// Whole records that the answer was received whole.
 	Whole()
 	// Ended records that the runner no longer works on the request. Only the first call counts.
@@ -46,7 +48,7 @@
 	Service     string
 	MayHaveRun  bool // the runner may have started to run it
 	JustStarted bool // the runner had just started to run it: only the answer's head had arrived
-	Worked      bool // the runner had worked on it for a long time, so that only the parts of its prompt are suspected
+	Worked      bool // the runner had worked on it for a long time
 	Model       string
 	Age         time.Duration // since it was sent to the runner
 	Parts       []Part        // shared parts of its prompt, in order
@@ -79,15 +81,18 @@
 func (NoGuard) Served(Digest) {}
 
 // RunBegan implements Guard.
-func (NoGuard) RunBegan([]Part, string) PartRun { return NoRun{} }
+func (NoGuard) RunBegan([]Part, string) Run { return NoRun{} }
 
-// NoRun is a PartRun that records nothing.
+// NoRun is a Run that records nothing.
 type NoRun struct{}
 
-// Whole implements PartRun.
+// Worked implements Run.
+func (NoRun) Worked(Digest) {}
+
+// Whole implements Run.
 func (NoRun) Whole() {}
 
-// Ended implements PartRun.
+// Ended implements Run.
 func (NoRun) Ended() {}
 
 // HeldBack returns the answer to a request whose digest is on hold. runs is how often this
