While few runners are up, what was by chance at those that exit is not held back: prompt parts and whole streams

Cause: chance was measured as if all known runners were up all the time. Beside a part that crashes runners each is up for some tenths of a second, and what waits for room goes on at the same one.

Change: an answer on use says how long each exited instance had been running; the time of the instances that ran replaces the number of runners times the window. Runners that are known to be down are left out. A request whose exits did not come just after its beginning is held only if they are unlikely by chance (30 times for plain ones, 1,000 for streams), which `hold deferred` says with the inputs.

--- a/coordination/policy/exits.go
+++ b/coordination/policy/exits.go
@@ -118,6 +118,13 @@
 	return x
 }
 
+// SetAge records how long a request had been at a runner that exited.
+func (e *ExitRecords) SetAge(d core.Digest, instance Instance, age time.Duration) {
+	if one := e.byDigest[d]; one != nil && one.exits[instance] != nil {
+		one.exits[instance].setAge("", age)
+	}
+}
+
 // Held reports whether the exits that were reported until a time suffice to hold a request or prompt part
 // back.
 func (e *ExitRecords) Held(d core.Digest, until time.Time) bool {
--- a/coordination/policy/parts.go
+++ b/coordination/policy/parts.go
@@ -45,10 +45,7 @@
 // add adds a request.
 func (s *suspects) add(part core.Digest, x *PartExit) {
 	s.requests = addNew(s.requests, x.Request)
-	if s.ages == nil {
-		s.ages = map[string]time.Duration{}
-	}
-	s.ages[x.Model] = max(s.ages[x.Model], x.Age)
+	s.setAge(x.Model, x.Age)
 	s.first = s.first || len(x.Prompt) > 0 && x.Prompt[0] == part
 	at := slices.Index(x.Prompt, part)
 	for i, d := range x.Prompt {
@@ -61,6 +58,14 @@
 	}
 }
 
+// setAge records how long a request for a model had been at the runner.
+func (s *suspects) setAge(model string, age time.Duration) {
+	if s.ages == nil {
+		s.ages = map[string]time.Duration{}
+	}
+	s.ages[model] = max(s.ages[model], age)
+}
+
 func addNew[T comparable](list []T, v T) []T {
 	if slices.Contains(list, v) {
 		return list
--- a/coordination/policy/suspicion.go
+++ b/coordination/policy/suspicion.go
@@ -28,6 +28,10 @@
 	// minFateRequests is how many different requests must have been there for that. Fewer may be streams that go on at one
 	// runner after the other in a wave of exits.
 	minFateRequests = 4
+	// minRequestOdds is minOdds for a whole request that was not served, minStreamOdds that for one for a model: while few
+	// runners are up, streams go on at the same ones as the requests that crash these.
+	minRequestOdds = 30
+	minStreamOdds  = 1000
 	// clearOdds is from which odds on no other explanation needs to be waited for.
 	clearOdds = 1e6
 	// wholeWeight is the least that a whole answer counts as time at a runner.
@@ -65,56 +69,62 @@
 	AllEvents int // of one or more exits at a time, with a cause that is not known yet
 	AllExits  int
 	Window    time.Duration
-	Down      time.Duration // since each exit, together: the runner may not have started again
+	Up        time.Duration // for which instances of the service's runners have been running, together
 }
 
-// KnownExit is an exit of a runner of the service.
-type KnownExit struct {
-	Age  time.Duration // since it was found
-	Part bool          // it was under a request with the part
+// KnownInstance is an instance of a runner of the service. It is running, or its exit was found some time ago.
+type KnownInstance struct {
+	Exited bool
+	Age    time.Duration // since its exit was found
+	Life   time.Duration // since its start, until its exit or now; 0: not known
+	Part   bool          // it exited under a request with the part
 }
 
-// AddExits counts the exits within the exposure's window.
-func (x *Exposure) AddExits(list []KnownExit) {
-	list = slices.SortedFunc(slices.Values(list), func(a, b KnownExit) int { return cmp.Compare(b.Age, a.Age) })
+// AddInstances counts what the instances did within the exposure's window.
+func (x *Exposure) AddInstances(list []KnownInstance) {
+	list = slices.SortedFunc(slices.Values(list), func(a, b KnownInstance) int { return cmp.Compare(b.Age, a.Age) })
 	began, counted := time.Duration(-1), false
-	for _, e := range list {
-		if e.Age > x.Window && !e.Part {
+	for _, i := range list {
+		if i.Age > x.Window && !i.Part {
+			continue
+		}
+		up := max(0, x.Window-i.Age)
+		switch {
+		case i.Life > 0:
+			up = min(up, i.Life)
+		case i.Exited:
+			up = 0 // the instance that has taken its place counts for all the window
+		}
+		x.Up += up
+		if !i.Exited {
 			continue
 		}
 		x.AllExits++
-		x.Down += min(e.Age, x.Window)
-		if began < 0 || began-e.Age > simultaneous {
-			began, counted = e.Age, false
+		if began < 0 || began-i.Age > simultaneous {
+			began, counted = i.Age, false
 			x.AllEvents++
 		}
-		if e.Part && !counted {
+		if i.Part && !counted {
 			counted = true
 			x.Events++
 		}
 	}
 }
 
-// runnerTime returns for how long runners of the service have been up, together.
-func (x *Exposure) runnerTime(runners int) float64 {
-	all := float64(x.Window) * float64(max(1, runners))
-	return max(all-float64(x.Down), all/2)
-}
-
 // odds returns how much likelier the exits are if the part is the cause of those under it than by chance. By chance, it is
 // present at as many exits as it is at runners. The result is 1 if it was present at no more.
-func (x *Exposure) odds(runners int) float64 {
+func (x *Exposure) odds() float64 {
 	exitsPerEvent := float64(x.AllExits) / float64(max(1, x.AllEvents))
-	return likelihoodRatio(float64(x.Events), float64(x.AllEvents), exitsPerEvent*float64(x.Busy)/x.runnerTime(runners))
+	return likelihoodRatio(float64(x.Events), float64(x.AllEvents), exitsPerEvent*float64(x.Busy)/float64(max(1, x.Up)))
 }
 
 // fate returns how much likelier it is that so many runs with the part ended in an exit, and so few in a whole answer, if the
 // part is the cause than by chance. By chance, a runner exits during a run with the rate at which the service's runners do.
-func (x *Exposure) fate(runners int, age time.Duration) float64 {
+func (x *Exposure) fate(age time.Duration) float64 {
 	if x.Runs > 0 {
 		age = max(age, x.Busy/time.Duration(x.Runs))
 	}
-	rate := float64(x.AllExits) / x.runnerTime(runners)
+	rate := float64(x.AllExits) / float64(max(1, x.Up))
 	return likelihoodRatio(float64(x.Events), float64(x.Events+x.Whole), 1-math.Exp(-rate*float64(age)))
 }
 
@@ -136,7 +146,7 @@
 // it, Long over SuspicionWindow, both at the models of the requests under which runners exited. Elsewhere is since the first
 // exit, at other models.
 type Suspicion struct {
-	Runners      int           // of the service; 0: unknown
+	Known        bool          // what instances of the service's runners there are; else the exits alone count
 	Requests     int           // different ones, at the exits
 	Age          time.Duration // of the requests at the exits, on average
 	Recent, Long Exposure
@@ -146,7 +156,7 @@
 // Harmless reports whether the part is not the cause of the exits. As long as the runners are not known, a single whole
 // answer counts.
 func (s *Suspicion) Harmless() bool {
-	if s.Runners == 0 {
+	if !s.Known {
 		return s.Recent.Whole > 0
 	}
 	return s.Recent.Whole >= maxWholePerExit*s.Recent.Events
@@ -160,7 +170,7 @@
 
 // Odds returns the odds over the time since the first exit, and over SuspicionWindow.
 func (s *Suspicion) Odds() Odds {
-	return Odds{s.Recent.odds(s.Runners), s.Long.odds(s.Runners), s.Recent.fate(s.Runners, s.Age), s.Long.fate(s.Runners, s.Age)}
+	return Odds{s.Recent.odds(), s.Long.odds(), s.Recent.fate(s.Age), s.Long.fate(s.Age)}
 }
 
 // Suffices reports whether the part is so much likelier the cause than chance that it is to be held. As long as the runners
@@ -169,13 +179,23 @@
 	o := s.Odds()
 	byPresence := o.Recent >= minOdds && o.Long >= minLongOdds
 	byFate := o.RecentFate >= minFate && o.LongFate >= minLongFate && o.Long >= minFateOdds
-	return s.Runners == 0 || byPresence || byFate && s.Requests >= minFateRequests
+	return !s.Known || byPresence || byFate && s.Requests >= minFateRequests
+}
+
+// RequestSuffices is Suffices for a whole request, of which no more is known than the runs that ended in an exit: it was not
+// served.
+func (s *Suspicion) RequestSuffices(forModel bool) bool {
+	least := float64(minRequestOdds)
+	if forModel {
+		least = minStreamOdds
+	}
+	return !s.Known || s.Recent.odds() >= least
 }
 
 // Clear reports whether no other explanation needs to be waited for.
 func (s *Suspicion) Clear() bool {
 	o := s.Odds()
-	return s.Runners > 0 && min(o.Recent, o.Long) >= clearOdds
+	return s.Known && min(o.Recent, o.Long) >= clearOdds
 }
 
 // Likelier reports whether another part, which was there at each of the exits as well, is the likelier cause: it was in
--- a/coordination/policy/suspicion_test.go
+++ b/coordination/policy/suspicion_test.go
@@ -7,12 +7,14 @@
 	"gotest.tools/v3/assert"
 )
 
+// runners is how many runners the service has.
+const runners = 16
+
 // Guards against a prompt part that is taken for harmless by a single sign, and against a sound one that is taken for the
 // cause because it was there at exits, as it is everywhere or as runners exit in waves.
 func TestSuspicionOfParts(t *testing.T) {
-	const runners = 16
 	over := func(window time.Duration, exits, all, whole int, busy time.Duration) Exposure {
-		return Exposure{Use: Use{Busy: busy, Whole: whole}, Events: exits, AllEvents: all, AllExits: all, Window: window}
+		return Exposure{Use: Use{Busy: busy, Whole: whole}, Events: exits, AllEvents: all, AllExits: all, Window: window, Up: runners * window}
 	}
 	for _, tt := range []struct {
 		name           string
@@ -25,15 +27,15 @@
 		{"crashes under one run in five", over(3*time.Second, 4, 4, 16, 10*time.Second), over(time.Minute, 4, 4, 16, 10*time.Second), false, true},
 		{"in use before", over(time.Second, 4, 4, 0, 600*time.Millisecond), over(time.Minute, 4, 4, 400, 60*time.Second), false, true},
 		{"one of three causes", over(2*time.Second, 5, 15, 0, time.Second), over(time.Minute, 5, 15, 0, time.Second), false, true},
-		{"crashes after 3 s, three streams in one wave", Exposure{Use: Use{Busy: 9 * time.Second, Runs: 3}, Events: 3, AllEvents: 8, AllExits: 8, Window: 4 * time.Second}, Exposure{Use: Use{Busy: 9 * time.Second, Runs: 3}, Events: 3, AllEvents: 8, AllExits: 8, Window: time.Minute}, false, false},
-		{"crashes after 3 s, eight exits", Exposure{Use: Use{Busy: 46 * time.Second, Runs: 28}, Events: 8, AllEvents: 8, AllExits: 8, Window: 4500 * time.Millisecond}, Exposure{Use: Use{Busy: 46 * time.Second, Runs: 28}, Events: 8, AllEvents: 8, AllExits: 8, Window: time.Minute}, false, true},
+		{"crashes after 3 s, three streams in one wave", Exposure{Use: Use{Busy: 9 * time.Second, Runs: 3}, Events: 3, AllEvents: 8, AllExits: 8, Window: 4 * time.Second, Up: runners * 4 * time.Second}, Exposure{Use: Use{Busy: 9 * time.Second, Runs: 3}, Events: 3, AllEvents: 8, AllExits: 8, Window: time.Minute, Up: runners * time.Minute}, false, false},
+		{"crashes after 3 s, eight exits", Exposure{Use: Use{Busy: 46 * time.Second, Runs: 28}, Events: 8, AllEvents: 8, AllExits: 8, Window: 4500 * time.Millisecond, Up: runners * 4500 * time.Millisecond}, Exposure{Use: Use{Busy: 46 * time.Second, Runs: 28}, Events: 8, AllEvents: 8, AllExits: 8, Window: time.Minute, Up: runners * time.Minute}, false, true},
 		{"in all prompts", over(time.Second, 5, 5, 5, 14*time.Second), over(time.Minute, 5, 5, 500, 800*time.Second), false, false},
 		{"in all prompts, served on", over(4*time.Second, 8, 8, 90, 50*time.Second), over(time.Minute, 8, 8, 500, 800*time.Second), true, false},
 		{"in one prompt of seven, at three of twenty exits", over(3*time.Second, 3, 20, 2, 7*time.Second), over(time.Minute, 3, 20, 100, 140*time.Second), false, false},
 		{"new, two long streams, at three of a wave of eight exits", over(3*time.Second, 3, 8, 0, 6*time.Second), over(time.Minute, 3, 8, 0, 6*time.Second), false, false},
 		{"seldom used, there at one exit of three", over(time.Second, 1, 3, 0, time.Second), over(time.Minute, 1, 3, 3, 5*time.Second), false, false},
 	} {
-		s := Suspicion{Runners: runners, Requests: tt.recent.Events, Recent: tt.recent, Long: tt.long}
+		s := Suspicion{Known: true, Requests: tt.recent.Events, Recent: tt.recent, Long: tt.long}
 		assert.Equal(t, s.Harmless(), tt.harmless, tt.name)
 		assert.Equal(t, s.Suffices() && !s.Harmless(), tt.held, "%s: %+v", tt.name, s.Odds())
 	}
@@ -53,30 +55,38 @@
 		{"one has just begun for another", recent, Use{Busy: 50 * time.Millisecond}, false},
 		{"served for another", recent, Use{Busy: 2 * time.Second, Whole: 2}, true},
 		{"streams go on for another", recent, Use{Busy: 2 * time.Second}, true},
-		{"crashes under one run in five, three answers for another", Exposure{Use: Use{Busy: 6 * time.Second, Whole: 12}, Events: 3, AllEvents: 3, AllExits: 3, Window: 3 * time.Second}, Use{Busy: time.Second, Whole: 3}, false},
+		{"crashes under one run in five, three answers for another", Exposure{Use: Use{Busy: 6 * time.Second, Whole: 12}, Events: 3, AllEvents: 3, AllExits: 3, Window: 3 * time.Second, Up: runners * 3 * time.Second}, Use{Busy: time.Second, Whole: 3}, false},
 	} {
-		s := Suspicion{Runners: 16, Recent: tt.recent, Elsewhere: tt.elsewhere}
+		s := Suspicion{Known: true, Recent: tt.recent, Elsewhere: tt.elsewhere}
 		assert.Equal(t, s.AtModels(), tt.at, tt.name)
 	}
 }
 
-// Guards against holding back a part that was by chance at all of some runners that exited together.
-func TestExitsTogetherAreOneEvent(t *testing.T) {
+// Guards against holding back a part that was by chance at all of some runners that exited together, and against one that
+// seems to be seldom at runners as most of these are not up.
+func TestInstancesOfAWindow(t *testing.T) {
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	exit := func(age int, part bool) KnownInstance {
+		return KnownInstance{Exited: true, Age: ms(age), Life: ms(9000), Part: part}
+	}
 	for _, tt := range []struct {
 		name                  string
-		exits                 []KnownExit
+		list                  []KnownInstance
 		events, all, allExits int
+		up                    time.Duration
 	}{
-		{"three together", []KnownExit{{ms(500), true}, {ms(502), true}, {ms(560), true}}, 1, 1, 3},
-		{"one after the other", []KnownExit{{ms(100), true}, {ms(400), true}, {ms(700), true}}, 3, 3, 3},
-		{"two together, one of them without the part, and one before", []KnownExit{{ms(300), false}, {ms(310), true}, {ms(900), true}}, 2, 2, 3},
-		{"without the part", []KnownExit{{ms(300), false}, {ms(700), false}}, 0, 2, 2},
-		{"before the window", []KnownExit{{ms(300), true}, {ms(5000), false}}, 1, 1, 1},
-		{"a long series is not one event", []KnownExit{{ms(100), true}, {ms(200), true}, {ms(300), true}, {ms(400), true}}, 2, 2, 4},
+		{"three together", []KnownInstance{exit(500, true), exit(502, true), exit(560, true)}, 1, 1, 3, ms(1438)},
+		{"one after the other", []KnownInstance{exit(100, true), exit(400, true), exit(700, true)}, 3, 3, 3, ms(1800)},
+		{"two together, one of them without the part, and one before", []KnownInstance{exit(300, false), exit(310, true), exit(900, true)}, 2, 2, 3, ms(1490)},
+		{"without the part", []KnownInstance{exit(300, false), exit(700, false)}, 0, 2, 2, ms(1000)},
+		{"before the window", []KnownInstance{exit(300, true), exit(5000, false)}, 1, 1, 1, ms(700)},
+		{"a long series is not one event", []KnownInstance{exit(100, true), exit(200, true), exit(300, true), exit(400, true)}, 2, 2, 4, ms(3000)},
+		{"starts are not known", []KnownInstance{{}, {Exited: true, Age: ms(600)}}, 0, 1, 1, ms(1000)},
+		{"one has just started, one exited soon", []KnownInstance{{Life: ms(300)}, {Life: ms(9000)}, {Exited: true, Age: ms(600), Life: ms(50)}}, 0, 1, 1, ms(1350)},
 	} {
 		x := Exposure{Window: time.Second}
-		x.AddExits(tt.exits)
+		x.AddInstances(tt.list)
 		assert.Equal(t, [3]int{x.Events, x.AllEvents, x.AllExits}, [3]int{tt.events, tt.all, tt.allExits}, tt.name)
+		assert.Equal(t, x.Up, tt.up, tt.name)
 	}
 }
--- a/coordination/quarantine/check.go
+++ b/coordination/quarantine/check.go
@@ -89,18 +89,16 @@
 // affectedOf returns a lost request and the parts of its prompt.
 func affectedOf(b *core.LostRequest) []affected {
 	request := affected{Digest: b.Digest, Route: b.Route, Service: b.Service, Begun: b.MayHaveRun, Fresh: b.JustStarted}
+	request.Age, request.Model = b.Age.Milliseconds(), b.Model
 	var out []affected
 	if !b.Worked {
 		out = append(out, request)
-	}
-	request.Age = b.Age.Milliseconds()
-	if b.Worked {
+	} else {
 		late := request
 		send := b.Digest.AtModel(fmt.Sprint("send to ", instanceOf(&b.Runner)))
-		late.Digest, late.Late, late.Request = lateDigest(b.Digest), &b.Digest, &send
+		late.Digest, late.Late, late.Request, late.Model = lateDigest(b.Digest), &b.Digest, &send, ""
 		out = append(out, late)
 	}
-	request.Model = b.Model
 	var prompt []core.Digest
 	for _, p := range b.Parts {
 		prompt = append(prompt, p.Digest)
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -37,6 +37,8 @@
 	record   hold.Record // the hold to place if no daemon has
 	servedBy string      // the daemon that has served it; empty: none yet
 	part     *partQuery  // nil: this is no part of prompts
+	forModel bool        // it is a request for a model
+	exits    []seenExit  // that daemons have reported for a request
 }
 
 // isPart reports whether it is a query for a part of prompts.
@@ -104,12 +106,12 @@
 	}
 	c := q.queries[s.Digest]
 	if c == nil {
-		c = &servedQuery{}
+		c = &servedQuery{forModel: s.Model != ""}
 		q.queries[s.Digest] = c
 		if s.isPart() {
 			q.queryPart(c, s.Digest, s.Service)
 		} else {
-			q.queryServed(s.Digest)
+			q.queryServed(s.Digest, s.Service)
 		}
 	}
 	c.record = hold.Record{Digest: s.Digest, Route: s.Route, Service: s.Service, Runners: runners}
@@ -127,21 +129,28 @@
 		x := policy.PartExit{Instance: instance, Fresh: s.Fresh, Request: *s.Request, Model: s.Model, Age: s.age(), Prompt: s.Prompt}
 		return q.exits.AddPart(q.clock.Now(), s.Digest, x)
 	}
+	now := q.clock.Now()
 	if s.Fresh {
-		return q.exits.AddFresh(q.clock.Now(), s.Digest, instance)
+		runners, tooMany = q.exits.AddFresh(now, s.Digest, instance)
+	} else {
+		runners, tooMany = q.exits.Add(now, s.Digest, instance, s.Begun)
 	}
-	return q.exits.Add(q.clock.Now(), s.Digest, instance, s.Begun)
+	q.exits.SetAge(s.Digest, instance, s.age())
+	return runners, tooMany
 }
 
 // queryServed sends all daemons a query whether a request has been served recently. A harmless
 // request that arrives again and again may be in progress at each runner that another request
 // brings down. Only the fact that it is served distinguishes the two. The caller holds q.mu.
-func (q *Quarantine) queryServed(d core.Digest) {
+func (q *Quarantine) queryServed(d core.Digest, service string) {
 	within := servedWindow
 	if at, ok := q.cleared[d]; ok {
 		within = min(within, q.clock.Since(at)) // runs before the request was last cleared have been taken into account
 	}
 	q.broadcast(kindSeen, seen{Digest: d, Within: within}, queryDelays)
+	if q.exits.InDoubt(d) {
+		q.broadcast(kindUse, useQuery{Part: d, Service: service}, queryDelays)
+	}
 	q.clock.AfterFunc(queryWait, func() { q.decide(d) })
 	if q.recent.servedWithin(d, within) {
 		q.queries[d].servedBy = q.net.Self().Name
@@ -157,7 +166,7 @@
 		return false
 	case c.isPart() && q.isClear(c, d, now):
 		return false
-	case up < startPeriod && !(c.isPart() && q.runners(c.part.service) > 0) && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
+	case up < startPeriod && !(c.isPart() && q.runners != nil) && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
 		wait = startPeriod - up
 		if q.exits.InDoubt(d) {
 			wait += doubtWait // first what may explain the exits
@@ -206,7 +215,7 @@
 	case c.isPart():
 		q.queryPart(c, d, c.part.service)
 	default:
-		q.queryServed(d)
+		q.queryServed(d, c.record.Service)
 	}
 }
 
@@ -263,13 +272,17 @@
 	if c.servedBy != "" {
 		q.clear(d)
 	}
-	explained := !q.exits.Held(d, q.countsUntil(d))
+	until := q.countsUntil(d)
+	explained, suspicion := !q.exits.Held(d, until), q.requestSuspicion(c, d, until)
+	chance := q.exits.InDoubt(d) && !suspicion.RequestSuffices(c.forModel)
 	q.mu.Unlock()
 	switch {
 	case c.servedBy != "":
-	case explained:
+	case explained || chance:
 		q.scope.Counter("quarantine_deferred").Inc(1)
-		q.log.Info(logs.HoldDeferred, zap.Stringer("digest", d), zap.String("route", c.record.Route), zap.Bool("explained", explained), zap.Int("runners", c.record.Runners))
+		q.log.Info(logs.HoldDeferred, zap.Stringer("digest", d), zap.String("route", c.record.Route), zap.Bool("explained", explained), zap.Bool("chance", chance),
+			zap.Int("events", suspicion.Recent.Events), zap.Int("all", suspicion.Recent.AllEvents), zap.Duration("busy", suspicion.Recent.Busy), zap.Duration("up", suspicion.Recent.Up),
+			zap.Float64("odds", suspicion.Odds().Recent), zap.Int("runners", c.record.Runners))
 		return
 	default:
 		q.hold(c.record)
--- a/coordination/quarantine/moments_test.go
+++ b/coordination/quarantine/moments_test.go
@@ -14,8 +14,14 @@
 	"primroseward/state/hold"
 )
 
-// withSixteen states that each service has sixteen runners.
-var withSixteen = WithRunners(func(string) int { return 16 })
+// withSixteen states that each service has sixteen runners more.
+var withSixteen = WithRunners(func(string) []core.Runner {
+	out := make([]core.Runner, 16)
+	for i := range out {
+		out[i].ID = fmt.Sprint("other", i)
+	}
+	return out
+})
 
 // crashPrompt reports that a runner crashed under a request for a model, some time after it was sent to it.
 func (r *runners) crashPrompt(at *daemon, runner, model string, age time.Duration, prompt ...core.Part) {
@@ -145,15 +151,16 @@
 func TestRequestThatCrashesLateIsHeld(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
-		beside int // runners that exit without it, for each that exits with it
+		age    time.Duration // of its runs
+		beside int           // runners that exit without it, for each that exits with it
 		held   bool
-	}{{"the only cause", 0, true}, {"a long stream in a wave", 9, false}} {
+	}{{"the only cause", 3 * time.Second, 0, true}, {"a long stream in waves", 20 * time.Second, 9, false}} {
 		t.Run(tt.name, func(t *testing.T) {
 			q, clock := newSoloQuarantine()
 			withSixteen(q)
 			clock.Advance(time.Minute)
 			exit := func(id string, b core.LostRequest) {
-				b.Runner.ID, b.Runner.Service = id, b.Service
+				b.Runner.ID, b.Runner.Service, b.Runner.StartedAt = id, b.Service, time.Time{}
 				q.checks[instanceOf(&b.Runner)] = &check{q: q, runner: b.Runner, exited: true, checkedAt: clock.Now()}
 				q.countExit(exitReport{Runner: id, Instance: instanceOf(&b.Runner), Affected: affectedOf(&b)}, "d")
 			}
@@ -161,9 +168,9 @@
 				r := q.RunBegan(nil, "m")
 				clock.Advance(harmlessAge)
 				r.Worked(harmful)
-				clock.Advance(harmlessAge / 2)
+				clock.Advance(tt.age - harmlessAge)
 				b := broken(harmful, "")
-				b.Worked, b.Age = true, 3*harmlessAge/2
+				b.Worked, b.Age = true, tt.age
 				for k := range tt.beside {
 					clock.Advance(doubtWait)
 					exit(fmt.Sprint("o", i, k), brokenPrompt(""))
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -23,7 +23,8 @@
 	maxReportedModels = 8
 )
 
-// useQuery asks all daemons how a prompt part was used, and which runners of a service have exited.
+// useQuery asks all daemons how a prompt part was used, and which runners of a service have exited. For a whole request
+// only the latter counts.
 type useQuery struct {
 	Part    core.Digest `json:"part"`
 	Service string      `json:"service"`
@@ -47,10 +48,20 @@
 	Long   policy.Use `json:"l"`
 }
 
-// seenExit is an exit of a runner, and how long ago it was found.
+// seenExit is the exit of a runner's instance, how long ago it was found, and how long that one had been running by then;
+// 0 if it is not known.
 type seenExit struct {
 	Instance policy.Instance `json:"i"`
 	Age      time.Duration   `json:"a"`
+	Life     time.Duration   `json:"l,omitempty"`
+}
+
+// lifeOf returns how long an instance of a runner had been running at a time; 0: not known. The runner's clock may differ.
+func lifeOf(r *core.Runner, at time.Time) time.Duration {
+	if r.StartedAt.IsZero() {
+		return 0
+	}
+	return max(0, at.Sub(r.StartedAt))
 }
 
 // useReport answers a useQuery.
@@ -126,14 +137,20 @@
 	out.Models = out.Models[:min(len(out.Models), maxReportedModels)]
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	out.Exits = q.seenExits(m.Service)
+	return out
+}
+
+// seenExits returns the latest exits of a service's runners that this daemon has found. The caller holds q.mu.
+func (q *Quarantine) seenExits(service string) []seenExit {
+	var out []seenExit
 	for instance, c := range q.checks {
-		if c.exited && c.runner.Service == m.Service {
-			out.Exits = append(out.Exits, seenExit{instance, q.clock.Since(c.checkedAt)})
+		if c.exited && c.runner.Service == service {
+			out = append(out, seenExit{instance, q.clock.Since(c.checkedAt), lifeOf(&c.runner, c.checkedAt)})
 		}
 	}
-	slices.SortFunc(out.Exits, func(a, b seenExit) int { return cmp.Compare(a.Age, b.Age) })
-	out.Exits = out.Exits[:min(len(out.Exits), maxReportedExits)]
-	return out
+	slices.SortFunc(out, func(a, b seenExit) int { return cmp.Compare(a.Age, b.Age) })
+	return out[:min(len(out), maxReportedExits)]
 }
 
 func (q *Quarantine) handleUsed(from peers.Peer, body json.RawMessage, _ func(any)) {
@@ -143,9 +160,12 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, c := range q.queries {
-		if c.part != nil && c.part.asked[r.Part] {
+	for d, c := range q.queries {
+		switch {
+		case c.part != nil && c.part.asked[r.Part]:
 			c.part.add(from.Name, r)
+		case c.part == nil && d == r.Part:
+			c.exits = append(c.exits, r.Exits...)
 		}
 	}
 }
@@ -169,18 +189,16 @@
 		}
 	}
 	models = evidence.Models(use)
-	s = policy.Suspicion{Runners: q.runners(c.service), Requests: evidence.Requests, Age: evidence.Age(models)}
+	s = policy.Suspicion{Known: q.runners != nil, Requests: evidence.Requests, Age: evidence.Age(models)}
 	begin := evidence.Begin()
 	for _, m := range models {
 		s.Recent.Window = max(s.Recent.Window, now.Sub(begin[m]))
 	}
 	s.Recent.Window = max(time.Millisecond, s.Recent.Window)
 	s.Long.Window = max(s.Recent.Window, min(policy.SuspicionWindow, q.fleetAge()))
-	exits := map[policy.Instance]policy.KnownExit{}
-	for _, x := range evidence.Exits {
-		exits[x.Instance] = policy.KnownExit{Age: now.Sub(x.At), Part: true}
-	}
+	var exits []seenExit
 	for _, r := range c.reports[part] {
+		exits = append(exits, r.Exits...)
 		for _, m := range r.Models {
 			if !slices.Contains(models, m.Model) {
 				s.Elsewhere.Add(m.Recent)
@@ -189,16 +207,59 @@
 			s.Recent.Add(m.Recent)
 			s.Long.Add(m.Long)
 		}
-		for _, x := range r.Exits {
-			if _, known := exits[x.Instance]; !known && !q.exits.HasOtherCause(x.Instance, part) && x.Age >= now.Sub(until) {
-				exits[x.Instance] = policy.KnownExit{Age: x.Age}
-			}
+	}
+	list := q.instances(part, c.service, &evidence, exits, until)
+	s.Recent.AddInstances(list)
+	s.Long.AddInstances(list)
+	return s, models
+}
+
+// instances returns the instances of a service's runners: those that exited under requests with a part or a request, others
+// that were seen to exit until a time, and those that are running. The caller holds q.mu.
+func (q *Quarantine) instances(d core.Digest, service string, evidence *policy.PartEvidence, seen []seenExit, until time.Time) []policy.KnownInstance {
+	now, exits := q.clock.Now(), map[policy.Instance]policy.KnownInstance{}
+	for _, x := range evidence.Exits {
+		exits[x.Instance] = policy.KnownInstance{Exited: true, Age: now.Sub(x.At), Part: true}
+	}
+	gone := map[policy.Instance]bool{}
+	for _, x := range seen {
+		gone[x.Instance] = true
+		one, known := exits[x.Instance]
+		switch {
+		case known:
+			one.Life = x.Life
+			exits[x.Instance] = one
+		case !q.exits.HasOtherCause(x.Instance, d) && x.Age >= now.Sub(until):
+			exits[x.Instance] = policy.KnownInstance{Exited: true, Age: x.Age, Life: x.Life}
 		}
 	}
 	list := slices.Collect(maps.Values(exits))
-	s.Recent.AddExits(list)
-	s.Long.AddExits(list)
-	return s, models
+	if q.runners == nil {
+		return list
+	}
+	runners := q.runners(service)
+	for i := range runners {
+		instance := instanceOf(&runners[i])
+		if _, exited := exits[instance]; !exited && !gone[instance] {
+			list = append(list, policy.KnownInstance{Life: lifeOf(&runners[i], now)})
+		}
+	}
+	return list
+}
+
+// requestSuspicion sums up what is known of a whole request under which runners have exited, and that was not served. The
+// caller holds q.mu.
+func (q *Quarantine) requestSuspicion(c *servedQuery, d core.Digest, until time.Time) policy.Suspicion {
+	now, evidence := q.clock.Now(), q.exits.Evidence(d, until)
+	s := policy.Suspicion{Known: q.runners != nil}
+	for _, at := range evidence.Begin() {
+		s.Recent.Window = max(s.Recent.Window, now.Sub(at))
+	}
+	for _, x := range evidence.Exits {
+		s.Recent.Add(policy.Use{Busy: x.Ages[""], Runs: 1})
+	}
+	s.Recent.AddInstances(q.instances(d, c.record.Service, &evidence, append(q.seenExits(c.record.Service), c.exits...), until))
+	return s
 }
 
 // longUse sums up the use of a part over policy.SuspicionWindow, at all models.
@@ -323,7 +384,7 @@
 	q.log.Info(logs.PartDecided, zap.Stringer("digest", part), zap.String("route", c.record.Route), zap.String("verdict", string(j.verdict)), zap.Stringer("likelier", j.likelier),
 		zap.Strings("models", j.models), zap.Int("events", j.Recent.Events), zap.Int("all", j.Recent.AllEvents), zap.Int("exits", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Duration("age", j.Age),
 		zap.Int("whole", j.Recent.Whole), zap.Duration("busy", j.Recent.Busy), zap.Duration("window", j.Recent.Window), zap.Duration("longbusy", j.Long.Busy), zap.Duration("longwindow", j.Long.Window),
-		zap.Int("elsewhere", j.Elsewhere.Whole), zap.Int("runners", j.Runners),
+		zap.Int("elsewhere", j.Elsewhere.Whole), zap.Duration("up", j.Recent.Up),
 		zap.Float64("odds", odds.Recent), zap.Float64("longodds", odds.Long), zap.Float64("fate", odds.RecentFate), zap.Float64("longfate", odds.LongFate))
 }
 
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -74,7 +74,7 @@
 	log       *zap.Logger
 	scope     tally.Scope
 	onHold    func(core.Digest)
-	runners   func(service string) int
+	runners   func(service string) []core.Runner // nil: they are not known
 	keeper    *keeper
 
 	table       *hold.Table
@@ -107,10 +107,10 @@
 // WithOnHold sets a function that is called for each request that is held back.
 func WithOnHold(fn func(core.Digest)) Option { return func(q *Quarantine) { q.onHold = fn } }
 
-// WithRunners sets a function that returns how many runners a service has. Without it, any exits under a prompt part that
-// was not served count against it.
-func WithRunners(count func(service string) int) Option {
-	return func(q *Quarantine) { q.runners = count }
+// WithRunners sets a function that returns the runners of a service. Without it, any exits under a prompt part that was not
+// served count against it.
+func WithRunners(list func(service string) []core.Runner) Option {
+	return func(q *Quarantine) { q.runners = list }
 }
 
 // WithStore keeps holds in the platform's store. reads returns whether this daemon is the one
@@ -125,7 +125,7 @@
 // New returns a Quarantine and registers its message handlers.
 func New(net Network, prober Prober, clock core.Clock, log *zap.Logger, opts ...Option) *Quarantine {
 	q := &Quarantine{
-		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {}, runners: func(string) int { return 0 },
+		net: net, prober: prober, clock: clock, log: log, scope: tally.NoopScope, onHold: func(core.Digest) {},
 		table: hold.NewTable(), recent: newRecent(clock), uses: newUses(clock), holdChanged: make(chan struct{}, 1), known: make(chan struct{}), exits: policy.NewExitRecords(), checks: map[policy.Instance]*check{},
 		queries: map[core.Digest]*servedQuery{}, cleared: map[core.Digest]time.Time{}, trials: map[core.Digest]time.Time{},
 	}
--- a/services/fleet/fleet.go
+++ b/services/fleet/fleet.go
@@ -221,7 +221,7 @@
 	d.peers.Handle(kindYield, d.handleYield)
 	d.quarantine = quarantine.New(d.peers, d.runners, d.clock, d.log, quarantine.WithScope(d.scope),
 		quarantine.WithOnHold(func(digest core.Digest) { d.dispatcher.CancelHeld(digest) }), quarantine.WithStore(d.store, d.shouldReadHolds), quarantine.WithConnector(d.runners),
-		quarantine.WithRunners(func(service string) int { return len(d.catalog.Runners(service)) }))
+		quarantine.WithRunners(d.runnersOf))
 	d.origins = origin.New(d.catalog.Versions, d.clock, d.log, origin.WithScope(d.scope), origin.WithNetwork(d.peers), origin.WithRegistry(origin.NewRegistry(d.store, d.clock, d.log)),
 		origin.WithRetirement(func() bool { _, ok := d.lease.Term(); return ok }))
 	d.holder = placement.New(set.Name, d.catalog, d.loads, d.runners, d.lease, d.clock, d.log,
@@ -249,6 +249,17 @@
 	return retry.Limits{Window: time.Duration(f.RetryWindow), Ratio: f.RetryRatio, Slack: f.RetrySlack}
 }
 
+// runnersOf returns the known runners of a service that are not known to be down.
+func (d *Daemon) runnersOf(service string) []core.Runner {
+	var out []core.Runner
+	for _, e := range d.catalog.Runners(service) {
+		if !d.loads.Down(e.ID) {
+			out = append(out, e.Runner)
+		}
+	}
+	return out
+}
+
 // runnerGone discards the state that is kept of a runner that is gone.
 func (d *Daemon) runnerGone(r core.Runner) {
 	d.log.Info(logs.RunnerGone, zap.String("runner", r.ID), zap.String("service", r.Service))
