--- a/coordination/policy/suspicion.go
+++ b/coordination/policy/suspicion.go
@@ -43,7 +43,7 @@
 
 // simultaneous is the time within which exits count as one event: runners that exit together do so for a common reason,
 // and where some part was by chance it may have been at all of them.
-const simultaneous = 150 * time.Millisecond
+const simultaneous = 100 * time.Millisecond
 
 // SuspicionWindow is over which time the use of a prompt part and exits of runners are compared.
 const SuspicionWindow = time.Minute
--- a/coordination/quarantine/ask.go
+++ b/coordination/quarantine/ask.go
@@ -198,4 +198,3 @@
 		q.mu.Unlock()
 	}
 }
-
