--- a/coordination/policy/parts.go
+++ b/coordination/policy/parts.go
@@ -96,6 +96,7 @@
 type PartEvidence struct {
 	Exits    []ExitUnderPart
 	Requests int // different ones
+	Fresh    int // exits of runners that had just started one of them
 	// Companions are the other parts that were there at each of the exits, those of them that follow the part in a
 	// prompt are true.
 	Companions map[core.Digest]bool
@@ -116,6 +117,9 @@
 		for _, r := range x.requests {
 			requests = addNew(requests, r)
 		}
+		if x.weight == freshWeight {
+			out.Fresh++
+		}
 		if len(out.Exits) == 0 {
 			for _, d := range x.others {
 				out.Companions[d] = false
--- a/coordination/policy/suspicion.go
+++ b/coordination/policy/suspicion.go
@@ -28,6 +28,9 @@
 	// minFateRequests is how many different requests must have been there for that. Fewer may be streams that go on at one
 	// runner after the other in a wave of exits.
 	minFateRequests = 4
+	// minFresh is how many runners must have exited just after the start of a request, in as many events, for a part to be
+	// held that was never answered whole in SuspicionWindow. Then minLongOdds suffices.
+	minFresh = 2
 	// minRequestOdds is minOdds for a whole request that was not served, minStreamOdds that for one for a model: while few
 	// runners are up, streams go on at the same ones as the requests that crash these.
 	minRequestOdds = 30
@@ -84,6 +87,7 @@
 func (x *Exposure) AddInstances(list []KnownInstance) {
 	list = slices.SortedFunc(slices.Values(list), func(a, b KnownInstance) int { return cmp.Compare(b.Age, a.Age) })
 	began, counted := time.Duration(-1), false
+	var exited, running time.Duration // of instances whose start is not known
 	for _, i := range list {
 		if i.Age > x.Window && !i.Part {
 			continue
@@ -91,11 +95,12 @@
 		up := max(0, x.Window-i.Age)
 		switch {
 		case i.Life > 0:
-			up = min(up, i.Life)
+			x.Up += min(up, i.Life)
 		case i.Exited:
-			up = 0 // the instance that has taken its place counts for all the window
+			exited += up
+		default:
+			running += up
 		}
-		x.Up += up
 		if !i.Exited {
 			continue
 		}
@@ -109,6 +114,8 @@
 			x.Events++
 		}
 	}
+	// Some of those that are running have taken the place of others in the window.
+	x.Up += running + min(exited, running)
 }
 
 // odds returns how much likelier the exits are if the part is the cause of those under it than by chance. By chance, it is
@@ -148,6 +155,7 @@
 type Suspicion struct {
 	Known        bool          // what instances of the service's runners there are; else the exits alone count
 	Requests     int           // different ones, at the exits
+	Fresh        int           // exits of runners that had just started a request with the part
 	Age          time.Duration // of the requests at the exits, on average
 	Recent, Long Exposure
 	Elsewhere    Use
@@ -179,7 +187,8 @@
 	o := s.Odds()
 	byPresence := o.Recent >= minOdds && o.Long >= minLongOdds
 	byFate := o.RecentFate >= minFate && o.LongFate >= minLongFate && o.Long >= minFateOdds
-	return !s.Known || byPresence || byFate && s.Requests >= minFateRequests
+	isNew := s.Fresh >= minFresh && s.Recent.Events >= minFresh && s.Long.Whole == 0 && o.Long >= minLongOdds
+	return !s.Known || byPresence || isNew || byFate && s.Requests >= minFateRequests
 }
 
 // RequestSuffices is Suffices for a whole request, of which no more is known than the runs that ended in an exit: it was not
--- a/coordination/policy/suspicion_test.go
+++ b/coordination/policy/suspicion_test.go
@@ -41,6 +41,27 @@
 	}
 }
 
+// Guards against runner after runner crashing at once under a part that nobody has been answered with, while most runners are
+// down, and against holding back one that was answered.
+func TestNewPartIsHeldAfterTwoEvents(t *testing.T) {
+	for _, tt := range []struct {
+		name                 string
+		fresh, events, whole int
+		held                 bool
+	}{
+		{"two crashes just after the start", 2, 2, 0, true},
+		{"two runners that exited together", 2, 1, 0, false},
+		{"one of them later", 1, 2, 0, false},
+		{"answered within the minute", 2, 2, 1, false},
+	} {
+		x := Exposure{Use: Use{Busy: 400 * time.Millisecond}, Events: tt.events, AllEvents: tt.events, AllExits: 2 * tt.events}
+		s := Suspicion{Known: true, Requests: 2, Fresh: tt.fresh, Recent: x, Long: x}
+		s.Recent.Window, s.Recent.Up = 400*time.Millisecond, 4*time.Second
+		s.Long.Window, s.Long.Up, s.Long.Whole = time.Minute, runners*time.Minute, tt.whole
+		assert.Equal(t, s.Suffices(), tt.held, "%s: %+v", tt.name, s.Odds())
+	}
+}
+
 // Guards against holding back sound requests for other models than those at which a part crashes runners, and against a
 // part that crashes runners at model after model.
 func TestPartIsHeldAtItsModels(t *testing.T) {
@@ -81,7 +102,7 @@
 		{"without the part", []KnownInstance{exit(300, false), exit(700, false)}, 0, 2, 2, ms(1000)},
 		{"before the window", []KnownInstance{exit(300, true), exit(5000, false)}, 1, 1, 1, ms(700)},
 		{"a long series is not one event", []KnownInstance{exit(120, true), exit(200, true), exit(300, true), exit(380, true)}, 2, 2, 4, ms(3000)},
-		{"starts are not known", []KnownInstance{{}, {Exited: true, Age: ms(600)}}, 0, 1, 1, ms(1000)},
+		{"starts are not known", []KnownInstance{{}, {Exited: true, Age: ms(600)}}, 0, 1, 1, ms(1400)},
 		{"one has just started, one exited soon", []KnownInstance{{Life: ms(300)}, {Life: ms(9000)}, {Exited: true, Age: ms(600), Life: ms(50)}}, 0, 1, 1, ms(1350)},
 	} {
 		x := Exposure{Window: time.Second}
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -25,7 +25,7 @@
 		}
 	}
 	models = evidence.Models(use)
-	s = policy.Suspicion{Known: q.runners != nil, Requests: evidence.Requests, Age: evidence.Age(models)}
+	s = policy.Suspicion{Known: q.runners != nil, Requests: evidence.Requests, Fresh: evidence.Fresh, Age: evidence.Age(models)}
 	begin := evidence.Begin()
 	for _, m := range models {
 		s.Recent.Window = max(s.Recent.Window, now.Sub(begin[m]))
@@ -194,7 +194,7 @@
 func (q *Quarantine) logPart(c *servedQuery, part core.Digest, j *judgement) {
 	odds := j.Odds()
 	q.log.Info(logs.PartDecided, zap.Stringer("digest", part), zap.String("route", c.record.Route), zap.String("verdict", string(j.verdict)), zap.Stringer("likelier", j.likelier),
-		zap.Strings("models", j.models), zap.Int("events", j.Recent.Events), zap.Int("all", j.Recent.AllEvents), zap.Int("exits", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Duration("age", j.Age),
+		zap.Strings("models", j.models), zap.Int("events", j.Recent.Events), zap.Int("all", j.Recent.AllEvents), zap.Int("exits", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Int("fresh", j.Fresh), zap.Duration("age", j.Age),
 		zap.Int("whole", j.Recent.Whole), zap.Duration("busy", j.Recent.Busy), zap.Duration("window", j.Recent.Window), zap.Duration("longbusy", j.Long.Busy), zap.Duration("longwindow", j.Long.Window),
 		zap.Int("elsewhere", j.Elsewhere.Whole), zap.Duration("up", j.Recent.Up),
 		zap.Float64("odds", odds.Recent), zap.Float64("longodds", odds.Long), zap.Float64("fate", odds.RecentFate), zap.Float64("longfate", odds.LongFate))
