Quarantine: one ring of digests, one assessment of a part, digests of a part without allocation; behaviour as before

Cause: read again. The ring that keeps what was used last stood twice, for requests that were served and for the use of parts. Whether a part is clearly the cause was computed beside the decision by the same steps, twice for each decision. An answer on use looked the part up once for each model. Each check of a part on a request's way allocated a slice.

Change: digests.go serves both; assessUntil serves both questions; one look-up an answer; an array. The comment on hold.Record names both uses of Part. Tests read the same quantities from the new places, with the same expectations.

--- a/coordination/quarantine/ask.go
+++ b/coordination/quarantine/ask.go
@@ -124,10 +124,7 @@
 
 // reportUse returns what this daemon knows of the use of a part, and of exits.
 func (q *Quarantine) reportUse(m useQuery) useReport {
-	out := useReport{Part: m.Part}
-	for model, long := range q.uses.since(m.Part, policy.SuspicionWindow) {
-		out.Models = append(out.Models, modelUse{Model: model, Recent: q.uses.since(m.Part, m.within(model))[model], Long: long})
-	}
+	out := useReport{Part: m.Part, Models: q.uses.report(m.Part, m.within)}
 	slices.SortFunc(out.Models, func(a, b modelUse) int { return cmp.Compare(b.Long.Busy, a.Long.Busy) })
 	out.Models = out.Models[:min(len(out.Models), maxReportedModels)]
 	q.mu.Lock()
--- a/coordination/quarantine/count.go
+++ b/coordination/quarantine/count.go
@@ -164,8 +164,6 @@
 	switch up := q.fleetAge(); {
 	case c.servedBy != "":
 		return false
-	case c.isPart() && q.isClear(c, d, now):
-		return false
 	case up < startPeriod && !(c.isPart() && q.runners != nil) && (c.isPart() || q.exits.InDoubt(d) && q.partWaits(d)):
 		wait = startPeriod - up
 		if q.exits.InDoubt(d) {
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -109,45 +109,39 @@
 	verdictHeld      verdict = "held"
 )
 
-// judgement is a verdict and what it is based on.
-type judgement struct {
+// assessment is a verdict and what it is based on.
+type assessment struct {
 	verdict
 	policy.Suspicion
 	models   []string    // that explain the exits
 	likelier core.Digest // the likelier cause, if there is one
 }
 
-// judge decides on a part. The caller holds q.mu.
-func (q *Quarantine) judge(c *servedQuery, part core.Digest) judgement {
-	until := q.countsUntil(part)
-	if now := q.clock.Now(); q.isClear(c, part, now) {
-		until = now
-	}
-	j := judgement{verdict: verdictHeld}
-	j.Suspicion, j.models = q.suspicion(c.part, part, until)
-	other, defers := q.likelierPart(c.part, &j.Suspicion, part, until)
+// assessUntil decides on a part by the exits that were reported until a time. The caller holds q.mu.
+func (q *Quarantine) assessUntil(c *partQuery, part core.Digest, until time.Time) assessment {
+	a := assessment{verdict: verdictHeld}
+	a.Suspicion, a.models = q.suspicion(c, part, until)
+	other, defers := q.likelierPart(c, &a.Suspicion, part, until)
 	switch {
 	case !q.exits.Held(part, until):
-		j.verdict = verdictExplained
-	case j.Harmless():
-		j.verdict = verdictHarmless
-	case !j.Suffices():
-		j.verdict = verdictChance
+		a.verdict = verdictExplained
+	case a.Harmless():
+		a.verdict = verdictHarmless
+	case !a.Suffices():
+		a.verdict = verdictChance
 	case defers:
-		j.verdict, j.likelier = verdictLikelier, other
+		a.verdict, a.likelier = verdictLikelier, other
 	}
-	return j
+	return a
 }
 
-// isClear reports whether a part is so clearly the cause of the exits until now that no other explanation needs to be
-// waited for. The caller holds q.mu.
-func (q *Quarantine) isClear(c *servedQuery, part core.Digest, now time.Time) bool {
-	s, _ := q.suspicion(c.part, part, now)
-	if !q.exits.Held(part, now) || !s.Clear() || s.Harmless() {
-		return false
+// assess decides on a part. evident is whether it is so clearly the cause of the exits until now that no other explanation
+// needs to be waited for. The caller holds q.mu.
+func (q *Quarantine) assess(c *partQuery, part core.Digest) (a assessment, evident bool) {
+	if a = q.assessUntil(c, part, q.clock.Now()); a.verdict == verdictHeld && a.Clear() {
+		return a, true
 	}
-	_, defers := q.likelierPart(c.part, &s, part, now)
-	return !defers
+	return q.assessUntil(c, part, q.countsUntil(part)), false
 }
 
 // likelierPart returns a part that was there at each exit of another one and is the likelier cause. The caller holds q.mu.
@@ -169,20 +163,24 @@
 	q.mu.Unlock()
 	q.askSelf(asked, part)
 	q.mu.Lock()
-	if q.queries[part] != c || q.ctx.Err() != nil || q.undecided(c, part) {
+	if q.queries[part] != c || q.ctx.Err() != nil {
+		q.mu.Unlock()
+		return
+	}
+	a, evident := q.assess(c.part, part)
+	if !evident && q.undecided(c, part) {
 		q.mu.Unlock()
 		return
 	}
 	delete(q.queries, part)
-	j := q.judge(c, part)
-	if j.verdict == verdictHarmless {
+	if a.verdict == verdictHarmless {
 		q.clear(part)
 	}
-	records := q.partRecords(c, part, &j)
+	records := q.partRecords(c, part, &a)
 	q.mu.Unlock()
-	q.scope.Tagged(map[string]string{"verdict": string(j.verdict)}).Counter("quarantine_parts").Inc(1)
-	q.logPart(c, part, &j)
-	if j.verdict != verdictHeld {
+	q.scope.Tagged(map[string]string{"verdict": string(a.verdict)}).Counter("quarantine_parts").Inc(1)
+	q.logPart(c, part, &a)
+	if a.verdict != verdictHeld {
 		return
 	}
 	for _, r := range records {
@@ -191,24 +189,24 @@
 }
 
 // logPart logs the decision on a part.
-func (q *Quarantine) logPart(c *servedQuery, part core.Digest, j *judgement) {
-	odds := j.Odds()
-	q.log.Info(logs.PartDecided, zap.Stringer("digest", part), zap.String("route", c.record.Route), zap.String("verdict", string(j.verdict)), zap.Stringer("likelier", j.likelier),
-		zap.Strings("models", j.models), zap.Int("events", j.Recent.Events), zap.Int("all", j.Recent.AllEvents), zap.Int("exits", j.Recent.AllExits), zap.Int("requests", j.Requests), zap.Int("fresh", j.Fresh), zap.Duration("age", j.Age),
-		zap.Int("whole", j.Recent.Whole), zap.Duration("busy", j.Recent.Busy), zap.Duration("window", j.Recent.Window), zap.Duration("longbusy", j.Long.Busy), zap.Duration("longwindow", j.Long.Window),
-		zap.Int("elsewhere", j.Elsewhere.Whole), zap.Duration("up", j.Recent.Up),
+func (q *Quarantine) logPart(c *servedQuery, part core.Digest, a *assessment) {
+	odds := a.Odds()
+	q.log.Info(logs.PartDecided, zap.Stringer("digest", part), zap.String("route", c.record.Route), zap.String("verdict", string(a.verdict)), zap.Stringer("likelier", a.likelier),
+		zap.Strings("models", a.models), zap.Int("events", a.Recent.Events), zap.Int("all", a.Recent.AllEvents), zap.Int("exits", a.Recent.AllExits), zap.Int("requests", a.Requests), zap.Int("fresh", a.Fresh), zap.Duration("age", a.Age),
+		zap.Int("whole", a.Recent.Whole), zap.Duration("busy", a.Recent.Busy), zap.Duration("window", a.Recent.Window), zap.Duration("longbusy", a.Long.Busy), zap.Duration("longwindow", a.Long.Window),
+		zap.Int("elsewhere", a.Elsewhere.Whole), zap.Duration("up", a.Recent.Up),
 		zap.Float64("odds", odds.Recent), zap.Float64("longodds", odds.Long), zap.Float64("fate", odds.RecentFate), zap.Float64("longfate", odds.LongFate))
 }
 
 // partRecords returns the holds to place for a part. The caller holds q.mu.
-func (q *Quarantine) partRecords(c *servedQuery, part core.Digest, j *judgement) []hold.Record {
+func (q *Quarantine) partRecords(c *servedQuery, part core.Digest, a *assessment) []hold.Record {
 	record := c.record
-	record.Whole = j.Recent.Whole
-	if !j.AtModels() {
+	record.Whole = a.Recent.Whole
+	if !a.AtModels() {
 		return []hold.Record{q.again(record)}
 	}
 	var out []hold.Record
-	for _, m := range j.models {
+	for _, m := range a.models {
 		at := record
 		at.Digest, at.Route = part.AtModel(m), record.Route+" at model "+m
 		at.Part, at.Model = &part, m
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -321,7 +321,7 @@
 		r.add(core.DigestOf(&core.Request{Target: fmt.Sprint(i)}))
 	}
 	assert.Assert(t, !r.servedWithin(harmful, time.Minute))
-	assert.Equal(t, len(r.at), maxRecent)
+	assert.Equal(t, len(r.at.byDigest), maxRecent)
 	r.add(harmful)
 	clock.Advance(time.Second)
 	assert.Assert(t, !r.servedWithin(harmful, time.Second/2))
--- a/coordination/quarantine/use.go
+++ b/coordination/quarantine/use.go
@@ -59,21 +59,18 @@
 	return out
 }
 
-// partUse is the use of one prompt part.
-type partUse struct {
-	models map[string]*use
-	again  bool // it was used again since the ring last came to it
-}
+// partUse is the use of one prompt part by model.
+type partUse map[string]*use
 
 // of returns the use for a model. Models beyond maxUsedModels share one.
-func (p *partUse) of(model string) *use {
-	if p.models[model] == nil && len(p.models) >= maxUsedModels {
+func (p partUse) of(model string) *use {
+	if p[model] == nil && len(p) >= maxUsedModels {
 		model = ""
 	}
-	u := p.models[model]
+	u := p[model]
 	if u == nil {
 		u = &use{}
-		p.models[model] = u
+		p[model] = u
 	}
 	return u
 }
@@ -83,56 +80,39 @@
 	clock core.Clock
 	start time.Time
 
-	mu   sync.Mutex
-	byID map[core.Digest]*partUse
-	ring []core.Digest
-	next int
+	mu    sync.Mutex
+	parts *digests[partUse]
 }
 
 func newUses(clock core.Clock) *uses {
-	return &uses{clock: clock, start: clock.Now(), byID: map[core.Digest]*partUse{}}
+	return &uses{clock: clock, start: clock.Now(), parts: newDigests[partUse](maxUsedParts)}
 }
 
 // now returns the time since the start of the record.
 func (u *uses) now() time.Duration { return u.clock.Since(u.start) }
 
-// part returns the use of a part, and forgets that of another one if there are too many. The caller holds the lock.
-func (u *uses) part(d core.Digest) *partUse {
-	if p := u.byID[d]; p != nil {
-		p.again = true
-		return p
-	}
-	p := &partUse{models: map[string]*use{}}
-	u.byID[d] = p
-	if len(u.ring) < maxUsedParts {
-		u.ring = append(u.ring, d)
-		return p
-	}
-	for {
-		oldest := u.byID[u.ring[u.next]]
-		if !oldest.again {
-			delete(u.byID, u.ring[u.next])
-			u.ring[u.next] = d
-			u.next = (u.next + 1) % maxUsedParts
-			return p
-		}
-		oldest.again = false
-		u.next = (u.next + 1) % maxUsedParts
+// part returns the use of a part. The caller holds the lock.
+func (u *uses) part(d core.Digest) partUse {
+	p := u.parts.use(d)
+	if *p == nil {
+		*p = partUse{}
 	}
+	return *p
 }
 
-// since returns the use of a part by model, over an age until now.
-func (u *uses) since(d core.Digest, age time.Duration) map[string]policy.Use {
+// report returns the use of a part by model, over policy.SuspicionWindow and over a recent time for each model.
+func (u *uses) report(d core.Digest, recent func(model string) time.Duration) []modelUse {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	p := u.byID[d]
+	p := u.parts.get(d)
 	if p == nil {
 		return nil
 	}
-	out, now := map[string]policy.Use{}, u.now()
-	for model, one := range p.models {
-		if sum := one.since(max(0, now-age), now); sum != (policy.Use{}) {
-			out[model] = sum
+	var out []modelUse
+	now := u.now()
+	for model, one := range *p {
+		if long := one.since(max(0, now-policy.SuspicionWindow), now); long != (policy.Use{}) {
+			out = append(out, modelUse{Model: model, Recent: one.since(max(0, now-recent(model)), now), Long: long})
 		}
 	}
 	return out
@@ -156,7 +136,8 @@
 	r := &run{q: q, began: u.now(), at: q.clock.Now()}
 	for _, p := range parts {
 		r.add(p.Digest, model)
-		r.held = append(r.held, p.Digests()...)
+		held := p.Digests()
+		r.held = append(r.held, held[:]...)
 	}
 	return r
 }
--- a/coordination/quarantine/use_test.go
+++ b/coordination/quarantine/use_test.go
@@ -12,6 +12,15 @@
 	"primroseward/core"
 )
 
+// recentUse returns the use of badPart by model, over an age until now.
+func recentUse(q *Quarantine, age time.Duration) map[string]policy.Use {
+	out := map[string]policy.Use{}
+	for _, m := range q.uses.report(badPart.Digest, func(string) time.Duration { return age }) {
+		out[m.Model] = m.Recent
+	}
+	return out
+}
+
 // Guards against time at runners that is counted twice or not at all, in any order of beginnings and ends: parts would be
 // held back, or not, for what they did not do.
 func TestUseIsCounted(t *testing.T) {
@@ -49,8 +58,8 @@
 				for _, at := range began {
 					sum.Busy += clock.Since(at)
 				}
-				assert.Equal(rt, q.uses.since(badPart.Digest, time.Hour)["m"].Whole, sum.Whole)
-				got := q.uses.since(badPart.Digest, time.Hour)["m"].Busy
+				assert.Equal(rt, recentUse(q, time.Hour)["m"].Whole, sum.Whole)
+				got := recentUse(q, time.Hour)["m"].Busy
 				assert.Assert(rt, (got-sum.Busy).Abs() <= time.Duration(len(runs)), "%v, want %v", got, sum.Busy)
 			},
 		})
@@ -69,17 +78,17 @@
 	}
 	clock.Advance(3 * time.Second)
 	q.PartsServed([]core.Part{badPart})
-	got := q.uses.since(badPart.Digest, 2*time.Second)
+	got := recentUse(q, 2*time.Second)
 	assert.Equal(t, got["m"], policy.Use{})
 	assert.Equal(t, got[""].Whole, 1)
-	assert.Equal(t, len(q.uses.byID[badPart.Digest].models["m"].periods), maxUsePeriods)
+	assert.Equal(t, len((*q.uses.parts.get(badPart.Digest))["m"].periods), maxUsePeriods)
 	for i := range 3 * maxUsedModels {
 		q.RunBegan([]core.Part{badPart}, fmt.Sprint("m", i)).Ended()
 	}
-	assert.Assert(t, len(q.uses.byID[badPart.Digest].models) <= maxUsedModels+1)
+	assert.Assert(t, len(*q.uses.parts.get(badPart.Digest)) <= maxUsedModels+1)
 	for i := range maxUsedParts + 500 {
 		q.RunBegan([]core.Part{core.NewPart("", fmt.Sprint(i)), badPart}, "m").Ended()
 	}
-	assert.Equal(t, len(q.uses.byID), maxUsedParts)
-	assert.Assert(t, q.uses.byID[badPart.Digest] != nil, "one that is used on")
+	assert.Equal(t, len(q.uses.parts.byDigest), maxUsedParts)
+	assert.Assert(t, q.uses.parts.get(badPart.Digest) != nil, "one that is used on")
 }
--- a/core/digest.go
+++ b/core/digest.go
@@ -55,7 +55,7 @@
 }
 
 // Digests returns the digests under which the part may be on hold.
-func (p Part) Digests() []Digest { return []Digest{p.Digest, p.AtModel} }
+func (p Part) Digests() [2]Digest { return [2]Digest{p.Digest, p.AtModel} }
 
 // CallerOf returns the IP address in a connection's remote address, the zero Addr if it has
 // none.
--- a/state/hold/record.go
+++ b/state/hold/record.go
@@ -54,7 +54,8 @@
 	Runners int // runners that exited under the request
 	Whole   int // of a prompt part: whole answers to requests with it between the exits
 	Passed  int // of a prompt part: trials since the hold that were served
-	// Part and Model are set for a part that is held in requests for one model.
+	// Part is set if the exits were counted under another digest: that of a part that is held in requests for Model only, or
+	// that of exits after long work on the request.
 	Part  *core.Digest
 	Model string
 	Since time.Time // start of the latest hold
