--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -28,6 +28,7 @@
 
 	mu   sync.Mutex
 	runs map[string]int // by request id
+	at   []time.Time    // when each run began
 }
 
 // startRunner starts a runner and registers it in the store.
@@ -90,10 +91,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[id]++
+	s.at = append(s.at, time.Now())
 	s.w.note("runner %s runs request %s", s.id, id)
 	return s.runs[id]
 }
 
+// arrivedAfter returns how many runs began after a time.
+func (s *runnerServer) arrivedAfter(t time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.at {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // answer writes a whole answer.
 func (s *runnerServer) answer(c net.Conn, r *http.Request, status int, ran bool, body string) {
 	_, _ = io.WriteString(c, s.answerText(r, status, ran, body)) // fails only if the connection has ended
