--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -19,7 +19,7 @@
 	eventCount    = 24
 	eventInterval = 50 * time.Millisecond
 	adapterLoad   = 6700 * time.Microsecond
-	modelLoad     = 2 * time.Second
+	modelLoad     = 1200 * time.Millisecond
 )
 
 // engine is a stand-in for a runner of models.
@@ -37,8 +37,18 @@
 	repeats  float64
 	repeated map[net.Conn]string
 	random   *rand.Rand
+	// late is the share of the orders that get no answer and are carried out minLate to maxLate later.
+	late   float64
+	events int // of a stream
 }
 
+// minLate and maxLate are the bounds of the delay of a late order, orderWait is after when its connection is closed.
+const (
+	minLate   = 2 * time.Second
+	maxLate   = 12 * time.Second
+	orderWait = time.Second
+)
+
 // item is a model or an adapter in the memory of an engine.
 type item struct {
 	present, leaving bool
@@ -51,7 +61,7 @@
 // startEngine starts an engine that has some models.
 func (w *world) startEngine(id, service, zone string, slots int, repeats float64, models ...string) (*engine, error) {
 	e := &engine{
-		slots: slots, models: map[string]*item{}, adapters: map[string]*item{}, repeated: map[net.Conn]string{}, repeats: repeats,
+		slots: slots, events: eventCount, models: map[string]*item{}, adapters: map[string]*item{}, repeated: map[net.Conn]string{}, repeats: repeats,
 		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	}
 	for _, m := range models {
@@ -99,7 +109,7 @@
 	case wire.PathReport:
 		e.report(c, r)
 	case wire.PathOrder:
-		e.order(c, r, body)
+		return e.order(c, r, body)
 	default:
 		return e.generate(c, r)
 	}
@@ -123,18 +133,41 @@
 	e.answer(c, r, http.StatusOK, false, string(body))
 }
 
-func (e *engine) order(c net.Conn, r *http.Request, body []byte) {
+// order carries out an order, and reports whether the connection is kept.
+func (e *engine) order(c net.Conn, r *http.Request, body []byte) bool {
 	var o wire.OrderMessage
 	if json.Unmarshal(body, &o) != nil {
 		e.answer(c, r, http.StatusBadRequest, false, "")
-		return
+		return true
 	}
 	e.mu.Lock()
-	status := e.apply(o)
-	occupied := len(e.adapters)
+	if e.random.Float64() < e.late {
+		delay := minLate + time.Duration(e.random.Int64N(int64(maxLate-minLate)))
+		e.mu.Unlock()
+		e.w.note("runner %s: order %s %s %s of %s, expected %d, gets no answer", e.id, o.Operation, o.Model, o.Adapter, o.Holder, o.Expected)
+		time.AfterFunc(delay, func() { e.carryOut(o, "late ") })
+		time.Sleep(orderWait)
+		return false
+	}
 	e.mu.Unlock()
-	e.w.note("runner %s: order %s %s %s of %s, expected %d, gets %d; %d adapters", e.id, o.Operation, o.Model, o.Adapter, o.Holder, o.Expected, status, occupied)
-	e.answer(c, r, status, false, "")
+	e.answer(c, r, e.carryOut(o, ""), false, "")
+	return true
+}
+
+// carryOut carries out an order, and returns the status of its answer.
+func (e *engine) carryOut(o wire.OrderMessage, when string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	status := e.apply(o)
+	e.w.note("runner %s: %sorder %s %s %s of %s, expected %d, gets %d; %d adapters", e.id, when, o.Operation, o.Model, o.Adapter, o.Holder, o.Expected, status, len(e.adapters))
+	return status
+}
+
+// setLate sets the share of the orders that are late.
+func (e *engine) setLate(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.late = share
 }
 
 // apply carries out an order and returns the status of its answer. The caller holds the lock.
@@ -221,8 +254,8 @@
 	return http.StatusAccepted
 }
 
-// begin counts a run of a model and an adapter, MODEL or MODEL/NAME. It returns false if they may not be used.
-func (e *engine) begin(model string) bool {
+// beginRun counts a run of a model and an adapter, MODEL or MODEL/NAME. It returns false if they may not be used.
+func (e *engine) beginRun(model string) bool {
 	name, adapter, _ := strings.Cut(model, "/")
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -237,17 +270,17 @@
 	return true
 }
 
-// end ends a run.
-func (e *engine) end(model string) {
+// endRun ends a run.
+func (e *engine) endRun(model string) {
 	name, _, _ := strings.Cut(model, "/")
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if a := e.adapters[model]; a != nil {
+	if a := e.adapters[model]; a != nil && a.runs > 0 {
 		if a.runs--; a.runs == 0 && a.leaving {
 			delete(e.adapters, model)
 		}
 	}
-	if m := e.models[name]; m != nil {
+	if m := e.models[name]; m != nil && m.runs > 0 {
 		m.runs--
 		e.drop(name)
 	}
@@ -256,20 +289,20 @@
 // generate answers a request with a stream of events.
 func (e *engine) generate(c net.Conn, r *http.Request) bool {
 	model := r.Header.Get(wire.HeaderModel)
-	if !e.begin(model) {
+	if !e.beginRun(model) {
 		e.answer(c, r, http.StatusMisdirectedRequest, false, "")
 		return true
 	}
-	defer e.end(model)
+	defer e.endRun(model)
 	e.ran(r)
 	id := r.Header.Get(wire.HeaderRequestID)
 	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: %s.%s\r\n\r\n", wire.HeaderRequestID, id, wire.HeaderStamp, e.id, id)
 	if _, err := io.WriteString(c, text); err != nil {
 		return false
 	}
-	for i := range eventCount + 1 {
+	for i := range e.events + 1 {
 		chunk := "0\r\n\r\n"
-		if i < eventCount {
+		if i < e.events {
 			time.Sleep(eventInterval)
 			event := fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, id)
 			chunk = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/review/stand2/limit.go
+++ b/review/stand2/limit.go
@@ -96,7 +96,7 @@
 		}},
 		Services: []wire.ServiceMessage{{Name: "officina-llm", Health: "/health", MaxConns: 370, Engine: &wire.EngineMessage{
 			Slots: 64, CacheTokens: 135517, MemoryMB: 83000, AdapterSlots: limitSlots, LoadsPerSec: 2.3,
-			Models: []wire.ModelMessage{{Name: "m0", MemoryMB: 34300, LoadS: 2, WarmS: 0.39, DiskS: 0.51, Adapters: limitAdapters, AdapterMB: 40}},
+			Models: []wire.ModelMessage{{Name: "m0", MemoryMB: 34300, LoadS: modelLoad.Seconds(), WarmS: 0.39, DiskS: 0.51, Adapters: limitAdapters, AdapterMB: 40}},
 		}}},
 		Limits: wire.LimitsMessage{HeaderBytes: 65536, BodyBytes: 4 << 20, HeaderMS: 5000, IdleMS: 30000},
 	}
